Rename the Go module and build the first real sidecar round the decisions

Straightest form: net/http downstream, HTTP/1.1 on net.Conn upstream, one engine lock round the Balancer, discovery watch. Module unchanged but for the import path. Tests pass; not yet measured.

--- a/balance/example_test.go
+++ b/balance/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"cairncross.example/cairncross/balance"
+	"pinelb.example/pinelb/balance"
 )
 
 // A sidecar owns one Balancer, hands it every event with its own clock, and carries out the actions.
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -11,8 +11,9 @@
 	"os"
 	"time"
 
-	"cairncross.example/cairncross/balance"
-	"cairncross.example/cairncross/internal/wire"
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/wire"
 )
 
 func main() {
@@ -53,11 +54,11 @@
 	case wire.OpStop:
 		delete(d.instances, rec.Instance)
 	case wire.OpStart:
-		set, err := wire.ParseSettings(rec.Settings)
+		set, err := config.ParseSettings(rec.Settings)
 		if err != nil {
 			return err
 		}
-		b, err := balance.New(set, rec.Seed)
+		b, err := balance.New(set.Settings, rec.Seed)
 		if err != nil {
 			return err
 		}
--- a/cmd/drill/main_test.go
+++ b/cmd/drill/main_test.go
@@ -6,7 +6,7 @@
 	"strings"
 	"testing"
 
-	"cairncross.example/cairncross/internal/wire"
+	"pinelb.example/pinelb/internal/wire"
 )
 
 // batch builds a frame of 48-byte records with a tail.
--- /dev/null
+++ b/cmd/pinelb/main.go
@@ -0,0 +1,76 @@
+// Command pinelb is the sidecar: it takes streams from callers, has the decision module choose their
+// upstream hosts, and carries out what it decides. This file only connects the parts.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/cluster"
+	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/downstream"
+	"pinelb.example/pinelb/internal/engine"
+	"pinelb.example/pinelb/internal/stream"
+	"pinelb.example/pinelb/internal/upstream"
+)
+
+const (
+	socketsKept = 32                     // for discovery, the listener and the runtime
+	memoryShare = 0.7                    // of the limit, for the heap: the rest is stacks and the kernel's
+	syncWithin  = 300 * time.Millisecond // after which the known list has to do
+)
+
+func main() {
+	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).
+		Sample(&zerolog.BurstSampler{Burst: 50, Period: time.Second}).With().Timestamp().Logger()
+	cfg, err := config.Load(os.Getenv)
+	if err == nil {
+		log = log.With().Str("name", cfg.Name).Logger()
+		err = run(cfg, log)
+	}
+	if err != nil {
+		log.Error().Err(err).Msg("pinelb ends")
+		os.Exit(1)
+	}
+}
+
+func run(cfg *config.Config, log zerolog.Logger) error {
+	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
+	sockets := cfg.Limits.Sockets - socketsKept
+
+	set := &cfg.Settings
+	pool := upstream.NewPool(set.ConnectTimeout, set.ConnIdle, sockets/2)
+	eng, err := engine.New(set.Settings, cfg.Seed, pool, log)
+	if err != nil {
+		return err
+	}
+	srv := downstream.New(set, &stream.Proxy{Engine: eng, Upstream: pool, Log: log}, log)
+	table := cluster.NewTable(set.ZoneNames, set.KindNames, pool, eng)
+	table.Apply(balance.ListCached, cfg.Known)
+
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	ending, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	life, end := context.WithCancel(context.Background()) // discovery is heard until the last stream has ended
+	defer end()
+	go pool.Sweep(life)
+	late := time.AfterFunc(syncWithin, srv.Ready)
+	defer late.Stop()
+	watch := &cluster.Watcher{Addr: cfg.Discovery, Table: table, Log: log}
+	go watch.Run(life, srv.Ready)
+	return srv.Run(ending, l, sockets-sockets/2)
+}
--- /dev/null
+++ b/internal/cluster/table.go
@@ -0,0 +1,93 @@
+package cluster
+
+import (
+	"hash/fnv"
+	"slices"
+	"strings"
+
+	"pinelb.example/pinelb/balance"
+)
+
+// Hosts is told where each upstream host is to be reached; the connection pools are one.
+type Hosts interface {
+	Set(id balance.EndpointID, addr string)
+	Remove(id balance.EndpointID)
+}
+
+// Decisions is told what discovery says.
+type Decisions interface {
+	Membership(kind balance.ListKind, entries []balance.Entry)
+}
+
+// Table turns discovery's names into the decisions' numbers. The number of a host follows from its
+// discovery id alone, so that every sidecar numbers the cluster alike and a ring of it is the same for all.
+type Table struct {
+	zones, kinds []string
+	hosts        Hosts
+	decisions    Decisions
+	ids          map[string]balance.EndpointID
+	taken        map[balance.EndpointID]string
+}
+
+// NewTable returns an empty table; zones and kinds are the settings' names, in their order.
+func NewTable(zones, kinds []string, hosts Hosts, decisions Decisions) *Table {
+	return &Table{zones: zones, kinds: kinds, hosts: hosts, decisions: decisions,
+		ids: map[string]balance.EndpointID{}, taken: map[balance.EndpointID]string{}}
+}
+
+// Apply takes over a list. A host is made reachable before the decisions hear of it, and dropped after.
+func (t *Table) Apply(kind balance.ListKind, list List) {
+	// In the order of ids, or two that collide would be numbered by the order in which they came.
+	slices.SortFunc(list.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	entries := make([]balance.Entry, 0, len(list.Members))
+	gone := map[string]bool{}
+	if kind != balance.ListDelta {
+		for id := range t.ids {
+			gone[id] = true
+		}
+	}
+	for i := range list.Members {
+		m := &list.Members[i]
+		id := t.number(m.ID)
+		delete(gone, m.ID)
+		if m.State == balance.Gone {
+			gone[m.ID] = true
+		} else {
+			t.hosts.Set(id, m.Addr)
+		}
+		entries = append(entries, balance.Entry{
+			Endpoint: id, State: m.State, Weight: m.Weight, Zone: index(t.zones, m.Zone),
+			Cell: m.Cell, Kind: index(t.kinds, m.Kind), UpSince: m.UpSince,
+		})
+	}
+	t.decisions.Membership(kind, entries)
+	for id := range gone {
+		t.hosts.Remove(t.ids[id])
+		delete(t.taken, t.ids[id])
+		delete(t.ids, id)
+	}
+}
+
+// number is the host's, hashed from its id; where that is another's, the id is hashed with a mark added.
+func (t *Table) number(id string) balance.EndpointID {
+	if n, known := t.ids[id]; known {
+		return n
+	}
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	n := balance.EndpointID(h.Sum32())
+	for t.taken[n] != "" {
+		h.Write([]byte{0})
+		n = balance.EndpointID(h.Sum32())
+	}
+	t.ids[id], t.taken[n] = n, id
+	return n
+}
+
+// index is the place of a name in the settings' list; names that the settings lack share the next number.
+func index(names []string, name string) int {
+	if i := slices.Index(names, name); i >= 0 {
+		return i
+	}
+	return len(names)
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,137 @@
+// Package config is the one place where configuration is read, checked and given defaults: the
+// environment, the file that LB_CONFIG names, and the settings object that the simulator's first
+// message shares with that file. Every error names the faulty key; unknown keys are ignored.
+package config
+
+import (
+	"fmt"
+	"hash/fnv"
+	"net/netip"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"pinelb.example/pinelb/internal/cluster"
+)
+
+// Defaults of what the file may leave out: the limits of the deployment guide's scored days.
+const (
+	defaultCores    = 1.0
+	defaultMemoryMB = 192
+	defaultSockets  = 1024
+	defaultConnIdle = 30 * time.Second
+
+	leastMemoryMB = 32 // the runtime and the pools take about half of this
+	leastSockets  = 64 // each side has to have some
+)
+
+// Limits are the bounds of the machine that a sidecar runs on.
+type Limits struct {
+	Cores    float64
+	MemoryMB int
+	Sockets  int
+}
+
+// Config is all that a sidecar is told at its start.
+type Config struct {
+	Name      string
+	Listen    string // where callers connect
+	Discovery string // the address of discovery's agent
+	Seed      uint64
+	Limits    Limits
+	Known     cluster.List // the cluster as this sidecar last had it; perhaps old
+	Settings  Settings
+}
+
+// Load reads the environment and the file that LB_CONFIG names; a variable goes before its key in the file.
+func Load(getenv func(string) string) (*Config, error) {
+	path := getenv("LB_CONFIG")
+	if path == "" {
+		return nil, fmt.Errorf("config: LB_CONFIG is not set")
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: LB_CONFIG: %w", err)
+	}
+	if !gjson.ValidBytes(data) {
+		return nil, fmt.Errorf("config: LB_CONFIG: %s is not valid JSON", path)
+	}
+	r := &reader{at: "LB_CONFIG", json: gjson.ParseBytes(data)}
+	if !r.json.IsObject() {
+		return nil, fmt.Errorf("config: LB_CONFIG: %s must hold an object", path)
+	}
+	either := func(variable, key string) string {
+		if v := getenv(variable); v != "" {
+			return v
+		}
+		return r.text(key)
+	}
+	limits := r.object("limits")
+	c := &Config{
+		Name: either("LB_NAME", "name"), Listen: either("LB_LISTEN", "listen"),
+		Discovery: either("LB_DISCOVERY", "discovery"), Seed: seed(r.text("seed")),
+		Limits: Limits{
+			Cores:    limits.numberOr("cores", defaultCores),
+			MemoryMB: int(limits.numberOr("memory_mb", defaultMemoryMB)),
+			Sockets:  int(limits.numberOr("sockets", defaultSockets)),
+		},
+	}
+	if c.Known, err = cluster.ParseList(r.object("known").json); err != nil {
+		return nil, fmt.Errorf("config: LB_CONFIG.known: %w", err)
+	}
+	settings := r.object("settings")
+	if err := r.failed(); err != nil {
+		return nil, err
+	}
+	if c.Settings, err = readSettings(settings); err != nil {
+		return nil, err
+	}
+	return c, c.check()
+}
+
+// check names the first key that a sidecar cannot run with. What the decisions need of the settings is
+// checked by balance.New, which names its fields likewise.
+func (c *Config) check() error {
+	for _, a := range []struct{ key, addr string }{{"LB_LISTEN", c.Listen}, {"LB_DISCOVERY", c.Discovery}} {
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return fmt.Errorf("config: %s: %w", a.key, err)
+		}
+	}
+	s := &c.Settings
+	switch {
+	case c.Limits.Cores <= 0:
+		return fmt.Errorf("config: LB_CONFIG.limits.cores must be above 0")
+	case c.Limits.MemoryMB < leastMemoryMB:
+		return fmt.Errorf("config: LB_CONFIG.limits.memory_mb must be %d or more", leastMemoryMB)
+	case c.Limits.Sockets < leastSockets:
+		return fmt.Errorf("config: LB_CONFIG.limits.sockets must be %d or more", leastSockets)
+	case s.ConnectTimeout <= 0:
+		return fmt.Errorf("config: LB_CONFIG.settings.allowed.connect_timeout is missing")
+	case s.MaxHeld <= 0:
+		return fmt.Errorf("config: LB_CONFIG.settings.allowed.most_held is missing")
+	}
+	if s.ConnIdle == 0 {
+		s.ConnIdle = defaultConnIdle
+	}
+	seen := map[string]bool{}
+	for i, name := range s.ClassNames {
+		if name == "" || seen[name] {
+			return fmt.Errorf("config: LB_CONFIG.settings.classes[%d].name is missing or not unique", i)
+		}
+		seen[name] = true
+	}
+	return nil
+}
+
+// seed takes the hexadecimal number that the deployment gives; any other text is hashed, for a seed
+// need only differ from start to start.
+func seed(text string) uint64 {
+	if n, err := strconv.ParseUint(text, 16, 64); err == nil {
+		return n
+	}
+	h := fnv.New64a()
+	h.Write([]byte(text))
+	return h.Sum64()
+}
--- /dev/null
+++ b/internal/config/reader.go
@@ -0,0 +1,126 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+// reader takes typed values out of one JSON object and keeps the first fault, so that the code that
+// reads many keys need not check each. Absent keys read as zero.
+type reader struct {
+	at   string // where the object stands, for messages
+	json gjson.Result
+	err  *error // shared by the readers of one text; nil until the first fault
+}
+
+func (r *reader) fail(key, what string) {
+	if r.err == nil {
+		r.err = new(error)
+	}
+	if *r.err == nil {
+		*r.err = fmt.Errorf("config: %s.%s %s", r.at, key, what)
+	}
+}
+
+func (r *reader) failed() error {
+	if r.err == nil {
+		return nil
+	}
+	return *r.err
+}
+
+// get is the value of a key, checked to be of the wanted type if it is there.
+func (r *reader) get(key, want string, fits func(gjson.Result) bool) (gjson.Result, bool) {
+	v := r.json.Get(key)
+	if !v.Exists() || v.Type == gjson.Null {
+		return v, false
+	}
+	if !fits(v) {
+		r.fail(key, "must be "+want)
+		return gjson.Result{}, false
+	}
+	return v, true
+}
+
+func isNumber(v gjson.Result) bool { return v.Type == gjson.Number }
+func isText(v gjson.Result) bool   { return v.Type == gjson.String }
+
+func (r *reader) numberOr(key string, def float64) float64 {
+	if v, there := r.get(key, "a number", isNumber); there {
+		return v.Num
+	}
+	return def
+}
+
+func (r *reader) number(key string) float64 { return r.numberOr(key, 0) }
+
+func (r *reader) integer(key string) int {
+	v := r.number(key)
+	if v != math.Trunc(v) || math.Abs(v) > 1<<31 {
+		r.fail(key, "must be a whole number")
+		return 0
+	}
+	return int(v)
+}
+
+// span reads nanoseconds; the settings give every time so.
+func (r *reader) span(key string) time.Duration {
+	v := r.number(key)
+	if v < 0 || v > math.MaxInt64/2 {
+		r.fail(key, "must be a time in nanoseconds")
+		return 0
+	}
+	return time.Duration(v)
+}
+
+func (r *reader) text(key string) string {
+	v, _ := r.get(key, "a string", isText)
+	return v.Str
+}
+
+func (r *reader) flag(key string) bool {
+	v, _ := r.get(key, "true or false", gjson.Result.IsBool)
+	return v.Type == gjson.True
+}
+
+func (r *reader) texts(key string) []string {
+	list, _ := r.get(key, "a list of strings", gjson.Result.IsArray)
+	var out []string
+	for i, v := range list.Array() {
+		if v.Type != gjson.String {
+			r.fail(fmt.Sprintf("%s[%d]", key, i), "must be a string")
+		}
+		out = append(out, v.Str)
+	}
+	return out
+}
+
+// objects returns a reader for each object of a list; they share the first fault.
+func (r *reader) objects(key string) []*reader {
+	list, _ := r.get(key, "a list of objects", gjson.Result.IsArray)
+	if r.err == nil {
+		r.err = new(error)
+	}
+	var out []*reader
+	for i, v := range list.Array() {
+		at := fmt.Sprintf("%s[%d]", key, i)
+		if !v.IsObject() {
+			r.fail(at, "must be an object")
+			continue
+		}
+		out = append(out, &reader{at: r.at + "." + at, json: v, err: r.err})
+	}
+	return out
+}
+
+// object returns a reader for the object of a key, which may be absent.
+func (r *reader) object(key string) *reader {
+	v, _ := r.get(key, "an object", gjson.Result.IsObject)
+	if r.err == nil {
+		r.err = new(error)
+	}
+	return &reader{at: r.at + "." + key, json: v, err: r.err}
+}
--- /dev/null
+++ b/internal/config/settings.go
@@ -0,0 +1,92 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"pinelb.example/pinelb/balance"
+)
+
+// Settings is what the site says, for the decisions and for the names on the sockets.
+type Settings struct {
+	balance.Settings
+	ClassNames []string      // by class index, as requests name them
+	KindNames  []string      // by kind index, as discovery names them
+	ZoneNames  []string      // by zone index, as discovery names them
+	ConnIdle   time.Duration // an upstream host closes a connection that has stood idle for this long
+}
+
+var effects = map[string]balance.Effect{
+	"read_like": balance.Safe, "idempotency_key": balance.Keyed, "non_idempotent": balance.Unsafe,
+}
+
+var scopes = map[string]balance.Scope{
+	"": balance.ScopeAll, "all": balance.ScopeAll, "zone": balance.ScopeZone, "cell": balance.ScopeCell,
+}
+
+var loadFields = map[string]balance.LoadField{
+	"concurrent": balance.LoadInFlight, "depth": balance.LoadQueue, "load_share": balance.LoadUtilisation,
+	"mean_ms": balance.LoadServiceMS, "tps": balance.LoadRate, "err_ps": balance.LoadErrorRate,
+}
+
+// ParseSettings reads the settings object that the simulator's first message and LB_CONFIG share.
+// Keys that it does not know are ignored; a key of the wrong type is an error that names it.
+func ParseSettings(data []byte) (Settings, error) {
+	if !gjson.ValidBytes(data) {
+		return Settings{}, fmt.Errorf("config: settings are not valid JSON")
+	}
+	return readSettings(&reader{at: "settings", json: gjson.ParseBytes(data)})
+}
+
+func readSettings(r *reader) (Settings, error) {
+	if !r.json.IsObject() {
+		return Settings{}, fmt.Errorf("config: %s must be an object", r.at)
+	}
+	out := Settings{Settings: balance.Settings{
+		Instances: r.integer("n_instances"), Rank: r.integer("rank"), Tier: r.integer("tier"),
+		Zone: r.integer("locality"), OverShareWorth: r.numberOr("over_share_worth", 1),
+		ByWork: r.text("counted_by") == "work", PassesDeadline: r.flag("family_info.passes_deadline"),
+		MarksRetry: r.flag("clients.marks_retry"), MustAsk: r.text("registry_mode") == "subscribe",
+		Weights:    r.text("weight_source") != "off" && r.text("weight_source") != "",
+		LoadInline: r.text("reporting.source") == "inline",
+		Prices: balance.Prices{Waste: r.number("prices.waste"), Handshake: r.number("prices.handshake"),
+			Probe: r.number("prices.probe"), Peer: r.number("prices.peer"),
+			LateFail: r.number("prices.late_fail"), CrossZone: r.number("prices.cross_zone")},
+		Quantum: r.span("quantum"), Cancel: r.flag("allowed.cancel"), SecondCopies: r.flag("allowed.second_copies"),
+		Probes: r.flag("allowed.probing"), Peers: r.flag("allowed.peer_messages"),
+		RetryAfter: r.flag("allowed.retry_after"), MaxRetryAfter: r.span("allowed.max_retry_after"),
+		MaxAttempts: r.integer("allowed.send_cap"), MaxHeld: r.integer("allowed.most_held"),
+		ConnectTimeout: r.span("allowed.connect_timeout"), AnswerSlack: r.span("rules.answer_slack"),
+		DrainGrace: r.span("rules.stop_sending_within"), MustAskIn: r.span("rules.must_ask_in"),
+		ColdShare: r.number("rules.cold_share"), ColdFor: r.span("rules.cold"),
+		FallMultiple: r.number("rules.tip_multiple"), FallWindow: r.span("rules.fall"),
+	}}
+	out.ConnIdle = r.span("allowed.conn_idle")
+	out.KindNames, out.ZoneNames = r.texts("kinds"), r.texts("zones")
+	out.Kinds, out.Zones, out.Tiers = len(out.KindNames), len(out.ZoneNames), len(r.texts("tiers"))
+	for _, f := range r.texts("reporting.fields") {
+		out.LoadFields = append(out.LoadFields, loadFields[f])
+	}
+	for _, t := range r.objects("tenants") {
+		out.Tenants = append(out.Tenants, balance.Tenant{Share: t.number("share"), Quota: t.number("quota_rps")})
+	}
+	for _, c := range r.objects("classes") {
+		effect, known := effects[c.text("idempotency")]
+		if !known {
+			c.fail("idempotency", "is unknown")
+		}
+		scope, known := scopes[c.text("key_scope")]
+		if !known {
+			c.fail("key_scope", "is unknown")
+		}
+		out.ClassNames = append(out.ClassNames, c.text("name"))
+		out.Classes = append(out.Classes, balance.Class{
+			Aim: c.span("aim"), AimStretch: c.number("aim_stretch"), Deadline: c.span("deadline"), Effect: effect,
+			Scope: scope, Memory: c.span("memory_span"), Worth: c.number("worth"), LateWorth: c.number("late_worth"),
+			Stream: c.flag("stream"),
+		})
+	}
+	return out, r.failed()
+}
--- /dev/null
+++ b/internal/downstream/server.go
@@ -0,0 +1,95 @@
+// Package downstream takes streams over HTTP/1.1 and answers them. It also tells the front whether the
+// sidecar is ready, and lets it end without losing what it has taken.
+package downstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/stream"
+)
+
+// How a planned end goes, from SIGTERM on. New connections come for 0.2 to 0.4 s more, and what arrives
+// within 0.7 s has to be answered; SIGKILL comes 0.7 s after the longest deadline at the soonest.
+const (
+	serveFor  = 700 * time.Millisecond
+	acceptFor = 900 * time.Millisecond
+	endWithin = 3650 * time.Millisecond
+
+	headersWithin = 5 * time.Second
+	readWithin    = 10 * time.Second
+	idleWithin    = 2 * time.Minute
+	headerMost    = 16 << 10
+)
+
+// Handler answers one stream.
+type Handler interface {
+	Serve(ctx context.Context, req *stream.Request) stream.Response
+}
+
+// Server is the side that callers see.
+type Server struct {
+	classes  map[string]class
+	mostHeld int64
+	streams  Handler
+	log      zerolog.Logger
+
+	held     atomic.Int64
+	ready    atomic.Bool
+	draining atomic.Bool // the front is to send no more
+	refusing atomic.Bool // what comes now comes too late
+}
+
+// New returns a server that is not ready yet.
+func New(s *config.Settings, streams Handler, log zerolog.Logger) *Server {
+	srv := &Server{classes: map[string]class{}, mostHeld: int64(s.MaxHeld), streams: streams, log: log}
+	for i, name := range s.ClassNames {
+		srv.classes[name] = class{index: i, effect: s.Classes[i].Effect}
+	}
+	return srv
+}
+
+// Ready lets the front send streams.
+func (s *Server) Ready() { s.ready.Store(true) }
+
+// Run serves on l, with that many connections at most, until ctx ends and what was taken is answered.
+func (s *Server) Run(ctx context.Context, l net.Listener, most int) error {
+	conns := newConnections(most)
+	hs := &http.Server{Handler: s, ReadHeaderTimeout: headersWithin, ReadTimeout: readWithin, IdleTimeout: idleWithin,
+		MaxHeaderBytes: headerMost, ConnState: conns.changed}
+	ended := make(chan error, 1)
+	go func() { ended <- hs.Serve(&limited{Listener: l, conns: conns}) }()
+	select {
+	case err := <-ended:
+		return fmt.Errorf("downstream: %w", err)
+	case <-ctx.Done():
+	}
+	return s.drain(hs)
+}
+
+// drain ends the server in steps. Listening goes on while connections may come, or they would be reset
+// with what had been written to them.
+func (s *Server) drain(hs *http.Server) error {
+	s.log.Info().Int64("held", s.held.Load()).Msg("draining")
+	from := time.Now()
+	s.draining.Store(true)
+	hs.SetKeepAlivesEnabled(false)
+	time.Sleep(serveFor)
+	s.refusing.Store(true)
+	time.Sleep(acceptFor - serveFor)
+	ctx, cancel := context.WithDeadline(context.Background(), from.Add(endWithin))
+	defer cancel()
+	if err := hs.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("downstream: shutdown: %w", err)
+	}
+	s.log.Info().Int64("held", s.held.Load()).Dur("after", time.Since(from)).Msg("drained")
+	return nil
+}
--- /dev/null
+++ b/internal/engine/engine.go
@@ -0,0 +1,181 @@
+// Package engine runs the decision module against real time. It owns the Balancer, its clock and its
+// timers, and hands each action to the stream that it is for. It knows nothing of any protocol.
+package engine
+
+import (
+	"context"
+	"fmt"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/balance"
+)
+
+// Connections are the upstream side's part of what the decisions ask for.
+type Connections interface {
+	// Probe examines an upstream host and returns how that ended.
+	Probe(id balance.EndpointID) balance.Status
+	// CloseUnused closes the idle connections to an upstream host.
+	CloseUnused(id balance.EndpointID)
+}
+
+// Engine serialises all events of one sidecar into its Balancer.
+type Engine struct {
+	settings balance.Settings
+	conns    Connections
+	log      zerolog.Logger
+	start    time.Time     // carries the monotonic clock
+	unix     time.Duration // what the module's clock showed at start
+
+	mu      sync.Mutex
+	b       *balance.Balancer
+	seed    uint64
+	life    int // how many Balancers there were before this one
+	actions []balance.Action
+	last    balance.RequestID
+	streams map[balance.RequestID]*Stream // until ended and every attempt has its outcome
+	cluster map[balance.EndpointID]balance.Entry
+}
+
+// New returns an engine with no cluster yet.
+func New(settings balance.Settings, seed uint64, conns Connections, log zerolog.Logger) (*Engine, error) {
+	b, err := balance.New(settings, seed)
+	if err != nil {
+		return nil, fmt.Errorf("engine: %w", err)
+	}
+	now := time.Now()
+	return &Engine{settings: settings, conns: conns, log: log, start: now, unix: time.Duration(now.UnixNano()),
+		b: b, seed: seed, streams: map[balance.RequestID]*Stream{}, cluster: map[balance.EndpointID]balance.Entry{}}, nil
+}
+
+// now is Unix time at the start plus what has passed since by the monotonic clock: the cluster's start
+// times compare with it directly, and a step of the wall clock does no harm.
+func (e *Engine) now() time.Duration { return e.unix + time.Since(e.start) }
+
+// Membership passes on what discovery says.
+func (e *Engine) Membership(kind balance.ListKind, entries []balance.Entry) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if kind != balance.ListDelta {
+		clear(e.cluster)
+	}
+	for _, entry := range entries {
+		if entry.State == balance.Gone {
+			delete(e.cluster, entry.Endpoint)
+		} else {
+			e.cluster[entry.Endpoint] = entry
+		}
+	}
+	e.handle(&balance.Event{Kind: balance.EventMembership, List: kind, Entries: entries})
+}
+
+// handle gives the Balancer one event and carries out its actions; the caller holds the lock.
+func (e *Engine) handle(ev *balance.Event) {
+	if err := e.decide(ev); err != nil {
+		e.log.Error().Err(err).Msg("the decisions failed; they start anew")
+		e.restart()
+		return
+	}
+	for i := range e.actions {
+		e.carryOut(&e.actions[i])
+	}
+}
+
+// decide runs the module; a panic there becomes an error, for it must not take other streams along.
+func (e *Engine) decide(ev *balance.Event) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			e.actions = e.actions[:0]
+			err = fmt.Errorf("engine: panic in the decisions: %v\n%s", p, debug.Stack())
+		}
+	}()
+	e.actions = e.b.Handle(e.now(), ev, e.actions[:0])
+	return nil
+}
+
+func (e *Engine) carryOut(a *balance.Action) {
+	switch a.Kind {
+	case balance.ActSend, balance.ActRefuse, balance.ActFail, balance.ActCancel:
+		if s := e.streams[a.Request]; s != nil {
+			s.carryOut(a)
+		}
+	case balance.ActTimer:
+		token, life := a.Token, e.life
+		time.AfterFunc(a.After, func() {
+			e.mu.Lock()
+			defer e.mu.Unlock()
+			if life == e.life {
+				e.handle(&balance.Event{Kind: balance.EventTimer, Token: token})
+			}
+		})
+	case balance.ActProbe:
+		go e.probe(a.Endpoint, e.life)
+	case balance.ActCloseUnused:
+		go e.conns.CloseUnused(a.Endpoint)
+	case balance.ActLog:
+		e.log.Info().Msg(a.Text)
+	case balance.ActFetch, balance.ActWatch, balance.ActTell:
+		// Discovery is always watched here, and no deployment of ours lets instances talk.
+	}
+}
+
+func (e *Engine) probe(id balance.EndpointID, life int) {
+	from := time.Now()
+	status := e.conns.Probe(id)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if life == e.life {
+		e.handle(&balance.Event{Kind: balance.EventProbed, Endpoint: id, Status: status, Latency: time.Since(from)})
+	}
+}
+
+// restart begins again with a fresh Balancer and the cluster as it is known: after a panic the old one's
+// state can't be relied on. What was open is answered now; late outcomes of it are told to nobody.
+func (e *Engine) restart() {
+	e.life++
+	old := e.streams
+	e.streams = map[balance.RequestID]*Stream{}
+	for _, s := range old {
+		s.abandon()
+	}
+	b, err := balance.New(e.settings, e.seed+uint64(e.life))
+	if err != nil {
+		e.log.Error().Err(err).Msg("the decisions do not start anew")
+		return
+	}
+	e.b = b
+	entries := make([]balance.Entry, 0, len(e.cluster))
+	for _, entry := range e.cluster {
+		entries = append(entries, entry)
+	}
+	if err := e.decide(&balance.Event{Kind: balance.EventMembership, List: balance.ListFull, Entries: entries}); err != nil {
+		e.log.Error().Err(err).Msg("the decisions failed on the known cluster")
+		return
+	}
+	for i := range e.actions {
+		e.carryOut(&e.actions[i])
+	}
+}
+
+// Call is what the decisions are told of a stream.
+type Call struct {
+	Class    int
+	Left     time.Duration // until the client gives up
+	Repeated bool          // the client's own retry
+}
+
+// Open tells the decisions of a new stream. The caller has to call Close once it has its answer.
+func (e *Engine) Open(ctx context.Context, c Call) *Stream {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.last++
+	most := e.settings.MaxAttempts
+	s := &Stream{e: e, ctx: ctx, id: e.last, life: e.life, sends: make(chan Send, most), verdict: make(chan Verdict, 1),
+		tries: make([]try, 0, most)}
+	e.streams[s.id] = s
+	e.handle(&balance.Event{Kind: balance.EventRequest, Request: s.id, Class: c.Class, Left: c.Left, Repeated: c.Repeated})
+	return s
+}
--- /dev/null
+++ b/internal/stream/stream.go
@@ -0,0 +1,118 @@
+// Package stream holds one request's life, from its arrival to its final answer, and the
+// protocol-neutral values that it passes between the two sides.
+package stream
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/engine"
+)
+
+// Request is one stream's request, decoded. The upstream host gets it as it came.
+type Request struct {
+	Txn       string // fresh for every request
+	ClassName string
+	Class     int
+	Operation string // what is called: over HTTP, the method
+	Target    string // on what: over HTTP, the raw path and query
+	Authority string
+	Key       string // the effect's identity, where the class carries one
+	Repeated  bool
+	Labels    string
+	MediaType string
+	Body      []byte
+	Deadline  time.Time // when the client gives up
+}
+
+// Outcome says how a stream ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Served  Outcome = iota
+	Refused         // a local reply: trying again is harmless
+	Failed          // nothing is promised
+	Expired         // failed, for its time is up
+	Gone            // the client has left; nobody waits for an answer
+)
+
+// Response is a stream's final answer.
+type Response struct {
+	Outcome    Outcome
+	MediaType  string
+	Body       []byte
+	RetryAfter time.Duration
+}
+
+// Upstream carries out one upstream request. It returns by until or soon after ctx ends, and never
+// sends the request twice.
+type Upstream interface {
+	Do(ctx context.Context, host balance.EndpointID, until time.Time, req *Request) (balance.Status, Response)
+}
+
+// Proxy serves streams.
+type Proxy struct {
+	Engine   *engine.Engine
+	Upstream Upstream
+	Log      zerolog.Logger
+}
+
+// Serve is one stream's life. The decisions choose every send and may end the stream; the first answer
+// of an upstream host ends it too, and so do the client's leaving and its deadline.
+func (p *Proxy) Serve(ctx context.Context, req *Request) Response {
+	// Attempts must not end with the client by themselves: the decisions withdraw them.
+	s := p.Engine.Open(context.WithoutCancel(ctx), engine.Call{
+		Class: req.Class, Left: time.Until(req.Deadline), Repeated: req.Repeated})
+	defer s.Close()
+	answer := make(chan Response, 1) // one at most: only one attempt can win
+	watchdog := time.NewTimer(time.Until(req.Deadline))
+	defer watchdog.Stop()
+	for {
+		select {
+		case send := <-s.Sends():
+			go p.attempt(s, send, req, answer)
+		case v := <-s.Verdict():
+			return localReply(v, req)
+		case res := <-answer:
+			return res
+		case <-ctx.Done():
+			s.Abandon()
+			return Response{Outcome: Gone}
+		case <-watchdog.C: // the decisions should have ended it by now
+			if ended, sent := s.Abandon(); ended && sent {
+				return Response{Outcome: Expired}
+			} else if ended {
+				return Response{Outcome: Refused}
+			}
+		}
+	}
+}
+
+// attempt is one upstream request. However it ends, its outcome is told once.
+func (p *Proxy) attempt(s *engine.Stream, send engine.Send, req *Request, answer chan<- Response) {
+	status, res := balance.Reset, Response{} // what a panic leaves: it may have run
+	defer func() {
+		if fault := recover(); fault != nil {
+			p.Log.Error().Interface("panic", fault).Msg("upstream request failed")
+		}
+		if s.Settle(send.Attempt, status) {
+			answer <- res
+		}
+	}()
+	status, res = p.Upstream.Do(send.Ctx, send.Host, send.Until, req)
+}
+
+// localReply words what the decisions said. A failure near the deadline is one of time.
+func localReply(v engine.Verdict, req *Request) Response {
+	switch {
+	case v.Refused:
+		return Response{Outcome: Refused, RetryAfter: v.RetryAfter}
+	case time.Until(req.Deadline) < 50*time.Millisecond:
+		return Response{Outcome: Expired}
+	}
+	return Response{Outcome: Failed}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,191 @@
+// Package upstream carries out upstream requests over HTTP/1.1 on connections of its own. What it
+// reports of each is what the decisions rest on: above all whether the request may have run.
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"pinelb.example/pinelb/balance"
+)
+
+const (
+	idleShare  = 0.8 // of the time that an upstream host lets a connection idle: retired clearly before
+	sweepEvery = time.Second
+)
+
+var (
+	errUnknownHost = errors.New("upstream: the host is not in the cluster")
+	errCrowded     = errors.New("upstream: no connection is free")
+)
+
+// Pool holds the connections to all upstream hosts of the cluster.
+type Pool struct {
+	connectTimeout time.Duration
+	idleMost       time.Duration
+	most           int // connections in all, those being opened included
+
+	mu    sync.Mutex
+	open  int
+	hosts map[balance.EndpointID]*host
+}
+
+// host is one upstream host's address and its idle connections, the last used last.
+type host struct {
+	addr string
+	idle []*conn
+}
+
+// NewPool returns a pool without hosts that opens at most that many connections.
+func NewPool(connectTimeout, connIdle time.Duration, most int) *Pool {
+	return &Pool{connectTimeout: connectTimeout, idleMost: time.Duration(idleShare * float64(connIdle)), most: most,
+		hosts: map[balance.EndpointID]*host{}}
+}
+
+// Set makes a host known, or moves it; connections to its former address are of no use.
+func (p *Pool) Set(id balance.EndpointID, addr string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[id]
+	if h == nil {
+		h = &host{}
+		p.hosts[id] = h
+	}
+	if h.addr != addr {
+		p.closeIdle(h, func(*conn) bool { return true })
+		h.addr = addr
+	}
+}
+
+// Remove forgets a host. Requests that are out to it go on.
+func (p *Pool) Remove(id balance.EndpointID) {
+	p.CloseUnused(id)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.hosts, id)
+}
+
+// CloseUnused closes the idle connections to a host.
+func (p *Pool) CloseUnused(id balance.EndpointID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[id]; h != nil {
+		p.closeIdle(h, func(*conn) bool { return true })
+	}
+}
+
+// Sweep retires idle connections, until ctx ends: those that have stood too long, and those that the
+// other side has closed, whose descriptors would be held for nothing.
+func (p *Pool) Sweep(ctx context.Context) {
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case now := <-t.C:
+			p.mu.Lock()
+			for _, h := range p.hosts {
+				p.closeIdle(h, func(c *conn) bool { return !p.fit(c, now) })
+			}
+			p.mu.Unlock()
+		}
+	}
+}
+
+// fit tells whether an idle connection may carry a request: not stood too long, still open, and silent.
+func (p *Pool) fit(c *conn, now time.Time) bool {
+	return now.Sub(c.idleSince) < p.idleMost && c.quiet()
+}
+
+// closeIdle closes the idle connections that unfit picks; the caller holds the lock.
+func (p *Pool) closeIdle(h *host, unfit func(*conn) bool) {
+	kept := h.idle[:0]
+	for _, c := range h.idle {
+		if unfit(c) {
+			c.close()
+			p.open--
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	clear(h.idle[len(kept):])
+	h.idle = kept
+}
+
+// take returns an idle connection to the host that is fit for use, or a new one.
+func (p *Pool) take(ctx context.Context, id balance.EndpointID, until time.Time) (*conn, error) {
+	p.mu.Lock()
+	h := p.hosts[id]
+	if h == nil {
+		p.mu.Unlock()
+		return nil, errUnknownHost
+	}
+	now := time.Now()
+	for len(h.idle) > 0 {
+		c := h.idle[len(h.idle)-1]
+		h.idle[len(h.idle)-1] = nil
+		h.idle = h.idle[:len(h.idle)-1]
+		if p.fit(c, now) {
+			p.mu.Unlock()
+			return c, nil
+		}
+		c.close()
+		p.open--
+	}
+	if p.open >= p.most && !p.makeRoom() {
+		p.mu.Unlock()
+		return nil, errCrowded
+	}
+	p.open++
+	addr := h.addr
+	p.mu.Unlock()
+
+	d := net.Dialer{Timeout: min(p.connectTimeout, time.Until(until)), KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		p.drop(nil)
+		return nil, fmt.Errorf("upstream: dial: %w", err)
+	}
+	return newConn(nc, id, addr), nil
+}
+
+// makeRoom closes one idle connection of any host; the caller holds the lock.
+func (p *Pool) makeRoom() bool {
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 {
+			oldest := h.idle[0]
+			p.closeIdle(h, func(c *conn) bool { return c == oldest })
+			return true
+		}
+	}
+	return false
+}
+
+// put makes a connection idle, unless its host is gone or has moved meanwhile.
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	h := p.hosts[c.host]
+	if h == nil || h.addr != c.addr {
+		p.mu.Unlock()
+		p.drop(c)
+		return
+	}
+	c.idleSince = time.Now()
+	h.idle = append(h.idle, c)
+	p.mu.Unlock()
+}
+
+// drop closes a connection that is not to be used again; nil is one that never came up.
+func (p *Pool) drop(c *conn) {
+	if c != nil {
+		c.close()
+	}
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
--- /dev/null
+++ b/internal/upstream/request.go
@@ -0,0 +1,101 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/stream"
+)
+
+const probeTimeout = 100 * time.Millisecond
+
+var errBadAnswer = errors.New("upstream: an answer that breaks the protocol")
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 1<<10); return &b }}
+
+// Do carries out one upstream request on one connection. It never sends it again.
+func (p *Pool) Do(ctx context.Context, id balance.EndpointID, until time.Time, req *stream.Request) (balance.Status, stream.Response) {
+	c, err := p.take(ctx, id, until)
+	if err != nil {
+		return neverSent(ctx, err), stream.Response{}
+	}
+	buf := buffers.Get().(*[]byte)
+	*buf = encode((*buf)[:0], req, time.Until(until))
+	a, status := p.exchange(ctx, c, until, *buf)
+	buffers.Put(buf)
+	return status, stream.Response{Outcome: stream.Served, MediaType: a.mediaType, Body: a.body}
+}
+
+// Probe asks an upstream host whether it is up.
+func (p *Pool) Probe(id balance.EndpointID) balance.Status {
+	ctx, until := context.Background(), time.Now().Add(probeTimeout)
+	c, err := p.take(ctx, id, until)
+	if err != nil {
+		return neverSent(ctx, err)
+	}
+	_, status := p.exchange(ctx, c, until, []byte("GET /ping HTTP/1.1\r\nHost: "+c.addr+"\r\n\r\n"))
+	return status
+}
+
+// exchange writes a message and reads the answer. The connection is idle again afterwards, or closed.
+func (p *Pool) exchange(ctx context.Context, c *conn, until time.Time, message []byte) (answer, balance.Status) {
+	_ = c.SetDeadline(until) // on a connection that is broken the write says so
+	stop := context.AfterFunc(ctx, c.interrupt)
+	defer stop()
+	if _, err := c.Write(message); err != nil {
+		p.drop(c)
+		return answer{}, neverSent(ctx, err)
+	}
+	a, err := c.read()
+	if err != nil {
+		p.drop(c)
+		return answer{}, noAnswer(ctx, err)
+	}
+	if stop() && a.reusable {
+		p.put(c)
+	} else {
+		p.drop(c)
+	}
+	return a, judge(a)
+}
+
+// judge is the outcome that an answer stands for.
+func judge(a answer) balance.Status {
+	switch {
+	case a.status == http.StatusOK:
+		return balance.OK
+	case a.turnedAway && (a.status == http.StatusServiceUnavailable || a.status == http.StatusGatewayTimeout):
+		return balance.Full
+	}
+	return balance.Error
+}
+
+// neverSent is the outcome of a request whose last byte was not written: whatever went wrong, it proves
+// that the request never ran.
+func neverSent(ctx context.Context, err error) balance.Status {
+	switch {
+	case ctx.Err() != nil:
+		return balance.Cancelled
+	case errors.Is(err, errUnknownHost):
+		return balance.Moot
+	}
+	return balance.ConnectFailed
+}
+
+// noAnswer is the outcome of a request that was written whole and got no answer: it may have run.
+func noAnswer(ctx context.Context, err error) balance.Status {
+	switch {
+	case ctx.Err() != nil:
+		return balance.Cancelled
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return balance.Timeout
+	case errors.Is(err, errBadAnswer):
+		return balance.Error
+	}
+	return balance.Reset
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -11,7 +11,7 @@
 	"math"
 	"time"
 
-	"cairncross.example/cairncross/balance"
+	"pinelb.example/pinelb/balance"
 )
 
 const (
