Check the upstream pool against a model; harden drain, watchdog and stray sends

Wrong lines: an attempt sent for an ended stream, or beyond the send cap, would never have had its outcome (and the latter would have blocked the lock's holder); drain closed idle connections at once, crossing requests; Shutdown could outlast its context; the read time-out would have cut a client with a long deadline.

--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -57,12 +57,15 @@
 	}
 	srv := downstream.New(set, &stream.Proxy{Engine: eng, Upstream: pool, Log: log}, log)
 	table := cluster.NewTable(set.ZoneNames, set.KindNames, pool, eng)
-	table.Apply(balance.ListCached, cfg.Known)
+	if len(cfg.Known.Members) > 0 { // from none at all the decisions would take a wrong measure
+		table.Apply(balance.ListCached, cfg.Known)
+	}
 
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	log.Info().Stringer("addr", l.Addr()).Msg("listening")
 	ending, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	life, end := context.WithCancel(context.Background()) // discovery is heard until the last stream has ended
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -56,6 +56,10 @@
 			kind = balance.ListFull
 		}
 		w.Table.Apply(kind, list)
+		if list.Complete || len(list.Members) > 0 {
+			w.Log.Info().Int64("revision", list.Revision).Bool("complete", list.Complete).
+				Int("members", len(list.Members)).Msg("cluster changed")
+		}
 		if revision = list.Revision; !have {
 			have = true
 			synced()
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -78,8 +78,10 @@
 			Sockets:  int(limits.numberOr("sockets", defaultSockets)),
 		},
 	}
-	if c.Known, err = cluster.ParseList(r.object("known").json); err != nil {
-		return nil, fmt.Errorf("config: LB_CONFIG.known: %w", err)
+	if known := r.object("known").json; known.Exists() {
+		if c.Known, err = cluster.ParseList(known); err != nil {
+			return nil, fmt.Errorf("config: LB_CONFIG.known: %w", err)
+		}
 	}
 	settings := r.object("settings")
 	if err := r.failed(); err != nil {
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -13,14 +13,14 @@
 )
 
 const (
-	bodyMost = 64 << 10         // bytes of any message's body
-	nameMost = 128              // bytes of an id or a key
-	leftMost = 10 * time.Minute // of a client's patience: no class has nearly as much
+	bodyMost = 64 << 10 // bytes of any message's body
+	nameMost = 128      // bytes of an id or a key
 )
 
 type class struct {
-	index  int
-	effect balance.Effect
+	index    int
+	effect   balance.Effect
+	deadline time.Duration
 }
 
 // refusal is a local reply to a message that is no valid stream.
@@ -36,6 +36,9 @@
 		s.health(w)
 		return
 	}
+	if s.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	held := s.held.Add(1)
 	defer s.held.Add(-1)
 	if held > s.mostHeld || s.refusing.Load() {
@@ -93,7 +96,7 @@
 	switch {
 	case !isName(req.Txn):
 		return nil, &refusal{http.StatusBadRequest, "X-Txn is missing or malformed"}
-	case err != nil || time.Duration(left)*time.Millisecond > leftMost:
+	case err != nil:
 		return nil, &refusal{http.StatusBadRequest, "X-Remaining-Ms is missing or malformed"}
 	case r.Method != method:
 		return nil, &refusal{http.StatusBadRequest, "the method does not fit the class"}
@@ -102,7 +105,8 @@
 	case !strings.HasPrefix(req.Target, "/"):
 		return nil, &refusal{http.StatusBadRequest, "the target must be a path"}
 	}
-	req.Deadline = at.Add(time.Duration(left) * time.Millisecond)
+	// An answer within the class's deadline is in time for every client, however long it says it waits.
+	req.Deadline = at.Add(min(time.Duration(left)*time.Millisecond, c.deadline))
 	var bad *refusal
 	if req.Body, bad = readBody(r); bad != nil {
 		return nil, bad
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -25,7 +25,7 @@
 	endWithin = 3650 * time.Millisecond
 
 	headersWithin = 5 * time.Second
-	readWithin    = 10 * time.Second
+	readBeyond    = 5 * time.Second // a request may be read for so much longer than any client waits
 	idleWithin    = 2 * time.Minute
 	headerMost    = 16 << 10
 )
@@ -38,6 +38,7 @@
 // Server is the side that callers see.
 type Server struct {
 	classes  map[string]class
+	longest  time.Duration // of the classes' deadlines
 	mostHeld int64
 	streams  Handler
 	log      zerolog.Logger
@@ -52,7 +53,8 @@
 func New(s *config.Settings, streams Handler, log zerolog.Logger) *Server {
 	srv := &Server{classes: map[string]class{}, mostHeld: int64(s.MaxHeld), streams: streams, log: log}
 	for i, name := range s.ClassNames {
-		srv.classes[name] = class{index: i, effect: s.Classes[i].Effect}
+		srv.classes[name] = class{index: i, effect: s.Classes[i].Effect, deadline: s.Classes[i].Deadline}
+		srv.longest = max(srv.longest, s.Classes[i].Deadline)
 	}
 	return srv
 }
@@ -63,7 +65,7 @@
 // Run serves on l, with that many connections at most, until ctx ends and what was taken is answered.
 func (s *Server) Run(ctx context.Context, l net.Listener, most int) error {
 	conns := newConnections(most)
-	hs := &http.Server{Handler: s, ReadHeaderTimeout: headersWithin, ReadTimeout: readWithin, IdleTimeout: idleWithin,
+	hs := &http.Server{Handler: s, ReadHeaderTimeout: headersWithin, ReadTimeout: s.longest + readBeyond, IdleTimeout: idleWithin,
 		MaxHeaderBytes: headerMost, ConnState: conns.changed}
 	ended := make(chan error, 1)
 	go func() { ended <- hs.Serve(&limited{Listener: l, conns: conns}) }()
@@ -76,19 +78,25 @@
 }
 
 // drain ends the server in steps. Listening goes on while connections may come, or they would be reset
-// with what had been written to them.
+// with what had been written to them. Every answer from now on closes its connection, so that clients go
+// elsewhere; those that stay idle are closed last, when hardly any request can cross that.
 func (s *Server) drain(hs *http.Server) error {
 	s.log.Info().Int64("held", s.held.Load()).Msg("draining")
 	from := time.Now()
 	s.draining.Store(true)
-	hs.SetKeepAlivesEnabled(false)
 	time.Sleep(serveFor)
 	s.refusing.Store(true)
 	time.Sleep(acceptFor - serveFor)
 	ctx, cancel := context.WithDeadline(context.Background(), from.Add(endWithin))
 	defer cancel()
-	if err := hs.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return fmt.Errorf("downstream: shutdown: %w", err)
+	ended := make(chan error, 1)
+	go func() { ended <- hs.Shutdown(ctx) }() // it may wait for a slow connection beyond its context
+	select {
+	case err := <-ended:
+		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+			return fmt.Errorf("downstream: shutdown: %w", err)
+		}
+	case <-ctx.Done():
 	}
 	s.log.Info().Int64("held", s.held.Load()).Dur("after", time.Since(from)).Msg("drained")
 	return nil
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -58,8 +58,14 @@
 		now := s.e.now()
 		s.tries = append(s.tries, try{cancel: cancel, sentAt: now, open: true})
 		s.out++
+		attempt := len(s.tries) - 1
+		if s.ended || attempt >= cap(s.sends) {
+			// Nobody would take it, and the decisions must not wait for its outcome for ever.
+			go s.Settle(attempt, balance.Moot)
+			return
+		}
 		s.sent++
-		s.sends <- Send{Attempt: len(s.tries) - 1, Host: a.Endpoint, Until: s.e.start.Add(now - s.e.unix + a.After), Ctx: ctx}
+		s.sends <- Send{Attempt: attempt, Host: a.Endpoint, Until: s.e.start.Add(now - s.e.unix + a.After), Ctx: ctx}
 	case balance.ActCancel:
 		if a.Attempt < len(s.tries) {
 			s.tries[a.Attempt].cancel()
@@ -137,8 +143,10 @@
 	return true, s.sent > 0
 }
 
-// Close settles what was asked for and never begun, so that every send has its outcome.
+// Close ends the stream if nothing has, and settles what was asked for and never begun, so that every
+// send has its outcome.
 func (s *Stream) Close() {
+	s.Abandon()
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
 	for {
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -54,6 +54,10 @@
 	Do(ctx context.Context, host balance.EndpointID, until time.Time, req *Request) (balance.Status, Response)
 }
 
+// watchdogLead is how long before the client's deadline the watchdog answers. The decisions have ended
+// a stream by then, if they work at all.
+const watchdogLead = 2 * time.Millisecond
+
 // Proxy serves streams.
 type Proxy struct {
 	Engine   *engine.Engine
@@ -69,7 +73,7 @@
 		Class: req.Class, Left: time.Until(req.Deadline), Repeated: req.Repeated})
 	defer s.Close()
 	answer := make(chan Response, 1) // one at most: only one attempt can win
-	watchdog := time.NewTimer(time.Until(req.Deadline))
+	watchdog := time.NewTimer(time.Until(req.Deadline) - watchdogLead)
 	defer watchdog.Stop()
 	for {
 		select {
--- /dev/null
+++ b/internal/upstream/model_test.go
@@ -0,0 +1,206 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/stream"
+)
+
+// arrival is a request as the scripted upstream host has it.
+type arrival struct {
+	conn int // which connection, in the order of accepting
+	nc   net.Conn
+	req  *http.Request
+}
+
+// scripted is an upstream host that says only what the test tells it to.
+type scripted struct {
+	addr     string
+	arrivals chan arrival
+}
+
+func newScripted(t testing.TB) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &scripted{addr: l.Addr().String(), arrivals: make(chan arrival)}
+	go func() {
+		for n := 0; ; n++ {
+			nc, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				in := bufio.NewReader(nc)
+				for {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					if req.ContentLength > 0 {
+						body, _ := io.ReadAll(req.Body)
+						req.Header.Set("Body", string(body))
+					}
+					s.arrivals <- arrival{n, nc, req}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+// say is a way for an upstream host to end a request: its words, and whether it then hangs up.
+type say struct {
+	text   string
+	hangUp bool
+	reset  bool // with a reset instead of an orderly end
+	status balance.Status
+	reuse  bool // may the connection carry another request?
+}
+
+var says = []say{
+	{text: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", status: balance.OK, reuse: true},
+	{text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n", status: balance.OK, reuse: true},
+	{text: "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok", status: balance.OK},
+	{text: "HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", status: balance.Error, reuse: true},
+	{text: "HTTP/1.1 503 Busy\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", status: balance.Full, reuse: true},
+	{text: "HTTP/1.1 504 Late\r\nX-Turned-Away: 1\r\nContent-Length: 0\r\n\r\n", status: balance.Full, reuse: true},
+	{text: "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", status: balance.Error, reuse: true},
+	{text: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok+extra", status: balance.OK},
+	{text: "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nok", hangUp: true, status: balance.Reset},
+	{text: "HTTP/1.1 200 OK\r\n\r\nok", hangUp: true, status: balance.Error}, // whole or cut off? nobody can tell
+	{text: "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n", status: balance.Error},
+	{text: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", status: balance.OK, reuse: true},
+	{hangUp: true, status: balance.Reset},
+	{hangUp: true, reset: true, status: balance.Reset},
+}
+
+// held is a request that is out.
+type held struct {
+	at     arrival
+	cancel context.CancelFunc
+	ended  chan balance.Status
+}
+
+// FuzzConnections walks a pool through random steps and checks each against a model in which the
+// connections are a stack of idle ones and a set of busy ones: which connection carries a request, what
+// its outcome is, and how many are open after it.
+func FuzzConnections(f *testing.F) {
+	f.Add([]byte{0, 1, 0, 1, 0x11, 0, 1})                      // reuse, after a plain and a chunked answer
+	f.Add([]byte{0, 0, 0, 1, 1, 1, 0, 0})                      // three at once, then the last used first
+	f.Add([]byte{0, 0x71, 0, 0x81, 0, 0xc1, 0, 0xd1, 0, 1})    // what must not be reused
+	f.Add([]byte{0, 1, 4, 0, 1, 5, 0, 1, 6, 0, 1, 7, 0, 2, 0}) // idle ones closed in every way; a cancel
+	f.Fuzz(func(t *testing.T, steps []byte) {
+		const id = 7
+		host := newScripted(t)
+		clock := time.Now()
+		p := NewPool(time.Minute, 10*time.Second, 100)
+		p.now = func() time.Time { return clock }
+		p.Set(id, host.addr)
+		var idle []arrival // the model: a stack
+		var busy []held
+		opened := 0
+		for _, step := range steps[:min(len(steps), 40)] {
+			arg := int(step >> 4)
+			switch step & 7 {
+			case 0: // a request begins, on the last idle connection or a new one
+				if len(busy) == 8 {
+					continue
+				}
+				ctx, cancel := context.WithCancel(context.Background())
+				h := held{cancel: cancel, ended: make(chan balance.Status, 1)}
+				go func() {
+					status, _ := p.Do(ctx, id, time.Now().Add(time.Minute), &stream.Request{Operation: "GET",
+						Target: "/a", Authority: "x", Txn: strconv.Itoa(opened)})
+					h.ended <- status
+				}()
+				h.at = <-host.arrivals
+				want := opened
+				if n := len(idle); n > 0 {
+					want, idle = idle[n-1].conn, idle[:n-1]
+				} else {
+					opened++
+				}
+				if h.at.conn != want {
+					t.Fatalf("the request came on connection %d, want %d", h.at.conn, want)
+				}
+				busy = append(busy, h)
+			case 1, 2: // the oldest request ends: answered or broken, or withdrawn
+				if len(busy) == 0 {
+					continue
+				}
+				h, end := busy[0], says[arg%len(says)]
+				busy = busy[1:]
+				if step&7 == 2 {
+					end = say{status: balance.Cancelled}
+					h.cancel()
+				} else if end.end(h.at.nc); end.reuse {
+					idle = append(idle, h.at)
+				}
+				if got := <-h.ended; got != end.status {
+					t.Fatalf("answer %q gave outcome %d, want %d", end.text, got, end.status)
+				}
+				h.cancel()
+			case 3: // the host moves: what is idle is of no use, what is busy is not kept afterwards
+				if len(busy) > 0 {
+					continue
+				}
+				host, idle, opened = newScripted(t), nil, 0
+				p.Set(id, host.addr)
+			case 4, 5: // the host closes an idle connection, or says something unasked on it
+				if len(idle) == 0 {
+					continue
+				}
+				i := arg % len(idle)
+				say{text: "HTTP/1.1 408 Timeout\r\n\r\n"[:24*int(step&1)], hangUp: step&1 == 0}.end(idle[i].nc)
+				idle = append(idle[:i:i], idle[i+1:]...)
+				for n := len(idle) + 1; n > len(idle); n, _ = counts(p, id) {
+					runtime.Gosched() // until the kernel has brought it
+					p.retire()
+				}
+			case 6: // time passes
+				clock, idle = clock.Add(8*time.Second), nil
+				p.retire()
+			case 7:
+				p.CloseUnused(id)
+				idle = nil
+			}
+			if n, open := counts(p, id); n != len(idle) || open != n+len(busy) {
+				t.Fatalf("%d idle of %d open, want %d of %d", n, open, len(idle), len(idle)+len(busy))
+			}
+		}
+		for _, h := range busy {
+			h.cancel()
+			<-h.ended
+		}
+	})
+}
+
+func (s say) end(nc net.Conn) {
+	_, _ = io.WriteString(nc, s.text)
+	if s.reset {
+		_ = nc.(*net.TCPConn).SetLinger(0)
+	}
+	if s.hangUp {
+		_ = nc.Close()
+	}
+}
+
+// counts is how many connections are idle, and how many are open.
+func counts(p *Pool, id balance.EndpointID) (idle, open int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.hosts[id].idle), p.open
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -29,6 +29,8 @@
 	idleMost       time.Duration
 	most           int // connections in all, those being opened included
 
+	now func() time.Time
+
 	mu    sync.Mutex
 	open  int
 	hosts map[balance.EndpointID]*host
@@ -43,7 +45,7 @@
 // NewPool returns a pool without hosts that opens at most that many connections.
 func NewPool(connectTimeout, connIdle time.Duration, most int) *Pool {
 	return &Pool{connectTimeout: connectTimeout, idleMost: time.Duration(idleShare * float64(connIdle)), most: most,
-		hosts: map[balance.EndpointID]*host{}}
+		now: time.Now, hosts: map[balance.EndpointID]*host{}}
 }
 
 // Set makes a host known, or moves it; connections to its former address are of no use.
@@ -87,16 +89,21 @@
 		select {
 		case <-ctx.Done():
 			return
-		case now := <-t.C:
-			p.mu.Lock()
-			for _, h := range p.hosts {
-				p.closeIdle(h, func(c *conn) bool { return !p.fit(c, now) })
-			}
-			p.mu.Unlock()
+		case <-t.C:
+			p.retire()
 		}
 	}
 }
 
+func (p *Pool) retire() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := p.now()
+	for _, h := range p.hosts {
+		p.closeIdle(h, func(c *conn) bool { return !p.fit(c, now) })
+	}
+}
+
 // fit tells whether an idle connection may carry a request: not stood too long, still open, and silent.
 func (p *Pool) fit(c *conn, now time.Time) bool {
 	return now.Sub(c.idleSince) < p.idleMost && c.quiet()
@@ -125,7 +132,7 @@
 		p.mu.Unlock()
 		return nil, errUnknownHost
 	}
-	now := time.Now()
+	now := p.now()
 	for len(h.idle) > 0 {
 		c := h.idle[len(h.idle)-1]
 		h.idle[len(h.idle)-1] = nil
@@ -175,7 +182,7 @@
 		p.drop(c)
 		return
 	}
-	c.idleSince = time.Now()
+	c.idleSince = p.now()
 	h.idle = append(h.idle, c)
 	p.mu.Unlock()
 }
