--- /dev/null
+++ b/internal/engine/engine_test.go
@@ -0,0 +1,144 @@
+package engine
+
+import (
+	"context"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/balance"
+)
+
+type noConnections struct{}
+
+func (noConnections) Probe(balance.EndpointID) balance.Status { return balance.OK }
+func (noConnections) CloseUnused(balance.EndpointID)          {}
+
+func newEngine(t *testing.T, hosts ...balance.EndpointID) *Engine {
+	t.Helper()
+	e, err := New(balance.Settings{Instances: 1, Classes: []balance.Class{
+		{Aim: time.Minute, Deadline: time.Minute, Effect: balance.Safe, Worth: 1},
+		{Aim: time.Minute, Deadline: time.Minute, Effect: balance.Unsafe, Worth: 1},
+	}, MaxAttempts: 4, Cancel: true, SecondCopies: true, ColdShare: 0.3, ColdFor: time.Second, FallMultiple: 2,
+		FallWindow: time.Second}, 1, noConnections{}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var entries []balance.Entry
+	for _, h := range hosts {
+		entries = append(entries, balance.Entry{Endpoint: h, State: balance.Ready, Weight: 1})
+	}
+	e.Membership(balance.ListFull, entries)
+	return e
+}
+
+func (e *Engine) open() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.streams)
+}
+
+// Guards against a stream with two answers, or an attempt with two outcomes.
+func TestOneAnswer(t *testing.T) {
+	e := newEngine(t, 1, 2)
+	s := e.Open(context.Background(), Call{Left: time.Minute})
+	send := <-s.Sends()
+	if !s.Settle(send.Attempt, balance.OK) {
+		t.Error("the first answer was not the stream's")
+	}
+	if s.Settle(send.Attempt, balance.OK) {
+		t.Error("a second outcome of one attempt was taken")
+	}
+	if ended, _ := s.Abandon(); ended {
+		t.Error("an answered stream was ended again")
+	}
+	s.Close()
+	if len(s.Verdict()) != 0 || e.open() != 0 {
+		t.Errorf("%d local replies to an answered stream, %d streams open", len(s.Verdict()), e.open())
+	}
+}
+
+// Guards against a late answer reaching a client that was given up, and against the stream being kept.
+func TestLateAnswer(t *testing.T) {
+	e := newEngine(t, 1)
+	s := e.Open(context.Background(), Call{Left: time.Minute})
+	send := <-s.Sends()
+	if ended, sent := s.Abandon(); !ended || !sent {
+		t.Errorf("ended %v, sent %v, want both", ended, sent)
+	}
+	<-send.Ctx.Done() // the decisions have withdrawn the attempt
+	if e.open() != 1 {
+		t.Error("the stream was forgotten before its attempt had its outcome")
+	}
+	if s.Settle(send.Attempt, balance.OK) {
+		t.Error("an answer after the end was taken")
+	}
+	if e.open() != 0 {
+		t.Error("the stream was kept after its last outcome")
+	}
+}
+
+// Guards against a send that nobody takes: without an outcome the decisions would count it as out for ever.
+func TestSendsAreSettled(t *testing.T) {
+	e := newEngine(t, 1)
+	s := e.Open(context.Background(), Call{Left: time.Minute})
+	if len(s.Sends()) != 1 {
+		t.Fatalf("%d sends, want 1", len(s.Sends()))
+	}
+	s.Close()
+	if e.open() != 0 {
+		t.Error("a send that was never begun has no outcome")
+	}
+	e.mu.Lock()
+	s.carryOut(&balance.Action{Kind: balance.ActSend, Request: s.id, Endpoint: 1}) // by faulty decisions
+	e.mu.Unlock()
+	for s.outNow() != 0 { // another goroutine settles it
+		runtime.Gosched()
+	}
+	if len(s.Sends()) != 0 {
+		t.Error("a send for an ended stream was handed out")
+	}
+}
+
+func (s *Stream) outNow() int {
+	s.e.mu.Lock()
+	defer s.e.mu.Unlock()
+	return s.out
+}
+
+// Guards against a panic in the decisions taking the sidecar, or any stream's answer, with it.
+func TestPanicInDecisions(t *testing.T) {
+	e := newEngine(t, 1, 2)
+	before := e.Open(context.Background(), Call{Class: 1, Left: time.Minute})
+	send := <-before.Sends()
+	e.mu.Lock()
+	e.b = nil // the next event panics
+	e.mu.Unlock()
+	during := e.Open(context.Background(), Call{Left: time.Minute})
+	if v := <-during.Verdict(); !v.Refused {
+		t.Error("a stream that was never sent was not refused")
+	}
+	if v := <-before.Verdict(); v.Refused {
+		t.Error("a stream that may have run was refused")
+	}
+	<-send.Ctx.Done()
+	if before.Settle(send.Attempt, balance.OK) {
+		t.Error("a stream that had its answer took another")
+	}
+	after := e.Open(context.Background(), Call{Left: time.Minute})
+	if !after.Settle((<-after.Sends()).Attempt, balance.OK) { // the cluster is still known
+		t.Error("no stream is served after a panic")
+	}
+}
+
+// Guards against a clock that can't be compared with discovery's start times, or that runs backwards.
+func TestClock(t *testing.T) {
+	e := newEngine(t)
+	from := time.Duration(time.Now().Add(-time.Minute).UnixNano())
+	a, b := e.now(), e.now()
+	if a < from || a > from+2*time.Minute || b < a {
+		t.Errorf("the clock shows %v then %v; Unix time is %v later than 1970", a, b, from)
+	}
+}
--- /dev/null
+++ b/internal/upstream/request_test.go
@@ -0,0 +1,117 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/stream"
+)
+
+func get(p *Pool, within time.Duration) (balance.Status, stream.Response) {
+	return p.Do(context.Background(), 1, time.Now().Add(within), &stream.Request{Operation: "GET", Target: "/a/b?c=%20d",
+		Authority: "origin.svc", Txn: "0a", ClassName: "a"})
+}
+
+func poolFor(addr string, most int) *Pool {
+	p := NewPool(time.Minute, time.Minute, most)
+	p.Set(1, addr)
+	return p
+}
+
+// Guards against taking what proves that a request never ran for something that may have run: the
+// decisions could not send it again, and an unsafe one would fail for nothing.
+func TestNeverSent(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	refusing := l.Addr().String()
+	l.Close()
+	if status, _ := get(poolFor(refusing, 1), time.Minute); status != balance.ConnectFailed {
+		t.Errorf("a refused connection gave outcome %d", status)
+	}
+	if status, _ := get(poolFor(refusing, 0), time.Minute); status != balance.ConnectFailed {
+		t.Errorf("a pool that is full gave outcome %d", status)
+	}
+	if status, _ := get(NewPool(time.Minute, time.Minute, 1), time.Minute); status != balance.Moot {
+		t.Errorf("a host that is not known gave outcome %d", status)
+	}
+	near, far := net.Pipe() // a write on it takes only what is read: this one breaks half-way
+	go func() {
+		_, _ = far.Read(make([]byte, 10))
+		far.Close()
+	}()
+	p := poolFor("127.0.0.1:1", 1)
+	p.open = 1
+	if _, status := p.exchange(context.Background(), newConn(near, 1, ""), time.Now().Add(time.Minute), make([]byte, 100)); status != balance.ConnectFailed {
+		t.Errorf("a break before the last byte gave outcome %d", status)
+	}
+	if p.open != 0 {
+		t.Errorf("%d connections open, want none", p.open)
+	}
+}
+
+// Guards against a silent host holding its attempt, or its descriptor, beyond the time-out.
+func TestTimeout(t *testing.T) {
+	host := newScripted(t)
+	p := poolFor(host.addr, 1)
+	go func() { <-host.arrivals }()
+	if status, _ := get(p, 50*time.Millisecond); status != balance.Timeout {
+		t.Errorf("silence gave outcome %d", status)
+	}
+	if idle, open := counts(p, 1); idle+open != 0 {
+		t.Errorf("%d idle of %d connections open, want none", idle, open)
+	}
+}
+
+// Guards against a message that is not what the client sent.
+func TestMessage(t *testing.T) {
+	host := newScripted(t)
+	p := poolFor(host.addr, 1)
+	req := &stream.Request{Operation: "POST", Target: "/place-order/7?x=%2F&y", Authority: "origin.svc", Txn: "0a1b",
+		ClassName: "place-order", Key: "k1", Body: []byte("two lenses"), Repeated: true, Labels: "a=1", MediaType: "text/plain"}
+	ended := make(chan stream.Response, 1)
+	go func() {
+		_, res := p.Do(context.Background(), 1, time.Now().Add(time.Minute), req)
+		ended <- res
+	}()
+	at := <-host.arrivals
+	h := at.req.Header
+	if at.req.Method != "POST" || at.req.RequestURI != req.Target || at.req.Host != req.Authority || h.Get("Body") != "two lenses" {
+		t.Errorf("the host got %s %s for %s with body %q", at.req.Method, at.req.RequestURI, at.req.Host, h.Get("Body"))
+	}
+	for name, want := range map[string]string{"X-Txn": "0a1b", "X-Lane": "place-order", "Idempotency-Key": "k1",
+		"X-Labels": "a=1", "X-Resent": "1", "Content-Type": "text/plain"} {
+		if h.Get(name) != want {
+			t.Errorf("%s is %q, want %q", name, h.Get(name), want)
+		}
+	}
+	if left, err := time.ParseDuration(h.Get("X-Remaining-Ms") + "ms"); err != nil || left <= 0 || left > time.Minute {
+		t.Errorf("X-Remaining-Ms is %q", h.Get("X-Remaining-Ms"))
+	}
+	say{text: "HTTP/1.1 200 OK\r\nContent-Type: text/csv\r\nContent-Length: 4\r\n\r\n\x00\r\nz"}.end(at.nc)
+	if res := <-ended; string(res.Body) != "\x00\r\nz" || res.MediaType != "text/csv" {
+		t.Errorf("answer %q of type %q", res.Body, res.MediaType)
+	}
+}
+
+// Guards against descriptors running out: an idle connection gives way to one for another host.
+func TestRoomIsMade(t *testing.T) {
+	a, b := newScripted(t), newScripted(t)
+	p := poolFor(a.addr, 1)
+	go func() { says[0].end((<-a.arrivals).nc) }()
+	if status, _ := get(p, time.Minute); status != balance.OK {
+		t.Fatalf("outcome %d", status)
+	}
+	p.Set(2, b.addr)
+	go func() { says[0].end((<-b.arrivals).nc) }()
+	if status := p.Probe(2); status != balance.OK {
+		t.Errorf("a probe with all connections idle elsewhere gave outcome %d", status)
+	}
+	if idle, open := counts(p, 1); idle != 0 || open != 1 {
+		t.Errorf("%d idle at the first host of %d open, want none of 1", idle, open)
+	}
+}
