--- /dev/null
+++ b/internal/cluster/cluster_test.go
@@ -0,0 +1,208 @@
+package cluster
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	"github.com/tidwall/gjson"
+
+	"pinelb.example/pinelb/balance"
+)
+
+const document = `{"revision":41,"complete":true,"members":[
+ {"id":"s-5be2a07c","host_port":"127.0.1.18:8080","locality":"a","flavor":"m2","cell":3,"phase":"Ready","size":1.5,"up_since_ms":1700000000123},
+ {"id":"s-2","host_port":"","phase":"Gone","novel":[1]}]}`
+
+func TestParseList(t *testing.T) {
+	got, err := ParseList(gjson.Parse(document))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := List{Revision: 41, Complete: true, Members: []Member{
+		{ID: "s-5be2a07c", Addr: "127.0.1.18:8080", Zone: "a", Kind: "m2", Cell: 3, State: balance.Ready, Weight: 1.5,
+			UpSince: 1700000000123 * time.Millisecond},
+		{ID: "s-2", State: balance.Gone},
+	}}
+	if !reflect.DeepEqual(got, want) {
+		t.Errorf("got  %+v\nwant %+v", got, want)
+	}
+}
+
+// Guards against a list that is taken in part: what it leaves out would count as gone.
+func TestBadLists(t *testing.T) {
+	for text, names := range map[string]string{
+		`[]`:            "members",
+		`{"members":1}`: "members",
+		`{"members":[{"id":"a","host_port":"127.0.0.1:1","phase":"Napping"}]}`: "members[0].phase",
+		`{"members":[{"host_port":"127.0.0.1:1","phase":"Ready"}]}`:            "members[0].id",
+		`{"members":[{"id":"a","host_port":"nowhere","phase":"Ready"}]}`:       "members[0].host_port",
+	} {
+		if _, err := ParseList(gjson.Parse(text)); err == nil || !strings.Contains(err.Error(), names) {
+			t.Errorf("%s: error %v, want one that names %s", text, err, names)
+		}
+	}
+}
+
+// world records what a table tells its two sides.
+type world struct {
+	addrs map[balance.EndpointID]string
+	lists chan []balance.Entry
+	kinds []balance.ListKind
+}
+
+func newWorld() (*world, *Table) {
+	w := &world{addrs: map[balance.EndpointID]string{}, lists: make(chan []balance.Entry, 10)}
+	return w, NewTable([]string{"z0", "z1"}, []string{"k0", "k1"}, w, w)
+}
+
+func (w *world) Set(id balance.EndpointID, addr string) { w.addrs[id] = addr }
+func (w *world) Remove(id balance.EndpointID)           { delete(w.addrs, id) }
+func (w *world) Membership(kind balance.ListKind, entries []balance.Entry) {
+	w.kinds = append(w.kinds, kind)
+	w.lists <- entries
+}
+
+func member(id, addr string, state balance.Availability) Member {
+	return Member{ID: id, Addr: addr, State: state, Zone: "z1", Kind: "k1"}
+}
+
+func TestTable(t *testing.T) {
+	w, table := newWorld()
+	table.Apply(balance.ListFull, List{Members: []Member{member("a", "x:1", balance.Ready), member("b", "x:2", balance.Ready)}})
+	first := <-w.lists
+	if len(first) != 2 || first[0].Zone != 1 || first[0].Kind != 1 || w.addrs[first[0].Endpoint] != "x:1" {
+		t.Fatalf("entries %+v, addresses %v", first, w.addrs)
+	}
+	table.Apply(balance.ListDelta, List{Members: []Member{member("a", "y:9", balance.Draining)}})
+	if e := (<-w.lists)[0]; e.Endpoint != first[0].Endpoint || e.State != balance.Draining || w.addrs[e.Endpoint] != "y:9" {
+		t.Errorf("after a drain and a move: %+v, addresses %v", e, w.addrs)
+	}
+	table.Apply(balance.ListFull, List{Members: []Member{member("a", "y:9", balance.Ready)}})
+	<-w.lists
+	if len(w.addrs) != 1 {
+		t.Errorf("a host that a whole list leaves out is still known: %v", w.addrs)
+	}
+	table.Apply(balance.ListDelta, List{Members: []Member{member("a", "", balance.Gone)}})
+	if e := (<-w.lists)[0]; e.State != balance.Gone || e.Endpoint != first[0].Endpoint || len(w.addrs) != 0 {
+		t.Errorf("after its end: %+v, addresses %v", e, w.addrs)
+	}
+}
+
+// Guards against two sidecars numbering the cluster differently, also where two ids hash alike: these two
+// do (FNV-1a, 32 bits). The module's ring has to be the same everywhere.
+func TestNumbersAreTheSameEverywhere(t *testing.T) {
+	const a, b = "costarring", "liquid"
+	numbers := func(ids ...string) map[string]balance.EndpointID {
+		_, table := newWorld()
+		var members []Member
+		for _, id := range ids {
+			members = append(members, member(id, "x:1", balance.Ready))
+		}
+		table.Apply(balance.ListFull, List{Members: members})
+		return table.ids
+	}
+	one, other := numbers(a, "c", b), numbers(b, a, "c")
+	if !reflect.DeepEqual(one, other) || one[a] == one[b] {
+		t.Errorf("%v and %v", one, other)
+	}
+	if alone := numbers(b); alone[b] != one[a] {
+		t.Errorf("%q and %q no longer collide, so this test shows nothing: %v %v", a, b, alone, one)
+	}
+}
+
+// agent plays discovery: each call is handed to the test, which answers it.
+type agent struct {
+	addr  string
+	calls chan call
+}
+
+type call struct {
+	target string
+	conn   net.Conn
+}
+
+func newAgent(t *testing.T) *agent {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	a := &agent{addr: l.Addr().String(), calls: make(chan call)}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				in := bufio.NewReader(conn)
+				for {
+					req, err := http.ReadRequest(in)
+					if err != nil {
+						return
+					}
+					a.calls <- call{req.RequestURI, conn}
+				}
+			}()
+		}
+	}()
+	return a
+}
+
+func (c call) answer(body string) {
+	fmt.Fprintf(c.conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+}
+
+// Guards against a watch that isn't continued, and against news lost where discovery breaks off or talks
+// nonsense: the next call asks from the last revision that was taken over.
+func TestWatch(t *testing.T) {
+	a := newAgent(t)
+	w, table := newWorld()
+	ctx, end := context.WithCancel(context.Background())
+	synced, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		(&Watcher{Addr: a.addr, Table: table, Log: zerolog.Nop()}).Run(ctx, func() { close(synced) })
+		close(ended)
+	}()
+	first := <-a.calls
+	if first.target != "/catalog/members" {
+		t.Errorf("the first call is %s", first.target)
+	}
+	first.answer(document)
+	<-w.lists
+	<-synced
+	const since41 = "/catalog/members?since=41&timeout_ms=20000"
+	for _, broken := range []func(call){
+		func(c call) { c.conn.Close() },
+		func(c call) { c.answer("nonsense") },
+		func(c call) { c.answer(`{"revision":50,"members":[{"id":"a"}]}`) },
+		func(c call) { fmt.Fprint(c.conn, "HTTP/1.1 500 Down\r\nContent-Length: 0\r\n\r\n") },
+	} {
+		c := <-a.calls
+		if c.target != since41 {
+			t.Errorf("the call is %s", c.target)
+		}
+		broken(c)
+	}
+	(<-a.calls).answer(`{"revision":43,"complete":false,"members":[{"id":"s-5be2a07c","host_port":"127.0.1.18:8080","phase":"Terminating"}]}`)
+	if e := <-w.lists; len(e) != 1 || e[0].State != balance.Draining {
+		t.Errorf("the change came as %+v", e)
+	}
+	if c := <-a.calls; !strings.Contains(c.target, "since=43&") {
+		t.Errorf("the call after a change is %s", c.target)
+	}
+	end() // while discovery is silent
+	<-ended
+	if want := []balance.ListKind{balance.ListFull, balance.ListDelta}; !reflect.DeepEqual(w.kinds, want) {
+		t.Errorf("lists of kinds %v, want %v", w.kinds, want)
+	}
+}
--- a/internal/downstream/connections.go
+++ b/internal/downstream/connections.go
@@ -9,14 +9,14 @@
 // connections bounds how many callers' connections are open, so that they never take the descriptors of
 // the upstream side. When all are in use an idle one gives way to a new one, which has a request to bring.
 type connections struct {
-	mu   sync.Mutex
-	free *sync.Cond
-	left int
-	idle map[net.Conn]struct{}
+	mu    sync.Mutex
+	free  *sync.Cond
+	left  int
+	quiet map[net.Conn]http.ConnState // idle, or new and silent so far
 }
 
 func newConnections(most int) *connections {
-	c := &connections{left: most, idle: map[net.Conn]struct{}{}}
+	c := &connections{left: most, quiet: map[net.Conn]http.ConnState{}}
 	c.free = sync.NewCond(&c.mu)
 	return c
 }
@@ -25,10 +25,12 @@
 func (c *connections) changed(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.idle, conn)
+	delete(c.quiet, conn)
 	switch state {
+	case http.StateNew:
+		c.quiet[conn] = state
 	case http.StateIdle:
-		c.idle[conn] = struct{}{}
+		c.quiet[conn] = state
 		c.free.Signal()
 	case http.StateClosed, http.StateHijacked:
 		c.left++
@@ -41,16 +43,27 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.left == 0 {
-		for conn := range c.idle {
-			delete(c.idle, conn)
-			_ = conn.Close() // between requests: the client takes another
-			break
+		for conn, state := range c.quiet {
+			if state == http.StateIdle {
+				delete(c.quiet, conn)
+				_ = conn.Close() // between requests: the client takes another
+				break
+			}
 		}
 		c.free.Wait()
 	}
 	c.left--
 }
 
+// closeQuiet closes every connection on which no request has begun.
+func (c *connections) closeQuiet() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for conn := range c.quiet {
+		_ = conn.Close()
+	}
+}
+
 func (c *connections) unclaim() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -36,21 +36,29 @@
 		s.health(w)
 		return
 	}
+	held := s.held.Add(1)
+	defer s.held.Add(-1)
+	res, bad := s.answer(r, at, held)
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	held := s.held.Add(1)
-	defer s.held.Add(-1)
-	if held > s.mostHeld || s.refusing.Load() {
-		say(w, http.StatusServiceUnavailable, "")
+	if bad != nil {
+		say(w, bad.status, bad.why)
 		return
 	}
+	encode(w, res)
+}
+
+// answer is a stream's final answer, or why the message is none.
+func (s *Server) answer(r *http.Request, at time.Time, held int64) (stream.Response, *refusal) {
+	if held > s.mostHeld || s.refusing.Load() {
+		return stream.Response{Outcome: stream.Refused}, nil
+	}
 	req, bad := s.decode(r, at)
 	if bad != nil {
-		say(w, bad.status, bad.why)
-		return
+		return stream.Response{}, bad
 	}
-	encode(w, s.serve(r, req))
+	return s.serve(r, req), nil
 }
 
 // serve keeps a panic in one stream from its connection: the client still gets an answer.
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -42,6 +42,7 @@
 	mostHeld int64
 	streams  Handler
 	log      zerolog.Logger
+	after    func(time.Duration) <-chan time.Time // times the steps of a planned end
 
 	held     atomic.Int64
 	ready    atomic.Bool
@@ -51,7 +52,7 @@
 
 // New returns a server that is not ready yet.
 func New(s *config.Settings, streams Handler, log zerolog.Logger) *Server {
-	srv := &Server{classes: map[string]class{}, mostHeld: int64(s.MaxHeld), streams: streams, log: log}
+	srv := &Server{classes: map[string]class{}, mostHeld: int64(s.MaxHeld), streams: streams, log: log, after: time.After}
 	for i, name := range s.ClassNames {
 		srv.classes[name] = class{index: i, effect: s.Classes[i].Effect, deadline: s.Classes[i].Deadline}
 		srv.longest = max(srv.longest, s.Classes[i].Deadline)
@@ -74,29 +75,31 @@
 		return fmt.Errorf("downstream: %w", err)
 	case <-ctx.Done():
 	}
-	return s.drain(hs)
+	return s.drain(hs, conns)
 }
 
 // drain ends the server in steps. Listening goes on while connections may come, or they would be reset
 // with what had been written to them. Every answer from now on closes its connection, so that clients go
 // elsewhere; those that stay idle are closed last, when hardly any request can cross that.
-func (s *Server) drain(hs *http.Server) error {
+func (s *Server) drain(hs *http.Server, conns *connections) error {
 	s.log.Info().Int64("held", s.held.Load()).Msg("draining")
 	from := time.Now()
 	s.draining.Store(true)
-	time.Sleep(serveFor)
+	<-s.after(serveFor)
 	s.refusing.Store(true)
-	time.Sleep(acceptFor - serveFor)
+	<-s.after(acceptFor - serveFor)
 	ctx, cancel := context.WithDeadline(context.Background(), from.Add(endWithin))
 	defer cancel()
 	ended := make(chan error, 1)
 	go func() { ended <- hs.Shutdown(ctx) }() // it may wait for a slow connection beyond its context
+	conns.closeQuiet()                        // Shutdown would give the silent ones five seconds
 	select {
 	case err := <-ended:
 		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
 			return fmt.Errorf("downstream: shutdown: %w", err)
 		}
 	case <-ctx.Done():
+		_ = hs.Close() // what is left is beyond its deadline
 	}
 	s.log.Info().Int64("held", s.held.Load()).Dur("after", time.Since(from)).Msg("drained")
 	return nil
--- /dev/null
+++ b/internal/downstream/server_test.go
@@ -0,0 +1,278 @@
+package downstream
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/stream"
+)
+
+type handlerFunc func(ctx context.Context, req *stream.Request) stream.Response
+
+func (f handlerFunc) Serve(ctx context.Context, req *stream.Request) stream.Response {
+	return f(ctx, req)
+}
+
+func newServer(h handlerFunc) *Server {
+	return New(&config.Settings{
+		Settings: balance.Settings{MaxHeld: 2, Classes: []balance.Class{
+			{Effect: balance.Safe, Deadline: time.Second}, {Effect: balance.Keyed, Deadline: 2 * time.Second},
+			{Effect: balance.Unsafe, Deadline: 3 * time.Second}}},
+		ClassNames: []string{"look", "order", "charge"},
+	}, h, zerolog.Nop())
+}
+
+func message(method, target, body string, headers ...string) *http.Request {
+	r := httptest.NewRequest(method, target, strings.NewReader(body))
+	if body == "" {
+		r.Body, r.ContentLength = http.NoBody, 0
+	}
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Set(headers[i], headers[i+1])
+	}
+	return r
+}
+
+// Guards against a message that is no valid stream being forwarded, or ending the sidecar.
+func TestBadMessages(t *testing.T) {
+	const id, left = "X-Txn", "X-Remaining-Ms"
+	s := newServer(func(_ context.Context, req *stream.Request) stream.Response {
+		t.Errorf("%s %s was forwarded", req.Operation, req.Target)
+		return stream.Response{}
+	})
+	chunked := message("POST", "/charge/1", strings.Repeat("x", bodyMost+1), id, "a", left, "9")
+	chunked.ContentLength = -1
+	cut := message("POST", "/charge/1", "four", id, "a", left, "9")
+	cut.ContentLength = 5
+	for _, c := range []struct {
+		r    *http.Request
+		want int
+	}{
+		{message("GET", "/look/1", "", left, "9"), 400},
+		{message("GET", "/look/1", "", id, "a b", left, "9"), 400},
+		{message("GET", "/look/1", "", id, strings.Repeat("a", nameMost+1), left, "9"), 400},
+		{message("GET", "/look/1", "", id, "a"), 400},
+		{message("GET", "/look/1", "", id, "a", left, "soon"), 400},
+		{message("GET", "/look/1", "", id, "a", left, "-5"), 400},
+		{message("GET", "/look/1", "", id, "a", left, "99999999999999999999"), 400},
+		{message("GET", "/look/1", "", id, "a", left, "9", "Idempotency-Key", "k"), 400},
+		{message("GET", "/look/1", "", id, "a", left, "9", "X-Lane", "order"), 400},
+		{message("GET", "/look/1", "body", id, "a", left, "9"), 400},
+		{message("POST", "/look/1", "", id, "a", left, "9"), 400},
+		{message("POST", "/order/1", "", id, "a", left, "9"), 400},
+		{message("GET", "/order/1", "", id, "a", left, "9", "Idempotency-Key", "k"), 400},
+		{message("POST", "/charge/1", "", id, "a", left, "9", "Idempotency-Key", "k"), 400},
+		{message("DELETE", "/charge/1", "", id, "a", left, "9"), 400},
+		{message("GET", "/unheard-of/1", "", id, "a", left, "9"), 404},
+		{message("GET", "/", "", id, "a", left, "9"), 404},
+		{message("POST", "/charge/1", strings.Repeat("x", bodyMost+1), id, "a", left, "9"), 413},
+		{chunked, 413},
+		{cut, 400},
+	} {
+		w := httptest.NewRecorder()
+		if s.ServeHTTP(w, c.r); w.Code != c.want {
+			t.Errorf("%s %s %v: %d %s, want %d", c.r.Method, c.r.RequestURI, c.r.Header, w.Code, w.Body, c.want)
+		}
+	}
+}
+
+func TestDecode(t *testing.T) {
+	var got stream.Request
+	s := newServer(func(_ context.Context, req *stream.Request) stream.Response {
+		got = *req
+		return stream.Response{}
+	})
+	body := strings.Repeat("x", bodyMost)
+	from := time.Now()
+	s.ServeHTTP(httptest.NewRecorder(), message("POST", "/order/7?a=%20b", body, "X-Txn", "9b1f", "X-Lane", "order",
+		"X-Remaining-Ms", "1500", "Idempotency-Key", "k1", "X-Resent", "1", "X-Labels", "n=1", "Content-Type", "text/csv"))
+	if left := got.Deadline.Sub(from); left < 1500*time.Millisecond || left > 2*time.Second {
+		t.Errorf("the time left is %v", left)
+	}
+	got.Deadline = time.Time{}
+	want := stream.Request{Txn: "9b1f", ClassName: "order", Class: 1, Operation: "POST", Target: "/order/7?a=%20b",
+		Authority: "example.com", Key: "k1", Repeated: true, Labels: "n=1", MediaType: "text/csv", Body: []byte(body)}
+	if !reflect.DeepEqual(got, want) {
+		got.Body, want.Body = nil, nil
+		t.Errorf("got  %+v\nwant %+v, or another body", got, want)
+	}
+}
+
+// Guards against a failed stream answered like a refused one: clients would repeat what may have run.
+func TestAnswers(t *testing.T) {
+	for _, c := range []struct {
+		res   stream.Response
+		code  int
+		retry string
+	}{
+		{stream.Response{Outcome: stream.Served, Body: []byte("\x00\r\n"), MediaType: "a/b"}, 200, ""},
+		{stream.Response{Outcome: stream.Served}, 200, ""},
+		{stream.Response{Outcome: stream.Refused, RetryAfter: 300 * time.Millisecond}, 503, "0.300"},
+		{stream.Response{Outcome: stream.Refused}, 503, ""},
+		{stream.Response{Outcome: stream.Failed}, 502, ""},
+		{stream.Response{Outcome: stream.Expired}, 504, ""},
+	} {
+		w := httptest.NewRecorder()
+		newServer(func(context.Context, *stream.Request) stream.Response { return c.res }).
+			ServeHTTP(w, message("GET", "/look/1", "", "X-Txn", "a", "X-Remaining-Ms", "9"))
+		if w.Code != c.code || !bytes.Equal(w.Body.Bytes(), c.res.Body) || w.Header().Get("Retry-After") != c.retry ||
+			w.Header().Get("Content-Length") != fmt.Sprint(len(c.res.Body)) {
+			t.Errorf("%+v became %d %v %q", c.res, w.Code, w.Header(), w.Body)
+		}
+	}
+	w := httptest.NewRecorder()
+	newServer(func(context.Context, *stream.Request) stream.Response { panic("bug") }).
+		ServeHTTP(w, message("GET", "/look/1", "", "X-Txn", "a", "X-Remaining-Ms", "9"))
+	if w.Code != 502 { // Guards against a panic ending a connection without an answer.
+		t.Errorf("a panic was answered %d", w.Code)
+	}
+}
+
+// Guards against holding more than the site permits.
+func TestMostHeld(t *testing.T) {
+	release, held := make(chan struct{}), make(chan struct{})
+	s := newServer(func(context.Context, *stream.Request) stream.Response {
+		held <- struct{}{}
+		<-release
+		return stream.Response{}
+	})
+	ask := func() int {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, message("GET", "/look/1", "", "X-Txn", "a", "X-Remaining-Ms", "9"))
+		return w.Code
+	}
+	codes := make(chan int)
+	for range 2 {
+		go func() { codes <- ask() }()
+		<-held
+	}
+	if code := ask(); code != 503 {
+		t.Errorf("one too many was answered %d", code)
+	}
+	close(release)
+	for range 2 {
+		if code := <-codes; code != 200 {
+			t.Errorf("one that was held was answered %d", code)
+		}
+	}
+}
+
+const raw = "GET /look/1 HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Remaining-Ms: 900\r\n\r\n"
+
+func dial(t *testing.T, addr net.Addr) (net.Conn, *bufio.Reader) {
+	t.Helper()
+	c, err := net.Dial("tcp", addr.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+func answer(t *testing.T, in *bufio.Reader) *http.Response {
+	t.Helper()
+	res, err := http.ReadResponse(in, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
+// Guards against a planned end that loses what was taken, or that resets connections while they still
+// come: those get answers, and are then closed.
+func TestDrain(t *testing.T) {
+	held, release := make(chan struct{}), make(chan struct{})
+	s := newServer(func(context.Context, *stream.Request) stream.Response {
+		held <- struct{}{}
+		<-release
+		return stream.Response{Body: []byte("whole")}
+	})
+	steps := make(chan time.Time)
+	s.after = func(time.Duration) <-chan time.Time { return steps }
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan error)
+	go func() { ended <- s.Run(ctx, l, 10) }()
+	taken, takenIn := dial(t, l.Addr())
+	_, idleIn := dial(t, l.Addr())
+	io.WriteString(taken, raw)
+	<-held
+	end()
+	for !s.draining.Load() {
+		runtime.Gosched()
+	}
+	late, lateIn := dial(t, l.Addr())
+	io.WriteString(late, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n"+raw)
+	if res := answer(t, lateIn); res.StatusCode != 503 {
+		t.Errorf("a sidecar that ends says %d of its health", res.StatusCode)
+	}
+	<-held
+	steps <- time.Now() // what comes from here on comes too late
+	for !s.refusing.Load() {
+		runtime.Gosched()
+	}
+	latest, latestIn := dial(t, l.Addr())
+	io.WriteString(latest, raw)
+	if res := answer(t, latestIn); res.StatusCode != 503 || !res.Close {
+		t.Errorf("a latecomer was answered %d, closing %v", res.StatusCode, res.Close)
+	}
+	close(release)
+	close(steps)
+	for _, in := range []*bufio.Reader{takenIn, lateIn} {
+		if res := answer(t, in); res.StatusCode != 200 || !res.Close {
+			t.Errorf("what was taken was answered %d, closing %v", res.StatusCode, res.Close)
+		}
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if _, err := idleIn.ReadByte(); err == nil {
+		t.Error("an idle connection was told something")
+	}
+}
+
+// Guards against callers' connections taking all descriptors: an idle one gives way to a new one.
+func TestConnectionsAreBounded(t *testing.T) {
+	s := newServer(func(context.Context, *stream.Request) stream.Response { return stream.Response{} })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() { _ = s.Run(context.Background(), l, 2) }()
+	var first *bufio.Reader
+	for i := range 5 {
+		c, in := dial(t, l.Addr())
+		io.WriteString(c, raw)
+		if res := answer(t, in); res.StatusCode != 200 {
+			t.Errorf("connection %d was answered %d", i, res.StatusCode)
+		}
+		if first == nil {
+			first = in
+		}
+	}
+	if _, err := first.ReadByte(); err == nil {
+		t.Error("the first connection is still open")
+	}
+}
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -65,12 +65,25 @@
 	Log      zerolog.Logger
 }
 
-// Serve is one stream's life. The decisions choose every send and may end the stream; the first answer
-// of an upstream host ends it too, and so do the client's leaving and its deadline.
+// decided is a stream as the decisions see it; engine.Stream is one.
+type decided interface {
+	Sends() <-chan engine.Send
+	Verdict() <-chan engine.Verdict
+	Settle(attempt int, status balance.Status) (won bool)
+	Abandon() (ended, sent bool)
+	Close()
+}
+
+// Serve tells the decisions of a stream and sees it through.
 func (p *Proxy) Serve(ctx context.Context, req *Request) Response {
 	// Attempts must not end with the client by themselves: the decisions withdraw them.
-	s := p.Engine.Open(context.WithoutCancel(ctx), engine.Call{
-		Class: req.Class, Left: time.Until(req.Deadline), Repeated: req.Repeated})
+	return p.live(ctx, p.Engine.Open(context.WithoutCancel(ctx), engine.Call{
+		Class: req.Class, Left: time.Until(req.Deadline), Repeated: req.Repeated}), req)
+}
+
+// live is one stream's life. The decisions choose every send and may end the stream; the first answer
+// of an upstream host ends it too, and so do the client's leaving and its deadline.
+func (p *Proxy) live(ctx context.Context, s decided, req *Request) Response {
 	defer s.Close()
 	answer := make(chan Response, 1) // one at most: only one attempt can win
 	watchdog := time.NewTimer(time.Until(req.Deadline) - watchdogLead)
@@ -97,7 +110,7 @@
 }
 
 // attempt is one upstream request. However it ends, its outcome is told once.
-func (p *Proxy) attempt(s *engine.Stream, send engine.Send, req *Request, answer chan<- Response) {
+func (p *Proxy) attempt(s decided, send engine.Send, req *Request, answer chan<- Response) {
 	status, res := balance.Reset, Response{} // what a panic leaves: it may have run
 	defer func() {
 		if fault := recover(); fault != nil {
--- /dev/null
+++ b/internal/stream/stream_test.go
@@ -0,0 +1,139 @@
+package stream
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/engine"
+)
+
+type noConnections struct{}
+
+func (noConnections) Probe(balance.EndpointID) balance.Status { return balance.OK }
+func (noConnections) CloseUnused(balance.EndpointID)          {}
+
+// upstreamFunc is an upstream side that the test plays.
+type upstreamFunc func(ctx context.Context, host balance.EndpointID) (balance.Status, Response)
+
+func (f upstreamFunc) Do(ctx context.Context, host balance.EndpointID, _ time.Time, _ *Request) (balance.Status, Response) {
+	return f(ctx, host)
+}
+
+func newProxy(t *testing.T, hosts int, up upstreamFunc) *Proxy {
+	t.Helper()
+	e, err := engine.New(balance.Settings{Instances: 1, Classes: []balance.Class{
+		{Aim: time.Minute, Deadline: time.Minute, Effect: balance.Safe, Worth: 1},
+		{Aim: time.Minute, Deadline: time.Minute, Effect: balance.Unsafe, Worth: 1},
+	}, MaxAttempts: 4, Cancel: true, ColdShare: 0.3, ColdFor: time.Second, FallMultiple: 2,
+		FallWindow: time.Second}, 1, noConnections{}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var entries []balance.Entry
+	for id := range hosts {
+		entries = append(entries, balance.Entry{Endpoint: balance.EndpointID(id + 1), State: balance.Ready, Weight: 1})
+	}
+	e.Membership(balance.ListFull, entries)
+	return &Proxy{Engine: e, Upstream: up, Log: zerolog.Nop()}
+}
+
+func request(class int, within time.Duration) *Request {
+	return &Request{Class: class, Deadline: time.Now().Add(within)}
+}
+
+func TestServed(t *testing.T) {
+	p := newProxy(t, 2, func(context.Context, balance.EndpointID) (balance.Status, Response) {
+		return balance.OK, Response{Body: []byte("lens")}
+	})
+	if res := p.Serve(context.Background(), request(0, time.Minute)); res.Outcome != Served || string(res.Body) != "lens" {
+		t.Errorf("response %+v", res)
+	}
+}
+
+// Guards against a request that can't have run being failed, and one that may have being sent again.
+func TestResend(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		class  int
+		first  balance.Status
+		want   Outcome
+		visits int
+	}{
+		{"safe, error", 0, balance.Error, Served, 2},
+		{"unsafe, turned away", 1, balance.Full, Served, 2},
+		{"unsafe, not connected", 1, balance.ConnectFailed, Served, 2},
+		{"unsafe, error", 1, balance.Error, Failed, 1},
+		{"unsafe, reset", 1, balance.Reset, Failed, 1},
+	} {
+		visits := make(chan balance.EndpointID, 9)
+		p := newProxy(t, 3, func(_ context.Context, host balance.EndpointID) (balance.Status, Response) {
+			visits <- host
+			if len(visits) == 1 {
+				return c.first, Response{}
+			}
+			return balance.OK, Response{}
+		})
+		if res := p.Serve(context.Background(), request(c.class, time.Minute)); res.Outcome != c.want || len(visits) != c.visits {
+			t.Errorf("%s: outcome %d after %d sends, want %d after %d", c.name, res.Outcome, len(visits), c.want, c.visits)
+		}
+	}
+}
+
+// Guards against a panic in one attempt losing its stream, or the sidecar.
+func TestPanicInAttempt(t *testing.T) {
+	p := newProxy(t, 2, func(context.Context, balance.EndpointID) (balance.Status, Response) { panic("bug") })
+	if res := p.Serve(context.Background(), request(1, time.Minute)); res.Outcome != Failed {
+		t.Errorf("outcome %d, want failed: it may have run", res.Outcome)
+	}
+}
+
+// Guards against a client that has left still costing an upstream host work.
+func TestGone(t *testing.T) {
+	withdrawn := make(chan struct{})
+	client, leave := context.WithCancel(context.Background())
+	p := newProxy(t, 1, func(ctx context.Context, _ balance.EndpointID) (balance.Status, Response) {
+		leave()
+		<-ctx.Done()
+		close(withdrawn)
+		return balance.Cancelled, Response{}
+	})
+	if res := p.Serve(client, request(0, time.Minute)); res.Outcome != Gone {
+		t.Errorf("outcome %d, want gone", res.Outcome)
+	}
+	<-withdrawn
+}
+
+// mute is a stream of which the decisions never say another word.
+type mute struct {
+	sends  chan engine.Send
+	closed bool
+}
+
+func (m *mute) Sends() <-chan engine.Send       { return m.sends }
+func (m *mute) Verdict() <-chan engine.Verdict  { return nil }
+func (m *mute) Settle(int, balance.Status) bool { return false }
+func (m *mute) Abandon() (ended, sent bool)     { return true, len(m.sends) == 0 }
+func (m *mute) Close()                          { m.closed = true }
+
+// Guards against a stream without an answer where the decisions fail to end it: its deadline does.
+func TestWatchdog(t *testing.T) {
+	p := &Proxy{Upstream: upstreamFunc(func(context.Context, balance.EndpointID) (balance.Status, Response) {
+		return balance.Timeout, Response{}
+	})}
+	sent := &mute{sends: make(chan engine.Send, 1)}
+	sent.sends <- engine.Send{}
+	if res := p.live(context.Background(), sent, request(0, 100*time.Millisecond)); res.Outcome != Expired || !sent.closed {
+		t.Errorf("outcome %d, closed %v; want expired and closed", res.Outcome, sent.closed)
+	}
+	if res := p.live(context.Background(), unsent{&mute{}}, request(0, 0)); res.Outcome != Refused {
+		t.Errorf("outcome %d, want refused: it was never sent", res.Outcome)
+	}
+}
+
+type unsent struct{ *mute }
+
+func (unsent) Abandon() (ended, sent bool) { return true, false }
