Give what is taken before a planned end its whole time; 404 for any unknown class

Read through: a request taken 0.7 s after SIGTERM with 3 s left would have been answered at 3.69 s, after our own end at 3.65 s (server.go serveFor). Latecomers are refused from 0.55 s on, which is harmless. An X-Lane that names no class got 400 where the path named one.

--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -84,13 +84,17 @@
 func (s *Server) decode(r *http.Request, at time.Time) (*stream.Request, *refusal) {
 	h := r.Header
 	lane, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	if name := h.Get("X-Lane"); name != "" && name != lane {
-		return nil, &refusal{http.StatusBadRequest, "X-Lane and the path name different classes"}
+	named := h.Get("X-Lane")
+	if named == "" {
+		named = lane
 	}
-	c, known := s.classes[lane]
-	if !known {
+	c, known := s.classes[named]
+	if _, fits := s.classes[lane]; !known || !fits {
 		return nil, &refusal{http.StatusNotFound, "unknown class"}
 	}
+	if named != lane {
+		return nil, &refusal{http.StatusBadRequest, "X-Lane and the path name different classes"}
+	}
 	req := &stream.Request{
 		Txn: h.Get("X-Txn"), ClassName: lane, Class: c.index, Operation: r.Method, Target: r.RequestURI, Authority: r.Host,
 		Key: h.Get("Idempotency-Key"), Repeated: h.Get("X-Resent") == "1", Labels: h.Get("X-Labels"),
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -18,10 +18,11 @@
 	"pinelb.example/pinelb/internal/stream"
 )
 
-// How a planned end goes, from SIGTERM on. New connections come for 0.2 to 0.4 s more, and what arrives
-// within 0.7 s has to be answered; SIGKILL comes 0.7 s after the longest deadline at the soonest.
+// How a planned end goes, from SIGTERM on. New connections come for 0.2 to 0.4 s more; SIGKILL comes 0.7 s
+// after the longest deadline, counted as 3 s at most, at the soonest. So what is taken in the first 0.55 s
+// has its whole time, whatever its class, and what comes later is refused at once.
 const (
-	serveFor  = 700 * time.Millisecond
+	serveFor  = 550 * time.Millisecond
 	acceptFor = 900 * time.Millisecond
 	endWithin = 3650 * time.Millisecond
 
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -79,6 +79,7 @@
 		{message("POST", "/charge/1", "", id, "a", left, "9", "Idempotency-Key", "k"), 400},
 		{message("DELETE", "/charge/1", "", id, "a", left, "9"), 400},
 		{message("GET", "/unheard-of/1", "", id, "a", left, "9"), 404},
+		{message("GET", "/look/1", "", id, "a", left, "9", "X-Lane", "unheard-of"), 404},
 		{message("GET", "/", "", id, "a", left, "9"), 404},
 		{message("POST", "/charge/1", strings.Repeat("x", bodyMost+1), id, "a", left, "9"), 413},
 		{chunked, 413},
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -11,6 +11,26 @@
 	"pinelb.example/pinelb/balance"
 )
 
+// Guards against a probe whose result never reaches the decisions, or connections kept that they let go.
+func TestConnectionActions(t *testing.T) {
+	e := newEngine(t, 1)
+	asked := make(chan balance.EndpointID)
+	e.conns = askedFor(asked)
+	for i, kind := range []balance.ActionKind{balance.ActProbe, balance.ActCloseUnused} {
+		e.mu.Lock()
+		e.carryOut(&balance.Action{Kind: kind, Endpoint: balance.EndpointID(i + 5)})
+		e.mu.Unlock()
+		if got := <-asked; got != balance.EndpointID(i+5) {
+			t.Errorf("action %d was for host %d", kind, got)
+		}
+	}
+}
+
+type askedFor chan balance.EndpointID
+
+func (a askedFor) Probe(id balance.EndpointID) balance.Status { a <- id; return balance.OK }
+func (a askedFor) CloseUnused(id balance.EndpointID)          { a <- id }
+
 type noConnections struct{}
 
 func (noConnections) Probe(balance.EndpointID) balance.Status { return balance.OK }
