--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -152,7 +152,7 @@
 	addr := h.addr
 	p.mu.Unlock()
 
-	d := net.Dialer{Timeout: min(p.connectTimeout, time.Until(until)), KeepAlive: -1}
+	d := net.Dialer{Timeout: max(1, min(p.connectTimeout, time.Until(until))), KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		p.drop(nil)
