--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -33,10 +33,12 @@
 func main() {
 	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).
 		Sample(&zerolog.BurstSampler{Burst: 50, Period: time.Second}).With().Timestamp().Logger()
+	hups := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
+	signal.Notify(hups, syscall.SIGHUP)
 	cfg, err := config.Load(os.Getenv)
 	if err == nil {
 		log = log.With().Str("name", cfg.Name).Logger()
-		err = run(cfg, log)
+		err = run(cfg, hups, log)
 	}
 	if err != nil {
 		log.Error().Err(err).Msg("pinelb ends")
@@ -44,7 +46,7 @@
 	}
 }
 
-func run(cfg *config.Config, log zerolog.Logger) error {
+func run(cfg *config.Config, hups <-chan os.Signal, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
 	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
 	sockets := cfg.Limits.Sockets - socketsKept
@@ -73,7 +75,32 @@
 	go pool.Sweep(life)
 	late := time.AfterFunc(syncWithin, srv.Ready)
 	defer late.Stop()
-	watch := &cluster.Watcher{Addr: cfg.Discovery, Table: table, Log: log}
+	moves := make(chan string)
+	go reload(life, hups, moves, log)
+	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log}
 	go watch.Run(life, srv.Ready)
 	return srv.Run(ending, l, sockets-sockets/2)
 }
+
+// reload reads the configuration again at each SIGHUP until ctx ends and hands on where discovery is now.
+// One that can't be used changes nothing; the rest of one that can takes a restart.
+func reload(ctx context.Context, hups <-chan os.Signal, moves chan<- string, log zerolog.Logger) {
+	for {
+		select {
+		case <-hups:
+		case <-ctx.Done():
+			return
+		}
+		cfg, err := config.Reload(os.Getenv)
+		if err != nil {
+			log.Error().Err(err).Msg("the new configuration is not taken")
+			continue
+		}
+		log.Info().Str("discovery", cfg.Discovery).Msg("configuration read again")
+		select {
+		case moves <- cfg.Discovery:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -206,3 +206,49 @@
 		t.Errorf("lists of kinds %v, want %v", w.kinds, want)
 	}
 }
+
+// Guards against a move of discovery that waits for the old agent, believes what it still says, asks the
+// new one for changes since a revision that isn't its own, or drops the list that is held. An address that
+// is given again moves nothing.
+func TestDiscoveryMoves(t *testing.T) {
+	first, second := newAgent(t), newAgent(t)
+	w, table := newWorld()
+	moves := make(chan string)
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	synced := 0
+	go func() {
+		(&Watcher{Addr: first.addr, Moves: moves, Table: table, Log: zerolog.Nop()}).Run(ctx, func() { synced++ })
+		close(ended)
+	}()
+	(<-first.calls).answer(document)
+	<-w.lists
+	waiting := <-first.calls
+	moves <- first.addr
+	moves <- second.addr
+	c := <-second.calls // while the old agent holds its call
+	if c.target != "/catalog/members" {
+		t.Errorf("the new agent was asked for %s", c.target)
+	}
+	if _, err := waiting.conn.Read(make([]byte, 1)); err == nil {
+		t.Error("the old agent was asked again")
+	}
+	waiting.answer(`{"revision":99,"complete":true,"members":[]}`)
+	if len(w.addrs) != 1 || len(w.kinds) != 1 {
+		t.Errorf("while discovery moves, %v is known after lists of kinds %v", w.addrs, w.kinds)
+	}
+	c.answer(`{"revision":7,"complete":true,"members":[{"id":"s-3","host_port":"127.0.1.19:8080","phase":"Ready"}]}`)
+	<-w.lists
+	if c := <-second.calls; !strings.Contains(c.target, "since=7&") {
+		t.Errorf("the new agent was asked for %s", c.target)
+	}
+	moves <- first.addr
+	if c := <-first.calls; c.target != "/catalog/members" {
+		t.Errorf("an agent that came back was asked for %s", c.target)
+	}
+	end()
+	<-ended
+	if synced != 1 {
+		t.Errorf("synced %d times", synced)
+	}
+}
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -25,59 +26,106 @@
 // Watcher follows discovery over HTTP/1.1 and applies what it hears.
 type Watcher struct {
 	Addr  string
+	Moves <-chan string // addresses that take the place of Addr, one after the other
 	Table *Table
 	Log   zerolog.Logger
-
-	conn net.Conn
-	in   *bufio.Reader
 }
 
-// Run fetches the list and then watches its changes until ctx ends. The first fetch closes synced. A
-// silent or broken agent costs nothing but its news: the list that is held stays in force.
+// Run follows discovery until ctx ends, and calls synced after the first fetch. When discovery moves, the
+// old watch is left at once and all is asked anew: the new agent's revisions may not compare with the old
+// one's. The list that is held stays in force meanwhile.
 func (w *Watcher) Run(ctx context.Context, synced func()) {
-	revision, have, failing := int64(0), false, false
+	once := sync.OnceFunc(synced)
+	for addr := w.Addr; addr != ""; {
+		life, leave := context.WithCancel(ctx)
+		left := make(chan struct{})
+		go func() {
+			defer close(left)
+			(&watch{addr: addr, table: w.Table, log: w.Log}).follow(life, once)
+		}()
+		addr = w.moved(ctx, addr)
+		leave()
+		<-left
+	}
+}
+
+// moved waits until discovery has another address; the empty one says that ctx has ended.
+func (w *Watcher) moved(ctx context.Context, from string) string {
+	for {
+		select {
+		case to := <-w.Moves:
+			if to != from {
+				w.Log.Info().Str("from", from).Str("to", to).Msg("discovery moves")
+				return to
+			}
+		case <-ctx.Done():
+			return ""
+		}
+	}
+}
+
+// watch is what is kept of one agent: its address, the connection to it and its revision.
+type watch struct {
+	addr     string
+	table    *Table
+	log      zerolog.Logger
+	conn     net.Conn
+	in       *bufio.Reader
+	revision int64
+	have     bool // the whole list has come from this agent
+}
+
+// follow fetches the list and then watches its changes until ctx ends. A silent or broken agent costs
+// nothing but its news.
+func (w *watch) follow(ctx context.Context, synced func()) {
+	defer w.hangUp()
+	failing := false
 	for ctx.Err() == nil {
 		target, wait := "/catalog/members", time.Duration(0)
-		if have {
-			target = fmt.Sprintf("/catalog/members?since=%d&timeout_ms=%d", revision, watchWait.Milliseconds())
+		if w.have {
+			target = fmt.Sprintf("/catalog/members?since=%d&timeout_ms=%d", w.revision, watchWait.Milliseconds())
 			wait = watchWait
 		}
 		list, err := w.call(ctx, target, wait+answerIn)
-		if err != nil {
+		switch {
+		case ctx.Err() != nil: // an agent that was left has no more say
+			return
+		case err != nil:
 			w.hangUp()
-			if !failing && ctx.Err() == nil { // once, not ten times a second for as long as it is down
-				w.Log.Warn().Err(err).Msg("discovery did not answer")
+			if !failing { // once, not ten times a second for as long as it is down
+				w.log.Warn().Err(err).Msg("discovery did not answer")
 			}
 			failing = true
 			sleep(ctx, redialAfter)
 			continue
-		}
-		if failing {
+		case failing:
 			failing = false
-			w.Log.Info().Msg("discovery answers again")
-		}
-		kind := balance.ListDelta
-		if list.Complete {
-			kind = balance.ListFull
-		}
-		w.Table.Apply(kind, list)
-		if list.Complete || len(list.Members) > 0 {
-			w.Log.Info().Int64("revision", list.Revision).Bool("complete", list.Complete).
-				Int("members", len(list.Members)).Msg("cluster changed")
-		}
-		if revision = list.Revision; !have {
-			have = true
-			synced()
+			w.log.Info().Msg("discovery answers again")
 		}
+		w.apply(list)
+		synced()
+	}
+}
+
+// apply takes over an answer.
+func (w *watch) apply(list List) {
+	kind := balance.ListDelta
+	if list.Complete {
+		kind = balance.ListFull
+	}
+	w.table.Apply(kind, list)
+	if list.Complete || len(list.Members) > 0 {
+		w.log.Info().Int64("revision", list.Revision).Bool("complete", list.Complete).
+			Int("members", len(list.Members)).Msg("cluster changed")
 	}
-	w.hangUp()
+	w.revision, w.have = list.Revision, true
 }
 
 // call makes one call on the kept connection, or a new one.
-func (w *Watcher) call(ctx context.Context, target string, within time.Duration) (List, error) {
+func (w *watch) call(ctx context.Context, target string, within time.Duration) (List, error) {
 	if w.conn == nil {
 		d := net.Dialer{Timeout: answerIn}
-		conn, err := d.DialContext(ctx, "tcp", w.Addr)
+		conn, err := d.DialContext(ctx, "tcp", w.addr)
 		if err != nil {
 			return List{}, fmt.Errorf("cluster: dial: %w", err)
 		}
@@ -87,7 +135,7 @@
 		return List{}, fmt.Errorf("cluster: deadline: %w", err)
 	}
 	defer context.AfterFunc(ctx, func() { _ = w.conn.SetDeadline(time.Unix(1, 0)) })()
-	if _, err := fmt.Fprintf(w.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, w.Addr); err != nil {
+	if _, err := fmt.Fprintf(w.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, w.addr); err != nil {
 		return List{}, fmt.Errorf("cluster: write: %w", err)
 	}
 	res, err := http.ReadResponse(w.in, nil)
@@ -109,7 +157,7 @@
 	return list, err
 }
 
-func (w *Watcher) hangUp() {
+func (w *watch) hangUp() {
 	if w.conn != nil {
 		_ = w.conn.Close() // nothing is lost: all that it said has been read
 		w.conn, w.in = nil, nil
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"net/netip"
@@ -47,6 +48,16 @@
 
 // Load reads the environment and the file that LB_CONFIG names; a variable goes before its key in the file.
 func Load(getenv func(string) string) (*Config, error) {
+	return read(getenv, func(variable, key string) string { return cmp.Or(variable, key) })
+}
+
+// Reload reads them again. Now a key goes before its variable: the file may have been replaced, and the
+// environment is as old as the process.
+func Reload(getenv func(string) string) (*Config, error) {
+	return read(getenv, func(variable, key string) string { return cmp.Or(key, variable) })
+}
+
+func read(getenv func(string) string, prefer func(variable, key string) string) (*Config, error) {
 	path := getenv("LB_CONFIG")
 	if path == "" {
 		return nil, fmt.Errorf("config: LB_CONFIG is not set")
@@ -63,10 +74,7 @@
 		return nil, fmt.Errorf("config: LB_CONFIG: %s must hold an object", path)
 	}
 	either := func(variable, key string) string {
-		if v := getenv(variable); v != "" {
-			return v
-		}
-		return r.text(key)
+		return prefer(getenv(variable), r.text(key))
 	}
 	limits := r.object("limits")
 	c := &Config{
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -1,7 +1,6 @@
 package downstream
 
 import (
-	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -32,6 +31,15 @@
 // ServeHTTP takes one message and answers it once.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	at := time.Now()
+	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
+		// net/http has dropped the Content-Length, or in HTTP/1.0 the Transfer-Encoding, that may have stood
+		// beside it: by the one that was dropped, another request may stand inside this one's body.
+		w.Header().Set("Connection", "close")
+	}
+	if len(r.TransferEncoding) > 0 {
+		say(w, http.StatusLengthRequired, "a body must have its length stated")
+		return
+	}
 	if r.URL.Path == "/_health" {
 		s.health(w)
 		return
@@ -39,7 +47,7 @@
 	held := s.held.Add(1)
 	defer s.held.Add(-1)
 	res, bad := s.answer(r, at, held)
-	if s.draining.Load() {
+	if bad != nil || s.draining.Load() { // what follows a faulty message need not be a message
 		w.Header().Set("Connection", "close")
 	}
 	if bad != nil {
@@ -130,24 +138,14 @@
 }
 
 func readBody(r *http.Request) ([]byte, *refusal) {
-	tooLarge := &refusal{http.StatusRequestEntityTooLarge, "the body is too large"}
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	if r.ContentLength > bodyMost {
-		return nil, tooLarge
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		if _, err := io.ReadFull(r.Body, body); err != nil {
-			return nil, &refusal{http.StatusBadRequest, "the body is cut off"}
-		}
-		return body, nil
+		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, bodyMost))
-	if most := (*http.MaxBytesError)(nil); errors.As(err, &most) {
-		return nil, tooLarge
-	} else if err != nil {
+	body := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(r.Body, body); err != nil {
 		return nil, &refusal{http.StatusBadRequest, "the body is cut off"}
 	}
 	return body, nil
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -70,7 +70,8 @@
 func (s *Server) Run(ctx context.Context, l net.Listener, most int) error {
 	conns := newConnections(most)
 	hs := &http.Server{Handler: s, ReadHeaderTimeout: headersWithin, ReadTimeout: s.longest + readBeyond, IdleTimeout: idleWithin,
-		MaxHeaderBytes: headerMost, ConnState: conns.changed, ErrorLog: stdlog.New(s.log, "", 0)}
+		MaxHeaderBytes: headerMost, DisableGeneralOptionsHandler: true,
+		ConnState: conns.changed, ErrorLog: stdlog.New(s.log, "", 0)}
 	ended := make(chan error, 1)
 	go func() { ended <- hs.Serve(&limited{Listener: l, conns: conns}) }()
 	select {
