--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -47,7 +47,7 @@
 	held := s.held.Add(1)
 	defer s.held.Add(-1)
 	res, bad := s.answer(r, at, held)
-	if bad != nil || s.draining.Load() { // what follows a faulty message need not be a message
+	if bad != nil || s.draining.Load() && !s.alone { // what follows a faulty message need not be a message
 		w.Header().Set("Connection", "close")
 	}
 	if bad != nil {
@@ -59,7 +59,7 @@
 
 // answer is a stream's final answer, or why the message is none.
 func (s *Server) answer(r *http.Request, at time.Time, held int64) (stream.Response, *refusal) {
-	if held > s.mostHeld || s.refusing.Load() {
+	if held > s.mostHeld {
 		return stream.Response{Outcome: stream.Refused}, nil
 	}
 	req, bad := s.decode(r, at)
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -19,12 +19,14 @@
 )
 
 // How a planned end goes, from SIGTERM on. New connections come for 0.2 to 0.4 s more; SIGKILL comes 0.7 s
-// after the longest deadline, counted as 3 s at most, at the soonest. So what is taken in the first 0.55 s
-// has its whole time, whatever its class, and what comes later is refused at once.
+// after the longest deadline, counted as 3 s at most, at the soonest.
 const (
-	serveFor  = 550 * time.Millisecond
-	acceptFor = 900 * time.Millisecond
-	endWithin = 3650 * time.Millisecond
+	longestCounted = 3 * time.Second
+	killAfter      = 700 * time.Millisecond // beyond the longest deadline
+	acceptFor      = 900 * time.Millisecond // where there are other sidecars for the clients
+	leaveBefore    = 400 * time.Millisecond // SIGKILL, where there are none: three answers' time
+	cutBefore      = 150 * time.Millisecond // SIGKILL: whatever is not answered is failed
+	endBefore      = 50 * time.Millisecond  // SIGKILL
 
 	headersWithin = 5 * time.Second
 	readBeyond    = 5 * time.Second // a request may be read for so much longer than any client waits
@@ -44,22 +46,24 @@
 	mostHeld int64
 	streams  Handler
 	log      zerolog.Logger
+	alone    bool                                 // there is no other sidecar for the clients
 	after    func(time.Duration) <-chan time.Time // times the steps of a planned end
 	within   time.Duration                        // which takes this long at most
 
 	held     atomic.Int64
 	ready    atomic.Bool
 	draining atomic.Bool // the front is to send no more
-	refusing atomic.Bool // what comes now comes too late
 }
 
 // New returns a server that is not ready yet.
 func New(s *config.Settings, streams Handler, log zerolog.Logger) *Server {
-	srv := &Server{classes: map[string]class{}, mostHeld: int64(s.MaxHeld), streams: streams, log: log, after: time.After, within: endWithin}
+	srv := &Server{classes: map[string]class{}, mostHeld: int64(s.MaxHeld), streams: streams, log: log,
+		alone: s.Instances == 1, after: time.After}
 	for i, name := range s.ClassNames {
 		srv.classes[name] = class{index: i, effect: s.Classes[i].Effect, deadline: s.Classes[i].Deadline}
 		srv.longest = max(srv.longest, s.Classes[i].Deadline)
 	}
+	srv.within = min(srv.longest, longestCounted) + killAfter - endBefore
 	return srv
 }
 
@@ -69,9 +73,11 @@
 // Run serves on l, with that many connections at most, until ctx ends and what was taken is answered.
 func (s *Server) Run(ctx context.Context, l net.Listener, most int) error {
 	conns := newConnections(most)
+	life, cut := context.WithCancel(context.Background()) // of all streams
+	defer cut()
 	hs := &http.Server{Handler: s, ReadHeaderTimeout: headersWithin, ReadTimeout: s.longest + readBeyond, IdleTimeout: idleWithin,
 		MaxHeaderBytes: headerMost, DisableGeneralOptionsHandler: true,
-		ConnState: conns.changed, ErrorLog: stdlog.New(s.log, "", 0)}
+		BaseContext: func(net.Listener) context.Context { return life }, ConnState: conns.changed, ErrorLog: stdlog.New(s.log, "", 0)}
 	ended := make(chan error, 1)
 	go func() { ended <- hs.Serve(&limited{Listener: l, conns: conns}) }()
 	select {
@@ -79,31 +85,44 @@
 		return fmt.Errorf("downstream: %w", err)
 	case <-ctx.Done():
 	}
-	return s.drain(hs, conns)
+	return s.drain(hs, conns, cut)
 }
 
 // drain ends the server in steps. Listening goes on while connections may come, or they would be reset
-// with what had been written to them. Every answer from now on closes its connection, so that clients go
-// elsewhere; those that stay idle are closed last, when hardly any request can cross that.
-func (s *Server) drain(hs *http.Server, conns *connections) error {
+// with what had been written to them. Where there are other sidecars, every answer from now on closes its
+// connection, so that clients go there. Where there is none, clients keep theirs and are served as long as
+// they can be. Idle ones are closed last, when hardly any request can cross that, and what can't be
+// answered before SIGKILL is failed.
+func (s *Server) drain(hs *http.Server, conns *connections, cut context.CancelFunc) error {
 	s.log.Info().Int64("held", s.held.Load()).Msg("draining")
 	from := time.Now()
 	s.draining.Store(true)
-	<-s.after(serveFor)
-	s.refusing.Store(true)
-	<-s.after(acceptFor - serveFor)
+	kill := s.within + endBefore
+	leave := kill - leaveBefore
+	if !s.alone {
+		leave = min(leave, acceptFor)
+	}
+	<-s.after(leave)
 	ctx, cancel := context.WithDeadline(context.Background(), from.Add(s.within))
 	defer cancel()
+	last := s.after(kill - cutBefore - leave)
 	ended := make(chan error, 1)
 	go func() { ended <- hs.Shutdown(ctx) }() // it may wait for a slow connection beyond its context
 	conns.closeQuiet()                        // Shutdown would give the silent ones five seconds
-	select {
-	case err := <-ended:
-		if err != nil && !errors.Is(err, context.DeadlineExceeded) {
-			return fmt.Errorf("downstream: shutdown: %w", err)
+	for open := true; open; {
+		select {
+		case err := <-ended:
+			if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+				return fmt.Errorf("downstream: shutdown: %w", err)
+			}
+			open = false
+		case <-last:
+			last = nil
+			cut()
+		case <-ctx.Done():
+			_ = hs.Close() // what is left is beyond its deadline
+			open = false
 		}
-	case <-ctx.Done():
-		_ = hs.Close() // what is left is beyond its deadline
 	}
 	s.log.Info().Int64("held", s.held.Load()).Dur("after", time.Since(from)).Msg("drained")
 	return nil
