--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -27,6 +27,7 @@
 const (
 	socketsKept = 32                     // for discovery, the listener and the runtime
 	memoryShare = 0.7                    // of the limit, for the heap: the rest is stacks and the kernel's
+	bodiesPart  = 16                     // of the limit, for the bodies of callers' requests; attempts copy them
 	syncWithin  = 300 * time.Millisecond // after which the known list has to do
 )
 
@@ -48,7 +49,8 @@
 
 func run(cfg *config.Config, hups <-chan os.Signal, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.Limits.MemoryMB) * (1 << 20)))
+	memory := int64(cfg.Limits.MemoryMB) << 20
+	debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
 	sockets := cfg.Limits.Sockets - socketsKept
 
 	set := &cfg.Settings
@@ -57,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	srv := downstream.New(set, &stream.Proxy{Engine: eng, Upstream: pool, Log: log}, log)
+	srv := downstream.New(set, memory/bodiesPart, &stream.Proxy{Engine: eng, Upstream: pool, Log: log}, log)
 	table := cluster.NewTable(set.ZoneNames, set.KindNames, pool, eng)
 	if len(cfg.Known.Members) > 0 { // from none at all the decisions would take a wrong measure
 		table.Apply(balance.ListCached, cfg.Known)
--- a/cmd/pinelb/main_test.go
+++ b/cmd/pinelb/main_test.go
@@ -384,7 +384,7 @@
 	codes := make(chan int, many)
 	for i := range many {
 		go func() {
-			res, _ := p.call(t, "GET", fmt.Sprintf("/order-status/%d", i), "")
+			res, _ := p.call(t, "GET", fmt.Sprintf("/order-status/%d", i), "", "X-Txn", fmt.Sprint(i))
 			codes <- res.StatusCode
 		}()
 	}
--- a/internal/downstream/connections.go
+++ b/internal/downstream/connections.go
@@ -4,19 +4,31 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 )
 
+// silentLeast is how long a new connection may be silent before it gives way ahead of one that has already
+// brought a request: whoever has one to bring has sent it by then.
+const silentLeast = 100 * time.Millisecond
+
 // connections bounds how many callers' connections are open, so that they never take the descriptors of
-// the upstream side. When all are in use an idle one gives way to a new one, which has a request to bring.
+// the upstream side. When all are in use, one on which no request is under way gives way to a new one.
 type connections struct {
 	mu    sync.Mutex
 	free  *sync.Cond
 	left  int
-	quiet map[net.Conn]http.ConnState // idle, or new and silent so far
+	quiet map[net.Conn]quiet
+	now   func() time.Time
+}
+
+// quiet is a connection that is idle, or new and silent so far.
+type quiet struct {
+	state http.ConnState
+	since time.Time
 }
 
 func newConnections(most int) *connections {
-	c := &connections{left: most, quiet: map[net.Conn]http.ConnState{}}
+	c := &connections{left: most, quiet: map[net.Conn]quiet{}, now: time.Now}
 	c.free = sync.NewCond(&c.mu)
 	return c
 }
@@ -27,10 +39,8 @@
 	defer c.mu.Unlock()
 	delete(c.quiet, conn)
 	switch state {
-	case http.StateNew:
-		c.quiet[conn] = state
-	case http.StateIdle:
-		c.quiet[conn] = state
+	case http.StateNew, http.StateIdle:
+		c.quiet[conn] = quiet{state, c.now()}
 		c.free.Signal()
 	case http.StateClosed, http.StateHijacked:
 		c.left++
@@ -43,18 +53,36 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.left == 0 {
-		for conn, state := range c.quiet {
-			if state == http.StateIdle {
-				delete(c.quiet, conn)
-				_ = conn.Close() // between requests: the client takes another
-				break
-			}
+		if conn := c.dispensable(); conn != nil {
+			delete(c.quiet, conn)
+			_ = conn.Close() // between requests, or before the first: the client takes another
 		}
 		c.free.Wait()
 	}
 	c.left--
 }
 
+// dispensable picks the quiet connection to give up: the oldest of those that have been silent from the
+// start, then the one that has been idle for longest, then whatever is oldest. The caller holds the lock.
+func (c *connections) dispensable() net.Conn {
+	rank := func(q quiet) int {
+		switch {
+		case q.state == http.StateNew && c.now().Sub(q.since) >= silentLeast:
+			return 0
+		case q.state == http.StateIdle:
+			return 1
+		}
+		return 2
+	}
+	var best net.Conn
+	for conn, q := range c.quiet {
+		if b := c.quiet[best]; best == nil || rank(q) < rank(b) || rank(q) == rank(b) && q.since.Before(b.since) {
+			best = conn
+		}
+	}
+	return best
+}
+
 // closeQuiet closes every connection on which no request has begun.
 func (c *connections) closeQuiet() {
 	c.mu.Lock()
@@ -64,24 +92,16 @@
 	}
 }
 
-func (c *connections) unclaim() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.left++
-	c.free.Signal()
-}
-
-// limited is a listener that accepts only when there is room.
+// limited is a listener whose connections wait until there is room for them.
 type limited struct {
 	net.Listener
 	conns *connections
 }
 
 func (l *limited) Accept() (net.Conn, error) {
-	l.conns.claim()
 	conn, err := l.Listener.Accept()
-	if err != nil {
-		l.conns.unclaim()
+	if err == nil {
+		l.conns.claim()
 	}
 	return conn, err
 }
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	bodyMost = 64 << 10 // bytes of any message's body
-	nameMost = 128      // bytes of an id or a key
+	bodyMost  = 64 << 10 // bytes of any message's body
+	bodyFirst = 4 << 10  // bytes to begin with
+	nameMost  = 128      // bytes of an id or a key
 )
 
 type class struct {
@@ -46,8 +47,9 @@
 	}
 	held := s.held.Add(1)
 	defer s.held.Add(-1)
-	res, bad := s.answer(r, at, held)
-	if bad != nil || s.draining.Load() && !s.alone { // what follows a faulty message need not be a message
+	res, bad := s.answer(w, r, at, held)
+	faulty := bad != nil || res.Outcome == stream.Rejected || res.Outcome == stream.Duplicate
+	if faulty || s.draining.Load() && !s.alone { // what follows a faulty message need not be a message
 		w.Header().Set("Connection", "close")
 	}
 	if bad != nil {
@@ -58,14 +60,19 @@
 }
 
 // answer is a stream's final answer, or why the message is none.
-func (s *Server) answer(r *http.Request, at time.Time, held int64) (stream.Response, *refusal) {
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, at time.Time, held int64) (stream.Response, *refusal) {
 	if held > s.mostHeld {
 		return stream.Response{Outcome: stream.Refused}, nil
 	}
 	req, bad := s.decode(r, at)
+	if req != nil {
+		defer s.bodies.Add(-int64(cap(req.Body)))
+	}
 	if bad != nil {
 		return stream.Response{}, bad
 	}
+	// The time for reading ends with the message: expiring later, it would pass for the client's leaving.
+	_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
 	return s.serve(r, req), nil
 }
 
@@ -114,50 +121,60 @@
 		method = http.MethodGet
 	}
 	switch {
-	case !isName(req.Txn):
-		return nil, &refusal{http.StatusBadRequest, "X-Txn is missing or malformed"}
-	case err != nil:
-		return nil, &refusal{http.StatusBadRequest, "X-Remaining-Ms is missing or malformed"}
+	case !isName(req.Txn) || len(h["X-Txn"]) > 1:
+		return nil, &refusal{http.StatusBadRequest, "X-Txn is missing, malformed or repeated"}
+	case err != nil || len(h["X-Remaining-Ms"]) > 1:
+		return nil, &refusal{http.StatusBadRequest, "X-Remaining-Ms is missing, malformed or repeated"}
 	case r.Method != method:
 		return nil, &refusal{http.StatusBadRequest, "the method does not fit the class"}
-	case keyed && !isName(req.Key) || !keyed && len(h["Idempotency-Key"]) > 0:
+	case keyed && (!isName(req.Key) || len(h["Idempotency-Key"]) > 1) || !keyed && len(h["Idempotency-Key"]) > 0:
 		return nil, &refusal{http.StatusBadRequest, "the Idempotency-Key does not fit the class"}
-	case !strings.HasPrefix(req.Target, "/"):
-		return nil, &refusal{http.StatusBadRequest, "the target must be a path"}
+	case len(h["X-Lane"]) > 1 || len(h["X-Labels"]) > 1 || len(h["Content-Type"]) > 1:
+		return nil, &refusal{http.StatusBadRequest, "a header is repeated"}
+	case !strings.HasPrefix(req.Target, "/") || !isPlain(req.Target, false) || !isPlain(req.Authority, false) ||
+		!isPlain(req.Labels, true) || !isPlain(req.MediaType, true): // upstream hosts hang up on what they can't read
+		return nil, &refusal{http.StatusBadRequest, "the target or a header is malformed"}
+	case c.effect == balance.Safe && r.ContentLength > 0:
+		return nil, &refusal{http.StatusBadRequest, "the class takes no body"}
 	}
 	// An answer within the class's deadline is in time for every client, however long it says it waits.
 	req.Deadline = at.Add(min(time.Duration(left)*time.Millisecond, c.deadline))
 	var bad *refusal
-	if req.Body, bad = readBody(r); bad != nil {
-		return nil, bad
-	}
-	if c.effect == balance.Safe && len(req.Body) > 0 {
-		return nil, &refusal{http.StatusBadRequest, "the class takes no body"}
-	}
-	return req, nil
+	req.Body, bad = s.readBody(r)
+	return req, bad
 }
 
-func readBody(r *http.Request) ([]byte, *refusal) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
+// readBody reads a body as it comes, so that a stated length alone takes no memory. What all bodies take
+// together is bounded; the caller gives it back with the capacity of this one.
+func (s *Server) readBody(r *http.Request) ([]byte, *refusal) {
 	if r.ContentLength > bodyMost {
 		return nil, &refusal{http.StatusRequestEntityTooLarge, "the body is too large"}
 	}
-	body := make([]byte, r.ContentLength)
-	if _, err := io.ReadFull(r.Body, body); err != nil {
-		return nil, &refusal{http.StatusBadRequest, "the body is cut off"}
+	var body []byte
+	for n := int(r.ContentLength); len(body) < n; {
+		if len(body) == cap(body) {
+			more := min(max(bodyFirst, cap(body)), n-cap(body))
+			if s.bodies.Add(int64(more)) > s.bodiesMost {
+				s.bodies.Add(-int64(more))
+				return body, &refusal{http.StatusServiceUnavailable, "too many bodies at once"}
+			}
+			body = append(make([]byte, 0, cap(body)+more), body...)
+		}
+		k, err := r.Body.Read(body[len(body):cap(body)])
+		if body = body[:len(body)+k]; err != nil && len(body) < n {
+			return body, &refusal{http.StatusBadRequest, "the body is cut off"}
+		}
 	}
 	return body, nil
 }
 
 // isName tells whether an id or a key is a plain word.
-func isName(s string) bool {
-	if s == "" || len(s) > nameMost {
-		return false
-	}
+func isName(s string) bool { return s != "" && len(s) <= nameMost && isPlain(s, false) }
+
+// isPlain tells whether a text is visible ASCII, perhaps with spaces.
+func isPlain(s string, spaces bool) bool {
 	for i := range len(s) {
-		if c := s[i]; c <= ' ' || c > '~' {
+		if c := s[i]; c < ' ' || c > '~' || c == ' ' && !spaces {
 			return false
 		}
 	}
@@ -179,6 +196,10 @@
 			w.Header().Set("Retry-After", strconv.FormatFloat(res.RetryAfter.Seconds(), 'f', 3, 64))
 		}
 		say(w, http.StatusServiceUnavailable, "")
+	case stream.Rejected:
+		say(w, http.StatusBadRequest, "an upstream host finds fault with the request")
+	case stream.Duplicate:
+		say(w, http.StatusConflict, "a request of this id is under way")
 	case stream.Expired:
 		say(w, http.StatusGatewayTimeout, "")
 	default: // failed, or nobody is there to read it
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -28,10 +28,9 @@
 	cutBefore      = 150 * time.Millisecond // SIGKILL: whatever is not answered is failed
 	endBefore      = 50 * time.Millisecond  // SIGKILL
 
-	headersWithin = 5 * time.Second
-	readBeyond    = 5 * time.Second // a request may be read for so much longer than any client waits
-	idleWithin    = 2 * time.Minute
-	headerMost    = 16 << 10
+	readWithin = 2 * time.Second // a message whole, from its connection or its first byte on
+	idleWithin = 2 * time.Minute
+	headerMost = 16 << 10
 )
 
 // Handler answers one stream.
@@ -50,15 +49,18 @@
 	after    func(time.Duration) <-chan time.Time // times the steps of a planned end
 	within   time.Duration                        // which takes this long at most
 
+	bodiesMost int64 // bytes of all bodies together
+
 	held     atomic.Int64
+	bodies   atomic.Int64
 	ready    atomic.Bool
 	draining atomic.Bool // the front is to send no more
 }
 
-// New returns a server that is not ready yet.
-func New(s *config.Settings, streams Handler, log zerolog.Logger) *Server {
+// New returns a server that is not ready yet, and that holds so many bytes of bodies at most.
+func New(s *config.Settings, bodiesMost int64, streams Handler, log zerolog.Logger) *Server {
 	srv := &Server{classes: map[string]class{}, mostHeld: int64(s.MaxHeld), streams: streams, log: log,
-		alone: s.Instances == 1, after: time.After}
+		alone: s.Instances == 1, bodiesMost: bodiesMost, after: time.After}
 	for i, name := range s.ClassNames {
 		srv.classes[name] = class{index: i, effect: s.Classes[i].Effect, deadline: s.Classes[i].Deadline}
 		srv.longest = max(srv.longest, s.Classes[i].Deadline)
@@ -75,7 +77,7 @@
 	conns := newConnections(most)
 	life, cut := context.WithCancel(context.Background()) // of all streams
 	defer cut()
-	hs := &http.Server{Handler: s, ReadHeaderTimeout: headersWithin, ReadTimeout: s.longest + readBeyond, IdleTimeout: idleWithin,
+	hs := &http.Server{Handler: s, ReadTimeout: readWithin, IdleTimeout: idleWithin,
 		MaxHeaderBytes: headerMost, DisableGeneralOptionsHandler: true,
 		BaseContext: func(net.Listener) context.Context { return life }, ConnState: conns.changed, ErrorLog: stdlog.New(s.log, "", 0)}
 	ended := make(chan error, 1)
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -34,7 +34,7 @@
 			{Effect: balance.Safe, Deadline: time.Second}, {Effect: balance.Keyed, Deadline: 2 * time.Second},
 			{Effect: balance.Unsafe, Deadline: 3 * time.Second}}},
 		ClassNames: []string{"look", "order", "charge"},
-	}, h, zerolog.Nop())
+	}, 1<<20, h, zerolog.Nop())
 }
 
 func message(method, target, body string, headers ...string) *http.Request {
@@ -59,10 +59,28 @@
 	chunked.ContentLength, chunked.TransferEncoding = -1, []string{"chunked"}
 	cut := message("POST", "/charge/1", "four", id, "a", left, "9")
 	cut.ContentLength = 5
+	twice := func(name string) *http.Request {
+		r := message("POST", "/order/1", "", id, "a", left, "9", "Idempotency-Key", "k", "X-Lane", "order", "X-Labels", "a=1")
+		r.Header.Add(name, r.Header.Get(name))
+		return r
+	}
+	odd := message("GET", "/look/1", "", id, "a", left, "9")
+	odd.Host = "x\xff"
+	tail := message("GET", "/look/1", "", id, "a", left, "9")
+	tail.RequestURI = "/look/\xe9"
 	for _, c := range []struct {
 		r    *http.Request
 		want int
 	}{
+		{twice(id), 400},
+		{twice(left), 400},
+		{twice("Idempotency-Key"), 400},
+		{twice("X-Lane"), 400},
+		{twice("X-Labels"), 400},
+		{odd, 400},
+		{tail, 400},
+		{message("GET", "/look/1", "", id, "a", left, "9", "X-Labels", "a=\x80"), 400},
+		{message("GET", "/look/1", "", id, "a", left, "9", "Content-Type", "\xfftext"), 400},
 		{message("GET", "/look/1", "", left, "9"), 400},
 		{message("GET", "/look/1", "", id, "a b", left, "9"), 400},
 		{message("GET", "/look/1", "", id, strings.Repeat("a", nameMost+1), left, "9"), 400},
@@ -127,12 +145,14 @@
 		{stream.Response{Outcome: stream.Refused}, 503, ""},
 		{stream.Response{Outcome: stream.Failed}, 502, ""},
 		{stream.Response{Outcome: stream.Expired}, 504, ""},
+		{stream.Response{Outcome: stream.Rejected}, 400, ""},
+		{stream.Response{Outcome: stream.Duplicate}, 409, ""},
 	} {
 		w := httptest.NewRecorder()
 		newServer(func(context.Context, *stream.Request) stream.Response { return c.res }).
 			ServeHTTP(w, message("GET", "/look/1", "", "X-Txn", "a", "X-Remaining-Ms", "9"))
-		if w.Code != c.code || !bytes.Equal(w.Body.Bytes(), c.res.Body) || w.Header().Get("Retry-After") != c.retry ||
-			w.Header().Get("Content-Length") != fmt.Sprint(len(c.res.Body)) {
+		if w.Code != c.code || c.code == 200 && !bytes.Equal(w.Body.Bytes(), c.res.Body) || w.Header().Get("Retry-After") != c.retry ||
+			w.Header().Get("Content-Length") != fmt.Sprint(w.Body.Len()) {
 			t.Errorf("%+v became %d %v %q", c.res, w.Code, w.Header(), w.Body)
 		}
 	}
@@ -303,7 +323,7 @@
 		3 * time.Second: 3650 * time.Millisecond, 20 * time.Second: 3650 * time.Millisecond, time.Second: 1650 * time.Millisecond,
 	} {
 		set := &config.Settings{Settings: balance.Settings{Classes: []balance.Class{{Deadline: longest}}}, ClassNames: []string{"a"}}
-		if got := New(set, nil, zerolog.Nop()).within; got != want {
+		if got := New(set, 0, nil, zerolog.Nop()).within; got != want {
 			t.Errorf("with a longest deadline of %v it takes %v, want %v", longest, got, want)
 		}
 	}
@@ -333,6 +353,124 @@
 	}
 }
 
+// Guards against silent connections keeping out those that have something to say. The oldest silent one
+// gives way first, then what has been idle for longest, then even a fresh one; never one with a request.
+func TestWhoGivesWay(t *testing.T) {
+	c := newConnections(0)
+	clock := time.Now()
+	c.now = func() time.Time { return clock }
+	conns := map[net.Conn]string{}
+	add := func(name string, states ...http.ConnState) {
+		conn, _ := net.Pipe()
+		conns[conn] = name
+		for _, state := range states {
+			c.changed(conn, state)
+		}
+		clock = clock.Add(silentLeast)
+	}
+	add("idle first", http.StateNew, http.StateActive, http.StateIdle)
+	add("silent first", http.StateNew)
+	add("busy", http.StateNew, http.StateActive)
+	add("silent last", http.StateNew)
+	add("idle last", http.StateNew, http.StateActive, http.StateIdle)
+	add("fresh", http.StateNew)
+	clock = clock.Add(-silentLeast)
+	for _, want := range []string{"silent first", "silent last", "idle first", "idle last", "fresh", ""} {
+		conn := c.dispensable()
+		if conns[conn] != want {
+			t.Errorf("%q gives way, want %q", conns[conn], want)
+		}
+		delete(c.quiet, conn)
+	}
+}
+
+// Guards against half of a message, a silent connection, or a stated length without a body holding on to
+// anything: each is ended in time, and takes no memory for what has not come.
+func TestSlowMessages(t *testing.T) {
+	s := newServer(func(context.Context, *stream.Request) stream.Response {
+		t.Error("half a message was served")
+		return stream.Response{}
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() { _ = s.Run(context.Background(), l, 10) }()
+	var ins []*bufio.Reader
+	from := time.Now()
+	for _, text := range []string{"", raw[:20],
+		"POST /charge/1 HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Remaining-Ms: 900\r\nContent-Length: 65536\r\n\r\nhalf"} {
+		c, in := dial(t, l.Addr())
+		io.WriteString(c, text)
+		ins = append(ins, in)
+	}
+	for s.bodies.Load() == 0 {
+		runtime.Gosched()
+	}
+	if n := s.bodies.Load(); n > bodyFirst {
+		t.Errorf("four bytes of a body take %d", n)
+	}
+	for _, in := range ins {
+		for {
+			if _, err := in.ReadByte(); err != nil {
+				break
+			}
+		}
+	}
+	if took := time.Since(from); took < readWithin {
+		t.Errorf("they were ended after %v, sooner than a slow client may take", took)
+	}
+	if n := s.bodies.Load(); n != 0 {
+		t.Errorf("%d bytes of bodies are held", n)
+	}
+}
+
+// Guards against many bodies at once exhausting the memory: what goes beyond is refused.
+func TestBodiesAreBounded(t *testing.T) {
+	s := newServer(func(context.Context, *stream.Request) stream.Response { return stream.Response{} })
+	s.bodiesMost = bodyMost + bodyFirst
+	ask := func(size int) int {
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, message("POST", "/charge/1", strings.Repeat("x", size), "X-Txn", "a", "X-Remaining-Ms", "9"))
+		return w.Code
+	}
+	s.bodies.Add(2 * bodyFirst) // held by others
+	for size, want := range map[int]int{bodyFirst: 200, bodyMost: 503, 0: 200} {
+		if code := ask(size); code != want || s.bodies.Load() != 2*bodyFirst {
+			t.Errorf("%d bytes were answered %d, with %d held afterwards", size, code, s.bodies.Load())
+		}
+	}
+	s.bodies.Store(0)
+	if code := ask(bodyMost); code != 200 {
+		t.Errorf("a large body alone was answered %d", code)
+	}
+}
+
+// Guards against the time for reading a message passing for the client's leaving when it runs out during
+// the stream.
+func TestReadingTimeEnds(t *testing.T) {
+	s := newServer(func(ctx context.Context, _ *stream.Request) stream.Response {
+		select {
+		case <-ctx.Done():
+			return stream.Response{Outcome: stream.Gone}
+		case <-time.After(readWithin + 200*time.Millisecond): // the time itself is what is tested
+			return stream.Response{}
+		}
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	go func() { _ = s.Run(context.Background(), l, 10) }()
+	c, in := dial(t, l.Addr())
+	io.WriteString(c, raw)
+	if res := answer(t, in); res.StatusCode != 200 {
+		t.Errorf("a long stream was answered %d", res.StatusCode)
+	}
+}
+
 // Guards against callers' connections taking all descriptors: an idle one gives way to a new one.
 func TestConnectionsAreBounded(t *testing.T) {
 	s := newServer(func(context.Context, *stream.Request) stream.Response { return stream.Response{} })
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -61,7 +61,7 @@
 		attempt := len(s.tries) - 1
 		if s.ended || attempt >= cap(s.sends) {
 			// Nobody would take it, and the decisions must not wait for its outcome for ever.
-			go s.Settle(attempt, balance.Moot)
+			go s.Settle(attempt, balance.Moot, false)
 			return
 		}
 		s.sent++
@@ -101,15 +101,15 @@
 	}
 }
 
-// Settle reports how an attempt ended, once for each. It returns whether its answer is the stream's:
-// the first that was served and comes before any other end.
-func (s *Stream) Settle(attempt int, status balance.Status) bool {
+// Settle reports how an attempt ended, once for each, and whether that is a final answer. It returns
+// whether that is the stream's: the first that comes before any other end.
+func (s *Stream) Settle(attempt int, status balance.Status, final bool) bool {
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
-	return s.settle(attempt, status)
+	return s.settle(attempt, status, final)
 }
 
-func (s *Stream) settle(attempt int, status balance.Status) bool {
+func (s *Stream) settle(attempt int, status balance.Status, final bool) bool {
 	t := &s.tries[attempt]
 	if !t.open {
 		return false
@@ -117,7 +117,7 @@
 	t.open = false
 	t.cancel()
 	s.out--
-	won := status == balance.OK && !s.ended
+	won := final && !s.ended
 	s.ended = s.ended || won
 	if s.life == s.e.life {
 		s.e.handle(&balance.Event{Kind: balance.EventOutcome, Request: s.id, Attempt: attempt,
@@ -152,7 +152,7 @@
 	for {
 		select {
 		case send := <-s.sends:
-			s.settle(send.Attempt, balance.Moot)
+			s.settle(send.Attempt, balance.Moot, false)
 		default:
 			return
 		}
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -33,11 +34,13 @@
 
 // The outcomes.
 const (
-	Served  Outcome = iota
-	Refused         // a local reply: trying again is harmless
-	Failed          // nothing is promised
-	Expired         // failed, for its time is up
-	Gone            // the client has left; nobody waits for an answer
+	Served    Outcome = iota
+	Refused           // a local reply: trying again is harmless
+	Failed            // nothing is promised
+	Expired           // failed, for its time is up
+	Gone              // the client has left; nobody waits for an answer
+	Rejected          // an upstream host finds fault with the request itself
+	Duplicate         // a request of the same id is under way
 )
 
 // Response is a stream's final answer.
@@ -49,7 +52,7 @@
 }
 
 // Upstream carries out one upstream request. It returns by until or soon after ctx ends, and never
-// sends the request twice.
+// sends the request twice. What is served or rejected is the stream's final answer.
 type Upstream interface {
 	Do(ctx context.Context, host balance.EndpointID, until time.Time, req *Request) (balance.Status, Response)
 }
@@ -63,19 +66,49 @@
 	Engine   *engine.Engine
 	Upstream Upstream
 	Log      zerolog.Logger
+
+	mu   sync.Mutex
+	uses map[string]int // of each id: its stream, and its attempts that are still out
+}
+
+// use takes an id for its stream, or once more for an attempt of it.
+func (p *Proxy) use(txn string, attempt bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.uses == nil {
+		p.uses = map[string]int{}
+	}
+	if !attempt && p.uses[txn] > 0 {
+		return false
+	}
+	p.uses[txn]++
+	return true
+}
+
+func (p *Proxy) release(txn string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.uses[txn]--; p.uses[txn] == 0 {
+		delete(p.uses, txn)
+	}
 }
 
 // decided is a stream as the decisions see it; engine.Stream is one.
 type decided interface {
 	Sends() <-chan engine.Send
 	Verdict() <-chan engine.Verdict
-	Settle(attempt int, status balance.Status) (won bool)
+	Settle(attempt int, status balance.Status, final bool) (won bool)
 	Abandon() (ended, sent bool)
 	Close()
 }
 
-// Serve tells the decisions of a stream and sees it through.
+// Serve tells the decisions of a stream and sees it through. An id that is under way is not taken again:
+// upstream hosts would have the other request's copy.
 func (p *Proxy) Serve(ctx context.Context, req *Request) Response {
+	if !p.use(req.Txn, false) {
+		return Response{Outcome: Duplicate}
+	}
+	defer p.release(req.Txn)
 	// Attempts must not end with the client by themselves: the decisions withdraw them.
 	return p.live(ctx, p.Engine.Open(context.WithoutCancel(ctx), engine.Call{
 		Class: req.Class, Left: time.Until(req.Deadline), Repeated: req.Repeated}), req)
@@ -91,6 +124,7 @@
 	for {
 		select {
 		case send := <-s.Sends():
+			p.use(req.Txn, true)
 			go p.attempt(s, send, req, answer)
 		case v := <-s.Verdict():
 			return localReply(v, req)
@@ -111,12 +145,13 @@
 
 // attempt is one upstream request. However it ends, its outcome is told once.
 func (p *Proxy) attempt(s decided, send engine.Send, req *Request, answer chan<- Response) {
-	status, res := balance.Reset, Response{} // what a panic leaves: it may have run
+	status, res := balance.Reset, Response{Outcome: Failed} // what a panic leaves: it may have run
 	defer func() {
+		p.release(req.Txn)
 		if fault := recover(); fault != nil {
 			p.Log.Error().Interface("panic", fault).Msg("upstream request failed")
 		}
-		if s.Settle(send.Attempt, status) {
+		if s.Settle(send.Attempt, status, status == balance.OK || res.Outcome == Rejected) {
 			answer <- res
 		}
 	}()
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"runtime"
 	"testing"
 	"time"
 
@@ -83,6 +84,68 @@
 	}
 }
 
+// Guards against a request that is itself at fault being tried on every host, and ejecting them all: the
+// first that finds fault with it ends it, and the hosts stay in use.
+func TestRejected(t *testing.T) {
+	visits := 0
+	p := newProxy(t, 3, func(_ context.Context, _ balance.EndpointID) (balance.Status, Response) {
+		visits++
+		return balance.Cancelled, Response{Outcome: Rejected}
+	})
+	for i := range 20 {
+		if res := p.Serve(context.Background(), request(0, time.Minute)); res.Outcome != Rejected || visits != i+1 {
+			t.Fatalf("request %d: outcome %d after %d visits, want rejected after one", i, res.Outcome, visits-i)
+		}
+	}
+	p.Upstream = upstreamFunc(func(context.Context, balance.EndpointID) (balance.Status, Response) { return balance.OK, Response{} })
+	if res := p.Serve(context.Background(), request(1, time.Minute)); res.Outcome != Served {
+		t.Errorf("after faulty requests: outcome %d, want served", res.Outcome)
+	}
+}
+
+// Guards against a second copy of a request by way of its id: while its stream is open, or an attempt of it
+// still out, the id is not taken again; afterwards it is.
+func TestDuplicate(t *testing.T) {
+	out, release, left := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	p := newProxy(t, 1, func(ctx context.Context, _ balance.EndpointID) (balance.Status, Response) {
+		out <- struct{}{}
+		<-release // it comes back late, though withdrawn
+		return balance.Cancelled, Response{}
+	})
+	same := func() *Request {
+		r := request(1, time.Minute)
+		r.Txn = "9b1f"
+		return r
+	}
+	client, leave := context.WithCancel(context.Background())
+	defer leave()
+	go func() {
+		p.Serve(client, same())
+		close(left)
+	}()
+	<-out
+	for _, when := range []string{"while the stream is open", "while its attempt is out"} {
+		if res := p.Serve(context.Background(), same()); res.Outcome != Duplicate {
+			t.Errorf("%s: outcome %d, want duplicate", when, res.Outcome)
+		}
+		leave()
+		<-left
+	}
+	close(release)
+	go func() { <-out }()
+	for {
+		if res := p.Serve(context.Background(), same()); res.Outcome != Duplicate {
+			break // its attempt has come back
+		}
+		runtime.Gosched()
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.uses) > 1 {
+		t.Errorf("%d ids are kept", len(p.uses))
+	}
+}
+
 // Guards against a panic in one attempt losing its stream, or the sidecar.
 func TestPanicInAttempt(t *testing.T) {
 	p := newProxy(t, 2, func(context.Context, balance.EndpointID) (balance.Status, Response) { panic("bug") })
@@ -114,11 +177,11 @@
 	closed bool
 }
 
-func (m *mute) Sends() <-chan engine.Send       { return m.sends }
-func (m *mute) Verdict() <-chan engine.Verdict  { return nil }
-func (m *mute) Settle(int, balance.Status) bool { return false }
-func (m *mute) Abandon() (ended, sent bool)     { return true, m.sent }
-func (m *mute) Close()                          { m.closed = true }
+func (m *mute) Sends() <-chan engine.Send             { return m.sends }
+func (m *mute) Verdict() <-chan engine.Verdict        { return nil }
+func (m *mute) Settle(int, balance.Status, bool) bool { return false }
+func (m *mute) Abandon() (ended, sent bool)           { return true, m.sent }
+func (m *mute) Close()                                { m.closed = true }
 
 // Guards against a stream without an answer where the decisions fail to end it: its deadline does.
 func TestWatchdog(t *testing.T) {
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -22,13 +22,20 @@
 func (p *Pool) Do(ctx context.Context, id balance.EndpointID, until time.Time, req *stream.Request) (balance.Status, stream.Response) {
 	c, err := p.take(ctx, id, until)
 	if err != nil {
-		return neverSent(ctx, err), stream.Response{}
+		return neverSent(ctx, err), stream.Response{Outcome: stream.Failed}
 	}
 	buf := buffers.Get().(*[]byte)
 	*buf = encode((*buf)[:0], req, time.Until(until))
 	a, status := p.exchange(ctx, c, until, *buf)
 	buffers.Put(buf)
-	return status, stream.Response{Outcome: stream.Served, MediaType: a.mediaType, Body: a.body}
+	switch {
+	case status == balance.OK:
+		return status, stream.Response{Outcome: stream.Served, MediaType: a.mediaType, Body: a.body}
+	case rejects(a.status):
+		// The host is well and the request is not: no evidence against the one, and no host for the other.
+		return balance.Cancelled, stream.Response{Outcome: stream.Rejected}
+	}
+	return status, stream.Response{Outcome: stream.Failed}
 }
 
 // Probe asks an upstream host whether it is up.
@@ -64,6 +71,15 @@
 	return a, judge(a)
 }
 
+// rejects tells whether a status says that the request is at fault, whoever gets it.
+func rejects(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusTooEarly, http.StatusTooManyRequests: // of the moment, or of the host
+		return false
+	}
+	return status >= 400 && status < 500
+}
+
 // judge is the outcome that an answer stands for.
 func judge(a answer) balance.Status {
 	switch {
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -115,3 +115,17 @@
 		t.Errorf("%d idle at the first host of %d open, want none of 1", idle, open)
 	}
 }
+
+// Guards against a request that a host finds fault with counting against the host, or being sent on.
+func TestRejected(t *testing.T) {
+	for text, want := range map[string]stream.Outcome{"400 Bad": stream.Rejected, "404 Where": stream.Rejected,
+		"413 Much": stream.Rejected, "408 Slow": stream.Failed, "429 Many": stream.Failed, "500 Oops": stream.Failed} {
+		host := newScripted(t)
+		p := poolFor(host.addr, 1)
+		go func() { say{text: "HTTP/1.1 " + text + "\r\nContent-Length: 0\r\n\r\n"}.end((<-host.arrivals).nc) }()
+		status, res := get(p, time.Minute)
+		if res.Outcome != want || (status == balance.Cancelled) != (want == stream.Rejected) {
+			t.Errorf("%s: outcome %d, status %d", text, res.Outcome, status)
+		}
+	}
+}
