--- a/internal/downstream/connections.go
+++ b/internal/downstream/connections.go
@@ -83,6 +83,13 @@
 	return best
 }
 
+// spare is how many connections are free for another request.
+func (c *connections) spare() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.quiet)
+}
+
 // closeQuiet closes every connection on which no request has begun.
 func (c *connections) closeQuiet() {
 	c.mu.Lock()
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -61,7 +61,7 @@
 
 // answer is a stream's final answer, or why the message is none.
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, at time.Time, held int64) (stream.Response, *refusal) {
-	if held > s.mostHeld {
+	if held > s.mostHeld || s.runsDry(held) {
 		return stream.Response{Outcome: stream.Refused}, nil
 	}
 	req, bad := s.decode(r, at)
@@ -76,6 +76,11 @@
 	return s.serve(r, req), nil
 }
 
+// runsDry tells whether clients are about to find no connection free where no other will be had.
+func (s *Server) runsDry(held int64) bool {
+	return s.alone && s.draining.Load() && held >= spareFrom && s.conns.spare() < spareLeast
+}
+
 // serve keeps a panic in one stream from its connection: the client still gets an answer.
 func (s *Server) serve(r *http.Request, req *stream.Request) (res stream.Response) {
 	defer func() {
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -24,9 +24,11 @@
 	longestCounted = 3 * time.Second
 	killAfter      = 700 * time.Millisecond // beyond the longest deadline
 	acceptFor      = 900 * time.Millisecond // where there are other sidecars for the clients
-	leaveBefore    = 400 * time.Millisecond // SIGKILL, where there are none: three answers' time
+	leaveBefore    = 250 * time.Millisecond // SIGKILL, where there are none
 	cutBefore      = 150 * time.Millisecond // SIGKILL: whatever is not answered is failed
 	endBefore      = 50 * time.Millisecond  // SIGKILL
+	spareLeast     = 2                      // connections that are to stay free then,
+	spareFrom      = 8                      // once so many streams are open
 
 	readWithin = 2 * time.Second // a message whole, from its connection or its first byte on
 	idleWithin = 2 * time.Minute
@@ -51,6 +53,7 @@
 
 	bodiesMost int64 // bytes of all bodies together
 
+	conns    *connections // while it runs
 	held     atomic.Int64
 	bodies   atomic.Int64
 	ready    atomic.Bool
@@ -75,6 +78,7 @@
 // Run serves on l, with that many connections at most, until ctx ends and what was taken is answered.
 func (s *Server) Run(ctx context.Context, l net.Listener, most int) error {
 	conns := newConnections(most)
+	s.conns = conns
 	life, cut := context.WithCancel(context.Background()) // of all streams
 	defer cut()
 	hs := &http.Server{Handler: s, ReadTimeout: readWithin, IdleTimeout: idleWithin,
@@ -93,8 +97,9 @@
 // drain ends the server in steps. Listening goes on while connections may come, or they would be reset
 // with what had been written to them. Where there are other sidecars, every answer from now on closes its
 // connection, so that clients go there. Where there is none, clients keep theirs and are served as long as
-// they can be. Idle ones are closed last, when hardly any request can cross that, and what can't be
-// answered before SIGKILL is failed.
+// they can be. But then no new ones come, and a client that finds all of them busy takes the sidecar for
+// dead: so in a crowd, a request that comes on the last ones is turned away at once. Idle ones are closed
+// last, when hardly any request can cross that, and what can't be answered before SIGKILL is failed.
 func (s *Server) drain(hs *http.Server, conns *connections, cut context.CancelFunc) error {
 	s.log.Info().Int64("held", s.held.Load()).Msg("draining")
 	from := time.Now()
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -317,6 +317,33 @@
 	}
 }
 
+// Guards against clients of a lone sidecar that ends finding all connections busy, and taking it for dead
+// while it could still serve them: in a crowd the last free ones are not put to work. A few clients with a
+// connection each are served, though.
+func TestSomeConnectionsStayFree(t *testing.T) {
+	for _, c := range []struct {
+		alone, draining bool
+		held            int64
+		free, want      int
+	}{
+		{true, true, spareFrom, spareLeast - 1, 503}, {true, true, spareFrom, spareLeast, 200}, {true, true, 1, 0, 200},
+		{true, false, spareFrom, 0, 200}, {false, true, spareFrom, 0, 200},
+	} {
+		s := newServer(func(context.Context, *stream.Request) stream.Response { return stream.Response{} })
+		s.mostHeld, s.alone, s.conns = 100, c.alone, newConnections(0)
+		s.draining.Store(c.draining)
+		s.held.Store(c.held)
+		for range c.free {
+			conn, _ := net.Pipe()
+			s.conns.changed(conn, http.StateIdle)
+		}
+		w := httptest.NewRecorder()
+		if s.ServeHTTP(w, message("GET", "/look/1", "", "X-Txn", "a", "X-Remaining-Ms", "9")); w.Code != c.want {
+			t.Errorf("%+v: answered %d", c, w.Code)
+		}
+	}
+}
+
 // Guards against a planned end that ends after SIGKILL, or waits for what the settings don't have.
 func TestEndIsInTime(t *testing.T) {
 	for longest, want := range map[time.Duration]time.Duration{
