--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -114,6 +114,58 @@
 	}
 }
 
+// TestLimitKeepsThePresentRate: answers that others make slow must not cut the limit below what the rate
+// needs, or the line that grows here makes them slower still.
+func TestLimitKeepsThePresentRate(t *testing.T) {
+	w := newWorld(t, testSettings(), 1)
+	w.servers(2)
+	least := w.b.limit
+	for step := range 2000 { // 100 requests a second, answered after so long however few are held
+		delay := 40 * ms
+		if step > 1000 {
+			delay = 100 * ms
+			least = min(least, w.b.limit)
+		}
+		w.request(unsafeClass)
+		w.run(10 * ms)
+		for j := range w.sends {
+			if w.b.reqs[w.sends[j].Request] != nil && w.now-w.sentAt[j] >= delay {
+				w.end(j, OK, delay)
+			}
+		}
+	}
+	if least < 1.5*w.b.part(limitLeast) {
+		t.Errorf("the limit fell to %.1f, hardly over its least, %.1f", least, w.b.part(limitLeast))
+	}
+}
+
+// TestCopiesInAFullerHour: a request that hangs gets its copy also when more than half of the limit is in use.
+func TestCopiesInAFullerHour(t *testing.T) {
+	w := newWorld(t, testSettings(), 1)
+	w.servers(8)
+	w.serve(100, safeClass, func(EndpointID) time.Duration { return 40 * ms })
+	w.b.limit = 12
+	first := len(w.sends)
+	for range 8 {
+		w.request(safeClass)
+	}
+	w.run(3 * 40 * ms)
+	for j := first + 1; j < first+8; j++ {
+		w.end(j, OK, 120*ms) // all but one
+	}
+	for range 7 {
+		w.request(unsafeClass)
+	}
+	sent := len(w.sends)
+	if w.b.loadShare() <= spareShare {
+		t.Fatalf("%.2f of the limit in use shows nothing", w.b.loadShare())
+	}
+	w.run(30 * ms)
+	if len(w.sends) == sent {
+		t.Error("a request that hangs got no copy")
+	}
+}
+
 // TestFirstCalmAnswersSetNoTrap: one quick answer must not make all later ones look crowded.
 func TestLimitNeedsEvidence(t *testing.T) {
 	w := newWorld(t, testSettings(), 1)
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -37,9 +37,11 @@
 	testedUse     = 0.7  // mean use of the limit from which it may grow: short peaks can wait
 	limitCut      = 0.85 // the most that one look takes off it: it grows slower than this
 	limitSlack    = 1.25 // times its share of it is the most that one server may hold
-	spareShare    = 0.5  // of the limit: above it, neither over-share traffic nor copies are sent
+	rateSlack     = 1.25 // times what the present rate needs is kept of it: a little too slow is no jam
+	spareShare    = 0.5  // of the limit: above it, no over-share traffic is let in
+	copyShare     = 0.8  // the same for copies: a request that hangs costs more than a copy of it
 	holdShare     = 0.25 // of its aim that a first-tier request may wait here
-	retryPerCall  = 0.1  // retry budget earned by each request
+	retryPerCall  = 0.2  // retry budget earned by each request
 	retryBurst    = 10.0 // and its cap
 	retryUnseen   = 0.2  // what a retry costs when the last attempt was turned away unseen
 	overdueFactor = 3.0  // an attempt this many times its class's mean delay is overdue
@@ -482,7 +484,7 @@
 		return
 	}
 	a := &r.tries[len(r.tries)-1]
-	if a.open && b.now >= a.sentAt+b.overdue(r.class) && b.loadShare() < spareShare && b.send(r, b.route(r)) {
+	if a.open && b.now >= a.sentAt+b.overdue(r.class) && b.loadShare() < copyShare && b.send(r, b.route(r)) {
 		b.retries--
 	}
 }
@@ -509,6 +511,7 @@
 func (b *Balancer) maintain() {
 	keep := math.Exp(-maintainEvery.Seconds() / memory)
 	b.sent.age(keep)
+	b.served.age(keep)
 	b.adaptLimit()
 	for _, c := range b.classes {
 		c.delay.age(math.Sqrt(math.Sqrt(keep))) // classes differ for long, servers for moments
@@ -549,6 +552,7 @@
 		b.learnTaken(c, d)
 		s.group.delay.add(y)
 		s.ok, s.okAt = s.ok+1, b.now
+		b.served.add(c.Aim.Seconds())
 		b.dirty = b.dirty || s.trial
 		s.fails, s.trial, s.backoff = 0, false, 0
 	case ConnectFailed:
@@ -631,7 +635,10 @@
 	case taken > most:
 		// An instance with few answers cuts seldom, and so by more: jams grow with time, not with answers.
 		looks := float64(b.now-b.windowAt) / float64(maintainEvery)
-		b.limit, b.bounded = b.limit*max(math.Pow(limitCut, looks), most/taken), true
+		cut := b.limit * max(math.Pow(limitCut, looks), most/taken)
+		// But not below what the present rate needs at the most that an answer may take (Little's law): where
+		// others made it slow, holding less makes nothing faster.
+		b.limit, b.bounded = max(cut, min(b.limit, rateSlack*most*b.served.sum/memory)), true
 	case b.inUse.mean(0, 0) < testedUse*b.whole(): // not put to the test
 	case b.bounded:
 		b.limit += max(b.part(1)/10, 0.05*b.limit)
--- a/balance/state.go
+++ b/balance/state.go
@@ -48,6 +48,7 @@
 	maintainAt time.Duration
 	refreshAt  time.Duration
 	sent       average // sends, for their rate
+	served     average // answers, with the aims of their classes
 
 	subscribed bool
 	askAt      time.Duration
