--- a/internal/upstream/model_test.go
+++ b/internal/upstream/model_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"runtime"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -83,10 +84,45 @@
 	{text: "HTTP/1.1 200 OK\r\n\r\nok", hangUp: true, status: balance.Error}, // whole or cut off? nobody can tell
 	{text: "HTTP/1.1 200 OK\r\nContent-Length: 65537\r\n\r\n", status: balance.Error},
 	{text: "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", status: balance.OK, reuse: true},
+	{text: strings.Repeat("HTTP/1.1 103 Early\r\nLink: </a>\r\n\r\n", 50) + "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", status: balance.OK, reuse: true},
+	{text: "HTTP/1.1 200 OK\r\nX-Load: \xff;;=\r\nContent-Length: 2\r\n\r\nok", status: balance.OK, reuse: true},
+	{text: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno", status: balance.OK},
 	{hangUp: true, status: balance.Reset},
 	{hangUp: true, reset: true, status: balance.Reset},
 }
 
+// spoilt are answers that no request is served with. The connection stays open, so that the reader has to
+// cut short those that don't end, and to give up those that stop half-way.
+var spoilt = []say{
+	{text: "ICY 200 OK\r\n\r\n"}, {text: "HTTP/1.1 OK 200\r\n\r\n"}, {text: "\x00\xff noise \r\n\r\n"},
+	{text: "noise"}, {text: "HTTP/1.1 200 OK\r\nContent-Le"}, {text: "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok"},
+	{text: "HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 200 OK\r\n"},
+	{text: "HTTP/1.1 200 OK\r\nno colon here\r\n\r\n"}, {text: "HTTP/1.1 200 OK\r\nContent-Length: -5\r\n\r\n"},
+	{text: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nContent-Length: 3\r\n\r\nok"},
+	{text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\nzz\r\nno\r\n0\r\n\r\n"},
+	{text: "HTTP/1.1 200 OK\r\nContent-Length: 3000000000\r\n\r\n" + strings.Repeat("x", 9000)},
+	{text: "HTTP/1.1 200 OK\r\n" + strings.Repeat("X-More: and more\r\n", 20000)},
+	{text: "HTTP/1.1 200 " + strings.Repeat("K", 300000)},
+	{text: strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 9000)},
+	{text: "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat("8000\r\n"+strings.Repeat("x", 0x8000)+"\r\n", 9)},
+}
+
+// Guards against an answer that can't be read, or doesn't end, being served, waited for or taken into
+// memory without bound, and against its connection carrying another request.
+func TestSpoiltAnswers(t *testing.T) {
+	for _, s := range spoilt {
+		host := newScripted(t)
+		p := poolFor(host.addr, 1)
+		go func() { s.end((<-host.arrivals).nc) }() // it goes on until the reader hangs up
+		if status, res := get(p, time.Minute); status != balance.Error || res.Outcome != stream.Failed {
+			t.Errorf("%.60q: outcome %d", s.text, status)
+		}
+		if idle, open := counts(p, 1); idle+open != 0 {
+			t.Errorf("%.60q: %d idle of %d connections open, want none", s.text, idle, open)
+		}
+	}
+}
+
 // held is a request that is out.
 type held struct {
 	at     arrival
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -58,7 +58,7 @@
 		p.drop(c)
 		return answer{}, neverSent(ctx, err)
 	}
-	a, err := c.read()
+	a, err := c.read(ctx, until)
 	if err != nil {
 		p.drop(c)
 		return answer{}, noAnswer(ctx, err)
@@ -97,7 +97,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return balance.Cancelled
-	case errors.Is(err, errUnknownHost):
+	case errors.Is(err, errUnknownHost), errors.Is(err, errCrowded): // nothing that the host has done
 		return balance.Moot
 	}
 	return balance.ConnectFailed
@@ -108,10 +108,10 @@
 	switch {
 	case ctx.Err() != nil:
 		return balance.Cancelled
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		return balance.Timeout
 	case errors.Is(err, errBadAnswer):
 		return balance.Error
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return balance.Timeout
 	}
 	return balance.Reset
 }
