Add the rig's scenarios and the plan that fixes all of a run before it starts

Change: a strict TOML reader whose errors name file, line and key; scenarios (boxes, clients, discovery, fleet, faults, expectations); the plan made of one and a seed; the trace that both players will write; the types of the server model. Nothing of it is in the daemon.

--- /dev/null
+++ b/internal/lab/plan/client.go
@@ -0,0 +1,39 @@
+package plan
+
+import (
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/trace"
+)
+
+// Left is how long a client waits for a try that it sends now: its usual time for one, or what is left of its
+// patience. It is not above 0 once that is over.
+func (p *Plan) Left(request int, now time.Duration) time.Duration {
+	r := &p.Requests[request]
+	return min(r.TryLeft, r.Due+r.Patience-now)
+}
+
+// Retry is when a client tries again after a try that has ended, if it does. It repeats what is safe after
+// any failure, what is keyed within the window of its first send, and anything else only where nothing can
+// have run: after a refusal, or when no connection came up.
+func (p *Plan) Retry(t *trace.Try, first time.Duration) (at time.Duration, again bool) {
+	r := &p.Requests[t.Request]
+	c := &p.Scenario.Class[r.Class]
+	if t.Status == trace.Served || t.Status == trace.Gone || t.No >= r.Retries {
+		return 0, false
+	}
+	at = t.Answered + p.Scenario.Clients.Backoff.D()
+	if t.Status == trace.Refused && t.Advice > 0 && r.Honours {
+		at = max(at, t.Answered+min(t.Advice, p.Scenario.Rules.MaxRetryAfter.D()))
+	}
+	unseen := t.Status == trace.Refused || t.Status == trace.NoEntry
+	switch c.Effect {
+	case "unsafe":
+		again = unseen
+	case "keyed":
+		again = at < first+c.Window.D()
+	default:
+		again = true
+	}
+	return at, again && p.Left(t.Request, at) > 0
+}
--- /dev/null
+++ b/internal/lab/plan/plan_test.go
@@ -0,0 +1,273 @@
+package plan
+
+import (
+	"bytes"
+	"math"
+	"strings"
+	"testing"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/model"
+	"pinelb.example/pinelb/internal/lab/scenario"
+	"pinelb.example/pinelb/internal/lab/trace"
+	"pinelb.example/pinelb/scenarios"
+)
+
+func load(t *testing.T, name string, more ...string) *scenario.Scenario {
+	t.Helper()
+	text, err := scenarios.Files.ReadFile(name + ".toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := scenario.Parse(name, append(text, strings.Join(append([]string{""}, more...), "\n")...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func build(t *testing.T, s *scenario.Scenario, seed uint64) *Plan {
+	t.Helper()
+	p, err := Build(s, seed, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+func TestSameSeedSamePlan(t *testing.T) {
+	for _, name := range []string{"bad-morning", "two-tiers", "flap", "power-dip"} {
+		a, b := build(t, load(t, name), 7).Bytes(), build(t, load(t, name), 7).Bytes()
+		if !bytes.Equal(a, b) {
+			t.Errorf("%s: the same seed gives two plans", name)
+		}
+		if bytes.Equal(a, build(t, load(t, name), 8).Bytes()) {
+			t.Errorf("%s: two seeds give the same plan", name)
+		}
+	}
+}
+
+// Guards against a change of one part of a scenario that shifts the others' draws: runs would not compare.
+func TestPartsDrawApart(t *testing.T) {
+	a := build(t, load(t, "calm"), 7)
+	b := build(t, load(t, "calm", "[[fault]]", `kind = "hang"`, "boxes = 2", `at = "3s"`, `for = "2s"`), 7)
+	for i := range a.Requests {
+		if a.Requests[i] != b.Requests[i] {
+			t.Fatalf("a fault changes request %d", i)
+		}
+	}
+	if a.Boxes[0].Spec != b.Boxes[0].Spec || a.Sidecars[0].Seed != b.Sidecars[0].Seed || a.Txn(3, 1) != b.Txn(3, 1) {
+		t.Error("a fault changes boxes, seeds or ids")
+	}
+}
+
+func TestDrawsFollowTheScenario(t *testing.T) {
+	s := load(t, "calm")
+	s.Length = scenario.Span(10 * time.Minute)
+	p := build(t, s, 1)
+	asked := p.Rate * s.Clients.Load * s.Length.D().Seconds()
+	if n := float64(len(p.Requests)); math.Abs(n-asked) > 4*math.Sqrt(asked) {
+		t.Errorf("%.0f requests, want about %.0f", n, asked)
+	}
+	count, work, left := make([]float64, 4), make([]float64, 4), 0.0
+	for _, r := range p.Requests {
+		count[r.Class]++
+		work[r.Class] += r.Work.Seconds()
+		if r.Leaves > 0 {
+			left++
+		}
+	}
+	for i, c := range s.Class {
+		if share := count[i] / float64(len(p.Requests)); math.Abs(share-c.Share/100) > 0.01 {
+			t.Errorf("%s: share %.3f, want %.2f", c.Name, share, c.Share/100)
+		}
+		if mean := work[i] / count[i]; math.Abs(mean/c.Work.D().Seconds()-1) > 0.05 {
+			t.Errorf("%s: mean work %.4f s, want %v", c.Name, mean, c.Work.D())
+		}
+	}
+	if share := left / float64(len(p.Requests)); math.Abs(share-s.Clients.Impatient) > 0.005 {
+		t.Errorf("%.3f leave, want %v", share, s.Clients.Impatient)
+	}
+	picks := make([]float64, len(p.Sidecars))
+	for i := range 10000 {
+		picks[p.Choose(i, 0, func(int) bool { return true })]++
+		if one := p.Choose(i, 0, func(i int) bool { return i == 1 }); one != 1 {
+			t.Fatalf("the front chose %d, which it has not admitted", one)
+		}
+	}
+	if math.Abs(picks[0]/10000-0.5) > 0.03 {
+		t.Errorf("the front gives the first of two %v of 10000", picks[0])
+	}
+}
+
+// told is what one sidecar hears of a box, in order.
+func told(p *Plan, sidecar int, box string) (out []Event) {
+	for _, e := range p.Events {
+		if e.Kind == Tell && e.Sidecar == sidecar && p.Boxes[e.Entry.Box].Name == box {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+func TestDiscoveryHears(t *testing.T) {
+	const quiet = "[discovery]\nadd = \"500ms\"\nnotice = \"1s\"\nsilent = \"6s\"\nspread = \"0s\""
+	at := func(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+	type heard struct {
+		at    time.Duration
+		phase trace.Phase
+		up    time.Duration
+	}
+	for name, c := range map[string]struct {
+		fault string
+		want  []heard
+	}{
+		"crash, longer than it takes to notice": {`kind = "crash"
+at = "4s"
+for = "3s"`, []heard{{at(5), trace.Away, 0}, {at(7.5), trace.Ready, at(7)}}},
+		"crash, shorter": {`kind = "crash"
+at = "4s"
+for = "500ms"`, []heard{{at(5), trace.Ready, at(4.5)}}},
+		"vanish, unnoticed": {`kind = "vanish"
+at = "4s"
+for = "5s"`, []heard{{at(9.5), trace.Ready, at(9)}}},
+		"drain and back": {`kind = "drain"
+at = "4s"
+grace = "4s"
+back = "2s"`, []heard{{at(5), trace.Terminating, 0}, {at(9), trace.Away, 0}, {at(10.5), trace.Ready, at(10)}}},
+		"leaves, its entry stays": {`kind = "leave"
+at = "4s"
+for = "9s"`, []heard{{at(13), trace.Away, 0}}},
+		"hang, never told": {`kind = "hang"
+at = "4s"`, nil},
+		"flap, faster than it is noticed": {`kind = "flap"
+of = "crash"
+at = "4s"
+for = "2s"
+down = "500ms"
+up = "500ms"`, []heard{{at(5), trace.Ready, at(4.5)}, {at(6), trace.Ready, at(5.5)}}},
+		"silence holds it back": {`kind = "crash"
+at = "4s"
+for = "500ms"
+[[fault]]
+kind = "discovery_silent"
+at = "3s"
+for = "6s"`, []heard{{at(9), trace.Ready, at(4.5)}}},
+	} {
+		s := load(t, "calm", quiet, "[[fault]]", `names = ["order-3"]`, c.fault)
+		got := told(build(t, s, 1), 1, "order-3")
+		if len(got) != len(c.want) {
+			t.Errorf("%s: heard %d times, want %d: %+v", name, len(got), len(c.want), got)
+			continue
+		}
+		for i, w := range c.want {
+			if e := got[i]; e.At != w.at || e.Entry.Phase != w.phase || e.Entry.UpSince != w.up {
+				t.Errorf("%s: heard %v at %v, up since %v; want %+v", name, e.Entry.Phase, e.At, e.Entry.UpSince, w)
+			}
+		}
+	}
+}
+
+// Guards against a box's own sidecar that lives on without it.
+func TestSidecarsFollowTheirBoxes(t *testing.T) {
+	p := build(t, load(t, "two-tiers"), 1)
+	var kinds []EventKind
+	for _, e := range p.Events {
+		if e.Sidecar >= 0 && p.Sidecars[e.Sidecar].Box >= 0 && e.Kind != Tell {
+			kinds = append(kinds, e.Kind)
+		}
+	}
+	if len(kinds) != 2 || kinds[0] != KillSidecar || kinds[1] != StartSidecar {
+		t.Errorf("a front box's crash does %v to its sidecar", kinds)
+	}
+	calls := 0
+	for i := range p.Requests {
+		n := len(p.Segments(nil, i, p.Txn(i, 0), 0, 0)) - 1
+		if n != p.Calls(i, 0) || n < 1 || n > 2 {
+			t.Fatalf("request %d makes %d calls", i, n)
+		}
+		calls += n
+	}
+	if mean := float64(calls) / float64(len(p.Requests)); math.Abs(mean-1.5) > 0.05 {
+		t.Errorf("%.3f calls a request, want 1.5", mean)
+	}
+}
+
+func TestRetriesKeepTheClasses(t *testing.T) {
+	p := build(t, load(t, "calm"), 1)
+	first := map[string]int{}
+	for i := len(p.Requests) - 1; i >= 0; i-- {
+		first[p.Scenario.Class[p.Requests[i].Class].Name] = i
+	}
+	for _, c := range []struct {
+		class  string
+		status trace.Status
+		no     int
+		after  time.Duration // from its due time to the try's end
+		again  bool
+	}{
+		{"order-status", trace.Served, 0, time.Millisecond, false},
+		{"order-status", trace.Gone, 0, time.Millisecond, false},
+		{"order-status", trace.Failed, 0, time.Millisecond, true},
+		{"order-status", trace.Failed, 3, time.Millisecond, false},
+		{"order-status", trace.Failed, 0, 1450 * time.Millisecond, false}, // no time is left after the wait
+		{"place-order", trace.Silent, 0, 1400 * time.Millisecond, true},
+		{"remake-charge", trace.Silent, 0, time.Millisecond, false},
+		{"remake-charge", trace.Failed, 0, time.Millisecond, false},
+		{"remake-charge", trace.Broken, 0, time.Millisecond, false},
+		{"remake-charge", trace.Refused, 0, time.Millisecond, true},
+		{"remake-charge", trace.NoEntry, 0, time.Millisecond, true},
+	} {
+		i := first[c.class]
+		due := p.Requests[i].Due
+		_, again := p.Retry(&trace.Try{Request: i, No: c.no, Status: c.status, Answered: due + c.after}, due)
+		if again != c.again {
+			t.Errorf("%s, try %d, %v: again %v", c.class, c.no, c.status, again)
+		}
+	}
+	i := first["remake-charge"]
+	p.Requests[i].Honours = true
+	due := p.Requests[i].Due
+	at, _ := p.Retry(&trace.Try{Request: i, Status: trace.Refused, Answered: due, Advice: 600 * time.Millisecond}, due)
+	if at != due+600*time.Millisecond {
+		t.Errorf("a client that follows the advice comes back after %v", at-due)
+	}
+}
+
+func TestRecordedArrivals(t *testing.T) {
+	s := load(t, "calm")
+	p, err := Build(s, 1, []Arrival{{At: 2 * time.Second, Class: 3, Left: 700 * time.Millisecond, Repeated: true}, {At: time.Second, Class: 0, Left: time.Second}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := p.Requests[1]
+	if len(p.Requests) != 2 || r.Due != 2*time.Second || r.Class != 3 || !r.Repeated || r.Retries != 0 || p.Left(1, r.Due) != 700*time.Millisecond {
+		t.Errorf("played as %+v", r)
+	}
+	if _, err := Build(s, 1, []Arrival{{Class: 4}}); err == nil {
+		t.Error("a class that there is not was taken")
+	}
+}
+
+func TestAddedBoxesAreAbsentUntilThen(t *testing.T) {
+	s := load(t, "calm", "[[fault]]", `kind = "add"`, "boxes = 2", `at = "5s"`)
+	s.Tier[0].Kind[1].Start = "absent"
+	p := build(t, s, 1)
+	starts := 0
+	for _, e := range p.Events {
+		if e.Kind == StartBox {
+			starts++
+			if p.Boxes[e.Box].Start != "absent" || e.At != 5*time.Second || p.Boxes[e.Box].At != e.At {
+				t.Errorf("%+v starts %+v", e, p.Boxes[e.Box])
+			}
+		}
+	}
+	if starts != 2 || len(p.First(0)) != 4 || len(p.Sidecars[0].Known) != 4 {
+		t.Errorf("%d boxes start, %d are listed first", starts, len(p.First(0)))
+	}
+	for i := range p.Boxes {
+		if b := &p.Boxes[i]; b.Start == "warm" && b.At != model.Never {
+			t.Errorf("%s starts at %v", b.Name, b.At)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/plan/settings.go
@@ -0,0 +1,67 @@
+package plan
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// quantum is the shortest time between two events of a sidecar, as its settings say.
+const quantum = 2 * time.Millisecond
+
+var effectWords = map[string]string{"safe": "read_like", "keyed": "idempotency_key", "unsafe": "non_idempotent"}
+
+// Zone is the one zone of every scenario.
+const Zone = "here"
+
+// Settings are a sidecar's, as LB_CONFIG has them under "settings".
+func (p *Plan) Settings(sidecar int) json.RawMessage {
+	s, c := p.Scenario, &p.Sidecars[sidecar]
+	r := &s.Rules
+	counted := "request"
+	if r.ByWork {
+		counted = "work"
+	}
+	var classes, kinds, tiers []any
+	for _, k := range s.Class {
+		classes = append(classes, map[string]any{"name": k.Name, "aim": k.Aim.D(), "deadline": k.Deadline.D(), "worth": k.Worth,
+			"idempotency": effectWords[k.Effect], "key_scope": "all", "memory_span": k.Window.D(), "late_worth": 0.0})
+	}
+	for _, k := range s.Tier[c.Tier].Kind {
+		kinds = append(kinds, k.Name)
+	}
+	for _, t := range s.Tier {
+		tiers = append(tiers, t.Name)
+	}
+	return encode(map[string]any{
+		"allowed": map[string]any{"cancel": r.Cancel, "conn_idle": r.ConnIdle.D(), "connect_timeout": r.ConnectTimeout.D(),
+			"max_retry_after": r.MaxRetryAfter.D(), "most_held": r.MaxHeld, "probing": r.Probes, "retry_after": r.RetryAfter,
+			"second_copies": r.SecondCopies, "send_cap": r.MaxAttempts, "peer_messages": false},
+		"classes": classes, "clients": map[string]any{"marks_retry": r.MarksRetry}, "counted_by": counted,
+		"family_info": map[string]any{"passes_deadline": r.PassesDeadline}, "kinds": kinds, "locality": 0,
+		"n_instances": c.Told, "rank": c.Rank, "quantum": quantum, "registry_mode": "automatic",
+		"prices": map[string]any{"late_fail": 0.05, "probe": 0.01, "waste": 0.04},
+		"rules": map[string]any{"answer_slack": 8 * time.Millisecond, "cold": r.ColdFor.D(), "cold_share": r.ColdShare,
+			"fall": r.FallWindow.D(), "stop_sending_within": r.DrainGrace.D(), "tip_multiple": r.FallMultiple},
+		"tier": c.Tier, "tiers": tiers, "weight_source": "nominal", "zones": []string{Zone},
+	})
+}
+
+// Member is an entry as discovery words it. Start is the run's start as Unix time; the box is reached at addr.
+func (p *Plan) Member(l Listed, addr string, start time.Time) map[string]any {
+	b := &p.Boxes[l.Box]
+	up := int64(0)
+	if l.UpSince > 0 {
+		up = start.Add(l.UpSince).UnixMilli()
+	}
+	return map[string]any{"id": b.Name, "host_port": addr, "locality": Zone, "flavor": b.Kind, "cell": 0,
+		"phase": l.Phase.String(), "size": float64(b.Spec.Cores), "up_since_ms": up}
+}
+
+func encode(v any) json.RawMessage {
+	text, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("plan: %v", err)) // all of it is plain
+	}
+	return text
+}
--- /dev/null
+++ b/internal/lab/scenario/scenario.go
@@ -0,0 +1,185 @@
+// Package scenario is what the rig plays: the boxes, the clients, discovery, the fleet of sidecars, what goes
+// wrong and what is expected, as one TOML file says it. Reading is strict and every error names the file, the
+// line and the key. docs/scenarios.md describes each key.
+package scenario
+
+import "pinelb.example/pinelb/internal/tomlfile"
+
+// Span is a time in a scenario, written as "250ms".
+type Span = tomlfile.Span
+
+// Scenario is a whole run. Times count from its start.
+type Scenario struct {
+	Name   string
+	About  string
+	Seed   uint64
+	Length Span // of the arrivals; what is open then is seen through
+	Settle Span // at the start, left out of the results
+
+	Class     []Class
+	Tier      []Tier
+	Rules     Rules
+	Clients   Clients
+	Burst     []Burst
+	Fleet     Fleet
+	Discovery Discovery
+	Network   Network
+	Fault     []Fault
+	Expect    []Expect
+}
+
+// Class is a kind of request.
+type Class struct {
+	Name     string
+	Share    float64 // of the first tries; shares are taken in proportion
+	Work     Span    // mean, on a standard core, over all tiers at their Work of 1
+	Spread   string  // "fixed", "exp" or "lognormal"
+	CV       float64 // of lognormal: standard deviation over mean
+	Noise    float64 // the same of each attempt's work around its request's, lognormal; 0 is none
+	Aim      Span
+	Deadline Span // how long a client waits, over all its tries
+	Worth    float64
+	Effect   string // "safe", "keyed" or "unsafe"
+	Window   Span   // keyed: how long boxes drop a repeat
+	Body     int    // bytes of a request's body; safe classes have none
+	Answer   int    // bytes of an answer's
+}
+
+// Tier is a tier of boxes. Clients' requests go to the first.
+type Tier struct {
+	Name  string
+	Work  float64 // share of a class's work that a box of it does for each call
+	Calls float64 // of the next tier that each request of this one makes, on average, one after another
+	Kind  []Kind
+}
+
+// Kind is a number of boxes built alike.
+type Kind struct {
+	Name        string
+	Boxes       int
+	Cores       int
+	Speed       float64 // of a core; 1 is standard
+	SpeedCV     float64 `toml:"speed_cv"` // from box to box, lognormal
+	Slots       int     // requests in work at once, for a box
+	Queue       int     // and waiting
+	CrowdAt     int     `toml:"crowd_at"` // requests held from which it loses efficiency; 0 is never
+	CrowdLoss   float64 `toml:"crowd_loss"`
+	PauseEvery  Span    `toml:"pause_every"`
+	Pause       Span
+	ErrorRate   float64 `toml:"error_rate"`
+	ColdFrom    float64 `toml:"cold_from"`
+	ColdFor     Span    `toml:"cold_for"`
+	WarmBy      string  `toml:"warm_by"` // "time" or "work"
+	Start       string  // "warm", "cold" (it starts with the run) or "absent" (until an "add")
+	Cancel      string  // "nothing", "waiting" or "all"
+	Connections int
+	TableTax    float64 `toml:"table_tax"`
+	Handshake   Span
+}
+
+// Rules are what sidecars are told and judged by.
+type Rules struct {
+	DrainGrace     Span    `toml:"drain_grace"`
+	ColdShare      float64 `toml:"cold_share"`
+	ColdFor        Span    `toml:"cold_for"`
+	FallMultiple   float64 `toml:"fall_multiple"`
+	FallWindow     Span    `toml:"fall_window"`
+	AnswerSlack    Span    `toml:"answer_slack"`
+	MaxAttempts    int     `toml:"max_attempts"`
+	MaxHeld        int     `toml:"max_held"`
+	SecondCopies   bool    `toml:"second_copies"`
+	Cancel         bool
+	Probes         bool
+	RetryAfter     bool `toml:"retry_after"`
+	MaxRetryAfter  Span `toml:"max_retry_after"`
+	ConnectTimeout Span `toml:"connect_timeout"`
+	ConnIdle       Span `toml:"conn_idle"`
+	PassesDeadline bool `toml:"passes_deadline"`
+	MarksRetry     bool `toml:"marks_retry"`
+	ByWork         bool `toml:"by_work"` // worth counts for each unit of work
+}
+
+// Clients are who asks.
+type Clients struct {
+	Load      float64 // of what the warm boxes can do; the tier that runs out first counts
+	Rate      float64 // or first tries a second
+	Shape     string  // "steady" (Poisson), "even" (one after another) or "wave"
+	Swing     float64 // wave: of the rate, up and down
+	Period    Span    // wave
+	Recorded  string  // or the arrivals of a sidecar's record: file, beside the scenario's
+	Retries   int
+	TryShare  float64 `toml:"try_share"` // of the class's deadline, after which a try is given up
+	Backoff   Span    // before a retry
+	Honour    float64 // share of clients that follow Retry-After
+	Impatient float64 // share that leave before their time is up
+	Fresh     float64 // share of the requests that come on a connection of their own
+	Skew      float64 // share of the clients that the first sidecar gets beyond its even part
+	Notice    Span    // until the front sends no more to a sidecar that has died
+}
+
+// Burst is a crowd on top of the steady load.
+type Burst struct {
+	At    Span
+	For   Span
+	Rate  float64 // first tries a second
+	Class string  // "" is any, by the shares
+	Fresh bool    // each a new client with a connection of its own
+}
+
+// Fleet is the sidecars.
+type Fleet struct {
+	Sidecars    int    // of the first tier; each box of a tier with a next one has one of its own
+	Policy      string // "pinelb", or "plain": no sidecars, clients go round the listed boxes
+	Other       int    // how many of the first tier run the second build, where there is one
+	Rank        string // "right", "none" (all are told 0)
+	Told        int    // how many instances they are told there are; 0 is right
+	Start       string // "before" the run, which waits until all are ready, or "with" it
+	StartSpread Span   `toml:"start_spread"` // with: over which they start
+	Known       string // "fresh", "none" or "stale": the list that they start with
+	MemoryMB    int    `toml:"memory_mb"`
+	Sockets     int
+	Cores       float64
+}
+
+// Discovery is how the lists travel.
+type Discovery struct {
+	Add       Span    // until a box that is up is listed
+	Notice    Span    // until a drain or an end of a process is
+	Silent    Span    // until a machine that says nothing is
+	Spread    Span    // beyond that, evenly from sidecar to sidecar
+	Whole     bool    // every change brings the whole list
+	LateShare float64 `toml:"late_share"` // share of the sidecars that hear all by Late later
+	Late      Span
+}
+
+// Network is the virtual one; on sockets it is the machine's own.
+type Network struct {
+	Delay Span // one way, to and from a sidecar
+}
+
+// Fault is something that goes wrong, or is done on purpose.
+type Fault struct {
+	Kind     string
+	At       Span
+	For      Span     // 0 is to the end
+	Tier     string   // "" is the first
+	Boxes    int      // so many of the tier, drawn by the seed
+	Share    float64  // or so large a part of it, at least one
+	Names    []string // or these; for a sidecar's kinds they name sidecars
+	Size     float64  // a share of requests or a factor, by kind
+	Of       string   // flap: the fault that comes and goes
+	Up, Down Span     // flap
+	Grace    Span     // drain: until the process ends; sidecar_stop: until SIGKILL
+	Back     Span     // until it is back, after the end: drain, sidecar_kill, sidecar_stop; 0 is never
+	Step     Span     // between one sidecar and the next
+}
+
+// Expect is a bound that the run has to keep. Broken rules need none: they always count.
+type Expect struct {
+	What  string // see Measures
+	Class string // "" is all
+	Least *float64
+	Most  *float64
+	From  Span // of the window of due times; 0 is from Settle
+	To    Span // 0 is to the end
+}
