--- /dev/null
+++ b/internal/lab/model/server_test.go
@@ -0,0 +1,381 @@
+package model
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const ms = time.Millisecond
+
+// one has a core that does a job at a time, and starts cold at half of its capacity for a second.
+var one = Spec{Cores: 1, Speed: 1, Slots: 1, Queue: 2, ColdFrom: 0.5, ColdFor: time.Second, Cancel: CancelAll}
+
+// with is one, changed.
+func with(change func(*Spec)) Spec {
+	spec := one
+	change(&spec)
+	return spec
+}
+
+// tell writes effects as "kind job@ms", answers with what they are.
+func tell(effects []Effect) string {
+	kinds := []string{Started: "start", Calling: "call", Reset: "reset", Lost: "lost"}
+	answers := []string{OK: "ok", Errored: "error", TurnedAway: "away", CutOff: "cut", Spoilt: "spoilt", Dripped: "drip"}
+	var words []string
+	for _, e := range effects {
+		word := ""
+		if e.Kind == Answered {
+			word = answers[e.Answer]
+		} else {
+			word = kinds[e.Kind]
+		}
+		if e.Repeat {
+			word = "repeat"
+		}
+		if e.Kind != Reset {
+			word += fmt.Sprint(" ", e.Job)
+		}
+		if e.Kind == Calling {
+			word += fmt.Sprint("#", e.Call)
+		}
+		words = append(words, fmt.Sprintf("%s@%v", word, float64(e.At)/float64(ms)))
+	}
+	return strings.Join(words, ", ")
+}
+
+func arrive(s *Server, at time.Duration, id uint64, segments ...time.Duration) {
+	s.Arrive(at, Job{ID: id, Segments: segments})
+}
+
+// Each script is played on a server, which is then advanced as Next says for 10 s, and its effects are told.
+func TestScripts(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		spec   Spec
+		script func(s *Server)
+		want   string
+	}{
+		{"in order, then turned away", one, func(s *Server) {
+			for id := range uint64(4) {
+				arrive(s, 0, id, 10*ms)
+			}
+		}, "start 0@0, away 3@0, ok 0@10, start 1@10, ok 1@20, start 2@20, ok 2@30"},
+		{"two share a core, the third has it alone at last", with(func(p *Spec) { p.Slots = 2 }), func(s *Server) {
+			arrive(s, 0, 1, 10*ms)
+			arrive(s, 0, 2, 20*ms)
+		}, "start 1@0, start 2@0, ok 1@20, ok 2@30"},
+		{"crowded: half its capacity with twice CrowdAt", with(func(p *Spec) { p.CrowdAt, p.CrowdLoss = 1, 1 }), func(s *Server) {
+			arrive(s, 0, 1, 10*ms)
+			arrive(s, 0, 2, 10*ms)
+		}, "start 1@0, ok 1@20, start 2@20, ok 2@30"},
+		{"a call keeps the slot and no core", one, func(s *Server) {
+			arrive(s, 0, 1, 5*ms, 5*ms)
+			arrive(s, 0, 2, 10*ms)
+			s.Returned(100*ms, 1, true)
+		}, "start 1@0, call 1#0@5, ok 1@105, start 2@105, ok 2@115"},
+		{"a call that fails ends the job", one, func(s *Server) {
+			arrive(s, 0, 1, 5*ms, 5*ms)
+			arrive(s, 0, 2, 10*ms)
+			s.Returned(100*ms, 1, false)
+			s.Returned(101*ms, 1, true)
+		}, "start 1@0, call 1#0@5, error 1@100, start 2@100, ok 2@110"},
+		{"cold: half speed for a step of 20 ms, then 0.51", one, func(s *Server) {
+			s.Start(0, true)
+			arrive(s, 0, 1, 10*ms)
+			arrive(s, 20*ms, 2, 51*ms/10)
+		}, "reset@0, start 1@0, ok 1@20, start 2@20, ok 2@30"},
+		{"a connection's handshake is done, and the table is full", with(func(p *Spec) { p.Connections, p.TableTax, p.Handshake = 1, 0.5, 5*ms }), func(s *Server) {
+			if s.Connect(0) != Accepted || s.Connect(0) != Refused {
+				t.Error("one connection of two should come up")
+			}
+			s.Arrive(0, Job{ID: 1, Segments: []time.Duration{5 * ms}, FirstOn: true})
+			s.Disconnect(10 * ms)
+		}, "start 1@0, ok 1@15"},
+		{"withdrawn in line and at work", one, func(s *Server) {
+			for id := range uint64(3) {
+				arrive(s, 0, id, 10*ms)
+			}
+			s.Withdraw(1*ms, 1)
+			s.Withdraw(2*ms, 0)
+		}, "start 0@0, lost 1@1, lost 0@2, start 2@2, ok 2@12"},
+		{"withdrawn where only those in line stop", with(func(p *Spec) { p.Cancel = CancelWaiting }), func(s *Server) {
+			arrive(s, 0, 0, 10*ms)
+			arrive(s, 0, 1, 10*ms)
+			s.Withdraw(1*ms, 0)
+			s.Withdraw(1*ms, 1)
+		}, "start 0@0, lost 1@1, ok 0@10"},
+		{"withdrawn where nothing stops", with(func(p *Spec) { p.Cancel = CancelNothing }), func(s *Server) {
+			arrive(s, 0, 0, 10*ms)
+			arrive(s, 0, 1, 10*ms)
+			s.Withdraw(1*ms, 0)
+			s.Withdraw(1*ms, 1)
+		}, "start 0@0, ok 0@10, start 1@10, ok 1@20"},
+		{"keys repeat within the window of the first", with(func(p *Spec) { p.KeyWindow = 20 * ms }), func(s *Server) {
+			for id := range uint64(3) {
+				s.Arrive(0, Job{ID: id, Key: 7, Segments: []time.Duration{10 * ms}})
+			}
+		}, "start 0@0, ok 0@10, repeat 1@10, ok 1@20, start 2@20, ok 2@30"},
+
+		{"vanish: silent, lost at its end, back cold", one, func(s *Server) {
+			arrive(s, 0, 1, 10*ms)
+			s.Begin(5*ms, Fault{1, Vanish, 0})
+			if s.Phase(6*ms) != Silent || s.Connect(6*ms) != Unanswered {
+				t.Error("not silent")
+			}
+			arrive(s, 7*ms, 2, 10*ms)
+			s.End(50*ms, 1)
+			arrive(s, 50*ms, 3, 10*ms)
+		}, "start 1@0, reset@50, lost 1@50, start 3@50, ok 3@70"},
+		{"withdrawn from a silent machine: lost under every rule", with(func(p *Spec) { p.Cancel = CancelNothing }), func(s *Server) {
+			arrive(s, 0, 1, 10*ms)
+			arrive(s, 0, 2, 10*ms)
+			s.Begin(5*ms, Fault{1, Vanish, 0})
+			s.Withdraw(6*ms, 1)
+		}, "start 1@0, lost 1@6"},
+		{"dead: lost at once, back cold", one, func(s *Server) {
+			arrive(s, 0, 1, 10*ms)
+			s.Begin(5*ms, Fault{1, Dead, 0})
+			if s.Phase(6*ms) != Down || s.Connect(6*ms) != Refused {
+				t.Error("not down")
+			}
+			s.End(50*ms, 1)
+			arrive(s, 50*ms, 3, 10*ms)
+		}, "start 1@0, reset@5, lost 1@5, start 3@50, ok 3@70"},
+		{"hang: never answered, also later", one, func(s *Server) {
+			arrive(s, 0, 1, 10*ms)
+			s.Begin(5*ms, Fault{1, Hang, 0})
+			arrive(s, 6*ms, 2, 10*ms)
+			if s.Connect(6*ms) != Accepted || s.Capacity(6*ms) != 0 {
+				t.Error("a server that hangs takes connections and can do nothing")
+			}
+			s.End(50*ms, 1)
+			arrive(s, 50*ms, 3, 10*ms)
+			s.Withdraw(70*ms, 2)
+			s.Withdraw(70*ms, 1)
+		}, "start 1@0, start 3@50, ok 3@60, lost 2@70, lost 1@70"},
+		{"fail at once, beside the one at work", one, func(s *Server) {
+			arrive(s, 0, 1, 10*ms)
+			s.Begin(5*ms, Fault{1, Fail, 1})
+			arrive(s, 6*ms, 2, 10*ms)
+			s.End(7*ms, 1)
+			arrive(s, 8*ms, 3, 10*ms)
+		}, "start 1@0, error 2@6, ok 1@10, start 3@10, ok 3@20"},
+		{"slow factors multiply while they last", one, func(s *Server) {
+			arrive(s, 0, 1, 10*ms)
+			s.Begin(5*ms, Fault{1, Slow, 2}) // 5 ms of work left
+			s.Begin(7*ms, Fault{2, Slow, 2}) // 4 ms
+			s.End(11*ms, 1)                  // 3 ms
+		}, "start 1@0, ok 1@17"},
+		{"refuses connections, serves on", one, func(s *Server) {
+			s.Begin(0, Fault{1, RefuseConns, 0})
+			if s.Connect(0) != Refused {
+				t.Error("taken")
+			}
+			arrive(s, 0, 1, 10*ms)
+		}, "start 1@0, ok 1@10"},
+		{"cut before spoilt before dripped", with(func(p *Spec) { p.Queue = 9 }), func(s *Server) {
+			for id, kind := range []FaultKind{Drip, Spoil, Cut} {
+				s.Begin(0, Fault{id, kind, 1})
+			}
+			for id := range uint64(4) {
+				arrive(s, 0, id, 10*ms)
+				s.End(time.Duration(id)*10*ms+15*ms, 2-int(id))
+			}
+		}, "start 0@0, cut 0@10, start 1@15, spoilt 1@25, start 2@25, drip 2@35, start 3@35, ok 3@45"},
+		{"errors come after the work", with(func(p *Spec) { p.ErrorRate = 1 }), func(s *Server) {
+			s.Begin(0, Fault{1, Cut, 1})
+			arrive(s, 0, 1, 10*ms)
+		}, "start 1@0, error 1@10"},
+		{"mute: taken, holds no slot; before a failure", one, func(s *Server) {
+			s.Begin(0, Fault{1, Fail, 1})
+			s.Begin(0, Fault{2, Mute, 1})
+			arrive(s, 0, 1, 10*ms)
+			s.End(1*ms, 1)
+			s.End(1*ms, 2)
+			arrive(s, 2*ms, 2, 10*ms)
+			s.Withdraw(20*ms, 1)
+		}, "start 2@2, ok 2@12, lost 1@20"},
+		{"dead within a vanish: down when it is back, up when both are over", one, func(s *Server) {
+			arrive(s, 0, 1, 10*ms)
+			s.Begin(1*ms, Fault{1, Vanish, 0})
+			s.Begin(2*ms, Fault{2, Dead, 0})
+			s.End(10*ms, 1)
+			if s.Phase(11*ms) != Down {
+				t.Error("not down")
+			}
+			s.End(20*ms, 2)
+			arrive(s, 20*ms, 2, 10*ms)
+		}, "start 1@0, reset@10, lost 1@10, start 2@20, ok 2@40"},
+		{"two hangs: until the last ends", one, func(s *Server) {
+			s.Begin(0, Fault{1, Hang, 0})
+			s.Begin(5*ms, Fault{2, Hang, 0})
+			s.End(10*ms, 1)
+			arrive(s, 11*ms, 1, 10*ms)
+			s.End(20*ms, 2)
+			arrive(s, 20*ms, 2, 10*ms)
+		}, "start 2@20, ok 2@30"},
+		{"falls over and stays down", with(func(p *Spec) { p.FallMultiple, p.FallWindow, p.Slots = 2, 100*ms, 2 }), func(s *Server) {
+			s.Start(0, true)
+			arrive(s, 0, 1, 60*ms)
+			arrive(s, 1*ms, 2, 60*ms) // 120 ms of work in a window that stands 100 and a little
+			s.Begin(2*ms, Fault{1, Dead, 0})
+			s.End(3*ms, 1)
+			s.Start(4*ms, false)
+			if s.Phase(time.Second) != Down || !s.Load(time.Second).Fallen {
+				t.Error("it stands again")
+			}
+		}, "reset@0, start 1@0, reset@1, lost 1@1, lost 2@1"},
+		{"falls of what it failed at once, when it gets slower", with(func(p *Spec) { p.FallMultiple, p.FallWindow = 2, 100*ms }), func(s *Server) {
+			s.Begin(0, Fault{1, Fail, 1})
+			s.Start(0, true)
+			arrive(s, 10*ms, 1, 90*ms)
+			s.Begin(30*ms, Fault{2, Slow, 2}) // 0.5 ms of what it stands goes each ms, 10 ms by 50; the step at 60 tells
+		}, "reset@0, error 1@10, reset@60"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := New(c.spec, 1)
+			c.script(s)
+			var effects []Effect
+			for s.Next() <= 10*time.Second {
+				effects = s.Advance(s.Next(), effects)
+			}
+			if got := tell(effects); got != c.want {
+				t.Errorf("got  %s\nwant %s", got, c.want)
+			}
+		})
+	}
+}
+
+// A server that is sent just what it stands while it is cold doesn't fall, and a warm one never does.
+func TestStands(t *testing.T) {
+	spec := with(func(p *Spec) { p.FallMultiple, p.FallWindow = 2.5, 100*ms })
+	for name, load := range map[string]struct {
+		cold     bool
+		multiple float64
+		fallen   bool
+	}{"cold, 2.4 times": {true, 2.4, false}, "cold, 2.6 times": {true, 2.6, true}, "warm": {false, 0, false}} {
+		s := New(spec, 1)
+		s.Start(0, load.cold)
+		for at := time.Duration(0); at < 2*time.Second; at += ms {
+			multiple := load.multiple
+			if !s.Load(at).Cold {
+				multiple = 10
+			}
+			arrive(s, at, uint64(at), time.Duration(multiple*s.Capacity(at)*float64(ms)))
+		}
+		if l := s.Load(2 * time.Second); l.Fallen != load.fallen {
+			t.Errorf("%s: %+v", name, l)
+		}
+	}
+}
+
+// It counts the busy time of its cores: idle it stays cold, at work it is warm after ColdFor of it.
+func TestWarmByWork(t *testing.T) {
+	s := New(with(func(p *Spec) { p.WarmByWork, p.Cores, p.Slots = true, 2, 2 }), 1)
+	s.Start(0, true)
+	if c := s.Capacity(time.Hour); c != 1 {
+		t.Errorf("capacity %v after an idle hour", c)
+	}
+	arrive(s, time.Hour, 1, time.Hour)
+	for at, cold := range map[time.Duration]bool{999 * ms: true, 1000 * ms: false} {
+		s := New(s.spec, 1)
+		s.Start(0, true)
+		arrive(s, 0, 1, time.Hour)
+		if s.Load(at).Cold != cold {
+			t.Errorf("cold is %v after %v of work", !cold, at)
+		}
+	}
+}
+
+// Jobs that are alike and share a core end in the same ns, in order, whatever the rounding.
+func TestEqualsEndTogether(t *testing.T) {
+	for i := range 1000 {
+		s := New(Spec{Cores: 1, Speed: 0.3 + float64(i)/700, Slots: 3}, 1)
+		for id := range uint64(3) {
+			arrive(s, time.Second, id, 7*ms)
+		}
+		effects := s.Advance(time.Minute, nil)[3:]
+		for id, e := range effects {
+			if e.At != effects[0].At || e.Job != uint64(id) {
+				t.Fatalf("speed %v: %v", s.spec.Speed, tell(effects))
+			}
+		}
+	}
+}
+
+// Shares and pauses come out as asked for, independent of each other, and leave other jobs as they were.
+func TestChance(t *testing.T) {
+	const n = 100_000
+	answers := func(share float64) (a [n]Answer) {
+		s := New(one, 3)
+		s.Begin(0, Fault{1, Fail, share})
+		s.Begin(0, Fault{2, Cut, 0.5})
+		for i := range uint64(n) {
+			arrive(s, time.Duration(i)*ms, i, 0)
+		}
+		for _, e := range s.Advance(n*ms, nil) {
+			if e.Kind == Answered {
+				a[e.Job] = e.Answer
+			}
+		}
+		return a
+	}
+	few, many := answers(0.1), answers(0.4)
+	failed, cut := 0, 0
+	for i := range few {
+		if few[i] == Errored && many[i] != Errored {
+			t.Fatalf("job %d fails of a tenth and not of two fifths", i)
+		}
+		if many[i] == Errored {
+			failed++
+		}
+		if many[i] == CutOff {
+			cut++
+		}
+	}
+	if sd := math.Sqrt(n * 0.4 * 0.6); math.Abs(float64(failed)-0.4*n) > 3*sd {
+		t.Errorf("%d of %d failed, not 0.4", failed, n)
+	}
+	if sd := math.Sqrt(n * 0.3 * 0.7); math.Abs(float64(cut)-0.3*n) > 3*sd {
+		t.Errorf("%d of %d were cut, not half of those that didn't fail", cut, n)
+	}
+
+	// Work of an hour takes 1 + 20/80 of that, but for the chance of about 36,000 pauses.
+	s := New(with(func(p *Spec) { p.PauseEvery, p.Pause = 80*ms, 20*ms }), 3)
+	arrive(s, 0, 1, time.Hour)
+	took := s.Advance(2*time.Hour, nil)[1].At.Hours()
+	if sd := 0.25 * math.Sqrt(2/45000.0); math.Abs(took-1.25) > 3*sd {
+		t.Errorf("an hour's work took %v hours", took)
+	}
+}
+
+// Servers that share their keys know each other's, for the window, and forget them after.
+func TestSharedKeys(t *testing.T) {
+	keys := NewKeys(20 * ms)
+	a, b := New(one, 1), New(one, 2)
+	a.ShareKeys(keys)
+	b.ShareKeys(keys)
+	var repeats []bool
+	for i, s := range []*Server{a, b, a, b} {
+		at := time.Duration(i) * 9 * ms
+		s.Arrive(at, Job{ID: uint64(i), Key: 1, Segments: []time.Duration{0}})
+		for _, e := range s.Advance(at, nil) {
+			if e.Kind == Started {
+				repeats = append(repeats, e.Repeat)
+			}
+		}
+	}
+	if !slices.Equal(repeats, []bool{false, true, true, false}) {
+		t.Error(repeats)
+	}
+	for key := range uint64(10_000) {
+		keys.Seen(time.Duration(key)*ms+time.Second, key)
+	}
+	if len(keys.firsts) != 20 || keys.order.len() != 20 || cap(keys.order.items) > 200 {
+		t.Errorf("%d keys, %d in order, room for %d", len(keys.firsts), keys.order.len(), cap(keys.order.items))
+	}
+}
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -3,7 +3,11 @@
 // since the start of the run.
 package trace
 
-import "time"
+import (
+	"time"
+
+	"pinelb.example/pinelb/balance"
+)
 
 // None is a time that never came.
 const None = time.Duration(-1)
@@ -62,6 +66,25 @@
 	Done    time.Duration // work that it took
 }
 
+// Stream is a try as the sidecar that took it saw it.
+type Stream struct {
+	Try      int // index into Tries
+	Arrived  time.Duration
+	Answered time.Duration // when its final answer was there, or its client gone
+	Status   Status        // Served, Refused, Failed or Gone
+	Code     int           // HTTP's; 504 is a failure for want of time. 0 where the client had gone
+	Advice   time.Duration // Retry-After; 0 is none
+}
+
+// Attempt is one upstream request as its sidecar saw it, also where no box did.
+type Attempt struct {
+	Try    int // index into Tries
+	Box    int // -1 where it was never sent
+	Sent   time.Duration
+	Took   time.Duration
+	Status balance.Status
+}
+
 // End says how a visit ended.
 type End uint8
 
@@ -154,6 +177,8 @@
 type Log struct {
 	Tries    []Try
 	Visits   []Visit
+	Streams  []Stream  // that are over, by try; of the virtual player only: sidecars on sockets keep records
+	Attempts []Attempt // that are over, in the order in which they began; likewise
 	Told     []Told
 	Changes  []Change
 	Samples  []Sample
--- /dev/null
+++ b/internal/lab/virtual/clients.go
@@ -0,0 +1,174 @@
+package virtual
+
+import (
+	"net/http"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/trace"
+)
+
+// client is what is kept of one request's client.
+type client struct {
+	first time.Duration // when its first try was sent
+	try   int           // under way; -1 is none
+	over  bool
+}
+
+// try is what is kept of a try beside its trace.
+type try struct {
+	sidecar  int           // -1: straight to a box
+	life     int           // of that sidecar when it took the try
+	deadline time.Duration // the sidecar's
+	parent   int           // visit that it is a call of; -1 is none
+	sent     int           // attempts that the decisions asked for
+	taken    bool
+	decided  bool          // the sidecar has given its final answer
+	at       time.Duration // when it had
+	ended    bool          // for the client
+	result   trace.Status
+	code     int
+	advice   time.Duration
+	box      int
+	attempts int // how many, and the last of them
+	attempt  int
+}
+
+// arrive is a client's sending of its next try. The first tries follow each other by the plan.
+func (s *sim) arrive(request, no int) {
+	r, c := &s.p.Requests[request], &s.requests[request]
+	if no == 0 {
+		if next := request + 1; next < len(s.p.Requests) {
+			s.at(s.p.Requests[next].Due, event{kind: evArrive, a: int32(next)})
+		}
+		c.first, c.try = s.now, -1
+		if r.Leaves > 0 {
+			s.at(r.Due+r.Leaves, event{kind: evLeave, a: int32(request)})
+		}
+	}
+	if c.over {
+		return
+	}
+	t := trace.Try{Txn: s.p.Txn(request, no), Request: request, No: no, Class: r.Class, Due: r.Due, Sent: s.now,
+		Left: s.p.Left(request, s.now), Answered: trace.None, Box: -1, Sidecar: -1}
+	if s.sidecars != nil {
+		t.Sidecar = s.p.Choose(request, no, func(i int) bool { return s.sidecars[i].able })
+	}
+	c.try = s.send(t, -1)
+	if s.sidecars != nil && t.Sidecar < 0 {
+		s.endTry(c.try, trace.NoEntry)
+	}
+}
+
+// send starts a try, of a client or of a box.
+func (s *sim) send(t trace.Try, parent int) int {
+	i := len(s.tries)
+	s.log.Tries = append(s.log.Tries, t)
+	s.tries = append(s.tries, try{sidecar: t.Sidecar, parent: parent, box: -1, attempt: -1, deadline: t.Sent + t.Left})
+	if s.sidecars != nil && t.Sidecar < 0 {
+		return i
+	}
+	s.at(t.Sent+t.Left, event{kind: evTryEnd, a: int32(i)})
+	if s.sidecars == nil {
+		s.plainSend(i)
+		return i
+	}
+	s.at(s.now+s.delay, event{kind: evTryAtSidecar, a: int32(i)})
+	return i
+}
+
+// plainSend has a client go straight to the next listed box.
+func (s *sim) plainSend(i int) {
+	tier := s.log.Tries[i].Tier
+	for range s.boxes {
+		s.round = (s.round + 1) % len(s.boxes)
+		if s.listed[s.round] && s.p.Boxes[s.round].Tier == tier {
+			s.startAttempt(i, s.round, s.tries[i].deadline)
+			return
+		}
+	}
+	s.reply(i, trace.NoEntry, 0, 0, -1)
+}
+
+// tryRunsOut is the end of a client's patience with a try.
+func (s *sim) tryRunsOut(i int) {
+	if s.tries[i].ended {
+		return
+	}
+	s.endTry(i, trace.Silent)
+	s.at(s.now+s.delay, event{kind: evGone, a: int32(i)})
+}
+
+// leave is a client's going before its time is up.
+func (s *sim) leave(request int) {
+	c := &s.requests[request]
+	if c.over {
+		return
+	}
+	if c.try < 0 || s.tries[c.try].ended { // between two tries
+		c.over = true
+		s.open--
+		return
+	}
+	i := c.try
+	s.endTry(i, trace.Gone)
+	s.at(s.now+s.delay, event{kind: evGone, a: int32(i)})
+}
+
+// reply is a final answer on its way to the client.
+func (s *sim) reply(i int, status trace.Status, code int, advice time.Duration, box int) {
+	t := &s.tries[i]
+	if t.decided {
+		return
+	}
+	t.decided, t.at, t.result, t.code, t.advice, t.box = true, s.now, status, code, advice, box
+	s.at(s.now+s.delay, event{kind: evAnswer, a: int32(i)})
+}
+
+// answered is a final answer's arrival.
+func (s *sim) answered(i int) {
+	t, l := &s.tries[i], &s.log.Tries[i]
+	if t.ended {
+		return
+	}
+	l.Code, l.Advice, l.Box = t.code, t.advice, t.box
+	if t.code > 0 {
+		l.Answers = 1
+	}
+	s.endTry(i, t.result)
+}
+
+// endTry is the end of a try for its client, which may try again; or for the box that made the call.
+func (s *sim) endTry(i int, status trace.Status) {
+	t, l := &s.tries[i], &s.log.Tries[i]
+	if t.ended {
+		return
+	}
+	t.ended = true
+	l.Status, l.Answered = status, s.now
+	if t.parent >= 0 {
+		s.returned(t.parent, status == trace.Served)
+		return
+	}
+	c := &s.requests[l.Request]
+	at, again := s.p.Retry(l, c.first)
+	if r := &s.p.Requests[l.Request]; r.Leaves > 0 && at >= r.Due+r.Leaves && again {
+		at, again = 0, false
+	}
+	if again {
+		s.at(at, event{kind: evArrive, a: int32(l.Request), b: int32(l.No + 1)})
+		return
+	}
+	c.over = true
+	s.open--
+}
+
+// codeFor is HTTP's status of an answer that the sidecar words itself.
+func codeFor(refused bool, left time.Duration) (trace.Status, int) {
+	switch {
+	case refused:
+		return trace.Refused, http.StatusServiceUnavailable
+	case left < 50*time.Millisecond:
+		return trace.Failed, http.StatusGatewayTimeout
+	}
+	return trace.Failed, http.StatusBadGateway
+}
--- /dev/null
+++ b/internal/lab/virtual/sidecar.go
@@ -0,0 +1,307 @@
+package virtual
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/cluster"
+	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/lab/model"
+	"pinelb.example/pinelb/internal/lab/plan"
+	"pinelb.example/pinelb/internal/lab/trace"
+)
+
+// sidecar is one instance: the decision module, its table of hosts and its part of the connections.
+type sidecar struct {
+	index    int
+	set      config.Settings
+	b        *balance.Balancer // nil while it does not run
+	life     int
+	able     bool // the front sends to it
+	stopping time.Duration
+	held     int // tries taken and not answered
+	table    *cluster.Table
+	hosts    map[balance.EndpointID]int // to boxes
+	sim      *sim
+	actions  []balance.Action
+
+	agent  map[int]plan.Listed // what discovery's agent has
+	silent bool
+	missed bool // a fetch waits for the agent to speak
+}
+
+// Set, Remove and Membership make a sidecar both sides of its table: they are called by it.
+func (c *sidecar) Set(id balance.EndpointID, addr string) {
+	c.hosts[id] = c.sim.byName[addr]
+}
+
+// Remove forgets a host.
+func (c *sidecar) Remove(id balance.EndpointID) {
+	box, known := c.hosts[id]
+	if !known {
+		return
+	}
+	delete(c.hosts, id)
+	c.sim.closeIdle(box, c.index)
+}
+
+// Membership passes on what discovery says.
+func (c *sidecar) Membership(kind balance.ListKind, entries []balance.Entry) {
+	c.sim.decide(c.index, &balance.Event{Kind: balance.EventMembership, List: kind, Entries: entries})
+}
+
+func (s *sim) startSidecar(i int) error {
+	c := &s.sidecars[i]
+	b, err := balance.New(c.set.Settings, s.p.Sidecars[i].Seed+uint64(c.life))
+	if err != nil {
+		return err
+	}
+	c.sim, c.b, c.life, c.able, c.stopping, c.held = s, b, c.life+1, false, 0, 0
+	c.hosts = map[balance.EndpointID]int{}
+	c.table = cluster.NewTable(c.set.ZoneNames, c.set.KindNames, c, c)
+	s.change(i, trace.Begun, "")
+	if known := s.p.Sidecars[i].Known; len(known) > 0 {
+		c.table.Apply(balance.ListCached, s.list(known))
+	}
+	return nil
+}
+
+// list is a list as discovery's words would be read.
+func (s *sim) list(entries []plan.Listed) cluster.List {
+	out := cluster.List{Complete: true}
+	for _, l := range entries {
+		b := &s.p.Boxes[l.Box]
+		m := cluster.Member{ID: b.Name, Addr: b.Name, Zone: plan.Zone, Kind: b.Kind, Weight: float64(b.Spec.Cores)}
+		m.State = [...]balance.Availability{trace.Ready: balance.Ready, trace.Terminating: balance.Draining, trace.Away: balance.Gone}[l.Phase]
+		if l.UpSince > 0 {
+			m.UpSince = (epoch + l.UpSince).Truncate(time.Millisecond)
+		}
+		out.Members = append(out.Members, m)
+	}
+	return out
+}
+
+// fetched is the answer to a sidecar's asking for the whole list.
+func (s *sim) fetched(i int) {
+	c := &s.sidecars[i]
+	if c.silent {
+		c.missed = true
+		return
+	}
+	c.missed = false
+	var all []plan.Listed
+	for _, box := range slices.Sorted(maps.Keys(c.agent)) {
+		all = append(all, c.agent[box])
+	}
+	s.note(i, all)
+	c.table.Apply(balance.ListFull, s.list(all))
+}
+
+func (s *sim) note(sidecar int, entries []plan.Listed) {
+	for _, l := range entries {
+		s.log.Told = append(s.log.Told, trace.Told{At: s.now, Sidecar: sidecar, Box: l.Box, Phase: l.Phase, UpSince: l.UpSince})
+	}
+}
+
+// tell is a change that reaches a sidecar's agent.
+func (s *sim) tell(i int, l plan.Listed) {
+	c := &s.sidecars[i]
+	if c.agent[l.Box] = l; l.Phase == trace.Away {
+		delete(c.agent, l.Box)
+	}
+	if c.b == nil || c.missed {
+		return
+	}
+	if s.p.Scenario.Discovery.Whole {
+		s.fetched(i)
+		return
+	}
+	s.note(i, []plan.Listed{l})
+	c.table.Apply(balance.ListDelta, s.list([]plan.Listed{l}))
+}
+
+// silence has discovery say nothing, or speak again. Changes are held back by the plan already.
+func (s *sim) silence(on bool) {
+	for i := range s.sidecars {
+		c := &s.sidecars[i]
+		if c.silent = on; !on && c.missed && c.b != nil {
+			s.fetched(i)
+		}
+	}
+}
+
+func (s *sim) stopSidecar(i int) {
+	c := &s.sidecars[i]
+	if c.b == nil || c.stopping > 0 {
+		return
+	}
+	c.stopping = s.now
+	s.change(i, trace.Stopping, "")
+	s.at(s.now+healthEvery, event{kind: evOut, a: int32(i), b: int32(c.life)})
+	s.at(s.now+openLeast, event{kind: evEnded, a: int32(i), b: int32(c.life)})
+}
+
+// plannedEnd ends a sidecar that has answered all it took.
+func (s *sim) plannedEnd(i, life int) {
+	c := &s.sidecars[i]
+	switch {
+	case c.b == nil || c.life != life:
+	case c.held > 0:
+		s.at(s.now+10*time.Millisecond, event{kind: evEnded, a: int32(i), b: int32(life)})
+	default:
+		s.change(i, trace.Ended, "")
+		s.down(i)
+	}
+}
+
+func (s *sim) killSidecar(i int) {
+	if s.sidecars[i].b == nil {
+		return
+	}
+	s.change(i, trace.Killed, "")
+	s.down(i)
+}
+
+// down is a process's end: what it held breaks, at its clients and at its hosts.
+func (s *sim) down(i int) {
+	c := &s.sidecars[i]
+	c.b = nil
+	s.at(s.now+s.p.Scenario.Clients.Notice.D(), event{kind: evOut, a: int32(i), b: int32(c.life)}) // until then the front sends on
+	for box := range s.boxes {
+		s.closeIdle(box, i)
+	}
+	for t := len(s.tries) - 1; t >= 0 && s.log.Tries[t].Sent >= s.now-s.longest-time.Second; t-- {
+		if s.tries[t].sidecar != i || s.tries[t].life != c.life || !s.tries[t].taken {
+			continue
+		}
+		s.reply(t, trace.Broken, 0, 0, -1)
+		for a := s.tries[t].attempt; a >= 0; a = s.attempts[a].before {
+			s.cutOff(a)
+		}
+	}
+}
+
+// decide gives a sidecar's module one event and carries out what it asks for. Nothing that they bring about comes back
+// to the module before it has had its turn in the queue.
+func (s *sim) decide(i int, ev *balance.Event) {
+	c := &s.sidecars[i]
+	if c.b == nil {
+		return
+	}
+	c.actions = c.b.Handle(epoch+s.now, ev, c.actions[:0])
+	for k := range c.actions {
+		a := c.actions[k]
+		switch a.Kind {
+		case balance.ActSend:
+			s.sendAction(c, &a)
+		case balance.ActCancel:
+			for k := s.tries[a.Request].attempt; k >= 0; k = s.attempts[k].before {
+				if s.attempts[k].no == a.Attempt {
+					s.cancel(k)
+				}
+			}
+		case balance.ActRefuse, balance.ActFail:
+			s.verdict(int(a.Request), a.Kind == balance.ActRefuse, a.After)
+		case balance.ActTimer:
+			s.at(s.now+a.After, event{kind: evTimer, a: int32(i), b: int32(c.life), token: uint32(a.Token)})
+		case balance.ActProbe:
+			s.probe(c, a.Endpoint)
+		case balance.ActCloseUnused:
+			if box, known := c.hosts[a.Endpoint]; known {
+				s.closeIdle(box, i)
+			}
+		}
+	}
+}
+
+// tryArrives is a try's arrival at its sidecar.
+func (s *sim) tryArrives(i int) {
+	t, l := &s.tries[i], &s.log.Tries[i]
+	c := &s.sidecars[l.Sidecar]
+	if c.b == nil {
+		s.reply(i, trace.NoEntry, 0, 0, -1)
+		return
+	}
+	t.taken, t.life = true, c.life
+	c.held++
+	s.at(t.deadline+s.delay-watchdogLead, event{kind: evWatchdog, a: int32(i)})
+	r := &s.p.Requests[l.Request]
+	s.decide(l.Sidecar, &balance.Event{Kind: balance.EventRequest, Request: balance.RequestID(i), Class: l.Class,
+		Left: l.Left, Repeated: l.No > 0 || r.Repeated && t.parent < 0})
+}
+
+// verdict is a local reply.
+func (s *sim) verdict(i int, refused bool, advice time.Duration) {
+	t := &s.tries[i]
+	if t.decided {
+		return
+	}
+	s.sidecars[t.sidecar].held--
+	status, code := codeFor(refused, t.deadline-s.now)
+	s.reply(i, status, code, advice, -1)
+}
+
+// watchdog answers what the decisions have not.
+func (s *sim) watchdog(i int) {
+	t := &s.tries[i]
+	if c := &s.sidecars[t.sidecar]; t.decided || c.b == nil || c.life != t.life {
+		return
+	}
+	sent := t.sent > 0
+	s.verdict(i, !sent, 0)
+	s.decide(t.sidecar, &balance.Event{Kind: balance.EventGone, Request: balance.RequestID(i)})
+}
+
+// clientGone is a sidecar's seeing that nobody waits any more.
+func (s *sim) clientGone(i int) {
+	t := &s.tries[i]
+	if t.decided {
+		return
+	}
+	t.decided, t.at, t.result = true, s.now, trace.Gone
+	if s.sidecars == nil {
+		for a := t.attempt; a >= 0; a = s.attempts[a].before {
+			s.cancel(a)
+		}
+		return
+	}
+	if c := &s.sidecars[t.sidecar]; t.taken && c.life == t.life && c.b != nil {
+		c.held--
+		s.decide(t.sidecar, &balance.Event{Kind: balance.EventGone, Request: balance.RequestID(i)})
+	}
+}
+
+// sendAction starts an attempt that the decisions ask for.
+func (s *sim) sendAction(c *sidecar, a *balance.Action) {
+	i := int(a.Request)
+	t := &s.tries[i]
+	box, known := c.hosts[a.Endpoint]
+	until := s.now + a.After
+	if t.decided || t.attempts >= c.set.MaxAttempts || !known {
+		k := s.newAttempt(i, -1, until)
+		s.at(s.now, event{kind: evOutcome, a: int32(k), b: int32(balance.Moot)})
+		return
+	}
+	t.sent++
+	s.startAttempt(i, box, until)
+}
+
+// probe examines a host on a connection of its own kind: it costs no work here.
+func (s *sim) probe(c *sidecar, id balance.EndpointID) {
+	status, after := balance.ConnectFailed, 2*s.delay
+	if box, known := c.hosts[id]; known {
+		b := &s.boxes[box]
+		switch phase := b.m.Phase(s.now); {
+		case b.absent || phase == model.Down:
+		case phase == model.Silent:
+			after = min(probeTimeout, s.p.Scenario.Rules.ConnectTimeout.D())
+		case b.hung > 0:
+			status, after = balance.Timeout, probeTimeout
+		default:
+			status = balance.OK
+		}
+	}
+	s.at(s.now+after, event{kind: evProbe, a: int32(c.index), b: int32(c.life), token: uint32(id), x: uint8(status)})
+}
--- /dev/null
+++ b/internal/lab/virtual/virtual_test.go
@@ -0,0 +1,293 @@
+package virtual
+
+import (
+	"flag"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinelb.example/pinelb/internal/lab/plan"
+	"pinelb.example/pinelb/internal/lab/scenario"
+	"pinelb.example/pinelb/internal/lab/trace"
+	"pinelb.example/pinelb/scenarios"
+)
+
+// CI has to come to the same verdict every time; -rapid.seed=0 looks further.
+func init() {
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+}
+
+func load(t testing.TB, name, more string) *scenario.Scenario {
+	t.Helper()
+	text, err := scenarios.Files.ReadFile(name + ".toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := scenario.Parse(name, append(text, more...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func play(t testing.TB, s *scenario.Scenario, seed uint64) (*plan.Plan, *trace.Log) {
+	t.Helper()
+	p, err := plan.Build(s, seed, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := Play(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p, l
+}
+
+func TestSameSeedSameTrace(t *testing.T) {
+	for _, name := range []string{"bad-morning", "two-tiers", "rolling-restart", "flap"} {
+		_, a := play(t, load(t, name, ""), 5)
+		_, b := play(t, load(t, name, ""), 5)
+		if !reflect.DeepEqual(a, b) {
+			t.Errorf("%s: the same seed gives two traces", name)
+		}
+	}
+}
+
+// checkTrace holds whatever is played: every try ends once, in order; visits belong to tries; work adds up.
+func checkTrace(t rapid.TB, p *plan.Plan, l *trace.Log) {
+	byTxn := map[uint64]*trace.Try{}
+	tries := make([]int, len(p.Requests))
+	for i := range l.Tries {
+		y := &l.Tries[i]
+		if byTxn[y.Txn] != nil {
+			t.Fatalf("id %x twice", y.Txn)
+		}
+		byTxn[y.Txn] = y
+		if y.Answered == trace.None || y.Answered < y.Sent || y.Answered > y.Sent+y.Left {
+			t.Fatalf("a try sent at %v with %v left ended at %v, %v", y.Sent, y.Left, y.Answered, y.Status)
+		}
+		if y.Tier == 0 {
+			if y.No != tries[y.Request] {
+				t.Fatalf("try %d of request %d comes after %d others", y.No, y.Request, tries[y.Request])
+			}
+			tries[y.Request]++
+		}
+	}
+	for i, n := range tries {
+		if n == 0 || n > p.Requests[i].Retries+1 {
+			t.Fatalf("request %d was tried %d times", i, n)
+		}
+	}
+	attempts := map[uint64]int{}
+	for i := range l.Visits {
+		v := &l.Visits[i]
+		y := byTxn[v.Txn]
+		if y == nil || v.Arrived < y.Sent {
+			t.Fatalf("a visit of nobody's, or before it was sent: %+v", v)
+		}
+		if v.Started != trace.None && v.Started < v.Arrived || v.Ended != trace.None && v.Ended < v.Arrived {
+			t.Fatalf("out of order: %+v", v)
+		}
+		if attempts[v.Txn]++; attempts[v.Txn] > p.Scenario.Rules.MaxAttempts {
+			t.Fatalf("%d attempts of one id", attempts[v.Txn])
+		}
+	}
+	served := map[uint64]bool{}
+	for i := range l.Visits {
+		served[l.Visits[i].Txn] = served[l.Visits[i].Txn] || l.Visits[i].End == trace.OK
+	}
+	for i := range l.Tries {
+		if y := &l.Tries[i]; y.Status == trace.Served && !served[y.Txn] {
+			t.Fatalf("served without a visit that was: %+v", y)
+		}
+	}
+	last := map[int]trace.Sample{}
+	for _, s := range l.Samples {
+		if was := last[s.Box]; s.Sent < was.Sent || s.Did < was.Did || s.Could < was.Could || s.Did > s.Could+time.Millisecond {
+			t.Fatalf("box %d does more than it could, or goes back: %+v after %+v", s.Box, s, was)
+		}
+		last[s.Box] = s
+	}
+}
+
+// TestAnyScenario plays scenarios put together at random and checks what holds of all.
+func TestAnyScenario(t *testing.T) {
+	base := load(t, "two-tiers", "")
+	one := load(t, "calm", "")
+	kinds := []string{"vanish", "hang", "fail", "slow", "refuse", "cut", "spoil", "drip", "mute", "crash", "drain", "leave", "flap",
+		"discovery_silent", "discovery_late", "sidecar_kill", "sidecar_stop"}
+	rapid.Check(t, func(t *rapid.T) {
+		s := *one
+		if rapid.Bool().Draw(t, "two tiers") {
+			s = *base
+		}
+		s.Length, s.Fault, s.Expect = scenario.Span(4*time.Second), nil, nil
+		s.Clients.Load = rapid.SampledFrom([]float64{0.1, 0.5, 1.5}).Draw(t, "load")
+		s.Clients.Honour = 0.5
+		s.Fleet.Sidecars = rapid.IntRange(1, 4).Draw(t, "sidecars")
+		s.Fleet.Start = rapid.SampledFrom([]string{"before", "with"}).Draw(t, "start")
+		s.Fleet.Known = rapid.SampledFrom([]string{"fresh", "none", "stale"}).Draw(t, "known")
+		s.Fleet.Policy = rapid.SampledFrom([]string{"pinelb", "pinelb", "plain"}).Draw(t, "policy")
+		s.Rules.PassesDeadline = rapid.Bool().Draw(t, "passes deadline")
+		for range rapid.IntRange(0, 5).Draw(t, "faults") {
+			ms := func(label string, most int) scenario.Span {
+				return scenario.Span(time.Duration(rapid.IntRange(1, most).Draw(t, label)) * time.Millisecond)
+			}
+			f := scenario.Fault{Kind: rapid.SampledFrom(kinds).Draw(t, "kind"), At: ms("at", 3500), For: ms("for", 3000),
+				Tier: rapid.SampledFrom(s.Tier).Draw(t, "tier").Name, Boxes: 2, Size: 0.6, Back: ms("back", 1000)}
+			switch f.Kind {
+			case "slow":
+				f.Size = 3
+			case "flap":
+				f.Of, f.Up, f.Down, f.Size = rapid.SampledFrom(kinds[:10]).Draw(t, "of"), ms("up", 300)+10, ms("down", 300)+10, 1
+			}
+			s.Fault = append(s.Fault, f)
+		}
+		p, err := plan.Build(&s, rapid.Uint64().Draw(t, "seed"), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l, err := Play(p)
+		if err != nil {
+			t.Fatal(err)
+		}
+		checkTrace(t, p, l)
+	})
+}
+
+// shares counts how the clients' tries ended.
+func shares(l *trace.Log) map[trace.Status]float64 {
+	out := map[trace.Status]float64{}
+	for i := range l.Tries {
+		if l.Tries[i].Tier == 0 {
+			out[l.Tries[i].Status]++
+		}
+	}
+	return out
+}
+
+func TestCalmIsServed(t *testing.T) {
+	p, l := play(t, load(t, "calm", ""), 1)
+	checkTrace(t, p, l)
+	got := shares(l)
+	if all := float64(len(l.Tries)); (got[trace.Served]+got[trace.Gone])/all < 0.995 {
+		t.Errorf("%v of %v", got, all)
+	}
+}
+
+// Guards against faults that a player forgets to carry out: each leaves its trace.
+func TestFaultsLeaveTheirTrace(t *testing.T) {
+	calm := shares(func() *trace.Log { _, l := play(t, load(t, "calm", ""), 1); return l }())
+	for fault, seen := range map[string]func(l *trace.Log) bool{
+		"hang":                    func(l *trace.Log) bool { return ends(l, trace.Withdrawn, 8) > 3 },
+		"mute\"\nsize = 0.5 #\"":  func(l *trace.Log) bool { return ends(l, trace.Withdrawn, 8) > 3 },
+		"fail\"\nsize = 0.9 #\"":  func(l *trace.Log) bool { return ends(l, trace.Errored, 8) > 3 },
+		"cut\"\nsize = 0.9 #\"":   func(l *trace.Log) bool { return ends(l, trace.Spoilt, 8) > 3 },
+		"spoil\"\nsize = 0.9 #\"": func(l *trace.Log) bool { return ends(l, trace.Spoilt, 8) > 3 },
+		"drip\"\nsize = 0.9 #\"":  func(l *trace.Log) bool { return ends(l, trace.Spoilt, 8) > 3 },
+		"crash":                   func(l *trace.Log) bool { return idle(l, 8, 6*time.Second, 9*time.Second) },
+		"vanish":                  func(l *trace.Log) bool { return idle(l, 8, 6*time.Second, 9*time.Second) },
+		"leave":                   func(l *trace.Log) bool { return idle(l, 8, 6*time.Second, 19*time.Second) },
+		"slow\"\nsize = 3.0 #\"": func(l *trace.Log) bool {
+			return did(l, 8, 5*time.Second, 10*time.Second) < 0.5*did(l, 8, 0, 5*time.Second)
+		},
+		"drain\"\ngrace=\"6s\" #\"": func(l *trace.Log) bool { return idle(l, 8, 12*time.Second, 19*time.Second) },
+	} {
+		_, l := play(t, load(t, "calm", "\n[[fault]]\nnames = [\"order-9\"]\nat = \"5s\"\nfor = \"5s\"\nkind = \""+fault+"\""), 1)
+		if !seen(l) {
+			t.Errorf("%s: no trace of it; tries ended %v, without it %v", fault, shares(l), calm)
+		}
+	}
+}
+
+func ends(l *trace.Log, end trace.End, box int) (n int) {
+	for i := range l.Visits {
+		if v := &l.Visits[i]; v.Box == box && v.End == end && v.Arrived > 5*time.Second && v.Arrived < 10*time.Second {
+			n++
+		}
+	}
+	return n
+}
+
+// did is the work that a box did in a window, in seconds.
+func did(l *trace.Log, box int, from, to time.Duration) float64 {
+	var first, last time.Duration
+	for _, s := range l.Samples {
+		if s.Box == box && s.At <= from {
+			first = s.Did
+		}
+		if s.Box == box && s.At <= to {
+			last = s.Did
+		}
+	}
+	return (last - first).Seconds()
+}
+
+func idle(l *trace.Log, box int, from, to time.Duration) bool { return did(l, box, from, to) == 0 }
+
+// Guards against a planned end that loses tries, and a kill that does not.
+func TestSidecarsEnd(t *testing.T) {
+	_, l := play(t, load(t, "rolling-restart", ""), 1)
+	if got := shares(l); got[trace.Broken] > 0 {
+		t.Errorf("a planned end breaks %v tries", got[trace.Broken])
+	}
+	ended := 0
+	for _, c := range l.Changes {
+		if c.What == trace.Ended {
+			ended++
+		}
+	}
+	if ended != 3 {
+		t.Errorf("%d of 3 ended by themselves: %v", ended, l.Changes)
+	}
+	_, l = play(t, load(t, "calm", "\n[[fault]]\nkind = \"sidecar_kill\"\nat = \"5s\"\nback = \"1s\""), 1)
+	if got := shares(l); got[trace.Broken] == 0 || got[trace.NoEntry] == 0 {
+		t.Errorf("after a kill, tries ended %v", got)
+	}
+}
+
+// Guards against a list that comes too early or that a sidecar never hears.
+func TestToldWhenSaid(t *testing.T) {
+	p, l := play(t, load(t, "hang-while-cold", ""), 1)
+	want := map[time.Duration]int{}
+	for _, e := range p.Events {
+		if e.Kind == plan.Tell {
+			want[e.At]++
+		}
+	}
+	for _, told := range l.Told {
+		if told.At > 0 {
+			want[told.At]--
+		}
+	}
+	for at, n := range want {
+		if n != 0 {
+			t.Errorf("at %v: %d entries were not told", at, n)
+		}
+	}
+}
+
+func benchmark(b *testing.B, policy string, sidecars int) {
+	s := load(b, "calm", "")
+	s.Fleet.Policy, s.Fleet.Sidecars = policy, sidecars
+	s.Length = scenario.Span(60 * time.Second)
+	p, err := plan.Build(s, 1, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if _, err := Play(p); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(len(p.Requests)*b.N)/b.Elapsed().Seconds(), "requests/s")
+}
+
+// The first is how fast the player is; the others mostly how fast the decision module is.
+func BenchmarkPlain(b *testing.B)         { benchmark(b, "plain", 1) }
+func BenchmarkTwoSidecars(b *testing.B)   { benchmark(b, "pinelb", 2) }
+func BenchmarkFiftySidecars(b *testing.B) { benchmark(b, "pinelb", 50) }
