Give the daemon an operator's file, a command line and a record of its streams, off unless asked

Need: later subsystems need a file of the operator's own and commands; a rehearsal needs to know what a sidecar saw, host by host. Change: TOML read strictly (internal/config, internal/tomlfile), kong commands serve, check and version with serve as the default; internal/record writes one JSON line a stream to the log or a bounded file and reads it back; stream.Observer is told of each stream once all its attempts are over. The writer has a bounded queue and never holds a stream up. A pipe that nobody reads costs lines and delays no stream.

--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -1,108 +1,59 @@
 // Command pinelb is the sidecar: it takes streams from callers, has the decision module choose their
-// upstream hosts, and carries out what it decides. This file only connects the parts.
+// upstream hosts, and carries out what it decides. Here are only its command line and the wiring of the parts.
 package main
 
 import (
-	"context"
 	"fmt"
-	"net"
 	"os"
 	"os/signal"
-	"runtime"
-	"runtime/debug"
 	"syscall"
-	"time"
 
-	"github.com/rs/zerolog"
-
-	"pinelb.example/pinelb/balance"
-	"pinelb.example/pinelb/internal/cluster"
-	"pinelb.example/pinelb/internal/config"
-	"pinelb.example/pinelb/internal/downstream"
-	"pinelb.example/pinelb/internal/engine"
-	"pinelb.example/pinelb/internal/stream"
-	"pinelb.example/pinelb/internal/upstream"
+	"github.com/alecthomas/kong"
 )
 
-const (
-	socketsKept = 32                     // for discovery, the listener and the runtime
-	memoryShare = 0.7                    // of the limit, for the heap: the rest is stacks and the kernel's
-	bodiesPart  = 16                     // of the limit, for the bodies of callers' requests; attempts copy them
-	syncWithin  = 300 * time.Millisecond // after which the known list has to do
-)
+// statusFaulty is the exit status where the arguments or a file that is checked are faulty.
+const statusFaulty = 2
+
+// commandLine is what can stand after "pinelb".
+type commandLine struct {
+	Serve struct {
+		Config string `placeholder:"FILE" help:"The operator's file. Without it all that it could switch on is off."`
+	} `cmd:"" default:"withargs" help:"Serve, as the file says that LB_CONFIG names."`
+	Check struct {
+		File     string `arg:"" placeholder:"FILE" help:"The operator's file."`
+		Platform string `placeholder:"JSON" help:"The file that LB_CONFIG names, to be checked too."`
+	} `cmd:"" help:"Check an operator's file. The exit status is 2 where it is faulty."`
+	Version struct{} `cmd:"" help:"Print the version, and what it was built from and with."`
+}
 
 func main() {
-	log := zerolog.New(os.Stderr).Level(zerolog.InfoLevel).
-		Sample(&zerolog.BurstSampler{Burst: 50, Period: time.Second}).With().Timestamp().Logger()
 	hups := make(chan os.Signal, 1) // one that waits stands for all that come meanwhile
 	signal.Notify(hups, syscall.SIGHUP)
-	cfg, err := config.Load(os.Getenv)
-	if err == nil {
-		log = log.With().Str("name", cfg.Name).Logger()
-		err = run(cfg, hups, log)
-	}
-	if err != nil {
-		log.Error().Err(err).Msg("pinelb ends")
-		os.Exit(1)
-	}
+	os.Exit(command(os.Args[1:], hups))
 }
 
-func run(cfg *config.Config, hups <-chan os.Signal, log zerolog.Logger) error {
-	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
-	memory := int64(cfg.Limits.MemoryMB) << 20
-	debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
-	sockets := cfg.Limits.Sockets - socketsKept
-
-	set := &cfg.Settings
-	pool := upstream.NewPool(set.ConnectTimeout, set.ConnIdle, sockets/2)
-	eng, err := engine.New(set.Settings, cfg.Seed, pool, log)
-	if err != nil {
-		return err
+// command carries out a command line and returns the exit status.
+func command(args []string, hups <-chan os.Signal) int {
+	if len(args) == 0 { // as the platform starts it: what the parser allocates is spared
+		return sidecar("", hups)
 	}
-	srv := downstream.New(set, memory/bodiesPart, &stream.Proxy{Engine: eng, Upstream: pool, Log: log}, log)
-	table := cluster.NewTable(set.ZoneNames, set.KindNames, pool, eng)
-	if len(cfg.Known.Members) > 0 { // from none at all the decisions would take a wrong measure
-		table.Apply(balance.ListCached, cfg.Known)
+	var line commandLine
+	parser, err := kong.New(&line, kong.Name("pinelb"), kong.Description(
+		"A load-balancing sidecar. Without a command it serves; --config=FILE then names the operator's file."))
+	if err != nil {
+		panic(err) // commandLine itself is faulty
 	}
-
-	l, err := net.Listen("tcp", cfg.Listen)
+	ctx, err := parser.Parse(args)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		fmt.Fprintln(os.Stderr, "pinelb:", err)
+		return statusFaulty
 	}
-	log.Info().Stringer("addr", l.Addr()).Msg("listening")
-	ending, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	life, end := context.WithCancel(context.Background()) // discovery is heard until the last stream has ended
-	defer end()
-	go pool.Sweep(life)
-	late := time.AfterFunc(syncWithin, srv.Ready)
-	defer late.Stop()
-	moves := make(chan string)
-	go reload(life, hups, moves, log)
-	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log}
-	go watch.Run(life, srv.Ready)
-	return srv.Run(ending, l, sockets-sockets/2)
-}
-
-// reload reads the configuration again at each SIGHUP until ctx ends and hands on where discovery is now.
-// One that can't be used changes nothing; the rest of one that can takes a restart.
-func reload(ctx context.Context, hups <-chan os.Signal, moves chan<- string, log zerolog.Logger) {
-	for {
-		select {
-		case <-hups:
-		case <-ctx.Done():
-			return
-		}
-		cfg, err := config.Reload(os.Getenv)
-		if err != nil {
-			log.Error().Err(err).Msg("the new configuration is not taken")
-			continue
-		}
-		log.Info().Str("discovery", cfg.Discovery).Msg("configuration read again")
-		select {
-		case moves <- cfg.Discovery:
-		case <-ctx.Done():
-			return
-		}
+	switch ctx.Selected().Name {
+	case "check":
+		return check(line.Check.File, line.Check.Platform)
+	case "version":
+		fmt.Println(version())
+		return 0
 	}
+	return sidecar(line.Serve.Config, hups)
 }
--- /dev/null
+++ b/cmd/pinelb/serve.go
@@ -0,0 +1,143 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/cluster"
+	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/downstream"
+	"pinelb.example/pinelb/internal/engine"
+	"pinelb.example/pinelb/internal/record"
+	"pinelb.example/pinelb/internal/stream"
+	"pinelb.example/pinelb/internal/upstream"
+)
+
+const (
+	socketsKept = 32                     // for discovery, the listener and the runtime
+	memoryShare = 0.7                    // of the limit, for the heap: the rest is stacks and the kernel's
+	bodiesPart  = 16                     // of the limit, for the bodies of callers' requests; attempts copy them
+	syncWithin  = 300 * time.Millisecond // after which the known list has to do
+)
+
+// newLog is the sidecar's log, as JSON lines.
+func newLog(out io.Writer) zerolog.Logger {
+	return zerolog.New(out).Level(zerolog.InfoLevel).
+		Sample(&zerolog.BurstSampler{Burst: 50, Period: time.Second}).With().Timestamp().Logger()
+}
+
+// sidecar serves by the environment and the operator's file, of which there may be none. It returns the
+// exit status.
+func sidecar(operator string, hups <-chan os.Signal) int {
+	log := newLog(os.Stderr)
+	cfg, err := config.Load(os.Getenv)
+	var op *config.Operator
+	if err == nil {
+		op, err = config.LoadOperator(operator)
+	}
+	var rec *record.Recorder
+	if err == nil {
+		rec, log = recorder(cfg, op.Record, log)
+		log = log.With().Str("name", cfg.Name).Logger()
+		err = run(cfg, rec, hups, log)
+	}
+	if err != nil {
+		log.Error().Err(err).Msg("pinelb ends")
+	}
+	if rec != nil {
+		_ = rec.Close() // a log or file that is blocked can't be told so
+	}
+	if err != nil {
+		return 1
+	}
+	return 0
+}
+
+// recorder starts to record, if that is asked for, and returns the log that goes with it.
+func recorder(cfg *config.Config, o *config.Record, log zerolog.Logger) (*record.Recorder, zerolog.Logger) {
+	if o == nil {
+		return nil, log
+	}
+	if o.Log() {
+		signal.Ignore(syscall.SIGPIPE) // a log that nobody reads any more is no reason to end
+	}
+	rec := record.New(cfg, o, os.Stderr)
+	log = newLog(rec.Log())
+	rec.Start(log)
+	return rec, log
+}
+
+func run(cfg *config.Config, rec *record.Recorder, hups <-chan os.Signal, log zerolog.Logger) error {
+	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
+	memory := int64(cfg.Limits.MemoryMB) << 20
+	debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
+	sockets := cfg.Limits.Sockets - socketsKept
+
+	set := &cfg.Settings
+	pool := upstream.NewPool(set.ConnectTimeout, set.ConnIdle, sockets/2)
+	eng, err := engine.New(set.Settings, cfg.Seed, pool, log)
+	if err != nil {
+		return err
+	}
+	streams := &stream.Proxy{Engine: eng, Upstream: pool, Log: log}
+	srv := downstream.New(set, memory/bodiesPart, streams, log)
+	table := cluster.NewTable(set.ZoneNames, set.KindNames, pool, eng)
+	if rec != nil {
+		streams.Observer, table.Observer, rec.Open = rec, rec, streams.Out
+	}
+	if len(cfg.Known.Members) > 0 { // from none at all the decisions would take a wrong measure
+		table.Apply(balance.ListCached, cfg.Known)
+	}
+
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	log.Info().Stringer("addr", l.Addr()).Msg("listening")
+	ending, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	life, end := context.WithCancel(context.Background()) // discovery is heard until the last stream has ended
+	defer end()
+	go pool.Sweep(life)
+	late := time.AfterFunc(syncWithin, srv.Ready)
+	defer late.Stop()
+	moves := make(chan string)
+	go reload(life, hups, moves, log)
+	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log}
+	go watch.Run(life, srv.Ready)
+	return srv.Run(ending, l, sockets-sockets/2)
+}
+
+// reload reads the configuration again at each SIGHUP until ctx ends and hands on where discovery is now.
+// One that can't be used changes nothing; the rest of one that can takes a restart.
+func reload(ctx context.Context, hups <-chan os.Signal, moves chan<- string, log zerolog.Logger) {
+	for {
+		select {
+		case <-hups:
+		case <-ctx.Done():
+			return
+		}
+		cfg, err := config.Reload(os.Getenv)
+		if err != nil {
+			log.Error().Err(err).Msg("the new configuration is not taken")
+			continue
+		}
+		log.Info().Str("discovery", cfg.Discovery).Msg("configuration read again")
+		select {
+		case moves <- cfg.Discovery:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -74,6 +75,24 @@
 	return Member{ID: id, Addr: addr, State: state, Zone: "z1", Kind: "k1"}
 }
 
+// listed is an observer that keeps the last list.
+type listed []Member
+
+func (l *listed) Listed(_ balance.ListKind, members []Member) { *l = slices.Clone(members) }
+
+// Guards against an observer that can't tell which host a number stands for.
+func TestObserver(t *testing.T) {
+	w, table := newWorld()
+	seen := &listed{}
+	table.Observer = seen
+	table.Apply(balance.ListCached, List{Members: []Member{member("b", "x:1", balance.Ready), member("a", "x:2", balance.Ready)}})
+	for i, e := range <-w.lists {
+		if m := (*seen)[i]; m.ID != []string{"a", "b"}[i] || m.Endpoint != e.Endpoint {
+			t.Errorf("told of %+v for entry %+v", m, e)
+		}
+	}
+}
+
 func TestTable(t *testing.T) {
 	w, table := newWorld()
 	table.Apply(balance.ListFull, List{Members: []Member{member("a", "x:1", balance.Ready), member("b", "x:2", balance.Ready)}})
--- a/internal/cluster/list.go
+++ b/internal/cluster/list.go
@@ -22,6 +22,8 @@
 	State   balance.Availability
 	Weight  float64
 	UpSince time.Duration // its last start, as Unix time; 0 is long ago
+
+	Endpoint balance.EndpointID // its number, once the table has taken it over
 }
 
 // List is one answer of discovery: the whole cluster, or the members that have changed.
--- a/internal/cluster/table.go
+++ b/internal/cluster/table.go
@@ -19,9 +19,17 @@
 	Membership(kind balance.ListKind, entries []balance.Entry)
 }
 
+// Observer is told each list that the table takes over, its members numbered and in the order of their ids. It
+// must not keep them.
+type Observer interface {
+	Listed(kind balance.ListKind, members []Member)
+}
+
 // Table turns discovery's names into the decisions' numbers. The number of a host follows from its
 // discovery id alone, so that every sidecar numbers the cluster alike and a ring of it is the same for all.
 type Table struct {
+	Observer Observer // nil: nobody; set before the first list
+
 	zones, kinds []string
 	hosts        Hosts
 	decisions    Decisions
@@ -49,6 +57,7 @@
 	for i := range list.Members {
 		m := &list.Members[i]
 		id := t.number(m.ID)
+		m.Endpoint = id
 		delete(gone, m.ID)
 		if m.State == balance.Gone {
 			gone[m.ID] = true
@@ -60,6 +69,9 @@
 			Cell: m.Cell, Kind: index(t.kinds, m.Kind), UpSince: m.UpSince,
 		})
 	}
+	if t.Observer != nil { // before the decisions, whose sends name these hosts
+		t.Observer.Listed(kind, list.Members)
+	}
 	t.decisions.Membership(kind, entries)
 	for id := range gone {
 		t.hosts.Remove(t.ids[id])
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -44,6 +44,7 @@
 	Limits    Limits
 	Known     cluster.List // the cluster as this sidecar last had it; perhaps old
 	Settings  Settings
+	Site      string // the settings as they stand in the file, as JSON
 }
 
 // Load reads the environment and the file that LB_CONFIG names; a variable goes before its key in the file.
@@ -98,6 +99,7 @@
 	if c.Settings, err = readSettings(settings); err != nil {
 		return nil, err
 	}
+	c.Site = settings.json.Raw
 	return c, c.check()
 }
 
--- /dev/null
+++ b/internal/config/operator.go
@@ -0,0 +1,103 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"pinelb.example/pinelb/internal/tomlfile"
+)
+
+// Operator is the operator's file: what a site switches on beyond what the platform asks for. A section that
+// the file lacks is off.
+type Operator struct {
+	Record *Record `toml:"record"`
+}
+
+// Record is the section [record]: one line is written for each stream.
+type Record struct {
+	To        string `toml:"to"`         // "log", or the absolute path of a file
+	Most      Size   `toml:"most"`       // bytes of the file and the one before it together; a file's alone
+	PerSecond int    `toml:"per_second"` // lines of streams
+}
+
+// Defaults and limits of [record].
+const (
+	defaultRecordMost      Size = 64 << 20
+	leastRecordMost        Size = 2 << 20 // half of it has to hold the header and a batch of lines
+	defaultRecordPerSecond      = 2000
+	mostRecordPerSecond         = 100000
+)
+
+// Size is a number of bytes, written as text with its unit, "64MiB", or as a plain number.
+type Size int64
+
+var units = []struct {
+	name  string
+	bytes int64
+}{{"KiB", 1 << 10}, {"MiB", 1 << 20}, {"GiB", 1 << 30}, {"B", 1}}
+
+// UnmarshalText reads a whole number with one of the units B, KiB, MiB and GiB.
+func (s *Size) UnmarshalText(text []byte) error {
+	for _, u := range units {
+		number, fits := strings.CutSuffix(string(text), u.name)
+		if !fits {
+			continue
+		}
+		n, err := strconv.ParseInt(strings.TrimSpace(number), 10, 64)
+		if err != nil || n < 0 || n > math.MaxInt64/u.bytes {
+			break
+		}
+		*s = Size(n * u.bytes)
+		return nil
+	}
+	return fmt.Errorf(`must be a size such as "64MiB"`)
+}
+
+// LoadOperator reads the operator's file; with no path all is off. The error names the file, and the line and
+// the key where there are such.
+func LoadOperator(path string) (*Operator, error) {
+	if path == "" {
+		return &Operator{}, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	op := &Operator{}
+	file, err := tomlfile.Decode(path, data, op)
+	if err == nil && op.Record != nil {
+		err = op.Record.check(file)
+	}
+	if err != nil {
+		return nil, err // it begins with the file and the line
+	}
+	return op, nil
+}
+
+// Log tells whether the record goes to the log, which is standard error.
+func (r *Record) Log() bool { return r.To == "log" }
+
+// check fills in the defaults and names the first key that can't be used.
+func (r *Record) check(file *tomlfile.File) error {
+	switch {
+	case !r.Log() && !filepath.IsAbs(r.To):
+		return file.Fault("record.to", `must be "log" or the absolute path of a file`)
+	case r.Log() && file.Has("record.most"):
+		return file.Fault("record.most", `bounds a file; it has no meaning where to is "log"`)
+	case file.Has("record.most") && r.Most < leastRecordMost:
+		return file.Fault("record.most", `must be "%dMiB" or more`, leastRecordMost>>20)
+	case file.Has("record.per_second") && (r.PerSecond < 1 || r.PerSecond > mostRecordPerSecond):
+		return file.Fault("record.per_second", "must be 1 to %d", mostRecordPerSecond)
+	}
+	if !file.Has("record.most") {
+		r.Most = defaultRecordMost
+	}
+	if !file.Has("record.per_second") {
+		r.PerSecond = defaultRecordPerSecond
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/config/operator_test.go
@@ -0,0 +1,68 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func loadOperator(t *testing.T, text string) (*Operator, error) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	return LoadOperator(path)
+}
+
+// Guards against a section that is on though nobody asked for it, and against defaults that are not as told.
+func TestOperatorDefaults(t *testing.T) {
+	for _, load := range []func() (*Operator, error){
+		func() (*Operator, error) { return LoadOperator("") },
+		func() (*Operator, error) { return loadOperator(t, "# nothing\n") },
+	} {
+		if op, err := load(); err != nil || *op != (Operator{}) {
+			t.Errorf("nothing asked for: %+v, %v", op, err)
+		}
+	}
+	for text, want := range map[string]Record{
+		"[record]\nto = \"log\"": {"log", 64 << 20, 2000},
+		"[record]\nto = \"/run/a\"\nmost = \"3 GiB\"\nper_second = 7": {"/run/a", 3 << 30, 7},
+		"[record]\nto = \"/run/a\"\nmost = 4000000":                   {"/run/a", 4000000, 2000},
+	} {
+		if op, err := loadOperator(t, text); err != nil || *op.Record != want {
+			t.Errorf("%s: %+v, %v", text, op, err)
+		}
+	}
+}
+
+// Guards against an example that is no longer true.
+func TestOperatorExample(t *testing.T) {
+	op, err := LoadOperator("../../deploy/operator.example.toml")
+	if err != nil || op.Record == nil {
+		t.Errorf("%+v, %v", op, err)
+	}
+}
+
+func TestOperatorFaultsNameTheKey(t *testing.T) {
+	for text, want := range map[string]string{
+		"[recorder]":                              ":1: recorder",
+		"[record]\nto = \"log\"\n\nfrom = 1":      ":4: record.from: ",
+		"[record]":                                ":1: record.to: ",
+		"[record]\nto = \"here\"":                 ":2: record.to: ",
+		"[record]\nto = 7":                        ":2: record.to: ",
+		"[record]\nto = \"log\"\nmost = \"4MiB\"": ":3: record.most: ",
+		"[record]\nto = \"/a\"\nmost = \"1MiB\"":  ":3: record.most: ",
+		"[record]\nto = \"/a\"\nmost = \"9TiB\"":  ":3: record.most: must be a size",
+		"[record]\nto = \"/a\"\nper_second = 0":   ":3: record.per_second: ",
+		"[record]\nto = ":                         ":2: ",
+	} {
+		if _, err := loadOperator(t, text); err == nil || !strings.Contains(err.Error(), "operator.toml"+want) {
+			t.Errorf("%q: %v, want %s", text, err, want)
+		}
+	}
+	if _, err := LoadOperator("/nonexistent/operator.toml"); err == nil || !strings.Contains(err.Error(), "operator.toml") {
+		t.Errorf("a file that is not there: %v", err)
+	}
+}
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -29,6 +29,9 @@
 	why    string
 }
 
+// tooManyBodies is the one for a stream that is valid and finds no room.
+var tooManyBodies = &refusal{http.StatusServiceUnavailable, "too many bodies at once"}
+
 // ServeHTTP takes one message and answers it once.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	at := time.Now()
@@ -61,13 +64,20 @@
 
 // answer is a stream's final answer, or why the message is none.
 func (s *Server) answer(w http.ResponseWriter, r *http.Request, at time.Time, held int64) (stream.Response, *refusal) {
+	req, bad := s.decode(r, at)
 	if held > s.mostHeld || s.runsDry(held) {
-		return stream.Response{Outcome: stream.Refused}, nil
+		if bad != nil { // there is no room to find fault with it either
+			return stream.Response{Outcome: stream.Refused}, nil
+		}
+		return s.streams.Refuse(req), nil
 	}
-	req, bad := s.decode(r, at)
-	if req != nil {
+	if bad == nil {
+		req.Body, bad = s.readBody(r)
 		defer s.bodies.Add(-int64(cap(req.Body)))
 	}
+	if bad == tooManyBodies {
+		s.streams.Refuse(req)
+	}
 	if bad != nil {
 		return stream.Response{}, bad
 	}
@@ -100,7 +110,7 @@
 	}
 }
 
-// decode reads a message into a request, or says why it is none.
+// decode reads a message's head into a request, or says why it is none.
 func (s *Server) decode(r *http.Request, at time.Time) (*stream.Request, *refusal) {
 	h := r.Header
 	lane, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
@@ -142,11 +152,10 @@
 	case c.effect == balance.Safe && r.ContentLength > 0:
 		return nil, &refusal{http.StatusBadRequest, "the class takes no body"}
 	}
+	req.Arrived = at
 	// An answer within the class's deadline is in time for every client, however long it says it waits.
 	req.Deadline = at.Add(min(time.Duration(left)*time.Millisecond, c.deadline))
-	var bad *refusal
-	req.Body, bad = s.readBody(r)
-	return req, bad
+	return req, nil
 }
 
 // readBody reads a body as it comes, so that a stated length alone takes no memory. What all bodies take
@@ -161,7 +170,7 @@
 			more := min(max(bodyFirst, cap(body)), n-cap(body))
 			if s.bodies.Add(int64(more)) > s.bodiesMost {
 				s.bodies.Add(-int64(more))
-				return body, &refusal{http.StatusServiceUnavailable, "too many bodies at once"}
+				return body, tooManyBodies
 			}
 			body = append(make([]byte, 0, cap(body)+more), body...)
 		}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -35,9 +35,11 @@
 	headerMost = 16 << 10
 )
 
-// Handler answers one stream.
+// Handler answers streams.
 type Handler interface {
 	Serve(ctx context.Context, req *stream.Request) stream.Response
+	// Refuse answers one for which there is no room here.
+	Refuse(req *stream.Request) stream.Response
 }
 
 // Server is the side that callers see.
--- a/internal/lab/virtual/boxes.go
+++ b/internal/lab/virtual/boxes.go
@@ -372,6 +372,7 @@
 	box := s.log.Visits[v].Box
 	s.boxes[box].m.Withdraw(s.now, uint64(v)+1)
 	s.act(box)
+	s.endVisit(v, s.now, trace.Withdrawn) // also where the box works on
 }
 
 // breakOff is an attempt whose connection breaks after the request was written.
--- /dev/null
+++ b/internal/record/fields.go
@@ -0,0 +1,82 @@
+package record
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+const msMost = 9e12 // milliseconds of any time, Unix time included: a time.Duration holds them
+
+// fields takes typed values out of one line and keeps the first fault. Absent keys read as zero.
+type fields struct {
+	json gjson.Result
+	at   string // where the object stands in its line, for messages
+	err  error
+}
+
+func (f *fields) fail(key, what string) {
+	if f.err == nil {
+		f.err = fmt.Errorf("%s%s %s", f.at, key, what)
+	}
+}
+
+// get is the value of a key, which has to be of that type if it is there.
+func (f *fields) get(key, want string, fits func(gjson.Result) bool) gjson.Result {
+	v := f.json.Get(key)
+	if v.Exists() && !fits(v) {
+		f.fail(key, "must be "+want)
+		return gjson.Result{}
+	}
+	return v
+}
+
+func (f *fields) text(key string) string {
+	return f.get(key, "a string", func(v gjson.Result) bool { return v.Type == gjson.String }).Str
+}
+
+func (f *fields) flag(key string) bool {
+	return f.get(key, "true or false", gjson.Result.IsBool).Bool()
+}
+
+func (f *fields) list(key string) []gjson.Result {
+	return f.get(key, "a list", gjson.Result.IsArray).Array()
+}
+
+func (f *fields) number(key string) float64 {
+	return f.get(key, "a number", func(v gjson.Result) bool {
+		return v.Type == gjson.Number && !math.IsInf(v.Num, 0) && !math.IsNaN(v.Num)
+	}).Num
+}
+
+func (f *fields) count(key string) int {
+	n := f.number(key)
+	if n != math.Trunc(n) || n < 0 || n > math.MaxInt32 {
+		f.fail(key, "must be a whole number")
+		return 0
+	}
+	return int(n)
+}
+
+// ms reads milliseconds.
+func (f *fields) ms(key string) time.Duration {
+	n := f.number(key)
+	if math.Abs(n) > msMost {
+		f.fail(key, "must be a time in milliseconds")
+		return 0
+	}
+	return time.Duration(math.Round(n*1000)) * time.Microsecond // as nanoseconds it would not fit into a float64
+}
+
+// word reads one of the words and returns its place among them.
+func (f *fields) word(key string, words []string) int {
+	i := slices.Index(words, f.text(key))
+	if i < 0 {
+		f.fail(key, fmt.Sprintf("%q is none of %q", f.text(key), words))
+		return 0
+	}
+	return i
+}
--- /dev/null
+++ b/internal/record/read.go
@@ -0,0 +1,149 @@
+package record
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/cluster"
+	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/stream"
+)
+
+const lineMost = 64 << 20 // bytes of a line: a list of hosts may be long
+
+// Read reads a record, or the log that one is part of, or several after one another; files that took each
+// other's place have to come in their order. A line that is cut off is counted and left out. Faulty lines are
+// errors that name the line and the key, and so are a record without a header, one of another version, and a
+// stream of a class that its header's settings lack.
+func Read(in io.Reader) (*Record, error) {
+	r := &reader{out: &Record{}}
+	lines := bufio.NewScanner(in)
+	lines.Buffer(nil, lineMost)
+	for lines.Scan() {
+		r.n++
+		if r.out.Truncated { // what looked like the end was not
+			r.out.Truncated = false
+			r.out.Skipped++
+		}
+		if err := r.line(lines.Bytes()); err != nil {
+			return nil, fmt.Errorf("record: line %d: %w", r.n, err)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, fmt.Errorf("record: line %d: %w", r.n+1, err)
+	}
+	if r.run == nil {
+		return nil, fmt.Errorf("record: no header in %d lines: nothing was recorded", r.n)
+	}
+	for _, run := range r.out.Runs { // of one time, lists stay as they were written: in that order they add up
+		slices.SortStableFunc(run.Cluster, func(a, b Cluster) int { return cmp.Compare(a.At, b.At) })
+		slices.SortStableFunc(run.Streams, func(a, b Stream) int { return cmp.Compare(a.Arrival, b.Arrival) })
+	}
+	slices.SortStableFunc(r.out.Runs, func(a, b *Run) int { return a.Header.Start.Compare(b.Header.Start) })
+	return r.out, nil
+}
+
+type reader struct {
+	out *Record
+	run *Run // whose lines these are
+	n   int  // lines so far
+}
+
+func (r *reader) line(b []byte) error {
+	switch {
+	case !bytes.HasPrefix(b, []byte(prefix)):
+		if len(b) > 0 && bytes.HasPrefix([]byte(prefix), b) {
+			r.out.Truncated = true
+		} else if len(b) > 0 {
+			r.out.Other++
+		}
+		return nil
+	case !gjson.ValidBytes(b):
+		r.out.Truncated = true
+		return nil
+	}
+	f := &fields{json: gjson.ParseBytes(b)}
+	kind := f.text("rec")
+	if kind != kindStart && r.run == nil {
+		return errors.New("it stands before any header")
+	}
+	switch kind {
+	case kindStart:
+		return r.start(f)
+	case kindCluster:
+		r.run.Cluster = append(r.run.Cluster, readCluster(f))
+	case kindStream:
+		r.run.Streams = append(r.run.Streams, readStream(f, r.run.Header.Settings.ClassNames))
+	case kindLost:
+		r.run.Lost = append(r.run.Lost, Lost{From: f.ms("t"), Until: f.ms("until"), Lines: Lines{
+			Rate: f.count("rate"), Sink: f.count("sink"), Log: f.count("log"), Open: f.count("open")}})
+	default:
+		return fmt.Errorf("rec: %q is unknown", kind)
+	}
+	return f.err
+}
+
+// start takes a header. One that repeats a run's, as each file has it, goes on with that run.
+func (r *reader) start(f *fields) error {
+	if v := f.json.Get("v"); v.Num != Version {
+		return fmt.Errorf("v: version %s is unknown, %d is read", cmp.Or(v.Raw, "none"), Version)
+	}
+	h := Header{Name: f.text("name"), Start: time.UnixMilli(0).Add(f.ms("at")).UTC(), Limits: config.Limits{
+		Cores: f.number("cores"), MemoryMB: f.count("memory_mb"), Sockets: f.count("sockets")},
+		Site: f.json.Get("settings").Raw}
+	if f.err != nil {
+		return f.err
+	}
+	var err error
+	if h.Settings, err = config.ParseSettings([]byte(h.Site)); err != nil {
+		return err
+	}
+	for _, run := range r.out.Runs {
+		if run.Header.Name == h.Name && run.Header.Start.Equal(h.Start) {
+			r.run = run
+			return nil
+		}
+	}
+	r.run = &Run{Header: h}
+	r.out.Runs = append(r.out.Runs, r.run)
+	return nil
+}
+
+func readCluster(f *fields) Cluster {
+	c := Cluster{At: f.ms("t"), List: List(f.word("list", lists[:]))}
+	for i, v := range f.list("hosts") {
+		h := &fields{json: v, at: fmt.Sprintf("hosts[%d].", i)}
+		c.Hosts = append(c.Hosts, cluster.Member{
+			ID: h.text("id"), State: balance.Availability(h.word("phase", phases[:])), Kind: h.text("kind"),
+			Zone: h.text("zone"), Cell: h.count("cell"), Weight: h.number("weight"), UpSince: h.ms("up")})
+		f.err = cmp.Or(f.err, h.err)
+	}
+	return c
+}
+
+func readStream(f *fields, classes []string) Stream {
+	s := Stream{Arrival: f.ms("t"), Class: f.word("class", classes), Left: f.ms("left"), Repeated: f.flag("again"),
+		Body: f.count("body"), End: stream.Outcome(f.word("end", outcomes[:])), Answered: f.ms("after"),
+		RetryAfter: f.ms("retry_after")}
+	for i, v := range f.list("tries") {
+		parts := v.Array()
+		if len(parts) != 4 {
+			f.fail(fmt.Sprintf("tries[%d]", i), "must be [host, begin, duration, outcome]")
+			break
+		}
+		a := &fields{json: v, at: fmt.Sprintf("tries[%d].", i)}
+		s.Attempts = append(s.Attempts, Attempt{Host: a.text("0"), Began: a.ms("1"), Took: a.ms("2"),
+			Status: balance.Status(a.word("3", statuses[:]))})
+		f.err = cmp.Or(f.err, a.err)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/record/recorder.go
@@ -0,0 +1,157 @@
+package record
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/cluster"
+	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/stream"
+)
+
+// nameKept is how long a host that has gone keeps its name here beyond the longest deadline: streams that it
+// had a part in may still be open.
+const nameKept = time.Minute
+
+// Recorder writes a record. It is a stream.Observer and a cluster.Observer, and never keeps either waiting.
+type Recorder struct {
+	Open func() int // how many streams are not over, asked at Close; nil: not counted
+
+	cfg   *config.Config
+	start time.Time
+	keep  time.Duration // the names of hosts that have gone
+	out   io.Writer
+	log   zerolog.Logger
+	q     *queue
+
+	mu    sync.RWMutex
+	hosts map[balance.EndpointID]host
+	told  bool // there has been a list
+}
+
+type host struct {
+	cluster.Member
+	gone time.Duration // when it went; 0 while it is there
+}
+
+// New returns a recorder for the sidecar of that configuration. Where the record goes to the log, log is that:
+// the lines of the log itself then have to go through Log, or both would break each other up.
+func New(c *config.Config, o *config.Record, log io.Writer) *Recorder {
+	r := &Recorder{cfg: c, start: time.Now(), keep: nameKept, out: log, hosts: map[balance.EndpointID]host{}}
+	for i := range c.Settings.Classes {
+		r.keep = max(r.keep, nameKept+c.Settings.Classes[i].Deadline)
+	}
+	var s sink = &file{path: o.To, most: int64(o.Most) / 2}
+	if o.Log() {
+		s = &stderr{out: log}
+	}
+	r.q = newQueue(s, o.PerSecond, r.preamble, r.since, r.fault)
+	if o.Log() {
+		r.out = r.q
+	}
+	return r
+}
+
+// Log is where the log's own lines are to be written. Writing to it never waits where the record goes to the
+// log: lines that the log does not take in time are lost and counted.
+func (r *Recorder) Log() io.Writer { return r.out }
+
+// Start begins to write. Faults of the file are told to log.
+func (r *Recorder) Start(log zerolog.Logger) {
+	r.log = log
+	go r.q.run()
+}
+
+// Close writes what waits and ends the recorder, which takes nothing from then on; streams that are not over are
+// counted as lost. It returns an error after 0.2 s of a log or file that is blocked.
+func (r *Recorder) Close() error {
+	open := 0
+	if r.Open != nil {
+		open = r.Open()
+	}
+	return r.q.close(open)
+}
+
+// Ended records a stream.
+func (r *Recorder) Ended(l *stream.Life) {
+	line := buffers.Get().(*[]byte)
+	r.mu.RLock()
+	*line = appendStream((*line)[:0], r.start, l, r.name)
+	r.mu.RUnlock()
+	r.q.stream(*line)
+	buffers.Put(line)
+}
+
+var buffers = sync.Pool{New: func() any { b := make([]byte, 0, 256); return &b }}
+
+// Listed records a list of discovery's.
+func (r *Recorder) Listed(kind balance.ListKind, members []cluster.Member) {
+	now := r.since()
+	r.mu.Lock()
+	listed := map[balance.EndpointID]bool{}
+	for _, m := range members {
+		if m.State != balance.Gone {
+			r.hosts[m.Endpoint] = host{Member: m}
+		}
+		listed[m.Endpoint] = m.State != balance.Gone
+	}
+	for id, h := range r.hosts {
+		there, named := listed[id]
+		switch {
+		case h.gone > 0 && now-h.gone > r.keep:
+			delete(r.hosts, id)
+		case h.gone == 0 && !there && (named || kind != balance.ListDelta):
+			h.gone = now
+			r.hosts[id] = h
+		}
+	}
+	r.told = true
+	r.mu.Unlock()
+	if kind != balance.ListDelta || len(members) > 0 { // a watch that ran out has no news
+		r.q.list(appendCluster(nil, now, List(kind), members))
+	}
+}
+
+func (r *Recorder) since() time.Duration { return time.Since(r.start) }
+
+// name is a host's id; the caller holds the lock.
+func (r *Recorder) name(id balance.EndpointID) string {
+	if h, known := r.hosts[id]; known {
+		return h.ID
+	}
+	return fmt.Sprint("#", id) // by faulty decisions
+}
+
+// preamble appends the header and the hosts that are there.
+func (r *Recorder) preamble(b []byte) []byte {
+	b = appendStart(b, r.start, r.cfg)
+	r.mu.RLock()
+	defer r.mu.RUnlock()
+	if !r.told {
+		return b
+	}
+	there := make([]cluster.Member, 0, len(r.hosts))
+	for _, h := range r.hosts {
+		if h.gone == 0 {
+			there = append(there, h.Member)
+		}
+	}
+	slices.SortFunc(there, func(a, b cluster.Member) int { return cmp.Compare(a.ID, b.ID) })
+	return appendCluster(b, r.since(), Held, there)
+}
+
+// fault tells the log that the record can't be written, and with nil that it can be again.
+func (r *Recorder) fault(err error) {
+	if err != nil {
+		r.log.Warn().Err(err).Msg("the record is not written")
+	} else {
+		r.log.Info().Msg("the record is written again")
+	}
+}
--- /dev/null
+++ b/internal/record/write.go
@@ -0,0 +1,53 @@
+package record
+
+import (
+	"io"
+	"slices"
+	"time"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/stream"
+)
+
+// Write writes a record as Recorder would have, each run after the one before it: what Read takes from it is
+// the same, to 0.1 ms. Lines that were no record's, or cut off, are gone.
+func Write(w io.Writer, r *Record) error {
+	var b []byte
+	for _, run := range r.Runs {
+		h := &run.Header
+		b = appendStart(b, h.Start, &config.Config{Name: h.Name, Limits: h.Limits, Site: h.Site})
+		for _, c := range run.Cluster {
+			b = appendCluster(b, c.At, c.List, c.Hosts)
+		}
+		for i := range run.Streams {
+			b = appendStream(b, h.Start, run.Streams[i].life(h), func(n balance.EndpointID) string {
+				return run.Streams[i].Attempts[n].Host
+			})
+		}
+		for _, l := range run.Lost {
+			b = appendLost(b, l)
+		}
+		if _, err := w.Write(b); err != nil {
+			return err
+		}
+		b = b[:0]
+	}
+	return nil
+}
+
+// life is a stream as it was observed; its attempts' hosts are their places.
+func (s *Stream) life(h *Header) *stream.Life {
+	arrived := h.Start.Add(s.Arrival)
+	l := &stream.Life{
+		Request: &stream.Request{ClassName: h.Settings.ClassNames[s.Class], Class: s.Class, Repeated: s.Repeated,
+			Body: slices.Repeat([]byte{0}, s.Body), Arrived: arrived, Deadline: arrived.Add(s.Left)},
+		Response: stream.Response{Outcome: s.End, RetryAfter: s.RetryAfter}, Answered: arrived.Add(s.Answered),
+	}
+	after := func(d time.Duration) time.Time { return arrived.Add(d) }
+	for i, a := range s.Attempts {
+		l.Attempts = append(l.Attempts, stream.Attempt{Host: balance.EndpointID(i), Began: after(a.Began),
+			Ended: after(a.Began + a.Took), Status: a.Status})
+	}
+	return l
+}
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -26,6 +26,7 @@
 	Labels    string
 	MediaType string
 	Body      []byte
+	Arrived   time.Time // when it began to come
 	Deadline  time.Time // when the client gives up
 }
 
@@ -65,32 +66,11 @@
 type Proxy struct {
 	Engine   *engine.Engine
 	Upstream Upstream
+	Observer Observer // nil: nobody
 	Log      zerolog.Logger
 
 	mu   sync.Mutex
-	uses map[string]int // of each id: its stream, and its attempts that are still out
-}
-
-// use takes an id for its stream, or once more for an attempt of it.
-func (p *Proxy) use(txn string, attempt bool) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.uses == nil {
-		p.uses = map[string]int{}
-	}
-	if !attempt && p.uses[txn] > 0 {
-		return false
-	}
-	p.uses[txn]++
-	return true
-}
-
-func (p *Proxy) release(txn string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.uses[txn]--; p.uses[txn] == 0 {
-		delete(p.uses, txn)
-	}
+	uses map[string]use // by id
 }
 
 // decided is a stream as the decisions see it; engine.Stream is one.
@@ -105,15 +85,20 @@
 // Serve tells the decisions of a stream and sees it through. An id that is under way is not taken again:
 // upstream hosts would have the other request's copy.
 func (p *Proxy) Serve(ctx context.Context, req *Request) Response {
-	if !p.use(req.Txn, false) {
-		return Response{Outcome: Duplicate}
+	if !p.take(req) {
+		return p.unheard(req, Duplicate)
 	}
-	defer p.release(req.Txn)
+	res := Response{Outcome: Failed} // what a panic leaves
+	defer func() { p.release(req.Txn, func(l *Life) { l.Response, l.Answered = res, time.Now() }) }()
 	// Attempts must not end with the client by themselves: the decisions withdraw them.
-	return p.live(ctx, p.Engine.Open(context.WithoutCancel(ctx), engine.Call{
+	res = p.live(ctx, p.Engine.Open(context.WithoutCancel(ctx), engine.Call{
 		Class: req.Class, Left: time.Until(req.Deadline), Repeated: req.Repeated}), req)
+	return res
 }
 
+// Refuse turns a stream away of which the decisions are not told: the front has no room for it.
+func (p *Proxy) Refuse(req *Request) Response { return p.unheard(req, Refused) }
+
 // live is one stream's life. The decisions choose every send and may end the stream; the first answer
 // of an upstream host ends it too, and so do the client's leaving and its deadline.
 func (p *Proxy) live(ctx context.Context, s decided, req *Request) Response {
@@ -124,8 +109,7 @@
 	for {
 		select {
 		case send := <-s.Sends():
-			p.use(req.Txn, true)
-			go p.attempt(s, send, req, answer)
+			go p.attempt(s, send, req, p.begin(req.Txn, send.Host), answer)
 		case v := <-s.Verdict():
 			return localReply(v, req)
 		case res := <-answer:
@@ -143,11 +127,11 @@
 	}
 }
 
-// attempt is one upstream request. However it ends, its outcome is told once.
-func (p *Proxy) attempt(s decided, send engine.Send, req *Request, answer chan<- Response) {
+// attempt is one upstream request, the n-th of its stream. However it ends, its outcome is told once.
+func (p *Proxy) attempt(s decided, send engine.Send, req *Request, n int, answer chan<- Response) {
 	status, res := balance.Reset, Response{Outcome: Failed} // what a panic leaves: it may have run
 	defer func() {
-		p.release(req.Txn)
+		p.release(req.Txn, func(l *Life) { l.Attempts[n].Status, l.Attempts[n].Ended = status, time.Now() })
 		if fault := recover(); fault != nil {
 			p.Log.Error().Interface("panic", fault).Msg("upstream request failed")
 		}
