--- a/internal/record/read.go
+++ b/internal/record/read.go
@@ -18,7 +18,10 @@
 	"pinelb.example/pinelb/internal/stream"
 )
 
-const lineMost = 64 << 20 // bytes of a line: a list of hosts may be long
+const (
+	lineMost   = 64 << 20 // bytes of a line: a list of hosts may be long
+	beforeMost = 256      // bytes within which a line of a collected log has to begin
+)
 
 // Read reads a record, or the log that one is part of, or several after one another; files that took each
 // other's place have to come in their order. A line that is cut off is counted and left out. Faulty lines are
@@ -59,6 +62,10 @@
 }
 
 func (r *reader) line(b []byte) error {
+	// Whoever collects a log may put its time or a name before each line.
+	if at := bytes.Index(b[:min(len(b), beforeMost)], []byte(prefix)); at > 0 && b[0] != '{' {
+		b = b[at:]
+	}
 	switch {
 	case !bytes.HasPrefix(b, []byte(prefix)):
 		if len(b) > 0 && bytes.HasPrefix([]byte(prefix), b) {
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -312,6 +312,15 @@
 	}
 }
 
+// Guards against a record that its collector's marks hide.
+func TestCollectedLog(t *testing.T) {
+	const stream = `{"rec":"stream","t":1,"class":"a","end":"served"}` + "\n"
+	rec := read(t, "[0.24] "+head+"n1 | "+stream+`{"message":"{\"rec\":\"stream\""}`+"\n")
+	if len(rec.Runs) != 1 || len(rec.Runs[0].Streams) != 1 || rec.Other != 1 {
+		t.Errorf("read %+v", rec)
+	}
+}
+
 func FuzzRead(f *testing.F) {
 	f.Add("a log\n" + head + head + `{"rec":"lost","t":1,"until":2,"rate":3}` + "\n" + `{"rec":"str`)
 	f.Add(head + `{"rec":"cluster","t":0.1,"list":"whole","hosts":[{"id":"s-1","phase":"Ready","weight":1,"up":1796124514172}]}` + "\n" +
