--- /dev/null
+++ b/cmd/pinelab/sweep.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"runtime"
+	"strings"
+	"sync"
+	"text/tabwriter"
+
+	"pinelb.example/pinelb/internal/lab/experiment"
+	"pinelb.example/pinelb/internal/lab/result"
+	"pinelb.example/pinelb/scenarios"
+)
+
+// sweepCmd plays all combinations of some keys' values, each with the same seeds, and prints a table of the
+// seeds' medians. In virtual time plays run side by side; on sockets one follows the other.
+type sweepCmd struct {
+	Scenario string            `arg:"" help:"A scenario's file or name."`
+	Vary     []experiment.Vary `sep:"none" placeholder:"KEY=V,V" help:"A key and its values, such as fleet.sidecars=1,10,50; again for further keys."`
+	Seeds    int               `default:"5" help:"How many seeds for each combination."`
+	playing
+}
+
+func (c *sweepCmd) Run(ctx context.Context, t *terminal) error {
+	text, from, err := experiment.Find(c.Scenario, scenarios.Files.ReadFile)
+	if err != nil {
+		return exit{faulty, err}
+	}
+	variants, err := experiment.Variants(from, text, c.Vary)
+	if err != nil {
+		return exit{faulty, err}
+	}
+	if c.Seeds < 1 || c.Seeds > 100 {
+		return exit{faulty, errors.New("--seeds must be from 1 to 100")}
+	}
+	side := 1
+	if c.Virtual {
+		side = runtime.GOMAXPROCS(0)
+	}
+	quiet := *t
+	quiet.progress = false
+	results := make([][]*result.Result, len(variants))
+	turns := make(chan struct{}, side)
+	var all sync.WaitGroup
+	var mu sync.Mutex
+	var first error
+	for i, v := range variants {
+		results[i] = make([]*result.Result, c.Seeds)
+		for k := range c.Seeds {
+			seed := c.Seed
+			if seed == 0 {
+				seed = v.Scenario.Seed
+			}
+			turns <- struct{}{}
+			all.Go(func() {
+				defer func() { <-turns }()
+				o, err := c.once(ctx, &quiet, v.Scenario, experiment.Config{Seed: seed + uint64(k)}, "")
+				mu.Lock()
+				defer mu.Unlock()
+				switch {
+				case err != nil:
+					first = errors.Join(first, err)
+				case o.Void():
+					first = errors.Join(first, exit{void, fmt.Errorf("%s, seed %d: the rig ran late", strings.Join(v.Words, " "), seed+uint64(k))})
+				default:
+					results[i][k] = o.Result
+				}
+			})
+		}
+	}
+	all.Wait()
+	if errors.Is(first, context.Canceled) {
+		return exit{stopped, errors.New("stopped")}
+	}
+	if first != nil {
+		return first
+	}
+	return c.table(t, variants, results)
+}
+
+// table prints a line for each combination.
+func (c *sweepCmd) table(t *terminal, variants []experiment.Variant, results [][]*result.Result) error {
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, v := range c.Vary {
+		fmt.Fprintf(w, "%s\t", v.Key)
+	}
+	fmt.Fprintln(w, result.MedianHead)
+	for i, v := range variants {
+		for _, word := range v.Words {
+			fmt.Fprintf(w, "%s\t", word)
+		}
+		fmt.Fprintln(w, result.MedianLine(results[i]))
+	}
+	return w.Flush()
+}
--- /dev/null
+++ b/internal/lab/experiment/vary_test.go
@@ -0,0 +1,47 @@
+package experiment
+
+import (
+	"strings"
+	"testing"
+
+	"pinelb.example/pinelb/scenarios"
+)
+
+func TestVariants(t *testing.T) {
+	text, err := scenarios.Files.ReadFile("calm.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	vary := make([]Vary, 3)
+	for i, s := range []string{"fleet.sidecars=1,50", "clients.load=0.3,1", "tier.0.kind.1.start=cold"} {
+		if err := vary[i].UnmarshalText([]byte(s)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	got, err := Variants("calm.toml", text, vary)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var words []string
+	for _, v := range got {
+		words = append(words, strings.Join(v.Words, " "))
+	}
+	if w := strings.Join(words, "; "); w != "1 0.3 cold; 1 1 cold; 50 0.3 cold; 50 1 cold" {
+		t.Errorf("variants %s", w)
+	}
+	if s := got[2].Scenario; s.Fleet.Sidecars != 50 || s.Clients.Load != 0.3 || s.Tier[0].Kind[1].Start != "cold" || s.Tier[0].Kind[0].Start != "warm" {
+		t.Errorf("%+v", s)
+	}
+	for _, bad := range []string{"fleet.sidecras=1", "tier.7.name=x", "name.first=x", "clients.load=much"} {
+		var v Vary
+		if err := v.UnmarshalText([]byte(bad)); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := Variants("calm.toml", text, []Vary{v}); err == nil {
+			t.Errorf("%s was taken", bad)
+		}
+	}
+	if err := new(Vary).UnmarshalText([]byte("fleet.sidecars")); err == nil {
+		t.Error("a key without values was taken")
+	}
+}
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -51,6 +51,10 @@
 	Sidecars int      `json:"sidecars"` // also those beside boxes
 	Tiers    []string `json:"tiers"`
 
+	// Room is the worth that the boxes' present capacity allowed, over the worth asked: in each second, from
+	// Settle on, the work they could do over the work asked, 1 at most; of the tier that allows the least. A
+	// policy that serves the more valuable first can be above it.
+	Room    float64   `json:"room"`
 	All     Figures   `json:"all"`
 	Classes []Class   `json:"classes"`
 	Strays  int       `json:"stray_visits"` // visits with the id of no try: probes, or forged
--- a/internal/lab/result/summary.go
+++ b/internal/lab/result/summary.go
@@ -73,7 +73,7 @@
 
 func (p *printer) outcomes(r *Result) {
 	a := &r.All
-	p.line("Service %s: so much of the worth asked was answered in its aim. %d requests:", p.strong(fmt.Sprintf("%.4f", a.Service)), a.Asked)
+	p.line("Service %s: so much of the worth asked was answered in its aim; the boxes had room for %.4f. %d requests:", p.strong(fmt.Sprintf("%.4f", a.Service)), r.Room, a.Asked)
 	rows := []string{}
 	for _, o := range []struct {
 		word string
