--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -27,7 +27,7 @@
 	leaveBefore    = 250 * time.Millisecond // SIGKILL, where there are none
 	cutBefore      = 150 * time.Millisecond // SIGKILL: whatever is not answered is failed
 	endBefore      = 50 * time.Millisecond  // SIGKILL
-	spareLeast     = 2                      // connections that are to stay free then,
+	spareLeast     = 4                      // connections that are to stay free then,
 	spareFrom      = 8                      // once so many streams are open
 
 	readWithin = 2 * time.Second // a message whole, from its connection or its first byte on
