--- a/balance/api.go
+++ b/balance/api.go
@@ -76,8 +76,9 @@
 
 // Settings is what an instance is told at its start.
 type Settings struct {
-	Instances, Rank int // how many instances this tier has, and which one this is
-	Tier, Tiers     int // the tier this instance sends to, and how many there are
+	Name            string // of the instance, the same after a restart; empty where its rank says which it is
+	Instances, Rank int    // how many instances this tier has, and which one this is
+	Tier, Tiers     int    // the tier this instance sends to, and how many there are
 	Zone, Zones     int
 	Kinds           int
 	Classes         []Class
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -10,6 +10,10 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pinelb.example/pinelb/balance/warmup"
 )
 
 // Tunables. Each holds for every deployment; what a setting implies is derived from it below.
@@ -29,17 +33,27 @@
 	priorCalls    = 5.0  // a server's samples are shrunk toward its like as if by so many calls
 	crowdedTimes  = 2.0  // share of the aim that tells a crowd, over that of the first, quick answers
 	crowdedLeast  = 0.07 // and at least this much more: of an inner tier's few hundredths, twice is little
-	crowdedMost   = 0.5  // and at most this share of the aim in all, also before there is a measure
-	limitFirst    = 4.0  // requests a server, over all instances, before anything is learned
+	crowdedMost   = 0.5  // and at most this share of the aim in all
+	crowdedFirst  = 0.3  // the same before there is a measure that was taken with room to spare
+	limitFirst    = 6.0  // requests a server, over all instances, before anything is learned
 	limitLeast    = 2.0  // the same at least: fewer would leave servers idle between calls
-	limitWindow   = 10.0 // answers that a change of the limit rests on: fewer are mostly noise
+	limitWindow   = 4.0  // answers that a change of the limit rests on: fewer are mostly noise
 	calmWindow    = 30.0 // answers that the uncrowded measure rests on
 	testedUse     = 0.7  // mean use of the limit from which it may grow: short peaks can wait
+	limitLooks    = 4.0  // looks' worth that it grows by at once
 	limitCut      = 0.85 // the most that one look takes off it: it grows slower than this
+	limitSmall    = 6.0  // requests: an instance's limit under this is kept on average
+	limitSaved    = 2.5  // seconds for which an unused part of it is kept
+	reserveMost   = 0.8  // of that, held back from the least valuable requests, and overdrawn for the best
 	limitSlack    = 1.25 // times its share of it is the most that one server may hold
 	rateSlack     = 1.25 // times what the present rate needs is kept of it: a little too slow is no jam
 	spareShare    = 0.5  // of the limit: above it, no over-share traffic is let in
 	copyShare     = 0.8  // the same for copies: a request that hangs costs more than a copy of it
+	copyCost      = 6.0  // retries that a copy costs
+	copyNeeds     = 1.5  // mean delays that a copy is given
+	repeatedRank  = 0.7  // of its rank that a repeated try has then: less is left of its client's time
+	shortShare    = 0.5  // of the requests refused, from which on first tries go before repeated ones
+	shortMost     = 0.8  // the most that counts for when refused clients are told to come back
 	holdShare     = 0.25 // of its aim that a first-tier request may wait here
 	retryPerCall  = 0.2  // retry budget earned by each request
 	retryBurst    = 10.0 // and its cap
@@ -48,7 +62,6 @@
 	ejectAfter    = 3    // failures in a row that eject a server
 	ejectFirst    = time.Second
 	ejectMost     = 16 * time.Second
-	coldSafety    = 0.5 // of the cold budget: room for chance and for what peers send
 
 	usersWanted = 6 // instances that use a server: fewer load it unevenly, more fill its connection table
 	usedLeast   = 8 // servers that an instance uses: fewer leave too little choice when some fail
@@ -67,8 +80,14 @@
 		reqs: map[RequestID]*request{}, byID: map[EndpointID]*server{}, groups: map[groupKey]*group{},
 		bins: make([]bin, len(s.Classes)*spentBuckets),
 	}
+	b.dither = b.rng.Float64()
+	if s.Name != "" {
+		b.own = xxhash.Sum64String(s.Name) | 1
+	}
+	b.site = warmup.Site{Share: s.ColdShare, Warm: s.ColdFor, Aim: s.Classes[0].Aim}
 	for _, c := range s.Classes {
 		b.classes = append(b.classes, &class{Class: c})
+		b.site.Aim = min(b.site.Aim, c.Aim)
 	}
 	for _, t := range s.Tenants {
 		rate := t.Quota / float64(s.Instances)
@@ -126,6 +145,10 @@
 	if r.over = b.overShare(ev.Tenant); r.over {
 		r.rank *= b.set.OverShareWorth
 	}
+	b.asked.add(0)
+	if ev.Repeated && b.set.MarksRetry && b.asked.mean(0, 0) > shortShare {
+		r.rank *= repeatedRank
+	}
 	r.holdTill = b.holdTill(r)
 	b.reqs[r.id] = r
 	b.live = append(b.live, r)
@@ -184,6 +207,9 @@
 	if r.over && (len(b.waiting) > 0 || b.loadShare() > spareShare) {
 		return true
 	}
+	if b.limit < limitSmall && b.unused+b.limit*(r.holdTill-b.now).Seconds() < b.reserve(r) {
+		return true
+	}
 	return b.ahead(r) > 1+b.sent.n/memory*(r.holdTill-b.now).Seconds()
 }
 
@@ -191,7 +217,7 @@
 func (b *Balancer) margin() time.Duration { return b.tick + b.set.Quantum }
 
 // loadShare is the part of the limit that is in use.
-func (b *Balancer) loadShare() float64 { return b.held() / max(b.limit, 1) }
+func (b *Balancer) loadShare() float64 { return b.held() / max(1, b.limit+b.chance()) }
 
 // hold puts a request in line: the more valuable first, then the one whose aim comes first.
 func (b *Balancer) hold(r *request) {
@@ -237,7 +263,7 @@
 	}
 	row := b.table[b.binOf(r)]
 	held := 1 + b.held()
-	if held > b.whole() && len(r.tries) == 0 {
+	if held > b.whole(r) && len(r.tries) == 0 {
 		return nil
 	}
 	// Bounded loads: while some endpoint holds less than its share, one that holds more is passed over.
@@ -283,7 +309,7 @@
 		return false
 	}
 	if b.isCold(s) {
-		s.cold--
+		s.cold.Spend()
 	}
 	r.tries = append(r.tries, attempt{server: s, sentAt: b.now, open: true, mayHave: true})
 	r.out++
@@ -302,7 +328,7 @@
 		return false
 	case r.out > 0 && !b.set.SecondCopies:
 		return false
-	case b.isCold(s) && s.cold < 1:
+	case b.isCold(s) && !s.cold.Ready(b.now):
 		return false
 	}
 	return r.class.Effect == Safe || b.effectAllows(r, s)
@@ -328,35 +354,27 @@
 
 func (b *Balancer) isCold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.set.ColdFor }
 
-// refillCold adds to a cold endpoint's budget. Its capacity is taken to be its cold share of what
-// this instance now gets from a warm one of its kind, so that all instances together, each doing
-// the same, stay under the multiple; it saves up for half a window at most.
-func (b *Balancer) refillCold(s *server) {
-	elapsed := (b.now - s.coldAt).Seconds()
-	if s.coldAt = b.now; !b.isCold(s) {
-		return
+// earnCold has an answer earn sends to the cold servers like the one that gave it; see package warmup.
+func (b *Balancer) earnCold(from *server) {
+	all := 0.0 // of those that answer: what is dead or hangs would take a part of the gain away for nothing
+	for _, s := range b.servers {
+		if s.listed && s.group == from.group && b.healthy(s) {
+			all += b.site.Capacity(b.age(s))
+		}
 	}
-	warm := max(0, float64(b.now-s.UpSince)/float64(b.set.ColdFor))
-	share := b.set.ColdShare + (1-b.set.ColdShare)*warm
-	rate := coldSafety * b.set.FallMultiple * share * b.warmRate(s)
-	s.cold = min(s.cold+rate*elapsed, max(1, rate*b.set.FallWindow.Seconds()/2))
-}
-
-// warmRate is the answers a second that this instance gets from a warm endpoint, of like ones if any.
-func (b *Balancer) warmRate(s *server) float64 {
-	var like, all average
-	for _, o := range b.servers {
-		if o.listed && !b.isCold(o) {
-			all.add(o.ok)
-			if o.group == s.group {
-				like.add(o.ok)
-			}
+	for _, s := range b.servers {
+		if s.listed && s.group == from.group && b.isCold(s) {
+			s.cold.Answered(b.now, warmup.Gain*b.site.Capacity(b.age(s))/all, b.rng.Float64())
 		}
 	}
-	if like.n > 0 {
-		all = like
+}
+
+// age is how long a server has been up; one that says nothing of it has been for long.
+func (b *Balancer) age(s *server) time.Duration {
+	if s.UpSince == 0 {
+		return b.set.ColdFor
 	}
-	return all.mean(0, 0) / memory
+	return b.now - s.UpSince
 }
 
 // --- Outcomes ---
@@ -414,6 +432,7 @@
 	}
 	if b.mayRefuse(r) {
 		b.do(Action{Kind: ActRefuse, Request: r.id, After: b.retryHint(r)})
+		b.asked.sum++
 	} else {
 		b.do(Action{Kind: ActFail, Request: r.id})
 	}
@@ -427,6 +446,8 @@
 	return !slices.ContainsFunc(r.tries, func(a attempt) bool { return a.mayHave })
 }
 
+// retryHint is when a refused client should come back: the later the more is refused now, and spread, or
+// those that were turned away together would come back together.
 func (b *Balancer) retryHint(r *request) time.Duration {
 	switch {
 	case !b.set.RetryAfter:
@@ -434,7 +455,8 @@
 	case r.over:
 		return b.set.MaxRetryAfter
 	}
-	return min(b.set.MaxRetryAfter, r.class.Aim/2)
+	short := 1 / (1 - min(shortMost, b.asked.mean(0, 0)))
+	return min(b.set.MaxRetryAfter, time.Duration(short*(0.5+b.rng.Float64())*float64(r.class.Aim)/4))
 }
 
 // end marks a request as answered, withdraws what it still has out and lets go of it.
@@ -454,9 +476,13 @@
 func (b *Balancer) onTick() {
 	b.do(Action{Kind: ActTimer, Token: tokenTick, After: b.tick})
 	for _, s := range b.servers {
-		b.refillCold(s)
+		if b.isCold(s) {
+			s.cold.Tick(b.now, b.site.Trickle(b.age(s), b.users), b.rng.Float64())
+		}
 	}
-	b.inUse.add(b.held())
+	held := b.held()
+	b.inUse.add(held)
+	b.unused = min(limitSaved*b.limit, max(-limitSaved*b.limit, b.unused+(b.limit-held)*b.tick.Seconds()))
 	for i := range b.tenants {
 		t := &b.tenants[i]
 		t.level = min(t.level+t.rate*b.tick.Seconds(), max(1, t.rate))
@@ -480,15 +506,22 @@
 		b.learnGivenUp(r)
 		b.finish(r)
 		return
-	case r.out != 1 || r.waiting || r.class.Effect == Unsafe || b.retries < 1 || b.now > r.aimAt:
+	case r.out != 1 || r.waiting || r.class.Effect == Unsafe || b.retries < copyCost || b.now > r.aimAt:
 		return
 	}
 	a := &r.tries[len(r.tries)-1]
-	if a.open && b.now >= a.sentAt+b.overdue(r.class) && b.loadShare() < copyShare && b.send(r, b.route(r)) {
-		b.retries--
+	if a.open && b.now >= a.sentAt+b.overdue(r.class) && b.worthCopy(r.class) && b.loadShare() < copyShare &&
+		b.send(r, b.route(r)) {
+		b.retries -= copyCost
 	}
 }
 
+// worthCopy tells whether a copy of an overdue attempt can still be expected to be in time. Where answers
+// take long, being overdue is no sign of a fault, and copies would only make them longer.
+func (b *Balancer) worthCopy(c *class) bool {
+	return float64(b.overdue(c))+copyNeeds*float64(b.classDelay(c)) < float64(c.Aim)
+}
+
 // learnGivenUp takes what can be learned from attempts that are out when their time is up. Their age is a
 // lower bound, without which the limit would not see that answers are late. And a server that is silent
 // then has failed: once withdrawn, the attempt would say nothing, and the next would go the same way.
@@ -512,6 +545,8 @@
 	keep := math.Exp(-maintainEvery.Seconds() / memory)
 	b.sent.age(keep)
 	b.served.age(keep)
+	b.asked.age(keep)
+	b.followWarmth()
 	b.adaptLimit()
 	for _, c := range b.classes {
 		c.delay.age(math.Sqrt(math.Sqrt(keep))) // classes differ for long, servers for moments
@@ -552,6 +587,7 @@
 		b.learnTaken(c, d)
 		s.group.delay.add(y)
 		s.ok, s.okAt = s.ok+1, b.now
+		b.earnCold(s)
 		b.served.add(c.Aim.Seconds())
 		b.dirty = b.dirty || s.trial
 		s.fails, s.trial, s.backoff = 0, false, 0
@@ -624,31 +660,50 @@
 	if b.window.n < limitWindow {
 		return
 	}
-	taken := b.window.mean(0, 0)
+	taken, idle := b.window.mean(0, 0), b.inUse.mean(0, 0) < testedUse*b.limit
 	b.measure()
-	most := crowdedMost
+	most := crowdedFirst
+	if b.known = b.known || idle && b.uncrowded > 0; b.known {
+		most = crowdedMost
+	}
 	if b.uncrowded > 0 {
 		// Capped, or an instance that starts in a crowd would take it for the uncrowded state, never to cut.
 		most = min(most, b.uncrowded+max((crowdedTimes-1)*b.uncrowded, crowdedLeast))
 	}
+	// An instance with few answers moves it seldom, and so by more: jams grow with time, not with answers.
+	looks := float64(b.now-b.windowAt) / float64(maintainEvery)
 	switch {
-	case taken > most:
-		// An instance with few answers cuts seldom, and so by more: jams grow with time, not with answers.
-		looks := float64(b.now-b.windowAt) / float64(maintainEvery)
+	case taken > most && (b.known || !idle):
 		cut := b.limit * max(math.Pow(limitCut, looks), most/taken)
 		// But not below what the present rate needs at the most that an answer may take (Little's law): where
 		// others made it slow, holding less makes nothing faster.
 		b.limit, b.bounded = max(cut, min(b.limit, rateSlack*most*b.served.sum/memory)), true
-	case b.inUse.mean(0, 0) < testedUse*b.whole(): // not put to the test
+	case idle: // not put to the test
 	case b.bounded:
-		b.limit += max(b.part(1)/10, 0.05*b.limit)
+		b.limit += max(b.part(1)/10, 0.05*b.limit) * min(looks, limitLooks)
 	default:
-		b.limit *= 1.25
+		b.limit *= math.Pow(1.25, min(looks, limitLooks))
 	}
 	b.limit = max(b.limit, b.part(limitLeast))
 	b.window, b.windowAt, b.inUse = average{}, b.now, average{}
 }
 
+// followWarmth has the limit grow as fast as servers that are warming up can do more.
+func (b *Balancer) followWarmth() {
+	if able := b.capacity(); b.able > 0 && able > b.able {
+		b.limit *= able / b.able
+		b.able = able
+	}
+}
+
+// capacity is what the endpoints that are ready in the list can do at least, in warm ones.
+func (b *Balancer) capacity() (able float64) {
+	for _, s := range b.ready {
+		able += b.site.Capacity(b.age(s))
+	}
+	return able
+}
+
 // measure takes over what answers take uncrowded, as the low end of what they take. It waits for more of
 // them than a move of the limit, for of small samples the low end is mostly chance.
 func (b *Balancer) measure() {
@@ -660,16 +715,43 @@
 	b.calm = average{}
 }
 
-// part is this instance's part of so many requests a server, when all instances act alike.
+// part is this instance's part of so many requests a server, when all instances act alike: of a cold one as
+// much less as it can do less. It may be under 1.
 func (b *Balancer) part(each float64) float64 {
-	return max(1, each*float64(b.listed)/float64(b.set.Instances))
+	return max(0.01, each*b.able/float64(b.set.Instances))
 }
 
-// whole is the limit as a number of requests. Where it is small, its fraction counts: some instances round
-// it down and the others up, or all together would hold much less than they may.
-func (b *Balancer) whole() float64 {
-	_, dither := math.Modf(float64(b.set.Rank) * math.Phi)
-	return math.Floor(b.limit + dither)
+// whole is the limit as a number of requests. A small one is kept on average: an instance whose share is one
+// request or two meets three now and then by chance, and all together still hold what they may. It may be
+// exceeded for as long as it has not been used before.
+func (b *Balancer) whole(r *request) float64 {
+	switch {
+	case b.limit >= limitSmall:
+		return math.Floor(b.limit + b.dither)
+	case b.unused < b.reserve(r):
+		return 0
+	}
+	return math.Ceil(b.limit + b.chance())
+}
+
+// chance is by how much a small limit may be exceeded for a moment.
+func (b *Balancer) chance() float64 {
+	if b.limit >= limitSmall {
+		return 0
+	}
+	return 3 * math.Sqrt(b.limit)
+}
+
+// reserve is how much of a small limit has to be unused for a request: the more, the more of the demand is
+// worth more than it. There is no line from which the best could be taken where one request comes at a time.
+func (b *Balancer) reserve(r *request) float64 {
+	above := 0.0
+	for k, w := range b.binWeights() {
+		if b.rank(b.classes[k/spentBuckets]) > r.rank {
+			above += w
+		}
+	}
+	return limitSaved * b.limit * reserveMost * (2*above - 1)
 }
 
 // limitOf is one server's part of the limit.
@@ -742,17 +824,22 @@
 	b.dirty = true
 }
 
-// choose picks the endpoints that this instance uses: a stretch of the ring of all, as long as it takes to
-// give each some users; starts are spread evenly. Of a large fleet an instance would otherwise send each
-// server too few calls to learn from, and all of them together fill every connection table.
+// choose picks the endpoints that this instance uses: of a large fleet it would otherwise send each server
+// too few calls to learn from, and all of them together fill every connection table. They are the first in an
+// order of its own, hashed from its name and theirs, so that no number is needed and one more or less of them
+// changes little; where it has no name, they are a stretch of the order of all, from its rank on.
 func (b *Balancer) choose() {
-	ring := ring(b.byID)
-	n := len(ring)
-	b.listed = n
+	b.ready = ring(b.byID, b.own)
+	n, first := len(b.ready), 0
+	if b.own == 0 {
+		first = b.set.Rank * n / b.set.Instances
+	}
+	b.able = b.capacity()
 	want := max(usedLeast, (usersWanted*n+b.set.Instances-1)/b.set.Instances)
+	b.users = float64(b.set.Instances*min(n, want)) / float64(max(1, n))
 	good := 0
 	for i := range n {
-		s := ring[(b.set.Rank*n/b.set.Instances+i)%n]
+		s := b.ready[(first+i)%n]
 		s.used = good < want && i < 2*want
 		if !s.trial || b.crisis { // one written off stays for its trial, and the next stands in
 			good++
@@ -763,14 +850,19 @@
 // update takes over one entry of a list.
 func (b *Balancer) update(e Entry) {
 	s := b.byID[e.Endpoint]
+	told := e.UpSince
 	switch {
 	case s == nil && e.State == Gone:
 		return
-	case s == nil:
-		s = &server{cold: b.rng.Float64(), coldAt: b.now}
-		b.byID[e.Endpoint] = s
-	case s.UpSince != e.UpSince: // a new process: what was learned of the old one is void
-		*s = server{held: s.held, heldAt: s.heldAt, cold: b.rng.Float64(), coldAt: b.now}
+	case s != nil && told <= s.told: // the same, or moved back, or missing now: it is no warmer for that
+		e.UpSince = s.UpSince
+	default: // a new process, and what was learned of an old one is void. None starts in the future
+		e.UpSince = min(told, b.now)
+		if s == nil {
+			s = &server{}
+			b.byID[e.Endpoint] = s
+		}
+		*s = server{held: s.held, heldAt: s.heldAt, told: told}
 	}
 	s.Entry, s.listed = e, e.State == Ready
 	k := groupKey{e.Kind, e.Weight}
--- a/balance/state.go
+++ b/balance/state.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"pinelb.example/pinelb/balance/warmup"
 )
 
 // The types that hold an instance's state, and bookkeeping that decides nothing.
@@ -13,7 +15,9 @@
 // Balancer is the state of one instance.
 type Balancer struct {
 	set  Settings
+	site warmup.Site // of the settings, what cold servers are judged by
 	rng  *rand.Rand
+	own  uint64 // hashed from the instance's name; 0 is none
 	now  time.Duration
 	out  []Action
 	tick time.Duration // 0 until the first event
@@ -27,13 +31,18 @@
 
 	servers   []*server // listed, or still holding a request; by endpoint
 	byID      map[EndpointID]*server
-	listed    int // how many endpoints are ready in the list, used or not
+	ready     []*server // those ready in the list, used or not, in the order of choice
+	users     float64   // instances that use a server, as far as this one can tell
+	able      float64   // what the endpoints that are ready in the list can do, used or not, in warm ones
 	groups    map[groupKey]*group
 	window    average // of the share of their aims that answers took
 	windowAt  time.Duration
 	calm      average // the same, until there are enough for the measure
 	uncrowded float64 // the low end of the share
+	known     bool    // there has been such a measure while the limit had room
 	limit     float64 // requests that all servers together may hold of ours
+	dither    float64 // from 0 to 1, this instance's: how it rounds the limit
+	unused    float64 // request-seconds of a small limit that may still be used
 	inUse     average // how many were held since the limit was last looked at
 	bounded   bool    // the limit has been cut once: it grows slowly from then on
 	crisis    bool    // most servers look bad: health is no guide
@@ -48,6 +57,7 @@
 	maintainAt time.Duration
 	refreshAt  time.Duration
 	sent       average // sends, for their rate
+	asked      average // requests, and how many of them were refused
 	served     average // answers, with the aims of their classes
 
 	subscribed bool
@@ -120,8 +130,8 @@
 	backoff time.Duration
 	trial   bool // one request at a time until it has served one
 
-	cold   float64 // requests that its cold budget has room for
-	coldAt time.Duration
+	told time.Duration // its last start as the list had it
+	cold warmup.Budget // what it may be sent while it is cold
 
 	util report
 }
@@ -291,8 +301,9 @@
 }
 
 // ring orders the listed endpoints so that every stretch of it has its fair part of each kind: those of
-// one kind follow their hashed ids, and the kinds are interleaved. It is the same at every instance.
-func ring(all map[EndpointID]*server) []*server {
+// one kind follow their hashed ids, and the kinds are interleaved. With an own of 0 it
+// is the same at every instance, and otherwise that instance's.
+func ring(all map[EndpointID]*server, own uint64) []*server {
 	byKind := map[int][]*server{}
 	for _, s := range all {
 		if s.listed {
@@ -302,21 +313,21 @@
 	var order []*server
 	at := map[*server]float64{}
 	for _, like := range byKind {
-		slices.SortFunc(like, func(x, y *server) int { return cmp.Compare(mix(x.Endpoint), mix(y.Endpoint)) })
+		slices.SortFunc(like, func(x, y *server) int { return cmp.Compare(mix(x.Endpoint, own), mix(y.Endpoint, own)) })
 		for i, s := range like {
 			at[s] = (float64(i) + 0.5) / float64(len(like))
 		}
 		order = append(order, like...)
 	}
 	slices.SortFunc(order, func(x, y *server) int {
-		return cmp.Or(cmp.Compare(at[x], at[y]), cmp.Compare(mix(x.Endpoint), mix(y.Endpoint)))
+		return cmp.Or(cmp.Compare(at[x], at[y]), cmp.Compare(mix(x.Endpoint, own), mix(y.Endpoint, own)))
 	})
 	return order
 }
 
-// mix is a hash of an endpoint (the finaliser of splitmix64, one to one).
-func mix(id EndpointID) uint64 {
-	x := uint64(id) + 0x9e3779b97f4a7c15
+// mix is a hash of an endpoint (the finaliser of splitmix64, one to one), for each own another.
+func mix(id EndpointID, own uint64) uint64 {
+	x := (uint64(id) ^ own) + 0x9e3779b97f4a7c15
 	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
 	x = (x ^ x>>27) * 0x94d049bb133111eb
 	return x ^ x>>31
--- a/cmd/pinelb/serve.go
+++ b/cmd/pinelb/serve.go
@@ -48,6 +48,9 @@
 	}
 	var rec *record.Recorder
 	if err == nil {
+		if op.Fleet != nil && !op.Fleet.Numbered {
+			cfg.ChooseByName()
+		}
 		rec, log = recorder(cfg, op.Record, log)
 		log = log.With().Str("name", cfg.Name).Logger()
 		err = run(cfg, rec, hups, log)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -15,6 +15,12 @@
 // the file lacks is off.
 type Operator struct {
 	Record *Record `toml:"record"`
+	Fleet  *Fleet  `toml:"fleet"`
+}
+
+// Fleet is the section [fleet]: what the settings have wrong of the instances.
+type Fleet struct {
+	Numbered bool `toml:"numbered"` // the settings' rank is this instance's alone
 }
 
 // Record is the section [record]: one line is written for each stream.
@@ -67,8 +73,16 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
+	return ParseOperator(path, data)
+}
+
+// ParseOperator reads an operator's file's text; path is its name in errors.
+func ParseOperator(path string, data []byte) (*Operator, error) {
 	op := &Operator{}
 	file, err := tomlfile.Decode(path, data, op)
+	if err == nil && op.Fleet != nil && !file.Has("fleet.numbered") {
+		err = file.Fault("fleet.numbered", "is missing")
+	}
 	if err == nil && op.Record != nil {
 		err = op.Record.check(file)
 	}
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -100,6 +100,9 @@
 
 func (s *sidecar) command() *exec.Cmd {
 	cmd := exec.Command(s.fleet.builds[s.plan.Build])
+	if s.fleet.operator != "" {
+		cmd.Args = append(cmd.Args, "--config="+s.fleet.operator)
+	}
 	cmd.Env = append(os.Environ(), "LB_CONFIG="+s.file(), "LB_NAME="+s.plan.Name,
 		"LB_LISTEN="+s.fleet.net.sidecar(s.id), "LB_DISCOVERY="+s.discovery)
 	cmd.SysProcAttr = &syscall.SysProcAttr{
--- a/internal/lab/plan/settings.go
+++ b/internal/lab/plan/settings.go
@@ -33,7 +33,7 @@
 	for _, t := range s.Tier {
 		tiers = append(tiers, t.Name)
 	}
-	return encode(map[string]any{
+	doc := map[string]any{
 		"allowed": map[string]any{"cancel": r.Cancel, "conn_idle": r.ConnIdle.D(), "connect_timeout": r.ConnectTimeout.D(),
 			"max_retry_after": r.MaxRetryAfter.D(), "most_held": r.MaxHeld, "probing": r.Probes, "retry_after": r.RetryAfter,
 			"second_copies": r.SecondCopies, "send_cap": r.MaxAttempts, "peer_messages": false},
@@ -44,7 +44,11 @@
 		"rules": map[string]any{"answer_slack": 8 * time.Millisecond, "cold": r.ColdFor.D(), "cold_share": r.ColdShare,
 			"fall": r.FallWindow.D(), "stop_sending_within": r.DrainGrace.D(), "tip_multiple": r.FallMultiple},
 		"tier": c.Tier, "tiers": tiers, "weight_source": "nominal", "zones": []string{Zone},
-	})
+	}
+	if s.Fleet.Rank == "none" {
+		delete(doc, "rank")
+	}
+	return encode(doc)
 }
 
 // Member is an entry as discovery words it. Start is the run's start as Unix time; the box is reached at addr.
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"pinelb.example/pinelb/internal/config"
 	"pinelb.example/pinelb/internal/tomlfile"
 )
 
@@ -273,7 +274,9 @@
 	c.oneOf(k.Policy, "fleet.policy", "pinelb", "plain")
 	c.need(k.Sidecars > 0 && k.Sidecars <= mostFleet, "fleet.sidecars", "must be from 1 to %d", mostFleet)
 	c.need(k.Other >= 0 && k.Other <= k.Sidecars, "fleet.other", "must be from 0 to sidecars")
-	c.oneOf(k.Rank, "fleet.rank", "right", "none")
+	c.oneOf(k.Rank, "fleet.rank", "right", "equal", "none")
+	_, err := config.ParseOperator("operator", []byte(k.Operator))
+	c.need(err == nil, "fleet.operator", "%v", err)
 	c.oneOf(k.Start, "fleet.start", "before", "with")
 	c.oneOf(k.Known, "fleet.known", "fresh", "none", "stale")
 	c.need(k.Told >= 0, "fleet.told", "must not be negative")
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -131,7 +131,8 @@
 	Sidecars    int    // of the first tier; each box of a tier with a next one has one of its own
 	Policy      string // "pinelb", or "plain": no sidecars, clients go round the listed boxes
 	Other       int    // how many of the first tier run the second build, where there is one
-	Rank        string // "right", "none" (all are told 0)
+	Rank        string // "right", "equal" (all are told 0) or "none" (the settings lack it)
+	Operator    string // text of the operator's file that they are given; "" is none
 	Told        int    // how many instances they are told there are; 0 is right
 	Start       string // "before" the run, which waits until all are ready, or "with" it
 	StartSpread Span   `toml:"start_spread"` // with: over which they start
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -152,11 +152,18 @@
 		s.longest = max(s.longest, p.Scenario.Class[i].Deadline.D())
 	}
 	s.makeBoxes()
+	op, err := config.ParseOperator("fleet.operator", []byte(p.Scenario.Fleet.Operator))
+	if err != nil {
+		return nil, fmt.Errorf("virtual: %w", err)
+	}
 	for i := range p.Sidecars {
 		set, err := config.ParseSettings(p.Settings(i))
 		if err != nil {
 			return nil, fmt.Errorf("virtual: %w", err)
 		}
+		if !set.Numbered || op.Fleet != nil && !op.Fleet.Numbered {
+			set.Name = p.Sidecars[i].Name
+		}
 		s.sidecars = append(s.sidecars, sidecar{index: i, set: set, agent: map[int]plan.Listed{}})
 		for _, l := range p.First(p.Sidecars[i].Tier) {
 			s.sidecars[i].agent[l.Box] = l
