Choose hosts by the sidecar's name by default, and be ready only with a host to send to

Need: a fleet whose ranks are all alike, or that is told twice or half its number, sent to eight of fifty boxes; a sidecar that knew no host said after 0.3 s that it was ready. Change: the name that the platform gives (or the address) decides which hosts an instance uses; [fleet] numbered = true in the operator's file goes by rank as before. The adapter names its instances as the platform does. [fleet] spread puts off the first call to discovery at random, where a list is held. The timer that says ready runs only with a known list. A benchmark starts 1, 10 and 50 daemons at once.

--- a/balance/api.go
+++ b/balance/api.go
@@ -76,7 +76,7 @@
 
 // Settings is what an instance is told at its start.
 type Settings struct {
-	Name            string // of the instance, the same after a restart; empty where its rank says which it is
+	Name            string // of the instance, the same after a restart; empty where its rank is to tell it apart
 	Instances, Rank int    // how many instances this tier has, and which one this is
 	Tier, Tiers     int    // the tier this instance sends to, and how many there are
 	Zone, Zones     int
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -58,6 +58,7 @@
 		if err != nil {
 			return err
 		}
+		set.Name = fmt.Sprint("n", rec.Instance) // as the platform names its sidecars
 		b, err := balance.New(set.Settings, rec.Seed)
 		if err != nil {
 			return err
--- a/cmd/pinelb/main_test.go
+++ b/cmd/pinelb/main_test.go
@@ -15,6 +15,7 @@
 	"sync"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/tidwall/gjson"
 )
@@ -355,6 +356,29 @@
 	}
 }
 
+// Guards against a sidecar that the front sends to although it knows no host yet.
+func TestNotReadyWithoutHosts(t *testing.T) {
+	b, release := newBox(t, serve("found")), make(chan struct{})
+	s := newSite(t, host("s-1", b.addr, "Ready"))
+	discovery := listen(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-release
+		s.ServeHTTP(w, r)
+	}))
+	p := start(t, discovery)
+	for end := time.Now().Add(2 * syncWithin); time.Now().Before(end); {
+		if res, _ := p.call(t, "GET", "/_health", ""); res.StatusCode != 503 {
+			t.Fatalf("health is %d with no host known", res.StatusCode)
+		}
+	}
+	close(release)
+	p.await(t, "cluster changed")
+	for res, _ := p.call(t, "GET", "/_health", ""); res.StatusCode != 200; res, _ = p.call(t, "GET", "/_health", "") {
+	}
+	if _, body := p.call(t, "GET", "/order-status/1", ""); body != "found" {
+		t.Errorf("answer %q", body)
+	}
+}
+
 // Guards against a sidecar that starts on a faulty configuration, or doesn't say which key it is.
 func TestBadConfigEndsWithTheKey(t *testing.T) {
 	for key, config := range map[string]map[string]any{
--- a/cmd/pinelb/serve.go
+++ b/cmd/pinelb/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/signal"
@@ -48,12 +49,12 @@
 	}
 	var rec *record.Recorder
 	if err == nil {
-		if op.Fleet != nil && !op.Fleet.Numbered {
-			cfg.ChooseByName()
+		if op.Fleet != nil && op.Fleet.Numbered {
+			cfg.Settings.Name = ""
 		}
 		rec, log = recorder(cfg, op.Record, log)
 		log = log.With().Str("name", cfg.Name).Logger()
-		err = run(cfg, rec, hups, log)
+		err = run(cfg, op.Fleet, rec, hups, log)
 	}
 	if err != nil {
 		log.Error().Err(err).Msg("pinelb ends")
@@ -81,7 +82,7 @@
 	return rec, log
 }
 
-func run(cfg *config.Config, rec *record.Recorder, hups <-chan os.Signal, log zerolog.Logger) error {
+func run(cfg *config.Config, fleet *config.Fleet, rec *record.Recorder, hups <-chan os.Signal, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
 	memory := int64(cfg.Limits.MemoryMB) << 20
 	debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
@@ -113,11 +114,16 @@
 	life, end := context.WithCancel(context.Background()) // discovery is heard until the last stream has ended
 	defer end()
 	go pool.Sweep(life)
-	late := time.AfterFunc(syncWithin, srv.Ready)
-	defer late.Stop()
+	if len(cfg.Known.Members) > 0 { // without any host there is nothing to be ready for
+		late := time.AfterFunc(syncWithin, srv.Ready)
+		defer late.Stop()
+	}
 	moves := make(chan string)
 	go reload(life, hups, moves, log)
 	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log}
+	if fleet != nil && len(cfg.Known.Members) > 0 {
+		watch.After = time.Duration(rand.Float64() * float64(fleet.Spread.D()))
+	}
 	go watch.Run(life, srv.Ready)
 	return srv.Run(ending, l, sockets-sockets/2)
 }
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -27,6 +27,7 @@
 type Watcher struct {
 	Addr  string
 	Moves <-chan string // addresses that take the place of Addr, one after the other
+	After time.Duration // the first call is made then, and not at once
 	Table *Table
 	Log   zerolog.Logger
 }
@@ -35,6 +36,7 @@
 // old watch is left at once and all is asked anew: the new agent's revisions may not compare with the old
 // one's. The list that is held stays in force meanwhile.
 func (w *Watcher) Run(ctx context.Context, synced func()) {
+	sleep(ctx, w.After)
 	once := sync.OnceFunc(synced)
 	for addr := w.Addr; addr != ""; {
 		life, leave := context.WithCancel(ctx)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -100,15 +100,10 @@
 		return nil, err
 	}
 	c.Site = settings.json.Raw
-	if !c.Settings.Numbered {
-		c.ChooseByName()
-	}
+	c.Settings.Name = cmp.Or(c.Name, c.Listen)
 	return c, c.check()
 }
 
-// ChooseByName has the sidecar pick its upstream hosts by its name and not by its rank among the instances.
-func (c *Config) ChooseByName() { c.Settings.Name = cmp.Or(c.Name, c.Listen) }
-
 // check names the first key that a sidecar cannot run with. What the decisions need of the settings is
 // checked by balance.New, which names its fields likewise.
 func (c *Config) check() error {
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -38,6 +38,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	if c.Settings.Name != "n3" { // which hosts it chooses by
+		t.Errorf("the decisions know it as %q", c.Settings.Name)
+	}
 	if c.Name != "n3" || c.Listen != "127.0.0.9:1" || c.Discovery != "127.2.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 ||
 		c.Limits != (Limits{1, 256, 512}) || len(c.Known.Members) != 1 || c.Settings.MaxHeld != 20000 {
 		t.Errorf("%+v", c)
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"time"
 
 	"pinelb.example/pinelb/internal/tomlfile"
 )
@@ -18,11 +19,19 @@
 	Fleet  *Fleet  `toml:"fleet"`
 }
 
-// Fleet is the section [fleet]: what the settings have wrong of the instances.
+// Fleet is the section [fleet]: how the instances of a tier are told apart.
 type Fleet struct {
-	Numbered bool `toml:"numbered"` // the settings' rank is this instance's alone
+	// Numbered says that the settings' rank and number of instances are right, so that upstream hosts are chosen
+	// by them and not by the sidecar's name.
+	Numbered bool `toml:"numbered"`
+	// Spread is the time over which a sidecar that holds a list already makes its first call to discovery: where
+	// many start at once and ask one service, they should not do so in the same moment. At most 5 s.
+	Spread tomlfile.Span `toml:"spread"`
 }
 
+// mostSpread keeps a list that may be old from being all that there is for long.
+const mostSpread = 5 * time.Second
+
 // Record is the section [record]: one line is written for each stream.
 type Record struct {
 	To        string `toml:"to"`         // "log", or the absolute path of a file
@@ -80,8 +89,8 @@
 func ParseOperator(path string, data []byte) (*Operator, error) {
 	op := &Operator{}
 	file, err := tomlfile.Decode(path, data, op)
-	if err == nil && op.Fleet != nil && !file.Has("fleet.numbered") {
-		err = file.Fault("fleet.numbered", "is missing")
+	if f := op.Fleet; err == nil && f != nil && (f.Spread < 0 || f.Spread.D() > mostSpread) {
+		err = file.Fault("fleet.spread", "must be from 0s to %s", mostSpread)
 	}
 	if err == nil && op.Record != nil {
 		err = op.Record.check(file)
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -40,7 +40,7 @@
 // Guards against an example that is no longer true.
 func TestOperatorExample(t *testing.T) {
 	op, err := LoadOperator("../../deploy/operator.example.toml")
-	if err != nil || op.Record == nil {
+	if err != nil || op.Record == nil || op.Fleet == nil {
 		t.Errorf("%+v, %v", op, err)
 	}
 }
@@ -57,6 +57,8 @@
 		"[record]\nto = \"/a\"\nmost = \"9TiB\"":  ":3: record.most: must be a size",
 		"[record]\nto = \"/a\"\nper_second = 0":   ":3: record.per_second: ",
 		"[record]\nto = ":                         ":2: ",
+		"[fleet]\nnumbered = 1":                   ":2: fleet.numbered: ",
+		"[fleet]\nspread = \"6s\"":                ":2: fleet.spread: must be from 0s to 5s",
 	} {
 		if _, err := loadOperator(t, text); err == nil || !strings.Contains(err.Error(), "operator.toml"+want) {
 			t.Errorf("%q: %v, want %s", text, err, want)
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -15,7 +15,6 @@
 	ClassNames []string      // by class index, as requests name them
 	KindNames  []string      // by kind index, as discovery names them
 	ZoneNames  []string      // by zone index, as discovery names them
-	Numbered   bool          // they say which instance this is
 	ConnIdle   time.Duration // an upstream host closes a connection that has stood idle for this long
 }
 
@@ -65,7 +64,6 @@
 		FallMultiple: r.number("rules.tip_multiple"), FallWindow: r.span("rules.fall"),
 	}}
 	out.ConnIdle = r.span("allowed.conn_idle")
-	out.Numbered = r.json.Get("rank").Exists()
 	out.KindNames, out.ZoneNames = r.texts("kinds"), r.texts("zones")
 	out.Kinds, out.Zones, out.Tiers = len(out.KindNames), len(out.ZoneNames), len(r.texts("tiers"))
 	for _, f := range r.texts("reporting.fields") {
--- a/internal/lab/live/bench_test.go
+++ b/internal/lab/live/bench_test.go
@@ -64,3 +64,75 @@
 		})
 	}
 }
+
+// BenchmarkStart starts so many sidecars at one moment, with the clients there already and every box cold, and
+// reports how long they take to be ready, what they ask of discovery and of the boxes in the first second, and
+// what each takes, idle and busy. Run it with -benchtime 1x.
+func BenchmarkStart(b *testing.B) {
+	sidecar := program(b)
+	for _, rate := range []int{1, 240} {
+		for _, sidecars := range []int{1, 10, 50} {
+			b.Run(fmt.Sprintf("%d-sidecars-at-%d", sidecars, rate), func(b *testing.B) {
+				p := planned(b, fmt.Sprintf(`
+name = "start"
+length = "10s"
+`+classes+`
+[[tier]]
+name = "t"
+[[tier.kind]]
+boxes = 12
+speed = 3.3
+start = "cold"
+cold_from = 0.35
+cold_for = "8s"
+[clients]
+rate = %d
+[fleet]
+sidecars = %d
+start = "with"
+`, rate, sidecars))
+				for b.Loop() {
+					log, err := live.Play(b.Context(), p, live.Options{Builds: [2]string{sidecar, ""}})
+					if err != nil {
+						b.Fatal(err)
+					}
+					begun := make([]time.Duration, sidecars)
+					var ready []time.Duration
+					for _, c := range log.Changes {
+						switch c.What {
+						case trace.Begun:
+							begun[c.Sidecar] = c.At
+						case trace.Able:
+							ready = append(ready, c.At-begun[c.Sidecar])
+						}
+					}
+					lists, conns := map[[2]int64]bool{}, map[[2]uint64]bool{}
+					for _, t := range log.Told {
+						if t.At < time.Second {
+							lists[[2]int64{int64(t.Sidecar), int64(t.At)}] = true
+						}
+					}
+					for _, v := range log.Visits {
+						if v.Begun < time.Second {
+							conns[[2]uint64{uint64(v.Box), v.Conn}] = true
+						}
+					}
+					memory, cpu, files := 0.0, 0.0, 0
+					for _, u := range log.Usage {
+						memory = max(memory, float64(u.PeakMemory)/(1<<20))
+						cpu += u.CPU.Seconds() / float64(len(log.Usage))
+						files = max(files, u.Descriptors)
+					}
+					slices.Sort(ready)
+					b.ReportMetric(float64(ready[len(ready)/2].Microseconds())/1000, "ms-ready-median")
+					b.ReportMetric(float64(ready[len(ready)-1].Microseconds())/1000, "ms-ready-last")
+					b.ReportMetric(float64(len(lists)), "lists-first-s")
+					b.ReportMetric(float64(len(conns)), "handshakes-first-s")
+					b.ReportMetric(memory, "MB-most")
+					b.ReportMetric(1000*cpu/log.End.Seconds(), "ms-CPU/s-each")
+					b.ReportMetric(float64(files), "descriptors-most")
+				}
+			})
+		}
+	}
+}
--- a/internal/lab/live/run_test.go
+++ b/internal/lab/live/run_test.go
@@ -18,7 +18,7 @@
 )
 
 // program builds the sidecar.
-func program(t *testing.T) string {
+func program(t testing.TB) string {
 	t.Helper()
 	out := filepath.Join(t.TempDir(), "pinelb")
 	cmd := exec.CommandContext(t.Context(), "go", "build", "-o", out, "pinelb.example/pinelb/cmd/pinelb")
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -161,7 +161,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("virtual: %w", err)
 		}
-		if !set.Numbered || op.Fleet != nil && !op.Fleet.Numbered {
+		if op.Fleet == nil || !op.Fleet.Numbered {
 			set.Name = p.Sidecars[i].Name
 		}
 		s.sidecars = append(s.sidecars, sidecar{index: i, set: set, agent: map[int]plan.Listed{}})
