--- a/cmd/pinelb/check.go
+++ b/cmd/pinelb/check.go
@@ -12,9 +12,9 @@
 // check reads an operator's file as serve would, and the platform's too if there is one, and returns the exit
 // status.
 func check(operator, platform string) int {
-	_, err := config.LoadOperator(operator)
+	op, err := config.LoadOperator(operator)
 	if err == nil && platform != "" {
-		err = checkPlatform(platform)
+		err = checkPlatform(platform, op)
 	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -24,8 +24,9 @@
 	return 0
 }
 
-// checkPlatform reads the file as if LB_CONFIG named it, with the environment's other variables.
-func checkPlatform(path string) error {
+// checkPlatform reads the file as if LB_CONFIG named it, with the environment's other variables, and checks that
+// the operator's fits it.
+func checkPlatform(path string, op *config.Operator) error {
 	cfg, err := config.Load(func(key string) string {
 		if key == "LB_CONFIG" {
 			return path
@@ -38,7 +39,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	return nil
+	return op.Fits(cfg)
 }
 
 // version is the module's version, Go's, and the revision that was built, as far as the build noted it.
--- a/cmd/pinelb/command_test.go
+++ b/cmd/pinelb/command_test.go
@@ -18,7 +18,7 @@
 )
 
 // operatorFile writes an operator's file.
-func operatorFile(t *testing.T, text string) string {
+func operatorFile(t testing.TB, text string) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "operator.toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
--- a/cmd/pinelb/main_test.go
+++ b/cmd/pinelb/main_test.go
@@ -26,6 +26,10 @@
 		main()
 		os.Exit(0)
 	}
+	if to := os.Getenv(proxyTo); to != "" {
+		plainProxy(to)
+		os.Exit(0)
+	}
 	os.Exit(m.Run())
 }
 
@@ -46,14 +50,14 @@
 	log  *bufio.Scanner
 }
 
-func configFile(t *testing.T, config map[string]any) string {
+func configFile(t testing.TB, config map[string]any) string {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	write(t, path, config)
 	return path
 }
 
-func write(t *testing.T, path string, config map[string]any) {
+func write(t testing.TB, path string, config map[string]any) {
 	t.Helper()
 	text, err := json.Marshal(config)
 	if err != nil {
@@ -69,7 +73,7 @@
 }
 
 func configFor(discovery string, known ...string) map[string]any {
-	return map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1",
+	return map[string]any{"name": "n0", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1", "limits": map[string]any{"sockets": 2048},
 		"known":    json.RawMessage(`{"revision":0,"complete":true,"members":[` + strings.Join(known, ",") + `]}`),
 		"settings": json.RawMessage(settings)}
 }
@@ -77,7 +81,15 @@
 // start starts a sidecar that knows so many members already.
 func start(t *testing.T, discovery string, known ...string) *program {
 	t.Helper()
-	p := &program{cmd: exec.Command(os.Args[0]), file: configFile(t, configFor(discovery, known...))}
+	p := launch(t, exec.Command(os.Args[0]), discovery, known...)
+	p.addr = p.await(t, "listening").Get("addr").Str
+	return p
+}
+
+// launch starts a sidecar by that command.
+func launch(t testing.TB, cmd *exec.Cmd, discovery string, known ...string) *program {
+	t.Helper()
+	p := &program{cmd: cmd, file: configFile(t, configFor(discovery, known...))}
 	p.cmd.Env = append(environment(p.file), "LB_DISCOVERY="+discovery) // as the platform gives it, in both places
 	stderr, err := p.cmd.StderrPipe()
 	if err != nil {
@@ -91,12 +103,11 @@
 		_ = p.cmd.Wait()
 	})
 	p.log = bufio.NewScanner(stderr)
-	p.addr = p.await(t, "listening").Get("addr").Str
 	return p
 }
 
 // await reads the log up to a message.
-func (p *program) await(t *testing.T, message string) gjson.Result {
+func (p *program) await(t testing.TB, message string) gjson.Result {
 	t.Helper()
 	for p.log.Scan() {
 		if line := gjson.Parse(p.log.Text()); line.Get("message").Str == message {
@@ -148,7 +159,7 @@
 	addr     string
 }
 
-func listen(t *testing.T, h http.Handler) string {
+func listen(t testing.TB, h http.Handler) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -160,7 +171,7 @@
 	return l.Addr().String()
 }
 
-func newSite(t *testing.T, members ...string) *site {
+func newSite(t testing.TB, members ...string) *site {
 	s := &site{revision: 1, members: strings.Join(members, ","), changed: make(chan struct{})}
 	s.addr = listen(t, s)
 	return s
@@ -202,7 +213,7 @@
 	answer func(w http.ResponseWriter, r *http.Request)
 }
 
-func newBox(t *testing.T, answer func(w http.ResponseWriter, r *http.Request)) *box {
+func newBox(t testing.TB, answer func(w http.ResponseWriter, r *http.Request)) *box {
 	b := &box{visits: make(chan string, 1000), answer: answer}
 	b.addr = listen(t, b)
 	return b
--- a/cmd/pinelb/serve.go
+++ b/cmd/pinelb/serve.go
@@ -19,6 +19,7 @@
 	"pinelb.example/pinelb/internal/cluster"
 	"pinelb.example/pinelb/internal/config"
 	"pinelb.example/pinelb/internal/downstream"
+	"pinelb.example/pinelb/internal/downstream/thrift"
 	"pinelb.example/pinelb/internal/engine"
 	"pinelb.example/pinelb/internal/record"
 	"pinelb.example/pinelb/internal/stream"
@@ -47,6 +48,9 @@
 	if err == nil {
 		op, err = config.LoadOperator(operator)
 	}
+	if err == nil {
+		err = op.Fits(cfg)
+	}
 	var rec *record.Recorder
 	if err == nil {
 		if op.Fleet != nil && op.Fleet.Numbered {
@@ -54,7 +58,7 @@
 		}
 		rec, log = recorder(cfg, op.Record, log)
 		log = log.With().Str("name", cfg.Name).Logger()
-		err = run(cfg, op.Fleet, rec, hups, log)
+		err = run(cfg, op, rec, hups, log)
 	}
 	if err != nil {
 		log.Error().Err(err).Msg("pinelb ends")
@@ -82,7 +86,7 @@
 	return rec, log
 }
 
-func run(cfg *config.Config, fleet *config.Fleet, rec *record.Recorder, hups <-chan os.Signal, log zerolog.Logger) error {
+func run(cfg *config.Config, op *config.Operator, rec *record.Recorder, hups <-chan os.Signal, log zerolog.Logger) error {
 	runtime.GOMAXPROCS(max(1, int(cfg.Limits.Cores)))
 	memory := int64(cfg.Limits.MemoryMB) << 20
 	debug.SetMemoryLimit(int64(memoryShare * float64(memory)))
@@ -95,10 +99,19 @@
 		return err
 	}
 	streams := &stream.Proxy{Engine: eng, Upstream: pool, Log: log}
-	srv := downstream.New(set, memory/bodiesPart, streams, log)
+	side := downstream.NewSide(set, memory/bodiesPart, sockets-sockets/2, log)
+	srv := downstream.New(set, side, streams, log)
 	table := cluster.NewTable(set.ZoneNames, set.KindNames, pool, eng)
+	var overThrift *stream.Proxy
+	if op.Thrift != nil {
+		overThrift = thriftProxy(op.Thrift, eng, pool, log)
+	}
 	if rec != nil {
 		streams.Observer, table.Observer, rec.Open = rec, rec, streams.Out
+		if overThrift != nil {
+			overThrift.Observer = rec
+			rec.Open = func() int { return streams.Out() + overThrift.Out() }
+		}
 	}
 	if len(cfg.Known.Members) > 0 { // from none at all the decisions would take a wrong measure
 		table.Apply(balance.ListCached, cfg.Known)
@@ -108,6 +121,15 @@
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
+	fronts := []downstream.Front{srv.Front(l)}
+	if overThrift != nil {
+		tl, err := net.Listen("tcp", op.Thrift.Listen)
+		if err != nil {
+			return fmt.Errorf("listen: thrift.listen: %w", err)
+		}
+		log.Info().Stringer("addr", tl.Addr()).Msg("listening for Thrift")
+		fronts = append(fronts, thrift.New(op.Thrift, set, side, overThrift, log).Front(tl))
+	}
 	log.Info().Stringer("addr", l.Addr()).Msg("listening")
 	ending, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -121,11 +143,18 @@
 	moves := make(chan string)
 	go reload(life, hups, moves, log)
 	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log}
-	if fleet != nil && len(cfg.Known.Members) > 0 {
+	if fleet := op.Fleet; fleet != nil && len(cfg.Known.Members) > 0 {
 		watch.After = time.Duration(rand.Float64() * float64(fleet.Spread.D()))
 	}
 	go watch.Run(life, srv.Ready)
-	return srv.Run(ending, l, sockets-sockets/2)
+	return side.Run(ending, fronts...)
+}
+
+// thriftProxy serves streams over Thrift by the same decisions, on connections of the same pool.
+func thriftProxy(o *config.Thrift, eng *engine.Engine, pool *upstream.Pool, log zerolog.Logger) *stream.Proxy {
+	pool.ConnectOnly = o.UpstreamPort == 0
+	return &stream.Proxy{Engine: eng, Log: log, Upstream: &upstream.Thrift{Pool: pool, Port: uint16(o.UpstreamPort),
+		Limits: thrift.Limits(o.MostMessage), TurnedAway: o.TurnedAway}}
 }
 
 // reload reads the configuration again at each SIGHUP until ctx ends and hands on where discovery is now.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -17,6 +17,7 @@
 type Operator struct {
 	Record *Record `toml:"record"`
 	Fleet  *Fleet  `toml:"fleet"`
+	Thrift *Thrift `toml:"thrift"`
 }
 
 // Fleet is the section [fleet]: how the instances of a tier are told apart.
@@ -95,12 +96,24 @@
 	if err == nil && op.Record != nil {
 		err = op.Record.check(file)
 	}
+	if err == nil && op.Thrift != nil {
+		err = op.Thrift.check(file)
+	}
 	if err != nil {
 		return nil, err // it begins with the file and the line
 	}
 	return op, nil
 }
 
+// Fits names the first key that can't be used beside the platform's configuration, such as a class that its
+// settings lack.
+func (o *Operator) Fits(c *Config) error {
+	if o.Thrift == nil {
+		return nil
+	}
+	return o.Thrift.fits(c)
+}
+
 // Log tells whether the record goes to the log, which is standard error.
 func (r *Record) Log() bool { return r.To == "log" }
 
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -40,7 +40,7 @@
 // Guards against an example that is no longer true.
 func TestOperatorExample(t *testing.T) {
 	op, err := LoadOperator("../../deploy/operator.example.toml")
-	if err != nil || op.Record == nil || op.Fleet == nil {
+	if err != nil || op.Record == nil || op.Fleet == nil || op.Thrift == nil || len(op.Thrift.Methods) == 0 {
 		t.Errorf("%+v, %v", op, err)
 	}
 }
--- /dev/null
+++ b/internal/config/operator_thrift.go
@@ -0,0 +1,147 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"net/netip"
+	"slices"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/thriftwire"
+	"pinelb.example/pinelb/internal/tomlfile"
+)
+
+// Thrift is the section [thrift]: calls are taken over Thrift too, and sent on over it.
+type Thrift struct {
+	Listen       string          `toml:"listen"` // address and port for callers
+	Form         string          `toml:"form"`   // "any", or the name of the one form that is read
+	UpstreamPort int             `toml:"upstream_port"`
+	MostMessage  Size            `toml:"most_message"` // bytes of a call or a reply, its head included
+	Deadline     tomlfile.Span   `toml:"deadline"`     // of methods that state none; 0: the class's
+	TurnedAway   int32           `toml:"turned_away"`  // type of exception that proves that nothing ran; 0: none does
+	DefaultClass string          `toml:"default_class"`
+	Methods      []*ThriftMethod `toml:"method"`
+
+	file *tomlfile.File
+}
+
+// ThriftMethod is one [[thrift.method]]. The paths are of field ids, from the struct of the arguments on.
+type ThriftMethod struct {
+	Name        string        `toml:"name"` // "method" or, ahead of it, "service:method"
+	Class       string        `toml:"class"`
+	Oneway      bool          `toml:"oneway"`       // nothing is answered, also where it is sent as a call
+	Deadline    tomlfile.Span `toml:"deadline"`     // where the call tells no time; 0: the section's
+	ID          []int16       `toml:"id"`           // of the request; empty: one is made
+	Key         []int16       `toml:"key"`          // of the effect
+	RemainingMS []int16       `toml:"remaining_ms"` // of the client's wait; empty: the deadline
+}
+
+// Defaults and limits of [thrift].
+const (
+	anyForm                 = "any"
+	defaultMostMessage Size = 64 << 10
+	leastMostMessage   Size = 8 << 10
+	mostMostMessage    Size = 1 << 20
+	leastTurnedAway         = 11 // lower ones are given by Thrift's libraries, also for what may have run
+	longestPath             = 8
+	longestMethodName       = 128
+)
+
+// AnyForm tells whether the first bytes of a connection tell its form.
+func (t *Thrift) AnyForm() bool { return t.Form == anyForm }
+
+// check fills in the defaults and names the first key that can't be used, whatever the platform's settings are.
+func (t *Thrift) check(file *tomlfile.File) error {
+	t.file = file
+	if !file.Has("thrift.form") {
+		t.Form = anyForm
+	}
+	if !file.Has("thrift.most_message") {
+		t.MostMessage = defaultMostMessage
+	}
+	_, known := thriftwire.ParseForm(t.Form)
+	_, err := netip.ParseAddrPort(t.Listen)
+	switch {
+	case err != nil:
+		return file.Fault("thrift.listen", `must be an address and a port such as "127.0.0.1:9090"`)
+	case !known && !t.AnyForm():
+		return file.Fault("thrift.form", `must be "any", "framed-binary", "framed-compact", "binary", "compact", "framed-old-binary" or "old-binary"`)
+	case t.UpstreamPort < 0 || t.UpstreamPort > math.MaxUint16:
+		return file.Fault("thrift.upstream_port", "must be 0 to %d", math.MaxUint16)
+	case t.MostMessage < leastMostMessage || t.MostMessage > mostMostMessage:
+		return file.Fault("thrift.most_message", `must be "%dKiB" to "%dKiB"`, leastMostMessage>>10, mostMostMessage>>10)
+	case file.Has("thrift.deadline") && t.Deadline <= 0:
+		return file.Fault("thrift.deadline", "must be above 0s")
+	case file.Has("thrift.turned_away") && t.TurnedAway < leastTurnedAway:
+		return file.Fault("thrift.turned_away", "must be %d or more: those below have meanings of Thrift's own", leastTurnedAway)
+	}
+	seen := map[string]bool{}
+	for i, m := range t.Methods {
+		if err := m.check(file, i, seen); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (m *ThriftMethod) check(file *tomlfile.File, i int, seen map[string]bool) error {
+	at := methodAt(i)
+	switch {
+	case m.Name == "" || len(m.Name) > longestMethodName:
+		return file.Fault(at+".name", "must be 1 to %d bytes long", longestMethodName)
+	case seen[m.Name]:
+		return file.Fault(at+".name", "%q stands twice", m.Name)
+	case m.Class == "":
+		return file.Fault(at+".class", "is missing")
+	case file.Has(at+".deadline") && m.Deadline <= 0:
+		return file.Fault(at+".deadline", "must be above 0s")
+	}
+	seen[m.Name] = true
+	for _, p := range []struct {
+		key  string
+		path []int16
+	}{{".id", m.ID}, {".key", m.Key}, {".remaining_ms", m.RemainingMS}} {
+		bad := len(p.path) > longestPath || file.Has(at+p.key) && len(p.path) == 0 ||
+			slices.ContainsFunc(p.path, func(id int16) bool { return id < 1 })
+		if bad {
+			return file.Fault(at+p.key, "must be 1 to %d field ids such as [1, 2], each 1 or more", longestPath)
+		}
+	}
+	return nil
+}
+
+// fits names the first key that can't be used beside the platform's configuration.
+func (t *Thrift) fits(c *Config) error {
+	if t.Listen == c.Listen && !endsInPortZero(t.Listen) {
+		return t.file.Fault("thrift.listen", "is LB_LISTEN's, where callers speak HTTP")
+	}
+	set := &c.Settings
+	if i := slices.Index(set.ClassNames, t.DefaultClass); t.DefaultClass != "" {
+		switch {
+		case i < 0:
+			return t.file.Fault("thrift.default_class", "the settings have no class %q", t.DefaultClass)
+		case set.Classes[i].Effect == balance.Keyed:
+			return t.file.Fault("thrift.default_class", "class %q takes a key, which is not known of any method", t.DefaultClass)
+		}
+	}
+	for i, m := range t.Methods {
+		class := slices.Index(set.ClassNames, m.Class)
+		switch at := methodAt(i); {
+		case class < 0:
+			return t.file.Fault(at+".class", "the settings have no class %q", m.Class)
+		case set.Classes[class].Effect == balance.Keyed && len(m.Key) == 0:
+			return t.file.Fault(at+".key", "is missing: class %q takes one", m.Class)
+		case set.Classes[class].Effect != balance.Keyed && len(m.Key) > 0:
+			return t.file.Fault(at+".key", "class %q takes none", m.Class)
+		}
+	}
+	return nil
+}
+
+func methodAt(i int) string { return fmt.Sprintf("thrift.method[%d]", i) }
+
+// endsInPortZero tells whether an address has its port chosen when it is opened.
+func endsInPortZero(addr string) bool {
+	a, err := netip.ParseAddrPort(addr)
+	return err == nil && a.Port() == 0
+}
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -48,11 +48,11 @@
 		s.health(w)
 		return
 	}
-	held := s.held.Add(1)
-	defer s.held.Add(-1)
-	res, bad := s.answer(w, r, at, held)
+	room := s.Enter()
+	defer s.Leave()
+	res, bad := s.answer(w, r, at, room)
 	faulty := bad != nil || res.Outcome == stream.Rejected || res.Outcome == stream.Duplicate
-	if faulty || s.draining.Load() && !s.alone { // what follows a faulty message need not be a message
+	if faulty || s.Closing() { // what follows a faulty message need not be a message
 		w.Header().Set("Connection", "close")
 	}
 	if bad != nil {
@@ -63,9 +63,9 @@
 }
 
 // answer is a stream's final answer, or why the message is none.
-func (s *Server) answer(w http.ResponseWriter, r *http.Request, at time.Time, held int64) (stream.Response, *refusal) {
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, at time.Time, room bool) (stream.Response, *refusal) {
 	req, bad := s.decode(r, at)
-	if held > s.mostHeld || s.runsDry(held) {
+	if !room {
 		if bad != nil { // there is no room to find fault with it either
 			return stream.Response{Outcome: stream.Refused}, nil
 		}
@@ -73,7 +73,7 @@
 	}
 	if bad == nil {
 		req.Body, bad = s.readBody(r)
-		defer s.bodies.Add(-int64(cap(req.Body)))
+		defer s.Free(cap(req.Body))
 	}
 	if bad == tooManyBodies {
 		s.streams.Refuse(req)
@@ -86,11 +86,6 @@
 	return s.serve(r, req), nil
 }
 
-// runsDry tells whether clients are about to find no connection free where no other will be had.
-func (s *Server) runsDry(held int64) bool {
-	return s.alone && s.draining.Load() && held >= spareFrom && s.conns.spare() < spareLeast
-}
-
 // serve keeps a panic in one stream from its connection: the client still gets an answer.
 func (s *Server) serve(r *http.Request, req *stream.Request) (res stream.Response) {
 	defer func() {
@@ -168,8 +163,7 @@
 	for n := int(r.ContentLength); len(body) < n; {
 		if len(body) == cap(body) {
 			more := min(max(bodyFirst, cap(body)), n-cap(body))
-			if s.bodies.Add(int64(more)) > s.bodiesMost {
-				s.bodies.Add(-int64(more))
+			if !s.Keep(more) {
 				return body, tooManyBodies
 			}
 			body = append(make([]byte, 0, cap(body)+more), body...)
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -33,12 +33,13 @@
 }
 
 func newServer(h handlerFunc) *Server {
-	return New(&config.Settings{
+	set := &config.Settings{
 		Settings: balance.Settings{MaxHeld: 2, Classes: []balance.Class{
 			{Effect: balance.Safe, Deadline: time.Second}, {Effect: balance.Keyed, Deadline: 2 * time.Second},
 			{Effect: balance.Unsafe, Deadline: 3 * time.Second}}},
 		ClassNames: []string{"look", "order", "charge"},
-	}, 1<<20, h, zerolog.Nop())
+	}
+	return New(set, NewSide(set, 1<<20, 10, zerolog.Nop()), h, zerolog.Nop())
 }
 
 func message(method, target, body string, headers ...string) *http.Request {
@@ -262,14 +263,14 @@
 	})
 	s.mostHeld, s.within = 10, time.Minute
 	steps := make(chan time.Time)
-	s.after = func(time.Duration) <-chan time.Time { return steps }
+	s.After = func(time.Duration) <-chan time.Time { return steps }
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, end := context.WithCancel(context.Background())
 	ended := make(chan error)
-	go func() { ended <- s.Run(ctx, l, 10) }()
+	go func() { ended <- s.Run(ctx, s.Front(l)) }()
 	taken, takenIn := dial(t, l.Addr())
 	_, idleIn := dial(t, l.Addr())
 	io.WriteString(taken, raw)
@@ -314,14 +315,14 @@
 	})
 	s.mostHeld, s.alone, s.within = 10, true, time.Minute
 	steps := make(chan time.Time)
-	s.after = func(time.Duration) <-chan time.Time { return steps }
+	s.After = func(time.Duration) <-chan time.Time { return steps }
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx, end := context.WithCancel(context.Background())
 	ended := make(chan error)
-	go func() { ended <- s.Run(ctx, l, 10) }()
+	go func() { ended <- s.Run(ctx, s.Front(l)) }()
 	kept, keptIn := dial(t, l.Addr())
 	slow, slowIn := dial(t, l.Addr())
 	io.WriteString(kept, raw)
@@ -384,7 +385,7 @@
 		3 * time.Second: 3650 * time.Millisecond, 20 * time.Second: 3650 * time.Millisecond, time.Second: 1650 * time.Millisecond,
 	} {
 		set := &config.Settings{Settings: balance.Settings{Classes: []balance.Class{{Deadline: longest}}}, ClassNames: []string{"a"}}
-		if got := New(set, 0, nil, zerolog.Nop()).within; got != want {
+		if got := NewSide(set, 0, 0, zerolog.Nop()).within; got != want {
 			t.Errorf("with a longest deadline of %v it takes %v, want %v", longest, got, want)
 		}
 	}
@@ -457,7 +458,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	go func() { _ = s.Run(context.Background(), l, 10) }()
+	go func() { _ = s.Run(context.Background(), s.Front(l)) }()
 	var ins []*bufio.Reader
 	from := time.Now()
 	for _, text := range []string{"", raw[:20],
@@ -479,7 +480,7 @@
 			}
 		}
 	}
-	if took := time.Since(from); took < readWithin {
+	if took := time.Since(from); took < ReadWithin {
 		t.Errorf("they were ended after %v, sooner than a slow client may take", took)
 	}
 	if n := s.bodies.Load(); n != 0 {
@@ -515,7 +516,7 @@
 		select {
 		case <-ctx.Done():
 			return stream.Response{Outcome: stream.Gone}
-		case <-time.After(readWithin + 200*time.Millisecond): // the time itself is what is tested
+		case <-time.After(ReadWithin + 200*time.Millisecond): // the time itself is what is tested
 			return stream.Response{}
 		}
 	})
@@ -524,7 +525,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	go func() { _ = s.Run(context.Background(), l, 10) }()
+	go func() { _ = s.Run(context.Background(), s.Front(l)) }()
 	c, in := dial(t, l.Addr())
 	io.WriteString(c, raw)
 	if res := answer(t, in); res.StatusCode != 200 {
@@ -540,7 +541,8 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	go func() { _ = s.Run(context.Background(), l, 2) }()
+	s.conns = newConnections(2)
+	go func() { _ = s.Run(context.Background(), s.Front(l)) }()
 	var first *bufio.Reader
 	for i := range 5 {
 		c, in := dial(t, l.Addr())
@@ -569,7 +571,7 @@
 		t.Fatal(err)
 	}
 	defer l.Close()
-	go func() { _ = s.Run(context.Background(), l, 10) }()
+	go func() { _ = s.Run(context.Background(), s.Front(l)) }()
 	chunked := "0\r\n\r\n" + raw
 	for _, head := range []string{
 		"POST /charge/1 HTTP/1.1\r\nTransfer-Encoding: chunked\r\nContent-Length: %d",
--- /dev/null
+++ b/internal/downstream/side.go
@@ -0,0 +1,184 @@
+package downstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/internal/config"
+)
+
+// How a planned end goes, from SIGTERM on. New connections come for 0.2 to 0.4 s more; SIGKILL comes 0.7 s
+// after the longest deadline, counted as 3 s at most, at the soonest.
+const (
+	longestCounted = 3 * time.Second
+	killAfter      = 700 * time.Millisecond // beyond the longest deadline
+	acceptFor      = 900 * time.Millisecond // where there are other sidecars for the clients
+	leaveBefore    = 250 * time.Millisecond // SIGKILL, where there are none
+	cutBefore      = 150 * time.Millisecond // SIGKILL: whatever is not answered is failed
+	endBefore      = 50 * time.Millisecond  // SIGKILL
+	spareLeast     = 4                      // connections that are to stay free then,
+	spareFrom      = 8                      // once so many streams are open
+)
+
+// How long callers may take, on every front.
+const (
+	ReadWithin = 2 * time.Second // a message whole, from its first byte on
+	IdleWithin = 2 * time.Minute // between messages
+)
+
+// Side is what the fronts of a sidecar share: the bounds on what callers can make it hold, and its planned end.
+type Side struct {
+	// After times the steps of a planned end: time.After.
+	After func(time.Duration) <-chan time.Time
+
+	mostHeld   int64
+	bodiesMost int64 // bytes of all bodies together
+	log        zerolog.Logger
+	alone      bool            // there is no other sidecar for the clients
+	within     time.Duration   // a planned end takes this long at most
+	life       context.Context // of all streams
+	cut        context.CancelFunc
+
+	conns    *connections
+	held     atomic.Int64
+	bodies   atomic.Int64
+	draining atomic.Bool // the front is to send no more
+}
+
+// Front is one protocol on one listener. http.Server has the methods that its Server needs.
+type Front struct {
+	Listener net.Listener
+	Server   interface {
+		// Serve takes connections until Shutdown or Close.
+		Serve(l net.Listener) error
+		// Shutdown takes no more, and returns when what was taken is answered and its connections are closed,
+		// or with ctx's error.
+		Shutdown(ctx context.Context) error
+		// Close closes what is left.
+		Close() error
+	}
+}
+
+// NewSide returns a side that holds so many bytes of bodies and has so many connections at most.
+func NewSide(s *config.Settings, bodiesMost int64, connsMost int, log zerolog.Logger) *Side {
+	side := &Side{mostHeld: int64(s.MaxHeld), bodiesMost: bodiesMost, log: log, alone: s.Instances == 1,
+		After: time.After, conns: newConnections(connsMost)}
+	var longest time.Duration
+	for i := range s.Classes {
+		longest = max(longest, s.Classes[i].Deadline)
+	}
+	side.within = min(longest, longestCounted) + killAfter - endBefore
+	side.life, side.cut = context.WithCancel(context.Background())
+	return side
+}
+
+// Life ends when whatever is not answered by then is to be failed.
+func (s *Side) Life() context.Context { return s.life }
+
+// Enter counts a stream in; each has to Leave. Without room it is to be refused.
+func (s *Side) Enter() (room bool) {
+	held := s.held.Add(1)
+	return held <= s.mostHeld && !s.runsDry(held)
+}
+
+// Leave counts a stream out.
+func (s *Side) Leave() { s.held.Add(-1) }
+
+// runsDry tells whether clients are about to find no connection free where no other will be had.
+func (s *Side) runsDry(held int64) bool {
+	return s.alone && s.draining.Load() && held >= spareFrom && s.conns.spare() < spareLeast
+}
+
+// Keep counts n more bytes of bodies, unless that are too many.
+func (s *Side) Keep(n int) bool {
+	if s.bodies.Add(int64(n)) > s.bodiesMost {
+		s.Free(n)
+		return false
+	}
+	return true
+}
+
+// Owe counts n more bytes in any case: what has to be kept until somebody takes it leaves less room for others.
+func (s *Side) Owe(n int) { s.bodies.Add(int64(n)) }
+
+// Free gives back what was counted by Keep or Owe.
+func (s *Side) Free(n int) { s.bodies.Add(-int64(n)) }
+
+// Changed follows a connection's states, in net/http's words: New when it was accepted, Active from a message's
+// first byte to its answer, Idle, and Closed at last.
+func (s *Side) Changed(conn net.Conn, state http.ConnState) { s.conns.changed(conn, state) }
+
+// Closing tells whether a connection is to be closed with its answers, for its client to go to another sidecar.
+func (s *Side) Closing() bool { return s.draining.Load() && !s.alone }
+
+// Run serves until ctx ends and what was taken is answered.
+func (s *Side) Run(ctx context.Context, fronts ...Front) error {
+	defer s.cut()
+	ended := make(chan error, len(fronts))
+	for _, f := range fronts {
+		go func() { ended <- f.Server.Serve(&limited{Listener: f.Listener, conns: s.conns}) }()
+	}
+	select {
+	case err := <-ended:
+		closeAll(fronts)
+		return fmt.Errorf("downstream: %w", err)
+	case <-ctx.Done():
+	}
+	return s.drain(fronts)
+}
+
+// drain ends the fronts in steps. Listening goes on while connections may come, or they would be reset
+// with what had been written to them. Where there are other sidecars, every answer from now on closes its
+// connection, so that clients go there. Where there is none, clients keep theirs and are served as long as
+// they can be. But then no new ones come, and a client that finds all of them busy takes the sidecar for
+// dead: so in a crowd, a request that comes on the last ones is turned away at once. Idle ones are closed
+// last, when hardly any request can cross that, and what can't be answered before SIGKILL is failed.
+func (s *Side) drain(fronts []Front) error {
+	s.log.Info().Int64("held", s.held.Load()).Msg("draining")
+	from := time.Now()
+	s.draining.Store(true)
+	kill := s.within + endBefore
+	leave := kill - leaveBefore
+	if !s.alone {
+		leave = min(leave, acceptFor)
+	}
+	<-s.After(leave)
+	ctx, cancel := context.WithDeadline(context.Background(), from.Add(s.within))
+	defer cancel()
+	last := s.After(kill - cutBefore - leave)
+	ended := make(chan error, len(fronts))
+	for _, f := range fronts {
+		go func() { ended <- f.Server.Shutdown(ctx) }() // it may wait for a slow connection beyond its context
+	}
+	s.conns.closeQuiet() // net/http's would give the silent ones five seconds
+	for open := len(fronts); open > 0; {
+		select {
+		case err := <-ended:
+			if err != nil && !errors.Is(err, context.DeadlineExceeded) {
+				return fmt.Errorf("downstream: shutdown: %w", err)
+			}
+			open--
+		case <-last:
+			last = nil
+			s.cut()
+		case <-ctx.Done():
+			closeAll(fronts) // what is left is beyond its deadline
+			open = 0
+		}
+	}
+	s.log.Info().Int64("held", s.held.Load()).Dur("after", time.Since(from)).Msg("drained")
+	return nil
+}
+
+func closeAll(fronts []Front) {
+	for _, f := range fronts {
+		_ = f.Server.Close()
+	}
+}
--- a/internal/lab/live/addresses.go
+++ b/internal/lab/live/addresses.go
@@ -15,6 +15,7 @@
 	lockPort    = 18079
 	boxPort     = 18080
 	sidecarPort = 18081
+	thriftPort  = 18082
 	agentPort   = 18100 // and the next with each move of discovery
 	agentMoves  = 8000  // after which the ports begin anew
 
@@ -52,9 +53,20 @@
 // box is where a box listens.
 func (a *addresses) box(i int) string { return a.at(boxRow, i, boxPort) }
 
-// sidecar is where a sidecar listens for callers.
+// sidecar is where a sidecar listens for HTTP: for callers, and for those who ask for its health.
 func (a *addresses) sidecar(i int) string { return a.at(sidecarRow, i, sidecarPort) }
 
+// thrift is where a sidecar listens for Thrift.
+func (a *addresses) thrift(i int) string { return a.at(sidecarRow, i, thriftPort) }
+
+// entry is where a sidecar listens for callers that speak a protocol.
+func (a *addresses) entry(i int, protocol string) string {
+	if _, ok := thriftForms[protocol]; ok {
+		return a.thrift(i)
+	}
+	return a.sidecar(i)
+}
+
 // agent is where a sidecar's agent of discovery listens once it has moved so many times. It shares the
 // sidecar's host, as an agent does.
 func (a *addresses) agent(i, moves int) string {
--- a/internal/lab/live/addresses_test.go
+++ b/internal/lab/live/addresses_test.go
@@ -33,6 +33,7 @@
 		}
 		for i := range sidecars {
 			take(a.sidecar(i))
+			take(a.thrift(i))
 			for m := range moves {
 				take(a.agent(i, m))
 			}
--- a/internal/lab/live/box.go
+++ b/internal/lab/live/box.go
@@ -66,7 +66,7 @@
 // newBox makes the plan's box of that index, which listens from now on if the plan doesn't have it absent.
 func newBox(r *run, index int) (*box, error) {
 	p := &r.plan.Boxes[index]
-	b := &box{run: r, index: index, plan: p, tier: r.shared(p.Tier), codec: http1{r.plan},
+	b := &box{run: r, index: index, plan: p, tier: r.shared(p.Tier), codec: newCodec(r.plan),
 		idle: r.plan.Scenario.Rules.ConnIdle.D(), model: model.New(p.Spec, p.Seed), armed: model.Never,
 		chance: rand.New(rand.NewPCG(p.Seed, 1)), peers: map[*peer]struct{}{}, jobs: map[uint64]*visit{},
 		visits: map[uint64]int{}, absent: p.Start == "absent"}
--- a/internal/lab/live/box_test.go
+++ b/internal/lab/live/box_test.go
@@ -176,7 +176,7 @@
 // ask writes a request.
 func (s *stand) ask(c *raw, q query) {
 	s.t.Helper()
-	if _, err := c.Write(s.callers.request(nil, &q)); err != nil {
+	if _, err := c.Write(s.callers.wire.request(nil, &q)); err != nil {
 		s.t.Fatal(err)
 	}
 }
@@ -310,7 +310,7 @@
 func TestBoxKnowsStrangers(t *testing.T) {
 	s := newStand(t, standClasses+oneTier)
 	q := s.next("keyed")
-	good := string(s.callers.request(nil, &q))
+	good := string(s.callers.wire.request(nil, &q))
 	change := func(old, to string) string {
 		if strings.Count(good, old) != 1 {
 			t.Fatalf("%q is not once in %q", old, good)
@@ -656,7 +656,7 @@
 	for _, size := range []int{bodyLeast, 64, 5000} {
 		body := answerBody(1, 2, 3, size)
 		for range 300 {
-			text := http1{}.spoil(nil, body, random)
+			text := http1{}.spoil(nil, mark{}, body, random)
 			res, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(text)), nil)
 			if err == nil {
 				_, err = io.ReadAll(res.Body)
@@ -730,7 +730,7 @@
 func TestBoxNotesHalfRequests(t *testing.T) {
 	s := newStand(t, standClasses+oneTier)
 	q := s.next("keyed")
-	text := s.callers.request(nil, &q)
+	text := s.callers.wire.request(nil, &q)
 	c := s.dial(0)
 	c.Write(text[:len(text)-1])
 	c.Close()
--- a/internal/lab/live/boxhttp.go
+++ b/internal/lab/live/boxhttp.go
@@ -15,7 +15,7 @@
 // requestBodyMost is the most that a body may hold.
 const requestBodyMost = 64 << 10
 
-// http1 is HTTP/1.1 as the boxes speak it.
+// http1 is HTTP/1.1 as boxes and callers speak it.
 type http1 struct{ plan *plan.Plan }
 
 func (h http1) read(in *bufio.Reader) (ask, error) {
@@ -23,7 +23,7 @@
 	if err != nil {
 		return ask{}, err
 	}
-	a := ask{request: -1, last: req.Close}
+	a := ask{request: -1, last: req.Close, mark: mark{http: true}}
 	if req.Method == http.MethodGet && (req.RequestURI == "/ping" || req.RequestURI == "/_load") {
 		a.probe = true
 		return a, nil
@@ -92,7 +92,7 @@
 	replyUnknown:    "404 Not Found\r\n",
 }
 
-func (http1) answer(out []byte, what reply, body []byte, last bool) []byte {
+func (http1) answer(out []byte, what reply, _ mark, body []byte, last bool) []byte {
 	out = append(append(out, "HTTP/1.1 "...), replyHeads[what]...)
 	if last {
 		out = append(out, "Connection: close\r\n"...)
@@ -101,7 +101,7 @@
 	return append(append(out, "\r\n\r\n"...), body...)
 }
 
-func (http1) spoil(out []byte, body []byte, random *rand.Rand) []byte {
+func (http1) spoil(out []byte, _ mark, body []byte, random *rand.Rand) []byte {
 	n := len(body)
 	switch random.IntN(7) {
 	case 0: // noise
--- a/internal/lab/live/callers.go
+++ b/internal/lab/live/callers.go
@@ -3,11 +3,7 @@
 import (
 	"context"
 	"errors"
-	"fmt"
-	"math"
 	"net"
-	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -21,9 +17,10 @@
 	answerMost      = 192 << 10 // bytes of one answer, head and framing included; bodies have 64 KiB at most
 )
 
-// callers send requests over HTTP/1.1 as the protocol has its clients do. They are safe for concurrent use.
+// callers send requests over the scenario's protocol as it has its clients do. They are safe for concurrent use.
 type callers struct {
 	plan     *plan.Plan
+	wire     callerCodec
 	now      func() time.Duration
 	dialer   net.Dialer
 	sidecars []destination
@@ -47,11 +44,11 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &callers{plan: p, now: now, sidecars: make([]destination, len(p.Sidecars)), boxes: make([]destination, len(p.Boxes)),
+	c := &callers{plan: p, wire: newCallerCodec(p), now: now, sidecars: make([]destination, len(p.Sidecars)), boxes: make([]destination, len(p.Boxes)),
 		slots: make(chan struct{}, int(connectionsPart*float64(descriptors)))}
 	c.dialer.KeepAlive = -1 // a machine that has vanished is to be noticed as late as the protocol says
 	for i := range c.sidecars {
-		c.sidecars[i].addr = net.sidecar(i)
+		c.sidecars[i].addr = net.entry(i, p.Scenario.Fleet.Protocol)
 	}
 	for i := range c.boxes {
 		c.boxes[i].addr = net.box(i)
@@ -171,7 +168,7 @@
 	}()
 
 	l.last = 0
-	l.out = c.request(l.out[:0], q)
+	l.out = c.wire.request(l.out[:0], q)
 	l.conn.SetWriteDeadline(time.Now().Add(min(q.left, q.leaves-c.now())))
 	if _, err := l.conn.Write(l.out); err != nil {
 		return c.failed(ctx, q, t), l.used && !timedOut(err) && ctx.Err() == nil
@@ -185,26 +182,22 @@
 		return c.unanswered(ctx, q, t, err, trace.Broken), unread
 	}
 	l.used = true
-	answer, body, err := l.answer()
+	end, err := c.wire.outcome(l, q)
 	if err != nil {
 		return c.unanswered(ctx, q, t, err, trace.Failed), false
 	}
 	t.Answered, t.Answers = c.now(), 1
-	t.Code, t.Status = answer.StatusCode, trace.Failed
-	switch t.Code {
-	case http.StatusOK:
-		t.Status = trace.Served
+	t.Code, t.Status, t.Advice = end.code, end.status, end.advice
+	if t.Status == trace.Served {
 		var whole bool
-		t.Box, whole = checkBody(t.Txn, body)
+		t.Box, whole = checkBody(t.Txn, end.body)
 		t.Forged = !whole
-	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		t.Status, t.Advice = trace.Refused, advice(answer.Header.Get("Retry-After"))
 	}
 	if l.in.Buffered() > 0 {
 		t.Answers = 2
 		return t, false
 	}
-	keep = !answer.Close
+	keep = !end.last
 	l.last = t.Txn
 	return t, false
 }
@@ -229,40 +222,6 @@
 	return errors.As(err, &e) && e.Timeout()
 }
 
-// request appends a request as the protocol has it.
-func (c *callers) request(b []byte, q *query) []byte {
-	class := &c.plan.Scenario.Class[q.try.Class]
-	method := http.MethodPost
-	if class.Effect == "safe" {
-		method = http.MethodGet
-	}
-	b = fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: %016x\r\nX-Lane: %s\r\nX-Remaining-Ms: %d\r\n",
-		method, target(class.Name, q.try.Request), q.try.Txn, class.Name, q.left.Milliseconds())
-	if class.Effect == "keyed" {
-		b = fmt.Appendf(b, "Idempotency-Key: %032x\r\n", q.key)
-	}
-	if q.repeated && c.plan.Scenario.Rules.MarksRetry {
-		b = append(b, "X-Resent: 1\r\n"...)
-	}
-	if class.Effect == "safe" {
-		return append(b, "\r\n"...)
-	}
-	b = fmt.Appendf(b, "Content-Length: %d\r\n\r\n", class.Body)
-	for range class.Body {
-		b = append(b, 'x')
-	}
-	return b
-}
-
-// advice reads Retry-After in whole or decimal seconds; 0 is none.
-func advice(text string) time.Duration {
-	s, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(s > 0) || s > math.MaxInt32 {
-		return 0
-	}
-	return time.Duration(s * float64(time.Second))
-}
-
 // take is a kept connection that is fit for use; nil if there is none, or a fresh one is asked for.
 func (d *destination) take(c *callers, fresh bool) *line {
 	for !fresh {
--- /dev/null
+++ b/internal/lab/live/callhttp.go
@@ -0,0 +1,86 @@
+package live
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/trace"
+)
+
+const interimMost = 4 // answers of the 100s before the final one
+
+var errNoAnswer = errors.New("live: this is no answer of HTTP/1.1")
+
+func (h http1) request(b []byte, q *query) []byte {
+	class := &h.plan.Scenario.Class[q.try.Class]
+	method := http.MethodPost
+	if class.Effect == "safe" {
+		method = http.MethodGet
+	}
+	b = fmt.Appendf(b, "%s %s HTTP/1.1\r\nHost: origin.svc\r\nX-Txn: %016x\r\nX-Lane: %s\r\nX-Remaining-Ms: %d\r\n",
+		method, target(class.Name, q.try.Request), q.try.Txn, class.Name, q.left.Milliseconds())
+	if class.Effect == "keyed" {
+		b = fmt.Appendf(b, "Idempotency-Key: %032x\r\n", q.key)
+	}
+	if q.repeated && h.plan.Scenario.Rules.MarksRetry {
+		b = append(b, "X-Resent: 1\r\n"...)
+	}
+	if class.Effect == "safe" {
+		return append(b, "\r\n"...)
+	}
+	b = fmt.Appendf(b, "Content-Length: %d\r\n\r\n", class.Body)
+	for range class.Body {
+		b = append(b, 'x')
+	}
+	return b
+}
+
+func (h http1) outcome(l *line, _ *query) (end, error) {
+	r, body, err := h.final(l)
+	if err != nil {
+		return end{}, err
+	}
+	e := end{status: trace.Failed, code: r.StatusCode, body: body, last: r.Close}
+	switch r.StatusCode {
+	case http.StatusOK:
+		e.status = trace.Served
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		e.status, e.advice = trace.Refused, advice(r.Header.Get("Retry-After"))
+	}
+	return e, nil
+}
+
+// final reads a final answer and its whole body.
+func (http1) final(l *line) (*http.Response, []byte, error) {
+	for range interimMost {
+		r, err := http.ReadResponse(l.in, nil)
+		if err != nil {
+			return nil, nil, err
+		}
+		if r.StatusCode < http.StatusOK {
+			continue
+		}
+		l.body.Reset()
+		if _, err := l.body.ReadFrom(r.Body); err != nil {
+			return nil, nil, err
+		}
+		if l.rest.N <= 0 {
+			return nil, nil, errNoAnswer // a body that ends with its connection may have been cut by the bound
+		}
+		return r, l.body.Bytes(), nil
+	}
+	return nil, nil, errNoAnswer
+}
+
+// advice reads Retry-After in whole or decimal seconds; 0 is none.
+func advice(text string) time.Duration {
+	s, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(s > 0) || s > math.MaxInt32 {
+		return 0
+	}
+	return time.Duration(s * float64(time.Second))
+}
--- /dev/null
+++ b/internal/lab/live/callthrift.go
@@ -0,0 +1,79 @@
+package live
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/apache/thrift/lib/go/thrift"
+
+	"pinelb.example/pinelb/internal/lab/plan"
+	"pinelb.example/pinelb/internal/lab/trace"
+)
+
+// thriftCaller is Thrift as the callers speak it.
+type thriftCaller struct {
+	form thriftForm
+	plan *plan.Plan
+}
+
+// callHead is the head of a query's call. Its sequence id is the end of its id: seldom one that another call on
+// its connection had.
+func (c thriftCaller) callHead(q *query) thriftHead {
+	return thriftHead{c.plan.Scenario.Class[q.try.Class].Method(), thrift.CALL, int32(q.try.Txn)}
+}
+
+func (c thriftCaller) request(out []byte, q *query) []byte {
+	class := &c.plan.Scenario.Class[q.try.Class]
+	return c.form.write(out, c.callHead(q), func(w thriftWriter) {
+		w.fields(func() {
+			w.text(argTxn, fmt.Sprintf("%016x", q.try.Txn))
+			if class.Effect == "keyed" {
+				w.text(argKey, fmt.Sprintf("%032x", q.key))
+			}
+			w.number(argRemaining, int32(q.left.Milliseconds()))
+			w.number(argRequest, int32(q.try.Request))
+			if class.Body > 0 {
+				w.text(argBody, strings.Repeat("x", class.Body))
+			}
+		})
+	})
+}
+
+func (c thriftCaller) outcome(l *line, q *query) (e end, _ error) {
+	want := c.callHead(q)
+	return e, c.form.read(l.in, func(h thriftHead, p thrift.TProtocol) error {
+		switch {
+		case h.method != want.method || h.seq != want.seq:
+			return fmt.Errorf("%w: %s %d for %s %d", errThrift, h.method, h.seq, want.method, want.seq)
+		case h.kind == thrift.REPLY:
+			e.status = trace.Served
+			return thriftFields(p, func(id int16, kind thrift.TType) (bool, error) {
+				if id != resultBody || kind != thrift.STRING {
+					return false, nil
+				}
+				var err error
+				e.body, err = p.ReadBinary(context.Background())
+				return true, err
+			})
+		case h.kind == thrift.EXCEPTION:
+			x := thrift.NewTApplicationException(0, "")
+			err := x.Read(context.Background(), p)
+			e.status, e.code = trace.Failed, int(x.TypeId())
+			if e.code == typeRefused {
+				e.status, e.advice = trace.Refused, thriftAdvice(x.Error())
+			}
+			return err
+		}
+		return fmt.Errorf("%w: of kind %d", errThrift, h.kind)
+	})
+}
+
+// thriftAdvice reads when to come back from a refusal's message, such as "refused: retry after 0.350 s"; 0 is
+// not said.
+func thriftAdvice(message string) time.Duration {
+	_, after, _ := strings.Cut(message, "retry after ")
+	seconds, _, _ := strings.Cut(after, " s")
+	return advice(seconds)
+}
--- a/internal/lab/live/fleet.go
+++ b/internal/lab/live/fleet.go
@@ -29,7 +29,6 @@
 	*run
 	dir, logs string // of the configurations and of the logs
 	builds    [2]string
-	operator  string // path of the operator's file; "" is none
 	sidecars  []*sidecar
 	front     http.Client // asks for health
 	spawn     chan func()
@@ -55,13 +54,6 @@
 		os.RemoveAll(f.dir)
 		return nil, fmt.Errorf("live: logs: %w", err)
 	}
-	if text := r.plan.Scenario.Fleet.Operator; text != "" {
-		f.operator = filepath.Join(f.dir, "operator.toml")
-		if err := os.WriteFile(f.operator, []byte(text), filesMode); err != nil {
-			os.RemoveAll(f.dir)
-			return nil, fmt.Errorf("live: operator's file: %w", err)
-		}
-	}
 	for i := range r.plan.Sidecars {
 		f.sidecars = append(f.sidecars, newSidecar(f, i))
 	}
--- a/internal/lab/live/line.go
+++ b/internal/lab/live/line.go
@@ -7,18 +7,12 @@
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"syscall"
 
 	"golang.org/x/sys/unix"
 )
 
-const (
-	interimMost = 4 // answers of the 100s before the final one
-	bufferSize  = 4 << 10
-)
-
-var errNoAnswer = errors.New("live: this is no answer of HTTP/1.1")
+const bufferSize = 4 << 10
 
 // line is one connection of a caller, which carries one request at a time.
 type line struct {
@@ -27,9 +21,9 @@
 	rest io.LimitedReader // what may still come of the present answer
 	in   *bufio.Reader
 	out  []byte
-	body bytes.Buffer
-	used bool   // an answer has come on it
-	last uint64 // the request that was answered on it last; 0 while one is under way
+	body bytes.Buffer // of an answer over HTTP
+	used bool         // an answer has come on it
+	last uint64       // the request that was answered on it last; 0 while one is under way
 }
 
 func newLine(conn *net.TCPConn) (*line, error) {
@@ -43,28 +37,6 @@
 	return l, nil
 }
 
-// answer reads a final answer and its whole body, which stays as it is until the next one.
-func (l *line) answer() (*http.Response, []byte, error) {
-	for range interimMost {
-		r, err := http.ReadResponse(l.in, nil)
-		if err != nil {
-			return nil, nil, err
-		}
-		if r.StatusCode < http.StatusOK {
-			continue
-		}
-		l.body.Reset()
-		if _, err := l.body.ReadFrom(r.Body); err != nil {
-			return nil, nil, err
-		}
-		if l.rest.N <= 0 {
-			return nil, nil, errNoAnswer // a body that ends with its connection may have been cut by the bound
-		}
-		return r, l.body.Bytes(), nil
-	}
-	return nil, nil, errNoAnswer
-}
-
 // state is what an idle connection is found in.
 type state uint8
 
--- a/internal/lab/live/peer.go
+++ b/internal/lab/live/peer.go
@@ -46,6 +46,7 @@
 // output is an answer on its way.
 type output struct {
 	what   reply
+	to     mark
 	how    model.Answer // of a visit's; OK is whole
 	txn    uint64
 	visit  int
@@ -127,10 +128,10 @@
 	}
 	codec, random := p.box.codec, rand.New(rand.NewPCG(o.chance[0], o.chance[1]))
 	if o.how == model.Spoilt {
-		_, _ = p.conn.Write(codec.spoil(nil, body, random)) // the connection is closed in any case
+		_, _ = p.conn.Write(codec.spoil(nil, o.to, body, random)) // the connection is closed in any case
 		return false
 	}
-	text := codec.answer(make([]byte, 0, len(body)+128), o.what, body, o.last)
+	text := codec.answer(make([]byte, 0, len(body)+128), o.what, o.to, body, o.last)
 	switch o.how {
 	case model.CutOff:
 		_, _ = p.conn.Write(text[:1+random.IntN(len(text)-1)])
--- a/internal/lab/live/peer_test.go
+++ b/internal/lab/live/peer_test.go
@@ -28,11 +28,17 @@
 	wait sync.WaitGroup
 }
 
-// newScripted has callers with one sidecar, at whose address nobody listens yet, and a class of each effect.
 func newScripted(t *testing.T) *scripted {
+	t.Helper()
+	return newScriptedOver(t, "http")
+}
+
+// newScriptedOver has callers with one sidecar, at whose address nobody listens yet, and a class of each effect.
+func newScriptedOver(t *testing.T, protocol string) *scripted {
 	t.Helper()
 	noLeaks(t)
 	s := scenario.Default()
+	s.Fleet.Protocol = protocol
 	for _, effect := range []string{"safe", "keyed", "unsafe"} {
 		c := scenario.Class{Name: effect + "-one", Effect: effect, Share: 1}
 		if effect != "safe" {
@@ -62,7 +68,7 @@
 // serve has play take each connection, numbered from 0, until it returns; then the connection is closed.
 func (s *scripted) serve(play func(n int, l *talk)) {
 	s.t.Helper()
-	listener, err := net.Listen("tcp", s.net.sidecar(0))
+	listener, err := net.Listen("tcp", s.net.entry(0, s.plan.Scenario.Fleet.Protocol))
 	if err != nil {
 		s.t.Fatal(err)
 	}
--- a/internal/lab/live/run_test.go
+++ b/internal/lab/live/run_test.go
@@ -85,13 +85,16 @@
 func TestPlayWithTheProgram(t *testing.T) {
 	defer goleak.VerifyNone(t)
 	built := program(t)
-	t.Run("to its end", func(t *testing.T) { toItsEnd(t, built) })
+	t.Run("to its end", func(t *testing.T) { toItsEnd(t, built, calmDay) })
+	t.Run("to its end over Thrift", func(t *testing.T) {
+		toItsEnd(t, built, calmDay+"[fleet]\nprotocol = \"thrift-framed-compact\"\n")
+	})
 	t.Run("called off", func(t *testing.T) { calledOff(t, built) })
 }
 
 // In a calm run every request is served once, and both ends tell the same story.
-func toItsEnd(t *testing.T, built string) {
-	p := planned(t, calmDay)
+func toItsEnd(t *testing.T, built, text string) {
+	p := planned(t, text)
 	var told []time.Duration
 	log, err := live.Play(t.Context(), p, live.Options{Builds: [2]string{built}, Dir: t.TempDir(),
 		Progress: func(at time.Duration) { told = append(told, at) }})
@@ -162,6 +165,12 @@
 
 // With the plain policy there are no sidecars, and clients go round the boxes, also in the second tier.
 func TestPlayPlain(t *testing.T) {
+	for _, protocol := range []string{"http", "thrift-binary"} {
+		t.Run(protocol, func(t *testing.T) { playPlain(t, protocol) })
+	}
+}
+
+func playPlain(t *testing.T, protocol string) {
 	defer goleak.VerifyNone(t)
 	p := planned(t, `
 name = "plain"
@@ -183,6 +192,7 @@
 shape = "even"
 [fleet]
 policy = "plain"
+protocol = "`+protocol+`"
 `)
 	log, err := live.Play(t.Context(), p, live.Options{})
 	if err != nil {
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -100,8 +100,8 @@
 
 func (s *sidecar) command() *exec.Cmd {
 	cmd := exec.Command(s.fleet.builds[s.plan.Build])
-	if s.fleet.operator != "" {
-		cmd.Args = append(cmd.Args, "--config="+s.fleet.operator)
+	if s.operatorText() != "" {
+		cmd.Args = append(cmd.Args, "--config="+s.operator())
 	}
 	cmd.Env = append(os.Environ(), "LB_CONFIG="+s.file(), "LB_NAME="+s.plan.Name,
 		"LB_LISTEN="+s.fleet.net.sidecar(s.id), "LB_DISCOVERY="+s.discovery)
--- a/internal/lab/live/sidecar_config.go
+++ b/internal/lab/live/sidecar_config.go
@@ -18,6 +18,13 @@
 // file is its configuration.
 func (s *sidecar) file() string { return filepath.Join(s.fleet.dir, s.plan.Name+".json") }
 
+// operator is its operator's file, where operatorText is not empty.
+func (s *sidecar) operator() string { return filepath.Join(s.fleet.dir, s.plan.Name+".toml") }
+
+func (s *sidecar) operatorText() string {
+	return s.fleet.plan.Scenario.OperatorText(s.fleet.net.thrift(s.id))
+}
+
 // configure writes the configuration anew, as a whole: a sidecar may be reading it. It needs the lock.
 func (s *sidecar) configure() error {
 	p := s.fleet.plan
@@ -35,6 +42,11 @@
 	if err != nil {
 		return fmt.Errorf("live: configuration of %s: %w", s.plan.Name, err)
 	}
+	if text := s.operatorText(); text != "" {
+		if err := os.WriteFile(s.operator(), []byte(text), filesMode); err != nil {
+			return fmt.Errorf("live: %w", err)
+		}
+	}
 	next := s.file() + ".next"
 	if err := os.WriteFile(next, text, filesMode); err != nil {
 		return fmt.Errorf("live: %w", err)
--- /dev/null
+++ b/internal/lab/live/thrift_test.go
@@ -0,0 +1,199 @@
+package live
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/apache/thrift/lib/go/thrift"
+
+	"pinelb.example/pinelb/internal/lab/model"
+	"pinelb.example/pinelb/internal/lab/scenario"
+	"pinelb.example/pinelb/internal/lab/trace"
+)
+
+// overThrift runs a test in each form of Thrift.
+func overThrift(t *testing.T, test func(t *testing.T, protocol string)) {
+	for _, protocol := range scenario.Protocols {
+		if protocol == "http" {
+			continue
+		}
+		if _, ok := thriftForms[protocol]; !ok {
+			t.Fatalf("%s is no form", protocol)
+		}
+		t.Run(protocol, func(t *testing.T) { test(t, protocol) })
+	}
+}
+
+func onlyThrift(protocol string) string { return "[fleet]\nprotocol = \"" + protocol + "\"\n" }
+
+// A box as a client sees it that knows nothing but Thrift.
+func TestBoxSpeaksThrift(t *testing.T) {
+	const noFault = model.FaultKind(255)
+	overThrift(t, func(t *testing.T, protocol string) {
+		for _, c := range []struct {
+			name  string
+			fault model.FaultKind
+			shift uint64 // of the id: another is nobody's
+			class string
+			want  end
+			ends  trace.End
+		}{
+			{"whole", noFault, 0, "keyed", end{status: trace.Served}, trace.OK},
+			{"failed", model.Fail, 0, "quick", end{status: trace.Failed, code: thrift.INTERNAL_ERROR}, trace.Errored},
+			{"a stranger's", noFault, 1, "quick", end{status: trace.Failed, code: thrift.PROTOCOL_ERROR}, trace.Errored},
+			{"turned away", noFault, 0, "quick", end{status: trace.Failed, code: scenario.ThriftTurnedAway}, trace.TurnedAway},
+			{"cut", model.Cut, 0, "quick", end{}, trace.Spoilt},
+			{"spoilt", model.Spoil, 0, "quick", end{}, trace.Spoilt},
+			{"dripped", model.Drip, 0, "quick", end{}, trace.Spoilt},
+		} {
+			t.Run(c.name, func(t *testing.T) {
+				s := newStand(t, standClasses+oneTier+"slots = 1\nqueue = 1\n"+onlyThrift(protocol))
+				for i := 0; i < 2 && c.ends == trace.TurnedAway; i++ {
+					s.ask(s.dial(0), s.next("long"))
+					s.loaded(0, 1, i)
+				}
+				if c.fault != noFault {
+					s.fault(0, c.fault, 1)
+				}
+				q, conn := s.next(c.class), s.dial(0)
+				q.try.Txn += c.shift
+				s.ask(conn, q)
+				if c.fault == model.Drip {
+					if _, err := conn.in.Peek(2 * dripBytes); err != nil {
+						t.Error(err)
+					}
+					conn.Close()
+				} else if got, err := s.callers.wire.outcome(&line{in: conn.in}, &q); (err != nil) != (c.ends == trace.Spoilt) ||
+					err == nil && (got.status != c.want.status || got.code != c.want.code) {
+					t.Errorf("%+v: %v", got, err)
+				} else if box, ok := checkBody(q.try.Txn, got.body); c.ends == trace.OK && (!ok || box != 0) {
+					t.Error("the body is not box 0's")
+				}
+				if c.shift > 0 {
+					q.try.Txn = 0
+				}
+				if v := s.visit(q.try.Txn); v.End != c.ends {
+					t.Errorf("the visit is %+v", v)
+				}
+			})
+		}
+	})
+}
+
+// A probe is answered over HTTP where calls come over Thrift, and nothing else is.
+func TestBoxOverThriftIsProbed(t *testing.T) {
+	s := newStand(t, standClasses+oneTier+onlyThrift("thrift-compact"))
+	c := s.dial(0)
+	io.WriteString(c, "GET /ping HTTP/1.1\r\nHost: box\r\n\r\n")
+	c.expect(http.StatusOK)
+	io.WriteString(c, "GET /quick/0 HTTP/1.1\r\nHost: box\r\n\r\n")
+	if err := c.says(ample); !isOver(err) {
+		t.Errorf("a request over HTTP: %v", err)
+	}
+}
+
+// What callers write boxes read, in pieces of any size, and the other way round; neither takes a byte of what
+// follows.
+func TestThriftGoesRound(t *testing.T) {
+	overThrift(t, func(t *testing.T, protocol string) {
+		s := newStand(t, standClasses+oneTier+onlyThrift(protocol))
+		box, wire := newCodec(s.plan), s.callers.wire
+		for _, class := range []string{"quick", "keyed"} {
+			q := s.next(class)
+			text := wire.request(nil, &q)
+			want := ask{named: true, txn: q.try.Txn, request: q.try.Request, left: q.left, mark: mark{method: class, seq: int32(q.try.Txn)}}
+			if class == "keyed" {
+				want.key = q.key
+			}
+			in := bufio.NewReader(iotest.OneByteReader(bytes.NewReader(slices.Concat(text, text))))
+			for range 2 {
+				if a, err := box.read(in); err != nil || a != want {
+					t.Errorf("%+v, want %+v: %v", a, want, err)
+				}
+			}
+			if a, err := box.read(bufio.NewReader(bytes.NewReader(text[:len(text)-1]))); err == nil || !a.named {
+				t.Errorf("all but the last byte: %+v, %v", a, err)
+			}
+			l := &line{in: bufio.NewReader(bytes.NewReader(append(box.answer(nil, replyServed, want.mark, []byte("body"), false), 'x')))}
+			if e, err := wire.outcome(l, &q); err != nil || string(e.body) != "body" || l.in.Buffered() != 1 {
+				t.Errorf("%+v, %d left: %v", e, l.in.Buffered(), err)
+			}
+		}
+	})
+}
+
+func TestSpoiltThriftIsNoAnswer(t *testing.T) {
+	overThrift(t, func(t *testing.T, protocol string) {
+		s := newStand(t, standClasses+oneTier+onlyThrift(protocol))
+		random, q := rand.New(rand.NewPCG(1, 0)), s.next("quick")
+		for _, size := range []int{bodyLeast, 5000} {
+			for range 300 {
+				text := newCodec(s.plan).spoil(nil, mark{method: "quick", seq: int32(q.try.Txn)}, answerBody(1, 2, 3, size), random)
+				if e, err := s.callers.wire.outcome(&line{in: bufio.NewReader(bytes.NewReader(text))}, &q); err == nil {
+					t.Fatalf("this passes for whole: %+v %q", e, text)
+				}
+			}
+		}
+	})
+}
+
+// What comes back over Thrift decides the status, as over HTTP.
+func TestAnswersOverThriftAreJudged(t *testing.T) {
+	overThrift(t, func(t *testing.T, protocol string) {
+		form := thriftForms[protocol]
+		reply := func(method string, seq int32, body []byte) []byte {
+			return form.write(nil, thriftHead{method, thrift.REPLY, seq}, success(body))
+		}
+		whole := reply("unsafe_one", 5, answerBody(5, 2, 0, 64))
+		exception := func(kind int32, message string) []byte {
+			return form.write(nil, thriftHead{"unsafe_one", thrift.EXCEPTION, 5}, func(w thriftWriter) { w.exception(kind, message) })
+		}
+		for _, c := range []struct {
+			name    string
+			answer  []byte
+			want    trace.Status
+			code    int
+			advice  time.Duration
+			answers int
+			forged  bool
+		}{
+			{"whole", whole, trace.Served, 0, 0, 1, false},
+			{"two", slices.Concat(whole, whole), trace.Served, 0, 0, 2, false},
+			{"another's", reply("unsafe_one", 5, answerBody(6, 2, 0, 64)), trace.Served, 0, 0, 1, true},
+			{"without a body", form.write(nil, thriftHead{"unsafe_one", thrift.REPLY, 5},
+				func(w thriftWriter) { w.fields(func() { w.number(7, 7) }) }), trace.Served, 0, 0, 1, true},
+			{"refused with advice", exception(100, "refused: no room; retry after 0.250 s"), trace.Refused, 100, 250 * time.Millisecond, 1, false},
+			{"refused", exception(100, "refused"), trace.Refused, 100, 0, 1, false},
+			{"failed", exception(101, "failed; retry after 0.250 s"), trace.Failed, 101, 0, 1, false},
+			{"expired", exception(102, ""), trace.Failed, 102, 0, 1, false},
+			{"unknown method", exception(1, ""), trace.Failed, 1, 0, 1, false},
+			{"another sequence id", reply("unsafe_one", 6, answerBody(5, 2, 0, 64)), trace.Failed, 0, 0, 0, false},
+			{"another method", reply("safe_one", 5, answerBody(5, 2, 0, 64)), trace.Failed, 0, 0, 0, false},
+			{"half a reply", whole[:len(whole)/2], trace.Failed, 0, 0, 0, false},
+			{"HTTP", []byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"), trace.Failed, 0, 0, 0, false},
+			{"closed", nil, trace.Broken, 0, 0, 0, false},
+		} {
+			t.Run(c.name, func(t *testing.T) {
+				s := newScriptedOver(t, protocol)
+				s.serve(func(_ int, l *talk) {
+					if err := form.read(l.in, func(_ thriftHead, p thrift.TProtocol) error { return p.Skip(t.Context(), thrift.STRUCT) }); err != nil {
+						t.Error(err)
+					}
+					l.conn.Write(c.answer)
+				})
+				got := s.do(t.Context(), s.query("unsafe", 5))
+				if got.Status != c.want || got.Code != c.code || got.Advice != c.advice || got.Answers != c.answers ||
+					got.Forged != c.forged || got.Sent == trace.None {
+					t.Errorf("%+v", got)
+				}
+			})
+		}
+	})
+}
--- a/internal/lab/live/visit.go
+++ b/internal/lab/live/visit.go
@@ -16,6 +16,7 @@
 	number    int           // of that id at that box
 	left      time.Duration // how long its sender waits, from Arrived
 	last      bool          // its connection ends with the answer
+	mark      mark
 	segments  []time.Duration
 	peer      *peer
 	withdrawn bool
@@ -43,11 +44,11 @@
 	case a.probe:
 		b.probed(p, a, now)
 	case !a.named:
-		p.out <- output{what: replyUnknown, last: a.last}
+		p.out <- output{what: replyUnknown, to: a.mark, last: a.last}
 	case !b.made(a):
 		b.run.trace.visit(trace.Visit{Box: b.index, Conn: p.id, Begun: begun, Arrived: now, Started: trace.None,
 			Ended: now, End: trace.Errored, Key: a.key})
-		p.out <- output{what: replyFaulty, last: a.last}
+		p.out <- output{what: replyFaulty, to: a.mark, last: a.last}
 	default:
 		b.take(p, a, begun, now)
 	}
@@ -62,7 +63,7 @@
 	} else if b.model.Load(now).Capacity == 0 {
 		return
 	}
-	p.out <- output{what: what, last: a.last}
+	p.out <- output{what: what, to: a.mark, last: a.last}
 }
 
 // made says whether a caller made a request in just this form.
@@ -89,7 +90,7 @@
 // take gives a request to the model.
 func (b *box) take(p *peer, a *ask, begun, now time.Duration) {
 	b.numbers++
-	v := &visit{job: b.numbers, request: a.request, number: b.visits[a.txn], left: a.left, last: a.last, peer: p,
+	v := &visit{job: b.numbers, request: a.request, number: b.visits[a.txn], left: a.left, last: a.last, mark: a.mark, peer: p,
 		Visit: trace.Visit{Txn: a.txn, Box: b.index, Conn: p.id, Begun: begun, Arrived: now, Started: trace.None,
 			Ended: trace.None, Key: a.key}}
 	b.visits[a.txn]++
@@ -177,7 +178,7 @@
 
 // respond has an answer written.
 func (b *box) respond(p *peer, v *visit, answer model.Answer) {
-	o := output{what: replyServed, how: answer, last: v.last}
+	o := output{what: replyServed, to: v.mark, how: answer, last: v.last}
 	switch answer {
 	case model.Errored:
 		o.what = replyErrored
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -48,7 +48,7 @@
 			ConnectTimeout: s(75 * time.Millisecond), ConnIdle: s(30 * time.Second), PassesDeadline: true, MarksRetry: true},
 		Clients: Clients{Shape: "steady", Period: s(10 * time.Second), Retries: 3, TryShare: 0.55,
 			Backoff: s(100 * time.Millisecond), Honour: 0.15, Notice: s(2 * time.Second)},
-		Fleet: Fleet{Sidecars: 1, Policy: "pinelb", Rank: "right", Start: "before", Known: "fresh", MemoryMB: 192,
+		Fleet: Fleet{Sidecars: 1, Protocol: "http", Policy: "pinelb", Rank: "right", Start: "before", Known: "fresh", MemoryMB: 192,
 			Sockets: 1024, Cores: 1},
 		Discovery: Discovery{Add: s(500 * time.Millisecond), Notice: s(time.Second), Silent: s(6 * time.Second),
 			Spread: s(300 * time.Millisecond)},
@@ -155,7 +155,7 @@
 	c.need(boxes <= mostBoxes, "tier", "has %d boxes in all; %d at most", boxes, mostBoxes)
 	c.clients(s)
 	c.rules(&s.Rules)
-	c.fleet(&s.Fleet)
+	c.fleet(s)
 	c.need(s.Discovery.LateShare >= 0 && s.Discovery.LateShare <= 1, "discovery.late_share", "must be from 0 to 1")
 	c.need(s.Network.Delay >= 0 && s.Network.Delay.D() <= time.Second, "network.delay", "must be from 0 to 1s")
 	c.need(len(s.Fault) <= mostFaults, "fault", "there may be %d at most", mostFaults)
@@ -270,12 +270,17 @@
 	c.need(r.ConnectTimeout > 0 && r.ConnIdle > 0, "rules.connect_timeout", "and conn_idle must be above 0")
 }
 
-func (c *checker) fleet(k *Fleet) {
+func (c *checker) fleet(s *Scenario) {
+	k := &s.Fleet
+	c.oneOf(k.Protocol, "fleet.protocol", Protocols...)
+	if k.Thrift() {
+		c.methods(s.Class)
+	}
 	c.oneOf(k.Policy, "fleet.policy", "pinelb", "plain")
 	c.need(k.Sidecars > 0 && k.Sidecars <= mostFleet, "fleet.sidecars", "must be from 1 to %d", mostFleet)
 	c.need(k.Other >= 0 && k.Other <= k.Sidecars, "fleet.other", "must be from 0 to sidecars")
 	c.oneOf(k.Rank, "fleet.rank", "right", "equal", "none")
-	_, err := config.ParseOperator("operator", []byte(k.Operator))
+	_, err := config.ParseOperator("operator", []byte(s.OperatorText("127.0.0.1:1")))
 	c.need(err == nil, "fleet.operator", "%v", err)
 	c.oneOf(k.Start, "fleet.start", "before", "with")
 	c.oneOf(k.Known, "fleet.known", "fresh", "none", "stale")
@@ -283,6 +288,17 @@
 	c.need(k.MemoryMB >= 32 && k.Sockets >= 64 && k.Cores > 0, "fleet.memory_mb", "must be 32 or more, sockets 64 or more and cores above 0")
 }
 
+// methods checks that classes can be told apart as methods of Thrift.
+func (c *checker) methods(classes []Class) {
+	seen := map[string]bool{}
+	for i := range classes {
+		name := classes[i].Method()
+		c.need(methodName.MatchString(name) && !seen[name], fmt.Sprintf("class[%d].name", i),
+			"gives no method of Thrift of its own: %q", name)
+		seen[name] = true
+	}
+}
+
 func (c *checker) fault(at string, k *Fault, s *Scenario) {
 	kinds := slices.Concat(BoxFaults, BoxEvents, OtherKinds, []string{"flap"})
 	c.oneOf(k.Kind, at+".kind", kinds...)
--- /dev/null
+++ b/internal/lab/scenario/protocol_test.go
@@ -0,0 +1,34 @@
+package scenario
+
+import (
+	"slices"
+	"strings"
+	"testing"
+
+	"pinelb.example/pinelb/internal/config"
+)
+
+// A sidecar is told of each class as the callers call it, beside what the scenario's own text says.
+func TestOperatorTextTellsOfTheCalls(t *testing.T) {
+	text := strings.Replace(small, `name = "a"`, "name = \"a-b\"\neffect = \"keyed\"", 1)
+	s, err := Parse("x.toml", []byte(text+"[fleet]\nprotocol = \"thrift-compact\"\noperator = \"[fleet]\\nnumbered = true\""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	op, err := config.ParseOperator("operator", []byte(s.OperatorText("127.0.0.1:9")))
+	if err != nil || op.Thrift == nil || len(op.Thrift.Methods) != 1 {
+		t.Fatalf("%+v: %v", op, err)
+	}
+	if !op.Fleet.Numbered || op.Thrift.Listen != "127.0.0.1:9" || op.Thrift.TurnedAway != ThriftTurnedAway {
+		t.Errorf("%+v", op.Thrift)
+	}
+	m := op.Thrift.Methods[0]
+	if m.Name != "a_b" || m.Class != "a-b" || !slices.Equal(m.ID, []int16{ThriftTxn}) ||
+		!slices.Equal(m.Key, []int16{ThriftKey}) || !slices.Equal(m.RemainingMS, []int16{ThriftRemaining}) {
+		t.Errorf("%+v", m)
+	}
+	s.Fleet.Protocol = "http"
+	if got := s.OperatorText("127.0.0.1:9"); got != s.Fleet.Operator {
+		t.Errorf("over HTTP: %q", got)
+	}
+}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -129,6 +129,7 @@
 // Fleet is the sidecars.
 type Fleet struct {
 	Sidecars    int    // of the first tier; each box of a tier with a next one has one of its own
+	Protocol    string // between clients, sidecars and boxes: see Protocols
 	Policy      string // "pinelb", or "plain": no sidecars, clients go round the listed boxes
 	Other       int    // how many of the first tier run the second build, where there is one
 	Rank        string // "right", "equal" (all are told 0) or "none" (the settings lack it)
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -18,13 +18,13 @@
 	Txn       string // fresh for every request
 	ClassName string
 	Class     int
-	Operation string // what is called: over HTTP, the method
-	Target    string // on what: over HTTP, the raw path and query
+	Operation string // how it is called: over HTTP, the method
+	Target    string // what is called: over HTTP, the raw path and query
 	Authority string
 	Key       string // the effect's identity, where the class carries one
 	Repeated  bool
 	Labels    string
-	MediaType string
+	MediaType string // of the body; protocols that have several encodings tell them by it
 	Body      []byte
 	Arrived   time.Time // when it began to come
 	Deadline  time.Time // when the client gives up
@@ -48,7 +48,7 @@
 type Response struct {
 	Outcome    Outcome
 	MediaType  string
-	Body       []byte
+	Body       []byte // Served: the answer; Rejected: the fault in the host's own words, where they are to be passed on
 	RetryAfter time.Duration
 }
 
--- /dev/null
+++ b/internal/thriftwire/append.go
@@ -0,0 +1,33 @@
+package thriftwire
+
+import "encoding/binary"
+
+// frameLength is how many bytes tell a frame's length, a signed number in big endian that they don't count in.
+const frameLength = 4
+
+// Append appends a message in h's form, with its frame if it has one. The body is in h's encoding already: it
+// may be the one that a Reader returned, under a head with another sequence id.
+func Append(b []byte, h Head, body []byte) []byte {
+	b, start := appendHead(b, h)
+	return closeFrame(append(b, body...), start, h)
+}
+
+// appendHead appends a head, after room for the frame's length if there is one, and returns where that is.
+func appendHead(b []byte, h Head) (_ []byte, start int) {
+	start = len(b)
+	if h.Form.Framed {
+		b = append(b, 0, 0, 0, 0)
+	}
+	if h.Form.Encoding == Compact {
+		return appendCompactHead(b, h), start
+	}
+	return appendBinaryHead(b, h), start
+}
+
+// closeFrame fills in the length of the frame that began at start.
+func closeFrame(b []byte, start int, h Head) []byte {
+	if h.Form.Framed {
+		binary.BigEndian.PutUint32(b[start:], uint32(len(b)-start-frameLength))
+	}
+	return b
+}
--- /dev/null
+++ b/internal/thriftwire/compact.go
@@ -0,0 +1,203 @@
+package thriftwire
+
+import (
+	"encoding/binary"
+	"math"
+)
+
+// The compact protocol (doc/specs/thrift-compact-protocol.md): numbers as varints of 7 bits a byte, signed ones
+// in zigzag, types in half a byte, field ids as differences, the bools of a field in its type.
+
+const (
+	compactID      = 0x82 // the first byte of a message
+	compactVersion = 1    // in the low 5 bits of the second; the kind is above
+
+	compactTrue   = 1 // the type of a field that is true
+	compactFalse  = 2
+	compactI32    = 5
+	compactString = 8
+	compactLast   = 13 // the highest type that exists
+)
+
+// compactTypes translates types; 0 stands for those that do not exist, and for the stop.
+var compactTypes = [16]uint8{
+	compactTrue: typeBool, compactFalse: typeBool, 3: typeByte, 4: typeI16, compactI32: typeI32, 6: typeI64, 7: typeDouble,
+	compactString: typeString, 9: typeList, 10: typeSet, 11: typeMap, 12: typeStruct, compactLast: typeUUID,
+}
+
+// compactWidths by type, as elements.
+var compactWidths = [17]width{
+	typeBool: {1, true}, typeByte: {1, true}, typeDouble: {8, true}, typeUUID: {16, true},
+	typeI16: {1, false}, typeI32: {1, false}, typeI64: {1, false},
+	typeString: {1, false}, typeStruct: {1, false}, typeMap: {1, false}, typeSet: {1, false}, typeList: {1, false},
+}
+
+// varint reads a number of so many bits, in 5 bytes at most (10 for 64 bits), and returns where it ends. next is
+// 0 where it is not whole, and -1 where it is too long or has bits beyond those.
+func varint(b []byte, p int, bits uint) (v uint64, next int) {
+	if p < len(b) && b[p] < 0x80 {
+		return uint64(b[p]), p + 1 // as most are
+	}
+	bytes := 5
+	if bits > 32 {
+		bytes = 10
+	}
+	for shift := uint(0); ; shift, p = shift+7, p+1 {
+		if p >= len(b) {
+			return 0, 0
+		}
+		low := uint64(b[p] & 0x7f)
+		if low != 0 && (shift >= bits || bits-shift < 7 && low>>(bits-shift) != 0) {
+			return 0, -1
+		}
+		v |= low << shift
+		if b[p] < 0x80 {
+			return v, p + 1
+		}
+		if bytes--; bytes == 0 {
+			return 0, -1
+		}
+	}
+}
+
+// cut says why a varint has no end.
+func cut(next int) error {
+	if next < 0 {
+		return ErrBroken
+	}
+	return errMore
+}
+
+// unzigzag turns 0, 1, 2, 3 into 0, -1, 1, -2.
+func unzigzag(v uint64) int64 { return int64(v>>1) ^ -int64(v&1) }
+
+// compactHead reads a head at p, and returns where its body begins.
+func (r *Reader) compactHead(b []byte, p int) (Head, int, error) {
+	h := Head{Form: r.form}
+	if len(b) > p && b[p] != compactID {
+		return h, 0, ErrForm
+	}
+	if len(b)-p < 2 {
+		return h, 0, errMore
+	}
+	if b[p+1]&0x1f != compactVersion {
+		return h, 0, ErrForm
+	}
+	h.Kind = Kind(b[p+1] >> 5)
+	if !h.Kind.known() {
+		return h, 0, ErrBroken
+	}
+	seq, q := varint(b, p+2, 32)
+	if q <= 0 {
+		return h, 0, cut(q)
+	}
+	h.Seq = int32(uint32(seq))
+	n, p := varint(b, q, 31)
+	if p <= 0 {
+		return h, 0, cut(p)
+	}
+	name, p, err := r.name(b, p, int(n))
+	if err != nil {
+		return h, 0, err
+	}
+	h.Name = r.intern(name)
+	return h, p, nil
+}
+
+func compactField(b []byte, p int, last int16, f *field) error {
+	c := b[p]
+	if c&0x0f == 0 {
+		f.value = p + 1
+		return nil
+	}
+	f.kind, f.value = compactTypes[c&0x0f], p+1
+	if f.kind == typeStop {
+		return ErrBroken
+	}
+	if delta := int(c >> 4); delta != 0 {
+		id := int(last) + delta
+		if id > math.MaxInt16 {
+			return ErrBroken
+		}
+		f.id = int16(id)
+	} else {
+		id, q := varint(b, p+1, 16)
+		if q <= 0 {
+			return cut(q)
+		}
+		f.id, f.value = int16(unzigzag(id)), q
+	}
+	f.whole, f.truth = f.kind == typeBool, c&0x0f == compactTrue
+	return nil
+}
+
+func (w *walker) compactValue(b []byte, p int, t uint8) (int, error) {
+	switch t {
+	case typeI16, typeI32, typeI64:
+		_, q := varint(b, p, compactBits(t))
+		if q <= 0 {
+			return 0, cut(q)
+		}
+		return q, nil
+	case typeString:
+		n, q := varint(b, p, 31)
+		if q <= 0 {
+			return 0, cut(q)
+		}
+		return w.over(q, int(n))
+	case typeSet, typeList:
+		if p >= len(b) {
+			return 0, errMore
+		}
+		n, q, c := uint64(b[p]>>4), p+1, b[p]&0x0f
+		if n == 15 {
+			if n, q = varint(b, q, 31); q <= 0 {
+				return 0, cut(q)
+			}
+		}
+		if c > compactLast {
+			return 0, ErrBroken
+		}
+		return w.open(q, int(n), 1, compactTypes[c], compactTypes[c], &compactWidths)
+	case typeMap:
+		n, q := varint(b, p, 31)
+		if q <= 0 {
+			return 0, cut(q)
+		}
+		if n == 0 {
+			return q, nil // without types
+		}
+		if q >= len(b) {
+			return 0, errMore
+		}
+		return w.open(q+1, int(n), 2, compactTypes[b[q]>>4], compactTypes[b[q]&0x0f], &compactWidths)
+	}
+	return w.over(p, int(compactWidths[t].min))
+}
+
+// compactBits is how many bits an integer type has.
+func compactBits(t uint8) uint {
+	switch t {
+	case typeI16:
+		return 16
+	case typeI32:
+		return 32
+	}
+	return 64
+}
+
+func appendCompactHead(b []byte, h Head) []byte {
+	b = append(b, compactID, compactVersion|byte(h.Kind)<<5)
+	b = binary.AppendUvarint(b, uint64(uint32(h.Seq)))
+	b = binary.AppendUvarint(b, uint64(len(h.Name)))
+	return append(b, h.Name...)
+}
+
+// compactNumber reads what is no field's bool.
+func compactNumber(b []byte, t uint8) int64 {
+	if t == typeByte {
+		return int64(int8(b[0]))
+	}
+	v, _ := varint(b, 0, compactBits(t))
+	return unzigzag(v)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,22 +27,29 @@
 // conn is one connection. It carries one request at a time.
 type conn struct {
 	net.Conn
-	limit     *io.LimitedReader // what may still come of the present answer
-	in        *bufio.Reader
 	host      balance.EndpointID
-	addr      string
+	addr      string // the host's, as discovery lists it
+	use       purpose
 	idleSince time.Time
+
+	limit *io.LimitedReader // HTTP: what may still come of the present answer
+	in    *bufio.Reader     // HTTP
+	seq   int32             // Thrift: of the last call
 }
 
-func newConn(nc net.Conn, id balance.EndpointID, addr string) *conn {
-	limit := &io.LimitedReader{R: nc}
-	return &conn{Conn: nc, limit: limit, in: bufio.NewReaderSize(limit, 2<<10), host: id, addr: addr}
+func newConn(nc net.Conn, id balance.EndpointID, addr string, use purpose) *conn {
+	c := &conn{Conn: nc, host: id, addr: addr, use: use}
+	if use.protocol == "" {
+		c.limit = &io.LimitedReader{R: nc}
+		c.in = bufio.NewReaderSize(c.limit, 2<<10)
+	}
+	return c
 }
 
 // quiet tells whether the other side has neither closed an idle connection nor said anything on it.
 func (c *conn) quiet() bool {
 	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.in.Buffered() > 0 {
+	if !ok || c.in != nil && c.in.Buffered() > 0 {
 		return false
 	}
 	raw, err := sc.SyscallConn()
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -1,4 +1,4 @@
-// Package upstream carries out upstream requests over HTTP/1.1 on connections of its own. What it
+// Package upstream carries out upstream requests, over HTTP/1.1 or Thrift, on connections of its own. What it
 // reports of each is what the decisions rest on: above all whether the request may have run.
 package upstream
 
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -23,8 +25,12 @@
 	errCrowded     = errors.New("upstream: no connection is free")
 )
 
-// Pool holds the connections to all upstream hosts of the cluster.
+// Pool holds the connections to all upstream hosts of the cluster. Its own requests are HTTP's.
 type Pool struct {
+	// ConnectOnly is for hosts whose listed ports don't speak HTTP: a probe is a connection that comes up. It
+	// is set before the pool is used.
+	ConnectOnly bool
+
 	connectTimeout time.Duration
 	idleMost       time.Duration
 	most           int // connections in all, those being opened included
@@ -36,6 +42,14 @@
 	hosts map[balance.EndpointID]*host
 }
 
+// purpose is what a connection is used for. A host may tell protocols apart by a connection's first bytes, so
+// that none serves two; HTTP's is the zero value.
+type purpose struct {
+	port     uint16 // 0: the one that discovery lists
+	protocol string
+	oneway   bool // nothing is answered: when the host is done with a request can't be told
+}
+
 // host is one upstream host's address and its idle connections, the last used last.
 type host struct {
 	addr string
@@ -125,7 +139,7 @@
 }
 
 // take returns an idle connection to the host that is fit for use, or a new one.
-func (p *Pool) take(ctx context.Context, id balance.EndpointID, until time.Time) (*conn, error) {
+func (p *Pool) take(ctx context.Context, id balance.EndpointID, until time.Time, use purpose) (*conn, error) {
 	p.mu.Lock()
 	h := p.hosts[id]
 	if h == nil {
@@ -133,10 +147,7 @@
 		return nil, errUnknownHost
 	}
 	now := p.now()
-	for len(h.idle) > 0 {
-		c := h.idle[len(h.idle)-1]
-		h.idle[len(h.idle)-1] = nil
-		h.idle = h.idle[:len(h.idle)-1]
+	for c := h.last(use); c != nil; c = h.last(use) {
 		if p.fit(c, now) {
 			p.mu.Unlock()
 			return c, nil
@@ -153,12 +164,32 @@
 	p.mu.Unlock()
 
 	d := net.Dialer{Timeout: max(1, min(p.connectTimeout, time.Until(until))), KeepAlive: -1}
-	nc, err := d.DialContext(ctx, "tcp", addr)
+	nc, err := d.DialContext(ctx, "tcp", use.at(addr))
 	if err != nil {
 		p.drop(nil)
 		return nil, fmt.Errorf("upstream: dial: %w", err)
 	}
-	return newConn(nc, id, addr), nil
+	return newConn(nc, id, addr, use), nil
+}
+
+// last takes the idle connection out that was used last for that purpose, if there is one.
+func (h *host) last(use purpose) *conn {
+	for i := len(h.idle) - 1; i >= 0; i-- {
+		if c := h.idle[i]; c.use == use {
+			h.idle = slices.Delete(h.idle, i, i+1)
+			return c
+		}
+	}
+	return nil
+}
+
+// at is where a host with that listed address serves the purpose.
+func (u purpose) at(addr string) string {
+	host, _, err := net.SplitHostPort(addr)
+	if u.port == 0 || err != nil {
+		return addr
+	}
+	return net.JoinHostPort(host, strconv.Itoa(int(u.port)))
 }
 
 // makeRoom closes one idle connection of any host; the caller holds the lock.
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -20,7 +20,7 @@
 
 // Do carries out one upstream request on one connection. It never sends it again.
 func (p *Pool) Do(ctx context.Context, id balance.EndpointID, until time.Time, req *stream.Request) (balance.Status, stream.Response) {
-	c, err := p.take(ctx, id, until)
+	c, err := p.take(ctx, id, until, purpose{})
 	if err != nil {
 		return neverSent(ctx, err), stream.Response{Outcome: stream.Failed}
 	}
@@ -41,34 +41,49 @@
 // Probe asks an upstream host whether it is up.
 func (p *Pool) Probe(id balance.EndpointID) balance.Status {
 	ctx, until := context.Background(), time.Now().Add(probeTimeout)
-	c, err := p.take(ctx, id, until)
+	c, err := p.take(ctx, id, until, purpose{})
 	if err != nil {
 		return neverSent(ctx, err)
 	}
+	if p.ConnectOnly {
+		p.drop(c)
+		return balance.OK
+	}
 	_, status := p.exchange(ctx, c, until, []byte("GET /ping HTTP/1.1\r\nHost: "+c.addr+"\r\n\r\n"))
 	return status
 }
 
-// exchange writes a message and reads the answer. The connection is idle again afterwards, or closed.
-func (p *Pool) exchange(ctx context.Context, c *conn, until time.Time, message []byte) (answer, balance.Status) {
+// exchange writes an HTTP message and reads the answer.
+func (p *Pool) exchange(ctx context.Context, c *conn, until time.Time, message []byte) (a answer, status balance.Status) {
+	status = p.carry(ctx, c, until, message, func() (balance.Status, bool, error) {
+		var err error
+		a, err = c.read(ctx, until)
+		return judge(a), a.reusable, err
+	})
+	return a, status
+}
+
+// carry writes a message in one piece and has read take the answer, say what it stands for, and whether the
+// connection may carry another request. It is idle again afterwards, or closed.
+func (p *Pool) carry(ctx context.Context, c *conn, until time.Time, message []byte, read func() (balance.Status, bool, error)) balance.Status {
 	_ = c.SetDeadline(until) // on a connection that is broken the write says so
 	stop := context.AfterFunc(ctx, c.interrupt)
 	defer stop()
 	if _, err := c.Write(message); err != nil {
 		p.drop(c)
-		return answer{}, neverSent(ctx, err)
+		return neverSent(ctx, err)
 	}
-	a, err := c.read(ctx, until)
+	status, reusable, err := read()
 	if err != nil {
 		p.drop(c)
-		return answer{}, noAnswer(ctx, err)
+		return noAnswer(ctx, err)
 	}
-	if stop() && a.reusable {
+	if stop() && reusable {
 		p.put(c)
 	} else {
 		p.drop(c)
 	}
-	return a, judge(a)
+	return status
 }
 
 // rejects tells whether a status says that the request is at fault, whoever gets it.
