Let the limit follow what hosts can do both ways, and cold ones earn in a crisis

Change: the limit is scaled by what the listed hosts can do, up and down; the host that answers always counts, and in a crisis all; ranks and shares are kept from one upkeep to the next.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -78,7 +78,7 @@
 	b := &Balancer{
 		set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), retries: retryBurst,
 		reqs: map[RequestID]*request{}, byID: map[EndpointID]*server{}, groups: map[groupKey]*group{},
-		bins: make([]bin, len(s.Classes)*spentBuckets),
+		bins: make([]bin, len(s.Classes)*spentBuckets), able: 1, limit: limitFirst / float64(s.Instances),
 	}
 	b.dither = b.rng.Float64()
 	if s.Name != "" {
@@ -89,6 +89,7 @@
 		b.classes = append(b.classes, &class{Class: c})
 		b.site.Aim = min(b.site.Aim, c.Aim)
 	}
+	b.weigh()
 	for _, t := range s.Tenants {
 		rate := t.Quota / float64(s.Instances)
 		b.tenants = append(b.tenants, bucket{rate, rate})
@@ -141,7 +142,7 @@
 	// A try that comes with less time than is usual for its class has spent the difference.
 	spent := max(0, c.usual(ev.Left)-ev.Left)
 	r := &request{id: ev.Request, class: c, ci: ci, deadline: b.now + ev.Left,
-		aimAt: b.now + c.Aim - spent, rank: b.rank(c), livePos: len(b.live)}
+		aimAt: b.now + c.Aim - spent, rank: c.rank, livePos: len(b.live)}
 	if r.over = b.overShare(ev.Tenant); r.over {
 		r.rank *= b.set.OverShareWorth
 	}
@@ -356,9 +357,12 @@
 
 // earnCold has an answer earn sends to the cold servers like the one that gave it; see package warmup.
 func (b *Balancer) earnCold(from *server) {
+	if b.site.Share < 1 && b.able == float64(len(b.ready)) { // none is cold
+		return
+	}
 	all := 0.0 // of those that answer: what is dead or hangs would take a part of the gain away for nothing
 	for _, s := range b.servers {
-		if s.listed && s.group == from.group && b.healthy(s) {
+		if s.group == from.group && (s == from || b.crisis || b.healthy(s)) {
 			all += b.site.Capacity(b.age(s))
 		}
 	}
@@ -546,7 +550,8 @@
 	b.sent.age(keep)
 	b.served.age(keep)
 	b.asked.age(keep)
-	b.followWarmth()
+	b.followAble()
+	b.weigh()
 	b.adaptLimit()
 	for _, c := range b.classes {
 		c.delay.age(math.Sqrt(math.Sqrt(keep))) // classes differ for long, servers for moments
@@ -688,20 +693,16 @@
 	b.window, b.windowAt, b.inUse = average{}, b.now, average{}
 }
 
-// followWarmth has the limit grow as fast as servers that are warming up can do more.
-func (b *Balancer) followWarmth() {
-	if able := b.capacity(); b.able > 0 && able > b.able {
-		b.limit *= able / b.able
-		b.able = able
-	}
-}
-
-// capacity is what the endpoints that are ready in the list can do at least, in warm ones.
-func (b *Balancer) capacity() (able float64) {
+// followAble has the limit follow what the servers in the list can do, as they warm up, start anew, come and
+// go: up as down, or every restart would leave it higher.
+func (b *Balancer) followAble() {
+	able := 0.0
 	for _, s := range b.ready {
 		able += b.site.Capacity(b.age(s))
 	}
-	return able
+	if able > 0 {
+		b.limit, b.able = b.limit*able/b.able, able
+	}
 }
 
 // measure takes over what answers take uncrowded, as the low end of what they take. It waits for more of
@@ -746,9 +747,9 @@
 // worth more than it. There is no line from which the best could be taken where one request comes at a time.
 func (b *Balancer) reserve(r *request) float64 {
 	above := 0.0
-	for k, w := range b.binWeights() {
-		if b.rank(b.classes[k/spentBuckets]) > r.rank {
-			above += w
+	for _, c := range b.classes {
+		if c.rank > r.rank {
+			above += c.part
 		}
 	}
 	return limitSaved * b.limit * reserveMost * (2*above - 1)
@@ -818,9 +819,6 @@
 		b.update(e)
 	}
 	b.relist()
-	if b.limit == 0 {
-		b.limit = b.part(limitFirst)
-	}
 	b.dirty = true
 }
 
@@ -834,7 +832,7 @@
 	if b.own == 0 {
 		first = b.set.Rank * n / b.set.Instances
 	}
-	b.able = b.capacity()
+	b.followAble()
 	want := max(usedLeast, (usersWanted*n+b.set.Instances-1)/b.set.Instances)
 	b.users = float64(b.set.Instances*min(n, want)) / float64(max(1, n))
 	good := 0
@@ -854,7 +852,7 @@
 	switch {
 	case s == nil && e.State == Gone:
 		return
-	case s != nil && told <= s.told: // the same, or moved back, or missing now: it is no warmer for that
+	case s != nil && (told <= s.UpSince || told == s.told): // missing or moved back: no warmer for that
 		e.UpSince = s.UpSince
 	default: // a new process, and what was learned of an old one is void. None starts in the future
 		e.UpSince = min(told, b.now)
--- a/balance/state.go
+++ b/balance/state.go
@@ -33,7 +33,7 @@
 	byID      map[EndpointID]*server
 	ready     []*server // those ready in the list, used or not, in the order of choice
 	users     float64   // instances that use a server, as far as this one can tell
-	able      float64   // what the endpoints that are ready in the list can do, used or not, in warm ones
+	able      float64   // what they can do, in warm ones, or could when last there were any; the limit goes with it
 	groups    map[groupKey]*group
 	window    average // of the share of their aims that answers took
 	windowAt  time.Duration
@@ -68,6 +68,8 @@
 type class struct {
 	Class
 	delay average           // of served attempts, seconds
+	rank  float64           // what its calls are worth, and
+	part  float64           // their part of all, as of the last upkeep
 	lefts [16]time.Duration // the times that its last tries came with
 	tries int
 }
@@ -371,3 +373,13 @@
 	slices.Sort(last[:n])
 	return last[n-1-n/5]
 }
+
+// weigh takes over what each class's calls are worth now, and their part of all calls.
+func (b *Balancer) weigh() {
+	for _, c := range b.classes {
+		c.rank, c.part = b.rank(c), 0
+	}
+	for k, w := range b.binWeights() {
+		b.classes[k/spentBuckets].part += w
+	}
+}
--- a/balance/subset_test.go
+++ b/balance/subset_test.go
@@ -336,6 +336,10 @@
 	if cold() {
 		t.Error("a start in the future keeps it cold")
 	}
+	entry.UpSince = w.now // and once it is right, another start, though told as earlier than the last
+	if w.list(ListDelta, entry); !cold() {
+		t.Error("a start is missed after one in the future")
+	}
 }
 
 // A jam grows with time, not with answers: an instance that sees few of them must cut as deep in a second.
@@ -474,3 +478,53 @@
 		}
 	}
 }
+
+// The limit is for what the servers can do: a list that is empty first must not leave it at nothing, restarts must
+// not leave it higher each time, and lists that come often must not lose what warms up between them.
+func TestLimitFollowsTheList(t *testing.T) {
+	w := newWorld(t, testSettings(), 1)
+	var es []Entry
+	for i := range 12 {
+		es = append(es, Entry{Endpoint: EndpointID(i + 1), State: Ready, Weight: 1})
+	}
+	w.list(ListCached)
+	for round := range 3 {
+		w.list(ListFull, es...)
+		for range 2 * w.b.set.ColdFor / (200 * ms) {
+			w.run(200 * ms)
+			w.list(ListFull, es...)
+		}
+		if math.Abs(w.b.limit-12*limitFirst) > 1 {
+			t.Errorf("limit %.1f after %d restarts of all, with nothing learned", w.b.limit, round)
+		}
+		for i := range es {
+			es[i].UpSince = w.now
+		}
+	}
+}
+
+// Where all are written off, and used all the same, what they answer still has to earn: no part of nothing.
+func TestColdOnesEarnInACrisis(t *testing.T) {
+	w := newWorld(t, testSettings(), 1)
+	for i := range 4 {
+		w.list(ListDelta, Entry{Endpoint: EndpointID(i + 1), State: Ready, Weight: 1, UpSince: w.now})
+	}
+	for _, s := range w.b.servers {
+		w.b.eject(s)
+	}
+	w.b.judgeFleet()
+	for range 20 {
+		w.b.earnCold(w.b.servers[0])
+	}
+	for _, s := range w.b.servers {
+		for n := 0; ; n++ {
+			if !s.cold.Ready(w.now) {
+				if n == 0 || n > 15 { // 6 on average
+					t.Errorf("server %d has %d rights after 20 answers of one of 4", s.Endpoint, n)
+				}
+				break
+			}
+			s.cold.Spend()
+		}
+	}
+}
