Mend what a review of the Thrift front found: pipelined calls at the end, panics, oneways

A oneway counted as answered at once, which spoke for a hanging host and lowered its measured delay. Change: all that has been read is taken; a refusal's panic fails that call alone; written answers are forgotten; the strict reader goes into inline tables; a oneway ends as unanswered, with no evidence for or against its host.

--- a/internal/config/operator_thrift_test.go
+++ b/internal/config/operator_thrift_test.go
@@ -35,6 +35,7 @@
 		thriftListen + method + "remaining_ms = [1, 40000]": ":6: thrift.method",
 		thriftListen + method + "deadline = \"-1s\"":        ":6: thrift.method[0].deadline: ",
 		thriftListen + method + method:                      ":7: thrift.method[1].name: ",
+		"thrift = { listen = \"[::1]:1\", form = \"\" }":    ":1: thrift.form: ",
 	} {
 		if _, err := loadOperator(t, text); err == nil || !strings.Contains(err.Error(), "operator.toml"+want) {
 			t.Errorf("%q: %v, want %s", text, err, want)
--- a/internal/downstream/thrift/call.go
+++ b/internal/downstream/thrift/call.go
@@ -148,3 +148,14 @@
 	}()
 	return s.streams.Serve(ctx, req)
 }
+
+// refuse does so for a stream that is turned away: without its answer the connection would wait for ever.
+func (s *Server) refuse(req *stream.Request) (res stream.Response) {
+	defer func() {
+		if fault := recover(); fault != nil {
+			s.log.Error().Interface("panic", fault).Msg("stream failed")
+			res = stream.Response{Outcome: stream.Refused}
+		}
+	}()
+	return s.streams.Refuse(req)
+}
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -127,9 +127,7 @@
 			return errNoCall
 		}
 		c.reading(0)
-		if stopping := c.call(m, at); stopping {
-			return nil
-		}
+		c.call(m, at)   // also at the end: what has been read is taken
 		at = time.Now() // what follows came with this one
 	}
 }
@@ -153,14 +151,13 @@
 }
 
 // call begins a call that came at that time, once fewer than so many are under way, and answers it when it ends.
-// It returns whether no more are to be taken.
-func (c *conn) call(m thriftwire.Message, at time.Time) (stopping bool) {
+func (c *conn) call(m thriftwire.Message, at time.Time) {
 	of := c.s.method(m.Head)
 	if of != nil && of.oneway {
 		m.Kind = thriftwire.Oneway
 	}
 	req, bad := c.s.decode(m, of, at)
-	k, stopping := c.begin(m.Head)
+	k := c.begin(m.Head)
 	side, head := c.s.side, m.Head
 	room := side.Enter()
 	if room && bad == nil && side.Keep(len(m.Body)) {
@@ -175,18 +172,17 @@
 			side.Leave()
 			c.end(k, encode(head, res))
 		}()
-		return stopping
+		return
 	}
 	side.Leave()
 	switch {
 	case bad == nil:
-		c.end(k, encode(head, c.s.streams.Refuse(req)))
+		c.end(k, encode(head, c.s.refuse(req)))
 	case !room: // nor is there any to find fault with it
 		c.end(k, encode(head, stream.Response{Outcome: stream.Refused}))
 	default:
 		c.end(k, exception(head, *bad))
 	}
-	return stopping
 }
 
 // fault answers what is no call, and ends the connection after what is owed before: what follows need not be a
@@ -197,7 +193,7 @@
 	if fault == errCrowded {
 		e = thriftwire.ApplicationException{Type: typeRefused, Message: "pinelb: refused; " + fault.Error()}
 	}
-	k, _ := c.begin(thriftwire.Head{Form: form, Kind: thriftwire.Call})
+	k := c.begin(thriftwire.Head{Form: form, Kind: thriftwire.Call})
 	c.end(k, exception(k.head, e))
 }
 
--- a/internal/downstream/thrift/state.go
+++ b/internal/downstream/thrift/state.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"pinelb.example/pinelb/internal/downstream"
@@ -70,8 +71,8 @@
 }
 
 // begin waits until fewer than aheadMost calls are under way and adds one, whose answer end gives; nil is a
-// oneway. It also returns whether no more are to be taken.
-func (c *conn) begin(h thriftwire.Head) (k *call, stopping bool) {
+// oneway.
+func (c *conn) begin(h thriftwire.Head) (k *call) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for len(c.calls)+c.oneways >= aheadMost {
@@ -84,7 +85,7 @@
 		c.calls = append(c.calls, k)
 	}
 	c.mark()
-	return k, c.stopping
+	return k
 }
 
 // end gives a call's answer, and writes all that are next; of a oneway there is none.
@@ -134,7 +135,7 @@
 		}
 		c.s.side.Free(n)
 		c.mu.Lock()
-		c.calls = c.calls[:copy(c.calls, c.calls[done:])]
+		c.calls = slices.Delete(c.calls, 0, done) // which forgets them, or an idle connection would keep its last answers
 	}
 	c.writing = false
 }
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -35,13 +35,14 @@
 
 // The outcomes.
 const (
-	Served    Outcome = iota
-	Refused           // a local reply: trying again is harmless
-	Failed            // nothing is promised
-	Expired           // failed, for its time is up
-	Gone              // the client has left; nobody waits for an answer
-	Rejected          // an upstream host finds fault with the request itself
-	Duplicate         // a request of the same id is under way
+	Served     Outcome = iota
+	Refused            // a local reply: trying again is harmless
+	Failed             // nothing is promised
+	Expired            // failed, for its time is up
+	Gone               // the client has left; nobody waits for an answer
+	Rejected           // an upstream host finds fault with the request itself
+	Duplicate          // a request of the same id is under way
+	Unanswered         // sent whole, and by its kind it gets no answer; it may have run
 )
 
 // Response is a stream's final answer.
@@ -53,7 +54,7 @@
 }
 
 // Upstream carries out one upstream request. It returns by until or soon after ctx ends, and never
-// sends the request twice. What is served or rejected is the stream's final answer.
+// sends the request twice. What is served, rejected or unanswered is the stream's final answer.
 type Upstream interface {
 	Do(ctx context.Context, host balance.EndpointID, until time.Time, req *Request) (balance.Status, Response)
 }
@@ -135,7 +136,7 @@
 		if fault := recover(); fault != nil {
 			p.Log.Error().Interface("panic", fault).Msg("upstream request failed")
 		}
-		if s.Settle(send.Attempt, status, status == balance.OK || res.Outcome == Rejected) {
+		if s.Settle(send.Attempt, status, status == balance.OK || res.Outcome == Rejected || res.Outcome == Unanswered) {
 			answer <- res
 		}
 	}()
--- a/internal/tomlfile/tomlfile.go
+++ b/internal/tomlfile/tomlfile.go
@@ -100,12 +100,29 @@
 			counts[path]++
 			f.lines[table] = f.lines[path]
 		case unstable.KeyValue:
-			f.path(&p, e, table, counts)
+			f.inside(&p, e.Value(), f.path(&p, e, table, counts), counts)
 		}
 	}
 	return p.Error()
 }
 
+// inside notes the lines of the keys of inline tables, which are the value of that path or stand in it.
+func (f *File) inside(p *unstable.Parser, v *unstable.Node, path string, counts map[string]int) {
+	it := v.Children()
+	switch v.Kind {
+	case unstable.InlineTable:
+		for it.Next() {
+			f.inside(p, it.Node().Value(), f.path(p, it.Node(), path, counts), counts)
+		}
+	case unstable.Array:
+		for i := 0; it.Next(); i++ {
+			element := fmt.Sprintf("%s[%d]", path, i)
+			f.lines[element] = f.lines[path]
+			f.inside(p, it.Node(), element, counts)
+		}
+	}
+}
+
 // path is the full name of an expression's key, in which each array of tables stands for its last element.
 func (f *File) path(p *unstable.Parser, e *unstable.Node, table string, counts map[string]int) string {
 	path, line := table, 0
--- a/internal/upstream/thrift.go
+++ b/internal/upstream/thrift.go
@@ -49,9 +49,9 @@
 	buf := buffers.Get().(*[]byte)
 	*buf = thriftwire.Append((*buf)[:0], call, req.Body)
 	status := t.Pool.carry(ctx, c, until, *buf, func() (balance.Status, bool, error) {
-		if oneway { // its last byte has left, and nothing more will be known of it
-			res = stream.Response{Outcome: stream.Served}
-			return balance.OK, true, nil
+		if oneway { // its last byte has left, and nothing more will be known: no evidence for the host either
+			res = stream.Response{Outcome: stream.Unanswered}
+			return balance.Cancelled, true, nil
 		}
 		m, err := t.read(ctx, c, until, form)
 		if err != nil {
