Count free connections by front while a lone sidecar ends

Cause: found by review: idle connections of one front passed for free ones of the other, so that with Thrift's idle the rule that keeps HTTP's last connections free never applied, and the other way round. Change: a stream is counted in with the address that it came to, and only that front's quiet connections count as free.

--- a/internal/downstream/connections.go
+++ b/internal/downstream/connections.go
@@ -83,11 +83,16 @@
 	return best
 }
 
-// spare is how many connections are free for another request.
-func (c *connections) spare() int {
+// spare is how many of the connections to an address are free for another request.
+func (c *connections) spare(at net.Addr) (n int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return len(c.quiet)
+	for conn := range c.quiet {
+		if conn.LocalAddr().String() == at.String() {
+			n++
+		}
+	}
+	return n
 }
 
 // closeQuiet closes every connection on which no request has begun.
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -48,7 +49,8 @@
 		s.health(w)
 		return
 	}
-	room := s.Enter()
+	here, _ := r.Context().Value(http.LocalAddrContextKey).(net.Addr) // net/http sets it
+	room := s.Enter(here)
 	defer s.Leave()
 	res, bad := s.answer(w, r, at, room)
 	faulty := bad != nil || res.Outcome == stream.Rejected || res.Outcome == stream.Duplicate
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -44,6 +44,8 @@
 
 func message(method, target, body string, headers ...string) *http.Request {
 	r := httptest.NewRequest(method, target, strings.NewReader(body))
+	conn, _ := net.Pipe()
+	r = r.WithContext(context.WithValue(r.Context(), http.LocalAddrContextKey, conn.LocalAddr()))
 	if body == "" {
 		r.Body, r.ContentLength = http.NoBody, 0
 	}
@@ -352,6 +354,11 @@
 	}
 }
 
+// elsewhere is a connection to another address.
+type elsewhere struct{ net.Conn }
+
+func (elsewhere) LocalAddr() net.Addr { return &net.TCPAddr{} }
+
 // Guards against clients of a lone sidecar that ends finding all connections busy, and taking it for dead
 // while it could still serve them: in a crowd the last free ones are not put to work. A few clients with a
 // connection each are served, though.
@@ -372,6 +379,10 @@
 			conn, _ := net.Pipe()
 			s.conns.changed(conn, http.StateIdle)
 		}
+		for range spareLeast { // another front's are of no use to these clients
+			conn, _ := net.Pipe()
+			s.conns.changed(elsewhere{conn}, http.StateIdle)
+		}
 		w := httptest.NewRecorder()
 		if s.ServeHTTP(w, message("GET", "/look/1", "", "X-Txn", "a", "X-Remaining-Ms", "9")); w.Code != c.want {
 			t.Errorf("%+v: answered %d", c, w.Code)
--- a/internal/downstream/side.go
+++ b/internal/downstream/side.go
@@ -82,18 +82,18 @@
 // Life ends when whatever is not answered by then is to be failed.
 func (s *Side) Life() context.Context { return s.life }
 
-// Enter counts a stream in; each has to Leave. Without room it is to be refused.
-func (s *Side) Enter() (room bool) {
+// Enter counts a stream in that came to that address; each has to Leave. Without room it is to be refused.
+func (s *Side) Enter(at net.Addr) (room bool) {
 	held := s.held.Add(1)
-	return held <= s.mostHeld && !s.runsDry(held)
+	return held <= s.mostHeld && !s.runsDry(held, at)
 }
 
 // Leave counts a stream out.
 func (s *Side) Leave() { s.held.Add(-1) }
 
-// runsDry tells whether clients are about to find no connection free where no other will be had.
-func (s *Side) runsDry(held int64) bool {
-	return s.alone && s.draining.Load() && held >= spareFrom && s.conns.spare() < spareLeast
+// runsDry tells whether the clients of a front are about to find no connection free where no other will be had.
+func (s *Side) runsDry(held int64, at net.Addr) bool {
+	return s.alone && s.draining.Load() && held >= spareFrom && s.conns.spare(at) < spareLeast
 }
 
 // Keep counts n more bytes of bodies, unless that are too many.
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -159,7 +159,7 @@
 	req, bad := c.s.decode(m, of, at)
 	k := c.begin(m.Head)
 	side, head := c.s.side, m.Head
-	room := side.Enter()
+	room := side.Enter(c.LocalAddr())
 	if room && bad == nil && side.Keep(len(m.Body)) {
 		req.Body = append(make([]byte, 0, len(m.Body)), m.Body...)
 		ctx := c.ctx
