Keep the ends of clients' patience out of the virtual player's heap

Change: those ends come in order of time for each class and go to a lane of that class; dead ones are skipped. Nothing of it is in the daemon.

--- a/internal/lab/virtual/clients.go
+++ b/internal/lab/virtual/clients.go
@@ -68,7 +68,7 @@
 		return i
 	}
 	// An answer is in time until the slack is over, as the judges count.
-	s.at(t.Sent+t.Left+s.p.Scenario.Rules.AnswerSlack.D(), event{kind: evTryEnd, a: int32(i)})
+	s.later(t.Sent+t.Left+s.p.Scenario.Rules.AnswerSlack.D(), t.Class, event{kind: evTryEnd, a: int32(i)})
 	if s.sidecars == nil {
 		s.plainSend(i)
 		return i
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -116,6 +116,13 @@
 	return top
 }
 
+// lane is events of one kind that come in the order of their times, so that they need no heap. Most of them are
+// ends of patience with tries that have ended long before.
+type lane struct {
+	events []event
+	head   int
+}
+
 // sim is one play.
 type sim struct {
 	p       *plan.Plan
@@ -125,6 +132,7 @@
 	now     time.Duration
 	seq     uint64
 	queue   queue
+	ends    []lane // of tries, by class
 
 	boxes    []box
 	byName   map[string]int
@@ -151,6 +159,7 @@
 	for i := range p.Scenario.Class {
 		s.longest = max(s.longest, p.Scenario.Class[i].Deadline.D())
 	}
+	s.ends = make([]lane, len(p.Scenario.Class))
 	s.makeBoxes()
 	op, err := config.ParseOperator("fleet.operator", []byte(p.Scenario.Fleet.Operator))
 	if err != nil {
@@ -187,7 +196,7 @@
 	s.at(0, event{kind: evSample})
 	stop := model.Never // some time after the last client has its answer: copies may still be out
 	for s.now < stop {
-		e := s.queue.pop()
+		e := s.next()
 		s.now = e.at
 		if err := s.handle(&e); err != nil {
 			return nil, err
@@ -208,6 +217,38 @@
 	s.queue.push(e)
 }
 
+// later is at for the end of a class's try: it goes to the lane where that keeps its order.
+func (s *sim) later(at time.Duration, class int, e event) {
+	l := &s.ends[class]
+	if n := len(l.events); n > l.head && l.events[n-1].at > at {
+		s.at(at, e)
+		return
+	}
+	s.seq++
+	e.at, e.seq = at, s.seq
+	l.events = append(l.events, e)
+}
+
+// next is the earliest event of the queue and the lanes.
+func (s *sim) next() event {
+	from := -1
+	best := &s.queue[0] // never empty: samples are taken as long as the play lasts
+	for i := range s.ends {
+		l := &s.ends[i]
+		for l.head < len(l.events) && s.tries[l.events[l.head].a].ended {
+			l.head++
+		}
+		if l.head < len(l.events) && l.events[l.head].before(best) {
+			best, from = &l.events[l.head], i
+		}
+	}
+	if from < 0 {
+		return s.queue.pop()
+	}
+	s.ends[from].head++
+	return *best
+}
+
 func (s *sim) handle(e *event) error {
 	i := int(e.a)
 	switch e.kind {
