--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -305,3 +305,57 @@
 		t.Errorf("a try with 200 ms less than usual is taken to have spent %v", spent)
 	}
 }
+
+// TestStuckAttemptsTakeNoRoom: of attempts that hang at servers which answer others, none counts against the limit,
+// nor has it cut. Where nothing that was sent later is answered, or they are not overdue, all count.
+func TestStuckAttemptsTakeNoRoom(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		answer  bool          // the servers answer what was sent after the first four
+		age     time.Duration // of the first four then
+		working int
+		cut     bool // the limit is, when they are given up
+	}{
+		{"passed and overdue", true, 300 * ms, 0, false},
+		{"passed", true, 100 * ms, 4, false},
+		{"overdue", false, 300 * ms, 4, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := testSettings()
+			s.SecondCopies = false
+			w := newWorld(t, s, 3)
+			w.servers(2)
+			w.serve(40, unsafeClass, func(EndpointID) time.Duration { return 50 * ms })
+			w.b.limit = 20
+			for range 4 {
+				w.request(unsafeClass)
+			}
+			from := len(w.sends)
+			w.run(5 * ms)
+			for range 12 {
+				w.request(unsafeClass)
+			}
+			w.run(c.age - 5*ms)
+			for i := from; i < len(w.sends); i++ {
+				status := Cancelled
+				if c.answer {
+					status = OK
+				}
+				w.end(i, status, 50*ms)
+			}
+			w.b.held() // counts what works
+			working := 0
+			for _, s := range w.b.servers {
+				working += s.working
+			}
+			if working != c.working {
+				t.Errorf("%d of four count, %d expected", working, c.working)
+			}
+			before := w.b.limit
+			w.run(800 * ms) // until their time is up
+			if cut := w.b.limit < before; cut != c.cut {
+				t.Errorf("the limit went from %v to %v", before, w.b.limit)
+			}
+		})
+	}
+}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -59,6 +59,7 @@
 	retryBurst    = 10.0 // and its cap
 	retryUnseen   = 0.2  // what a retry costs when the last attempt was turned away unseen
 	overdueFactor = 3.0  // an attempt this many times its class's mean delay is overdue
+	stuckAfter    = 3    // answers to later attempts that tell that an overdue one hangs
 	ejectAfter    = 3    // failures in a row that eject a server
 	ejectFirst    = time.Second
 	ejectMost     = 16 * time.Second
@@ -280,7 +281,7 @@
 	total := 0.0
 	for i, s := range b.servers {
 		b.weights[i] = 0
-		if float64(len(s.held)) < min(b.limitOf(i), math.Ceil(held*b.share[i])) && b.eligible(r, s) {
+		if float64(s.working) < min(b.limitOf(i), math.Ceil(held*b.share[i])) && b.eligible(r, s) {
 			b.weights[i] = row[i]
 			total += row[i]
 		}
@@ -314,7 +315,7 @@
 	}
 	r.tries = append(r.tries, attempt{server: s, sentAt: b.now, open: true, mayHave: true})
 	r.out++
-	s.held, s.heldAt = append(s.held, r), append(s.heldAt, b.now)
+	s.held = append(s.held, sent{request: r, at: b.now})
 	b.sent.add(1)
 	b.do(Action{Kind: ActSend, Request: r.id, Endpoint: s.Endpoint, After: r.deadline - b.now})
 	return true
@@ -391,7 +392,7 @@
 	a := &r.tries[ev.Attempt]
 	a.open, a.mayHave = false, ev.Status != Full && ev.Status != ConnectFailed && ev.Status != Moot
 	r.out--
-	a.server.unhold(r, a.sentAt)
+	a.server.unhold(r, a.sentAt, ev.Status == OK)
 	b.learn(r.class, a.server, ev)
 	switch {
 	case r.done:
@@ -527,11 +528,11 @@
 }
 
 // learnGivenUp takes what can be learned from attempts that are out when their time is up. Their age is a
-// lower bound, without which the limit would not see that answers are late. And a server that is silent
-// then has failed: once withdrawn, the attempt would say nothing, and the next would go the same way.
+// lower bound, without which the limit would not see that answers are late, unless they are stuck. A server
+// that is silent has failed: once withdrawn, the attempt would say nothing, and the next would go that way.
 func (b *Balancer) learnGivenUp(r *request) {
 	for i := range r.tries {
-		if a := &r.tries[i]; a.open {
+		if a := &r.tries[i]; a.open && !b.stuckOf(r, a) {
 			b.learnTaken(r.class, (b.now - a.sentAt).Seconds())
 			if b.now >= a.server.ejected && !b.healthy(a.server) && !b.crisis {
 				b.eject(a.server)
@@ -629,8 +630,8 @@
 func (b *Balancer) countOverdue(s *server) {
 	s.overdue = average{}
 	mean := s.delay.mean(s.group.delay.mean(0, 0), priorCalls)
-	for i, r := range s.held {
-		if y := (b.now - s.heldAt[i]).Seconds() / b.factor(r.class); y > mean {
+	for i := range s.held {
+		if y := (b.now - s.held[i].at).Seconds() / b.factor(s.held[i].request.class); y > mean {
 			s.overdue.add(y)
 		}
 	}
@@ -780,7 +781,7 @@
 	if b.now < s.ejected {
 		return false
 	}
-	return len(s.held) == 0 || b.now < max(s.last, s.heldAt[0])+b.overdue(s.held[0].class)
+	return len(s.held) == 0 || b.now < max(s.last, s.held[0].at)+b.overdue(s.held[0].request.class)
 }
 
 // judgeFleet: when most servers look bad, the cause is shared, and none is to be avoided for it.
@@ -860,7 +861,7 @@
 			s = &server{}
 			b.byID[e.Endpoint] = s
 		}
-		*s = server{held: s.held, heldAt: s.heldAt, told: told}
+		*s = server{held: s.held, told: told}
 	}
 	s.Entry, s.listed = e, e.State == Ready
 	k := groupKey{e.Kind, e.Weight}
--- a/balance/state.go
+++ b/balance/state.go
@@ -107,6 +107,13 @@
 	weight float64
 }
 
+// sent is an attempt that a server holds.
+type sent struct {
+	request *request
+	at      time.Duration
+	passed  int // by so many answers to attempts sent later
+}
+
 // group is what like servers have in common.
 type group struct {
 	delay average
@@ -119,8 +126,8 @@
 	listed bool // ready in the list
 	used   bool // one of those that this instance sends to
 
-	held    []*request // by the time of sending
-	heldAt  []time.Duration
+	held    []sent  // by the time of sending
+	working int     // of them are not stuck, as of the last count
 	delay   average // of served attempts, scaled to the mean class, seconds
 	overdue average // the same of attempts still out, once longer than that
 	ok, bad float64 // aged counts of outcomes
@@ -161,16 +168,29 @@
 	return (a.sum + prior*weight) / (a.n + weight)
 }
 
-// unhold removes an ended attempt from those that its server holds.
-func (s *server) unhold(r *request, at time.Duration) {
+// unhold removes an ended attempt from those that its server holds. An answer passes those that were sent before.
+func (s *server) unhold(r *request, at time.Duration, answered bool) {
+	s.held = slices.DeleteFunc(s.held, func(h sent) bool { return h.request == r && h.at == at })
 	for i := range s.held {
-		if s.held[i] == r && s.heldAt[i] == at {
-			s.held, s.heldAt = slices.Delete(s.held, i, i+1), slices.Delete(s.heldAt, i, i+1)
-			return
+		if answered && s.held[i].at < at {
+			s.held[i].passed++
 		}
 	}
 }
 
+// isStuck tells whether an attempt hangs while its server gets on with others: several that were sent later have
+// been answered, and it is out for much longer than its class takes. It tells nothing of a crowd, and takes no room.
+func (b *Balancer) isStuck(h *sent) bool {
+	return h.passed >= stuckAfter && b.now > h.at+b.overdue(h.request.class)
+}
+
+// stuckOf is the same of a request's attempt.
+func (b *Balancer) stuckOf(r *request, a *attempt) bool {
+	return slices.ContainsFunc(a.server.held, func(h sent) bool {
+		return h.request == r && h.at == a.sentAt && b.isStuck(&h)
+	})
+}
+
 // unlive removes an answered request from those that are looked at.
 func (b *Balancer) unlive(r *request) {
 	last := b.live[len(b.live)-1]
@@ -280,12 +300,18 @@
 	}
 }
 
-// held is what all servers that are not written off hold of ours.
+// held counts what servers have in work of ours: all of them together that are not written off.
 func (b *Balancer) held() float64 {
 	held := 0
 	for _, s := range b.servers {
+		s.working = len(s.held)
+		for i := range s.held {
+			if b.isStuck(&s.held[i]) {
+				s.working--
+			}
+		}
 		if b.healthy(s) {
-			held += len(s.held)
+			held += s.working
 		}
 	}
 	return float64(held)
