Take short patience of first tries for what it is, not for spent time

Half of the first tries came with 250 to 420 ms left, not 892; the difference was taken for time spent, so that the aim seemed past and the next tick gave the request up. Change: a first try, where clients mark the others, has spent nothing at the first tier; behind it an unmarked call whose aim would be past on arrival is taken to have an impatient caller. Repeated tries as before.

--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -359,3 +359,33 @@
 		})
 	}
 }
+
+// TestShortPatienceIsNotSpentTime: callers that give less time than others still get their answers, where they are
+// known for first tries or their aim would be past already. A repeated try has spent the difference.
+func TestShortPatienceIsNotSpentTime(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		tier            int
+		marks, repeated bool
+		left, spent     time.Duration
+	}{
+		{"first try at the first tier", 0, true, false, 800 * ms, 0},
+		{"unmarked", 0, false, false, 800 * ms, 200 * ms},
+		{"repeated", 0, true, true, 800 * ms, 200 * ms},
+		{"an inner tier's, aim still possible", 1, true, false, 800 * ms, 200 * ms},
+		{"an inner tier's, aim past", 1, true, false, 250 * ms, 0},
+		{"repeated, aim past", 1, true, true, 250 * ms, 750 * ms},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			s := testSettings()
+			s.Tiers, s.Tier, s.MarksRetry = 2, c.tier, c.marks
+			w := newWorld(t, s, 3)
+			w.servers(2)
+			w.serve(40, safeClass, func(EndpointID) time.Duration { return 50 * ms }) // all with 1 s left
+			got := w.b.spent(w.b.classes[safeClass], &Event{Left: c.left, Repeated: c.repeated})
+			if got != c.spent {
+				t.Errorf("%v left are taken for %v spent, not %v", c.left, got, c.spent)
+			}
+		})
+	}
+}
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -140,10 +140,8 @@
 func (b *Balancer) onRequest(ev *Event) {
 	ci := min(ev.Class, len(b.classes)-1)
 	c := b.classes[ci]
-	// A try that comes with less time than is usual for its class has spent the difference.
-	spent := max(0, c.usual(ev.Left)-ev.Left)
 	r := &request{id: ev.Request, class: c, ci: ci, deadline: b.now + ev.Left,
-		aimAt: b.now + c.Aim - spent, rank: c.rank, livePos: len(b.live)}
+		aimAt: b.now + c.Aim - b.spent(c, ev), rank: c.rank, livePos: len(b.live)}
 	if r.over = b.overShare(ev.Tenant); r.over {
 		r.rank *= b.set.OverShareWorth
 	}
--- a/balance/state.go
+++ b/balance/state.go
@@ -400,6 +400,18 @@
 	return last[n-1-n/5]
 }
 
+// spent is how much of its aim a request has used up before it came. A try that comes with less time than is usual
+// for its class may have spent the difference; or its caller has less patience. It is the latter where it is known
+// for a first try, and is taken to be where the aim could not be met any more: the caller still waits for it.
+func (b *Balancer) spent(c *class, ev *Event) time.Duration {
+	spent := max(0, c.usual(ev.Left)-ev.Left)
+	first := b.set.MarksRetry && !ev.Repeated
+	if first && (b.set.Tier == 0 || spent > c.Aim-b.classDelay(c)) {
+		return 0
+	}
+	return spent
+}
+
 // weigh takes over what each class's calls are worth now, and their part of all calls.
 func (b *Balancer) weigh() {
 	for _, c := range b.classes {
