Time a dripped answer in its test from before the request

Cause: the same flaw as in the test of idle connections: the drops could begin before the test's clock did. Change: the clock starts before the request is sent. Measured: the whole suite passes twice with the race detector beside twelve busy loops on eight cores.

--- a/internal/lab/live/box_test.go
+++ b/internal/lab/live/box_test.go
@@ -589,8 +589,8 @@
 	s := newStand(t, standClasses+oneTier)
 	s.fault(0, model.Drip, 1)
 	c, q := s.dial(0), s.next("quick")
-	s.ask(c, q)
 	begun := time.Now()
+	s.ask(c, q)
 	var some [3 * dripBytes]byte
 	if _, err := io.ReadFull(c, some[:]); err != nil {
 		t.Fatal(err)
