Weigh by its odds whether an attempt hangs, for copies, the limit and the rows

Change: package balance/grey, pure. Whether an attempt hangs is asked by Bayes: how often its host has said nothing, how long answers of the class take (log-normal, aged), how many later ones the host has answered, and whether all are slow at this moment, in which case silence tells nothing. A copy costs from one retry, where the attempt surely hangs, to six; what more likely hangs than not takes no room of the limit; what is withdrawn counts as failed by its odds; a host's share of failures, by class, shrunk to what the others show, enters the rows. All of that is looked at once a tick and no longer in each decision. What a stalled sidecar has itself overslept is held against nobody.

--- a/balance/admission_test.go
+++ b/balance/admission_test.go
@@ -343,7 +343,7 @@
 				}
 				w.end(i, status, 50*ms)
 			}
-			w.b.held() // counts what works
+			w.b.watch() // counts what works
 			working := 0
 			for _, s := range w.b.servers {
 				working += s.working
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -13,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"pinelb.example/pinelb/balance/grey"
 	"pinelb.example/pinelb/balance/warmup"
 )
 
@@ -49,7 +50,9 @@
 	rateSlack     = 1.25 // times what the present rate needs is kept of it: a little too slow is no jam
 	spareShare    = 0.5  // of the limit: above it, no over-share traffic is let in
 	copyShare     = 0.8  // the same for copies: a request that hangs costs more than a copy of it
-	copyCost      = 6.0  // retries that a copy costs
+	copyCost      = 6.0  // retries that a copy costs, and one of an attempt that surely hangs
+	stallTicks    = 5    // late by so many ticks, this instance has not run for a while
+	copySaves     = 0.6  // of what a failure costs, where copies are allowed
 	copyNeeds     = 1.5  // mean delays that a copy is given
 	repeatedRank  = 0.7  // of its rank that a repeated try has then: less is left of its client's time
 	shortShare    = 0.5  // of the requests refused, from which on first tries go before repeated ones
@@ -59,7 +62,6 @@
 	retryBurst    = 10.0 // and its cap
 	retryUnseen   = 0.2  // what a retry costs when the last attempt was turned away unseen
 	overdueFactor = 3.0  // an attempt this many times its class's mean delay is overdue
-	stuckAfter    = 3    // answers to later attempts that tell that an overdue one hangs
 	ejectAfter    = 3    // failures in a row that eject a server
 	ejectFirst    = time.Second
 	ejectMost     = 16 * time.Second
@@ -86,6 +88,7 @@
 		b.own = xxhash.Sum64String(s.Name) | 1
 	}
 	b.site = warmup.Site{Share: s.ColdShare, Warm: s.ColdFor, Aim: s.Classes[0].Aim}
+	b.fleet = grey.New(firstTimes(s.Classes))
 	for _, c := range s.Classes {
 		b.classes = append(b.classes, &class{Class: c})
 		b.site.Aim = min(b.site.Aim, c.Aim)
@@ -167,7 +170,7 @@
 func (b *Balancer) rank(c *class) float64 {
 	worth := c.Worth
 	if !b.set.ByWork {
-		worth /= b.factor(c)
+		worth /= c.factor
 	}
 	return math.Exp2(math.Round(math.Log2(max(worth, 1e-6))))
 }
@@ -217,7 +220,7 @@
 func (b *Balancer) margin() time.Duration { return b.tick + b.set.Quantum }
 
 // loadShare is the part of the limit that is in use.
-func (b *Balancer) loadShare() float64 { return b.held() / max(1, b.limit+b.chance()) }
+func (b *Balancer) loadShare() float64 { return float64(b.working) / max(1, b.limit+b.chance()) }
 
 // hold puts a request in line: the more valuable first, then the one whose aim comes first.
 func (b *Balancer) hold(r *request) {
@@ -262,7 +265,7 @@
 		return nil
 	}
 	row := b.table[b.binOf(r)]
-	held := 1 + b.held()
+	held := 1 + float64(b.working)
 	if held > b.whole(r) && len(r.tries) == 0 {
 		return nil
 	}
@@ -313,7 +316,8 @@
 	}
 	r.tries = append(r.tries, attempt{server: s, sentAt: b.now, open: true, mayHave: true})
 	r.out++
-	s.held = append(s.held, sent{request: r, at: b.now})
+	s.held = append(s.held, sent{request: r, at: b.now, stalled: b.stalled})
+	b.count(s, 1)
 	b.sent.add(1)
 	b.do(Action{Kind: ActSend, Request: r.id, Endpoint: s.Endpoint, After: r.deadline - b.now})
 	return true
@@ -390,8 +394,7 @@
 	a := &r.tries[ev.Attempt]
 	a.open, a.mayHave = false, ev.Status != Full && ev.Status != ConnectFailed && ev.Status != Moot
 	r.out--
-	a.server.unhold(r, a.sentAt, ev.Status == OK)
-	b.learn(r.class, a.server, ev)
+	b.learn(b.unhold(r, a, ev.Status), a.server, ev)
 	switch {
 	case r.done:
 		b.forget(r)
@@ -483,7 +486,8 @@
 			s.cold.Tick(b.now, b.site.Trickle(b.age(s), b.users), b.rng.Float64())
 		}
 	}
-	held := b.held()
+	b.watch()
+	held := float64(b.working)
 	b.inUse.add(held)
 	b.unused = min(limitSaved*b.limit, max(-limitSaved*b.limit, b.unused+(b.limit-held)*b.tick.Seconds()))
 	for i := range b.tenants {
@@ -509,13 +513,16 @@
 		b.learnGivenUp(r)
 		b.finish(r)
 		return
-	case r.out != 1 || r.waiting || r.class.Effect == Unsafe || b.retries < copyCost || b.now > r.aimAt:
+	case r.out != 1 || r.waiting || r.class.Effect == Unsafe || b.retries < 1 || b.now > r.aimAt ||
+		!r.tries[len(r.tries)-1].open:
 		return
 	}
 	a := &r.tries[len(r.tries)-1]
-	if a.open && b.now >= a.sentAt+b.overdue(r.class) && b.worthCopy(r.class) && b.loadShare() < copyShare &&
-		b.send(r, b.route(r)) {
-		b.retries -= copyCost
+	h := sentOf(r, a) // a copy of what hangs is but an early retry; one of what is slow adds work to a crowd
+	cost := 1 + (copyCost-1)*(1-h.hangs)
+	if b.retries >= cost && b.loadShare() < copyShare+(1-copyShare)*h.hangs &&
+		(h.stuck() || b.now >= a.sentAt+b.overdue(r.class) && b.worthCopy(r.class)) && b.send(r, b.route(r)) {
+		b.retries -= cost
 	}
 }
 
@@ -530,11 +537,12 @@
 // that is silent has failed: once withdrawn, the attempt would say nothing, and the next would go that way.
 func (b *Balancer) learnGivenUp(r *request) {
 	for i := range r.tries {
-		if a := &r.tries[i]; a.open && !b.stuckOf(r, a) {
+		a := &r.tries[i]
+		if a.open && !sentOf(r, a).stuck() {
 			b.learnTaken(r.class, (b.now - a.sentAt).Seconds())
-			if b.now >= a.server.ejected && !b.healthy(a.server) && !b.crisis {
-				b.eject(a.server)
-			}
+		}
+		if a.open && b.now >= a.server.ejected && !b.healthy(a.server) && !b.crisis {
+			b.eject(a.server)
 		}
 	}
 }
@@ -546,6 +554,7 @@
 // maintain ages what was learned, adapts limits, and solves when something has shifted.
 func (b *Balancer) maintain() {
 	keep := math.Exp(-maintainEvery.Seconds() / memory)
+	b.fleet.Age(maintainEvery.Seconds())
 	b.sent.age(keep)
 	b.served.age(keep)
 	b.asked.age(keep)
@@ -557,8 +566,7 @@
 	}
 	for _, s := range b.servers {
 		s.delay.age(keep)
-		s.ok, s.bad = s.ok*keep, s.bad*keep
-		b.countOverdue(s)
+		s.seen.Age(maintainEvery.Seconds())
 	}
 	for _, g := range b.groups {
 		g.delay.age(keep)
@@ -576,21 +584,21 @@
 // --- What is learned of delay ---
 
 // learn takes from an outcome what it tells of the server.
-func (b *Balancer) learn(c *class, s *server, ev *Event) {
+func (b *Balancer) learn(h sent, s *server, ev *Event) {
 	b.readLoad(s, &ev.Load)
-	if ev.Status == Cancelled || ev.Status == Moot {
-		return // our own doing: no evidence
-	}
-	s.last = b.now
-	d := ev.Latency.Seconds()
-	y := d / b.factor(c)
+	c, ci, d := h.request.class, h.request.ci, ev.Latency.Seconds()
+	y := d / c.factor
 	switch ev.Status {
+	case Moot:
+	case Cancelled: // our own doing: evidence by the odds that it hung
+		b.fleet.GivenUp(&s.seen, ci, (b.now - h.at).Seconds(), h.hangs, h.passed)
 	case OK:
 		c.delay.add(d)
 		s.delay.add(y)
 		b.learnTaken(c, d)
 		s.group.delay.add(y)
-		s.ok, s.okAt = s.ok+1, b.now
+		s.okAt = b.now
+		b.fleet.Answered(&s.seen, ci, d, h.hangs)
 		b.earnCold(s)
 		b.served.add(c.Aim.Seconds())
 		b.dirty = b.dirty || s.trial
@@ -598,7 +606,7 @@
 	case ConnectFailed:
 		// While other attempts are answered the process runs: its connection table is full, as from a crowd.
 		if b.now > s.okAt+b.overdue(c) {
-			b.failed(s)
+			b.failed(s, ci, 0)
 		}
 		fallthrough
 	case Full:
@@ -607,9 +615,9 @@
 		if y > b.delay(s) {
 			s.delay.add(y)
 		}
-		b.failed(s)
+		b.failed(s, ci, h.hangs)
 	default:
-		b.failed(s)
+		b.failed(s, ci, 0)
 	}
 }
 
@@ -624,17 +632,6 @@
 	}
 }
 
-// countOverdue takes what is out for longer than the server's mean as evidence of a longer delay.
-func (b *Balancer) countOverdue(s *server) {
-	s.overdue = average{}
-	mean := s.delay.mean(s.group.delay.mean(0, 0), priorCalls)
-	for i := range s.held {
-		if y := (b.now - s.held[i].at).Seconds() / b.factor(s.held[i].request.class); y > mean {
-			s.overdue.add(y)
-		}
-	}
-}
-
 // classDelay is the mean delay of a served attempt of the class; a tenth of its aim until known.
 func (b *Balancer) classDelay(c *class) time.Duration {
 	return time.Duration(c.delay.mean(0.1*c.Aim.Seconds(), 1) * float64(time.Second))
@@ -759,10 +756,11 @@
 
 // --- Health ---
 
-func (b *Balancer) failed(s *server) {
-	s.bad++
+// failed is a failure of a class at a server; hung is the odds that the server has said nothing.
+func (b *Balancer) failed(s *server, class int, hung float64) {
+	b.fleet.Failed(&s.seen, class, hung)
 	s.fails++
-	if (s.trial || s.fails >= ejectAfter && s.bad > s.ok) && b.now >= s.ejected {
+	if (s.trial || s.fails >= ejectAfter && s.seen.Mostly()) && b.now >= s.ejected {
 		b.eject(s)
 	}
 }
@@ -892,8 +890,6 @@
 	return w
 }
 
-func (b *Balancer) okShare(s *server) float64 { return (s.ok + 1) / (s.ok + s.bad + 1) }
-
 // shifted tells whether an input has moved significantly since the last solve.
 func (b *Balancer) shifted() bool {
 	if len(b.solved.delay) != len(b.servers) {
@@ -901,7 +897,7 @@
 	}
 	for i, s := range b.servers {
 		if math.Abs(b.delay(s)-b.solved.delay[i]) > solveShift*b.solved.delay[i] ||
-			math.Abs(b.okShare(s)-b.solved.ok[i]) > binShift {
+			apart(b.failsOf(s), b.solved.fails[i]) > binShift {
 			return true
 		}
 	}
@@ -914,7 +910,7 @@
 
 // curve is a server's delay against its share of the calls: alone/(1 - growth*share), with alone
 // the delay that it would have with no load.
-type curve struct{ alone, growth, ok float64 }
+type curve struct{ alone, growth float64 }
 
 func (c *curve) at(share float64) (delay, slope float64) {
 	free := max(0.05, 1-c.growth*share)
@@ -934,7 +930,7 @@
 	for i, s := range b.servers {
 		m := b.delay(s)
 		alone := m / (1 + pressure*m*max(share[i], 0.5/n)) // a small share must not make it look slow
-		cs[i] = curve{alone: alone, growth: pressure * alone, ok: b.okShare(s)}
+		cs[i] = curve{alone: alone, growth: pressure * alone}
 	}
 	return cs
 }
@@ -1004,14 +1000,18 @@
 	crowd := make([]float64, len(cs)) // what one more call on a server costs those already there
 	for k, row := range b.table {
 		c := b.classes[k/spentBuckets]
-		f, left := b.factor(c), c.Aim.Seconds()
+		f, left, lost := c.factor, c.Aim.Seconds(), 1.0
+		if b.set.SecondCopies && c.Effect != Unsafe {
+			lost -= copySaves
+		}
 		if spent := k % spentBuckets; spent > 0 {
 			left *= 1 - spentEdges[spent-1]
 		}
 		grad[k] = make([]float64, len(cs))
 		for i := range cs {
 			m, slope := cs[i].at(total[i])
-			miss, worth := math.Exp(-left/(f*m)), c.Worth/max(mean, 1e-9)*cs[i].ok
+			worth := c.Worth / max(mean, 1e-9) * (1 - lost*b.solved.fails[i][k/spentBuckets])
+			miss := math.Exp(-left / (f * m))
 			grad[k][i] = worth * (1 - miss)
 			payoff += weight[k] * row[i] * grad[k][i]
 			crowd[i] += weight[k] * worth * row[i] * miss * left / (f * m * m) * slope
--- /dev/null
+++ b/balance/grey/grey.go
@@ -0,0 +1,259 @@
+// Package grey tells why an attempt has no answer yet, and what a host is worth that fails a part of what it gets.
+// It is pure: the caller passes ages and tells how each attempt ended.
+//
+// Two questions are kept apart. Does this attempt hang? What would be a late answer is weighed against what would be
+// none: by how long answers of the class take at present, by how many later attempts the host has answered, and by
+// how often the host has said nothing before (Bayes). And what share of its attempts does this host fail, against its
+// like? A share is shrunk toward what the others show in the same moment for the same classes, so that what all have
+// in common, a class that fails everywhere or a dependency that is down, is held against none of them.
+//
+// An attempt that ends without an answer is no proof: it counts as failed by the odds that it hung. All evidence ages,
+// so that a host which is left alone is tried again. docs/design/grey-failures.md has the options and the figures.
+package grey
+
+import "math"
+
+// Tunables.
+const (
+	memory     = 10.0 // seconds after which an observation weighs 1/e
+	paceMemory = 20.0 // the same of how long answers take: classes differ for long
+	lateMemory = 5.0  // of whether a host is of any use
+	nowMemory  = 0.5  // and of how all do at this moment
+
+	spreadFirst = 0.6  // of the logarithms of a class's answer times, until known
+	spreadCalls = 20.0 // answers that this first spread counts for
+	spreadLeast = 0.35 // answers are never taken to be more alike than this, or the first odd one would seem to hang
+	paceFirst   = 4.0  // answers that the first mean counts for
+	passedOdds  = 0.4  // chance that an answer of this host which is on its way is overtaken by one sent later
+	passedMost  = 3    // more of them prove no more: what takes long is overtaken by many
+
+	quickMost  = 0.7  // logarithm of how many times its pace an answer takes that is as quick as ever
+	quickCalls = 3.0  // attempts that all being well counts for, at any moment
+	trustFrom  = 0.3  // share of quick answers among all attempts from which silence tells anything of a host,
+	trustTo    = 0.55 // and everything
+
+	muteFirst  = 0.004 // share of a host's attempts that hang, until known
+	muteCalls  = 50.0  // attempts that this counts for, over all hosts
+	failFirst  = 0.01  // share that fails in any way, until known
+	failCalls  = 20.0  // attempts that this counts for, over all other hosts of a class
+	likeCalls  = 6.0   // attempts that a host's likeness to the others counts for
+	classCalls = 8.0   // attempts of a class that its host's likeness to itself counts for
+	shareMost  = 0.98  // a share never gets so high that nothing would be sent
+
+	greyLeast   = 0.05  // the least share that a host is suspected of
+	greyTimes   = 4.0   // or as many times what is usual
+	usualLeast  = 0.005 // the least that counts as usual: two failures by chance must not be news
+	suspectMost = 9.0   // of the evidence that is kept: it bounds how long a healed host is suspected
+	suspectGrey = 6.0   // evidence (logarithm of the odds) from which a host is called grey
+	suspectLess = 0.5   // until so little is left
+)
+
+// tally is attempts and how many of them went wrong, aged.
+type tally struct{ n, bad float64 }
+
+func (t *tally) add(bad float64)  { t.n, t.bad = t.n+1, max(0, t.bad+bad) }
+func (t *tally) age(keep float64) { t.n, t.bad = t.n*keep, t.bad*keep }
+
+// share is the part that went wrong, as if it had been like over so many attempts as well.
+func (t *tally) share(like, calls float64) float64 { return (t.bad + like*calls) / (t.n + calls) }
+
+// pace is how long answers of a class take at hosts that answer: log-normally distributed.
+type pace struct{ first, n, sum, squares float64 }
+
+// over is the logarithm of how many times the typical answer's time so many seconds are.
+func (p *pace) over(seconds float64) float64 {
+	return math.Log(max(seconds, 1e-6)) - (p.sum+paceFirst*p.first)/(p.n+paceFirst)
+}
+
+// answered takes in an answer and returns what over said of it before.
+func (p *pace) answered(seconds float64) float64 {
+	x := p.over(seconds)
+	p.n, p.sum, p.squares = p.n+1, p.sum+math.Log(max(seconds, 1e-6)), p.squares+x*x
+	return x
+}
+
+func (p *pace) age(keep float64) { p.n, p.sum, p.squares = p.n*keep, p.sum*keep, p.squares*keep }
+
+// open is the chance that an answer which will come has not come yet, at an age of which over says x.
+func (p *pace) open(x float64) float64 {
+	spread := math.Sqrt((p.squares + spreadCalls*spreadFirst*spreadFirst) / (p.n + spreadCalls))
+	return 0.5 * math.Erfc(x/(max(spreadLeast, spread)*math.Sqrt2))
+}
+
+// present is how all hosts do at this moment: by how much answers take longer than their paces, and how many don't.
+type present struct{ n, sum, quick float64 }
+
+func (p *present) add(x float64, answered bool) {
+	if !answered && x < quickMost {
+		return // given up before it was late: that says nothing
+	}
+	p.n, p.sum = p.n+1, p.sum+x
+	if x < quickMost {
+		p.quick++
+	}
+}
+
+func (p *present) age(keep float64) { p.n, p.sum, p.quick = p.n*keep, p.sum*keep, p.quick*keep }
+
+// shift is the logarithm of how many times as long answers take, 0 at least.
+func (p *present) shift() float64 { return max(0, p.sum/(p.n+quickCalls)) }
+
+// trust is how far silence tells of hosts that hang, from 0 to 1: while most answers come as quickly as ever, all of it.
+// Where few do, all are slow or jammed, and no attempt is to be taken for lost. Late is how many are out that should
+// have been answered.
+func (p *present) trust(late float64) float64 {
+	quick := (p.quick + quickCalls) / (p.n + quickCalls + late)
+	return min(1, max(0, (quick-trustFrom)/(trustTo-trustFrom)))
+}
+
+// Host is what is known of one host. The zero value knows nothing.
+type Host struct {
+	classes []tally
+	mute    tally
+	lately  tally
+	suspect float64 // evidence for it to fail more than its like: a sum that never falls below 0 (CUSUM; Page 1954)
+	grey    bool
+}
+
+// Fleet is all hosts of a cluster, so far as this instance sees them.
+type Fleet struct {
+	classes []tally
+	paces   []pace
+	mute    tally
+	now     present
+	shift   float64
+	trust   float64
+	late    float64
+}
+
+// New returns a fleet that knows nothing yet. First is how many seconds an answer of each class is expected to take.
+func New(first []float64) *Fleet {
+	f := &Fleet{classes: make([]tally, len(first)), paces: make([]pace, len(first)), trust: 1}
+	for i, seconds := range first {
+		f.paces[i].first = math.Log(max(seconds, 1e-6))
+	}
+	return f
+}
+
+// Answered is an answer that took so many seconds. Hung is what Hangs last said of the attempt: one that was taken to
+// hang and is answered stands for another that was given up for a copy, and did not hang either.
+func (f *Fleet) Answered(h *Host, class int, seconds, hung float64) {
+	f.now.add(f.paces[class].answered(seconds), true)
+	wrong := 0.0
+	if hung > 0.5 {
+		wrong = -hung
+	}
+	f.ended(h, class, wrong, wrong)
+}
+
+// Failed is an attempt that failed: an error, a reset, a time-out; hung is what Hangs last said of it, or 0 where the
+// host has said something.
+func (f *Fleet) Failed(h *Host, class int, hung float64) { f.ended(h, class, 1, hung) }
+
+// GivenUp is an attempt that was withdrawn after so many seconds.
+func (f *Fleet) GivenUp(h *Host, class int, seconds, hung float64, passed int) {
+	if passed < passedMost {
+		f.now.add(f.paces[class].over(seconds), false)
+	}
+	f.ended(h, class, hung, hung)
+}
+
+func (f *Fleet) ended(h *Host, class int, failed, hung float64) {
+	if h.classes == nil {
+		h.classes = make([]tally, len(f.classes))
+	}
+	usual := max(usualLeast, f.usual(h, class))
+	looked := min(0.9, max(greyLeast, greyTimes*usual))
+	usual = min(usual, looked/2)
+	news := max(0, failed)
+	h.suspect += news*math.Log(looked/usual) + (1-news)*math.Log((1-looked)/(1-usual))
+	h.suspect = min(suspectMost, max(0, h.suspect))
+	h.grey = h.suspect >= suspectGrey || h.grey && h.suspect > suspectLess
+	f.classes[class].add(failed)
+	h.classes[class].add(failed)
+	f.mute.add(hung)
+	h.mute.add(hung)
+	h.lately.add(failed)
+}
+
+// Age lets so many seconds pass over what is known of the whole.
+func (f *Fleet) Age(seconds float64) {
+	keep, keepPace := math.Exp(-seconds/memory), math.Exp(-seconds/paceMemory)
+	f.mute.age(keep)
+	f.now.age(math.Exp(-seconds / nowMemory))
+	for i := range f.classes {
+		f.classes[i].age(keep)
+		f.paces[i].age(keepPace)
+	}
+}
+
+// Age lets so many seconds pass over what is known of a host.
+func (h *Host) Age(seconds float64) {
+	keep := math.Exp(-seconds / memory)
+	h.mute.age(keep)
+	h.lately.age(math.Exp(-seconds / lateMemory))
+	h.suspect *= keep
+	h.grey = h.grey && h.suspect > suspectLess
+	for i := range h.classes {
+		h.classes[i].age(keep)
+	}
+}
+
+// Grey tells whether the host fails more than its like, by evidence that chance hardly brings.
+func (h *Host) Grey() bool { return h.grey }
+
+// Mostly tells whether the host has failed more of late than it has answered.
+func (h *Host) Mostly() bool { return 2*h.lately.bad > h.lately.n }
+
+// Look begins a look at all that is out: Hangs is to be asked of each attempt once.
+func (f *Fleet) Look() {
+	f.shift, f.trust, f.late = f.now.shift(), f.now.trust(f.late), 0
+}
+
+// Hangs is the chance that an attempt which has been out for so many seconds will never be answered. Slow is by how
+// many times its host takes longer than its like to answer, and passed how many attempts that the host was sent later
+// it has answered.
+func (f *Fleet) Hangs(h *Host, class int, seconds, slow float64, passed int) float64 {
+	p := &f.paces[class]
+	x := p.over(seconds)
+	if x > quickMost && passed < passedMost {
+		f.late++
+	}
+	mute := f.Mute(h)
+	if x < 0 { // younger than half of all answers
+		return f.trust * mute
+	}
+	late := (1 - mute) * p.open(x-f.shift-math.Log(max(1, slow))) * math.Pow(passedOdds, float64(min(passed, passedMost)))
+	return f.trust * mute / max(mute+late, 1e-300)
+}
+
+// Mute is the share of a host's attempts that hang.
+func (f *Fleet) Mute(h *Host) float64 {
+	return h.mute.share(f.mute.share(muteFirst, muteCalls), likeCalls)
+}
+
+// usual is the share that the other hosts fail of a class.
+func (f *Fleet) usual(h *Host, class int) float64 {
+	others := f.classes[class]
+	if h.classes != nil {
+		own := h.classes[class]
+		others = tally{max(0, others.n-own.n), max(0, others.bad-own.bad)}
+	}
+	return others.share(failFirst, failCalls)
+}
+
+// Fails is the share of a host's attempts of a class that come to nothing. Out attempts that are still there are
+// counted with those that have ended: hanging is the sum of what Hangs says of them.
+func (f *Fleet) Fails(h *Host, class int, hanging, out float64) float64 {
+	usual := f.usual(h, class)
+	excess, n := hanging-out*usual, out
+	for i := range h.classes {
+		excess += h.classes[i].bad - h.classes[i].n*f.usual(h, i)
+		n += h.classes[i].n
+	}
+	like := min(shareMost, max(0, usual+excess/(n+likeCalls)))
+	if h.classes == nil {
+		return like
+	}
+	return min(shareMost, h.classes[class].share(like, classCalls))
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"pinelb.example/pinelb/balance/grey"
 	"pinelb.example/pinelb/balance/warmup"
 )
 
@@ -14,13 +15,14 @@
 
 // Balancer is the state of one instance.
 type Balancer struct {
-	set  Settings
-	site warmup.Site // of the settings, what cold servers are judged by
-	rng  *rand.Rand
-	own  uint64 // hashed from the instance's name; 0 is none
-	now  time.Duration
-	out  []Action
-	tick time.Duration // 0 until the first event
+	set    Settings
+	site   warmup.Site // of the settings, what cold servers are judged by
+	rng    *rand.Rand
+	own    uint64 // hashed from the instance's name; 0 is none
+	now    time.Duration
+	out    []Action
+	tick   time.Duration // 0 until the first event
+	tickAt time.Duration // when the next one is due
 
 	classes []*class
 	tenants []bucket
@@ -46,6 +48,9 @@
 	inUse     average // how many were held since the limit was last looked at
 	bounded   bool    // the limit has been cut once: it grows slowly from then on
 	crisis    bool    // most servers look bad: health is no guide
+	fleet     *grey.Fleet
+	working   int           // requests that servers have in work, but for those written off, as of the last look and since
+	stalled   time.Duration // for how long in all this instance itself did not run
 
 	bins       []bin
 	table      [][]float64 // per bin: the cached split over servers
@@ -67,11 +72,12 @@
 
 type class struct {
 	Class
-	delay average           // of served attempts, seconds
-	rank  float64           // what its calls are worth, and
-	part  float64           // their part of all, as of the last upkeep
-	lefts [16]time.Duration // the times that its last tries came with
-	tries int
+	delay  average           // of served attempts, seconds
+	rank   float64           // what its calls are worth, and
+	part   float64           // their part of all, as of the last upkeep
+	factor float64           // as of then
+	lefts  [16]time.Duration // the times that its last tries came with
+	tries  int
 }
 
 type bucket struct{ rate, level float64 }
@@ -112,6 +118,8 @@
 	request *request
 	at      time.Duration
 	passed  int // by so many answers to attempts sent later
+	stalled time.Duration
+	hangs   float64 // the odds that it will not be answered, as of the last look
 }
 
 // group is what like servers have in common.
@@ -127,10 +135,11 @@
 	used   bool // one of those that this instance sends to
 
 	held    []sent  // by the time of sending
-	working int     // of them are not stuck, as of the last count
+	working int     // of them do not seem to hang, as of the last look and since
+	out     bool    // it was not healthy then: what it has in work counts nowhere
 	delay   average // of served attempts, scaled to the mean class, seconds
 	overdue average // the same of attempts still out, once longer than that
-	ok, bad float64 // aged counts of outcomes
+	seen    grey.Host
 
 	fails   int // in a row
 	last    time.Duration
@@ -152,7 +161,10 @@
 }
 
 // snapshot is what the last solve rested on.
-type snapshot struct{ delay, ok, share []float64 }
+type snapshot struct {
+	delay, share []float64
+	fails        [][]float64
+}
 
 // average is a mean whose samples lose weight with time.
 type average struct{ n, sum float64 }
@@ -168,27 +180,77 @@
 	return (a.sum + prior*weight) / (a.n + weight)
 }
 
-// unhold removes an ended attempt from those that its server holds. An answer passes those that were sent before.
-func (s *server) unhold(r *request, at time.Duration, answered bool) {
-	s.held = slices.DeleteFunc(s.held, func(h sent) bool { return h.request == r && h.at == at })
+// unhold removes an ended attempt from those that its server holds and returns it. An answer passes those that were
+// sent before, and the server has said something unless the end was our own doing.
+func (b *Balancer) unhold(r *request, a *attempt, status Status) sent {
+	s, answered := a.server, status == OK
+	if status != Cancelled && status != Moot {
+		s.last = b.now
+	}
+	i := slices.IndexFunc(s.held, func(h sent) bool { return h.request == r && h.at == a.sentAt })
+	h := s.held[i]
+	s.held = slices.Delete(s.held, i, i+1)
 	for i := range s.held {
-		if answered && s.held[i].at < at {
+		if answered && s.held[i].at < h.at {
 			s.held[i].passed++
 		}
 	}
+	if !h.stuck() {
+		b.count(s, -1)
+	}
+	if answered && s.out && b.now >= s.ejected { // it is back
+		s.out = false
+		b.working += s.working
+	}
+	return h
 }
 
-// isStuck tells whether an attempt hangs while its server gets on with others: several that were sent later have
-// been answered, and it is out for much longer than its class takes. It tells nothing of a crowd, and takes no room.
-func (b *Balancer) isStuck(h *sent) bool {
-	return h.passed >= stuckAfter && b.now > h.at+b.overdue(h.request.class)
+// count has a server hold one more or less that works.
+func (b *Balancer) count(s *server, n int) {
+	s.working += n
+	if !s.out {
+		b.working += n
+	}
 }
 
-// stuckOf is the same of a request's attempt.
-func (b *Balancer) stuckOf(r *request, a *attempt) bool {
-	return slices.ContainsFunc(a.server.held, func(h sent) bool {
-		return h.request == r && h.at == a.sentAt && b.isStuck(&h)
-	})
+// stuck tells whether an attempt more likely hangs than not. It tells nothing of a crowd, and takes no room.
+func (h *sent) stuck() bool { return h.hangs > 0.5 }
+
+// sentOf finds a request's attempt among those that its server holds.
+func sentOf(r *request, a *attempt) *sent {
+	i := slices.IndexFunc(a.server.held, func(h sent) bool { return h.request == r && h.at == a.sentAt })
+	return &a.server.held[i]
+}
+
+// watch looks at what is out: how likely it is that each attempt hangs, how many are in work, and what is out for
+// longer than its server's mean, which is evidence of a longer delay.
+func (b *Balancer) watch() {
+	if late := b.now - b.tickAt; b.tickAt > 0 && late > stallTicks*b.tick {
+		b.stalled += late // the fault is this instance's own: nothing that was out is blamed for it
+	}
+	b.tickAt = b.now + b.tick
+	b.fleet.Look()
+	b.working = 0
+	for _, s := range b.servers {
+		s.out, s.working, s.overdue = !b.healthy(s), 0, average{}
+		if len(s.held) == 0 {
+			continue
+		}
+		like := s.group.delay.mean(b.classDelay(b.classes[0]).Seconds(), 0.1)
+		mean, n := s.delay.mean(like, priorCalls), 0
+		for i := range s.held {
+			h := &s.held[i]
+			age := (b.now - h.at - (b.stalled - h.stalled)).Seconds()
+			if y := age / h.request.class.factor; y > mean {
+				s.overdue.add(y)
+			}
+			h.hangs = b.fleet.Hangs(&s.seen, h.request.ci, age, mean/like, h.passed)
+			if !h.stuck() {
+				n++
+			}
+		}
+		b.count(s, n)
+	}
 }
 
 // unlive removes an answered request from those that are looked at.
@@ -227,7 +289,7 @@
 			delete(b.byID, id)
 		case had: // no longer used: its connections are of use to others, and what was learned goes stale
 			left = append(left, s.Endpoint)
-			s.delay, s.ok, s.bad = average{}, 0, 0
+			s.delay, s.seen = average{}, grey.Host{}
 		}
 	}
 	slices.Sort(left)
@@ -296,25 +358,41 @@
 	b.solved, b.solvedAt, b.dirty = snapshot{share: weight}, b.now, false
 	for _, s := range b.servers {
 		b.solved.delay = append(b.solved.delay, b.delay(s))
-		b.solved.ok = append(b.solved.ok, b.okShare(s))
+		b.solved.fails = append(b.solved.fails, b.failsOf(s))
 	}
 }
 
-// held counts what servers have in work of ours: all of them together that are not written off.
-func (b *Balancer) held() float64 {
-	held := 0
-	for _, s := range b.servers {
-		s.working = len(s.held)
-		for i := range s.held {
-			if b.isStuck(&s.held[i]) {
-				s.working--
-			}
-		}
-		if b.healthy(s) {
-			held += s.working
+// failsOf is the share that a server fails of each class, with what it has out counted by its odds.
+func (b *Balancer) failsOf(s *server) []float64 {
+	hanging, out := 0.0, 0.0
+	for i := range s.held {
+		if s.held[i].stuck() {
+			hanging, out = hanging+s.held[i].hangs, out+1
 		}
 	}
-	return float64(held)
+	fails := make([]float64, len(b.classes))
+	for i := range fails {
+		fails[i] = b.fleet.Fails(&s.seen, i, hanging, out)
+	}
+	return fails
+}
+
+// firstTimes is what an answer of each class is taken to need before any is known, in seconds.
+func firstTimes(classes []Class) []float64 {
+	var first []float64
+	for _, c := range classes {
+		first = append(first, 0.1*c.Aim.Seconds())
+	}
+	return first
+}
+
+// apart is the largest difference of two lists of the same length.
+func apart(x, y []float64) float64 {
+	most := 0.0
+	for i := range x {
+		most = max(most, math.Abs(x[i]-y[i]))
+	}
+	return most
 }
 
 // lowEnd moves an estimate of a low end toward a new value: down fast and up hardly.
@@ -415,6 +493,7 @@
 // weigh takes over what each class's calls are worth now, and their part of all calls.
 func (b *Balancer) weigh() {
 	for _, c := range b.classes {
+		c.factor = b.factor(c)
 		c.rank, c.part = b.rank(c), 0
 	}
 	for k, w := range b.binWeights() {
