--- a/balance/balance.go
+++ b/balance/balance.go
@@ -316,7 +316,7 @@
 	}
 	r.tries = append(r.tries, attempt{server: s, sentAt: b.now, open: true, mayHave: true})
 	r.out++
-	s.held = append(s.held, sent{request: r, at: b.now, stalled: b.stalled})
+	s.held = append(s.held, sent{request: r, at: b.now, ran: b.ran()})
 	b.count(s, 1)
 	b.sent.add(1)
 	b.do(Action{Kind: ActSend, Request: r.id, Endpoint: s.Endpoint, After: r.deadline - b.now})
@@ -777,7 +777,7 @@
 	if b.now < s.ejected {
 		return false
 	}
-	return len(s.held) == 0 || b.now < max(s.last, s.held[0].at)+b.overdue(s.held[0].request.class)
+	return len(s.held) == 0 || b.ran() < max(s.last, s.held[0].ran)+b.overdue(s.held[0].request.class)
 }
 
 // judgeFleet: when most servers look bad, the cause is shared, and none is to be avoided for it.
--- a/balance/grey/grey.go
+++ b/balance/grey/grey.go
@@ -18,6 +18,7 @@
 	memory     = 10.0 // seconds after which an observation weighs 1/e
 	paceMemory = 20.0 // the same of how long answers take: classes differ for long
 	lateMemory = 5.0  // of whether a host is of any use
+	suspMemory = 60.0 // of the suspicion: a host that is seldom sent to must not seem well for that
 	nowMemory  = 0.5  // and of how all do at this moment
 
 	spreadFirst = 0.6  // of the logarithms of a class's answer times, until known
@@ -33,6 +34,7 @@
 	trustTo    = 0.55 // and everything
 
 	muteFirst  = 0.004 // share of a host's attempts that hang, until known
+	muteLeast  = 0.001 // the least: a host that has answered all so far may have just changed
 	muteCalls  = 50.0  // attempts that this counts for, over all hosts
 	failFirst  = 0.01  // share that fails in any way, until known
 	failCalls  = 20.0  // attempts that this counts for, over all other hosts of a class
@@ -41,11 +43,13 @@
 	shareMost  = 0.98  // a share never gets so high that nothing would be sent
 
 	greyLeast   = 0.05  // the least share that a host is suspected of
-	greyTimes   = 4.0   // or as many times what is usual
+	greyTimes   = 4.0   // or as many times what is usual,
+	greyMost    = 0.3   // but no more than that of the rest of it: what all fail half of tells nothing of one
+	unsureTimes = 1.0   // its standard error, times this, is added to what the others fail: it may be more than was seen
 	usualLeast  = 0.005 // the least that counts as usual: two failures by chance must not be news
-	suspectMost = 9.0   // of the evidence that is kept: it bounds how long a healed host is suspected
+	suspectMost = 7.5   // of the evidence that is kept: it bounds how long a healed host is suspected
 	suspectGrey = 6.0   // evidence (logarithm of the odds) from which a host is called grey
-	suspectLess = 0.5   // until so little is left
+	suspectLess = 3.0   // until so little is left
 )
 
 // tally is attempts and how many of them went wrong, aged.
@@ -162,9 +166,10 @@
 	if h.classes == nil {
 		h.classes = make([]tally, len(f.classes))
 	}
-	usual := max(usualLeast, f.usual(h, class))
-	looked := min(0.9, max(greyLeast, greyTimes*usual))
-	usual = min(usual, looked/2)
+	others := f.others(h, class)
+	usual := others.share(failFirst, failCalls)
+	usual = max(usualLeast, usual+unsureTimes*math.Sqrt(usual*(1-usual)/(others.n+failCalls)))
+	looked := max(greyLeast, usual+min((greyTimes-1)*usual, greyMost*(1-usual)))
 	news := max(0, failed)
 	h.suspect += news*math.Log(looked/usual) + (1-news)*math.Log((1-looked)/(1-usual))
 	h.suspect = min(suspectMost, max(0, h.suspect))
@@ -192,7 +197,7 @@
 	keep := math.Exp(-seconds / memory)
 	h.mute.age(keep)
 	h.lately.age(math.Exp(-seconds / lateMemory))
-	h.suspect *= keep
+	h.suspect *= math.Exp(-seconds / suspMemory)
 	h.grey = h.grey && h.suspect > suspectLess
 	for i := range h.classes {
 		h.classes[i].age(keep)
@@ -229,19 +234,25 @@
 
 // Mute is the share of a host's attempts that hang.
 func (f *Fleet) Mute(h *Host) float64 {
-	return h.mute.share(f.mute.share(muteFirst, muteCalls), likeCalls)
+	return max(muteLeast, h.mute.share(f.mute.share(muteFirst, muteCalls), likeCalls))
 }
 
 // usual is the share that the other hosts fail of a class.
 func (f *Fleet) usual(h *Host, class int) float64 {
-	others := f.classes[class]
-	if h.classes != nil {
-		own := h.classes[class]
-		others = tally{max(0, others.n-own.n), max(0, others.bad-own.bad)}
-	}
+	others := f.others(h, class)
 	return others.share(failFirst, failCalls)
 }
 
+// others is what is known of a class at all hosts but one.
+func (f *Fleet) others(h *Host, class int) tally {
+	all := f.classes[class]
+	if h.classes == nil {
+		return all
+	}
+	own := h.classes[class]
+	return tally{max(0, all.n-own.n), max(0, all.bad-own.bad)}
+}
+
 // Fails is the share of a host's attempts of a class that come to nothing. Out attempts that are still there are
 // counted with those that have ended: hanging is the sum of what Hangs says of them.
 func (f *Fleet) Fails(h *Host, class int, hanging, out float64) float64 {
--- a/balance/state.go
+++ b/balance/state.go
@@ -117,9 +117,9 @@
 type sent struct {
 	request *request
 	at      time.Duration
-	passed  int // by so many answers to attempts sent later
-	stalled time.Duration
-	hangs   float64 // the odds that it will not be answered, as of the last look
+	passed  int           // by so many answers to attempts sent later
+	ran     time.Duration // as Balancer.ran was then
+	hangs   float64       // the odds that it will not be answered, as of the last look
 }
 
 // group is what like servers have in common.
@@ -141,8 +141,8 @@
 	overdue average // the same of attempts still out, once longer than that
 	seen    grey.Host
 
-	fails   int // in a row
-	last    time.Duration
+	fails   int           // in a row
+	last    time.Duration // it said something, by Balancer.ran
 	okAt    time.Duration // of the last answer
 	ejected time.Duration // until then
 	backoff time.Duration
@@ -185,7 +185,7 @@
 func (b *Balancer) unhold(r *request, a *attempt, status Status) sent {
 	s, answered := a.server, status == OK
 	if status != Cancelled && status != Moot {
-		s.last = b.now
+		s.last = b.ran()
 	}
 	i := slices.IndexFunc(s.held, func(h sent) bool { return h.request == r && h.at == a.sentAt })
 	h := s.held[i]
@@ -205,6 +205,10 @@
 	return h
 }
 
+// ran is for how long this instance has run in all. What is out, and who is silent, is judged by it: while the instance
+// itself did not run it could hear of nothing.
+func (b *Balancer) ran() time.Duration { return b.now - b.stalled }
+
 // count has a server hold one more or less that works.
 func (b *Balancer) count(s *server, n int) {
 	s.working += n
@@ -240,7 +244,7 @@
 		mean, n := s.delay.mean(like, priorCalls), 0
 		for i := range s.held {
 			h := &s.held[i]
-			age := (b.now - h.at - (b.stalled - h.stalled)).Seconds()
+			age := (b.ran() - h.ran).Seconds()
 			if y := age / h.request.class.factor; y > mean {
 				s.overdue.add(y)
 			}
@@ -395,6 +399,22 @@
 	return most
 }
 
+// Condition is how a host that an instance uses stands with it, for those who look on.
+type Condition struct {
+	Endpoint EndpointID
+	Grey     bool    // it fails more of what it gets than its like
+	Ejected  bool    // it gets nothing for a while, or only one request at a time until it has served one
+	Fails    float64 // share of its attempts that come to nothing, of the class of which it fails most
+}
+
+// Conditions appends how the hosts in use stand, in the order of their numbers.
+func (b *Balancer) Conditions(out []Condition) []Condition {
+	for _, s := range b.servers {
+		out = append(out, Condition{s.Endpoint, s.seen.Grey(), b.now < s.ejected || s.trial, slices.Max(b.failsOf(s))})
+	}
+	return out
+}
+
 // lowEnd moves an estimate of a low end toward a new value: down fast and up hardly.
 func lowEnd(low, x float64) float64 {
 	switch {
--- a/internal/lab/judge/answers.go
+++ b/internal/lab/judge/answers.go
@@ -1,9 +1,11 @@
 package judge
 
 import (
+	"slices"
 	"time"
 
 	"pinelb.example/pinelb/internal/lab/model"
+	"pinelb.example/pinelb/internal/lab/plan"
 	"pinelb.example/pinelb/internal/lab/trace"
 )
 
@@ -32,12 +34,22 @@
 	return false
 }
 
+// paused says whether the script kept a sidecar from running at that time, or had just let it go on.
+func (j *judge) paused(sidecar int, at time.Duration) bool {
+	return slices.ContainsFunc(j.pauses, func(e plan.Event) bool {
+		return e.Sidecar == sidecar && at >= e.At && at <= e.At+e.For+2*j.slack
+	})
+}
+
 // lost judges whether a try that was taken had its answer in time.
 func (j *judge) lost(t *trace.Try) {
 	if t.Sent == trace.None || t.Sidecar < 0 || t.Sidecar >= len(j.lives) {
 		return
 	}
 	until := t.Sent + t.Left + j.slack
+	if j.paused(t.Sidecar, until) {
+		return
+	}
 	switch t.Status {
 	case trace.Silent, trace.Broken:
 		broke := model.Never
--- a/internal/lab/judge/judge.go
+++ b/internal/lab/judge/judge.go
@@ -70,15 +70,16 @@
 
 // judge is one judgement.
 type judge struct {
-	p     *plan.Plan
-	log   *trace.Log
-	slack time.Duration // what both ends may be apart, and how late an answer may be
-	index index
-	lives [][]life // by sidecar
-	heard *heard
-	out   Verdict
-	kept  map[Kind][]Breach
-	runs  []unsafeRun
+	p      *plan.Plan
+	log    *trace.Log
+	slack  time.Duration // what both ends may be apart, and how late an answer may be
+	index  index
+	lives  [][]life // by sidecar
+	heard  *heard
+	pauses []plan.Event
+	out    Verdict
+	kept   map[Kind][]Breach
+	runs   []unsafeRun
 }
 
 // Judge judges a run. It takes time in proportion to n log n of the log's entries.
@@ -87,6 +88,11 @@
 	j := &judge{p: p, log: log, slack: r.AnswerSlack.D() + 2*p.Scenario.Network.Delay.D(), index: newIndex(log),
 		lives: lives(p, log), out: Verdict{Counts: map[Kind]int{}}, kept: map[Kind][]Breach{}}
 	j.heard = listen(p, log)
+	for _, e := range p.Events {
+		if e.Kind == plan.PauseSidecar {
+			j.pauses = append(j.pauses, e)
+		}
+	}
 	j.pressures()
 	if p.Scenario.Fleet.Policy != "plain" { // there, no sidecar is to blame for anything
 		j.index.each(func(try int, visits []int32) {
--- a/internal/lab/live/fleet.go
+++ b/internal/lab/live/fleet.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"runtime"
 	"sync"
+	"syscall"
 	"time"
 
 	"pinelb.example/pinelb/internal/lab/trace"
@@ -146,6 +147,9 @@
 // kill sends SIGKILL.
 func (f *fleet) kill(i int) { f.sidecars[i].kill() }
 
+// signal sends a signal to a sidecar's process, if one runs.
+func (f *fleet) signal(i int, s syscall.Signal) { f.sidecars[i].signal(s) }
+
 // hup tells a sidecar the new address of its agent of discovery. One that does not run finds it at its start.
 func (f *fleet) hup(i int, discovery string) error { return f.sidecars[i].hup(discovery) }
 
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -5,6 +5,7 @@
 	"context"
 	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	"pinelb.example/pinelb/internal/lab/model"
@@ -133,6 +134,9 @@
 			r.fleet.stop(e.Sidecar)
 		case plan.KillSidecar:
 			r.fleet.kill(e.Sidecar)
+		case plan.PauseSidecar:
+			r.fleet.signal(e.Sidecar, syscall.SIGSTOP)
+			r.after(e.For, func() { r.fleet.signal(e.Sidecar, syscall.SIGCONT) })
 		case plan.SilenceDiscovery, plan.ResumeDiscovery:
 			for _, a := range r.agents {
 				a.silence(e.Kind == plan.SilenceDiscovery)
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -218,6 +218,14 @@
 	s.note(trace.Killed, "")
 }
 
+func (s *sidecar) signal(sig syscall.Signal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runs() {
+		_ = s.process.cmd.Process.Signal(sig) // one that has just ended needs none
+	}
+}
+
 // hup has it follow discovery at another address. One that is down finds that at its next start, and one that
 // is not ready yet is told once it is: before that the signal might end it.
 func (s *sidecar) hup(discovery string) error {
--- a/internal/lab/live/visit.go
+++ b/internal/lab/live/visit.go
@@ -97,7 +97,8 @@
 	v.segments = b.run.plan.Segments(nil, a.request, a.txn, b.index, v.number)
 	b.jobs[v.job] = v
 	p.held = v
-	b.model.Arrive(now, model.Job{ID: v.job, Key: a.key, Segments: v.segments, FirstOn: p.fresh})
+	b.model.Arrive(now, model.Job{ID: v.job, Key: a.key, Segments: v.segments, FirstOn: p.fresh,
+		Class: b.run.plan.Requests[a.request].Class + 1, Conn: p.id})
 	p.fresh = false
 	b.carryOut()
 }
--- a/internal/lab/model/api.go
+++ b/internal/lab/model/api.go
@@ -80,10 +80,16 @@
 )
 
 // Fault is a fault that has begun. ID tells it from others when it ends.
+//
+// Those that strike a share of what comes (Fail, Cut, Spoil, Drip, Mute) may be bound to a class, to a crowd, or to
+// connections: then a share of these is struck, always and as a whole, in place of a share of the requests.
 type Fault struct {
-	ID   int
-	Kind FaultKind
-	Size float64 // a share, or for Slow a factor; see the kinds
+	ID     int
+	Kind   FaultKind
+	Size   float64 // a share, or for Slow a factor; see the kinds
+	Class  int     // strikes only jobs of it; 0 is all
+	Above  int     // strikes only while so many are in work and waiting; 0 is always
+	ByConn bool
 }
 
 // Phase is what a caller's connection meets.
@@ -113,7 +119,9 @@
 	// Segments is the work before, between and after the calls to the next tier: one more than there are
 	// calls. A server that calls nobody has one. The server copies it.
 	Segments []time.Duration
-	FirstOn  bool // of its connection, which adds the handshake's work
+	FirstOn  bool   // of its connection, which adds the handshake's work
+	Class    int    // for faults that are bound to one
+	Conn     uint64 // its connection, for faults that are bound to some
 }
 
 // EffectKind says what a server did.
--- a/internal/lab/model/draws.go
+++ b/internal/lab/model/draws.go
@@ -16,6 +16,9 @@
 // pauseStream is the number of the generator's stream for pauses, one that no job's draws come to.
 const pauseStream = 1 << 63
 
+// connStream is the first of the streams for connections; no job's draws come to them either.
+const connStream = 1 << 62
+
 // draws decides by chance, for each job apart: a fault changes the fate of those that it strikes and leaves
 // the others as they were.
 type draws struct {
@@ -25,9 +28,18 @@
 
 // hit says whether a job is among a share.
 func (d *draws) hit(number, kind uint64, share float64) bool {
+	return d.draw(number*drawKinds+kind, share)
+}
+
+// hitConn is the same of a connection, for one kind of fault.
+func (d *draws) hitConn(conn uint64, kind FaultKind, share float64) bool {
+	return d.draw(connStream+conn<<8+uint64(kind), share)
+}
+
+func (d *draws) draw(stream uint64, share float64) bool {
 	if share <= 0 {
 		return false
 	}
-	d.pcg.Seed(d.seed, number*drawKinds+kind)
+	d.pcg.Seed(d.seed, stream)
 	return float64(d.pcg.Uint64()>>11) < share*(1<<53)
 }
--- a/internal/lab/model/faults.go
+++ b/internal/lab/model/faults.go
@@ -24,15 +24,19 @@
 	return n
 }
 
-// share is that of the jobs which a kind strikes.
-func (f *faults) share(kind FaultKind) float64 {
+// strikes tells whether a kind of fault strikes a job. Draw is its number among the job's draws.
+func (s *Server) strikes(j *job, kind FaultKind, draw uint64) bool {
 	spared := 1.0
-	for _, a := range f.active {
-		if a.Kind == kind {
+	for _, a := range s.faults.active {
+		switch {
+		case a.Kind != kind, a.Class != 0 && a.Class != j.class, s.inWork+s.waiting.n < a.Above:
+		case !a.ByConn:
 			spared *= 1 - a.Size
+		case s.draws.hitConn(j.conn, kind, a.Size):
+			return true
 		}
 	}
-	return 1 - spared
+	return s.draws.hit(j.number, draw, 1-spared)
 }
 
 // update multiplies anew, as dividing by a factor that ends would leave a trace of it.
--- a/internal/lab/model/jobs.go
+++ b/internal/lab/model/jobs.go
@@ -15,6 +15,8 @@
 // job is a request that is not over.
 type job struct {
 	id, key   uint64
+	class     int
+	conn      uint64
 	number    uint64 // of arrival, at this server
 	segments  []time.Duration
 	handshake time.Duration // on top of the first segment
@@ -48,7 +50,7 @@
 		j = new(job)
 	}
 	s.arrived++
-	*j = job{id: r.ID, key: r.Key, number: s.arrived, segments: append(j.segments[:0], r.Segments...)}
+	*j = job{id: r.ID, key: r.Key, class: r.Class, conn: r.Conn, number: s.arrived, segments: append(j.segments[:0], r.Segments...)}
 	if r.FirstOn {
 		j.handshake = s.spec.Handshake
 	}
--- a/internal/lab/model/property_test.go
+++ b/internal/lab/model/property_test.go
@@ -330,7 +330,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		spec := Spec{Cores: 2, Speed: 1, Slots: 2, Queue: 2, ColdFrom: rapid.Float64Range(0.1, 0.9).Draw(t, "from"),
 			ColdFor: 1000 * time.Millisecond, FallWindow: millis(20, 300).Draw(t, "window"), FallMultiple: 2.5}
-		slow := Fault{1, Slow, rapid.SampledFrom([]float64{1, 1, 3}).Draw(t, "slow")}
+		slow := Fault{ID: 1, Kind: Slow, Size: rapid.SampledFrom([]float64{1, 1, 3}).Draw(t, "slow")}
 		slowFrom, slowFor := rapid.IntRange(1, 600).Draw(t, "slow from"), rapid.IntRange(1, 300).Draw(t, "slow for")
 		capacity := func(ms int) float64 { // in this ms of its life
 			c := 2 * (spec.ColdFrom + (1-spec.ColdFrom)*float64(max(ms, 0)/20)/50)
--- a/internal/lab/model/server.go
+++ b/internal/lab/model/server.go
@@ -111,9 +111,9 @@
 		return
 	}
 	switch {
-	case s.faults.count(Hang) > 0, s.draws.hit(j.number, drawMute, s.faults.share(Mute)):
+	case s.faults.count(Hang) > 0, s.strikes(j, Mute, drawMute):
 		// Taken, and that is all.
-	case s.draws.hit(j.number, drawFail, s.faults.share(Fail)):
+	case s.strikes(j, Fail, drawFail):
 		s.answer(j, Errored)
 	case s.inWork < s.spec.Slots:
 		s.start(j)
@@ -365,7 +365,7 @@
 		return
 	}
 	s.inWork--
-	s.answer(j, s.verdict(j.number))
+	s.answer(j, s.verdict(j))
 	s.serveNext()
 }
 
@@ -377,15 +377,15 @@
 }
 
 // verdict is how a job whose work is done is answered. An error has no body to break, so it comes first.
-func (s *Server) verdict(number uint64) Answer {
+func (s *Server) verdict(j *job) Answer {
 	switch {
-	case s.draws.hit(number, drawError, s.spec.ErrorRate):
+	case s.draws.hit(j.number, drawError, s.spec.ErrorRate):
 		return Errored
-	case s.draws.hit(number, drawCut, s.faults.share(Cut)):
+	case s.strikes(j, Cut, drawCut):
 		return CutOff
-	case s.draws.hit(number, drawSpoil, s.faults.share(Spoil)):
+	case s.strikes(j, Spoil, drawSpoil):
 		return Spoilt
-	case s.draws.hit(number, drawDrip, s.faults.share(Drip)):
+	case s.strikes(j, Drip, drawDrip):
 		return Dripped
 	}
 	return OK
--- a/internal/lab/model/server_test.go
+++ b/internal/lab/model/server_test.go
@@ -122,7 +122,7 @@
 
 		{"vanish: silent, lost at its end, back cold", one, func(s *Server) {
 			arrive(s, 0, 1, 10*ms)
-			s.Begin(5*ms, Fault{1, Vanish, 0})
+			s.Begin(5*ms, Fault{ID: 1, Kind: Vanish, Size: 0})
 			if s.Phase(6*ms) != Silent || s.Connect(6*ms) != Unanswered {
 				t.Error("not silent")
 			}
@@ -133,12 +133,12 @@
 		{"withdrawn from a silent machine: lost under every rule", with(func(p *Spec) { p.Cancel = CancelNothing }), func(s *Server) {
 			arrive(s, 0, 1, 10*ms)
 			arrive(s, 0, 2, 10*ms)
-			s.Begin(5*ms, Fault{1, Vanish, 0})
+			s.Begin(5*ms, Fault{ID: 1, Kind: Vanish, Size: 0})
 			s.Withdraw(6*ms, 1)
 		}, "start 1@0, lost 1@6"},
 		{"dead: lost at once, back cold", one, func(s *Server) {
 			arrive(s, 0, 1, 10*ms)
-			s.Begin(5*ms, Fault{1, Dead, 0})
+			s.Begin(5*ms, Fault{ID: 1, Kind: Dead, Size: 0})
 			if s.Phase(6*ms) != Down || s.Connect(6*ms) != Refused {
 				t.Error("not down")
 			}
@@ -147,7 +147,7 @@
 		}, "start 1@0, reset@5, lost 1@5, start 3@50, ok 3@70"},
 		{"hang: never answered, also later", one, func(s *Server) {
 			arrive(s, 0, 1, 10*ms)
-			s.Begin(5*ms, Fault{1, Hang, 0})
+			s.Begin(5*ms, Fault{ID: 1, Kind: Hang, Size: 0})
 			arrive(s, 6*ms, 2, 10*ms)
 			if s.Connect(6*ms) != Accepted || s.Capacity(6*ms) != 0 {
 				t.Error("a server that hangs takes connections and can do nothing")
@@ -159,19 +159,19 @@
 		}, "start 1@0, start 3@50, ok 3@60, lost 2@70, lost 1@70"},
 		{"fail at once, beside the one at work", one, func(s *Server) {
 			arrive(s, 0, 1, 10*ms)
-			s.Begin(5*ms, Fault{1, Fail, 1})
+			s.Begin(5*ms, Fault{ID: 1, Kind: Fail, Size: 1})
 			arrive(s, 6*ms, 2, 10*ms)
 			s.End(7*ms, 1)
 			arrive(s, 8*ms, 3, 10*ms)
 		}, "start 1@0, error 2@6, ok 1@10, start 3@10, ok 3@20"},
 		{"slow factors multiply while they last", one, func(s *Server) {
 			arrive(s, 0, 1, 10*ms)
-			s.Begin(5*ms, Fault{1, Slow, 2}) // 5 ms of work left
-			s.Begin(7*ms, Fault{2, Slow, 2}) // 4 ms
-			s.End(11*ms, 1)                  // 3 ms
+			s.Begin(5*ms, Fault{ID: 1, Kind: Slow, Size: 2}) // 5 ms of work left
+			s.Begin(7*ms, Fault{ID: 2, Kind: Slow, Size: 2}) // 4 ms
+			s.End(11*ms, 1)                                  // 3 ms
 		}, "start 1@0, ok 1@17"},
 		{"refuses connections, serves on", one, func(s *Server) {
-			s.Begin(0, Fault{1, RefuseConns, 0})
+			s.Begin(0, Fault{ID: 1, Kind: RefuseConns, Size: 0})
 			if s.Connect(0) != Refused {
 				t.Error("taken")
 			}
@@ -179,7 +179,7 @@
 		}, "start 1@0, ok 1@10"},
 		{"cut before spoilt before dripped", with(func(p *Spec) { p.Queue = 9 }), func(s *Server) {
 			for id, kind := range []FaultKind{Drip, Spoil, Cut} {
-				s.Begin(0, Fault{id, kind, 1})
+				s.Begin(0, Fault{ID: id, Kind: kind, Size: 1})
 			}
 			for id := range uint64(4) {
 				arrive(s, 0, id, 10*ms)
@@ -187,22 +187,39 @@
 			}
 		}, "start 0@0, cut 0@10, start 1@15, spoilt 1@25, start 2@25, drip 2@35, start 3@35, ok 3@45"},
 		{"errors come after the work", with(func(p *Spec) { p.ErrorRate = 1 }), func(s *Server) {
-			s.Begin(0, Fault{1, Cut, 1})
+			s.Begin(0, Fault{ID: 1, Kind: Cut, Size: 1})
 			arrive(s, 0, 1, 10*ms)
 		}, "start 1@0, error 1@10"},
 		{"mute: taken, holds no slot; before a failure", one, func(s *Server) {
-			s.Begin(0, Fault{1, Fail, 1})
-			s.Begin(0, Fault{2, Mute, 1})
+			s.Begin(0, Fault{ID: 1, Kind: Fail, Size: 1})
+			s.Begin(0, Fault{ID: 2, Kind: Mute, Size: 1})
 			arrive(s, 0, 1, 10*ms)
 			s.End(1*ms, 1)
 			s.End(1*ms, 2)
 			arrive(s, 2*ms, 2, 10*ms)
 			s.Withdraw(20*ms, 1)
 		}, "start 2@2, ok 2@12, lost 1@20"},
+		{"bound to a class, to a crowd, to connections", with(func(p *Spec) { p.Slots, p.Cores = 3, 3 }), func(s *Server) {
+			s.Begin(0, Fault{ID: 1, Kind: Fail, Size: 1, Class: 2})
+			s.Arrive(0, Job{ID: 1, Class: 1, Segments: []time.Duration{10 * ms}})
+			s.Arrive(0, Job{ID: 2, Class: 2, Segments: []time.Duration{10 * ms}})
+			s.End(1*ms, 1)
+			s.Begin(1*ms, Fault{ID: 2, Kind: Fail, Size: 1, Above: 2})
+			arrive(s, 2*ms, 3, 10*ms)
+			arrive(s, 3*ms, 4, 10*ms)
+			s.End(4*ms, 2)
+			s.Begin(20*ms, Fault{ID: 3, Kind: Mute, Size: 0.5, ByConn: true})
+			for id := uint64(5); id < 11; id++ { // each connection keeps its fate
+				at := time.Duration(id) * 10 * ms
+				s.Arrive(at, Job{ID: id, Conn: id%2 + 4, Segments: []time.Duration{ms}})
+				s.Withdraw(at+5*ms, id)
+			}
+		}, "start 1@0, error 2@0, start 3@2, error 4@3, ok 1@10, ok 3@12, lost 5@55, start 6@60, ok 6@61, lost 7@75, " +
+			"start 8@80, ok 8@81, lost 9@95, start 10@100, ok 10@101"},
 		{"dead within a vanish: down when it is back, up when both are over", one, func(s *Server) {
 			arrive(s, 0, 1, 10*ms)
-			s.Begin(1*ms, Fault{1, Vanish, 0})
-			s.Begin(2*ms, Fault{2, Dead, 0})
+			s.Begin(1*ms, Fault{ID: 1, Kind: Vanish, Size: 0})
+			s.Begin(2*ms, Fault{ID: 2, Kind: Dead, Size: 0})
 			s.End(10*ms, 1)
 			if s.Phase(11*ms) != Down {
 				t.Error("not down")
@@ -211,8 +228,8 @@
 			arrive(s, 20*ms, 2, 10*ms)
 		}, "start 1@0, reset@10, lost 1@10, start 2@20, ok 2@40"},
 		{"two hangs: until the last ends", one, func(s *Server) {
-			s.Begin(0, Fault{1, Hang, 0})
-			s.Begin(5*ms, Fault{2, Hang, 0})
+			s.Begin(0, Fault{ID: 1, Kind: Hang, Size: 0})
+			s.Begin(5*ms, Fault{ID: 2, Kind: Hang, Size: 0})
 			s.End(10*ms, 1)
 			arrive(s, 11*ms, 1, 10*ms)
 			s.End(20*ms, 2)
@@ -222,7 +239,7 @@
 			s.Start(0, true)
 			arrive(s, 0, 1, 60*ms)
 			arrive(s, 1*ms, 2, 60*ms) // 120 ms of work in a window that stands 100 and a little
-			s.Begin(2*ms, Fault{1, Dead, 0})
+			s.Begin(2*ms, Fault{ID: 1, Kind: Dead, Size: 0})
 			s.End(3*ms, 1)
 			s.Start(4*ms, false)
 			if s.Phase(time.Second) != Down || !s.Load(time.Second).Fallen {
@@ -230,10 +247,10 @@
 			}
 		}, "reset@0, start 1@0, reset@1, lost 1@1, lost 2@1"},
 		{"falls of what it failed at once, when it gets slower", with(func(p *Spec) { p.FallMultiple, p.FallWindow = 2, 100*ms }), func(s *Server) {
-			s.Begin(0, Fault{1, Fail, 1})
+			s.Begin(0, Fault{ID: 1, Kind: Fail, Size: 1})
 			s.Start(0, true)
 			arrive(s, 10*ms, 1, 90*ms)
-			s.Begin(30*ms, Fault{2, Slow, 2}) // 0.5 ms of what it stands goes each ms, 10 ms by 50; the step at 60 tells
+			s.Begin(30*ms, Fault{ID: 2, Kind: Slow, Size: 2}) // 0.5 ms of what it stands goes each ms, 10 ms by 50; the step at 60 tells
 		}, "reset@0, error 1@10, reset@60"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -312,8 +329,8 @@
 	const n = 100_000
 	answers := func(share float64) (a [n]Answer) {
 		s := New(one, 3)
-		s.Begin(0, Fault{1, Fail, share})
-		s.Begin(0, Fault{2, Cut, 0.5})
+		s.Begin(0, Fault{ID: 1, Kind: Fail, Size: share})
+		s.Begin(0, Fault{ID: 2, Kind: Cut, Size: 0.5})
 		for i := range uint64(n) {
 			arrive(s, time.Duration(i)*ms, i, 0)
 		}
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -30,6 +30,7 @@
 	forFront
 	forBoxSeed
 	forSidecarSeed
+	forHurry
 )
 
 // Request is what one client wants, over all its tries.
@@ -94,10 +95,11 @@
 	SilenceDiscovery
 	ResumeDiscovery
 	MoveDiscovery // to another address, which SIGHUP tells
+	PauseSidecar  // For: its process does not run, and then goes on as if nothing had been
 )
 
 var eventWords = [...]string{"", "begins", "ends", "box starts", "told", "sidecar starts", "sidecar stops", "sidecar is killed",
-	"discovery falls silent", "discovery is back", "discovery moves"}
+	"discovery falls silent", "discovery is back", "discovery moves", "sidecar pauses"}
 
 func (k EventKind) String() string { return eventWords[k] }
 
@@ -109,6 +111,7 @@
 	Sidecar int // -1 is none, or all
 	Fault   model.Fault
 	Entry   Listed
+	For     time.Duration
 }
 
 // Mark is a fault as a reader of a report sees it: a name, where and from when to when.
@@ -360,7 +363,21 @@
 			}
 			fresh = fresh || s.Burst[a.burst].Fresh
 		}
-		p.Requests = append(p.Requests, p.request(rng, a.at, class, fresh))
+		r := p.request(rng, a.at, class, fresh)
+		p.hurry(&r, len(p.Requests))
+		p.Requests = append(p.Requests, r)
+	}
+}
+
+// hurry shortens the time of a client that comes while some are in a hurry. Its draw is a hash, so that the others stay
+// as they were.
+func (p *Plan) hurry(r *Request, number int) {
+	for i := range p.Scenario.Fault {
+		f := &p.Scenario.Fault[i]
+		if f.Kind == "hurry" && r.Due >= f.At.D() && (f.For == 0 || r.Due < (f.At+f.For).D()) &&
+			(f.Class == "" || p.Scenario.ClassIndex(f.Class) == r.Class) && unit(p.hash(forHurry, uint64(number), uint64(i))) < f.Size {
+			r.TryLeft = time.Duration(f.Left * float64(r.TryLeft))
+		}
 	}
 }
 
--- a/internal/lab/plan/script.go
+++ b/internal/lab/plan/script.go
@@ -89,9 +89,10 @@
 }
 
 // between has a box at fault for a while; to of 0 is for good.
-func (s *script) between(box int, kind model.FaultKind, size float64, from, to time.Duration) {
+func (s *script) between(box int, f model.Fault, from, to time.Duration) {
 	s.faults++
-	f := model.Fault{ID: s.faults, Kind: kind, Size: size}
+	f.ID = s.faults
+	kind := f.Kind
 	s.add(Event{At: from, Kind: BeginFault, Box: box, Sidecar: -1, Fault: f})
 	if to > 0 {
 		s.add(Event{At: to, Kind: EndFault, Box: box, Sidecar: -1, Fault: f})
@@ -113,7 +114,7 @@
 
 // down is a box whose process or machine goes and perhaps comes back; discovery sees it after notice.
 func (s *script) down(box int, kind model.FaultKind, from, to, notice time.Duration) {
-	s.between(box, kind, 0, from, to)
+	s.between(box, model.Fault{Kind: kind}, from, to)
 	if to == 0 || to-from > notice {
 		s.tell(from+notice, box, trace.Away, 0)
 	}
@@ -139,8 +140,10 @@
 	case "discovery_move":
 		s.add(Event{At: from, Kind: MoveDiscovery, Box: -1, Sidecar: -1})
 		s.mark("discovery moves", from, from+time.Millisecond)
-	case "sidecar_kill", "sidecar_stop":
+	case "sidecar_kill", "sidecar_stop", "sidecar_pause":
 		s.sidecarFault(f)
+	case "hurry": // the requests have it already
+		s.mark("clients in a hurry", from, to)
 	default:
 		boxes := s.choose(f)
 		for _, box := range boxes {
@@ -169,7 +172,7 @@
 	case "vanish":
 		s.down(box, model.Vanish, from, to, d.Silent.D())
 	case "leave":
-		s.between(box, model.Dead, 0, from, 0)
+		s.between(box, model.Fault{Kind: model.Dead}, from, 0)
 		if to > 0 {
 			s.tell(to, box, trace.Away, 0)
 		}
@@ -202,14 +205,20 @@
 			case model.Vanish:
 				s.down(box, kind, at, back, d.Silent.D())
 			default:
-				s.between(box, kind, f.Size, at, back)
+				s.between(box, s.boxFaultOf(f, f.Of), at, back)
 			}
 		}
 	default:
-		s.between(box, boxFaults[f.Kind], f.Size, from, to)
+		s.between(box, s.boxFaultOf(f, f.Kind), from, to)
 	}
 }
 
+// boxFaultOf is a scenario's fault as the model has it.
+func (s *script) boxFaultOf(f *scenario.Fault, kind string) model.Fault {
+	return model.Fault{Kind: boxFaults[kind], Size: f.Size, Class: s.Scenario.ClassIndex(f.Class) + 1, Above: f.Above,
+		ByConn: f.By == "connection"}
+}
+
 // sidecarFault kills or stops sidecars of the first tier, one after another where there is a step.
 func (s *script) sidecarFault(f *scenario.Fault) {
 	var hit []int
@@ -224,6 +233,12 @@
 	}
 	at := f.At.D()
 	for _, i := range hit {
+		if f.Kind == "sidecar_pause" {
+			s.add(Event{At: at, Kind: PauseSidecar, Box: -1, Sidecar: i, For: f.For.D()})
+			s.mark("sidecar pause "+s.Sidecars[i].Name, at, at+f.For.D())
+			at += f.Step.D()
+			continue
+		}
 		kind, ends := KillSidecar, at
 		if f.Kind == "sidecar_stop" {
 			kind = StopSidecar
--- a/internal/lab/result/lines.go
+++ b/internal/lab/result/lines.go
@@ -30,6 +30,10 @@
 	{"wasted", func(r *Result) float64 { return r.All.Wasted }},
 	{"worst", func(r *Result) float64 { return r.Worst }},
 	{"fallen", func(r *Result) float64 { return float64(r.Fallen) }},
+	{"noticed", func(r *Result) float64 { return r.Notice.Noticed }},
+	{"after s", func(r *Result) float64 { return r.Notice.After }},
+	{"healed s", func(r *Result) float64 { return r.Notice.Healed }},
+	{"alarms/h", func(r *Result) float64 { return r.Notice.Alarms }},
 	{"broken", func(r *Result) float64 {
 		n := 0
 		for _, b := range r.Broken {
--- /dev/null
+++ b/internal/lab/result/notice.go
@@ -0,0 +1,112 @@
+package result
+
+import (
+	"slices"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/model"
+	"pinelb.example/pinelb/internal/lab/plan"
+	"pinelb.example/pinelb/internal/lab/trace"
+)
+
+// Notice is how the sidecars take their boxes to be, against how they are. A pair is a sidecar and a box that it uses.
+// Only the virtual player sees it; on sockets all is 0.
+type Notice struct {
+	Pairs    int     `json:"pairs"`     // with a box that fails a part of its requests, or all
+	Noticed  float64 `json:"noticed"`   // share of these that suspected it (grey or ejected) while that lasted
+	After    float64 `json:"after_s"`   // until then, median of those that did
+	Healed   float64 `json:"healed_s"`  // from the fault's end until they no longer did, median
+	Alarms   float64 `json:"alarms"`    // suspicions of boxes with nothing wrong, for each hour of a pair
+	Ejected  float64 `json:"ejections"` // of these, ejections
+	Watching float64 `json:"watched_h"` // hours of such pairs
+}
+
+type pair struct{ sidecar, box int }
+
+// stretch is from when to when a box fails a part of what it gets.
+type stretch struct{ from, to time.Duration }
+
+func noticeOf(p *plan.Plan, log *trace.Log) Notice {
+	faults := faulty(p, log.End)
+	by := map[pair][]trace.Judged{}
+	for _, j := range log.Judged {
+		k := pair{j.Sidecar, j.Box}
+		by[k] = append(by[k], j)
+	}
+	var out Notice
+	var after, healed []float64
+	alarms, ejections := 0, 0
+	for k, states := range by {
+		if len(faults[k.box]) == 0 {
+			out.Watching += (log.End - states[0].At).Hours()
+		}
+		for _, f := range faults[k.box] {
+			if states[0].At > f.from {
+				continue
+			}
+			out.Pairs++
+			if at, ok := first(states, f.from, true); ok && at < f.to {
+				after = append(after, (at - f.from).Seconds())
+			}
+			if at, ok := first(states, f.to, false); ok && f.to < log.End {
+				healed = append(healed, (at - f.to).Seconds())
+			}
+		}
+		suspected, ejected := false, false
+		for _, s := range states {
+			if len(faults[k.box]) == 0 {
+				if (s.Grey || s.Ejected) && !suspected {
+					alarms++
+				}
+				if s.Ejected && !ejected {
+					ejections++
+				}
+			}
+			suspected, ejected = s.Grey || s.Ejected, s.Ejected
+		}
+	}
+	out.Noticed = tidy(ratio(float64(len(after)), float64(out.Pairs)))
+	out.After, out.Healed = tidy(median(after)), tidy(median(healed))
+	out.Alarms, out.Ejected = tidy(ratio(float64(alarms), out.Watching)), tidy(ratio(float64(ejections), out.Watching))
+	out.Watching = tidy(out.Watching)
+	return out
+}
+
+// first is when a sidecar suspects a box, or no longer does, from a time on.
+func first(states []trace.Judged, from time.Duration, suspects bool) (time.Duration, bool) {
+	for i, s := range states {
+		last := i+1 == len(states) || states[i+1].At > from
+		if (s.Grey || s.Ejected) == suspects && last {
+			return max(from, s.At), true
+		}
+	}
+	return 0, false
+}
+
+// faulty is when each box failed requests that it had taken, or was not there.
+func faulty(p *plan.Plan, end time.Duration) map[int][]stretch {
+	out := map[int][]stretch{}
+	open := map[int]stretch{} // by the fault's id
+	for _, e := range p.Events {
+		switch {
+		case e.Kind == plan.BeginFault && e.Fault.Kind != model.Slow:
+			open[e.Fault.ID] = stretch{e.At, end}
+			if !slices.ContainsFunc(p.Events, func(o plan.Event) bool { return o.Kind == plan.EndFault && o.Fault.ID == e.Fault.ID }) {
+				out[e.Box] = append(out[e.Box], stretch{e.At, end})
+			}
+		case e.Kind == plan.EndFault && e.Fault.Kind != model.Slow:
+			out[e.Box] = append(out[e.Box], stretch{open[e.Fault.ID].from, e.At})
+		}
+	}
+	return out
+}
+
+// median of no values is 0.
+func median(values []float64) float64 {
+	n := len(values)
+	if n == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return (values[(n-1)/2] + values[n/2]) / 2
+}
--- a/internal/lab/result/of.go
+++ b/internal/lab/result/of.go
@@ -25,6 +25,7 @@
 	for _, t := range s.Tier {
 		out.Tiers = append(out.Tiers, t.Name)
 	}
+	out.Notice = noticeOf(p, log)
 	out.Room = r.room(len(out.Seconds))
 	out.All = r.tally(-1, r.settle, longest).figures()
 	for i, c := range s.Class {
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -61,6 +61,7 @@
 	Broken  []Broken  `json:"broken"`
 	Expect  []Expect  `json:"expect"`
 	Marks   []Mark    `json:"marks"`
+	Notice  Notice    `json:"notice"`
 	Rig     Rig       `json:"rig"`
 	Usage   []Usage   `json:"usage"`
 	Fallen  int       `json:"boxes_fallen"` // boxes that fell over at least once
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -31,7 +31,11 @@
 var BoxEvents = []string{"crash", "drain", "leave", "add"}
 
 // OtherKinds are those of discovery and of the sidecars.
-var OtherKinds = []string{"discovery_silent", "discovery_late", "discovery_move", "sidecar_kill", "sidecar_stop"}
+var OtherKinds = []string{"discovery_silent", "discovery_late", "discovery_move", "sidecar_kill", "sidecar_stop",
+	"sidecar_pause", "hurry"}
+
+// shareKinds strike a share of the requests at a box.
+var shareKinds = []string{"fail", "cut", "spoil", "drip", "mute"}
 
 // Measures are what an Expect can name: shares of the first tries, counts and seconds.
 var Measures = []string{"service", "served", "late", "refused", "failed", "gone", "attempts", "copies", "wasted",
@@ -326,9 +330,19 @@
 	} else {
 		c.need(k.Of == "" && k.Up == 0 && k.Down == 0, at+".of", "with up and down, is for flap alone")
 	}
+	share := slices.Contains(shareKinds, kind)
+	c.need(k.Class == "" || (share || kind == "hurry") && s.ClassIndex(k.Class) >= 0, at+".class", "must be a class, of a fault that strikes a share of the requests")
+	c.need(k.Above == 0 || share && k.Above > 0, at+".above", "must be above 0, of a fault that strikes a share of the requests")
+	c.need(k.By == "" || share && slices.Contains([]string{"request", "connection"}, k.By), at+".by",
+		`must be "request" or "connection", of a fault that strikes a share of the requests`)
+	c.need((k.Left > 0 && k.Left < 1) == (kind == "hurry"), at+".left", "must be above 0 and under 1 for hurry, and is for hurry alone")
 	switch kind {
 	case "fail", "cut", "spoil", "drip", "mute":
 		c.need(k.Size > 0 && k.Size <= 1, at+".size", "must be above 0 and at most 1: a share of the requests")
+	case "hurry":
+		c.need(k.Size > 0 && k.Size <= 1, at+".size", "must be above 0 and at most 1: a share of the clients")
+	case "sidecar_pause":
+		c.need(k.For > 0 && k.For <= Span(5*time.Second), at+".for", "must be given, and 5s at most")
 	case "slow":
 		c.need(k.Size >= 1, at+".size", "must be 1 or more: how many times as long work takes")
 	case "discovery_late":
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -169,6 +169,10 @@
 	Share    float64  // or so large a part of it, at least one
 	Names    []string // or these; for a sidecar's kinds they name sidecars
 	Size     float64  // a share of requests or a factor, by kind
+	Class    string   // share of requests: only this class's; of hurry too
+	Above    int      // share of requests: only while a box has so many in work and waiting
+	By       string   // share of requests: "request", or "connection": a share of these is struck, as a whole
+	Left     float64  // hurry: share of the usual time that such clients give a try
 	Of       string   // flap: the fault that comes and goes
 	Up, Down Span     // flap
 	Grace    Span     // drain: until the process ends; sidecar_stop: until SIGKILL
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -164,6 +164,14 @@
 	Cold, Fallen    bool
 }
 
+// Judged is a change in how a sidecar takes a box to be; the first is when it begins to use the box.
+type Judged struct {
+	At           time.Duration
+	Sidecar, Box int
+	Grey         bool // failing more than its like
+	Ejected      bool // left out for a while, or on trial
+}
+
 // Usage is what a sidecar's process took.
 type Usage struct {
 	Sidecar     int
@@ -182,6 +190,7 @@
 	Told     []Told
 	Changes  []Change
 	Samples  []Sample
+	Judged   []Judged // of the virtual player only
 	Usage    []Usage
 	Lateness []time.Duration // of each first try: when it was sent, less when it was due; players on sockets only
 	End      time.Duration   // when the run was over
--- a/internal/lab/virtual/boxes.go
+++ b/internal/lab/virtual/boxes.go
@@ -32,6 +32,7 @@
 	visit    int // -1 until it is there
 	state    attemptState
 	newConn  bool
+	conn     uint64
 	settled  bool
 	took     time.Duration // until its outcome; 0 while there is none
 	status   balance.Status
@@ -98,12 +99,14 @@
 	}
 	s.retire(box, a.pool)
 	if idle := b.idle[a.pool+1]; len(idle) > 0 {
+		a.conn = idle[len(idle)-1].conn
 		b.idle[a.pool+1] = idle[:len(idle)-1]
 		a.state = underWay
 		s.at(s.now+s.delay, event{kind: evVisit, a: int32(k)})
 		return
 	}
-	a.newConn = true
+	s.conns++
+	a.newConn, a.conn = true, s.conns
 	switch {
 	case b.absent || b.m.Phase(s.now) == model.Down:
 		s.at(s.now+2*s.delay, event{kind: evOutcome, a: int32(k), b: int32(balance.ConnectFailed)})
@@ -159,7 +162,8 @@
 	s.visits = append(s.visits, visit{attempt: k, number: number, until: a.until, call: -1})
 	a.visit = v
 	s.segments = s.p.Segments(s.segments[:0], t.Request, t.Txn, a.box, number)
-	b.m.Arrive(s.now, model.Job{ID: uint64(v) + 1, Key: key, Segments: s.segments, FirstOn: a.newConn})
+	b.m.Arrive(s.now, model.Job{ID: uint64(v) + 1, Key: key, Segments: s.segments, FirstOn: a.newConn,
+		Class: t.Class + 1, Conn: a.conn})
 	s.act(a.box)
 	if a.withdraw { // its caller gave it up while it was on its way
 		s.withdrawn(v)
@@ -269,7 +273,7 @@
 	a.state = finished
 	b := &s.boxes[a.box]
 	if keep && b.m.Phase(s.now) == model.Up && (a.pool < 0 || s.sidecars[a.pool].b != nil) {
-		b.idle[a.pool+1] = append(b.idle[a.pool+1], s.now)
+		b.idle[a.pool+1] = append(b.idle[a.pool+1], idleConn{s.now, a.conn})
 		return
 	}
 	b.m.Disconnect(s.now)
--- a/internal/lab/virtual/sidecar.go
+++ b/internal/lab/virtual/sidecar.go
@@ -21,12 +21,16 @@
 	life     int
 	able     bool // the front sends to it
 	stopping time.Duration
-	held     int // tries taken and not answered
+	paused   time.Duration // until then
+	held     int           // tries taken and not answered
 	table    *cluster.Table
 	hosts    map[balance.EndpointID]int // to boxes
 	sim      *sim
 	actions  []balance.Action
 
+	judged     map[int]trace.Judged // the last of each box
+	conditions []balance.Condition
+
 	agent  map[int]plan.Listed // what discovery's agent has
 	silent bool
 	missed bool // a fetch waits for the agent to speak
@@ -58,8 +62,8 @@
 	if err != nil {
 		return err
 	}
-	c.sim, c.b, c.life, c.able, c.stopping, c.held = s, b, c.life+1, false, 0, 0
-	c.hosts = map[balance.EndpointID]int{}
+	c.sim, c.b, c.life, c.able, c.stopping, c.paused, c.held = s, b, c.life+1, false, 0, 0, 0
+	c.hosts, c.judged = map[balance.EndpointID]int{}, map[int]trace.Judged{}
 	c.table = cluster.NewTable(c.set.ZoneNames, c.set.KindNames, c, c)
 	s.change(i, trace.Begun, "")
 	if known := s.p.Sidecars[i].Known; len(known) > 0 {
@@ -132,6 +136,26 @@
 	}
 }
 
+// judge notes how the sidecars take their hosts to be, where that has changed.
+func (s *sim) judge() {
+	for i := range s.sidecars {
+		c := &s.sidecars[i]
+		if c.b == nil {
+			continue
+		}
+		c.conditions = c.b.Conditions(c.conditions[:0])
+		for _, k := range c.conditions {
+			box, known := c.hosts[k.Endpoint]
+			now := trace.Judged{At: s.now, Sidecar: i, Box: box, Grey: k.Grey, Ejected: k.Ejected}
+			last, seen := c.judged[box]
+			if known && (!seen || last.Grey != now.Grey || last.Ejected != now.Ejected) {
+				c.judged[box] = now
+				s.log.Judged = append(s.log.Judged, now)
+			}
+		}
+	}
+}
+
 func (s *sim) stopSidecar(i int) {
 	c := &s.sidecars[i]
 	if c.b == nil || c.stopping > 0 {
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -141,6 +141,7 @@
 	tries    []try // beside log.Tries
 	attempts []attempt
 	visits   []visit // beside log.Visits
+	conns    uint64  // opened so far
 	open     int     // tries of clients that have not ended, and requests that are still to come
 	listed   []bool  // plain policy: whether clients send to a box
 	round    int     // plain policy: whose turn it is
@@ -251,6 +252,10 @@
 
 func (s *sim) handle(e *event) error {
 	i := int(e.a)
+	if until := s.pausedFor(e); until > s.now {
+		s.at(until, *e)
+		return nil
+	}
 	switch e.kind {
 	case evScript:
 		return s.script(&s.p.Events[i])
@@ -312,6 +317,27 @@
 	return nil
 }
 
+// pausedFor is until when the sidecar that an event is for does not run, so that it hears of nothing.
+func (s *sim) pausedFor(e *event) time.Duration {
+	i := -1
+	switch e.kind {
+	case evTryAtSidecar, evWatchdog, evGone:
+		i = s.log.Tries[e.a].Sidecar
+	case evOutcome, evTimeout:
+		i = s.tries[s.attempts[e.a].try].sidecar
+	case evTimer, evProbe, evFetch:
+		i = int(e.a)
+	case evScript:
+		if p := &s.p.Events[e.a]; p.Kind == plan.Tell {
+			i = p.Sidecar
+		}
+	}
+	if i < 0 || s.sidecars == nil || s.sidecars[i].b == nil {
+		return 0
+	}
+	return s.sidecars[i].paused
+}
+
 func (s *sim) change(sidecar int, what trace.Happening, text string) {
 	s.log.Changes = append(s.log.Changes, trace.Change{At: s.now, Sidecar: sidecar, What: what, Text: text})
 }
@@ -328,6 +354,7 @@
 			s.retire(i, pool-1)
 		}
 	}
+	s.judge()
 	s.at(s.now+sampleEvery, event{kind: evSample})
 }
 
@@ -370,6 +397,8 @@
 		s.stopSidecar(e.Sidecar)
 	case plan.KillSidecar:
 		s.killSidecar(e.Sidecar)
+	case plan.PauseSidecar:
+		s.sidecars[e.Sidecar].paused = s.now + e.For
 	case plan.SilenceDiscovery, plan.ResumeDiscovery:
 		s.silence(e.Kind == plan.SilenceDiscovery)
 	case plan.MoveDiscovery: // the new agent tells what the old one told
@@ -377,8 +406,13 @@
 	return nil
 }
 
-// idleConns are the times at which connections came free, the last one last.
-type idleConns []time.Duration
+// idleConns are connections and the times at which they came free, the last one last.
+type idleConns []idleConn
+
+type idleConn struct {
+	since time.Duration
+	conn  uint64
+}
 
 // retire closes the connections of a pool that have been idle for too long.
 func (s *sim) retire(box, pool int) {
@@ -386,7 +420,7 @@
 	idle := b.idle[pool+1]
 	most := time.Duration(idleShare * float64(s.p.Scenario.Rules.ConnIdle))
 	old := 0
-	for old < len(idle) && s.now-idle[old] > most {
+	for old < len(idle) && s.now-idle[old].since > most {
 		b.m.Disconnect(s.now)
 		old++
 	}
--- a/internal/lab/virtual/virtual_test.go
+++ b/internal/lab/virtual/virtual_test.go
@@ -184,15 +184,20 @@
 func TestFaultsLeaveTheirTrace(t *testing.T) {
 	calm := shares(func() *trace.Log { _, l := play(t, load(t, "calm", ""), 1); return l }())
 	for fault, seen := range map[string]func(l *trace.Log) bool{
-		"hang":                    func(l *trace.Log) bool { return ends(l, trace.Withdrawn, 8) > 3 },
-		"mute\"\nsize = 0.5 #\"":  func(l *trace.Log) bool { return ends(l, trace.Withdrawn, 8) > 3 },
-		"fail\"\nsize = 0.9 #\"":  func(l *trace.Log) bool { return ends(l, trace.Errored, 8) > 3 },
-		"cut\"\nsize = 0.9 #\"":   func(l *trace.Log) bool { return ends(l, trace.Spoilt, 8) > 3 },
-		"spoil\"\nsize = 0.9 #\"": func(l *trace.Log) bool { return ends(l, trace.Spoilt, 8) > 3 },
-		"drip\"\nsize = 0.9 #\"":  func(l *trace.Log) bool { return ends(l, trace.Spoilt, 8) > 3 },
-		"crash":                   func(l *trace.Log) bool { return idle(l, 8, 6*time.Second, 9*time.Second) },
-		"vanish":                  func(l *trace.Log) bool { return idle(l, 8, 6*time.Second, 9*time.Second) },
-		"leave":                   func(l *trace.Log) bool { return idle(l, 8, 6*time.Second, 19*time.Second) },
+		"hang":                                        func(l *trace.Log) bool { return ends(l, trace.Withdrawn, 8) > 3 },
+		"mute\"\nsize = 0.5 #\"":                      func(l *trace.Log) bool { return ends(l, trace.Withdrawn, 8) > 3 },
+		"fail\"\nsize = 0.9 #\"":                      func(l *trace.Log) bool { return ends(l, trace.Errored, 8) > 3 },
+		"cut\"\nsize = 0.9 #\"":                       func(l *trace.Log) bool { return ends(l, trace.Spoilt, 8) > 3 },
+		"spoil\"\nsize = 0.9 #\"":                     func(l *trace.Log) bool { return ends(l, trace.Spoilt, 8) > 3 },
+		"drip\"\nsize = 0.9 #\"":                      func(l *trace.Log) bool { return ends(l, trace.Spoilt, 8) > 3 },
+		"mute\"\nsize = 0.5\nby = \"connection\" #\"": func(l *trace.Log) bool { return ends(l, trace.Withdrawn, 8) > 3 },
+		"fail\"\nsize = 0.9\nabove = 1 #\"":           func(l *trace.Log) bool { return ends(l, trace.Errored, 8) > 3 },
+		"mute\"\nsize = 0.9\nclass = \"order-status\" #\"": func(l *trace.Log) bool {
+			return ends(l, trace.Withdrawn, 8) > 3 && ends(l, trace.OK, 8) > 3
+		},
+		"crash":  func(l *trace.Log) bool { return idle(l, 8, 6*time.Second, 9*time.Second) },
+		"vanish": func(l *trace.Log) bool { return idle(l, 8, 6*time.Second, 9*time.Second) },
+		"leave":  func(l *trace.Log) bool { return idle(l, 8, 6*time.Second, 19*time.Second) },
 		"slow\"\nsize = 3.0 #\"": func(l *trace.Log) bool {
 			return did(l, 8, 5*time.Second, 10*time.Second) < 0.5*did(l, 8, 0, 5*time.Second)
 		},
@@ -230,6 +235,34 @@
 
 func idle(l *trace.Log, box int, from, to time.Duration) bool { return did(l, box, from, to) == 0 }
 
+// A paused sidecar answers nothing, and all that it missed when it goes on; clients in a hurry wait for less.
+func TestPauseAndHurry(t *testing.T) {
+	p, l := play(t, load(t, "calm", "\n[[fault]]\nkind = \"sidecar_pause\"\nat = \"5s\"\nfor = \"400ms\"\nshare = 1.0"+
+		"\n[[fault]]\nkind = \"hurry\"\nat = \"10s\"\nfor = \"5s\"\nsize = 0.5\nleft = 0.3"), 1)
+	paused, after, hurried, asked := 0, 0, 0, 0
+	for i := range l.Tries {
+		t := &l.Tries[i]
+		if t.Status == trace.Served && t.Answered > 5*time.Second+time.Millisecond && t.Answered < 5400*time.Millisecond {
+			paused++
+		}
+		if t.Answered >= 5400*time.Millisecond && t.Answered < 5410*time.Millisecond {
+			after++
+		}
+		if t.Due > 10*time.Second && t.Due < 15*time.Second && t.No == 0 {
+			asked++
+			if k := p.Scenario.Class[t.Class]; t.Left < time.Duration(0.31*p.Scenario.Clients.TryShare*float64(k.Deadline)) {
+				hurried++
+			}
+		}
+	}
+	if paused > 0 || after < 10 {
+		t.Errorf("%d answers in the pause, %d right after it", paused, after)
+	}
+	if share := float64(hurried) / float64(asked); share < 0.45 || share > 0.55 {
+		t.Errorf("%.2f of the clients are in a hurry", share)
+	}
+}
+
 // Guards against a planned end that loses tries, and a kill that does not.
 func TestSidecarsEnd(t *testing.T) {
 	_, l := play(t, load(t, "rolling-restart", ""), 1)
