Call a host silent by its odds only, put a third copy in place of one that hangs

And a request whose copy hung as well was given up at its aim.

Change: a host is silent only where its oldest attempt more likely hangs than not, which counts how slow all are. Where both attempts hang, the first is withdrawn and another goes out, so that never three are out. Rows are solved anew when a host's share of failures moves by 0.03, or healed ones keep too little.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -29,6 +29,7 @@
 	solveGap     = 500 * time.Millisecond // least time between solves: bounds their CPU
 	solveShift   = 0.25                   // a curve moved by this share is a significant change
 	binShift     = 0.1                    // so is this much of the bins' distribution or of one's failures
+	failShift    = 0.03                   // and this of the share that a server fails of a class
 	exploreShare = 0.05                   // of each row, split evenly, so that no curve goes stale
 
 	priorCalls    = 5.0  // a server's samples are shrunk toward its like as if by so many calls
@@ -282,7 +283,8 @@
 func (b *Balancer) draw(r *request, bin int, held float64) *server {
 	most := min(held, limitSlack*b.limit)
 	fits := func(i int) bool {
-		return float64(b.servers[i].working) < max(1, math.Ceil(most*b.share[i])) && b.eligible(r, b.servers[i])
+		s := b.servers[i]
+		return float64(s.working) < max(1, math.Ceil(most*b.share[i])) && b.eligible(r, s)
 	}
 	for range drawTries {
 		if i, _ := slices.BinarySearch(b.sums[bin], b.rng.Float64()); i < len(b.servers) && fits(i) {
@@ -509,7 +511,8 @@
 	b.drain()
 }
 
-// look ends a request that has run out of time, and sends a copy of one that is overdue.
+// look ends a request that has run out of time, and sends a copy of one that is overdue; where the copy
+// hangs as well, one more in place of the first.
 func (b *Balancer) look(r *request) {
 	switch {
 	case b.now >= r.deadline-b.margin(), r.waiting && r.out == 0 && b.now >= r.holdTill,
@@ -517,15 +520,23 @@
 		b.learnGivenUp(r)
 		b.finish(r)
 		return
-	case r.out != 1 || r.waiting || r.class.Effect == Unsafe || b.retries < 1 || b.now > r.aimAt ||
-		!r.tries[len(r.tries)-1].open:
+	case r.out == 0 || r.waiting || r.class.Effect == Unsafe || b.now > r.aimAt || !r.last().open:
 		return
 	}
-	a := &r.tries[len(r.tries)-1]
-	h := sentOf(r, a) // a copy of what hangs is but an early retry; one of what is slow adds work to a crowd
-	cost := 1 + (copyCost-1)*(1-h.hangs)
-	if b.retries >= cost && b.loadShare() < copyShare+(1-copyShare)*h.hangs &&
-		(h.stuck() || b.now >= a.sentAt+b.overdue(r.class) && b.worthCopy(r.class)) && b.send(r, b.route(r)) {
+	h := sentOf(r, r.last())
+	cost := 1 + (copyCost-1)*(1-h.hangs) // of what hangs it is a retry, of what is slow more work
+	first := slices.IndexFunc(r.tries, func(a attempt) bool { return a.open })
+	third := first < len(r.tries)-1
+	if b.retries < cost || b.loadShare() >= copyShare+(1-copyShare)*h.hangs ||
+		!h.stuck() && (third || b.now < h.at+b.overdue(r.class) || !b.worthCopy(r.class)) ||
+		third && (!b.set.Cancel || !sentOf(r, &r.tries[first]).stuck()) {
+		return
+	}
+	if s := b.route(r); s != nil {
+		if third { // never three at a time
+			b.do(Action{Kind: ActCancel, Request: r.id, Attempt: first})
+		}
+		b.send(r, s)
 		b.retries -= cost
 	}
 }
@@ -543,7 +554,7 @@
 	for i := range r.tries {
 		a := &r.tries[i]
 		if a.open && !sentOf(r, a).stuck() {
-			b.learnTaken(r.class, (b.now - a.sentAt).Seconds())
+			b.window.add(min(1, float64(b.now-a.sentAt)/float64(r.class.Aim)))
 		}
 		if a.open && b.now >= a.server.ejected && !b.healthy(a.server) && !b.crisis {
 			b.eject(a.server)
@@ -599,7 +610,7 @@
 	case OK:
 		c.delay.add(d)
 		s.delay.add(y)
-		b.learnTaken(c, d)
+		b.window.add(min(1, d/c.Aim.Seconds())) // late is late, however much
 		s.group.delay.add(y)
 		s.okAt = b.now
 		b.fleet.Answered(&s.seen, ci, d, h.hangs)
@@ -625,11 +636,6 @@
 	}
 }
 
-// learnTaken is for the limit: the share of its aim that an answer took; late is late, however much.
-func (b *Balancer) learnTaken(c *class, d float64) {
-	b.window.add(min(1, d/c.Aim.Seconds()))
-}
-
 func (b *Balancer) readLoad(s *server, rep *LoadReport) {
 	if i := slices.Index(b.set.LoadFields, LoadUtilisation); i >= 0 && i < rep.N {
 		s.util = report{s.util.value + 0.2*(float64(rep.V[i])-s.util.value), true}
@@ -778,7 +784,8 @@
 	if b.now < s.ejected {
 		return false
 	}
-	return len(s.held) == 0 || b.ran() < max(s.last, s.held[0].ran)+b.overdue(s.held[0].request.class)
+	return len(s.held) == 0 || !s.held[0].stuck() ||
+		b.ran() < max(s.last, s.held[0].ran)+b.overdue(s.held[0].request.class)
 }
 
 // judgeFleet: when most servers look bad, the cause is shared, and none is to be avoided for it.
@@ -887,7 +894,7 @@
 	}
 	for i, s := range b.servers {
 		if math.Abs(b.delay(s)-b.solved.delay[i]) > solveShift*b.solved.delay[i] ||
-			apart(b.failsOf(s), b.solved.fails[i]) > binShift {
+			apart(b.failsOf(s), b.solved.fails[i]) > failShift {
 			return true
 		}
 	}
--- a/balance/solve_test.go
+++ b/balance/solve_test.go
@@ -209,3 +209,46 @@
 		t.Error("the seed has no effect: the test proves nothing")
 	}
 }
+
+// TestNobodyStarves: a host that failed much of what it got and is well again gets its part back, and at no time
+// nothing; the rows stay shares that sum to one throughout.
+func TestNobodyStarves(t *testing.T) {
+	for _, share := range []float64{0.3, 0.7, 1} {
+		w := newWorld(t, testSettings(), 7)
+		w.servers(4)
+		sick, sent, since := true, 0, 0
+		for i := range 6000 { // 50 a second
+			n := len(w.sends)
+			w.request(unsafeClass)
+			w.run(20 * ms)
+			for j := n; j < len(w.sends); j++ {
+				status := OK
+				if w.sends[j].Endpoint == 1 {
+					sent, since = sent+1, i
+					if sick && float64(sent%10) < 10*share {
+						status = Error
+					}
+				}
+				w.end(j, status, 20*ms)
+			}
+			if i-since > 20*50 {
+				t.Fatalf("failing %.1f: nothing for 20 s at %d s", share, i/50)
+			}
+			switch i {
+			case 1500:
+				if sent > 300 { // of 375 that would be even
+					t.Errorf("failing %.1f: it got %d of 1500", share, sent)
+				}
+				sick = false
+			case 3000:
+				sent = 0
+			}
+			if i%250 == 0 {
+				rowIsOnSimplex(t, w.b.table)
+			}
+		}
+		if sent < 600 { // of 750
+			t.Errorf("failed %.1f: well again, and it gets %d of 3000", share, sent)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -437,6 +437,9 @@
 	return out
 }
 
+// last is the latest attempt of a request that has one.
+func (r *request) last() *attempt { return &r.tries[len(r.tries)-1] }
+
 // lowEnd moves an estimate of a low end toward a new value: down fast and up hardly.
 func lowEnd(low, x float64) float64 {
 	switch {
