--- a/balance/grey/grey.go
+++ b/balance/grey/grey.go
@@ -29,7 +29,7 @@
 	passedMost  = 3    // more of them prove no more: what takes long is overtaken by many
 
 	quickMost  = 0.7  // logarithm of how many times its pace an answer takes that is as quick as ever
-	quickCalls = 3.0  // attempts that all being well counts for, at any moment
+	quickCalls = 0.7  // attempts that all being well counts for, at any moment
 	trustFrom  = 0.3  // share of quick answers among all attempts from which silence tells anything of a host,
 	trustTo    = 0.55 // and everything
 
