--- a/balance/balance.go
+++ b/balance/balance.go
@@ -11,8 +11,6 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"pinelb.example/pinelb/balance/grey"
 	"pinelb.example/pinelb/balance/warmup"
 )
@@ -44,6 +42,7 @@
 	testedUse     = 0.7  // mean use of the limit from which it may grow: short peaks can wait
 	limitLooks    = 4.0  // looks' worth that it grows by at once
 	limitCut      = 0.85 // the most that one look takes off it: it grows slower than this
+	calmShare     = 0.75 // of the share of the aim that tells a crowd: under it there is none
 	limitSmall    = 6.0  // requests: an instance's limit under this is kept on average
 	limitSaved    = 2.5  // seconds for which an unused part of it is kept
 	reserveMost   = 0.8  // of that, held back from the least valuable requests, and overdrawn for the best
@@ -85,10 +84,7 @@
 		reqs: map[RequestID]*request{}, byID: map[EndpointID]*server{}, groups: map[groupKey]*group{},
 		bins: make([]bin, len(s.Classes)*spentBuckets), able: 1, limit: limitFirst / float64(s.Instances),
 	}
-	b.dither = b.rng.Float64()
-	if s.Name != "" {
-		b.own = xxhash.Sum64String(s.Name) | 1
-	}
+	b.dither, b.own = b.rng.Float64(), hashed(s.Name)
 	b.site = warmup.Site{Share: s.ColdShare, Warm: s.ColdFor, Aim: s.Classes[0].Aim}
 	b.fleet = grey.New(firstTimes(s.Classes))
 	for _, c := range s.Classes {
@@ -688,13 +684,16 @@
 		cut := b.limit * max(math.Pow(limitCut, looks), most/taken)
 		// But not below what the present rate needs at the most that an answer may take (Little's law): where
 		// others made it slow, holding less makes nothing faster.
-		b.limit, b.bounded = max(cut, min(b.limit, rateSlack*most*b.served.sum/memory)), true
+		b.limit, b.bounded, b.crowded = max(cut, min(b.limit, rateSlack*most*b.served.sum/memory)), true, true
 	case idle: // not put to the test
 	case b.bounded:
 		b.limit += max(b.part(1)/10, 0.05*b.limit) * min(looks, limitLooks)
 	default:
 		b.limit *= math.Pow(1.25, min(looks, limitLooks))
 	}
+	if b.crowded && taken < calmShare*most { // it is over: what was held beyond the limit is forgiven
+		b.unused, b.crowded = max(0, b.unused), false
+	}
 	b.limit = max(b.limit, b.part(limitLeast))
 	b.window, b.windowAt, b.inUse = average{}, b.now, average{}
 }
--- a/balance/state.go
+++ b/balance/state.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"pinelb.example/pinelb/balance/grey"
 	"pinelb.example/pinelb/balance/warmup"
 )
@@ -47,6 +49,7 @@
 	unused    float64 // request-seconds of a small limit that may still be used
 	inUse     average // how many were held since the limit was last looked at
 	bounded   bool    // the limit has been cut once: it grows slowly from then on
+	crowded   bool    // it has been cut, and answers have not been quick since
 	crisis    bool    // most servers look bad: health is no guide
 	fleet     *grey.Fleet
 	listed    int           // servers in use that the list has as ready, as of the last look
@@ -476,6 +479,14 @@
 	return order
 }
 
+// hashed is an instance's own number, from its name; 0 where it has none.
+func hashed(name string) uint64 {
+	if name == "" {
+		return 0
+	}
+	return xxhash.Sum64String(name) | 1
+}
+
 // mix is a hash of an endpoint (the finaliser of splitmix64, one to one), for each own another.
 func mix(id EndpointID, own uint64) uint64 {
 	x := (uint64(id) ^ own) + 0x9e3779b97f4a7c15
--- a/balance/subset_test.go
+++ b/balance/subset_test.go
@@ -529,3 +529,30 @@
 		}
 	}
 }
+
+// TestCrowdsDebtIsForgiven: an instance with a small limit that held more in a crowd does not go on refusing for seconds
+// once answers are quick again; without a crowd it makes up for what it held too much.
+func TestCrowdsDebtIsForgiven(t *testing.T) {
+	for _, crowd := range []bool{true, false} {
+		s := testSettings()
+		s.Instances = 10
+		w := newWorld(t, s, 1)
+		w.servers(4)
+		w.b.uncrowded, w.b.known, w.b.limit = 0.1, true, 2
+		look := func(taken float64) {
+			for range 2 * int(limitWindow) {
+				w.b.window.add(taken)
+			}
+			w.b.now += maintainEvery
+			w.b.adaptLimit()
+		}
+		if crowd {
+			look(0.9)
+		}
+		w.b.unused = -5
+		look(0.1)
+		if forgiven := w.b.unused >= 0; forgiven != crowd {
+			t.Errorf("after a crowd: %v, and %.1f is owed", crowd, -w.b.unused)
+		}
+	}
+}
