Add package budget: attempts granted at the first tier and only ever divided below

Change: a pure package, wired to nothing yet. The first tier's purse grants attempts beyond the plain chain, paid in advance: what ends well gives them back and earns more, what fails is spent. Shares are divided with each attempt and each call (Ledger), never added to. On the wire a member of W3C Baggage, bounded, versioned, left out when faulty, with the path of services that finds loops by identity.

--- /dev/null
+++ b/internal/budget/budget_test.go
@@ -0,0 +1,245 @@
+package budget
+
+import (
+	"flag"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// CI has to come to the same verdict every time; -rapid.seed=0 -rapid.checks=10000 looks further.
+func init() {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.checks": "300"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// tree is a chain of tiers with a sidecar before each, whose servers call the next tier so many times for each request.
+// Everything fails at random, and whoever may try again does.
+type tree struct {
+	t       *rapid.T
+	calls   []int // by tier; the last has none
+	ledgers []*Ledger
+	fails   float64
+	now     time.Duration
+	pots    uint64
+	made    []int // attempts, by tier
+	again   int   // of them not the first of their request at that sidecar
+	held    int   // extra attempts that are in shares and pots
+}
+
+// request is one at the sidecar before a tier, with so many extra attempts; it returns whether it was served and what it
+// has not used.
+func (r *tree) request(tier, extra int) (ok bool, unused int) {
+	last := tier == len(r.calls)-1
+	share := NewShare(extra, last)
+	for n := 0; ; n++ {
+		down, may := share.Attempt()
+		if !may {
+			return false, share.Unused()
+		}
+		if n > 0 {
+			r.again++
+		}
+		r.made[tier]++
+		if r.visit(tier, down) {
+			return true, share.Unused()
+		}
+	}
+}
+
+// visit is an attempt at a server.
+func (r *tree) visit(tier, extra int) bool {
+	r.pots++
+	pot := r.pots
+	ok := true
+	for call := range r.calls[tier] {
+		r.now += time.Millisecond
+		l := r.ledgers[tier+1]
+		got := l.Open(r.now, r.now+time.Second, pot, extra)
+		served, unused := r.request(tier+1, got)
+		if unused < 0 || unused > got {
+			r.t.Fatalf("of %d extra attempts %d are left", got, unused)
+		}
+		l.Close(pot, unused)
+		if ok = served; !ok {
+			_ = call
+			break
+		}
+	}
+	return ok && rapid.Float64Range(0, 1).Draw(r.t, "outcome") >= r.fails
+}
+
+// Guards against attempts being made out of nothing: over random chains, failures and orders no request is repeated more
+// often than it was granted, in all tiers together, so that the bottom sees at most 1 + grant times the plain calls.
+func TestTrees(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &tree{t: t, calls: rapid.SliceOfN(rapid.IntRange(1, 2), 0, 2).Draw(t, "calls"),
+			fails: rapid.SampledFrom([]float64{0, 0.3, 0.7, 1}).Draw(t, "fails")}
+		r.calls = append(r.calls, 0)
+		r.made = make([]int, len(r.calls))
+		plain := 1
+		for _, n := range r.calls {
+			r.ledgers = append(r.ledgers, NewLedger())
+			plain *= max(1, n)
+		}
+		extra := rapid.IntRange(0, Most).Draw(t, "extra")
+		ok, _ := r.request(0, extra)
+		if r.again > extra {
+			t.Errorf("%d attempts were repeated, %d granted", r.again, extra)
+		}
+		if bottom := r.made[len(r.made)-1]; bottom > (1+extra)*plain {
+			t.Errorf("%d attempts at the bottom of plain %d, %d granted", bottom, plain, extra)
+		}
+		if !ok && r.fails == 0 {
+			t.Error("failed though nothing did")
+		}
+	})
+}
+
+// Attempts tells beforehand how many Share will allow.
+func TestAttemptsAreForeseen(t *testing.T) {
+	for extra := range 2 * Most {
+		for _, last := range []bool{true, false} {
+			s, n, down := NewShare(extra, last), 0, 0
+			for {
+				d, ok := s.Attempt()
+				if !ok {
+					break
+				}
+				n, down = n+1, down+d
+			}
+			if n != Attempts(extra, last) || n-1+down+s.Unused() != extra {
+				t.Errorf("%d extra, last %v: %d attempts and %d below, foreseen %d", extra, last, n, down, Attempts(extra, last))
+			}
+		}
+	}
+}
+
+// Guards against retries that go on while nothing succeeds, and against a purse that holds back ones that help.
+func TestPurse(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := NewPurse(rapid.IntRange(1, 50).Draw(t, "instances"))
+		full, firsts, paid := p.Level(), 0.0, 0.0
+		for range rapid.IntRange(1, 500).Draw(t, "tries") {
+			if rapid.Bool().Draw(t, "repeat") {
+				if extra, ok := p.Repeat(3); ok {
+					paid += float64(1 + extra)
+					unused := rapid.IntRange(0, extra).Draw(t, "unused")
+					p.Ended(extra, true, false, unused)
+					paid -= float64(unused)
+				}
+				continue
+			}
+			firsts++
+			extra := p.First(3)
+			paid += float64(extra)
+			p.Ended(extra, false, false, 0)
+		}
+		if most := full + Earned*firsts; paid > most+1e-9 {
+			t.Errorf("%.1f attempts were made again for %.0f first tries that all failed; at most %.1f", paid, firsts, most)
+		}
+	})
+	p := NewPurse(1)
+	for range 1000 { // four of five fail, and are tried again until one in three does not
+		if extra := p.First(3); extra < 3 {
+			t.Fatalf("%d of 3 are granted while they help", extra)
+		} else if p.Ended(extra, false, true, 0); p.Level() > burst {
+			t.Fatalf("%.1f are saved", p.Level())
+		}
+	}
+}
+
+// What one call leaves over serves the next, side by side calls share, and a pot is not filled twice.
+func TestLedger(t *testing.T) {
+	l := NewLedger()
+	if a, b, c := l.Open(0, time.Second, 7, 4), l.Open(0, time.Second, 7, 4), l.Open(0, time.Second, 7, 4); a != 2 || b != 1 || c != 1 {
+		t.Errorf("side by side they get %d, %d, %d", a, b, c)
+	}
+	l.Close(7, 2)
+	l.Close(7, 0)
+	l.Close(7, 1)
+	if n := l.Open(0, time.Second, 7, 4); n != 2 {
+		t.Errorf("of three left over one call gets %d", n)
+	}
+	l.Close(7, 0)
+	if n := l.Open(2*time.Second, 3*time.Second, 8, 100); n != Most/2 || len(l.pots) != 1 {
+		t.Errorf("after the first lapsed: %d pots, a call with 100 gets %d", len(l.pots), n)
+	}
+	for id := range uint64(2 * pots) {
+		l.Open(2*time.Second, 3*time.Second, 100+id, 2)
+	}
+	if len(l.pots) > pots {
+		t.Errorf("%d pots are kept", len(l.pots))
+	}
+	if n := l.Open(2*time.Second, 3*time.Second, 1, 8); n != 0 {
+		t.Errorf("with no room %d are granted", n)
+	}
+}
+
+// What is written is read again; other members pass on; what is faulty is nobody's word.
+func TestCarried(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Carried{Pot: rapid.Uint64().Draw(t, "pot"), Extra: rapid.IntRange(0, Most).Draw(t, "extra"),
+			Worth: float64(rapid.IntRange(0, 1000).Draw(t, "worth")) / 1000,
+			Path:  rapid.SliceOfN(rapid.StringMatching(`[a-zA-Z0-9_-]{1,24}`), 0, mostPath).Draw(t, "path")}
+		rest := rapid.SampledFrom([]string{"", "user=1;p", "a=b , c=%20d"}).Draw(t, "rest")
+		header := c.Join(rest)
+		if len(c.String()) > mostMember {
+			return // it would not be read: ten services of the longest names
+		}
+		got, others, ok := Split(header)
+		if !ok || got.Pot != c.Pot || got.Extra != c.Extra || got.Worth != c.Worth || !slices.Equal(got.Path, c.Path) {
+			t.Errorf("%q is read as %+v, %v", header, got, ok)
+		}
+		if strings.ReplaceAll(others, " ", "") != strings.ReplaceAll(rest, " ", "") {
+			t.Errorf("of %q %q is left", header, others)
+		}
+	})
+	for _, header := range []string{"", "pinelb=", "pinelb=1.a.2.3", "pinelb=2.a.2.3.x", "pinelb=1.a.9.3.x", "pinelb=1.a.2.1001.x",
+		"pinelb=1.a.-2.3.x", "pinelb=1.a.2.3.x y", "pinelb=1.a.2.3.x~", "pinelb=1.zz.2.3.x", "pinelb=1.a.2.3.x,pinelb=1.a.2.3.x",
+		"pinelb=1.a.2.3." + strings.Repeat("x~", mostPath) + "x", "pinelb=1.a.2.3.x" + strings.Repeat(",a=b", 2000), "pinelb"} {
+		if c, _, ok := Split(header); ok {
+			t.Errorf("%.60q is taken for %+v", header, c)
+		}
+	}
+}
+
+func TestPath(t *testing.T) {
+	for _, c := range []struct {
+		path    string
+		reentry int
+		loop    bool
+	}{{"", 0, false}, {"a b", 0, false}, {"a c b", 0, true}, {"c", 1, false}, {"c c", 1, true}} {
+		if loop := Path(strings.Fields(c.path), "c", c.reentry); loop != c.loop {
+			t.Errorf("%q and %d times allowed: %v", c.path, c.reentry, loop)
+		}
+	}
+	path := []string{}
+	for range 3 * mostPath {
+		path = With(path, "s")
+	}
+	if len(path) != mostPath {
+		t.Errorf("%d services are kept", len(path))
+	}
+}
+
+func FuzzSplit(f *testing.F) {
+	for _, s := range []string{"", "pinelb=1.a.2.300.web~order", "a=b,pinelb=1.0.0.0.;x=y", "pinelb=1.a.2.3.x, pinelb=1.b.1.1.y"} {
+		f.Add(s)
+	}
+	f.Fuzz(func(t *testing.T, header string) {
+		c, rest, ok := Split(header)
+		if len(rest) > len(header) || strings.Contains(rest, "pinelb=1.") && ok {
+			t.Errorf("%q leaves %q", header, rest)
+		}
+		if again, _, same := Split(c.Join(rest)); ok && (!same || again.String() != c.String()) {
+			t.Errorf("%q comes back as %+v, %v", header, again, same)
+		}
+	})
+}
