Start no attempt that can't end in time; take attempts and worth as inputs of a decision

Need: budgets have to enter the decisions, and attempts went out whose class's quickest tenth could no longer be in time.

Change: a request may come with the attempts that it may make and what it is worth, and a failure may say that the tier below has tried again itself; sends say what the request is worth. No attempt starts that, as quick as the quickest tenth of its class, would be late: past the aim where late is worth nothing.

--- a/balance/api.go
+++ b/balance/api.go
@@ -231,11 +231,14 @@
 	Hint     time.Duration // expected work on a standard core; 0 = none
 	Repeated bool          // a client's own retry, where clients mark it
 	Write    bool
+	Most     int     // attempts that it may make here; 0 = as the settings have it, below 0 = none
+	Worth    float64 // share of its class's worth that it is worth, as a tier above had it; 0 = all of it
 
 	Endpoint EndpointID
 	Attempt  int
 	Closed   bool // the request has ended
 	Status   Status
+	Final    bool // of a failure: the tier below has tried again itself, and another attempt would only repeat that
 	Latency  time.Duration
 	Load     LoadReport
 
@@ -272,6 +275,7 @@
 	Endpoint EndpointID
 	Attempt  int
 	After    time.Duration // ActSend: time-out; ActTimer: from now; ActRefuse: retry hint
+	Worth    float64       // ActSend: share of its class's worth that the request is worth
 	Token    Token
 	Peer     int // ActTell: a rank, or -1 for all
 	Data     []byte
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -141,8 +141,8 @@
 func (b *Balancer) onRequest(ev *Event) {
 	ci := min(ev.Class, len(b.classes)-1)
 	c := b.classes[ci]
-	r := &request{id: ev.Request, class: c, ci: ci, deadline: b.now + ev.Left,
-		aimAt: b.now + c.Aim - b.spent(c, ev), rank: c.rank, livePos: len(b.live)}
+	r := &request{id: ev.Request, class: c, ci: ci, deadline: b.now + ev.Left, most: b.most(ev),
+		aimAt: b.now + c.Aim - b.spent(c, ev), rank: c.rank * worth(ev), livePos: len(b.live)}
 	if r.over = b.overShare(ev.Tenant); r.over {
 		r.rank *= b.set.OverShareWorth
 	}
@@ -150,7 +150,7 @@
 	if ev.Repeated && b.set.MarksRetry && b.asked.mean(0, 0) > shortShare {
 		r.rank *= repeatedRank
 	}
-	r.holdTill = b.holdTill(r)
+	r.till, r.holdTill = r.latest(), b.holdTill(r)
 	b.reqs[r.id] = r
 	b.live = append(b.live, r)
 	b.retries = min(retryBurst, b.retries+retryPerCall)
@@ -199,21 +199,21 @@
 
 // refuseEarly tells whether a request is better turned away before any work is done.
 func (b *Balancer) refuseEarly(r *request) bool {
-	if r.deadline-b.now <= b.margin() {
+	if r.most < 1 || !b.inTime(r) {
 		return true
 	}
 	if b.set.Tier > 0 {
 		return false
 	}
-	if r.over && (len(b.waiting) > 0 || b.loadShare() > spareShare) {
-		return true
-	}
-	if b.limit < limitSmall && b.unused+b.limit*(r.holdTill-b.now).Seconds() < b.reserve(r) {
-		return true
-	}
-	return b.ahead(r) > 1+b.sent.n/memory*(r.holdTill-b.now).Seconds()
+	return r.over && (len(b.waiting) > 0 || b.loadShare() > spareShare) ||
+		b.limit < limitSmall && b.unused+b.limit*(r.holdTill-b.now).Seconds() < b.reserve(r) ||
+		b.ahead(r) > 1+b.sent.n/memory*(r.holdTill-b.now).Seconds()
 }
 
+// inTime tells whether an attempt that is sent now can still end in time, if it is as quick as the quickest
+// tenth of its class.
+func (b *Balancer) inTime(r *request) bool { return b.now+b.fleet.Quick(r.ci) < r.till-b.margin() }
+
 // margin is how long before the client's deadline the final answer goes out.
 func (b *Balancer) margin() time.Duration { return b.tick + b.set.Quantum }
 
@@ -321,14 +321,15 @@
 	s.held = append(s.held, sent{request: r, at: b.now, ran: b.ran()})
 	b.count(s, 1)
 	b.sent.add(1)
-	b.do(Action{Kind: ActSend, Request: r.id, Endpoint: s.Endpoint, After: r.deadline - b.now})
+	b.do(Action{Kind: ActSend, Request: r.id, Endpoint: s.Endpoint, Worth: r.worth(),
+		After: r.deadline - b.now})
 	return true
 }
 
 // allowed holds every rule that forbids sending this request to this endpoint now.
 func (b *Balancer) allowed(r *request, s *server) bool {
 	switch {
-	case r.done || b.now >= r.deadline-b.margin() || len(r.tries) >= b.set.MaxAttempts:
+	case r.done || !b.inTime(r) || len(r.tries) >= r.most:
 		return false
 	case !s.listed: // draining or gone: the grace is not used
 		return false
@@ -395,7 +396,7 @@
 	}
 	a := &r.tries[ev.Attempt]
 	a.open, a.mayHave = false, ev.Status != Full && ev.Status != ConnectFailed && ev.Status != Moot
-	r.out--
+	r.out, r.final = r.out-1, r.final || ev.Final
 	b.learn(b.unhold(r, a, ev.Status), a.server, ev)
 	switch {
 	case r.done:
@@ -414,9 +415,10 @@
 	if !mayHave {
 		cost = retryUnseen
 	}
-	if b.retries < cost || b.now > r.aimAt || !slices.ContainsFunc(b.servers, func(s *server) bool {
-		return b.eligible(r, s)
-	}) {
+	if r.final || b.retries < cost || b.now > r.aimAt ||
+		!slices.ContainsFunc(b.servers, func(s *server) bool {
+			return b.eligible(r, s)
+		}) {
 		b.finish(r)
 		return
 	}
@@ -511,8 +513,7 @@
 // hangs as well, one more in place of the first.
 func (b *Balancer) look(r *request) {
 	switch {
-	case b.now >= r.deadline-b.margin(), r.waiting && r.out == 0 && b.now >= r.holdTill,
-		r.class.LateWorth == 0 && b.now >= r.aimAt-b.margin(): // too late to be worth more work
+	case b.now >= r.till-b.margin(), r.waiting && r.out == 0 && b.now >= r.holdTill: // not worth more work
 		b.learnGivenUp(r)
 		b.finish(r)
 		return
--- a/balance/grey/grey.go
+++ b/balance/grey/grey.go
@@ -11,7 +11,10 @@
 // so that a host which is left alone is tried again. docs/design/grey-failures.md has the options and the figures.
 package grey
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Tunables.
 const (
@@ -24,6 +27,7 @@
 	spreadFirst = 0.6  // of the logarithms of a class's answer times, until known
 	spreadCalls = 20.0 // answers that this first spread counts for
 	spreadLeast = 0.35 // answers are never taken to be more alike than this, or the first odd one would seem to hang
+	tenth       = 1.28 // standard deviations below the mean that the quickest tenth of a normal distribution is
 	paceFirst   = 4.0  // answers that the first mean counts for
 	passedOdds  = 0.4  // chance that an answer of this host which is on its way is overtaken by one sent later
 	passedMost  = 3    // more of them prove no more: what takes long is overtaken by many
@@ -80,8 +84,11 @@
 
 // open is the chance that an answer which will come has not come yet, at an age of which over says x.
 func (p *pace) open(x float64) float64 {
-	spread := math.Sqrt((p.squares + spreadCalls*spreadFirst*spreadFirst) / (p.n + spreadCalls))
-	return 0.5 * math.Erfc(x/(max(spreadLeast, spread)*math.Sqrt2))
+	return 0.5 * math.Erfc(x/(p.spread()*math.Sqrt2))
+}
+
+func (p *pace) spread() float64 {
+	return max(spreadLeast, math.Sqrt((p.squares+spreadCalls*spreadFirst*spreadFirst)/(p.n+spreadCalls)))
 }
 
 // present is how all hosts do at this moment: by how much answers take longer than their paces, and how many don't.
@@ -232,6 +239,16 @@
 	return f.trust * mute / max(mute+late, 1e-300)
 }
 
+// Quick is what the quickest tenth of a class's answers take at most; 0 until some have been seen.
+func (f *Fleet) Quick(class int) time.Duration {
+	p := &f.paces[class]
+	if p.n < spreadCalls {
+		return 0
+	}
+	x := (p.sum+paceFirst*p.first)/(p.n+paceFirst) - tenth*p.spread()
+	return time.Duration(math.Exp(x) * float64(time.Second))
+}
+
 // Mute is the share of a host's attempts that hang.
 func (f *Fleet) Mute(h *Host) float64 {
 	return max(muteLeast, h.mute.share(f.mute.share(muteFirst, muteCalls), likeCalls))
--- a/balance/state.go
+++ b/balance/state.go
@@ -96,8 +96,11 @@
 	deadline time.Duration
 	aimAt    time.Duration
 	holdTill time.Duration
-	over     bool // beyond its tenant's share
+	till     time.Duration // the latest time at which an answer is worth anything
+	over     bool          // beyond its tenant's share
 	rank     float64
+	most     int  // attempts that it may make
+	final    bool // the tier below has failed after trying again: this one doesn't
 	tries    []attempt
 	out      int // attempts that have not ended
 	done     bool
@@ -440,6 +443,33 @@
 	return out
 }
 
+// latest is until when an answer is worth anything.
+func (r *request) latest() time.Duration {
+	if r.class.LateWorth == 0 {
+		return min(r.deadline, r.aimAt)
+	}
+	return r.deadline
+}
+
+// most is how many attempts a request may make.
+func (b *Balancer) most(ev *Event) int {
+	if ev.Most == 0 {
+		return b.set.MaxAttempts
+	}
+	return min(ev.Most, b.set.MaxAttempts)
+}
+
+// worth is the share of its class's worth that a request is worth, as it came.
+func worth(ev *Event) float64 {
+	if ev.Worth <= 0 {
+		return 1
+	}
+	return min(1, ev.Worth)
+}
+
+// worth is the same as it goes down.
+func (r *request) worth() float64 { return min(1, r.rank/r.class.rank) }
+
 // last is the latest attempt of a request that has one.
 func (r *request) last() *attempt { return &r.tries[len(r.tries)-1] }
 
