Wire budgets into the daemon, off unless the operator's file has [budget]

Need: the pure package has to see requests arrive, attempts go out and streams end, and nothing may change where it is off.

Without the section a caller's baggage is dropped as before. The Thrift front draws on the same purse; a call carries nothing on.

--- a/cmd/pinelb/serve.go
+++ b/cmd/pinelb/serve.go
@@ -99,12 +99,20 @@
 		return err
 	}
 	streams := &stream.Proxy{Engine: eng, Upstream: pool, Log: log}
+	if op.Budget != nil {
+		var aims []time.Duration
+		for _, c := range set.Classes {
+			aims = append(aims, c.Aim)
+		}
+		streams.Budget = stream.NewBudget(op.Budget.Books(set), cfg.Seed, aims, log)
+	}
 	side := downstream.NewSide(set, memory/bodiesPart, sockets-sockets/2, log)
 	srv := downstream.New(set, side, streams, log)
 	table := cluster.NewTable(set.ZoneNames, set.KindNames, pool, eng)
 	var overThrift *stream.Proxy
 	if op.Thrift != nil {
 		overThrift = thriftProxy(op.Thrift, eng, pool, log)
+		overThrift.Budget = streams.Budget // one purse; a call carries nothing either way
 	}
 	if rec != nil {
 		streams.Observer, table.Observer, rec.Open = rec, rec, streams.Out
--- /dev/null
+++ b/internal/budget/books.go
@@ -0,0 +1,106 @@
+package budget
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Settings are what one sidecar's books are kept by.
+type Settings struct {
+	Service   string // that this sidecar sends to
+	Edge      bool   // its callers are outside: nothing that they carry is believed
+	Leaf      bool   // the service calls no other
+	Instances int    // of its tier
+	Attempts  int    // beyond the first that a try of a client may cause, 0 to Most
+	Reentry   int    // how often a request may have been at the service before
+}
+
+// Books are one sidecar's: its purse, and the pots that its callers brought. They are not safe for concurrent use.
+type Books struct {
+	set    Settings
+	purse  *Purse
+	ledger *Ledger
+	rng    *rand.Rand
+}
+
+// NewBooks returns books that nothing has been entered in.
+func NewBooks(s Settings, seed uint64) *Books {
+	return &Books{s, NewPurse(s.Instances), NewLedger(), rand.New(rand.NewPCG(seed, 0xb0b0))}
+}
+
+// Account is one request's.
+type Account struct {
+	Loop []string // the services that it has come to, if this one is among them too often: it may cause nothing
+
+	share    *Share
+	granted  int
+	most     int
+	pot      uint64 // that granted it; 0: the purse
+	worth    float64
+	repeat   bool
+	path     []string
+	rest     string // of the caller's baggage
+	attempts int
+}
+
+// Open is a request's arrival, with the header "baggage" that it came with. Repeated is its client's own mark, and until
+// when its caller waits.
+func (b *Books) Open(now, until time.Duration, header string, repeated bool) *Account {
+	c, rest, ok := Split(header)
+	a := &Account{rest: rest, worth: 1}
+	switch {
+	case ok && !b.set.Edge:
+		if a.path, a.worth = c.Path, c.Worth; Path(c.Path, b.set.Service, b.set.Reentry) {
+			a.Loop = append(slices.Clone(c.Path), b.set.Service)
+			return a
+		}
+		a.pot = max(1, c.Pot)
+		a.granted, a.most = b.ledger.Open(now, until, a.pot, c.Extra), 1
+	case repeated:
+		a.repeat = true
+		if a.granted, ok = b.purse.Repeat(b.set.Attempts); !ok {
+			a.most = -1
+			return a
+		}
+	default:
+		a.granted = b.purse.First(b.set.Attempts)
+	}
+	a.share = NewShare(a.granted, b.set.Leaf)
+	a.most = Attempts(a.granted, b.set.Leaf)
+	return a
+}
+
+// Most is how many attempts the request may make here; below 0 is none.
+func (a *Account) Most() int { return a.most }
+
+// Worth is what the request is worth of its class's worth, as the tier above had it.
+func (a *Account) Worth() float64 { return a.worth }
+
+// Send is the header "baggage" of the next attempt; worth is what the decisions here make of the request's worth.
+func (b *Books) Send(a *Account, worth float64) string {
+	extra, ok := 0, false
+	if a.share != nil {
+		extra, ok = a.share.Attempt()
+	}
+	if !ok { // no attempt that was foreseen: it takes nothing along
+		extra = 0
+	}
+	a.attempts++
+	c := Carried{Pot: b.rng.Uint64() | 1, Extra: extra, Worth: worth, Path: With(a.path, b.set.Service)}
+	return c.Join(a.rest)
+}
+
+// Tried tells whether any attempt has been made.
+func (a *Account) Tried() bool { return a.attempts > 0 }
+
+// Close is a request's end. Good is an answer within its aim.
+func (b *Books) Close(a *Account, good bool) {
+	switch {
+	case a.share == nil:
+	case a.pot != 0:
+		b.ledger.Close(a.pot, a.share.Unused())
+	default:
+		b.purse.Ended(a.granted, a.repeat, good, a.share.Unused())
+	}
+}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -15,7 +15,10 @@
 // adds to it but the return of what was not used, once. TestTrees proves it on random trees.
 package budget
 
-import "math"
+import (
+	"math"
+	"time"
+)
 
 // Tunables.
 const (
@@ -140,6 +143,9 @@
 	return n > reentry
 }
 
-// Time is how many seconds the next tier is told that it has, of so many that are left: the way there and back is taken
-// off, and what this sidecar needs to answer before its caller leaves. Never negative.
-func Time(left, way, own float64) float64 { return max(0, left-way-own) }
+// own is what a sidecar needs to pass an answer on before its caller leaves.
+const own = 3 * time.Millisecond
+
+// Time is how much the next tier is told that it has, of what is left here: the way there and back is taken off, and what
+// this sidecar needs to pass the answer on. It is never negative.
+func Time(left, way time.Duration) time.Duration { return max(0, left-way-own) }
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -243,3 +243,53 @@
 		}
 	})
 }
+
+// Guards against a caller's word being taken at the edge, a loop passing, and a request that carries nothing being bound.
+func TestBooks(t *testing.T) {
+	edge := NewBooks(Settings{Service: "front", Edge: true, Instances: 1, Attempts: 3}, 1)
+	forged := Carried{Pot: 1, Extra: Most, Worth: 1, Path: []string{"front"}}
+	a := edge.Open(0, time.Second, forged.Join("user=7"), false)
+	if a.Loop != nil || a.Most() != 3 {
+		t.Errorf("at the edge %d attempts are granted, loop %v", a.Most(), a.Loop)
+	}
+	header := edge.Send(a, 0.5)
+	c, rest, ok := Split(header)
+	if !ok || c.Extra != 1 || c.Worth != 0.5 || rest != "user=7" || !slices.Equal(c.Path, []string{"front"}) {
+		t.Errorf("%q goes down", header)
+	}
+	back := NewBooks(Settings{Service: "back", Leaf: true, Instances: 1, Attempts: 3}, 2)
+	b := back.Open(0, time.Second, header, true)
+	if b.Most() != 2 || b.Worth() != 0.5 {
+		t.Errorf("behind it %d attempts at a worth of %v", b.Most(), b.Worth())
+	}
+	again := back.Open(0, time.Second, header, false)
+	if again.Most() != 1 {
+		t.Errorf("a call beside it may make %d attempts", again.Most())
+	}
+	ring := NewBooks(Settings{Service: "front", Instances: 1, Attempts: 3}, 3)
+	if l := ring.Open(0, time.Second, back.Send(b, 1), false); !slices.Equal(l.Loop, []string{"front", "back", "front"}) {
+		t.Errorf("the loop is %v", l.Loop)
+	}
+	if o := back.Open(0, time.Second, "", false); o.Most() != Attempts(3, true) {
+		t.Errorf("one that carries nothing may make %d attempts", o.Most())
+	}
+	edge.Close(a, false)
+	fail := func(repeated bool) int {
+		a := edge.Open(0, time.Second, "", repeated)
+		for range a.Most() {
+			edge.Send(a, 1)
+		}
+		edge.Close(a, false)
+		return a.Most()
+	}
+	for range 200 {
+		fail(false)
+	}
+	if first, second := fail(true), fail(true); first > 1 || second >= 0 {
+		t.Errorf("nothing succeeds, and two repeats of a client may make %d and %d attempts", first, second)
+	}
+	edge.Close(edge.Open(0, time.Second, "", false), true)
+	if n := fail(true); n < 1 {
+		t.Error("one has succeeded, and a repeat may make no attempt")
+	}
+}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -18,6 +18,7 @@
 	Record *Record `toml:"record"`
 	Fleet  *Fleet  `toml:"fleet"`
 	Thrift *Thrift `toml:"thrift"`
+	Budget *Budget `toml:"budget"`
 }
 
 // Fleet is the section [fleet]: how the instances of a tier are told apart.
@@ -99,6 +100,9 @@
 	if err == nil && op.Thrift != nil {
 		err = op.Thrift.check(file)
 	}
+	if err == nil && op.Budget != nil {
+		err = op.Budget.check(file)
+	}
 	if err != nil {
 		return nil, err // it begins with the file and the line
 	}
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -12,6 +12,13 @@
 	"pinelb.example/pinelb/internal/stream"
 )
 
+// SpentHeader beside a failure says SpentWord where the request has been tried again already, here or below: a server
+// passes it up with its own failure, so that one tier tries a trouble again and not all.
+const (
+	SpentHeader = "X-Tried-Again"
+	SpentWord   = "1"
+)
+
 const (
 	bodyMost  = 64 << 10 // bytes of any message's body
 	bodyFirst = 4 << 10  // bytes to begin with
@@ -125,7 +132,7 @@
 	req := &stream.Request{
 		Txn: h.Get("X-Txn"), ClassName: lane, Class: c.index, Operation: r.Method, Target: r.RequestURI, Authority: r.Host,
 		Key: h.Get("Idempotency-Key"), Repeated: h.Get("X-Resent") == "1", Labels: h.Get("X-Labels"),
-		MediaType: h.Get("Content-Type"),
+		MediaType: h.Get("Content-Type"), Baggage: strings.Join(h["Baggage"], ","),
 	}
 	left, err := strconv.ParseUint(h.Get("X-Remaining-Ms"), 10, 32)
 	method, keyed := http.MethodPost, c.effect == balance.Keyed
@@ -149,6 +156,9 @@
 	case c.effect == balance.Safe && r.ContentLength > 0:
 		return nil, &refusal{http.StatusBadRequest, "the class takes no body"}
 	}
+	if !isPlain(req.Baggage, true) { // nobody's concern but ours: no reason to turn the request away
+		req.Baggage = ""
+	}
 	req.Arrived = at
 	// An answer within the class's deadline is in time for every client, however long it says it waits.
 	req.Deadline = at.Add(min(time.Duration(left)*time.Millisecond, c.deadline))
@@ -193,6 +203,9 @@
 
 // encode writes a stream's final answer.
 func encode(w http.ResponseWriter, res stream.Response) {
+	if res.Spent {
+		w.Header().Set(SpentHeader, SpentWord)
+	}
 	switch res.Outcome {
 	case stream.Served:
 		h := w.Header()
@@ -210,6 +223,8 @@
 		say(w, http.StatusBadRequest, "an upstream host finds fault with the request")
 	case stream.Duplicate:
 		say(w, http.StatusConflict, "a request of this id is under way")
+	case stream.Looped:
+		say(w, http.StatusLoopDetected, "loop: "+res.Loop)
 	case stream.Expired:
 		say(w, http.StatusGatewayTimeout, "")
 	default: // failed, or nobody is there to read it
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -165,6 +165,8 @@
 	Class    int
 	Left     time.Duration // until the client gives up
 	Repeated bool          // the client's own retry
+	Most     int           // attempts that it may make; 0: as the settings have it, below 0: none
+	Worth    float64       // share of its class's worth that it is worth; 0: all of it
 }
 
 // Open tells the decisions of a new stream. The caller has to call Close once it has its answer.
@@ -176,6 +178,7 @@
 	s := &Stream{e: e, ctx: ctx, id: e.last, life: e.life, sends: make(chan Send, most), verdict: make(chan Verdict, 1),
 		tries: make([]try, 0, most)}
 	e.streams[s.id] = s
-	e.handle(&balance.Event{Kind: balance.EventRequest, Request: s.id, Class: c.Class, Left: c.Left, Repeated: c.Repeated})
+	e.handle(&balance.Event{Kind: balance.EventRequest, Request: s.id, Class: c.Class, Left: c.Left, Repeated: c.Repeated,
+		Most: c.Most, Worth: c.Worth})
 	return s
 }
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -65,10 +65,10 @@
 	e := newEngine(t, 1, 2)
 	s := e.Open(context.Background(), Call{Left: time.Minute})
 	send := <-s.Sends()
-	if !s.Settle(send.Attempt, balance.OK, true) {
+	if !s.Settle(send.Attempt, Outcome{Status: balance.OK, Answers: true}) {
 		t.Error("the first answer was not the stream's")
 	}
-	if s.Settle(send.Attempt, balance.OK, true) {
+	if s.Settle(send.Attempt, Outcome{Status: balance.OK, Answers: true}) {
 		t.Error("a second outcome of one attempt was taken")
 	}
 	if out := s.outNow(); out != 0 {
@@ -95,7 +95,7 @@
 	if e.open() != 1 {
 		t.Error("the stream was forgotten before its attempt had its outcome")
 	}
-	if s.Settle(send.Attempt, balance.OK, true) {
+	if s.Settle(send.Attempt, Outcome{Status: balance.OK, Answers: true}) {
 		t.Error("an answer after the end was taken")
 	}
 	if e.open() != 0 {
@@ -147,11 +147,11 @@
 		t.Error("a stream that may have run was refused")
 	}
 	<-send.Ctx.Done()
-	if before.Settle(send.Attempt, balance.OK, true) {
+	if before.Settle(send.Attempt, Outcome{Status: balance.OK, Answers: true}) {
 		t.Error("a stream that had its answer took another")
 	}
 	after := e.Open(context.Background(), Call{Left: time.Minute})
-	if !after.Settle((<-after.Sends()).Attempt, balance.OK, true) { // the cluster is still known
+	if !after.Settle((<-after.Sends()).Attempt, Outcome{Status: balance.OK, Answers: true}) { // the cluster is still known
 		t.Error("no stream is served after a panic")
 	}
 }
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -12,9 +12,17 @@
 	Attempt int
 	Host    balance.EndpointID
 	Until   time.Time       // when to stop waiting
+	Worth   float64         // share of its class's worth that the stream is worth
 	Ctx     context.Context // ends when the decisions withdraw the attempt
 }
 
+// Outcome is how an upstream request ended.
+type Outcome struct {
+	Status  balance.Status
+	Answers bool // it brought a final answer
+	Spent   bool // of a failure: the tier below has tried again itself
+}
+
 // Verdict is a final answer that is not an upstream host's: a local reply.
 type Verdict struct {
 	Refused    bool          // trying again is harmless; otherwise nothing is promised
@@ -61,11 +69,11 @@
 		attempt := len(s.tries) - 1
 		if s.ended || attempt >= cap(s.sends) {
 			// Nobody would take it, and the decisions must not wait for its outcome for ever.
-			go s.Settle(attempt, balance.Moot, false)
+			go s.Settle(attempt, Outcome{Status: balance.Moot})
 			return
 		}
 		s.sent++
-		s.sends <- Send{Attempt: attempt, Host: a.Endpoint, Until: s.e.start.Add(now - s.e.unix + a.After), Ctx: ctx}
+		s.sends <- Send{Attempt: attempt, Host: a.Endpoint, Until: s.e.start.Add(now - s.e.unix + a.After), Worth: a.Worth, Ctx: ctx}
 	case balance.ActCancel:
 		if a.Attempt < len(s.tries) {
 			s.tries[a.Attempt].cancel()
@@ -101,15 +109,15 @@
 	}
 }
 
-// Settle reports how an attempt ended, once for each, and whether that is a final answer. It returns
-// whether that is the stream's: the first that comes before any other end.
-func (s *Stream) Settle(attempt int, status balance.Status, final bool) bool {
+// Settle reports how an attempt ended, once for each. It returns whether its answer is the stream's: the first
+// that comes before any other end.
+func (s *Stream) Settle(attempt int, o Outcome) bool {
 	s.e.mu.Lock()
 	defer s.e.mu.Unlock()
-	return s.settle(attempt, status, final)
+	return s.settle(attempt, o)
 }
 
-func (s *Stream) settle(attempt int, status balance.Status, final bool) bool {
+func (s *Stream) settle(attempt int, o Outcome) bool {
 	t := &s.tries[attempt]
 	if !t.open {
 		return false
@@ -117,11 +125,11 @@
 	t.open = false
 	t.cancel()
 	s.out--
-	won := final && !s.ended
+	won := o.Answers && !s.ended
 	s.ended = s.ended || won
 	if s.life == s.e.life {
 		s.e.handle(&balance.Event{Kind: balance.EventOutcome, Request: s.id, Attempt: attempt,
-			Closed: s.ended, Status: status, Latency: s.e.now() - t.sentAt})
+			Closed: s.ended, Status: o.Status, Final: o.Spent, Latency: s.e.now() - t.sentAt})
 	}
 	s.forget()
 	return won
@@ -152,7 +160,7 @@
 	for {
 		select {
 		case send := <-s.sends:
-			s.settle(send.Attempt, balance.Moot, false)
+			s.settle(send.Attempt, Outcome{Status: balance.Moot})
 		default:
 			return
 		}
--- a/internal/record/record.go
+++ b/internal/record/record.go
@@ -111,7 +111,7 @@
 // outcomes are the words for stream.Outcome.
 var outcomes = [...]string{stream.Served: "served", stream.Refused: "refused", stream.Failed: "failed",
 	stream.Expired: "expired", stream.Gone: "gone", stream.Rejected: "rejected", stream.Duplicate: "duplicate",
-	stream.Unanswered: "unanswered"}
+	stream.Unanswered: "unanswered", stream.Looped: "looped"}
 
 // statuses are the words for balance.Status.
 var statuses = [...]string{balance.OK: "ok", balance.Error: "error", balance.Full: "full", balance.Timeout: "timeout",
--- /dev/null
+++ b/internal/stream/budget.go
@@ -0,0 +1,84 @@
+package stream
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/internal/budget"
+)
+
+// loopsTold is how many different loops are logged, each once.
+const loopsTold = 64
+
+// Budget keeps a sidecar's books in step with its streams. Nil keeps none: every stream may do as the settings say.
+type Budget struct {
+	Aims []time.Duration // of the classes: what is answered within them has ended well
+	Log  zerolog.Logger
+
+	mu    sync.Mutex
+	books *budget.Books
+	start time.Time
+	loops map[string]bool
+}
+
+// NewBudget returns a budget whose books are kept by s.
+func NewBudget(s budget.Settings, seed uint64, aims []time.Duration, log zerolog.Logger) *Budget {
+	return &Budget{Aims: aims, Log: log, books: budget.NewBooks(s, seed), start: time.Now(), loops: map[string]bool{}}
+}
+
+// unbound is the account of a stream of which no books are kept.
+var unbound budget.Account
+
+func (b *Budget) open(req *Request) *budget.Account {
+	if b == nil {
+		req.Baggage = "" // what a caller carries goes no further than where it is read
+		return &unbound
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.books.Open(time.Since(b.start), req.Deadline.Sub(b.start), req.Baggage, req.Repeated)
+}
+
+// send is a stream's request as its next attempt takes it along.
+func (b *Budget) send(a *budget.Account, req *Request, worth float64) *Request {
+	if b == nil {
+		return req
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	sent := *req
+	sent.Baggage = b.books.Send(a, worth)
+	return &sent
+}
+
+// close ends a stream's account, and marks its answer where trying again above would only repeat what was done here.
+func (b *Budget) close(a *budget.Account, req *Request, res *Response) {
+	if b == nil {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.books.Close(a, res.Outcome == Served && req.Class < len(b.Aims) && time.Since(req.Arrived) <= b.Aims[req.Class])
+	switch res.Outcome {
+	case Refused, Failed, Expired:
+		res.Spent = res.Spent || a.Tried()
+	}
+}
+
+// looped is the answer to a request that has been here before. Each loop is logged once.
+func (b *Budget) looped(a *budget.Account) Response {
+	loop := strings.Join(a.Loop, " > ")
+	b.mu.Lock()
+	told := b.loops[loop] || len(b.loops) >= loopsTold
+	if !told {
+		b.loops[loop] = true
+	}
+	b.mu.Unlock()
+	if !told {
+		b.Log.Error().Str("loop", loop).Msg("a request has come through this service before")
+	}
+	return Response{Outcome: Looped, Loop: loop, Spent: true}
+}
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -10,6 +10,7 @@
 	"github.com/rs/zerolog"
 
 	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/budget"
 	"pinelb.example/pinelb/internal/engine"
 )
 
@@ -26,6 +27,7 @@
 	Labels    string
 	MediaType string // of the body; protocols that have several encodings tell them by it
 	Body      []byte
+	Baggage   string    // what travels from tier to tier beside it (W3C Baggage): as it came, and of an attempt as it goes on
 	Arrived   time.Time // when it began to come
 	Deadline  time.Time // when the client gives up
 }
@@ -43,6 +45,7 @@
 	Rejected           // an upstream host finds fault with the request itself
 	Duplicate          // a request of the same id is under way
 	Unanswered         // sent whole, and by its kind it gets no answer; it may have run
+	Looped             // it has come through this service before
 )
 
 // Response is a stream's final answer.
@@ -51,6 +54,8 @@
 	MediaType  string
 	Body       []byte // Served: the answer; Rejected: the fault in the host's own words, where they are to be passed on
 	RetryAfter time.Duration
+	Spent      bool   // of a failure: it has been tried again here or below, and to try again above would only repeat that
+	Loop       string // Looped: the services that it has come through
 }
 
 // Upstream carries out one upstream request. It returns by until or soon after ctx ends, and never
@@ -68,6 +73,7 @@
 	Engine   *engine.Engine
 	Upstream Upstream
 	Observer Observer // nil: nobody
+	Budget   *Budget  // nil: every tier tries again as it sees fit
 	Log      zerolog.Logger
 
 	mu   sync.Mutex
@@ -78,7 +84,7 @@
 type decided interface {
 	Sends() <-chan engine.Send
 	Verdict() <-chan engine.Verdict
-	Settle(attempt int, status balance.Status, final bool) (won bool)
+	Settle(attempt int, o engine.Outcome) (won bool)
 	Abandon() (ended, sent bool)
 	Close()
 }
@@ -91,9 +97,15 @@
 	}
 	res := Response{Outcome: Failed} // what a panic leaves
 	defer func() { p.release(req.Txn, func(l *Life) { l.Response, l.Answered = res, time.Now() }) }()
+	a := p.Budget.open(req)
+	defer func() { p.Budget.close(a, req, &res) }()
+	if a.Loop != nil {
+		res = p.Budget.looped(a)
+		return res
+	}
 	// Attempts must not end with the client by themselves: the decisions withdraw them.
-	res = p.live(ctx, p.Engine.Open(context.WithoutCancel(ctx), engine.Call{
-		Class: req.Class, Left: time.Until(req.Deadline), Repeated: req.Repeated}), req)
+	res = p.live(ctx, p.Engine.Open(context.WithoutCancel(ctx), engine.Call{Class: req.Class,
+		Left: time.Until(req.Deadline), Repeated: req.Repeated, Most: a.Most(), Worth: a.Worth()}), req, a)
 	return res
 }
 
@@ -102,7 +114,7 @@
 
 // live is one stream's life. The decisions choose every send and may end the stream; the first answer
 // of an upstream host ends it too, and so do the client's leaving and its deadline.
-func (p *Proxy) live(ctx context.Context, s decided, req *Request) Response {
+func (p *Proxy) live(ctx context.Context, s decided, req *Request, a *budget.Account) Response {
 	defer s.Close()
 	answer := make(chan Response, 1) // one at most: only one attempt can win
 	watchdog := time.NewTimer(time.Until(req.Deadline) - watchdogLead)
@@ -110,7 +122,7 @@
 	for {
 		select {
 		case send := <-s.Sends():
-			go p.attempt(s, send, req, p.begin(req.Txn, send.Host), answer)
+			go p.attempt(s, send, p.Budget.send(a, req, send.Worth), p.begin(req.Txn, send.Host), answer)
 		case v := <-s.Verdict():
 			return localReply(v, req)
 		case res := <-answer:
@@ -136,7 +148,8 @@
 		if fault := recover(); fault != nil {
 			p.Log.Error().Interface("panic", fault).Msg("upstream request failed")
 		}
-		if s.Settle(send.Attempt, status, status == balance.OK || res.Outcome == Rejected || res.Outcome == Unanswered) {
+		if s.Settle(send.Attempt, engine.Outcome{Status: status, Spent: res.Spent,
+			Answers: status == balance.OK || res.Outcome == Rejected || res.Outcome == Unanswered}) {
 			answer <- res
 		}
 	}()
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -177,11 +177,11 @@
 	closed bool
 }
 
-func (m *mute) Sends() <-chan engine.Send             { return m.sends }
-func (m *mute) Verdict() <-chan engine.Verdict        { return nil }
-func (m *mute) Settle(int, balance.Status, bool) bool { return false }
-func (m *mute) Abandon() (ended, sent bool)           { return true, m.sent }
-func (m *mute) Close()                                { m.closed = true }
+func (m *mute) Sends() <-chan engine.Send       { return m.sends }
+func (m *mute) Verdict() <-chan engine.Verdict  { return nil }
+func (m *mute) Settle(int, engine.Outcome) bool { return false }
+func (m *mute) Abandon() (ended, sent bool)     { return true, m.sent }
+func (m *mute) Close()                          { m.closed = true }
 
 // Guards against a stream without an answer where the decisions fail to end it: its deadline does.
 func TestWatchdog(t *testing.T) {
@@ -190,10 +190,10 @@
 	})}
 	sent := &mute{sends: make(chan engine.Send, 1), sent: true}
 	sent.sends <- engine.Send{}
-	if res := p.live(context.Background(), sent, request(0, 100*time.Millisecond)); res.Outcome != Expired || !sent.closed {
+	if res := p.live(context.Background(), sent, request(0, 100*time.Millisecond), &unbound); res.Outcome != Expired || !sent.closed {
 		t.Errorf("outcome %d, closed %v; want expired and closed", res.Outcome, sent.closed)
 	}
-	if res := p.live(context.Background(), &mute{}, request(0, 0)); res.Outcome != Refused {
+	if res := p.live(context.Background(), &mute{}, request(0, 0), &unbound); res.Outcome != Refused {
 		t.Errorf("outcome %d, want refused: it was never sent", res.Outcome)
 	}
 }
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -31,6 +31,7 @@
 	addr      string // the host's, as discovery lists it
 	use       purpose
 	idleSince time.Time
+	way       time.Duration // there and back, as its opening took
 
 	limit *io.LimitedReader // HTTP: what may still come of the present answer
 	in    *bufio.Reader     // HTTP
@@ -74,6 +75,7 @@
 type answer struct {
 	status     int
 	turnedAway bool
+	spent      bool // the tier below has tried again itself
 	mediaType  string
 	body       []byte
 	reusable   bool // the connection may carry another request
@@ -100,7 +102,7 @@
 			continue
 		}
 		a := answer{status: res.StatusCode, turnedAway: res.Header.Get("X-Turned-Away") == "1",
-			mediaType: res.Header.Get("Content-Type")}
+			mediaType: res.Header.Get("Content-Type"), spent: res.Header.Get("X-Tried-Again") == "1"}
 		if a.body, err = readBody(res); err != nil {
 			return answer{}, c.fault(err)
 		}
@@ -158,6 +160,7 @@
 	b = header(b, "Idempotency-Key", req.Key)
 	b = header(b, "X-Labels", req.Labels)
 	b = header(b, "Content-Type", req.MediaType)
+	b = header(b, "Baggage", req.Baggage)
 	if req.Repeated {
 		b = header(b, "X-Resent", "1")
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -163,13 +163,16 @@
 	addr := h.addr
 	p.mu.Unlock()
 
+	from := time.Now()
 	d := net.Dialer{Timeout: max(1, min(p.connectTimeout, time.Until(until))), KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", use.at(addr))
 	if err != nil {
 		p.drop(nil)
 		return nil, fmt.Errorf("upstream: dial: %w", err)
 	}
-	return newConn(nc, id, addr, use), nil
+	c := newConn(nc, id, addr, use)
+	c.way = time.Since(from)
+	return c, nil
 }
 
 // last takes the idle connection out that was used last for that purpose, if there is one.
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/budget"
 	"pinelb.example/pinelb/internal/stream"
 )
 
@@ -24,8 +25,12 @@
 	if err != nil {
 		return neverSent(ctx, err), stream.Response{Outcome: stream.Failed}
 	}
+	left := time.Until(until)
+	if req.Baggage != "" { // the next tier keeps books too, and has to know how long it really has
+		left = budget.Time(left, c.way)
+	}
 	buf := buffers.Get().(*[]byte)
-	*buf = encode((*buf)[:0], req, time.Until(until))
+	*buf = encode((*buf)[:0], req, left)
 	a, status := p.exchange(ctx, c, until, *buf)
 	buffers.Put(buf)
 	switch {
@@ -35,7 +40,7 @@
 		// The host is well and the request is not: no evidence against the one, and no host for the other.
 		return balance.Cancelled, stream.Response{Outcome: stream.Rejected}
 	}
-	return status, stream.Response{Outcome: stream.Failed}
+	return status, stream.Response{Outcome: stream.Failed, Spent: a.spent}
 }
 
 // Probe asks an upstream host whether it is up.
