--- a/balance/balance.go
+++ b/balance/balance.go
@@ -141,7 +141,7 @@
 func (b *Balancer) onRequest(ev *Event) {
 	ci := min(ev.Class, len(b.classes)-1)
 	c := b.classes[ci]
-	r := &request{id: ev.Request, class: c, ci: ci, deadline: b.now + ev.Left, most: b.most(ev),
+	r := &request{id: ev.Request, class: c, ci: ci, deadline: b.now + ev.Left,
 		aimAt: b.now + c.Aim - b.spent(c, ev), rank: c.rank * worth(ev), livePos: len(b.live)}
 	if r.over = b.overShare(ev.Tenant); r.over {
 		r.rank *= b.set.OverShareWorth
@@ -150,7 +150,7 @@
 	if ev.Repeated && b.set.MarksRetry && b.asked.mean(0, 0) > shortShare {
 		r.rank *= repeatedRank
 	}
-	r.till, r.holdTill = r.latest(), b.holdTill(r)
+	r.most, r.price, r.till, r.holdTill = b.most(ev), price(ev), r.latest(), b.holdTill(r)
 	b.reqs[r.id] = r
 	b.live = append(b.live, r)
 	b.retries = min(retryBurst, b.retries+retryPerCall)
@@ -411,9 +411,9 @@
 
 // again decides whether a request whose attempts have all failed gets another.
 func (b *Balancer) again(r *request, mayHave bool) {
-	cost := 1.0
+	cost := r.price // of one more
 	if !mayHave {
-		cost = retryUnseen
+		cost *= retryUnseen
 	}
 	if r.final || b.retries < cost || b.now > r.aimAt ||
 		!slices.ContainsFunc(b.servers, func(s *server) bool {
--- a/balance/state.go
+++ b/balance/state.go
@@ -99,8 +99,9 @@
 	till     time.Duration // the latest time at which an answer is worth anything
 	over     bool          // beyond its tenant's share
 	rank     float64
-	most     int  // attempts that it may make
-	final    bool // the tier below has failed after trying again: this one doesn't
+	most     int     // attempts that it may make
+	price    float64 // of a retry: 0 where most was granted, for somebody else has paid
+	final    bool    // the tier below has failed after trying again: this one doesn't
 	tries    []attempt
 	out      int // attempts that have not ended
 	done     bool
@@ -459,6 +460,14 @@
 	return min(ev.Most, b.set.MaxAttempts)
 }
 
+// price is what one more attempt costs of the retries here: nothing where most was granted, for then it has been paid.
+func price(ev *Event) float64 {
+	if ev.Most != 0 {
+		return 0
+	}
+	return 1
+}
+
 // worth is the share of its class's worth that a request is worth, as it came.
 func worth(ev *Event) float64 {
 	if ev.Worth <= 0 {
--- a/internal/budget/books.go
+++ b/internal/budget/books.go
@@ -48,7 +48,7 @@
 // when its caller waits.
 func (b *Books) Open(now, until time.Duration, header string, repeated bool) *Account {
 	c, rest, ok := Split(header)
-	a := &Account{rest: rest, worth: 1}
+	a := &Account{rest: rest, worth: 1, share: NewShare(0, true)}
 	switch {
 	case ok && !b.set.Edge:
 		if a.path, a.worth = c.Path, c.Worth; Path(c.Path, b.set.Service, b.set.Reentry) {
@@ -77,30 +77,28 @@
 // Worth is what the request is worth of its class's worth, as the tier above had it.
 func (a *Account) Worth() float64 { return a.worth }
 
-// Send is the header "baggage" of the next attempt; worth is what the decisions here make of the request's worth.
-func (b *Books) Send(a *Account, worth float64) string {
-	extra, ok := 0, false
-	if a.share != nil {
-		extra, ok = a.share.Attempt()
-	}
-	if !ok { // no attempt that was foreseen: it takes nothing along
-		extra = 0
-	}
+// Send is the header "baggage" of the next attempt, and its number from 0 on; worth is what the decisions here make of the
+// request's worth.
+func (b *Books) Send(a *Account, worth float64) (header string, n int) {
+	extra, _ := a.share.Attempt() // one that was not foreseen takes nothing along
 	a.attempts++
 	c := Carried{Pot: b.rng.Uint64() | 1, Extra: extra, Worth: worth, Path: With(a.path, b.set.Service)}
-	return c.Join(a.rest)
+	return c.Join(a.rest), a.attempts - 1
 }
 
-// Tried tells whether any attempt has been made.
-func (a *Account) Tried() bool { return a.attempts > 0 }
+// Ended is the end of an attempt, with what its answer says of what it took. After Close it changes nothing.
+func (b *Books) Ended(a *Account, n int, t Tried) { a.share.Ended(n, t) }
 
-// Close is a request's end. Good is an answer within its aim.
-func (b *Books) Close(a *Account, good bool) {
+// Close is a request's end. Good is an answer within its aim. It returns what the caller is to be told: nothing of a
+// failure without an attempt, for somebody else may have room.
+func (b *Books) Close(a *Account, good bool) Tried {
+	t := Tried{good || a.attempts > 0 || a.Loop != nil, a.granted - a.share.Unused()}
 	switch {
-	case a.share == nil:
+	case a.Loop != nil || a.most < 0:
 	case a.pot != 0:
 		b.ledger.Close(a.pot, a.share.Unused())
 	default:
-		b.purse.Ended(a.granted, a.repeat, good, a.share.Unused())
+		b.purse.Ended(t.Extra, a.repeat, good)
 	}
+	return t
 }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -4,9 +4,10 @@
 // from here enters it as inputs.
 //
 // Attempts. The first tier's sidecar has a Purse. It grants each try of a client so many attempts beyond the plain chain of
-// one a tier, and pays for them in advance. What ends well gives all of it back and earns more; what fails is spent. So
+// one a tier, and those that were used are paid for when the try fails; what ends well pays nothing and earns. So
 // retries are plentiful while they help, wherever in the chain they are made, and while nothing below succeeds they are a
-// stated share of the clients' first tries: Earned each. A client's own repeat is an attempt like any other.
+// stated share of the clients' first tries: Earned each, and what was out when the trouble began. A client's own repeat
+// is an attempt like any other, paid for before it goes.
 // The sidecars behind don't have a purse of their own: they share out what came with the request. Each attempt takes a
 // part of it along, and calls that one server makes for one request share one pot (Ledger).
 //
@@ -15,10 +16,7 @@
 // adds to it but the return of what was not used, once. TestTrees proves it on random trees.
 package budget
 
-import (
-	"math"
-	"time"
-)
+import "time"
 
 // Tunables.
 const (
@@ -26,10 +24,11 @@
 	perGood = 1.0  // and that an answer in its aim earns: while they help, all that are asked for are granted
 	burst   = 60.0 // the most that is saved, over all instances of the first tier
 	saved   = 6.0  // and at each at least
+	least   = 2.0  // that there must be for a grant; one that is used up by more leaves a debt
 	Most    = 8    // attempts beyond the first that a grant is read for; more is no grant of ours
 )
 
-// Purse is what an instance of the first tier may have tried again. The zero value is no purse; see NewPurse.
+// Purse is what an instance of the first tier may have tried again. See NewPurse.
 type Purse struct{ level, most float64 }
 
 // NewPurse returns a full purse of one of so many instances.
@@ -38,47 +37,40 @@
 	return &Purse{most, most}
 }
 
-// First is a client's first try. It earns, and gets up to want extra attempts, paid in advance.
+// First is a client's first try. It earns, and may cause up to want extra attempts, if there is anything to pay with.
 func (p *Purse) First(want int) (extra int) {
 	p.earn(Earned)
-	return p.take(want)
+	if p.level < least {
+		return 0
+	}
+	return want
 }
 
 // Repeat is a try that its client has marked as repeated. It is paid for itself, and where that can't be, ok is false
-// and it may cause nothing at all.
+// and it may cause nothing at all: a repeat with nothing to go with it would fail as the first did, and eat up what
+// others could use.
 func (p *Purse) Repeat(want int) (extra int, ok bool) {
-	if p.level < 1 {
+	if p.level < least {
 		return 0, false
 	}
 	p.level--
-	return p.take(want), true
-}
-
-// take pays for as many as there are, but for one that is left for a client's repeat: that is the try which somebody
-// still waits for.
-func (p *Purse) take(want int) int {
-	n := int(min(float64(want), math.Floor(p.level)-1))
-	if n <= 0 {
-		return 0
-	}
-	p.level -= float64(n)
-	return n
+	return want, true
 }
 
-// Ended is a try's end. Good is an answer in its aim: what was paid for it comes back, repeat included, and more is
-// earned. Of what failed only the part comes back that was certainly not used.
-func (p *Purse) Ended(extra int, repeat, good bool, unused int) {
-	if !good {
-		p.earn(float64(min(unused, extra)))
-		return
-	}
-	if repeat {
-		extra++
+// Ended is a try's end. Good is an answer in its aim: what a repeat paid comes back, and more is earned. What failed pays
+// for the extra attempts that may have been used.
+func (p *Purse) Ended(used int, repeat, good bool) {
+	switch {
+	case !good:
+		p.level -= float64(used)
+	case repeat:
+		p.earn(1 + perGood)
+	default:
+		p.earn(perGood)
 	}
-	p.earn(float64(extra) + perGood)
 }
 
-// Level is how many attempts could be granted now.
+// Level is how many attempts can be paid for now; below 0 more were used than that.
 func (p *Purse) Level() float64 { return p.level }
 
 func (p *Purse) earn(x float64) { p.level = min(p.most, p.level+x) }
@@ -94,21 +86,21 @@
 	return n
 }
 
-// Down is the part of what is left that an attempt takes along for the tiers below: half, rounded down, for what fails
-// below is best repeated below, where the least work is done again, but an attempt whose host does not answer has
-// lost it. The last tier has nothing below.
+// Down is the part of what is left that an attempt takes along for the tiers below: all but one, for what fails below is
+// best repeated below, where the least work is done again; the one is for a host here that does not answer. The last
+// tier has nothing below.
 func Down(left int, last bool) int {
 	if last {
 		return 0
 	}
-	return left / 2
+	return max(0, left-1)
 }
 
 // Share is what is left of one request's extra attempts at one sidecar.
 type Share struct {
-	left int
-	sent int
-	last bool
+	left  int
+	last  bool
+	downs []int // what each attempt took along, less what has come back
 }
 
 // NewShare begins one. Last says that no tier is below.
@@ -116,19 +108,27 @@
 
 // Attempt is the next attempt, which takes extra along. Ok is false where the request may make no more.
 func (s *Share) Attempt() (extra int, ok bool) {
-	if s.sent > 0 {
+	if len(s.downs) > 0 {
 		if s.left == 0 {
 			return 0, false
 		}
 		s.left--
 	}
-	s.sent++
 	extra = Down(s.left, s.last)
 	s.left -= extra
+	s.downs = append(s.downs, extra)
 	return extra, true
 }
 
-// Unused is what has not been given to any attempt. Once the request has ended it goes back to the pot or the purse.
+// Ended is the end of attempt n, counted from 0. What it took along and is known not to have used comes back, once.
+func (s *Share) Ended(n int, t Tried) {
+	if t.Told && n < len(s.downs) {
+		s.left += max(0, s.downs[n]-t.Extra)
+		s.downs[n] = 0
+	}
+}
+
+// Unused is what no attempt has used, as far as is known. Once the request has ended it goes back to the pot or the purse.
 func (s *Share) Unused() int { return s.left }
 
 // Path tells whether a request that has come through some services may go to one: reentry is how often it may have
--- a/internal/budget/ledger.go
+++ b/internal/budget/ledger.go
@@ -26,7 +26,7 @@
 func NewLedger() *Ledger { return &Ledger{map[uint64]*list.Element{}, list.New()} }
 
 // Open is a call that came with a pot's number and what was in the pot at first, at a time now and to be answered by
-// until. It takes half of what is left, rounded up, for there may be another call beside it.
+// until. It takes what is left, but for one where there are more than two: another call may be made beside it.
 func (l *Ledger) Open(now, until time.Duration, id uint64, extra int) int {
 	l.lapse(now)
 	e := l.pots[id]
@@ -40,7 +40,10 @@
 	p := e.Value.(*pot)
 	p.until = max(p.until, until)
 	p.open++
-	n := (p.left + 1) / 2
+	n := p.left
+	if n > 2 {
+		n--
+	}
 	p.left -= n
 	return n
 }
--- a/internal/config/budget.go
+++ b/internal/config/budget.go
@@ -16,7 +16,7 @@
 
 // Defaults and limits of [budget].
 const (
-	defaultAttempts = 3
+	defaultAttempts = 6
 	mostReentry     = 4
 )
 
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -9,16 +9,10 @@
 	"time"
 
 	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/budget"
 	"pinelb.example/pinelb/internal/stream"
 )
 
-// SpentHeader beside a failure says SpentWord where the request has been tried again already, here or below: a server
-// passes it up with its own failure, so that one tier tries a trouble again and not all.
-const (
-	SpentHeader = "X-Tried-Again"
-	SpentWord   = "1"
-)
-
 const (
 	bodyMost  = 64 << 10 // bytes of any message's body
 	bodyFirst = 4 << 10  // bytes to begin with
@@ -203,8 +197,8 @@
 
 // encode writes a stream's final answer.
 func encode(w http.ResponseWriter, res stream.Response) {
-	if res.Spent {
-		w.Header().Set(SpentHeader, SpentWord)
+	if t := res.Tried.String(); t != "" {
+		w.Header().Set(budget.TriedHeader, t)
 	}
 	switch res.Outcome {
 	case stream.Served:
--- a/internal/lab/live/boxhttp.go
+++ b/internal/lab/live/boxhttp.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"pinelb.example/pinelb/internal/budget"
 	"pinelb.example/pinelb/internal/lab/plan"
 )
 
@@ -35,6 +36,7 @@
 	if ms, err := strconv.ParseUint(req.Header.Get("X-Remaining-Ms"), 10, 31); err == nil {
 		a.left = time.Duration(ms) * time.Millisecond
 	}
+	a.baggage = req.Header.Get("Baggage")
 	body, err := io.ReadAll(io.LimitReader(req.Body, requestBodyMost+1))
 	if err != nil {
 		return a, err
@@ -92,8 +94,11 @@
 	replyUnknown:    "404 Not Found\r\n",
 }
 
-func (http1) answer(out []byte, what reply, _ mark, body []byte, last bool) []byte {
+func (http1) answer(out []byte, what reply, to mark, body []byte, last bool) []byte {
 	out = append(append(out, "HTTP/1.1 "...), replyHeads[what]...)
+	if t := to.tried.String(); t != "" {
+		out = append(append(append(out, budget.TriedHeader+": "...), t...), "\r\n"...)
+	}
 	if last {
 		out = append(out, "Connection: close\r\n"...)
 	}
--- a/internal/lab/live/boxwire.go
+++ b/internal/lab/live/boxwire.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"pinelb.example/pinelb/internal/budget"
 	"pinelb.example/pinelb/internal/lab/plan"
 )
 
@@ -33,6 +34,7 @@
 	http   bool   // whether that was HTTP, where a box speaks another protocol otherwise
 	method string // of a Thrift call
 	seq    int32
+	tried  budget.Tried // what a box passes up beside its answer
 }
 
 // ask is a request as a box reads it.
@@ -43,7 +45,8 @@
 	request int // place in the plan; -1 if it is not in the form that a caller gave it
 	key     uint64
 	left    time.Duration // how long its sender says that it waits; 0 is not said
-	last    bool          // its sender wants no more on this connection
+	baggage string
+	last    bool // its sender wants no more on this connection
 	mark    mark
 }
 
--- a/internal/lab/live/callers.go
+++ b/internal/lab/live/callers.go
@@ -187,7 +187,7 @@
 		return c.unanswered(ctx, q, t, err, trace.Failed), false
 	}
 	t.Answered, t.Answers = c.now(), 1
-	t.Code, t.Status, t.Advice = end.code, end.status, end.advice
+	t.Code, t.Status, t.Advice, t.Tried = end.code, end.status, end.advice, end.tried
 	if t.Status == trace.Served {
 		var whole bool
 		t.Box, whole = checkBody(t.Txn, end.body)
--- a/internal/lab/live/callhttp.go
+++ b/internal/lab/live/callhttp.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"pinelb.example/pinelb/internal/budget"
 	"pinelb.example/pinelb/internal/lab/trace"
 )
 
@@ -26,6 +27,9 @@
 	if class.Effect == "keyed" {
 		b = fmt.Appendf(b, "Idempotency-Key: %032x\r\n", q.key)
 	}
+	if q.baggage != "" {
+		b = fmt.Appendf(b, "Baggage: %s\r\n", q.baggage)
+	}
 	if q.repeated && h.plan.Scenario.Rules.MarksRetry {
 		b = append(b, "X-Resent: 1\r\n"...)
 	}
@@ -44,7 +48,7 @@
 	if err != nil {
 		return end{}, err
 	}
-	e := end{status: trace.Failed, code: r.StatusCode, body: body, last: r.Close}
+	e := end{status: trace.Failed, code: r.StatusCode, body: body, last: r.Close, tried: budget.ReadTried(r.Header.Get(budget.TriedHeader))}
 	switch r.StatusCode {
 	case http.StatusOK:
 		e.status = trace.Served
--- a/internal/lab/live/callwire.go
+++ b/internal/lab/live/callwire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"pinelb.example/pinelb/internal/budget"
 	"pinelb.example/pinelb/internal/lab/plan"
 	"pinelb.example/pinelb/internal/lab/trace"
 )
@@ -31,5 +32,6 @@
 	code   int           // see trace.Try
 	advice time.Duration // when to come back; 0 is not said
 	body   []byte        // of one that is served, until the next answer on its line
+	tried  budget.Tried  // what it says of attempts that it took
 	last   bool          // its connection ends with it
 }
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -115,5 +115,6 @@
 	leaves   time.Duration // the plan's time at which the caller goes away; plan's Never if it stays
 	key      uint64
 	repeated bool
-	fresh    bool // on a connection of its own, closed afterwards
+	baggage  string // that the caller passes on
+	fresh    bool   // on a connection of its own, closed afterwards
 }
--- a/internal/lab/live/sidecar_config.go
+++ b/internal/lab/live/sidecar_config.go
@@ -22,7 +22,8 @@
 func (s *sidecar) operator() string { return filepath.Join(s.fleet.dir, s.plan.Name+".toml") }
 
 func (s *sidecar) operatorText() string {
-	return s.fleet.plan.Scenario.OperatorText(s.fleet.net.thrift(s.id))
+	p := s.fleet.plan
+	return p.Scenario.OperatorText(s.fleet.net.thrift(s.id), p.Scenario.Tier[s.plan.Tier].Name, s.plan.Books)
 }
 
 // configure writes the configuration anew, as a whole: a sidecar may be reading it. It needs the lock.
--- a/internal/lab/live/visit.go
+++ b/internal/lab/live/visit.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"pinelb.example/pinelb/internal/budget"
 	"pinelb.example/pinelb/internal/lab/model"
 	"pinelb.example/pinelb/internal/lab/trace"
 )
@@ -20,6 +21,8 @@
 	segments  []time.Duration
 	peer      *peer
 	withdrawn bool
+	baggage   string
+	tried     budget.Tried       // what its calls have said of attempts that they took
 	stop      context.CancelFunc // of the call that is out; nil if none is
 }
 
@@ -90,7 +93,7 @@
 // take gives a request to the model.
 func (b *box) take(p *peer, a *ask, begun, now time.Duration) {
 	b.numbers++
-	v := &visit{job: b.numbers, request: a.request, number: b.visits[a.txn], left: a.left, last: a.last, mark: a.mark, peer: p,
+	v := &visit{job: b.numbers, request: a.request, number: b.visits[a.txn], left: a.left, last: a.last, mark: a.mark, peer: p, baggage: a.baggage,
 		Visit: trace.Visit{Txn: a.txn, Box: b.index, Conn: p.id, Begun: begun, Arrived: now, Started: trace.None,
 			Ended: trace.None, Key: a.key}}
 	b.visits[a.txn]++
@@ -180,6 +183,7 @@
 // respond has an answer written.
 func (b *box) respond(p *peer, v *visit, answer model.Answer) {
 	o := output{what: replyServed, to: v.mark, how: answer, last: v.last}
+	o.to.tried = v.tried
 	switch answer {
 	case model.Errored:
 		o.what = replyErrored
--- a/internal/lab/rehearse/build.go
+++ b/internal/lab/rehearse/build.go
@@ -89,7 +89,7 @@
 			name = "host-"
 		}
 	}
-	t := scenario.Tier{Name: strings.TrimSuffix(name, "-"), Work: 1}
+	t := scenario.Tier{Name: strings.TrimSuffix(name, "-"), Work: 1, Carry: "all"}
 	failing := m.errorRate(v)
 	for i := range v.hosts {
 		h := &v.hosts[i]
--- a/internal/lab/scenario/protocol.go
+++ b/internal/lab/scenario/protocol.go
@@ -30,14 +30,20 @@
 // Method is the name of the method of Thrift by which a class is called: its own, with "_" for "-".
 func (c *Class) Method() string { return strings.ReplaceAll(c.Name, "-", "_") }
 
-// OperatorText is the operator's file of a sidecar that is to listen at an address, host:port, where the
-// protocol is Thrift: the fleet's, and the section that tells the sidecar of the calls. "" is none.
-func (s *Scenario) OperatorText(listen string) string {
+// OperatorText is the operator's file of a sidecar that sends to a service: the fleet's, and after it the section of
+// budgets, if the sidecar keeps any, and the one that tells it of the calls where the protocol is Thrift and it is to
+// listen at an address, host:port. "" is none.
+func (s *Scenario) OperatorText(listen, service string, books bool) string {
+	var out strings.Builder
+	out.WriteString(s.Fleet.Operator)
+	if b := s.Fleet.Budget; b != nil && books {
+		tier := s.TierIndex(service)
+		fmt.Fprintf(&out, "\n[budget]\nservice = %q\nattempts = %d\nreentry = %d\nleaf = %v\n", service, b.Attempts, b.Reentry, s.Next(tier) < 0)
+	}
 	if !s.Fleet.Thrift() {
-		return s.Fleet.Operator
+		return out.String()
 	}
-	var out strings.Builder
-	fmt.Fprintf(&out, "%s\n[thrift]\nlisten = %q\nturned_away = %d\nmost_message = %q\n", s.Fleet.Operator, listen,
+	fmt.Fprintf(&out, "\n[thrift]\nlisten = %q\nturned_away = %d\nmost_message = %q\n", listen,
 		ThriftTurnedAway, thriftMost)
 	for i := range s.Class {
 		c := &s.Class[i]
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -50,6 +50,8 @@
 	Name  string
 	Work  float64 // share of a class's work that a box of it does for each call
 	Calls float64 // of the next tier that each request of this one makes, on average, one after another
+	To    string  // the tier that it calls, if not the next one
+	Carry string  // what its boxes pass on that they don't know: "all" is what a request carries, and what a failure says; or "none"
 	Kind  []Kind
 }
 
@@ -128,21 +130,29 @@
 
 // Fleet is the sidecars.
 type Fleet struct {
-	Sidecars    int    // of the first tier; each box of a tier with a next one has one of its own
-	Protocol    string // between clients, sidecars and boxes: see Protocols
-	Policy      string // "pinelb", or "plain": no sidecars, clients go round the listed boxes
-	Other       int    // how many of the first tier run the second build, where there is one
-	Rank        string // "right", "equal" (all are told 0) or "none" (the settings lack it)
-	Operator    string // text of the operator's file that they are given; "" is none
-	Told        int    // how many instances they are told there are; 0 is right
-	Start       string // "before" the run, which waits until all are ready, or "with" it
-	StartSpread Span   `toml:"start_spread"` // with: over which they start
-	Known       string // "fresh", "none" or "stale": the list that they start with
-	MemoryMB    int    `toml:"memory_mb"`
+	Sidecars    int      // of the first tier; each box of a tier with a next one has one of its own
+	Protocol    string   // between clients, sidecars and boxes: see Protocols
+	Policy      string   // "pinelb", or "plain": no sidecars, clients go round the listed boxes
+	Other       int      // how many of the first tier run the second build, where there is one
+	Rank        string   // "right", "equal" (all are told 0) or "none" (the settings lack it)
+	Operator    string   // text of the operator's file that they are given; "" is none
+	Told        int      // how many instances they are told there are; 0 is right
+	Budget      *Budgets // [budget] of the operator's file; nil is off
+	Start       string   // "before" the run, which waits until all are ready, or "with" it
+	StartSpread Span     `toml:"start_spread"` // with: over which they start
+	Known       string   // "fresh", "none" or "stale": the list that they start with
+	MemoryMB    int      `toml:"memory_mb"`
 	Sockets     int
 	Cores       float64
 }
 
+// Budgets is the section [budget] that sidecars get: the service is the name of the tier that each sends to.
+type Budgets struct {
+	Attempts int
+	Reentry  int
+	Share    float64 // of the sidecars that get it; the others keep no books
+}
+
 // Discovery is how the lists travel.
 type Discovery struct {
 	Add       Span    // until a box that is up is listed
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/budget"
 )
 
 // None is a time that never came.
@@ -47,6 +48,7 @@
 	Code     int           // HTTP's, 0 for none; over Thrift the type of the TApplicationException
 	Advice   time.Duration // Retry-After; 0 is none
 	Box      int           // whose answer it is by its body; -1 is unknown
+	Tried    budget.Tried  // what the answer says of attempts that it took below
 	Forged   bool          // a 200 whose body no box made for this request
 	Answers  int           // whole final answers that came for it: more than 1 breaks a rule
 }
--- a/internal/lab/virtual/clients.go
+++ b/internal/lab/virtual/clients.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"pinelb.example/pinelb/internal/budget"
 	"pinelb.example/pinelb/internal/lab/trace"
 )
 
@@ -31,6 +32,9 @@
 	box      int
 	attempts int // how many, and the last of them
 	attempt  int
+	baggage  string          // that its caller passed on
+	account  *budget.Account // at its sidecar, while it keeps books
+	tried    budget.Tried
 }
 
 // arrive is a client's sending of its next try. The first tries follow each other by the plan.
@@ -83,7 +87,7 @@
 	for range s.boxes {
 		s.round = (s.round + 1) % len(s.boxes)
 		if s.listed[s.round] && s.p.Boxes[s.round].Tier == tier {
-			s.startAttempt(i, s.round, s.tries[i].deadline)
+			s.startAttempt(i, s.round, s.tries[i].deadline, "", 0)
 			return
 		}
 	}
@@ -122,6 +126,7 @@
 		return
 	}
 	t.decided, t.at, t.result, t.code, t.advice, t.box = true, s.now, status, code, advice, box
+	s.closeBooks(i, status == trace.Served && s.now <= s.log.Tries[i].Sent+s.p.Scenario.Class[s.log.Tries[i].Class].Aim.D())
 	s.at(s.now+s.delay, event{kind: evAnswer, a: int32(i)})
 }
 
@@ -131,7 +136,7 @@
 	if t.ended {
 		return
 	}
-	l.Code, l.Advice, l.Box = t.code, t.advice, t.box
+	l.Code, l.Advice, l.Box, l.Tried = t.code, t.advice, t.box, t.tried
 	if t.code > 0 {
 		l.Answers = 1
 	}
@@ -147,7 +152,7 @@
 	t.ended = true
 	l.Status, l.Answered = status, s.now
 	if t.parent >= 0 {
-		s.returned(t.parent, status == trace.Served)
+		s.returned(t.parent, status == trace.Served, l.Tried)
 		return
 	}
 	c := &s.requests[l.Request]
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -174,7 +174,12 @@
 		if op.Fleet == nil || !op.Fleet.Numbered {
 			set.Name = p.Sidecars[i].Name
 		}
-		s.sidecars = append(s.sidecars, sidecar{index: i, set: set, agent: map[int]plan.Listed{}})
+		op, err := config.ParseOperator("fleet.operator", []byte(p.Scenario.OperatorText("127.0.0.1:1",
+			p.Scenario.Tier[p.Sidecars[i].Tier].Name, p.Sidecars[i].Books)))
+		if err != nil {
+			return nil, fmt.Errorf("virtual: %w", err)
+		}
+		s.sidecars = append(s.sidecars, sidecar{index: i, set: set, budget: op.Budget, agent: map[int]plan.Listed{}})
 		for _, l := range p.First(p.Sidecars[i].Tier) {
 			s.sidecars[i].agent[l.Box] = l
 		}
--- a/internal/stream/budget.go
+++ b/internal/stream/budget.go
@@ -42,30 +42,38 @@
 	return b.books.Open(time.Since(b.start), req.Deadline.Sub(b.start), req.Baggage, req.Repeated)
 }
 
-// send is a stream's request as its next attempt takes it along.
-func (b *Budget) send(a *budget.Account, req *Request, worth float64) *Request {
+// sent is a stream's request as one attempt takes it along.
+type sent struct {
+	*Request
+	ended func(budget.Tried) // tells the books what the attempt's answer says
+}
+
+func (b *Budget) send(a *budget.Account, req *Request, worth float64) sent {
 	if b == nil {
-		return req
+		return sent{req, func(budget.Tried) {}}
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	sent := *req
-	sent.Baggage = b.books.Send(a, worth)
-	return &sent
+	with := *req
+	header, n := b.books.Send(a, worth)
+	with.Baggage = header
+	return sent{&with, func(t budget.Tried) {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		b.books.Ended(a, n, t)
+	}}
 }
 
-// close ends a stream's account, and marks its answer where trying again above would only repeat what was done here.
+// close ends a stream's account, and tells the tier above what it took.
 func (b *Budget) close(a *budget.Account, req *Request, res *Response) {
 	if b == nil {
+		res.Tried = budget.Tried{}
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.books.Close(a, res.Outcome == Served && req.Class < len(b.Aims) && time.Since(req.Arrived) <= b.Aims[req.Class])
-	switch res.Outcome {
-	case Refused, Failed, Expired:
-		res.Spent = res.Spent || a.Tried()
-	}
+	good := res.Outcome == Served && req.Class < len(b.Aims) && time.Since(req.Arrived) <= b.Aims[req.Class]
+	res.Tried = b.books.Close(a, good)
 }
 
 // looped is the answer to a request that has been here before. Each loop is logged once.
@@ -80,5 +88,5 @@
 	if !told {
 		b.Log.Error().Str("loop", loop).Msg("a request has come through this service before")
 	}
-	return Response{Outcome: Looped, Loop: loop, Spent: true}
+	return Response{Outcome: Looped, Loop: loop}
 }
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -54,8 +54,8 @@
 	MediaType  string
 	Body       []byte // Served: the answer; Rejected: the fault in the host's own words, where they are to be passed on
 	RetryAfter time.Duration
-	Spent      bool   // of a failure: it has been tried again here or below, and to try again above would only repeat that
-	Loop       string // Looped: the services that it has come through
+	Tried      budget.Tried // what it took here and below, for the tier above
+	Loop       string       // Looped: the services that it has come through
 }
 
 // Upstream carries out one upstream request. It returns by until or soon after ctx ends, and never
@@ -91,11 +91,11 @@
 
 // Serve tells the decisions of a stream and sees it through. An id that is under way is not taken again:
 // upstream hosts would have the other request's copy.
-func (p *Proxy) Serve(ctx context.Context, req *Request) Response {
+func (p *Proxy) Serve(ctx context.Context, req *Request) (res Response) {
 	if !p.take(req) {
 		return p.unheard(req, Duplicate)
 	}
-	res := Response{Outcome: Failed} // what a panic leaves
+	res = Response{Outcome: Failed} // what a panic leaves
 	defer func() { p.release(req.Txn, func(l *Life) { l.Response, l.Answered = res, time.Now() }) }()
 	a := p.Budget.open(req)
 	defer func() { p.Budget.close(a, req, &res) }()
@@ -141,19 +141,20 @@
 }
 
 // attempt is one upstream request, the n-th of its stream. However it ends, its outcome is told once.
-func (p *Proxy) attempt(s decided, send engine.Send, req *Request, n int, answer chan<- Response) {
+func (p *Proxy) attempt(s decided, send engine.Send, req sent, n int, answer chan<- Response) {
 	status, res := balance.Reset, Response{Outcome: Failed} // what a panic leaves: it may have run
 	defer func() {
 		p.release(req.Txn, func(l *Life) { l.Attempts[n].Status, l.Attempts[n].Ended = status, time.Now() })
 		if fault := recover(); fault != nil {
 			p.Log.Error().Interface("panic", fault).Msg("upstream request failed")
 		}
-		if s.Settle(send.Attempt, engine.Outcome{Status: status, Spent: res.Spent,
+		if s.Settle(send.Attempt, engine.Outcome{Status: status, Spent: res.Tried.Told,
 			Answers: status == balance.OK || res.Outcome == Rejected || res.Outcome == Unanswered}) {
 			answer <- res
 		}
 	}()
-	status, res = p.Upstream.Do(send.Ctx, send.Host, send.Until, req)
+	status, res = p.Upstream.Do(send.Ctx, send.Host, send.Until, req.Request)
+	req.ended(res.Tried)
 }
 
 // localReply words what the decisions said. A failure near the deadline is one of time.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/budget"
 	"pinelb.example/pinelb/internal/stream"
 )
 
@@ -75,7 +76,7 @@
 type answer struct {
 	status     int
 	turnedAway bool
-	spent      bool // the tier below has tried again itself
+	tried      budget.Tried
 	mediaType  string
 	body       []byte
 	reusable   bool // the connection may carry another request
@@ -102,7 +103,7 @@
 			continue
 		}
 		a := answer{status: res.StatusCode, turnedAway: res.Header.Get("X-Turned-Away") == "1",
-			mediaType: res.Header.Get("Content-Type"), spent: res.Header.Get("X-Tried-Again") == "1"}
+			mediaType: res.Header.Get("Content-Type"), tried: budget.ReadTried(res.Header.Get(budget.TriedHeader))}
 		if a.body, err = readBody(res); err != nil {
 			return answer{}, c.fault(err)
 		}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -35,12 +35,12 @@
 	buffers.Put(buf)
 	switch {
 	case status == balance.OK:
-		return status, stream.Response{Outcome: stream.Served, MediaType: a.mediaType, Body: a.body}
+		return status, stream.Response{Outcome: stream.Served, MediaType: a.mediaType, Body: a.body, Tried: a.tried}
 	case rejects(a.status):
 		// The host is well and the request is not: no evidence against the one, and no host for the other.
 		return balance.Cancelled, stream.Response{Outcome: stream.Rejected}
 	}
-	return status, stream.Response{Outcome: stream.Failed, Spent: a.spent}
+	return status, stream.Response{Outcome: stream.Failed, Tried: a.tried}
 }
 
 // Probe asks an upstream host whether it is up.
