--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -317,3 +317,21 @@
 		t.Error("all goes well again, and a repeat may make no attempt")
 	}
 }
+
+// BenchmarkBooks is a request's whole cost in the books of a sidecar behind the first tier: its header read, an attempt's
+// written, its end.
+func BenchmarkBooks(b *testing.B) {
+	books := NewBooks(Settings{Service: "order", Instances: 1, Attempts: 6}, 1)
+	header := (&Carried{Pot: 1, Extra: 4, Worth: 1, Path: []string{"front"}}).Join("")
+	b.ReportAllocs()
+	for i := range b.N {
+		now := time.Duration(i) * time.Millisecond
+		a := books.Open(now, now+time.Second, header, false)
+		down, n := books.Send(a, 1)
+		books.Ended(a, n, Tried{Told: true})
+		books.Close(a, true)
+		if i == 0 {
+			b.ReportMetric(float64(len(down)), "bytes/attempt")
+		}
+	}
+}
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -40,7 +40,8 @@
 // Guards against an example that is no longer true.
 func TestOperatorExample(t *testing.T) {
 	op, err := LoadOperator("../../deploy/operator.example.toml")
-	if err != nil || op.Record == nil || op.Fleet == nil || op.Thrift == nil || len(op.Thrift.Methods) == 0 {
+	if err != nil || op.Record == nil || op.Fleet == nil || op.Thrift == nil || len(op.Thrift.Methods) == 0 ||
+		op.Budget == nil || op.Budget.Service == "" {
 		t.Errorf("%+v, %v", op, err)
 	}
 }
@@ -57,6 +58,10 @@
 		"[record]\nto = \"/a\"\nmost = \"9TiB\"":  ":3: record.most: must be a size",
 		"[record]\nto = \"/a\"\nper_second = 0":   ":3: record.per_second: ",
 		"[record]\nto = ":                         ":2: ",
+		"[budget]\nattempts = 1":                  ":1: budget.service: ",
+		"[budget]\nservice = \"a b\"":             ":2: budget.service: ",
+		"[budget]\nservice = \"a\"\nattempts = 9": ":3: budget.attempts: ",
+		"[budget]\nservice = \"a\"\nreentry = -1": ":3: budget.reentry: ",
 		"[fleet]\nnumbered = 1":                   ":2: fleet.numbered: ",
 		"[fleet]\nspread = \"6s\"":                ":2: fleet.spread: must be from 0s to 5s",
 	} {
--- a/internal/lab/live/calls.go
+++ b/internal/lab/live/calls.go
@@ -56,7 +56,7 @@
 		baggage = v.baggage
 	}
 	return query{direct: direct, left: left, baggage: baggage, leaves: model.Never, key: r.Key, try: trace.Try{
-		Txn: p.CallTxn(v.Txn, b.index, v.number, call), Request: v.request, Tier: p.Scenario.Next(b.plan.Tier),
+		Txn: p.CallTxn(v.Txn, b.index, v.number, call), Parent: v.Txn, Request: v.request, Tier: p.Scenario.Next(b.plan.Tier),
 		Sidecar: slices.IndexFunc(p.Sidecars, func(s plan.Sidecar) bool { return s.Box == b.index }),
 		Class:   r.Class, Due: now, Answered: trace.None, Box: -1}}, left >= time.Millisecond
 }
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -234,21 +234,26 @@
 		rng := rand.New(rand.NewPCG(p.hash(forNoise, txn, uint64(box), uint64(visit)), 0))
 		work *= lognormal(rng, 1, c.Noise)
 	}
-	calls := p.Calls(request, b.Tier)
+	calls := p.Calls(request, b.Tier, txn)
 	for range calls + 1 {
 		out = append(out, time.Duration(work/float64(calls+1)))
 	}
 	return out
 }
 
-// Calls is how many calls of the next tier a request needs in a tier.
-func (p *Plan) Calls(request, tier int) int {
+// Calls is how many calls of the next tier a request needs in a tier: the same at each attempt, but where a tier calls
+// one that may call it again, each visit draws, or a request would go round for ever or not at all.
+func (p *Plan) Calls(request, tier int, txn uint64) int {
 	mean := p.Scenario.Tier[tier].Calls
 	if mean == 0 {
 		return 0
 	}
 	whole := math.Floor(mean)
-	if unit(p.hash(forCalls, uint64(request), uint64(tier))) < mean-whole {
+	of := uint64(request)
+	if p.Scenario.Tier[tier].To != "" {
+		of = txn
+	}
+	if unit(p.hash(forCalls, of, uint64(tier))) < mean-whole {
 		whole++
 	}
 	return int(whole)
--- a/internal/lab/plan/plan_test.go
+++ b/internal/lab/plan/plan_test.go
@@ -183,7 +183,7 @@
 	calls := 0
 	for i := range p.Requests {
 		n := len(p.Segments(nil, i, p.Txn(i, 0), 0, 0)) - 1
-		if n != p.Calls(i, 0) || n < 1 || n > 2 {
+		if n != p.Calls(i, 0, 0) || n < 1 || n > 2 {
 			t.Fatalf("request %d makes %d calls", i, n)
 		}
 		calls += n
--- a/internal/lab/result/fate.go
+++ b/internal/lab/result/fate.go
@@ -135,20 +135,25 @@
 		}
 		t := &log.Tries[i]
 		f := &out[t.Request]
-		f.visited(log.Visits, order[from:to], t, f.useful(p, log.Tries, i))
+		f.visited(log.Visits, order[from:to], t, f.useful(p, log.Tries, tries, i))
 	}
 	return lost
 }
 
-// useful tells whether the answer to a try went into what the client got: it is the client's served try
-// itself, or a call that the box made whose answer that was.
-func (f *fate) useful(p *plan.Plan, tries []trace.Try, i int) bool {
+// useful tells whether the answer to a try went into what the client got: it is the client's served try itself, or a
+// call by the box whose answer another such try got. By has the tries' places by id.
+func (f *fate) useful(p *plan.Plan, tries []trace.Try, by map[uint64]int, i int) bool {
 	t := &tries[i]
 	if f.best < 0 || t.Tier == 0 {
 		return i == f.best
 	}
-	return t.Status == trace.Served && (t.Sidecar < 0 || t.Sidecar >= len(p.Sidecars) || tries[f.best].Box < 0 ||
-		p.Sidecars[t.Sidecar].Box == tries[f.best].Box)
+	parent, known := by[t.Parent]
+	if t.Parent == 0 || !known {
+		parent = f.best
+	}
+	box := tries[parent].Box
+	return t.Status == trace.Served && (t.Sidecar < 0 || t.Sidecar >= len(p.Sidecars) || box < 0 || p.Sidecars[t.Sidecar].Box == box) &&
+		(parent == f.best || f.useful(p, tries, by, parent))
 }
 
 // visited takes in the visits of one try, by Begun.
--- a/internal/lab/result/measure.go
+++ b/internal/lab/result/measure.go
@@ -29,7 +29,7 @@
 	}
 	f := t.figures()
 	return map[string]float64{"service": f.Service, "served": f.Served.Share, "late": f.Late.Share, "refused": f.Refused.Share,
-		"failed": f.Failed.Share, "gone": f.Gone.Share, "attempts": f.Attempts[0], "copies": f.Copies,
+		"failed": f.Failed.Share, "gone": f.Gone.Share, "attempts": f.Attempts[0], "bottom": f.Attempts[len(f.Attempts)-1], "copies": f.Copies,
 		"refusals": f.Refusals}[what], t.asked > 0
 }
 
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -40,7 +40,7 @@
 
 // Measures are what an Expect can name: shares of the first tries, counts and seconds.
 var Measures = []string{"service", "served", "late", "refused", "failed", "gone", "attempts", "copies", "wasted",
-	"p50", "p90", "p99", "p999", "fallen", "worst", "refusals"}
+	"p50", "p90", "p99", "p999", "fallen", "worst", "refusals", "bottom"}
 
 // Default is a scenario's values where its file says nothing.
 func Default() Scenario {
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -35,10 +35,11 @@
 // tier a call that a box made through its own sidecar.
 type Try struct {
 	Txn      uint64
-	Request  int // index into the plan's requests; calls carry that of the client's request
-	No       int // 0 for the first try
-	Tier     int // of the boxes that it is for
-	Sidecar  int // that got it
+	Request  int    // index into the plan's requests; calls carry that of the client's request
+	Parent   uint64 // a call: the id of the request that its box had; 0 is a client's, or not known
+	No       int    // 0 for the first try
+	Tier     int    // of the boxes that it is for
+	Sidecar  int    // that got it
 	Class    int
 	Due      time.Duration // when the first try should have been sent by the plan: latency counts from here
 	Sent     time.Duration // when this one was written whole; None if never
--- a/internal/lab/virtual/boxes.go
+++ b/internal/lab/virtual/boxes.go
@@ -464,7 +464,7 @@
 		s.returned(v, false, budget.Tried{})
 		return
 	}
-	t := trace.Try{Txn: s.p.CallTxn(l.Txn, i, state.number, call), Request: parent.Request, Tier: s.p.Scenario.Next(s.p.Boxes[i].Tier),
+	t := trace.Try{Txn: s.p.CallTxn(l.Txn, i, state.number, call), Parent: l.Txn, Request: parent.Request, Tier: s.p.Scenario.Next(s.p.Boxes[i].Tier),
 		Class: parent.Class, Due: s.now, Sent: s.now, Left: left, Answered: trace.None, Box: -1, Sidecar: s.boxes[i].sidecar}
 	state.call = s.send(t, v)
 	if s.p.Scenario.Tier[s.p.Boxes[i].Tier].Carry == "all" {
--- /dev/null
+++ b/internal/stream/budget_test.go
@@ -0,0 +1,107 @@
+package stream
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/budget"
+)
+
+// carrier is an upstream side that keeps what each attempt took along.
+type carrier struct {
+	mu      sync.Mutex
+	carried []string
+	answer  func(n int) (balance.Status, Response)
+}
+
+func (c *carrier) Do(_ context.Context, _ balance.EndpointID, _ time.Time, req *Request) (balance.Status, Response) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.carried = append(c.carried, req.Baggage)
+	return c.answer(len(c.carried))
+}
+
+// budgeted is a proxy that keeps books before a service.
+func budgeted(t *testing.T, s budget.Settings, log *bytes.Buffer, answer func(n int) (balance.Status, Response)) (*Proxy, *carrier) {
+	p := newProxy(t, 8, nil)
+	c := &carrier{answer: answer}
+	p.Upstream = c
+	if s.Service != "" {
+		p.Budget = NewBudget(s, 1, []time.Duration{time.Minute, time.Minute}, zerolog.New(log))
+	}
+	return p, c
+}
+
+var fails = func(int) (balance.Status, Response) { return balance.Error, Response{Outcome: Failed} }
+
+// Guards against a caller's word being passed on where nobody reads it, or believed at the edge; and against attempts
+// beyond what was granted.
+func TestBudgetGoesDown(t *testing.T) {
+	forged := (&budget.Carried{Pot: 1, Extra: budget.Most, Worth: 1}).Join("user=7")
+	for _, c := range []struct {
+		name     string
+		settings budget.Settings
+		attempts int
+		carried  string // by the first attempt
+	}{
+		{"off", budget.Settings{}, 4, ""},
+		{"edge", budget.Settings{Service: "front", Edge: true, Instances: 1, Attempts: 1}, 2, "user=7,pinelb=1."},
+		{"behind, granted", budget.Settings{Service: "back", Leaf: true, Instances: 1, Attempts: 1}, 4, "user=7,pinelb=1."},
+	} {
+		p, up := budgeted(t, c.settings, nil, fails)
+		req := request(0, time.Minute)
+		req.Txn, req.Baggage = "a", forged
+		res := p.Serve(context.Background(), req)
+		if len(up.carried) != c.attempts || !strings.HasPrefix(up.carried[0], c.carried) || c.carried == "" && up.carried[0] != "" {
+			t.Errorf("%s: %d attempts that carry %q", c.name, len(up.carried), up.carried)
+		}
+		if res.Tried.Told != (c.carried != "") {
+			t.Errorf("%s: the answer says %+v", c.name, res.Tried)
+		}
+	}
+}
+
+// Guards against a trouble being tried again at every tier, and against unused attempts being lost.
+func TestTriedBelowIsNotTriedAgain(t *testing.T) {
+	set := budget.Settings{Service: "front", Edge: true, Instances: 1, Attempts: 4}
+	p, up := budgeted(t, set, nil, func(int) (balance.Status, Response) {
+		return balance.Error, Response{Outcome: Failed, Tried: budget.Tried{Told: true, Extra: 1}}
+	})
+	res := p.Serve(context.Background(), request(0, time.Minute))
+	if len(up.carried) != 1 || res.Outcome == Served || res.Tried != (budget.Tried{Told: true, Extra: 1}) {
+		t.Errorf("%d attempts, %+v", len(up.carried), res)
+	}
+	p, up = budgeted(t, set, nil, func(n int) (balance.Status, Response) {
+		if n == 1 {
+			return fails(n)
+		}
+		return balance.OK, Response{Outcome: Served, Tried: budget.Tried{Told: true}}
+	})
+	res = p.Serve(context.Background(), request(0, time.Minute))
+	if res.Outcome != Served || len(up.carried) != 2 || res.Tried.Extra != 4 { // the first took three along and said nothing
+		t.Errorf("%d attempts, %+v", len(up.carried), res)
+	}
+}
+
+// Guards against a request going round, and a log line for each.
+func TestLoopEnds(t *testing.T) {
+	var log bytes.Buffer
+	p, up := budgeted(t, budget.Settings{Service: "b", Instances: 1, Attempts: 2}, &log, fails)
+	for range 3 {
+		req := request(0, time.Minute)
+		req.Baggage = (&budget.Carried{Pot: 1, Extra: 2, Worth: 1, Path: []string{"a", "b", "c"}}).Join("")
+		if res := p.Serve(context.Background(), req); res.Outcome != Looped || res.Loop != "a > b > c > b" || !res.Tried.Told {
+			t.Errorf("%+v", res)
+		}
+	}
+	if len(up.carried) != 0 || strings.Count(log.String(), "a > b > c > b") != 1 {
+		t.Errorf("%d attempts, logged:\n%s", len(up.carried), log.String())
+	}
+}
