Find a silent watch of discovery within 1.3 s, not after 22 s

From 13 s on half of all requests were refused; boxes turned away 4,267 attempts in 5 s as full, 10 copies were out at a time. In the logs of all 41 sidecars 'cluster changed' came at 0.02 s and then at 22.1 s, in each of the 13 of the first tier, right after 'discovery did not answer' at 22.02 s, though the release ran from 8.3 to 17.3 s.

At fault: internal/cluster/watch.go, watchWait of 20 s and answerIn of 2 s on top. A watch that has fallen silent looks like one without news until its wait is over.

Change: a watch waits for 0.75 to 1 s, drawn from the sidecar's own seed so that no two stay in step, and is left when it is silent 0.3 s beyond that. The pause after a failure is spread likewise and stays under 0.1 s.

--- a/cmd/pinelb/serve.go
+++ b/cmd/pinelb/serve.go
@@ -31,6 +31,8 @@
 	memoryShare = 0.7                    // of the limit, for the heap: the rest is stacks and the kernel's
 	bodiesPart  = 16                     // of the limit, for the bodies of callers' requests; attempts copy them
 	syncWithin  = 300 * time.Millisecond // after which the known list has to do
+
+	discoveryStream = 2 // of the random numbers that the seed gives, the one that spreads calls to discovery
 )
 
 // newLog is the sidecar's log, as JSON lines.
@@ -150,7 +152,8 @@
 	}
 	moves := make(chan string)
 	go reload(life, hups, moves, log)
-	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log}
+	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log,
+		Rand: rand.New(rand.NewPCG(cfg.Seed, discoveryStream))}
 	if fleet := op.Fleet; fleet != nil && len(cfg.Known.Members) > 0 {
 		watch.After = time.Duration(rand.Float64() * float64(fleet.Spread.D()))
 	}
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -16,11 +17,14 @@
 	"pinelb.example/pinelb/balance"
 )
 
+// Tunables. A watch that has fallen silent looks like one without news until its wait is over, so that is how late a
+// release is learned of at worst.
 const (
-	watchWait   = 20 * time.Second       // how long discovery may hold a call that waits
-	answerIn    = 2 * time.Second        // and how long beyond that it may be silent
-	redialAfter = 100 * time.Millisecond // well within the 200 ms that keep a watch going
-	listMost    = 8 << 20                // bytes of an answer
+	watchWait  = 1000 * time.Millisecond // how long discovery may hold a call that waits, at most
+	watchGrace = 300 * time.Millisecond  // and how long beyond that it may be silent
+	answerIn   = 2 * time.Second         // the same of a call that doesn't wait
+	redialMost = 100 * time.Millisecond  // after a failure: well within the 200 ms that keep a watch going
+	listMost   = 8 << 20                 // bytes of an answer
 )
 
 // Watcher follows discovery over HTTP/1.1 and applies what it hears.
@@ -29,6 +33,7 @@
 	Moves <-chan string // addresses that take the place of Addr, one after the other
 	After time.Duration // the first call is made then, and not at once
 	Table *Table
+	Rand  *rand.Rand // spreads the calls, so that those of many sidecars don't fall into step
 	Log   zerolog.Logger
 }
 
@@ -43,7 +48,7 @@
 		left := make(chan struct{})
 		go func() {
 			defer close(left)
-			(&watch{addr: addr, table: w.Table, log: w.Log}).follow(life, once)
+			(&watch{addr: addr, table: w.Table, rand: w.Rand, log: w.Log}).follow(life, once)
 		}()
 		addr = w.moved(ctx, addr)
 		leave()
@@ -70,6 +75,7 @@
 type watch struct {
 	addr     string
 	table    *Table
+	rand     *rand.Rand
 	log      zerolog.Logger
 	conn     net.Conn
 	in       *bufio.Reader
@@ -83,12 +89,13 @@
 	defer w.hangUp()
 	failing := false
 	for ctx.Err() == nil {
-		target, wait := "/catalog/members", time.Duration(0)
+		target, within := "/catalog/members", answerIn
 		if w.have {
-			target = fmt.Sprintf("/catalog/members?since=%d&timeout_ms=%d", w.revision, watchWait.Milliseconds())
-			wait = watchWait
+			wait := w.spread(watchWait)
+			target = fmt.Sprintf("/catalog/members?since=%d&timeout_ms=%d", w.revision, wait.Milliseconds())
+			within = wait + watchGrace
 		}
-		list, err := w.call(ctx, target, wait+answerIn)
+		list, err := w.call(ctx, target, within)
 		switch {
 		case ctx.Err() != nil: // an agent that was left has no more say
 			return
@@ -98,7 +105,7 @@
 				w.log.Warn().Err(err).Msg("discovery did not answer")
 			}
 			failing = true
-			sleep(ctx, redialAfter)
+			sleep(ctx, w.spread(redialMost))
 			continue
 		case failing:
 			failing = false
@@ -109,6 +116,11 @@
 	}
 }
 
+// spread is a random time between three quarters of most and most.
+func (w *watch) spread(most time.Duration) time.Duration {
+	return time.Duration((0.75 + 0.25*w.rand.Float64()) * float64(most))
+}
+
 // apply takes over an answer.
 func (w *watch) apply(list List) {
 	kind := balance.ListDelta
