--- a/balance/subset_test.go
+++ b/balance/subset_test.go
@@ -16,6 +16,7 @@
 		{1, 10, 1, 1},
 		{2, 17, 2, 2},
 		{10, 15, usersWanted - 1, usersWanted + 1},
+		{13, 16, 6, 7}, // by name 2 to 10: of the platform's large fleet the most used were crowded and the least idle
 		{75, 84, usersWanted - 1, usersWanted + 2},
 		{84, 168, usersWanted - 1, usersWanted + 1},
 		{168, 147, usersWanted, usersWanted + 4},
--- a/cmd/pinelb/command_test.go
+++ b/cmd/pinelb/command_test.go
@@ -38,6 +38,7 @@
 		says   string
 	}{
 		{[]string{"check", good}, 0, ""},
+		{[]string{"check", "../../deploy/platform.toml"}, 0, ""}, // without it no sidecar on the platform starts
 		{[]string{"check", bad}, 2, bad + ":3: record.from: "},
 		{[]string{"check", good + "x"}, 2, good + "x"},
 		{[]string{"check", good, "--platform", platform}, 0, ""},
