Tell a crowd from a third of the aim on, and eject silent hosts in it

The limit, logged at each look on all 13 sidecars, stays at 8 to 10 while answers take 0.4 to 0.6 of their aim. Two boxes that hang get 8 to 15 requests a second from 3 s on, about one a second from each sidecar that uses them.

At fault, in balance/balance.go: crowdedMost, by which a crowd was seen at half of the aim where answers take a quarter uncrowded; adaptLimit's floor from the rate of boxes that have left; learnGivenUp, where a trial that ran out of time was followed by another at once, and where in a crowd no host is called silent.

Change: a crowd is told at 0.33 of the aim or 1.2 times the uncrowded share; the rate leaves with the boxes (followAble); grey.TimeUp tells a silent host by attempts in a row that run out of time, against the share of all, and a trial that runs out of time ejects.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -33,7 +33,9 @@
 	priorCalls    = 5.0  // a server's samples are shrunk toward its like as if by so many calls
 	crowdedTimes  = 2.0  // share of the aim that tells a crowd, over that of the first, quick answers
 	crowdedLeast  = 0.07 // and at least this much more: of an inner tier's few hundredths, twice is little
-	crowdedMost   = 0.5  // and at most this share of the aim in all
+	crowdedSoon   = 0.33 // but no more than this share of the aim, at which many are late already,
+	crowdedOver   = 1.2  // or so many times that of the first,
+	crowdedMost   = 0.5  // and at most this share in all
 	crowdedFirst  = 0.3  // the same before there is a measure that was taken with room to spare
 	limitFirst    = 6.0  // requests a server, over all instances, before anything is learned
 	limitLeast    = 2.0  // the same at least: fewer would leave servers idle between calls
@@ -129,8 +131,7 @@
 
 func (b *Balancer) start() {
 	b.tick = max(tickEvery, b.set.Quantum)
-	b.maintainAt, b.refreshAt = b.now+maintainEvery, b.now+refreshEvery
-	b.windowAt = b.now
+	b.maintainAt, b.refreshAt, b.windowAt = b.now+maintainEvery, b.now+refreshEvery, b.now
 	// Asking in step with every other instance would swamp discovery, so the first call is spread.
 	b.askAt = b.now + b.jitter(time.Second)
 	b.do(Action{Kind: ActTimer, Token: tokenTick, After: b.tick})
@@ -202,12 +203,9 @@
 	if r.most < 1 || !b.inTime(r) {
 		return true
 	}
-	if b.set.Tier > 0 {
-		return false
-	}
-	return r.over && (len(b.waiting) > 0 || b.loadShare() > spareShare) ||
+	return b.set.Tier == 0 && (r.over && (len(b.waiting) > 0 || b.loadShare() > spareShare) ||
 		b.limit < limitSmall && b.unused+b.limit*(r.holdTill-b.now).Seconds() < b.reserve(r) ||
-		b.ahead(r) > 1+b.sent.n/memory*(r.holdTill-b.now).Seconds()
+		b.ahead(r) > 1+b.sent.n/memory*(r.holdTill-b.now).Seconds())
 }
 
 // inTime tells whether an attempt that is sent now can still end in time, if it is as quick as the quickest
@@ -553,8 +551,9 @@
 		if a.open && !sentOf(r, a).stuck() {
 			b.window.add(min(1, float64(b.now-a.sentAt)/float64(r.class.Aim)))
 		}
-		if a.open && b.now >= a.server.ejected && !b.healthy(a.server) && !b.crisis {
-			b.eject(a.server)
+		s, silent := a.server, a.open && b.fleet.TimeUp(&a.server.seen)
+		if a.open && b.now >= s.ejected && (silent || s.trial || !b.healthy(s)) && !b.crisis {
+			b.eject(s)
 		}
 	}
 }
@@ -676,7 +675,8 @@
 	}
 	if b.uncrowded > 0 {
 		// Capped, or an instance that starts in a crowd would take it for the uncrowded state, never to cut.
-		most = min(most, b.uncrowded+max((crowdedTimes-1)*b.uncrowded, crowdedLeast))
+		most = min(most, max(crowdedSoon, crowdedOver*b.uncrowded),
+			b.uncrowded+max((crowdedTimes-1)*b.uncrowded, crowdedLeast))
 	}
 	// An instance with few answers moves it seldom, and so by more: jams grow with time, not with answers.
 	looks := float64(b.now-b.windowAt) / float64(maintainEvery)
@@ -699,15 +699,15 @@
 	b.window, b.windowAt, b.inUse = average{}, b.now, average{}
 }
 
-// followAble has the limit follow what the servers in the list can do, as they warm up, start anew, come and
-// go: up as down, or every restart would leave it higher.
+// followAble has the limit, and the rate that it may not fall under, follow what the servers in the list can
+// do, as they warm up, start anew, come and go: up as down, or every restart would leave it higher.
 func (b *Balancer) followAble() {
 	able := 0.0
 	for _, s := range b.ready {
 		able += b.site.Capacity(b.age(s))
 	}
 	if able > 0 {
-		b.limit, b.able = b.limit*able/b.able, able
+		b.limit, b.served.sum, b.able = b.limit*able/b.able, b.served.sum*able/b.able, able
 	}
 }
 
@@ -718,8 +718,7 @@
 	if b.calm.n < calmWindow {
 		return
 	}
-	b.uncrowded = lowEnd(b.uncrowded, b.calm.mean(0, 0))
-	b.calm = average{}
+	b.uncrowded, b.calm = lowEnd(b.uncrowded, b.calm.mean(0, 0)), average{}
 }
 
 // part is this instance's part of so many requests a server, when all instances act alike: of a cold one as
--- a/balance/grey/grey.go
+++ b/balance/grey/grey.go
@@ -46,6 +46,10 @@
 	classCalls = 8.0   // attempts of a class that its host's likeness to itself counts for
 	shareMost  = 0.98  // a share never gets so high that nothing would be sent
 
+	upFirst    = 0.1  // share of attempts that are out when their time is up, until known, and the least it is taken for
+	upCalls    = 5.0  // attempts that this counts for
+	silentOdds = 0.02 // chance of so many in a row under which a host is called silent
+
 	greyLeast   = 0.05  // the least share that a host is suspected of
 	greyTimes   = 4.0   // or as many times what is usual,
 	greyMost    = 0.3   // but no more than that of the rest of it: what all fail half of tells nothing of one
@@ -122,6 +126,7 @@
 	classes []tally
 	mute    tally
 	lately  tally
+	ups     int     // attempts in a row whose time was up, since its last answer
 	suspect float64 // evidence for it to fail more than its like: a sum that never falls below 0 (CUSUM; Page 1954)
 	grey    bool
 }
@@ -131,6 +136,7 @@
 	classes []tally
 	paces   []pace
 	mute    tally
+	ups     tally // of attempts that were answered or out when their time was up, the latter
 	now     present
 	shift   float64
 	trust   float64
@@ -150,6 +156,8 @@
 // hang and is answered stands for another that was given up for a copy, and did not hang either.
 func (f *Fleet) Answered(h *Host, class int, seconds, hung float64) {
 	f.now.add(f.paces[class].answered(seconds), true)
+	f.ups.add(0)
+	h.ups = 0
 	wrong := 0.0
 	if hung > 0.5 {
 		wrong = -hung
@@ -169,6 +177,16 @@
 	f.ended(h, class, hung, hung)
 }
 
+// TimeUp takes in an attempt that was out when its request's time was up, and tells whether its host is silent: whether
+// so many in a row would hardly be without an answer if the host did as all do at present. It tells in a crowd too,
+// where a single attempt proves nothing and Hangs trusts none.
+func (f *Fleet) TimeUp(h *Host) bool {
+	usual := max(upFirst, f.ups.share(upFirst, upCalls))
+	f.ups.add(1)
+	h.ups++
+	return math.Pow(usual, float64(h.ups)) < silentOdds
+}
+
 func (f *Fleet) ended(h *Host, class int, failed, hung float64) {
 	if h.classes == nil {
 		h.classes = make([]tally, len(f.classes))
@@ -192,6 +210,7 @@
 func (f *Fleet) Age(seconds float64) {
 	keep, keepPace := math.Exp(-seconds/memory), math.Exp(-seconds/paceMemory)
 	f.mute.age(keep)
+	f.ups.age(math.Exp(-seconds / lateMemory))
 	f.now.age(math.Exp(-seconds / nowMemory))
 	for i := range f.classes {
 		f.classes[i].age(keep)
