Let first tries go before clients' repeats from 0.15 refused on

At fault: shortShare in balance/balance.go, by which repeats stood back only while more than half was refused.

Change: from 0.15 on. The test of it plays shares of 0, 0.1, 0.2 and 1; 0.2 fails with the old value.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -57,7 +57,7 @@
 	copySaves     = 0.6  // of what a failure costs, where copies are allowed
 	copyNeeds     = 1.5  // mean delays that a copy is given
 	repeatedRank  = 0.7  // of its rank that a repeated try has then: less is left of its client's time
-	shortShare    = 0.5  // of the requests refused, from which on first tries go before repeated ones
+	shortShare    = 0.15 // of the requests refused, from which on first tries go before repeated ones
 	shortMost     = 0.8  // the most that counts for when refused clients are told to come back
 	holdShare     = 0.25 // of its aim that a first-tier request may wait here
 	retryPerCall  = 0.2  // retry budget earned by each request
--- a/balance/subset_test.go
+++ b/balance/subset_test.go
@@ -217,20 +217,16 @@
 	}
 }
 
-// While most are refused, a client's first try goes before others' repeated ones, of whose time less is left;
-// where little is missing, all are equal, for a repeated one that is refused is lost.
+// While more than a few are refused, a client's first try goes before others' repeated ones, of whose time less is
+// left: at a fifth refused, repeats in turn made the first tries late. Where little is missing, all are equal, for a
+// repeated one that is refused is lost.
 func TestFirstTriesGoFirstInNeed(t *testing.T) {
-	for _, need := range []bool{false, true} {
+	for refused, need := range map[float64]bool{0: false, 0.1: false, 0.2: true, 1: true} {
 		s := testSettings()
 		s.MarksRetry = true
 		w := newWorld(t, s, 1)
 		w.servers(1)
-		for range 100 {
-			w.b.asked.add(0)
-			if need {
-				w.b.asked.sum++
-			}
-		}
+		w.b.asked = average{100, 100 * refused}
 		w.b.limit, w.b.sent.n = limitSmall, 1000
 		for range 10 {
 			w.request(unsafeClass)
@@ -243,7 +239,7 @@
 			return slices.IndexFunc(w.b.waiting, func(r *request) bool { return r.id == id })
 		}
 		if i, j := at(repeated), at(first); i < 0 || j < 0 || j < i != need {
-			t.Errorf("in need %v: the repeated try is at %d of the line, the first at %d", need, i, j)
+			t.Errorf("%.1f refused: the repeated try is at %d of the line, the first at %d", refused, i, j)
 		}
 	}
 }
