Ask a failing discovery less often, up to 0.8 s apart

Need: the issue asks that discovery be asked no harder the worse it does. An agent that refuses or breaks off was asked ten times a second by each sidecar for as long as it did.

At fault: internal/cluster/watch.go, one pause of at most 0.1 s after any failure.

Change: the pause doubles with each failure in a row, 0.1 s to 0.8 s at most, spread by the sidecar's seed. The first stays within the 200 ms that keep a watch going.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -257,6 +257,19 @@
 	<-ended
 }
 
+// Guards against an agent that is asked ten times a second, by each sidecar, for as long as it refuses: not harder the
+// worse it does, but the first time within the 200 ms that keep a watch going.
+func TestFailuresAreAskedAfterLessOften(t *testing.T) {
+	last := time.Duration(0)
+	for failures := range 70 {
+		d := redialAfter(failures)
+		if d < last || d > redialLast || failures == 0 && d >= 200*time.Millisecond || failures > 3 && d != redialLast {
+			t.Errorf("after %d failures %v, before that %v", failures, d, last)
+		}
+		last = d
+	}
+}
+
 // Guards against sidecars that ask in step: two with seeds of their own don't wait for the same times.
 func TestWatchesAreSpread(t *testing.T) {
 	one, other := &watch{rand: rand.New(rand.NewPCG(1, 2))}, &watch{rand: rand.New(rand.NewPCG(2, 2))}
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -24,6 +24,7 @@
 	watchGrace = 300 * time.Millisecond  // and how long beyond that it may be silent
 	answerIn   = 2 * time.Second         // the same of a call that doesn't wait
 	redialMost = 100 * time.Millisecond  // after a failure: well within the 200 ms that keep a watch going
+	redialLast = 800 * time.Millisecond  // and after many in a row: discovery is not to be asked harder the worse it does
 	listMost   = 8 << 20                 // bytes of an answer
 )
 
@@ -87,7 +88,7 @@
 // nothing but its news.
 func (w *watch) follow(ctx context.Context, synced func()) {
 	defer w.hangUp()
-	failing := false
+	failures := 0 // in a row
 	for ctx.Err() == nil {
 		target, within := "/catalog/members", answerIn
 		if w.have {
@@ -101,14 +102,14 @@
 			return
 		case err != nil:
 			w.hangUp()
-			if !failing { // once, not ten times a second for as long as it is down
+			if failures == 0 { // once, not ten times a second for as long as it is down
 				w.log.Warn().Err(err).Msg("discovery did not answer")
 			}
-			failing = true
-			sleep(ctx, w.spread(redialMost))
+			sleep(ctx, w.spread(redialAfter(failures)))
+			failures++
 			continue
-		case failing:
-			failing = false
+		case failures > 0:
+			failures = 0
 			w.log.Info().Msg("discovery answers again")
 		}
 		w.apply(list)
@@ -116,6 +117,10 @@
 	}
 }
 
+// redialAfter is how long at most discovery is left alone after so many failures in a row before the last: twice as long
+// each time, up to redialLast.
+func redialAfter(failures int) time.Duration { return min(redialLast, redialMost<<min(failures, 8)) }
+
 // spread is a random time between three quarters of most and most.
 func (w *watch) spread(most time.Duration) time.Duration {
 	return time.Duration((0.75 + 0.25*w.rand.Float64()) * float64(most))
