--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -42,3 +42,41 @@
 		})
 	}
 }
+
+// sixty is an instance of the platform's large fleet, 13 in number, and a list of 60 hosts.
+func sixty(b *testing.B) (*Balancer, []Entry) {
+	s := testSettings()
+	s.Instances, s.Rank = 13, 5
+	bal, err := New(s, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	entries := make([]Entry, 60)
+	for i := range entries {
+		entries[i] = Entry{Endpoint: EndpointID(i + 1), State: Ready, Weight: 1}
+	}
+	return bal, entries
+}
+
+// BenchmarkListOf60 is what a whole list of 60 hosts costs, of which one has just restarted.
+func BenchmarkListOf60(b *testing.B) {
+	bal, entries := sixty(b)
+	var out []Action
+	b.ReportAllocs()
+	for i := range b.N {
+		now := time.Hour + time.Duration(i)*time.Millisecond
+		entries[i%60].UpSince = now
+		out = bal.Handle(now, &Event{Kind: EventMembership, List: ListFull, Entries: entries}, out[:0])
+	}
+}
+
+// BenchmarkTickAtRest is a tick with 60 hosts listed and nothing out; every 25th brings the upkeep.
+func BenchmarkTickAtRest(b *testing.B) {
+	bal, entries := sixty(b)
+	out := bal.Handle(time.Hour, &Event{Kind: EventMembership, List: ListFull, Entries: entries}, nil)
+	b.ReportAllocs()
+	for i := range b.N {
+		now := time.Hour + time.Duration(i+1)*tickEvery
+		out = bal.Handle(now, &Event{Kind: EventTimer, Token: tokenTick}, out[:0])
+	}
+}
