--- a/balance/grey/grey.go
+++ b/balance/grey/grey.go
@@ -48,7 +48,7 @@
 
 	upFirst    = 0.1  // share of attempts that are out when their time is up, until known, and the least it is taken for
 	upCalls    = 5.0  // attempts that this counts for
-	silentOdds = 0.02 // chance of so many in a row under which a host is called silent
+	silentOdds = 0.001 // chance of so many in a row under which a host is called silent
 
 	greyLeast   = 0.05  // the least share that a host is suspected of
 	greyTimes   = 4.0   // or as many times what is usual,
