--- a/balance/grey/grey.go
+++ b/balance/grey/grey.go
@@ -46,8 +46,8 @@
 	classCalls = 8.0   // attempts of a class that its host's likeness to itself counts for
 	shareMost  = 0.98  // a share never gets so high that nothing would be sent
 
-	upFirst    = 0.1  // share of attempts that are out when their time is up, until known, and the least it is taken for
-	upCalls    = 5.0  // attempts that this counts for
+	upFirst    = 0.1   // share of attempts that are out when their time is up, until known, and the least it is taken for
+	upCalls    = 5.0   // attempts that this counts for
 	silentOdds = 0.001 // chance of so many in a row under which a host is called silent
 
 	greyLeast   = 0.05  // the least share that a host is suspected of
