Keep what was learned over a panic, and a record readable over SIGHUP

Change: what was learned is exported from the Balancer that failed, under recover, and taken over by the next one, each value checked for itself; not where the decisions had failed within the last 10 s. A record writes a new header at SIGHUP, behind the former one while its streams may still end, and the reader adds classes up by name. Not taken: a copy every second, which costs at rest.

Result: TestPanicRemembers and TestSettingsChange, with the race detector, beside the other tests of record, engine, rehearse and cmd/pinelb.

--- a/cmd/pinelb/retune.go
+++ b/cmd/pinelb/retune.go
@@ -12,6 +12,7 @@
 	"pinelb.example/pinelb/internal/config"
 	"pinelb.example/pinelb/internal/downstream"
 	"pinelb.example/pinelb/internal/engine"
+	"pinelb.example/pinelb/internal/record"
 	"pinelb.example/pinelb/internal/stream"
 	"pinelb.example/pinelb/internal/upstream"
 )
@@ -24,6 +25,7 @@
 	side    *downstream.Side
 	table   *cluster.Table
 	budget  *stream.Budget           // nil: none
+	rec     *record.Recorder         // nil: none
 	reclass []func(*config.Settings) // the fronts
 	log     zerolog.Logger
 
@@ -95,10 +97,13 @@
 	if t.budget != nil {
 		t.budget.Retune(aims(&after))
 	}
+	told := *cfg
+	if t.rec != nil { // before the first stream of a new class can end
+		t.rec.Retune(&told)
+	}
 	for _, reclass := range t.reclass {
 		reclass(&after)
 	}
-	told := *cfg
 	cfg.Settings = after
 	t.cfg = cfg
 	return &told, nil
--- a/cmd/pinelb/serve.go
+++ b/cmd/pinelb/serve.go
@@ -126,7 +126,7 @@
 			rec.Open = func() int { return streams.Out() + overThrift.Out() }
 		}
 	}
-	tuned := &tuning{cfg: cfg, op: op, eng: eng, pool: pool, side: side, table: table, budget: streams.Budget,
+	tuned := &tuning{cfg: cfg, op: op, eng: eng, pool: pool, side: side, table: table, budget: streams.Budget, rec: rec,
 		reclass: []func(*config.Settings){srv.Reclass}, log: log}
 	next := &succession{classes: tuned.classes, table: table, eng: eng, former: follow(cfg, log), log: log}
 	shares := &bounds{memory: memory, sockets: sockets, pool: pool, side: side, eng: eng}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -34,7 +34,8 @@
 	mu      sync.Mutex
 	b       *balance.Balancer
 	seed    uint64
-	life    int // how many Balancers there were before this one
+	life    int           // how many Balancers there were before this one
+	failed  time.Duration // when the last of them did
 	actions []balance.Action
 	last    balance.RequestID
 	streams map[balance.RequestID]*Stream // until ended and every attempt has its outcome
@@ -141,20 +142,17 @@
 	if s.Learned == nil {
 		return
 	}
-	defer func() {
-		if p := recover(); p != nil {
-			e.log.Error().Interface("panic", p).Msg("what was learned is not taken over; the decisions start anew")
-			e.restart()
-		}
-	}()
-	e.b.Learn(e.now(), s.Learned)
+	if e.learn(s.Learned) != nil {
+		e.restart(nil)
+	}
 }
 
 // handle gives the Balancer one event and carries out its actions; the caller holds the lock.
 func (e *Engine) handle(ev *balance.Event) {
 	if err := e.decide(ev); err != nil {
-		e.log.Error().Err(err).Msg("the decisions failed; they start anew")
-		e.restart()
+		learned := e.salvage()
+		e.log.Error().Err(err).Bool("remember", learned != nil).Msg("the decisions failed; they start anew")
+		e.restart(learned)
 		return
 	}
 	for i := range e.actions {
@@ -210,19 +208,45 @@
 	}
 }
 
-// restart begins again with a fresh Balancer and the cluster as it is known: after a panic the old one's
-// state can't be relied on. What was open is answered now; late outcomes of it are told to nobody.
-func (e *Engine) restart() {
+// trustAfter is how long the decisions have to have worked before what they learned is believed after a panic: what they
+// failed on may be among it.
+const trustAfter = 10 * time.Second
+
+// salvage is what the decisions that have just failed had learned, or nil where that can't be had or be believed.
+func (e *Engine) salvage() (learned *balance.Learned) {
+	defer func() {
+		if recover() != nil {
+			learned = nil
+		}
+	}()
+	if now := e.now(); e.life > 0 && now-e.failed < trustAfter {
+		return nil
+	}
+	return e.b.Learned()
+}
+
+// restart begins again with a fresh Balancer, the cluster as it is known and what the old one had learned: after a panic
+// the rest of its state can't be relied on. What was open is answered now; late outcomes of it are told to nobody.
+func (e *Engine) restart(learned *balance.Learned) {
 	e.life++
+	e.failed = e.now()
 	old := e.streams
 	e.streams = map[balance.RequestID]*Stream{}
 	for _, s := range old {
 		s.abandon()
 	}
+	if !e.renew(learned) && learned != nil { // it can't be used: without it, then
+		e.life++
+		e.renew(nil)
+	}
+}
+
+// renew puts a fresh Balancer in place, and returns whether it takes what it is told.
+func (e *Engine) renew(learned *balance.Learned) bool {
 	b, err := balance.New(e.settings, e.seed+uint64(e.life))
 	if err != nil {
 		e.log.Error().Err(err).Msg("the decisions do not start anew")
-		return
+		return false
 	}
 	e.b = b
 	events := []balance.Event{{Kind: balance.EventMembership, List: balance.ListFull, Entries: e.entries()}}
@@ -232,12 +256,25 @@
 	for i := range events {
 		if err := e.decide(&events[i]); err != nil {
 			e.log.Error().Err(err).Msg("the decisions failed on the known cluster")
-			return
+			return false
 		}
 		for i := range e.actions {
 			e.carryOut(&e.actions[i])
 		}
 	}
+	return learned == nil || e.learn(learned) == nil
+}
+
+// learn has the Balancer take over what another one knew; a panic there becomes an error.
+func (e *Engine) learn(l *balance.Learned) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("engine: panic on what was learned: %v", p)
+			e.log.Error().Err(err).Msg("what was learned is not taken over")
+		}
+	}()
+	e.b.Learn(e.now(), l)
+	return nil
 }
 
 // entries is the cluster as it is known. A host that was put back has not started before that, whatever the list says.
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -156,6 +156,37 @@
 	}
 }
 
+// Guards against a panic that loses what was learned, and against one that comes of what was learned and is taken along
+// again and again.
+func TestPanicRemembers(t *testing.T) {
+	e := newEngine(t, 1, 2)
+	serve := func() {
+		s := e.Open(context.Background(), Call{Left: time.Minute})
+		s.Settle((<-s.Sends()).Attempt, Outcome{Status: balance.OK, Answers: true})
+	}
+	known := func() (n float64) {
+		for _, h := range e.State().Learned.Hosts {
+			n += h.Delay.N
+		}
+		return n
+	}
+	panics := func() { e.Open(context.Background(), Call{Class: -1, Left: time.Minute}) }
+	serve()
+	panics()
+	if known() == 0 || e.life != 1 {
+		t.Errorf("after a panic %v answers are known, in life %d", known(), e.life)
+	}
+	panics()
+	if known() != 0 || e.life != 2 {
+		t.Errorf("after another one at once %v answers are known, in life %d", known(), e.life)
+	}
+	serve()
+	e.failed -= trustAfter
+	if panics(); known() == 0 {
+		t.Error("nothing is known after one that comes late")
+	}
+}
+
 // Guards against a clock that can't be compared with discovery's start times, or that runs backwards.
 func TestClock(t *testing.T) {
 	e := newEngine(t)
--- a/internal/record/queue.go
+++ b/internal/record/queue.go
@@ -73,6 +73,14 @@
 	q.owed = !q.add(line, queueMost) || q.owed
 }
 
+// owe has the preamble come again, ahead of what follows.
+func (q *queue) owe() {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.owed = true
+	q.add(nil, queueMost)
+}
+
 // Write hands over a line of the log.
 func (q *queue) Write(line []byte) (int, error) {
 	q.mu.Lock()
--- a/internal/record/read.go
+++ b/internal/record/read.go
@@ -99,7 +99,8 @@
 	return f.err
 }
 
-// start takes a header. One that repeats a run's, as each file has it, goes on with that run.
+// start takes a header. One that repeats a run's, as each file has it, goes on with that run; its settings may have changed
+// meanwhile, and classes that they lack stay known.
 func (r *reader) start(f *fields) error {
 	if v := f.json.Get("v"); v.Num != Version {
 		return fmt.Errorf("v: version %s is unknown, %d is read", cmp.Or(v.Raw, "none"), Version)
@@ -117,7 +118,11 @@
 	for _, run := range r.out.Runs {
 		if run.Header.Name == h.Name && run.Header.Start.Equal(h.Start) {
 			r.run = run
-			return nil
+			if h.Site != run.Header.Site {
+				h.Settings, err = h.Settings.After(&run.Header.Settings)
+				run.Header.Site, run.Header.Settings = h.Site, h.Settings
+			}
+			return err
 		}
 	}
 	r.run = &Run{Header: h}
--- a/internal/record/record_test.go
+++ b/internal/record/record_test.go
@@ -57,6 +57,41 @@
 	return rec
 }
 
+// Guards against a record that can't be read once the settings have changed: classes appear and vanish, in one file and in
+// the next, while streams of the former settings are under way.
+func TestSettingsChange(t *testing.T) {
+	dir := t.TempDir()
+	r := newRecorder(t, filepath.Join(dir, "r"), 2<<20, io.Discard)
+	other := strings.Replace(site, `"look"`, `"find"`, 1)
+	settings, err := config.ParseSettings([]byte(other))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Retune(&config.Config{Name: "n0", Site: other, Settings: settings})
+	for _, class := range []string{"look", "find"} {
+		l := life(r, 0)
+		l.Request.ClassName = class
+		r.Ended(l)
+	}
+	r.Start(zerolog.Nop())
+	if err := r.Close(); err != nil {
+		t.Fatal(err)
+	}
+	text, err := os.ReadFile(filepath.Join(dir, "r"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rec := read(t, string(text))
+	if len(rec.Runs) != 1 || !strings.Contains(rec.Runs[0].Header.Site, "find") || len(rec.Runs[0].Streams) != 2 {
+		t.Fatalf("%d runs, %+v", len(rec.Runs), rec.Runs[0].Streams)
+	}
+	for i, s := range rec.Runs[0].Streams {
+		if name := rec.Runs[0].Header.Settings.ClassNames[s.Class]; name != []string{"look", "find"}[i] {
+			t.Errorf("stream %d is of class %s", i, name)
+		}
+	}
+}
+
 // Guards against a record that does not come back as it was written, from the middle of a log.
 func TestRoundTrip(t *testing.T) {
 	var out bytes.Buffer
@@ -84,8 +119,8 @@
 	}
 	run := rec.Runs[0]
 	h := run.Header
-	if h.Name != "n0" || !h.Start.Equal(r.start.Truncate(time.Millisecond)) || h.Limits != r.cfg.Limits ||
-		cmp.Diff(h.Settings, r.cfg.Settings) != "" {
+	if h.Name != "n0" || !h.Start.Equal(r.start.Truncate(time.Millisecond)) || h.Limits != r.eras[0].Limits ||
+		cmp.Diff(h.Settings, r.eras[0].Settings) != "" {
 		t.Errorf("header %+v", h)
 	}
 	for i := range members {
--- a/internal/record/recorder.go
+++ b/internal/record/recorder.go
@@ -24,7 +24,6 @@
 type Recorder struct {
 	Open func() int // how many streams are not over, asked at Close; nil: not counted
 
-	cfg   *config.Config
 	start time.Time
 	keep  time.Duration // the names of hosts that have gone
 	out   io.Writer
@@ -32,10 +31,17 @@
 	q     *queue
 
 	mu    sync.RWMutex
+	eras  []era // whose classes streams may still have; the last one is in force
 	hosts map[balance.EndpointID]host
 	told  bool // there has been a list
 }
 
+// era is a configuration, and when another one took its place.
+type era struct {
+	*config.Config
+	until time.Duration
+}
+
 type host struct {
 	cluster.Member
 	gone time.Duration // when it went; 0 while it is there
@@ -44,10 +50,8 @@
 // New returns a recorder for the sidecar of that configuration. Where the record goes to the log, log is that:
 // the lines of the log itself then have to go through Log, or both would break each other up.
 func New(c *config.Config, o *config.Record, log io.Writer) *Recorder {
-	r := &Recorder{cfg: c, start: time.Now(), keep: nameKept, out: log, hosts: map[balance.EndpointID]host{}}
-	for i := range c.Settings.Classes {
-		r.keep = max(r.keep, nameKept+c.Settings.Classes[i].Deadline)
-	}
+	r := &Recorder{start: time.Now(), keep: nameKept, out: log, hosts: map[balance.EndpointID]host{}}
+	r.use(c)
 	var s sink = &file{path: o.To, most: int64(o.Most) / 2}
 	if o.Log() {
 		s = &stderr{out: log}
@@ -59,6 +63,28 @@
 	return r
 }
 
+// Retune has the streams that follow stand under another configuration's header. Streams of a class that it lacks may be
+// under way, so that its predecessor's still stands before it for a while.
+func (r *Recorder) Retune(c *config.Config) {
+	r.mu.Lock()
+	r.use(c)
+	r.mu.Unlock()
+	r.q.owe()
+}
+
+// use takes over a configuration; the caller holds the lock, or is alone.
+func (r *Recorder) use(c *config.Config) {
+	now := r.since()
+	if n := len(r.eras); n > 0 {
+		r.eras[n-1].until = now
+		r.eras = slices.DeleteFunc(r.eras, func(s era) bool { return now-s.until > r.keep })
+	}
+	r.eras = append(r.eras, era{Config: c})
+	for i := range c.Settings.Classes {
+		r.keep = max(r.keep, nameKept+c.Settings.Classes[i].Deadline)
+	}
+}
+
 // Log is where the log's own lines are to be written. Writing to it never waits where the record goes to the
 // log: lines that the log does not take in time are lost and counted.
 func (r *Recorder) Log() io.Writer { return r.out }
@@ -131,9 +157,14 @@
 
 // preamble appends the header and the hosts that are there.
 func (r *Recorder) preamble(b []byte) []byte {
-	b = appendStart(b, r.start, r.cfg)
 	r.mu.RLock()
 	defer r.mu.RUnlock()
+	now := r.since()
+	for i, s := range r.eras {
+		if i == len(r.eras)-1 || now-s.until <= r.keep {
+			b = appendStart(b, r.start, s.Config)
+		}
+	}
 	if !r.told {
 		return b
 	}
