Share requests under way and what may have run between an upgrade's processes

Need: the two processes of an upgrade did not know each other's X-Txns and keys: a try that came to the other one was a fresh request, also of what must not run twice.

Change: internal/effects, a table without I/O or clock; the hand-over carries it, and changes follow on the same connection, which no stream waits for. An id under way at either is a duplicate. What may have run enters the decisions as Event.Ran: an unsafe repeat fails at once, a keyed one goes where and as long as its repeats are dropped. What a process had sent when it died counts as what may have run.

--- a/balance/api.go
+++ b/balance/api.go
@@ -236,8 +236,9 @@
 	Coming   bool          // its message still comes: its time begins with EventWhole, and it has one attempt at a time
 	Repeated bool          // a client's own retry, where clients mark it
 	Write    bool
-	Most     int     // attempts that it may make here; 0 = as the settings have it, below 0 = none
-	Worth    float64 // share of its class's worth that it is worth, as a tier above had it; 0 = all of it
+	Ran      time.Duration // when the same effect was first asked for, at Endpoint, by an earlier request, and may have taken place; 0 = never
+	Most     int           // attempts that it may make here; 0 = as the settings have it, below 0 = none
+	Worth    float64       // share of its class's worth that it is worth, as a tier above had it; 0 = all of it
 
 	Endpoint EndpointID
 	Out      bool // of a cordon: taken out, and not put back
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -147,6 +147,7 @@
 	if ev.Coming {
 		r.comes(b.now)
 	}
+	b.repeats(r, ev)
 	b.reqs[r.id] = r
 	b.live = append(b.live, r)
 	b.retries = min(retryBurst, b.retries+retryPerCall)
@@ -195,7 +196,7 @@
 
 // refuseEarly tells whether a request is better turned away before any work is done.
 func (b *Balancer) refuseEarly(r *request) bool {
-	if r.most < 1 || !b.inTime(r) {
+	if r.most < 1 || !b.inTime(r) || r.repeat && !b.repeatable(r, &r.before) {
 		return true
 	}
 	return b.set.Tier == 0 && (r.over && (len(b.waiting) > 0 || b.loadShare() > spareShare) ||
@@ -336,15 +337,8 @@
 
 // effectAllows keeps an effect from happening twice.
 func (b *Balancer) effectAllows(r *request, s *server) bool {
-	for i := range r.tries {
-		a := &r.tries[i]
-		if !a.mayHave {
-			continue
-		}
-		if r.class.Effect == Unsafe || b.now >= a.sentAt+r.class.Memory-b.margin() {
-			return false
-		}
-		if r.class.Scope == ScopeZone && a.server.Zone != s.Zone ||
+	for a := range r.ran {
+		if !b.repeatable(r, a) || r.class.Scope == ScopeZone && a.server.Zone != s.Zone ||
 			r.class.Scope == ScopeCell && (a.server.Cell != s.Cell || a.server.Zone != s.Zone) {
 			return false
 		}
@@ -352,6 +346,11 @@
 	return true
 }
 
+// repeatable tells whether servers still drop repeats of what an attempt may have done.
+func (b *Balancer) repeatable(r *request, a *attempt) bool {
+	return r.class.Effect == Keyed && b.now < a.sentAt+r.class.Memory-b.margin()
+}
+
 func (b *Balancer) isCold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.set.ColdFor }
 
 // earnCold has an answer earn sends to the cold servers like the one that gave it; see package warmup.
@@ -442,9 +441,12 @@
 
 func (b *Balancer) mayRefuse(r *request) bool {
 	if r.class.Effect == Safe || (r.class.Effect == Keyed && r.class.Scope == ScopeAll) {
-		return true
+		return !r.repeat || b.repeatable(r, &r.before)
 	}
-	return !slices.ContainsFunc(r.tries, func(a attempt) bool { return a.mayHave })
+	for range r.ran {
+		return false
+	}
+	return true
 }
 
 // retryHint is when a refused client should come back: the later the more is refused now, and spread, or
--- a/balance/state.go
+++ b/balance/state.go
@@ -107,7 +107,9 @@
 	once     bool // and what has been passed on of it is not here any more: one attempt at a time
 	final    bool // the tier below has failed after trying again: this one doesn't
 	tries    []attempt
-	out      int // attempts that have not ended
+	repeat   bool    // of an effect that an earlier request may have had,
+	before   attempt // by this
+	out      int     // attempts that have not ended
 	done     bool
 	waiting  bool
 	livePos  int
@@ -509,6 +511,30 @@
 	}
 }
 
+// repeats has a request be one of an effect that may have taken place already. Where that was limits who may get it, and
+// is not known any more, nobody may.
+func (b *Balancer) repeats(r *request, ev *Event) {
+	if r.repeat = ev.Ran > 0 && r.class.Effect != Safe; !r.repeat {
+		return
+	}
+	r.before = attempt{server: b.byID[ev.Endpoint], sentAt: min(ev.Ran, b.now), mayHave: true}
+	if r.class.Scope != ScopeAll && r.before.server == nil {
+		r.most = 0
+	}
+}
+
+// ran yields the attempts whose work may have taken effect.
+func (r *request) ran(yield func(*attempt) bool) {
+	if r.repeat && !yield(&r.before) {
+		return
+	}
+	for i := range r.tries {
+		if a := &r.tries[i]; a.mayHave && !yield(a) {
+			return
+		}
+	}
+}
+
 // onWhole has a request's time begin, and its host's.
 func (b *Balancer) onWhole(ev *Event) {
 	r := b.reqs[ev.Request]
--- a/cmd/pinelb/serve.go
+++ b/cmd/pinelb/serve.go
@@ -23,6 +23,7 @@
 	"pinelb.example/pinelb/internal/control"
 	"pinelb.example/pinelb/internal/downstream"
 	"pinelb.example/pinelb/internal/downstream/thrift"
+	"pinelb.example/pinelb/internal/effects"
 	"pinelb.example/pinelb/internal/engine"
 	"pinelb.example/pinelb/internal/handover"
 	"pinelb.example/pinelb/internal/record"
@@ -33,6 +34,8 @@
 const (
 	socketsKept = 32                     // for discovery, the listener and the runtime
 	memoryShare = 0.7                    // of the limit, for the heap: the rest is stacks and the kernel's
+	effectsPart = 64                     // of the limit, for effects that are remembered
+	effectBytes = 512                    // of one, about
 	bodiesPart  = 16                     // of the limit, for the bodies of callers' requests; attempts copy them
 	syncWithin  = 300 * time.Millisecond // after which the known list has to do
 
@@ -108,6 +111,9 @@
 		return err
 	}
 	streams := &stream.Proxy{Engine: eng, Upstream: pool, Log: log}
+	if cfg.Control != "" { // there may be another process beside this one
+		streams.Effects = effects.New(int(memory / effectsPart / effectBytes))
+	}
 	if op.Budget != nil {
 		streams.Budget = stream.NewBudget(op.Budget.Books(set), cfg.Seed, aims(set), log)
 	}
@@ -118,6 +124,7 @@
 	if op.Thrift != nil {
 		overThrift = thriftProxy(op.Thrift, eng, pool, log)
 		overThrift.Budget = streams.Budget // one purse; a call carries nothing either way
+		overThrift.Effects = streams.Effects
 	}
 	if rec != nil {
 		streams.Observer, table.Observer, rec.Open = rec, rec, streams.Out
@@ -128,7 +135,7 @@
 	}
 	tuned := &tuning{cfg: cfg, op: op, eng: eng, pool: pool, side: side, table: table, budget: streams.Budget, rec: rec,
 		reclass: []func(*config.Settings){srv.Reclass}, log: log}
-	next := &succession{classes: tuned.classes, table: table, eng: eng, former: follow(cfg, log), log: log}
+	next := &succession{classes: tuned.classes, table: table, eng: eng, former: follow(cfg, log), effects: streams.Effects, log: log}
 	shares := &bounds{memory: memory, sockets: sockets, pool: pool, side: side, eng: eng}
 	if next.former != nil {
 		shares.beside(1) // before what it hands over, which is its part already
--- a/cmd/pinelb/succession.go
+++ b/cmd/pinelb/succession.go
@@ -8,12 +8,14 @@
 	"runtime/debug"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/rs/zerolog"
 
 	"pinelb.example/pinelb/internal/cluster"
 	"pinelb.example/pinelb/internal/config"
 	"pinelb.example/pinelb/internal/downstream"
+	"pinelb.example/pinelb/internal/effects"
 	"pinelb.example/pinelb/internal/engine"
 	"pinelb.example/pinelb/internal/handover"
 	"pinelb.example/pinelb/internal/upstream"
@@ -49,12 +51,19 @@
 	Classes []string
 	Table   cluster.Held
 	Engine  engine.State
+	Effects *known // nil: the process is of a kind that shares none
 }
 
-// word is what the two tell each other afterwards: an operator's call that one of them has taken.
+// known is what a process knows of requests under way and of their effects.
+type known struct{ Notes []effects.Note }
+
+// word is what the two tell each other afterwards: an operator's call that one of them has taken, changes of effects, or
+// that the successor takes such.
 type word struct {
-	Name string
-	Out  bool
+	Name  string
+	Out   bool
+	Takes bool           `json:",omitempty"`
+	Notes []effects.Note `json:",omitempty"`
 }
 
 // succession is this process's place between the one before it and the one after it.
@@ -64,7 +73,12 @@
 	eng     *engine.Engine
 	former  *handover.Former // nil: none
 	owner   *handover.Owner  // nil: nobody can follow
+	effects *effects.Table
 	log     zerolog.Logger
+
+	mu     sync.Mutex
+	shares bool    // the former process shares effects
+	next   *mirror // of effects, to the successor that has come; nil: there is none
 }
 
 // follow looks for a process that already serves the configuration's clients. What can't be taken over from it is left,
@@ -98,13 +112,34 @@
 		h.Engine.Learned.Reorder(to, len(names))
 	}
 	s.eng.Take(h.Engine)
+	if h.Effects != nil {
+		s.effects.Heard(time.Now(), effects.Former, h.Effects.Notes)
+	}
+	s.shares = h.Effects != nil
 	s.log.Info().Int("members", len(h.Table.List.Members)).Int("cordoned", len(h.Table.Cordoned)).Msg("taken over")
 	return len(h.Table.List.Members) > 0
 }
 
-// state is the same of this process.
+// state is the same of this process, for a successor. What changes of effects from here on waits until that has said that it
+// takes such.
 func (s *succession) state() ([]byte, error) {
-	return json.Marshal(handed{Classes: s.classes(), Table: s.table.Held(), Engine: s.eng.State()})
+	next := newMirror(s.toNext, s.log)
+	s.mu.Lock()
+	s.next = next
+	s.mu.Unlock()
+	held := &known{Notes: s.effects.Watch(effects.Next, next.note)}
+	return json.Marshal(handed{Classes: s.classes(), Table: s.table.Held(), Engine: s.eng.State(), Effects: held})
+}
+
+// left lets go of a successor that is gone.
+func (s *succession) left() {
+	s.effects.Gone(time.Now(), effects.Next)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.next != nil {
+		s.next.stop()
+		s.next = nil
+	}
 }
 
 // serves tells the former process, if there is one, that this one serves, and waits for its end; and then waits for
@@ -113,12 +148,20 @@
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	if s.former != nil {
-		told := func(line []byte) { s.told(line, s.toNext) }
+		told := func(line []byte) { s.told(line, effects.Former) }
+		if s.shares {
+			s.toFormer([]byte(`{"Takes":true}`))
+			m := newMirror(s.toFormer, s.log)
+			s.effects.Watch(effects.Former, m.note)
+			m.start()
+			defer m.stop()
+		}
 		if err := s.former.Ready(told); err != nil {
 			s.log.Warn().Err(err).Msg("the former process has taken no notice")
 		}
 		wait.Go(func() {
 			s.former.Hear(told)
+			s.effects.Gone(time.Now(), effects.Former)
 			b.beside(-1)
 			s.log.Info().Msg("the former process has ended")
 		})
@@ -144,10 +187,11 @@
 			b.beside(1)
 		} else {
 			b.beside(-1)
+			s.left()
 		}
 	}
 	s.owner = &handover.Owner{Path: path, Listeners: map[string]*net.TCPListener{}, State: s.state, Followed: count,
-		Succeeded: side.Followed, Told: func(line []byte) { s.told(line, s.toFormer) }, Log: s.log}
+		Succeeded: side.Followed, Told: func(line []byte) { s.told(line, effects.Next) }, Log: s.log}
 	for _, f := range fronts {
 		if l, ok := f.Listener.(*net.TCPListener); ok {
 			s.owner.Listeners[f.Addr] = l
@@ -156,8 +200,8 @@
 }
 
 // Cordon and Uncordon are an operator's call at this process. The others of the sidecar are told.
-func (s *succession) Cordon(id string) bool   { return s.called(word{id, true}) }
-func (s *succession) Uncordon(id string) bool { return s.called(word{id, false}) }
+func (s *succession) Cordon(id string) bool   { return s.called(word{Name: id, Out: true}) }
+func (s *succession) Uncordon(id string) bool { return s.called(word{Name: id}) }
 
 func (s *succession) called(w word) bool {
 	if !s.apply(w) {
@@ -179,14 +223,26 @@
 	return s.table.Uncordon(w.Name)
 }
 
-// told takes a word of another process, and passes it on to the one on the other side.
-func (s *succession) told(line []byte, pass func([]byte)) {
+// told takes a word of another process. An operator's is passed on to the one on the other side.
+func (s *succession) told(line []byte, from effects.Link) {
 	var w word
-	if err := json.Unmarshal(line, &w); err != nil || !s.apply(w) {
+	err := json.Unmarshal(line, &w)
+	switch {
+	case err == nil && w.Takes:
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.next != nil {
+			s.next.start()
+		}
+	case err == nil && len(w.Notes) > 0:
+		s.effects.Heard(time.Now(), from, w.Notes)
+	case err != nil || !s.apply(w):
 		s.log.Warn().Err(err).Str("name", w.Name).Msg("a word of the other process changes nothing")
-		return
+	case from == effects.Former:
+		s.toNext(line)
+	default:
+		s.toFormer(line)
 	}
-	pass(line)
 }
 
 func (s *succession) toNext(line []byte) {
--- a/cmd/pinelb/upgrade_test.go
+++ b/cmd/pinelb/upgrade_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -173,3 +174,78 @@
 		t.Errorf("the second successor answers %q, %v: the cordon is lost", body, err)
 	}
 }
+
+// Guards against a request that runs twice because its two tries came to the two processes of an upgrade: an id under way at
+// one is turned away at the other, whether it came before the hand-over or after it, and what may have run at the old one
+// is not sent by the new one.
+func TestUpgradeKnowsEffects(t *testing.T) {
+	tmp := t.TempDir()
+	fail := make(chan bool)
+	b := newBox(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == "POST" && <-fail {
+			panic(http.ErrAbortHandler) // it may have run
+		}
+	})
+	s := newSite(t, host("s-1", b.addr, "Ready"))
+	p, _ := operated(t, configFile(t, configFor(s.addr)), tmp)
+	p.await(t, "cluster changed")
+	var conns [2]net.Conn // to the old process: accepted before there is another
+	for i := range conns {
+		conns[i] = p.dial(t)
+	}
+	charge := func(c net.Conn, txn string) {
+		fmt.Fprintf(c, "POST /remake-charge/1 HTTP/1.1\r\nHost: x\r\nX-Txn: %s\r\nX-Remaining-Ms: 60000\r\nContent-Length: 0\r\n\r\n", txn)
+		for visit := ""; !strings.HasPrefix(visit, "POST"); visit = <-b.visits {
+		}
+	}
+	charge(conns[0], "early")
+	q, _ := p.beside(t, tmp)
+	charge(conns[1], "late")
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	p.await(t, "draining") // it accepts no more
+	until := func(method, txn string, want func(status int) bool) (status int) {
+		for !want(status) {
+			res, _ := q.call(t, method, map[string]string{"GET": "/order-status/1", "POST": "/remake-charge/1"}[method], "", "X-Txn", txn)
+			status = res.StatusCode
+		}
+		return status
+	}
+	if res, _ := q.call(t, "GET", "/order-status/1", "", "X-Txn", "early"); res.StatusCode != 409 {
+		t.Errorf("an id that was under way before the hand-over is answered %d", res.StatusCode)
+	}
+	until("GET", "late", func(status int) bool { return status == 409 })
+	for i, txn := range []string{"early", "late"} {
+		fail <- true
+		if res, err := http.ReadResponse(bufio.NewReader(conns[i]), nil); err != nil || res.StatusCode != 502 {
+			t.Errorf("%s: the old process answers %v, %v", txn, res, err)
+		}
+		if status := until("POST", txn, func(status int) bool { return status != 0 && status != 409 }); status != 502 {
+			t.Errorf("%s: a repeat at the new process is answered %d", txn, status)
+		}
+	}
+	p.await(t, "drained")
+	for len(b.visits) > 0 {
+		if visit := <-b.visits; strings.HasPrefix(visit, "POST") {
+			t.Errorf("the host was asked again: %s", visit)
+		}
+	}
+}
+
+// dial opens a connection and has the program take it.
+func (p *program) dial(t *testing.T) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", p.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	fmt.Fprint(c, "GET /_health HTTP/1.1\r\nHost: x\r\n\r\n")
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	res.Body.Close()
+	return c
+}
--- /dev/null
+++ b/internal/effects/effects_test.go
@@ -0,0 +1,133 @@
+package effects
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"pinelb.example/pinelb/balance"
+)
+
+// fact is an attempt, as the oracle keeps it: for ever, and in a list.
+type fact struct {
+	effect string
+	Trace
+	never bool
+}
+
+// Guards against an id taken twice, an effect forgotten within its time or said to have run when it never did, at either of
+// two processes that tell each other all: against a list of all that was done.
+func TestTwoProcesses(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		tables := []*Table{New(100), New(100)}
+		tables[0].Heard(time.Time{}, Next, tables[1].Watch(Former, func(n Note) { tables[0].Heard(n.At, Next, []Note{n}) }))
+		tables[1].Heard(time.Time{}, Former, tables[0].Watch(Next, func(n Note) { tables[1].Heard(n.At, Former, []Note{n}) }))
+		now := time.Unix(1000, 0)
+		facts, at := []*fact{}, map[string]int{} // which process a Txn is under way at
+		txns := 0
+		t.Repeat(map[string]func(*rapid.T){
+			"open": func(t *rapid.T) {
+				who := rapid.IntRange(0, 1).Draw(t, "process")
+				id := ID{Txn: fmt.Sprint(txns), Class: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "class"),
+					Key: rapid.SampledFrom([]string{"", "k", "l"}).Draw(t, "key"), Keep: time.Hour}
+				if again := rapid.IntRange(0, 3).Draw(t, "again"); again == 0 && txns > 0 {
+					id.Txn = fmt.Sprint(rapid.IntRange(0, txns-1).Draw(t, "txn"))
+				}
+				if there, open := at[id.Txn]; open && there == who {
+					return // the stream's own list has that
+				}
+				now = now.Add(time.Millisecond)
+				first, free := tables[who].Open(now, id)
+				if _, open := at[id.Txn]; free == open {
+					t.Fatalf("open %+v: free is %v", id, free)
+				}
+				if !free {
+					return
+				}
+				var want Trace
+				for _, f := range facts {
+					if f.effect == id.effect() && !f.never {
+						want = f.Trace
+						break
+					}
+				}
+				if first != want {
+					t.Fatalf("open %+v: %+v, want %+v", id, first, want)
+				}
+				at[id.Txn] = who
+				txns++
+				for range rapid.IntRange(0, 2).Draw(t, "sends") {
+					now = now.Add(time.Millisecond)
+					f := &fact{effect: id.effect(), Trace: Trace{balance.EndpointID(len(facts)), now}}
+					n := tables[who].Sent(now, id.Txn, f.Host)
+					facts = append(facts, f)
+					if rapid.Bool().Draw(t, "never") {
+						tables[who].Settled(id.Txn, n, false)
+						f.never = true
+					}
+				}
+			},
+			"end": func(t *rapid.T) {
+				if len(at) == 0 {
+					t.Skip("none is open")
+				}
+				txn := rapid.SampledFrom(slices.Sorted(maps.Keys(at))).Draw(t, "ends")
+				tables[at[txn]].End(now, txn)
+				delete(at, txn)
+			},
+		})
+	})
+}
+
+// Guards against what a process that died had under way being taken for what never ran, or for under way for ever; against
+// effects kept beyond their time, and against more of them than there is room for.
+func TestGoneAndForgotten(t *testing.T) {
+	now := time.Unix(1000, 0)
+	table := New(3)
+	sent := Note{ID: ID{Txn: "a", Class: "c", Keep: time.Second}, Trace: Trace{Host: 7, At: now}}
+	table.Heard(now, Former, []Note{sent, {ID: ID{Txn: "b", Class: "c", Keep: time.Second}}})
+	for _, txn := range []string{"a", "b"} {
+		if _, free := table.Open(now, ID{Txn: txn}); free {
+			t.Errorf("%s is free while it is under way elsewhere", txn)
+		}
+	}
+	table.Gone(now, Former)
+	if first, free := table.Open(now, sent.ID); !free || first != sent.Trace {
+		t.Errorf("of one that may have run: %+v, %v", first, free)
+	}
+	table.End(now, "a")
+	if first, free := table.Open(now, ID{Txn: "b", Class: "c", Keep: time.Second}); !free || !first.At.IsZero() {
+		t.Errorf("of one that had not begun: %+v, %v", first, free)
+	}
+	if first, _ := table.Open(now.Add(time.Second), ID{Txn: "a", Class: "c", Keep: time.Second}); !first.At.IsZero() {
+		t.Errorf("after its time: %+v", first)
+	}
+	for i := range 5 {
+		id := ID{Txn: fmt.Sprint(i), Class: "c", Keep: time.Second}
+		table.Open(now, id)
+		table.Sent(now, id.Txn, 1)
+		table.End(now, id.Txn)
+	}
+	if past, dropped := table.Size(); past != 3 || dropped != 2 {
+		t.Errorf("%d effects are kept of 3 at most, %d dropped", past, dropped)
+	}
+	if first, _ := table.Open(now, ID{Txn: "4", Class: "c", Keep: time.Second}); first.At.IsZero() {
+		t.Error("the newest was dropped")
+	}
+}
+
+// Guards against a client that gives up and comes again while its first try is still out being taken for another.
+func TestKeyUnderWay(t *testing.T) {
+	now, id := time.Unix(1000, 0), ID{Txn: "a", Class: "c", Key: "k", Keep: time.Second}
+	table := New(3)
+	table.Open(now, id)
+	table.Sent(now, "a", 5)
+	id.Txn = "b"
+	if first, free := table.Open(now.Add(time.Millisecond), id); !free || first != (Trace{5, now}) {
+		t.Errorf("%+v, %v", first, free)
+	}
+}
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -295,6 +295,15 @@
 	Repeated bool          // the client's own retry
 	Most     int           // attempts that it may make; 0: as the settings have it, below 0: none
 	Worth    float64       // share of its class's worth that it is worth; 0: all of it
+	Ran      time.Time     // when its effect was first asked for, at RanAt, by an earlier stream, and may have taken place; zero: never
+	RanAt    balance.EndpointID
+}
+
+// Class is what the settings say of a class.
+func (e *Engine) Class(class int) balance.Class {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.settings.Classes[min(class, len(e.settings.Classes)-1)]
 }
 
 // Open tells the decisions of a new stream. The caller has to call Close once it has its answer.
@@ -306,7 +315,11 @@
 	s := &Stream{e: e, ctx: ctx, id: e.last, life: e.life, sends: make(chan Send, most), verdict: make(chan Verdict, 1),
 		tries: make([]try, 0, most)}
 	e.streams[s.id] = s
-	e.handle(&balance.Event{Kind: balance.EventRequest, Request: s.id, Class: c.Class, Left: c.Left, Coming: c.Coming, Repeated: c.Repeated,
-		Most: c.Most, Worth: c.Worth})
+	ev := balance.Event{Kind: balance.EventRequest, Request: s.id, Class: c.Class, Left: c.Left, Coming: c.Coming, Repeated: c.Repeated,
+		Most: c.Most, Worth: c.Worth}
+	if !c.Ran.IsZero() {
+		ev.Ran, ev.Endpoint = max(1, e.unix+c.Ran.Sub(e.start)), c.RanAt
+	}
+	e.handle(&ev)
 	return s
 }
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -12,6 +12,7 @@
 
 	"pinelb.example/pinelb/balance"
 	"pinelb.example/pinelb/internal/budget"
+	"pinelb.example/pinelb/internal/effects"
 	"pinelb.example/pinelb/internal/engine"
 )
 
@@ -94,8 +95,9 @@
 type Proxy struct {
 	Engine   *engine.Engine
 	Upstream Upstream
-	Observer Observer // nil: nobody
-	Budget   *Budget  // nil: every tier tries again as it sees fit
+	Observer Observer       // nil: nobody
+	Budget   *Budget        // nil: every tier tries again as it sees fit
+	Effects  *effects.Table // nil: none is remembered, and other processes' are not known
 	Log      zerolog.Logger
 
 	mu   sync.Mutex
@@ -120,6 +122,11 @@
 	}
 	res = Response{Outcome: Failed} // what a panic leaves
 	defer func() { p.release(req.Txn, func(l *Life) { l.Response, l.Answered = res, time.Now() }) }()
+	ran, free := p.Effects.Open(time.Now(), p.identity(req))
+	if !free {
+		res = Response{Outcome: Duplicate}
+		return res
+	}
 	a := p.Budget.open(req)
 	defer func() { p.Budget.close(a, req, &res) }()
 	if a.Loop != nil {
@@ -127,7 +134,8 @@
 		return res
 	}
 	// Attempts must not end with the client by themselves: the decisions withdraw them.
-	call := engine.Call{Class: req.Class, Left: time.Until(req.Deadline), Repeated: req.Repeated, Most: a.Most(), Worth: a.Worth()}
+	call := engine.Call{Class: req.Class, Left: time.Until(req.Deadline), Repeated: req.Repeated, Most: a.Most(), Worth: a.Worth(),
+		Ran: ran.At, RanAt: ran.Host}
 	if req.Upload != nil {
 		call.Left, call.Coming = req.Upload.Left, true
 	}
@@ -135,6 +143,18 @@
 	return res
 }
 
+// identity is what a stream is known by to other processes, and to those that come after it. A repeat comes while its client
+// still waits, which is after the effect's window at the latest.
+func (p *Proxy) identity(req *Request) effects.ID {
+	id := effects.ID{Txn: req.Txn, Class: req.ClassName, Key: req.Key}
+	if p.Effects != nil {
+		if c := p.Engine.Class(req.Class); c.Effect != balance.Safe {
+			id.Keep = max(c.Memory, c.Deadline) + c.Deadline
+		}
+	}
+	return id
+}
+
 // Refuse turns a stream away of which the decisions are not told: the front has no room for it.
 func (p *Proxy) Refuse(req *Request) Response { return p.unheard(req, Refused) }
 
@@ -189,7 +209,9 @@
 // attempt is one upstream request, the n-th of its stream. However it ends, its outcome is told once.
 func (p *Proxy) attempt(s decided, send engine.Send, req sent, n int, answer chan Response, over <-chan struct{}) {
 	status, res := balance.Reset, Response{Outcome: Failed} // what a panic leaves: it may have run
+	effect := p.Effects.Sent(time.Now(), req.Txn, send.Host)
 	defer func() {
+		p.Effects.Settled(req.Txn, effect, status != balance.Full && status != balance.ConnectFailed && status != balance.Moot)
 		p.release(req.Txn, func(l *Life) { l.Attempts[n].Status, l.Attempts[n].Ended = status, time.Now() })
 		if fault := recover(); fault != nil {
 			p.Log.Error().Interface("panic", fault).Msg("upstream request failed")
