--- a/balance/learned.go
+++ b/balance/learned.go
@@ -1,15 +1,18 @@
 package balance
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"pinelb.example/pinelb/balance/grey"
 )
 
-// Learned is what an instance knows beyond the list, as plain values, for the process that succeeds it on the same
-// machine within moments. Times are left over or past, so that no two clocks have to agree.
+// Learned is what an instance knows beyond the list, as plain values, for the process that succeeds it: within moments on
+// the same machine, or after a while from a snapshot. Times are left over or past, so that no two clocks have to agree.
 type Learned struct {
+	Past time.Duration // for so long it has not been looked after
+
 	Limit, Able, Uncrowded  float64
 	Known, Bounded, Crowded bool
 	Retries                 float64
@@ -42,6 +45,16 @@
 	Seen     grey.HostState
 }
 
+// For how long a part of it is worth believing that does not age by itself. Curves, shares and suspicions lose weight while
+// nobody looks after them as they do where nobody asks; an ejection keeps the time that is left of it.
+const (
+	LimitFor   = 10 * time.Second // the limit, and that there is a crowd: twice as long as an observation counts
+	MeasureFor = time.Minute      // what answers take uncrowded, which the service can change by a release; it comes down fast and goes up hardly
+)
+
+// Weight is how much of its weight an observation of a server keeps over so long.
+func Weight(past time.Duration) float64 { return math.Exp(-past.Seconds() / memory) }
+
 // Learned returns what is known now.
 func (b *Balancer) Learned() *Learned {
 	l := &Learned{Limit: b.limit, Able: b.able, Uncrowded: b.uncrowded, Known: b.known, Bounded: b.bounded, Crowded: b.crowded,
@@ -90,22 +103,24 @@
 // be right is left out: a misleading value may cost a few requests, and must not cost more.
 func (b *Balancer) Learn(now time.Duration, l *Learned) {
 	b.now = now
-	if fits(l.Limit, 1e6) && l.Limit > 0 && fits(l.Able, 1e6) && l.Able > 0 {
+	past := max(0, l.Past)
+	keep := Weight(past)
+	if past <= LimitFor && fits(l.Limit, 1e6) && l.Limit > 0 && fits(l.Able, 1e6) && l.Able > 0 {
 		b.limit = l.Limit * b.able / l.Able
-		b.known, b.bounded, b.crowded = l.Known, l.Bounded, l.Crowded
+		b.bounded, b.crowded = l.Bounded, l.Crowded
 	}
-	if fits(l.Uncrowded, 1) {
-		b.uncrowded = l.Uncrowded
+	if past <= MeasureFor && fits(l.Uncrowded, 1) {
+		b.uncrowded, b.known = l.Uncrowded, l.Known
 	}
 	if fits(l.Retries, retryBurst) {
 		b.retries = l.Retries
 	}
-	b.served, b.asked = l.Served.average(), l.Asked.average()
+	b.served, b.asked = l.Served.average(keep), l.Asked.average(keep)
 	b.asked.sum = min(b.asked.sum, b.asked.n)
 	for i, c := range b.classes {
 		if i < len(l.Classes) {
 			of := &l.Classes[i]
-			c.delay, c.tries = of.Delay.delay(), copy(c.lefts[:], of.Lefts)
+			c.delay, c.tries = of.Delay.delay(math.Sqrt(math.Sqrt(keep))), copy(c.lefts[:], of.Lefts) // as upkeep ages it
 			for k, share := range of.Bins[:min(spentBuckets, len(of.Bins))] {
 				if fits(share, 1e6) {
 					b.bins[i*spentBuckets+k].share = share
@@ -114,12 +129,17 @@
 		}
 	}
 	b.fleet.Take(l.Fleet)
+	b.fleet.Age(past.Seconds())
 	for _, h := range l.Hosts {
 		if s := b.byID[h.Endpoint]; s != nil && h.Told >= s.told { // or it has started anew since
 			s.UpSince, s.told = min(max(s.UpSince, h.Up), now), h.Told
-			s.delay, s.trial, s.fails, s.seen = h.Delay.delay(), h.Trial, max(0, h.Fails), h.Seen.Host(len(b.classes))
+			s.delay, s.trial, s.seen = h.Delay.delay(keep), h.Trial, h.Seen.Host(len(b.classes))
+			s.seen.Age(past.Seconds())
+			if past.Seconds() <= memory {
+				s.fails = max(0, h.Fails)
+			}
 			s.backoff = min(ejectMost, max(0, h.Backoff))
-			s.ejected = now + min(ejectMost, max(0, h.Ejected))
+			s.ejected = now + min(ejectMost, max(0, h.Ejected-past))
 			s.group.delay.n, s.group.delay.sum = s.group.delay.n+s.delay.n, s.group.delay.sum+s.delay.sum
 		}
 	}
@@ -128,19 +148,20 @@
 	b.dirty = true
 }
 
-func (s Sample) average() average {
+// average is the same with so much of its weight left.
+func (s Sample) average(keep float64) average {
 	if !fits(s.N, 1e9) || !fits(s.Sum, 1e9) {
 		return average{}
 	}
-	return average{s.N, s.Sum}
+	return average{s.N * keep, s.Sum * keep}
 }
 
 // delay is the same of a delay, whose mean is from a microsecond to an hour: what is divided by it must stay a number.
-func (s Sample) delay() average {
+func (s Sample) delay(keep float64) average {
 	if s.Sum < 1e-6*s.N || s.Sum > 3600*s.N {
 		return average{}
 	}
-	return s.average()
+	return s.average(keep)
 }
 
 // fits tells whether a number is one, and within its range.
--- a/balance/learned_test.go
+++ b/balance/learned_test.go
@@ -90,3 +90,43 @@
 		}
 	})
 }
+
+// Guards against a snapshot that is believed for longer than what it says can hold: by its age, what is left of the weight of
+// a curve, of an ejection and of the limit.
+func TestLearnedAges(t *testing.T) {
+	old := taught(t, 1)
+	l := old.b.Learned()
+	l.Crowded, l.Limit, l.Known, l.Uncrowded = true, 77, true, 0.2
+	for i := range l.Hosts {
+		l.Hosts[i].Ejected, l.Hosts[i].Fails = 8*time.Second, 2
+	}
+	for _, c := range []struct {
+		past           time.Duration
+		weight         float64
+		ejected        time.Duration
+		fails          int
+		limit, measure bool
+	}{
+		{0, 1, 8 * time.Second, 2, true, true},
+		{5 * time.Second, 0.3679, 3 * time.Second, 2, true, true},
+		{LimitFor + 1, 0.1353, 0, 0, false, true},
+		{MeasureFor + 1, 6e-6, 0, 0, false, false},
+		{-time.Hour, 1, 8 * time.Second, 2, true, true},
+	} {
+		w := newWorld(t, testSettings(), 2)
+		w.now = old.now
+		w.servers(5)
+		fresh := w.b.Learned()
+		l.Past = c.past
+		w.b.Learn(w.now, l)
+		got := w.b.Learned()
+		for i, h := range got.Hosts {
+			if weight := h.Delay.N / l.Hosts[i].Delay.N; weight < c.weight*0.9 || weight > c.weight*1.1 || h.Ejected != c.ejected || h.Fails != c.fails {
+				t.Errorf("after %v host %d: weight %.2g, ejected for %v, %d failures", c.past, h.Endpoint, weight, h.Ejected, h.Fails)
+			}
+		}
+		if limit := got.Limit != fresh.Limit; limit != c.limit || got.Crowded != c.limit || got.Known != c.measure {
+			t.Errorf("after %v: limit %v, crowded %v, measure %v", c.past, got.Limit, got.Crowded, got.Known)
+		}
+	}
+}
--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -23,6 +23,11 @@
 		File     string `arg:"" placeholder:"FILE" help:"The operator's file."`
 		Platform string `placeholder:"JSON" help:"The file that LB_CONFIG names, to be checked too."`
 	} `cmd:"" help:"Check an operator's file. The exit status is 2 where it is faulty."`
+	State struct {
+		Show struct {
+			File string `arg:"" placeholder:"FILE" help:"A snapshot, or a journal of effects, in the directory that [state] names."`
+		} `cmd:"" help:"Show what a file holds, and how old each part is. The exit status is 2 where it can't be read."`
+	} `cmd:"" help:"What a process has left for the one after it."`
 	Version struct{} `cmd:"" help:"Print the version, and what it was built from and with."`
 }
 
@@ -49,6 +54,8 @@
 		return statusFaulty
 	}
 	switch ctx.Selected().Name {
+	case "show":
+		return show(line.State.Show.File, os.Stdout)
 	case "check":
 		return check(line.Check.File, line.Check.Platform)
 	case "version":
--- a/cmd/pinelb/serve.go
+++ b/cmd/pinelb/serve.go
@@ -11,6 +11,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -35,6 +36,7 @@
 	socketsKept = 32                     // for discovery, the listener and the runtime
 	memoryShare = 0.7                    // of the limit, for the heap: the rest is stacks and the kernel's
 	effectsPart = 64                     // of the limit, for effects that are remembered
+	journalPart = 16                     // the same where a journal promises to know them
 	effectBytes = 512                    // of one, about
 	bodiesPart  = 16                     // of the limit, for the bodies of callers' requests; attempts copy them
 	syncWithin  = 300 * time.Millisecond // after which the known list has to do
@@ -111,8 +113,12 @@
 		return err
 	}
 	streams := &stream.Proxy{Engine: eng, Upstream: pool, Log: log}
-	if cfg.Control != "" { // there may be another process beside this one
-		streams.Effects = effects.New(int(memory / effectsPart / effectBytes))
+	if cfg.Control != "" || op.State != nil && op.State.Journal { // there may be another process beside this one, or after it
+		part := int64(effectsPart)
+		if op.State != nil && op.State.Journal {
+			part = journalPart
+		}
+		streams.Effects = effects.New(int(memory / part / effectBytes))
 	}
 	if op.Budget != nil {
 		streams.Budget = stream.NewBudget(op.Budget.Books(set), cfg.Seed, aims(set), log)
@@ -141,12 +147,17 @@
 		shares.beside(1) // before what it hands over, which is its part already
 	}
 	known := len(cfg.Known.Members) > 0
+	keep := newKeeper(op.State, cfg, next, log)
 	switch {
-	case next.former != nil && next.take():
+	case next.former != nil && next.take(), keep.remember(cfg):
 		known = true
 	case known: // from none at all the decisions would take a wrong measure
 		table.Apply(balance.ListCached, cfg.Known)
 	}
+	streams.Promise = keep.begin()
+	if overThrift != nil {
+		overThrift.Promise = streams.Promise
+	}
 	l, err := open(next.former, cfg, cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -214,8 +225,20 @@
 		case <-ending.Done():
 		}
 	}
+	kept := make(chan struct{})
+	var followed atomic.Bool
+	go func() {
+		defer close(kept)
+		keep.run(life)
+		keep.end(followed.Load())
+	}()
 	err = side.Run(ending, fronts...)
+	followed.Store(side.IsFollowed())
 	end()
+	select {
+	case <-kept:
+	case <-time.After(endWithin): // the disk is slow
+	}
 	return err
 }
 
--- a/cmd/pinelb/succession.go
+++ b/cmd/pinelb/succession.go
@@ -97,38 +97,55 @@
 
 // take takes over what the former process knew, and returns whether that holds a list.
 func (s *succession) take() (listed bool) {
-	var h handed
-	if err := json.Unmarshal(s.former.State, &h); err != nil {
+	h, err := s.adopt(s.former.State, 0, cluster.List{})
+	if err != nil {
 		s.log.Error().Err(fmt.Errorf("handover: state: %w", err)).Msg("nothing is taken over")
 		return false
 	}
+	if s.shares = h.Effects != nil; s.shares {
+		s.effects.Heard(time.Now(), effects.Former, h.Effects.Notes)
+	}
+	s.log.Info().Int("members", len(h.Table.List.Members)).Int("cordoned", len(h.Table.Cordoned)).Msg("taken over")
+	return len(h.Table.List.Members) > 0
+}
+
+// adopt takes over what a process knew that long ago. A list goes before the one that it had, where there is one.
+func (s *succession) adopt(state []byte, past time.Duration, list cluster.List) (h handed, err error) {
+	if err := json.Unmarshal(state, &h); err != nil {
+		return h, err
+	}
+	if len(list.Members) > 0 {
+		h.Table.List = list
+	}
 	s.table.Take(h.Table)
-	if h.Engine.Learned != nil {
+	if l := h.Engine.Learned; l != nil {
 		var to []int
 		names := s.classes()
 		for _, name := range h.Classes {
 			to = append(to, slices.Index(names, name))
 		}
-		h.Engine.Learned.Reorder(to, len(names))
+		l.Reorder(to, len(names))
+		l.Past = past
 	}
 	s.eng.Take(h.Engine)
-	if h.Effects != nil {
-		s.effects.Heard(time.Now(), effects.Former, h.Effects.Notes)
-	}
-	s.shares = h.Effects != nil
-	s.log.Info().Int("members", len(h.Table.List.Members)).Int("cordoned", len(h.Table.Cordoned)).Msg("taken over")
-	return len(h.Table.List.Members) > 0
+	return h, nil
+}
+
+// held is what this process knows.
+func (s *succession) held() handed {
+	return handed{Classes: s.classes(), Table: s.table.Held(), Engine: s.eng.State()}
 }
 
-// state is the same of this process, for a successor. What changes of effects from here on waits until that has said that it
-// takes such.
+// state is the same for a successor. What changes of effects from here on waits until that has said that it takes such.
 func (s *succession) state() ([]byte, error) {
 	next := newMirror(s.toNext, s.log)
 	s.mu.Lock()
 	s.next = next
 	s.mu.Unlock()
-	held := &known{Notes: s.effects.Watch(effects.Next, next.note)}
-	return json.Marshal(handed{Classes: s.classes(), Table: s.table.Held(), Engine: s.eng.State(), Effects: held})
+	notes := s.effects.Watch(effects.Next, next.note)
+	h := s.held()
+	h.Effects = &known{Notes: notes}
+	return json.Marshal(h)
 }
 
 // left lets go of a successor that is gone.
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -19,6 +19,42 @@
 	Fleet  *Fleet  `toml:"fleet"`
 	Thrift *Thrift `toml:"thrift"`
 	Budget *Budget `toml:"budget"`
+	State  *State  `toml:"state"`
+}
+
+// State is the section [state]: what a process knows is kept on the disk, for the one that comes after it.
+type State struct {
+	Dir     string        `toml:"dir"`     // absolute, and this sidecar's alone
+	Every   tomlfile.Span `toml:"every"`   // a snapshot is written so often
+	Oldest  tomlfile.Span `toml:"oldest"`  // and believed for so long
+	Journal bool          `toml:"journal"` // keyed and unsafe requests are written down before they are sent
+}
+
+// Defaults and limits of [state].
+const (
+	defaultStateEvery  = 10 * time.Second
+	leastStateEvery    = time.Second
+	mostStateEvery     = 10 * time.Minute
+	defaultStateOldest = 10 * time.Minute
+	mostStateOldest    = 24 * time.Hour
+)
+
+func (s *State) check(file *tomlfile.File) error {
+	if !file.Has("state.every") {
+		s.Every = tomlfile.Span(defaultStateEvery)
+	}
+	if !file.Has("state.oldest") {
+		s.Oldest = tomlfile.Span(defaultStateOldest)
+	}
+	switch {
+	case !filepath.IsAbs(s.Dir):
+		return file.Fault("state.dir", "must be the absolute path of a directory")
+	case s.Every.D() < leastStateEvery || s.Every.D() > mostStateEvery:
+		return file.Fault("state.every", "must be from %s to %s", leastStateEvery, mostStateEvery)
+	case s.Oldest < s.Every || s.Oldest.D() > mostStateOldest:
+		return file.Fault("state.oldest", "must be from state.every to %s", mostStateOldest)
+	}
+	return nil
 }
 
 // Fleet is the section [fleet]: how the instances of a tier are told apart.
@@ -103,6 +139,9 @@
 	if err == nil && op.Budget != nil {
 		err = op.Budget.check(file)
 	}
+	if err == nil && op.State != nil {
+		err = op.State.check(file)
+	}
 	if err != nil {
 		return nil, err // it begins with the file and the line
 	}
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -64,6 +64,9 @@
 		"[budget]\nservice = \"a\"\nreentry = -1": ":3: budget.reentry: ",
 		"[fleet]\nnumbered = 1":                   ":2: fleet.numbered: ",
 		"[fleet]\nspread = \"6s\"":                ":2: fleet.spread: must be from 0s to 5s",
+		"[state]\ndir = \"here\"":                 ":2: state.dir: must be the absolute",
+		"[state]\ndir = \"/s\"\nevery = \"0s\"":   ":3: state.every: must be from 1s to 10m",
+		"[state]\ndir = \"/s\"\noldest = \"5s\"":  ":3: state.oldest: must be from state.every",
 	} {
 		if _, err := loadOperator(t, text); err == nil || !strings.Contains(err.Error(), "operator.toml"+want) {
 			t.Errorf("%q: %v, want %s", text, err, want)
--- a/internal/downstream/side.go
+++ b/internal/downstream/side.go
@@ -105,6 +105,9 @@
 // that is new to it.
 func (s *Side) Followed(on bool) { s.followed.Store(on) }
 
+// IsFollowed says what Followed was last told.
+func (s *Side) IsFollowed() bool { return s.followed.Load() }
+
 // Life ends when whatever is not answered by then is to be failed.
 func (s *Side) Life() context.Context { return s.life }
 
--- /dev/null
+++ b/internal/durable/journal.go
@@ -0,0 +1,332 @@
+package durable
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"pinelb.example/pinelb/internal/effects"
+)
+
+const (
+	journalName = "effects-"
+	journalMost = 4 << 20                // bytes, from which on the next file is begun
+	readMost    = 4 * journalMost        // bytes of a file that are read
+	waitMost    = 1 << 20                // bytes that wait to be written
+	keptWithin  = 50 * time.Millisecond  // a stream waits no longer: a disk that is slow must not hold orders up
+	againAfter  = time.Second            // a disk that has failed is tried again
+	closeWithin = 200 * time.Millisecond // the last write may take
+)
+
+// Journal writes what a table of effects is told, so that it is on the disk before anything is sent. Writes that come while
+// the disk is at work go together in the next one. A disk that fails, is full or slow holds nothing up: what is not kept is
+// counted, and Fault is told.
+type Journal struct {
+	Disk  Disk
+	Table *effects.Table
+	// Fault is told when the journal can't be written, and with nil when it can again.
+	Fault func(err error)
+
+	wake  chan struct{}
+	ended chan struct{}
+
+	mu      sync.Mutex
+	wait    []byte
+	next    chan struct{} // closed once what waits is settled
+	writing chan struct{} // the same of what is being written; nil: nothing is
+	slow    bool          // somebody has waited too long for it
+	failed  error
+	deaf    bool // nothing is to be written: the next file begins with all that is known
+	closed  bool
+	missed  int // promises that were not given
+
+	// Of run alone.
+	file   File
+	name   string
+	unlock func()
+	size   int
+}
+
+// header is a journal's first line: the clock by which its times are.
+type header struct{ Clock Clock }
+
+// Begin writes a first file with all that the table knows and has further changes follow, until Close. Files that former
+// processes have left are removed once theirs is in it.
+func (j *Journal) Begin(left []string) {
+	j.wake, j.next, j.ended = make(chan struct{}, 1), make(chan struct{}), make(chan struct{})
+	j.set(j.begin())
+	if j.failed == nil {
+		for _, name := range left {
+			_ = j.Disk.Remove(name) // read again it would tell the same
+		}
+	}
+	go j.run()
+}
+
+// begin begins a file, and leaves the one before it only when that is on the disk.
+func (j *Journal) begin() error {
+	names, err := j.Disk.Names()
+	if err != nil {
+		return fmt.Errorf("durable: journal: %w", err)
+	}
+	last := 0
+	for _, n := range names {
+		if i, err := strconv.Atoi(strings.TrimPrefix(n, journalName)); err == nil && IsJournal(n) {
+			last = max(last, i)
+		}
+	}
+	name := fmt.Sprintf("%s%09d", journalName, last+1)
+	j.mu.Lock()
+	j.deaf = false // what comes from here on is not in what is known
+	j.mu.Unlock()
+	text := line(nil, header{Now()})
+	for _, n := range j.Table.Watch(effects.Journal, j.note) {
+		text = appendNote(text, n)
+	}
+	unlock, err := j.Disk.Lock(name)
+	if err == nil && unlock == nil {
+		err = fmt.Errorf("%s is another process's", name)
+	}
+	if err != nil {
+		return fmt.Errorf("durable: journal: %w", err)
+	}
+	f, err := j.Disk.Create(name)
+	if err == nil {
+		if _, err = f.Write(text); err == nil {
+			err = f.Sync()
+		}
+		if err == nil {
+			err = j.Disk.Sync()
+		}
+		if err != nil {
+			_ = f.Close()
+		}
+	}
+	if err != nil {
+		unlock()
+		return fmt.Errorf("durable: journal: %w", err)
+	}
+	if j.file != nil {
+		_ = j.file.Close()
+		_ = j.Disk.Remove(j.name)
+		j.unlock()
+	}
+	j.file, j.name, j.unlock, j.size = f, name, unlock, len(text)
+	return nil
+}
+
+// IsJournal tells whether a file of that name is a journal of effects.
+func IsJournal(name string) bool { return strings.HasPrefix(name, journalName) }
+
+// line appends a line: the sum of a value's text, and the text.
+func line(b []byte, v any) []byte {
+	text, err := json.Marshal(v)
+	if err != nil {
+		return b // it has no such values
+	}
+	return append(append(fmt.Appendf(b, "%016x ", xxhash.Sum64(text)), text...), '\n')
+}
+
+// appendNote appends what is worth keeping of a change: nothing, where the effect may take place any number of times.
+func appendNote(b []byte, n effects.Note) []byte {
+	if n.Keep == 0 || n.At.IsZero() && !n.Back {
+		return b // nothing of it has begun
+	}
+	return line(b, n)
+}
+
+// note takes a change from the table, and never waits.
+func (j *Journal) note(n effects.Note) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.closed || j.deaf || len(j.wait) > waitMost {
+		return // Kept says so
+	}
+	if j.wait = appendNote(j.wait, n); len(j.wait) == 0 {
+		return
+	}
+	select {
+	case j.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Kept waits until all that the table has been told is on the disk. It returns false where that takes too long or can't be.
+func (j *Journal) Kept() bool {
+	j.mu.Lock()
+	wait, ok := j.writing, j.failed == nil && !j.closed && len(j.wait) <= waitMost
+	if len(j.wait) > 0 {
+		wait = j.next
+	}
+	if !ok || wait != nil && j.slow {
+		j.missed++
+		j.mu.Unlock()
+		return false
+	}
+	j.mu.Unlock()
+	if wait == nil {
+		return true
+	}
+	late := time.NewTimer(keptWithin)
+	defer late.Stop()
+	select {
+	case <-wait:
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		if j.failed != nil {
+			j.missed++
+		}
+		return j.failed == nil
+	case <-late.C:
+		j.mu.Lock()
+		defer j.mu.Unlock()
+		j.slow = j.writing != nil
+		j.missed++
+		return false
+	}
+}
+
+// Missed is how many times Kept returned false since it was last asked.
+func (j *Journal) Missed() (n int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n, j.missed = j.missed, 0
+	return n
+}
+
+// Close writes what waits, within moments, and ends the journal.
+func (j *Journal) Close() {
+	j.mu.Lock()
+	j.closed = true
+	j.mu.Unlock()
+	close(j.wake)
+	late := time.NewTimer(closeWithin)
+	defer late.Stop()
+	select {
+	case <-j.ended:
+	case <-late.C:
+	}
+}
+
+func (j *Journal) run() {
+	defer close(j.ended)
+	for open := true; open; {
+		var again <-chan time.Time
+		if j.failed != nil { // only run changes it
+			again = time.After(againAfter)
+		}
+		select {
+		case _, open = <-j.wake:
+			if j.set(j.flush()); j.failed == nil && j.size > journalMost {
+				j.set(j.begin())
+			}
+		case <-again:
+			j.set(j.begin())
+		}
+	}
+	if j.file != nil {
+		_ = j.file.Close()
+		j.unlock()
+	}
+}
+
+// set takes in how the last write went, lets those go on that waited for it, and tells of a change between working and not.
+func (j *Journal) set(err error) {
+	j.mu.Lock()
+	was := j.failed
+	j.failed = err
+	if j.writing != nil {
+		close(j.writing)
+		j.writing, j.slow = nil, false
+	}
+	if err != nil {
+		j.deaf, j.wait = true, nil
+		close(j.next)
+		j.next = make(chan struct{})
+	}
+	j.mu.Unlock()
+	if (err == nil) != (was == nil) {
+		j.Fault(err)
+	}
+}
+
+// flush writes what waits.
+func (j *Journal) flush() error {
+	j.mu.Lock()
+	batch := j.wait
+	if j.failed != nil || len(batch) == 0 {
+		defer j.mu.Unlock()
+		return j.failed
+	}
+	j.wait, j.next, j.writing = nil, make(chan struct{}), j.next
+	j.mu.Unlock()
+	_, err := j.file.Write(batch)
+	if err == nil {
+		err = j.file.Sync()
+	}
+	if err != nil {
+		return fmt.Errorf("durable: journal: %w", err)
+	}
+	j.size += len(batch)
+	return nil
+}
+
+// Effects returns what the journals say that processes have left which are dead, oldest first, by this moment's clock; how
+// many lines of them could not be read; and the names of their files. Alive is how many others are in use. Whoever calls
+// keeps all others from calling at the same time: by the lock of the directory, or as the successor of whoever has that.
+func Effects(d Disk, now Clock) (notes []effects.Note, skipped int, left []string, alive int, err error) {
+	names, err := d.Names()
+	if err != nil {
+		return nil, 0, nil, 0, fmt.Errorf("durable: journal: %w", err)
+	}
+	for _, name := range names {
+		if !IsJournal(name) {
+			continue
+		}
+		unlock, err := d.Lock(name)
+		if err != nil || unlock == nil {
+			alive++
+			continue
+		}
+		unlock()
+		text, err := d.Read(name, readMost)
+		if err != nil {
+			return nil, 0, nil, 0, fmt.Errorf("durable: journal: %w", err)
+		}
+		read, bad := DecodeJournal(text, now)
+		notes, skipped, left = append(notes, read...), skipped+bad, append(left, name)
+	}
+	return notes, skipped, left, alive, nil
+}
+
+// DecodeJournal reads a journal. Lines that are cut off or changed are counted and left out: what a power cut has left half
+// written had not been promised.
+func DecodeJournal(text []byte, now Clock) (notes []effects.Note, skipped int) {
+	var clock *Clock
+	for l := range bytes.Lines(text) {
+		var n effects.Note
+		var h header
+		sum, body, found := bytes.Cut(bytes.TrimSuffix(l, []byte{'\n'}), []byte{' '})
+		want, err := strconv.ParseUint(string(sum[:min(len(sum), 17)]), 16, 64)
+		switch {
+		case !found || err != nil || len(sum) != 16 || xxhash.Sum64(body) != want:
+			skipped++
+		case clock == nil && json.Unmarshal(body, &h) == nil && !h.Clock.Wall.IsZero():
+			clock = &h.Clock
+		case json.Unmarshal(body, &n) != nil || n.Txn == "" || n.Class == "":
+			skipped++
+		default:
+			if clock != nil && !n.At.IsZero() { // however the wall clock has been set since
+				n.At = now.Wall.Add(-now.Since(*clock) + n.At.Sub(clock.Wall))
+			}
+			notes = append(notes, n)
+		}
+	}
+	return notes, skipped
+}
--- /dev/null
+++ b/internal/durable/snapshot.go
@@ -0,0 +1,121 @@
+package durable
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	snapshotName = "snapshot"
+	freshName    = "snapshot.new"
+	magic        = "pinelb snapshot"
+	version      = 1
+	snapshotMost = 8 << 20 // bytes
+	headMost     = 64
+	aheadMost    = 2 * time.Second // that a snapshot may seem to come from later: clocks are set by so much all the time
+)
+
+// Snapshot is what a process knew at a moment.
+type Snapshot struct {
+	Saved Clock
+	Site  string          // whose it is
+	State json.RawMessage // as JSON
+}
+
+// ErrNone says that there is no snapshot.
+var ErrNone = errors.New("durable: no snapshot")
+
+// encode is a snapshot's text: a line that says how long the rest is and what it hashes to, and the rest.
+func (s *Snapshot) encode() ([]byte, error) {
+	body, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("durable: snapshot: %w", err)
+	}
+	if len(body) > snapshotMost-headMost {
+		return nil, fmt.Errorf("durable: a snapshot of %d bytes, %d at most", len(body), snapshotMost-headMost)
+	}
+	return append(fmt.Appendf(nil, "%s %d %d %016x\n", magic, version, len(body), xxhash.Sum64(body)), body...), nil
+}
+
+// Decode reads a snapshot's text. What is cut off, changed, or of another version is an error that says so.
+func Decode(text []byte) (*Snapshot, error) {
+	head, body, found := bytes.Cut(text[:min(len(text), snapshotMost)], []byte{'\n'})
+	var v, size int
+	var sum uint64
+	if n, err := fmt.Sscanf(string(head[:min(len(head), headMost)]), magic+" %d %d %x", &v, &size, &sum); n < 1 || v < 1 {
+		return nil, fmt.Errorf("durable: not a snapshot: %w", err)
+	} else if v != version {
+		return nil, fmt.Errorf("durable: a snapshot of version %d, %d is read", v, version)
+	} else if n < 3 || !found || size != len(body) {
+		return nil, fmt.Errorf("durable: the snapshot is cut off: %d of %d bytes", len(body), size)
+	}
+	if got := xxhash.Sum64(body); got != sum {
+		return nil, fmt.Errorf("durable: the snapshot has changed: its sum is %016x, not %016x", got, sum)
+	}
+	s := &Snapshot{}
+	if err := json.Unmarshal(body, s); err != nil {
+		return nil, fmt.Errorf("durable: snapshot: %w", err)
+	}
+	return s, nil
+}
+
+// Save has a snapshot take the former one's place: whatever happens meanwhile, one of the two is there whole.
+func Save(d Disk, s *Snapshot) (size int, err error) {
+	text, err := s.encode()
+	if err != nil {
+		return 0, err
+	}
+	if err = create(d, freshName, text); err == nil {
+		err = d.Rename(freshName, snapshotName)
+	}
+	if err == nil {
+		err = d.Sync()
+	}
+	if err != nil {
+		return 0, fmt.Errorf("durable: snapshot: %w", err)
+	}
+	return len(text), nil
+}
+
+// create writes a file whole.
+func create(d Disk, name string, text []byte) error {
+	f, err := d.Create(name)
+	if err != nil {
+		return err
+	}
+	if _, err = f.Write(text); err == nil {
+		err = f.Sync()
+	}
+	return errors.Join(err, f.Close())
+}
+
+// Load returns the snapshot and how old it is. One that is not this site's, from later than now or older than oldest is an
+// error, as one that can't be read is; where there is none it is ErrNone.
+func Load(d Disk, now Clock, site string, oldest time.Duration) (*Snapshot, time.Duration, error) {
+	text, err := d.Read(snapshotName, snapshotMost+1)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, 0, ErrNone
+	} else if err != nil {
+		return nil, 0, fmt.Errorf("durable: snapshot: %w", err)
+	}
+	s, err := Decode(text)
+	if err != nil {
+		return nil, 0, err
+	}
+	age := now.Since(s.Saved)
+	switch {
+	case s.Site != site:
+		return nil, age, fmt.Errorf("durable: a snapshot of another site, %q", s.Site)
+	case age < -aheadMost:
+		return nil, age, fmt.Errorf("durable: a snapshot of %v from now: the clock was set back", -age)
+	case age > oldest:
+		return nil, age, fmt.Errorf("durable: a snapshot of %v ago, %v at most", age.Round(time.Second), oldest)
+	}
+	return s, max(0, age), nil
+}
--- a/internal/effects/effects.go
+++ b/internal/effects/effects.go
@@ -42,6 +42,7 @@
 type Note struct {
 	ID
 	Over bool // the request is over; otherwise it is under way
+	Back bool // what was told of its attempts is taken back: none may have run
 	Trace
 }
 
@@ -133,22 +134,22 @@
 	return first
 }
 
-// Sent says that an attempt of a request is about to begin, and returns its number.
-func (t *Table) Sent(now time.Time, txn string, host balance.EndpointID) int {
+// Sent says that an attempt of a request is about to begin, and returns its number, and whether its effect is remembered.
+func (t *Table) Sent(now time.Time, txn string, host balance.EndpointID) (n int, kept bool) {
 	if t == nil {
-		return 0
+		return 0, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	o := t.own[txn]
 	if o == nil || o.Keep == 0 {
-		return 0
+		return 0, false
 	}
 	o.sends = append(o.sends, Trace{host, now})
 	if len(o.sends) == 1 || o.first() == o.sends[len(o.sends)-1] {
-		t.tell(Note{ID: o.ID, Trace: o.first()}, Own)
+		t.tell(o.note(false), Own)
 	}
-	return len(o.sends) - 1
+	return len(o.sends) - 1, true
 }
 
 // Settled says how an attempt ended: whether it may have run.
@@ -161,7 +162,7 @@
 	if o := t.own[txn]; o != nil && n < len(o.sends) {
 		was := o.first()
 		if o.sends[n] = (Trace{}); o.first() != was {
-			t.tell(Note{ID: o.ID, Trace: o.first()}, Own)
+			t.tell(o.note(false), Own)
 		}
 	}
 }
@@ -174,6 +175,12 @@
 	return first
 }
 
+// note is what there is to tell of it.
+func (o *open) note(over bool) Note {
+	first := o.first()
+	return Note{ID: o.ID, Over: over, Back: len(o.sends) > 0 && first.At.IsZero(), Trace: first}
+}
+
 func earlier(a, b Trace) Trace {
 	if a.At.IsZero() || !b.At.IsZero() && b.At.Before(a.At) {
 		return b
@@ -194,7 +201,7 @@
 		if t.keyed[effect] = slices.DeleteFunc(t.keyed[effect], func(k *open) bool { return k == o }); len(t.keyed[effect]) == 0 {
 			delete(t.keyed, effect)
 		}
-		t.over(now, Note{ID: o.ID, Over: true, Trace: o.first()}, Own)
+		t.over(now, o.note(true), Own)
 	}
 }
 
@@ -268,7 +275,7 @@
 		notes = append(notes, p.Note)
 	}
 	for _, txn := range slices.Sorted(maps.Keys(t.own)) {
-		notes = append(notes, Note{ID: t.own[txn].ID, Trace: t.own[txn].first()})
+		notes = append(notes, t.own[txn].note(false))
 	}
 	for link, other := range t.others {
 		if link != but {
--- a/internal/effects/effects_test.go
+++ b/internal/effects/effects_test.go
@@ -63,7 +63,7 @@
 				for range rapid.IntRange(0, 2).Draw(t, "sends") {
 					now = now.Add(time.Millisecond)
 					f := &fact{effect: id.effect(), Trace: Trace{balance.EndpointID(len(facts)), now}}
-					n := tables[who].Sent(now, id.Txn, f.Host)
+					n, _ := tables[who].Sent(now, id.Txn, f.Host)
 					facts = append(facts, f)
 					if rapid.Bool().Draw(t, "never") {
 						tables[who].Settled(id.Txn, n, false)
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -98,7 +98,10 @@
 	Observer Observer       // nil: nobody
 	Budget   *Budget        // nil: every tier tries again as it sees fit
 	Effects  *effects.Table // nil: none is remembered, and other processes' are not known
-	Log      zerolog.Logger
+	// Promise is called before an attempt that must not be unknown to whoever comes after this process; it returns once
+	// Effects is kept. Nil: it is not kept.
+	Promise func()
+	Log     zerolog.Logger
 
 	mu   sync.Mutex
 	uses map[string]use // by id
@@ -209,7 +212,7 @@
 // attempt is one upstream request, the n-th of its stream. However it ends, its outcome is told once.
 func (p *Proxy) attempt(s decided, send engine.Send, req sent, n int, answer chan Response, over <-chan struct{}) {
 	status, res := balance.Reset, Response{Outcome: Failed} // what a panic leaves: it may have run
-	effect := p.Effects.Sent(time.Now(), req.Txn, send.Host)
+	effect, kept := p.Effects.Sent(time.Now(), req.Txn, send.Host)
 	defer func() {
 		p.Effects.Settled(req.Txn, effect, status != balance.Full && status != balance.ConnectFailed && status != balance.Moot)
 		p.release(req.Txn, func(l *Life) { l.Attempts[n].Status, l.Attempts[n].Ended = status, time.Now() })
@@ -228,6 +231,9 @@
 			res.discard()
 		}
 	}()
+	if kept && p.Promise != nil {
+		p.Promise()
+	}
 	status, res = p.Upstream.Do(send.Ctx, send.Host, send.Until, req.Request)
 	req.ended(res.Tried)
 }
