--- a/cmd/pinelb/succession.go
+++ b/cmd/pinelb/succession.go
@@ -21,6 +21,9 @@
 	"pinelb.example/pinelb/internal/upstream"
 )
 
+// followWithin is how long a process waits for one that has another successor: it is due in 6 s.
+const followWithin = 3 * time.Second
+
 // bounds are what a sidecar may use, shared by its processes while there is more than one.
 type bounds struct {
 	memory  int64 // bytes
@@ -88,7 +91,7 @@
 	if cfg.Control == "" || path == "" {
 		return nil
 	}
-	f, err := handover.Follow(path)
+	f, err := handover.Follow(path, followWithin)
 	if err != nil {
 		log.Error().Err(err).Msg("nothing is taken over")
 	}
@@ -164,6 +167,10 @@
 func (s *succession) serves(ctx context.Context, up func(), b *bounds) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
+	var err error
+	if s.owner != nil {
+		err = s.owner.Listen()
+	}
 	if s.former != nil {
 		told := func(line []byte) { s.told(line, effects.Former) }
 		if s.shares {
@@ -185,10 +192,11 @@
 		defer context.AfterFunc(ctx, s.former.Close)()
 	}
 	up()
-	if s.owner != nil {
-		if err := s.owner.Serve(ctx); err != nil {
-			s.log.Warn().Err(err).Msg("no successor can take over")
-		}
+	if s.owner != nil && err == nil {
+		err = s.owner.Serve(ctx)
+	}
+	if err != nil {
+		s.log.Warn().Err(err).Msg("no successor can take over")
 	}
 	<-ctx.Done()
 }
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -27,11 +27,13 @@
 const (
 	version   = 1
 	greeting  = "pinelb hand-over 1\n"
-	within    = time.Second // each step of the talk: the new process is due within a few seconds
-	stateMost = 8 << 20     // bytes of the message
-	lineMost  = 64 << 10    // bytes of a line afterwards
-	most      = 8           // listeners
-	pathMost  = 100         // bytes of a Unix socket's path, which the kernel bounds at 108
+	within    = time.Second            // each step of the talk: the new process is due within a few seconds
+	stateMost = 8 << 20                // bytes of the message
+	lineMost  = 64 << 10               // bytes of a line afterwards
+	most      = 8                      // listeners
+	pathMost  = 100                    // bytes of a Unix socket's path, which the kernel bounds at 108
+	lookEvery = 250 * time.Millisecond // whether the path is still this process's
+	againIn   = 10 * time.Millisecond  // after an owner that was busy
 	readyWord = "ready"
 	ackWord   = "yours"
 )
@@ -62,42 +64,113 @@
 	Told      func(line []byte)           // a line of the successor's
 	Log       zerolog.Logger
 
+	first *place // where Listen has been called
+
 	mu   sync.Mutex
 	next net.Conn // the successor
 }
 
+// Listen takes the path, so that whoever comes from then on waits for Serve; without it Serve does. A successor calls it
+// before it says that it serves: there is no moment at which nobody is at the path.
+func (o *Owner) Listen() (err error) {
+	o.first, err = listen(o.Path)
+	return err
+}
+
 // Serve waits for successors until ctx ends, one after the other. An error means that none can come.
 func (o *Owner) Serve(ctx context.Context) error {
-	for ctx.Err() == nil {
-		l, err := listen(o.Path)
-		if err != nil {
-			return err
+	defer func() {
+		if o.first != nil {
+			_ = o.first.Close()
 		}
-		stop := context.AfterFunc(ctx, func() { _ = l.Close() })
-		var in *bufio.Reader // of a successor that serves
-		conn, err := l.AcceptUnix()
-		for ; err == nil; conn, err = l.AcceptUnix() {
-			if in = o.give(conn); in != nil {
-				break // the path is the successor's from here on
+	}()
+	for ctx.Err() == nil {
+		l, err := o.first, error(nil)
+		if o.first = nil; l == nil {
+			if l, err = listen(o.Path); err != nil {
+				return err
 			}
 		}
+		stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+		conn, err := l.accept(o.Path)
 		stop()
-		_ = l.Close()
+		if err == nil && conn == nil { // another process serves, which this one has not handed anything to
+			_ = l.Close()
+			o.Followed(true)
+			o.Succeeded(true)
+			o.wait(ctx)
+			o.Followed(false)
+			o.Succeeded(false)
+			continue
+		}
 		if err != nil {
+			_ = l.Close()
 			return ended(ctx, err)
 		}
+		in := o.give(ctx, conn)
+		if in == nil { // it may have taken the path already
+			err = o.Listen()
+		}
+		_ = l.Close() // who waits there comes again, to whom the path leads now
+		if err != nil {
+			return err
+		}
+		if in == nil {
+			continue
+		}
 		o.Succeeded(true)
 		if _, err = io.WriteString(conn, ackWord+"\n"); err == nil {
 			stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 			hear(conn, in, o.Told)
 			stop()
 		}
+		// Where that one had been succeeded itself, this process still is, and the path is not its own.
+		o.wait(ctx)
 		o.leave(conn)
 		o.Succeeded(false)
 	}
 	return nil
 }
 
+// wait waits for as long as another process is at the path.
+func (o *Owner) wait(ctx context.Context) {
+	for ctx.Err() == nil && taken(o.Path) {
+		select {
+		case <-time.After(lookEvery):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// place is a listener at the path, for as long as the path leads to it.
+type place struct {
+	*net.UnixListener
+	file os.FileInfo
+}
+
+// accept returns the next connection, or nil once the path leads to another process.
+func (l *place) accept(path string) (*net.UnixConn, error) {
+	for {
+		_ = l.SetDeadline(time.Now().Add(lookEvery))
+		conn, err := l.AcceptUnix()
+		if !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+		if now, err := os.Stat(path); err == nil && !os.SameFile(now, l.file) && taken(path) {
+			return nil, nil
+		}
+	}
+}
+
+// taken tells whether a process waits at the path.
+func taken(path string) bool {
+	c, err := net.DialTimeout("unix", path, within)
+	if err == nil {
+		_ = c.Close()
+	}
+	return err == nil
+}
+
 func ended(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return nil
@@ -107,7 +180,8 @@
 
 // give hands all over to one that has come, and waits until it serves. It returns what is read from it then, or nil where
 // it doesn't.
-func (o *Owner) give(conn *net.UnixConn) *bufio.Reader {
+func (o *Owner) give(ctx context.Context, conn *net.UnixConn) *bufio.Reader {
+	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	_ = conn.SetDeadline(time.Now().Add(within))
 	hello := make([]byte, len(greeting))
 	if _, err := io.ReadFull(conn, hello); err != nil || string(hello) != greeting {
@@ -221,7 +295,7 @@
 }
 
 // listen takes the path over, from whoever had it: who can't be reached there any more needs it no longer.
-func listen(path string) (*net.UnixListener, error) {
+func listen(path string) (*place, error) {
 	own := fmt.Sprintf("%s.%d", path, os.Getpid())
 	_ = os.Remove(own) // of a former process of this number
 	l, err := net.ListenUnix("unix", &net.UnixAddr{Name: own, Net: "unix"})
@@ -229,14 +303,18 @@
 		return nil, fmt.Errorf("handover: listen: %w", err)
 	}
 	l.SetUnlinkOnClose(false) // by then the path may be the successor's
-	if err = os.Chmod(own, 0o600); err == nil {
+	file, err := os.Stat(own)
+	if err == nil {
+		err = os.Chmod(own, 0o600)
+	}
+	if err == nil {
 		err = os.Rename(own, path)
 	}
 	if err != nil {
 		_ = l.Close()
 		return nil, fmt.Errorf("handover: listen: %w", err)
 	}
-	return l, nil
+	return &place{l, file}, nil
 }
 
 // Former is the process that runs already, as its successor sees it.
@@ -249,9 +327,24 @@
 	mu   sync.Mutex // of writing
 }
 
-// Follow takes all over from the process that waits at the path. It returns nil where there is none. An error is one of
-// what it gave: the caller starts afresh.
-func Follow(path string) (*Former, error) {
+// errBusy says that a process is at the path and gives nothing: it has to do with another successor, or is one.
+var errBusy = errors.New("handover: the process is busy")
+
+// Follow takes all over from the process that waits at the path. It returns nil where there is none. One that has another
+// successor is waited for, or that successor is, as long as patience lasts. An error is one of what it gave: the caller
+// starts afresh.
+func Follow(path string, patience time.Duration) (f *Former, err error) {
+	busy := false
+	for until := time.Now().Add(patience); ; time.Sleep(againIn) {
+		f, err = meet(path)
+		busy = busy || errors.Is(err, errBusy)
+		if f != nil || err != nil && !errors.Is(err, errBusy) || !busy || !time.Now().Before(until) {
+			return f, err
+		}
+	}
+}
+
+func meet(path string) (*Former, error) {
 	d := net.Dialer{Timeout: within}
 	c, err := d.Dial("unix", path)
 	if err != nil {
@@ -272,12 +365,12 @@
 func follow(conn *net.UnixConn) (*Former, error) {
 	_ = conn.SetDeadline(time.Now().Add(within))
 	if _, err := io.WriteString(conn, greeting); err != nil {
-		return nil, fmt.Errorf("handover: write: %w", err)
+		return nil, fmt.Errorf("%w: %w", errBusy, err)
 	}
 	head, rights := make([]byte, 4), make([]byte, syscall.CmsgSpace(most*4))
 	n, nRights, _, _, err := conn.ReadMsgUnix(head, rights)
 	if err != nil {
-		return nil, fmt.Errorf("handover: read: %w", err)
+		return nil, fmt.Errorf("%w: %w", errBusy, err)
 	}
 	files, err := descriptors(rights[:nRights])
 	defer func() {
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/rs/zerolog"
 	"go.uber.org/goleak"
@@ -66,7 +67,7 @@
 // Guards against a hand-over that loses a connection in the queue, a line of either side, or the end of either.
 func TestHandOver(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.sock")
-	if f, err := Follow(path); f != nil || err != nil {
+	if f, err := Follow(path, 0); f != nil || err != nil {
 		t.Fatalf("with nobody there: %v, %v", f, err)
 	}
 	o := own(t, path, `{"a":1}`)
@@ -76,9 +77,9 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		f, err := Follow(path)
+		f, err := Follow(path, 0)
 		for f == nil && err == nil { // after a successor's end the owner takes the path again
-			f, err = Follow(path)
+			f, err = Follow(path, 0)
 		}
 		if err != nil || string(f.State) != `{"a":1}` {
 			t.Fatalf("round %d: %v, %+v", round, err, f)
@@ -124,14 +125,14 @@
 		t.Fatal(err)
 	}
 	c.Close()
-	f, err := Follow(path)
+	f, err := Follow(path, time.Minute)
 	if err != nil {
 		t.Fatal(err)
 	}
 	f.CloseUnused()
 	f.Close()
 	o.expect(t, "followed+", "followed-")
-	if f, err = Follow(path); err != nil {
+	if f, err = Follow(path, time.Minute); err != nil {
 		t.Fatal(err)
 	}
 	f.CloseUnused()
@@ -142,7 +143,7 @@
 func TestAbandonedPath(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.sock")
 	own(t, path, `{}`).stop()
-	if f, err := Follow(path); f != nil || err != nil {
+	if f, err := Follow(path, 0); f != nil || err != nil {
 		t.Fatalf("after its end: %v, %v", f, err)
 	}
 	o := own(t, path, `{}`)
@@ -177,7 +178,7 @@
 			_, _ = c.Write(head)
 			_, _ = c.Write(body)
 		}()
-		got, err := Follow(path)
+		got, err := Follow(path, 0)
 		<-done
 		if err == nil && !bytes.Contains(append(head, body...), got.State) {
 			t.Errorf("state %q out of %q %q", got.State, head, body)
--- a/internal/lab/live/addresses.go
+++ b/internal/lab/live/addresses.go
@@ -16,6 +16,8 @@
 	boxPort     = 18080
 	sidecarPort = 18081
 	thriftPort  = 18082
+	controlPort = 18084 // and the next with each process
+	controls    = 10
 	agentPort   = 18100 // and the next with each move of discovery
 	agentMoves  = 8000  // after which the ports begin anew
 
@@ -59,6 +61,11 @@
 // thrift is where a sidecar listens for Thrift.
 func (a *addresses) thrift(i int) string { return a.at(sidecarRow, i, thriftPort) }
 
+// control is where a sidecar's process listens for operators, by the number of its start.
+func (a *addresses) control(i, start int) string {
+	return a.at(sidecarRow, i, controlPort+start%controls)
+}
+
 // entry is where a sidecar listens for callers that speak a protocol.
 func (a *addresses) entry(i int, protocol string) string {
 	if _, ok := thriftForms[protocol]; ok {
--- a/internal/lab/live/fleet.go
+++ b/internal/lab/live/fleet.go
@@ -83,8 +83,11 @@
 }
 
 // health is the code of the answer to GET /_health; 0 for none.
-func (f *fleet) health(i int) int {
-	req, err := http.NewRequestWithContext(f.life, http.MethodGet, "http://"+f.net.sidecar(i)+"/_health", nil)
+func (f *fleet) health(i int) int { return f.asked("http://" + f.net.sidecar(i) + "/_health") }
+
+// asked is the code of the answer to GET url; 0 for none.
+func (f *fleet) asked(url string) int {
+	req, err := http.NewRequestWithContext(f.life, http.MethodGet, url, nil)
 	if err != nil {
 		return 0
 	}
@@ -144,6 +147,9 @@
 // stop sends SIGTERM.
 func (f *fleet) stop(i int) { f.sidecars[i].stop() }
 
+// upgrade has a sidecar's process be succeeded.
+func (f *fleet) upgrade(i int) error { return f.sidecars[i].upgrade() }
+
 // kill sends SIGKILL.
 func (f *fleet) kill(i int) { f.sidecars[i].kill() }
 
@@ -160,14 +166,18 @@
 	return at.able && f.now() < at.until && (!at.draining || f.callers.kept(i))
 }
 
-// finish ends what still runs, as planned: SIGTERM, and SIGKILL after the grace of the platform, or after less
-// in a hurry.
-func (f *fleet) finish(hurry bool) {
-	grace := time.Duration(0)
+// grace is how long a planned end may take, as on the platform.
+func (f *fleet) grace() (grace time.Duration) {
 	for _, c := range f.plan.Scenario.Class {
 		grace = max(grace, c.Deadline.D())
 	}
-	grace = min(grace, longestGraced) + graceBeyond
+	return min(grace, longestGraced) + graceBeyond
+}
+
+// finish ends what still runs, as planned: SIGTERM, and SIGKILL after the grace of the platform, or after less
+// in a hurry.
+func (f *fleet) finish(hurry bool) {
+	grace := f.grace()
 	if hurry {
 		grace = min(grace, hurriedGrace)
 	}
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -132,6 +132,10 @@
 			}
 		case plan.StopSidecar:
 			r.fleet.stop(e.Sidecar)
+		case plan.UpgradeSidecar:
+			if err := r.fleet.upgrade(e.Sidecar); err != nil {
+				r.broken(e.Sidecar, err)
+			}
 		case plan.KillSidecar:
 			r.fleet.kill(e.Sidecar)
 		case plan.PauseSidecar:
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -50,6 +50,7 @@
 // process is one run of the program. The sidecar's lock guards the flags.
 type process struct {
 	cmd      *exec.Cmd
+	control  string        // where it listens for operators; empty: nowhere
 	stopping bool          // SIGTERM was sent
 	killed   bool          // SIGKILL was
 	settled  chan struct{} // closed once it has been ready, or has ended
@@ -70,41 +71,57 @@
 	if s.runs() {
 		return nil
 	}
+	p, err := s.launch()
+	if err != nil {
+		return err
+	}
+	s.process = p
+	s.note(trace.Begun, "")
+	s.fleet.tasks.Go(func() { s.wait(p) })
+	s.fleet.tasks.Go(func() { s.admit(p) })
+	return nil
+}
+
+// launch starts the program. It needs the lock.
+func (s *sidecar) launch() (*process, error) {
 	s.starts++
 	if err := s.configure(); err != nil {
-		return err
+		return nil, err
 	}
-	p := &process{cmd: s.command(), settled: make(chan struct{}), ended: make(chan struct{})}
+	p := &process{settled: make(chan struct{}), ended: make(chan struct{})}
+	if s.fleet.plan.Upgrades() {
+		p.control = s.fleet.net.control(s.id, s.starts)
+	}
+	p.cmd = s.command(p.control)
 	how := os.O_CREATE | os.O_WRONLY | os.O_APPEND
 	if s.starts == 1 {
 		how |= os.O_TRUNC
 	}
 	log, err := os.OpenFile(s.log(), how, 0o644)
 	if err != nil {
-		return fmt.Errorf("live: log: %w", err)
+		return nil, fmt.Errorf("live: log: %w", err)
 	}
 	defer log.Close()
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := s.fleet.launch(p.cmd); err != nil {
-		return fmt.Errorf("live: sidecar %s: %w", s.plan.Name, err)
+		return nil, fmt.Errorf("live: sidecar %s: %w", s.plan.Name, err)
 	}
 	// The program counts on the platform's bound; one that needs more is to fail here too.
 	sockets := uint64(s.fleet.plan.Scenario.Fleet.Sockets)
 	unix.Prlimit(p.cmd.Process.Pid, unix.RLIMIT_NOFILE, &unix.Rlimit{Cur: sockets, Max: sockets}, nil)
-	s.process = p
-	s.note(trace.Begun, "")
-	s.fleet.tasks.Go(func() { s.wait(p) })
-	s.fleet.tasks.Go(func() { s.admit(p) })
-	return nil
+	return p, nil
 }
 
-func (s *sidecar) command() *exec.Cmd {
+func (s *sidecar) command(control string) *exec.Cmd {
 	cmd := exec.Command(s.fleet.builds[s.plan.Build])
 	if s.operatorText() != "" {
 		cmd.Args = append(cmd.Args, "--config="+s.operator())
 	}
 	cmd.Env = append(os.Environ(), "LB_CONFIG="+s.file(), "LB_NAME="+s.plan.Name,
 		"LB_LISTEN="+s.fleet.net.sidecar(s.id), "LB_DISCOVERY="+s.discovery)
+	if control != "" {
+		cmd.Env = append(cmd.Env, "LB_CONTROL="+control, "TMPDIR="+s.fleet.dir)
+	}
 	cmd.SysProcAttr = &syscall.SysProcAttr{
 		Setpgid:   true,            // ^C is for this process, which then ends them in order
 		Pdeathsig: syscall.SIGKILL, // see fleet.parent
@@ -135,6 +152,13 @@
 	defer s.mu.Unlock()
 	state := p.cmd.ProcessState
 	s.taken.CPU += state.UserTime() + state.SystemTime()
+	defer close(p.ended)
+	if s.process != p { // another one has taken its place, or it has never come so far
+		if !p.stopping && !p.killed {
+			s.note(trace.Crashed, state.String()+"\n"+tail(s.log()))
+		}
+		return
+	}
 	switch {
 	case p.killed:
 	case p.stopping:
@@ -146,7 +170,6 @@
 	at.until = min(at.until, s.fleet.now()+s.fleet.plan.Scenario.Clients.Notice.D())
 	s.standing.Store(&at)
 	s.fleet.callers.forget(s.id) // before anyone hears of the end: the front must not count on these
-	close(p.ended)
 }
 
 // admit waits until a process is ready and lets the front have it.
--- a/internal/lab/live/sidecar_config.go
+++ b/internal/lab/live/sidecar_config.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 
 	"pinelb.example/pinelb/internal/lab/plan"
 	"pinelb.example/pinelb/internal/lab/trace"
@@ -23,7 +24,8 @@
 
 func (s *sidecar) operatorText() string {
 	p := s.fleet.plan
-	return p.Scenario.OperatorText(s.fleet.net.thrift(s.id), p.Scenario.Tier[s.plan.Tier].Name, s.plan.Books)
+	text := p.Scenario.OperatorText(s.fleet.net.thrift(s.id), p.Scenario.Tier[s.plan.Tier].Name, s.plan.Books)
+	return strings.NewReplacer("/{dir}", s.fleet.dir, "{name}", s.plan.Name).Replace(text)
 }
 
 // configure writes the configuration anew, as a whole: a sidecar may be reading it. It needs the lock.
--- /dev/null
+++ b/internal/lab/live/upgrade.go
@@ -0,0 +1,63 @@
+package live
+
+import (
+	"net/http"
+	"syscall"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/trace"
+)
+
+const yesWithin = 6 * time.Second // the new process of an upgrade is due by then
+
+// upgrade starts a second process beside the one that runs, and ends that one once the second says yes to operators. The
+// sidecar is in service all the time: nothing excuses what is lost meanwhile.
+func (s *sidecar) upgrade() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.runs() {
+		return nil
+	}
+	old := s.process
+	p, err := s.launch()
+	if err != nil {
+		return err
+	}
+	close(p.settled)
+	s.fleet.tasks.Go(func() { s.wait(p) })
+	s.fleet.tasks.Go(func() { s.succeed(old, p) })
+	return nil
+}
+
+// succeed has the new process take the old one's place.
+func (s *sidecar) succeed(old, p *process) {
+	from := time.Now()
+	for s.fleet.asked("http://"+p.control+"/admin/health") != http.StatusOK {
+		if !s.pause(p, readySoonest) || time.Since(from) > yesWithin {
+			s.note(trace.Crashed, "the new process of an upgrade does not say yes")
+			s.end(p)
+			return
+		}
+	}
+	s.mu.Lock()
+	s.process, old.stopping = p, true
+	_ = old.cmd.Process.Signal(syscall.SIGTERM) // one that has just ended needs none
+	s.mu.Unlock()
+	late := time.NewTimer(s.fleet.grace())
+	defer late.Stop()
+	select {
+	case <-old.ended:
+	case <-late.C:
+	case <-s.fleet.life.Done():
+	}
+	s.end(old)
+}
+
+// end kills a process that is not the sidecar's, if it still runs.
+func (s *sidecar) end(p *process) {
+	s.mu.Lock()
+	p.killed = true
+	s.mu.Unlock()
+	_ = p.cmd.Process.Kill()
+	<-p.ended
+}
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -96,12 +96,13 @@
 	KillSidecar // SIGKILL
 	SilenceDiscovery
 	ResumeDiscovery
-	MoveDiscovery // to another address, which SIGHUP tells
-	PauseSidecar  // For: its process does not run, and then goes on as if nothing had been
+	MoveDiscovery  // to another address, which SIGHUP tells
+	UpgradeSidecar // a second process takes the first one's place
+	PauseSidecar   // For: its process does not run, and then goes on as if nothing had been
 )
 
 var eventWords = [...]string{"", "begins", "ends", "box starts", "told", "sidecar starts", "sidecar stops", "sidecar is killed",
-	"discovery falls silent", "discovery is back", "discovery moves", "sidecar pauses"}
+	"discovery falls silent", "discovery is back", "discovery moves", "sidecar is upgraded", "sidecar pauses"}
 
 func (k EventKind) String() string { return eventWords[k] }
 
@@ -523,3 +524,8 @@
 	}
 	return out
 }
+
+// Upgrades says whether any sidecar is upgraded, for which operators have to be able to call all of them.
+func (p *Plan) Upgrades() bool {
+	return slices.ContainsFunc(p.Events, func(e Event) bool { return e.Kind == UpgradeSidecar })
+}
--- a/internal/lab/plan/script.go
+++ b/internal/lab/plan/script.go
@@ -22,6 +22,7 @@
 const (
 	defaultDrain = 5 * time.Second
 	defaultStop  = 3700 * time.Millisecond
+	upgradeShown = 2 * time.Second // in reports; how long it takes is the sidecar's
 )
 
 // keyWindow is the longest of the keyed classes'.
@@ -140,7 +141,7 @@
 	case "discovery_move":
 		s.add(Event{At: from, Kind: MoveDiscovery, Box: -1, Sidecar: -1})
 		s.mark("discovery moves", from, from+time.Millisecond)
-	case "sidecar_kill", "sidecar_stop", "sidecar_pause":
+	case "sidecar_kill", "sidecar_stop", "sidecar_pause", "sidecar_upgrade":
 		s.sidecarFault(f)
 	case "hurry": // the requests have it already
 		s.mark("clients in a hurry", from, to)
@@ -239,6 +240,12 @@
 			at += f.Step.D()
 			continue
 		}
+		if f.Kind == "sidecar_upgrade" {
+			s.add(Event{At: at, Kind: UpgradeSidecar, Box: -1, Sidecar: i})
+			s.mark("sidecar upgrade "+s.Sidecars[i].Name, at, at+upgradeShown)
+			at += f.Step.D()
+			continue
+		}
 		kind, ends := KillSidecar, at
 		if f.Kind == "sidecar_stop" {
 			kind = StopSidecar
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -33,7 +33,7 @@
 
 // OtherKinds are those of discovery and of the sidecars.
 var OtherKinds = []string{"discovery_silent", "discovery_late", "discovery_move", "sidecar_kill", "sidecar_stop",
-	"sidecar_pause", "hurry"}
+	"sidecar_pause", "sidecar_upgrade", "hurry"}
 
 // shareKinds strike a share of the requests at a box.
 var shareKinds = []string{"fail", "cut", "spoil", "drip", "mute"}
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -402,6 +402,7 @@
 		s.stopSidecar(e.Sidecar)
 	case plan.KillSidecar:
 		s.killSidecar(e.Sidecar)
+	case plan.UpgradeSidecar: // what the decisions know goes over, and nothing else is played
 	case plan.PauseSidecar:
 		s.sidecars[e.Sidecar].paused = s.now + e.For
 	case plan.SilenceDiscovery, plan.ResumeDiscovery:
