Keep connections free in a planned end where there is one other sidecar

The guard (runsDry, downstream/side.go) asked for n_instances 1. Ruled out: health, our own closing, boxes, the first requests.

Change: the guard holds among two sidecars.

--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -362,22 +362,28 @@
 
 func (elsewhere) LocalAddr() net.Addr { return &net.TCPAddr{} }
 
-// Guards against clients of a lone sidecar that ends finding all connections busy, and taking it for dead
-// while it could still serve them: in a crowd the last free ones are not put to work. A few clients with a
-// connection each are served, though.
+// Guards against clients of a sidecar that ends finding all connections busy, and taking it for dead
+// while it could still serve them, and the only other one may be about to start: in a crowd the last free ones are
+// not put to work. A few clients with a connection each are served, though, and all whose next connection a successor takes,
+// or one of several others.
 func TestSomeConnectionsStayFree(t *testing.T) {
 	for _, c := range []struct {
-		alone, draining bool
-		held            int64
-		free, want      int
+		instances          int
+		draining, followed bool
+		held               int64
+		free, want         int
 	}{
-		{true, true, spareFrom, spareLeast - 1, 503}, {true, true, spareFrom, spareLeast, 200}, {true, true, 1, 0, 200},
-		{true, false, spareFrom, 0, 200}, {false, true, spareFrom, 0, 200},
+		{1, true, false, spareFrom, spareLeast - 1, 503}, {1, true, false, spareFrom, spareLeast, 200}, {1, true, false, 1, 0, 200},
+		{2, true, false, spareFrom, spareLeast - 1, 503}, {2, true, false, spareFrom, spareLeast, 200}, {2, true, false, 1, 0, 200},
+		{1, false, false, spareFrom, 0, 200}, {2, true, true, spareFrom, 0, 200}, {3, true, false, spareFrom, 0, 200},
 	} {
 		s := newServer(func(context.Context, *stream.Request) stream.Response { return stream.Response{} })
-		s.terms.Store(&terms{mostHeld: 100, alone: c.alone})
+		set := &config.Settings{}
+		set.Instances, set.MaxHeld = c.instances, 100
+		s.Retune(set)
 		s.conns = newConnections(0)
 		s.draining.Store(c.draining)
+		s.Followed(c.followed)
 		s.held.Store(c.held)
 		for range c.free {
 			conn, _ := net.Pipe()
--- a/internal/downstream/side.go
+++ b/internal/downstream/side.go
@@ -24,7 +24,8 @@
 	cutBefore      = 150 * time.Millisecond // SIGKILL: whatever is not answered is failed
 	endBefore      = 50 * time.Millisecond  // SIGKILL
 	spareLeast     = 4                      // connections that are to stay free then,
-	spareFrom      = 8                      // once so many streams are open
+	spareFrom      = 8                      // once so many streams are open,
+	spareAmong     = 2                      // where there are so many sidecars at most: of more, one is up in any rolling restart
 )
 
 // How long callers may take, on every front.
@@ -57,6 +58,7 @@
 type terms struct {
 	mostHeld int64
 	alone    bool          // there is no other sidecar for the clients
+	last     bool          // or there may be none at a moment, in a rolling restart
 	within   time.Duration // a planned end takes this long at most
 }
 
@@ -65,7 +67,8 @@
 	for i := range s.Classes {
 		longest = max(longest, s.Classes[i].Deadline)
 	}
-	return &terms{mostHeld: int64(s.MaxHeld), alone: s.Instances == 1, within: min(longest, longestCounted) + killAfter - endBefore}
+	return &terms{mostHeld: int64(s.MaxHeld), alone: s.Instances == 1, last: s.Instances <= spareAmong,
+		within: min(longest, longestCounted) + killAfter - endBefore}
 }
 
 // Front is one protocol on one listener. http.Server has the methods that its Server needs.
@@ -120,9 +123,10 @@
 // Leave counts a stream out.
 func (s *Side) Leave() { s.held.Add(-1) }
 
-// runsDry tells whether the clients of a front are about to find no connection free where no other will be had.
+// runsDry tells whether the clients of a front are about to find no connection free where no other will be had: they would
+// take the sidecar for dead and leave those that they have. Whether the other one that the settings name is up can't be known.
 func (s *Side) runsDry(held int64, at net.Addr) bool {
-	return s.terms.Load().alone && !s.followed.Load() && s.draining.Load() && held >= spareFrom && s.conns.spare(at) < spareLeast
+	return s.terms.Load().last && !s.followed.Load() && s.draining.Load() && held >= spareFrom && s.conns.spare(at) < spareLeast
 }
 
 // Keep counts n more bytes of bodies, unless that are too many.
@@ -166,9 +170,9 @@
 // drain ends the fronts in steps. Listening goes on while connections may come, or they would be reset
 // with what had been written to them. Clients keep theirs and are served as long as they can be: whether
 // another sidecar is up to take them can't be known here, and in a rolling restart of two there may be none. Where
-// there are others, the last answers close their connections. Where there is none, no new ones come, and a client
+// there are others, the last answers close their connections. No new ones come, and a client
 // that finds all of them busy takes the sidecar for dead: so in a crowd, a request that comes on the last ones is
-// turned away at once. Idle ones are closed
+// turned away at once, where there is one other sidecar at most, which may be about to start. Idle ones are closed
 // last, when hardly any request can cross that, and what can't be answered before SIGKILL is failed. Where another process
 // has taken over, nothing new comes here: clients keep what they have until its next answer, and all ends with the last one.
 func (s *Side) drain(fronts []Front) error {
