--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -319,7 +319,8 @@
 	}
 }
 
-// Guards against a slow disk that holds up every request, not just the first that finds it so.
+// Guards against a slow disk that holds up every request, not just the first that finds it so, and against changes that
+// come faster than it takes them being promised and lost.
 func TestSlowDisk(t *testing.T) {
 	m := newMemory(-1)
 	table, j, _ := journaled(m)
@@ -340,11 +341,20 @@
 	if took := time.Since(from); took > 50*keptWithin {
 		t.Errorf("a hundred more waited for it: %v", took)
 	}
+	for i := range 10000 { // more than may wait
+		id := effects.ID{Txn: fmt.Sprint(i), Class: "c", Keep: time.Hour}
+		table.Open(time.Now(), id)
+		table.Sent(time.Now(), id.Txn, 1)
+	}
 	close(block)
 	for !j.Kept() {
 		time.Sleep(time.Millisecond)
 	}
 	j.Close()
+	left, _, _, _, err := Effects(m.after(0, false), Now())
+	if err != nil || !slices.ContainsFunc(left, func(n effects.Note) bool { return n.Txn == "9999" }) {
+		t.Errorf("the last of 10000 is not in the journal: %d lines, %v", len(left), err)
+	}
 }
 
 // Guards against journals that grow without end, and against locks and files that the operating system's disk leaves.
--- a/internal/durable/journal.go
+++ b/internal/durable/journal.go
@@ -43,6 +43,7 @@
 	slow    bool          // somebody has waited too long for it
 	failed  error
 	deaf    bool // nothing is to be written: the next file begins with all that is known
+	overrun bool // changes came faster than the disk takes them, and some are in no file
 	closed  bool
 	missed  int // promises that were not given
 
@@ -83,7 +84,7 @@
 	}
 	name := fmt.Sprintf("%s%09d", journalName, last+1)
 	j.mu.Lock()
-	j.deaf = false // what comes from here on is not in what is known
+	j.deaf, j.overrun = false, false // what comes from here on is not in what is known
 	j.mu.Unlock()
 	text := line(nil, header{Now()})
 	for _, n := range j.Table.Watch(effects.Journal, j.note) {
@@ -145,8 +146,11 @@
 func (j *Journal) note(n effects.Note) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.closed || j.deaf || len(j.wait) > waitMost {
-		return // Kept says so
+	if j.closed || j.deaf || j.overrun {
+		return
+	}
+	if j.overrun = len(j.wait) > waitMost; j.overrun {
+		return // the next file begins with all that is known
 	}
 	if j.wait = appendNote(j.wait, n); len(j.wait) == 0 {
 		return
@@ -160,7 +164,7 @@
 // Kept waits until all that the table has been told is on the disk. It returns false where that takes too long or can't be.
 func (j *Journal) Kept() bool {
 	j.mu.Lock()
-	wait, ok := j.writing, j.failed == nil && !j.closed && len(j.wait) <= waitMost
+	wait, ok := j.writing, j.failed == nil && !j.closed && !j.overrun
 	if len(j.wait) > 0 {
 		wait = j.next
 	}
@@ -223,7 +227,7 @@
 		}
 		select {
 		case _, open = <-j.wake:
-			if j.set(j.flush()); j.failed == nil && j.size > journalMost {
+			if j.set(j.flush()); j.failed == nil && j.full() {
 				j.set(j.begin())
 			}
 		case <-again:
@@ -236,6 +240,13 @@
 	}
 }
 
+// full tells whether another file is to be begun.
+func (j *Journal) full() bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.overrun || j.size > journalMost
+}
+
 // set takes in how the last write went, lets those go on that waited for it, and tells of a change between working and not.
 func (j *Journal) set(err error) {
 	j.mu.Lock()
