Have Thrift's test of planned ends play three sidecars, where none is kept free

Cause: TestDrain has two instances and eight calls under way; since planned ends of two keep connections free (side.go, runsDry) a call read after SIGTERM may be turned away, and the test waited for it for ever, one time in some. Change: three instances, as the test is about clients who are sent elsewhere.

--- a/internal/downstream/thrift/server_test.go
+++ b/internal/downstream/thrift/server_test.go
@@ -84,8 +84,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	// Two instances, and deadlines that no test reaches. A planned end takes 3.65 s at most.
-	set := &config.Settings{Settings: balance.Settings{MaxHeld: held, Instances: 2, Classes: []balance.Class{
+	// Three instances, of which one that ends may close connections, and deadlines that no test reaches. A planned end takes 3.65 s at most.
+	set := &config.Settings{Settings: balance.Settings{MaxHeld: held, Instances: 3, Classes: []balance.Class{
 		{Effect: balance.Safe, Deadline: time.Minute}, {Effect: balance.Keyed, Deadline: time.Minute}}},
 		ClassNames: []string{"look", "order"}}
 	if err := op.Fits(&config.Config{Settings: *set}); err != nil {
