--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -8,6 +8,7 @@
 	"maps"
 	"os"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -357,6 +358,34 @@
 	}
 }
 
+// Guards against a promise for what did not fit, given while the file that is to have it is not on the disk yet: the steps of
+// run are taken one by one.
+func TestNoPromiseBeforeTheNextFile(t *testing.T) {
+	m := newMemory(-1)
+	table, j, _ := journaled(m)
+	j.wake, j.next = make(chan struct{}, 1), make(chan struct{})
+	j.set(j.begin())
+	for i := range 10000 { // more than may wait
+		id := effects.ID{Txn: fmt.Sprint(i), Class: "c", Keep: time.Hour}
+		table.Open(time.Now(), id)
+		table.Sent(time.Now(), id.Txn, 1)
+	}
+	j.set(j.flush())
+	block, begun := make(chan struct{}), make(chan error)
+	m.block = block
+	go func() { begun <- j.begin() }()
+	for names := []string{}; len(names) < 2; names, _ = m.Names() {
+		runtime.Gosched()
+	}
+	if j.Kept() {
+		t.Error("what is in no file yet is promised")
+	}
+	close(block)
+	if err := <-begun; err != nil || !j.Kept() {
+		t.Errorf("once it is there nothing is promised: %v", err)
+	}
+}
+
 // Guards against journals that grow without end, and against locks and files that the operating system's disk leaves.
 func TestRotation(t *testing.T) {
 	d := Dir(t.TempDir())
--- a/internal/durable/journal.go
+++ b/internal/durable/journal.go
@@ -43,7 +43,7 @@
 	slow    bool          // somebody has waited too long for it
 	failed  error
 	deaf    bool // nothing is to be written: the next file begins with all that is known
-	overrun bool // changes came faster than the disk takes them, and some are in no file
+	overrun bool // changes came faster than the disk takes them, and some are in no file yet
 	closed  bool
 	missed  int // promises that were not given
 
@@ -84,7 +84,7 @@
 	}
 	name := fmt.Sprintf("%s%09d", journalName, last+1)
 	j.mu.Lock()
-	j.deaf, j.overrun = false, false // what comes from here on is not in what is known
+	j.deaf = false // what comes from here on is not in what is known
 	j.mu.Unlock()
 	text := line(nil, header{Now()})
 	for _, n := range j.Table.Watch(effects.Journal, j.note) {
@@ -119,6 +119,9 @@
 		j.unlock()
 	}
 	j.file, j.name, j.unlock, j.size = f, name, unlock, len(text)
+	j.mu.Lock()
+	j.overrun = j.deaf // again, meanwhile
+	j.mu.Unlock()
 	return nil
 }
 
@@ -146,11 +149,12 @@
 func (j *Journal) note(n effects.Note) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.closed || j.deaf || j.overrun {
+	if j.closed || j.deaf {
 		return
 	}
-	if j.overrun = len(j.wait) > waitMost; j.overrun {
-		return // the next file begins with all that is known
+	if len(j.wait) > waitMost {
+		j.deaf, j.overrun = true, true
+		return
 	}
 	if j.wait = appendNote(j.wait, n); len(j.wait) == 0 {
 		return
