Give the rig a list service of bounded capacity, and links between processes that break

Need: the operators' concern is how many processes behave together when some fail, and the rig had one free agent a sidecar and no way to cut, delay or reset what lies between two processes.

--- a/internal/lab/live/addresses.go
+++ b/internal/lab/live/addresses.go
@@ -18,6 +18,9 @@
 	thriftPort  = 18082
 	controlPort = 18084 // and the next with each process
 	controls    = 10
+	listLink    = 18094 // of the links, on the sidecar's host
+	clientLink  = 18095
+	boxLinks    = 27000 // and the next for each box
 	agentPort   = 18100 // and the next with each move of discovery
 	agentMoves  = 8000  // after which the ports begin anew
 
@@ -80,6 +83,17 @@
 	return a.at(sidecarRow, i, agentPort+moves%agentMoves)
 }
 
+// link is where a sidecar's link of a kind listens; box is that of "boxes".
+func (a *addresses) link(of string, i, box int) string {
+	switch of {
+	case "list":
+		return a.at(sidecarRow, i, listLink)
+	case "clients":
+		return a.at(sidecarRow, i, clientLink)
+	}
+	return a.at(sidecarRow, i, boxLinks+box)
+}
+
 func (a *addresses) at(row, i, port int) string {
 	return fmt.Sprintf("127.%d.%d.%d:%d", a.block, row+i/rowLength, 1+i%rowLength, port)
 }
--- a/internal/lab/live/box.go
+++ b/internal/lab/live/box.go
@@ -297,6 +297,7 @@
 		return
 	}
 	p.known = true
+	b.run.trace.dialled(trace.Dialled{At: b.run.now(), Box: b.index, Sidecar: -1})
 	b.working.Go(p.read)
 	b.working.Go(p.write)
 }
--- a/internal/lab/live/callers.go
+++ b/internal/lab/live/callers.go
@@ -49,6 +49,9 @@
 	c.dialer.KeepAlive = -1 // a machine that has vanished is to be noticed as late as the protocol says
 	for i := range c.sidecars {
 		c.sidecars[i].addr = net.entry(i, p.Scenario.Fleet.Protocol)
+		if p.Linked("clients", i) {
+			c.sidecars[i].addr = net.link("clients", i, 0)
+		}
 	}
 	for i := range c.boxes {
 		c.boxes[i].addr = net.box(i)
--- a/internal/lab/live/catalog.go
+++ b/internal/lab/live/catalog.go
@@ -55,3 +55,8 @@
 	}
 	return out
 }
+
+// copy is a catalog that goes on without what is told from now on.
+func (c *catalog) copy() *catalog {
+	return &catalog{revision: c.revision, entries: maps.Clone(c.entries)}
+}
--- a/internal/lab/live/discovery.go
+++ b/internal/lab/live/discovery.go
@@ -31,13 +31,16 @@
 	news    chan struct{}       // closed, and made anew, with every change that a waiting call must look at
 	silent  bool
 	closed  bool
-	server  *http.Server // at the present address
+	server  *http.Server // at the present address; nil while the service is down
 	door    net.Listener
+	addr    string
+	faults  map[int]plan.ListFault
+	old     *catalog // what is told while the service has an old list; nil: what is true
 }
 
 // newAgent makes a sidecar's, which serves at addr from now on what the plan has at first.
 func newAgent(r *run, sidecar int, addr string) (*agent, error) {
-	a := &agent{run: r, sidecar: sidecar, done: make(chan struct{}), news: make(chan struct{}),
+	a := &agent{run: r, sidecar: sidecar, faults: map[int]plan.ListFault{}, done: make(chan struct{}), news: make(chan struct{}),
 		catalog: newCatalog(r.plan.First(r.plan.Sidecars[sidecar].Tier)), heard: map[int]plan.Listed{}}
 	if err := a.open(addr); err != nil {
 		return nil, err
@@ -53,8 +56,12 @@
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /catalog/members", a.members)
-	server := &http.Server{Handler: mux}
-	a.server, a.door = server, l
+	server := &http.Server{Handler: mux, ConnState: func(_ net.Conn, s http.ConnState) {
+		if s == http.StateNew {
+			a.run.trace.dialled(trace.Dialled{At: a.run.now(), Box: -1, Sidecar: a.sidecar})
+		}
+	}}
+	a.server, a.door, a.addr = server, l, addr
 	a.working.Go(func() { _ = server.Serve(l) }) // it ends with the listener
 	return nil
 }
@@ -87,6 +94,10 @@
 func (a *agent) move(addr string) error {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.server == nil { // it is down, and comes back there
+		a.addr = addr
+		return nil
+	}
 	old, door := a.server, a.door
 	if err := a.open(addr); err != nil {
 		return err
@@ -109,7 +120,9 @@
 	a.mu.Lock()
 	a.closed = true
 	close(a.done)
-	a.server.Close()
+	if a.server != nil {
+		a.server.Close()
+	}
 	a.mu.Unlock()
 	a.working.Wait()
 }
@@ -148,17 +161,34 @@
 		}
 		wait = min(time.Duration(ms)*time.Millisecond, watchMost)
 	}
+	asked := trace.Asked{At: a.run.now(), Sidecar: a.sidecar, Watch: q.Has("since"), How: trace.Left}
+	defer func() {
+		asked.Took = a.run.now() - asked.At
+		a.run.trace.asked(asked)
+	}()
+	if !a.admit(w, req, &asked) {
+		return
+	}
 	answer, entries, ok := a.await(req, since, wait)
 	if !ok {
 		panic(http.ErrAbortHandler) // nobody is to take what comes for an answer
 	}
+	wrong := a.spoil(&answer)
 	text, err := json.Marshal(answer)
 	if err != nil {
 		panic(err) // all of it is plain
 	}
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	if a.cuts() {
+		_, _ = w.Write(text[:len(text)/2])
+		panic(http.ErrAbortHandler)
+	}
 	if _, err := w.Write(text); err == nil && http.NewResponseController(w).Flush() == nil {
+		asked.How = trace.Listed
+		if wrong {
+			return // what no service should have said binds nobody
+		}
 		a.written(entries, answer.Complete, q.Has("since"))
 	}
 }
@@ -171,7 +201,7 @@
 	late := wait == 0
 	for {
 		a.mu.Lock()
-		if !a.silent && (late || !a.catalog.knows(since) || a.catalog.revision > since) {
+		if c := a.present(); !a.silent && (late || !c.knows(since) || c.revision > since) {
 			answer, entries := a.answer(since)
 			a.mu.Unlock()
 			return answer, entries, true
@@ -193,15 +223,16 @@
 // answer is the whole list or what is newer than a revision, as JSON has it and as the plan does. The lock is
 // held.
 func (a *agent) answer(since int64) (list, []plan.Listed) {
-	out := list{Revision: a.catalog.revision, Complete: a.run.plan.Scenario.Discovery.Whole || !a.catalog.knows(since),
+	c := a.present()
+	out := list{Revision: c.revision, Complete: a.run.plan.Scenario.Discovery.Whole || !c.knows(since),
 		Members: []map[string]any{}}
-	entries := a.catalog.changes(since)
+	entries := c.changes(since)
 	if out.Complete {
-		entries = a.catalog.whole()
+		entries = c.whole()
 	}
 	start := a.run.start()
 	for _, l := range entries {
-		out.Members = append(out.Members, a.run.plan.Member(l, a.run.net.box(l.Box), start))
+		out.Members = append(out.Members, a.run.plan.Member(l, a.run.boxFor(a.sidecar, l.Box), start))
 	}
 	return out, entries
 }
--- /dev/null
+++ b/internal/lab/live/link_test.go
@@ -0,0 +1,101 @@
+package live
+
+import (
+	"errors"
+	"io"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/plan"
+)
+
+// A link passes all on; cut, it holds back what is written that way until it is healed and lets no new connection come up;
+// late, it is late by its delay; reset, both ends break. Each fault's row fails on a link that passes everything.
+func TestLink(t *testing.T) {
+	const quiet = 50 * time.Millisecond
+	noLeaks(t)
+	behind, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer behind.Close()
+	net1, err := newAddresses()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer net1.close()
+	l, err := newLink(net1.link("list", 0, 0), behind.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.close()
+	connect := func() (near, far net.Conn) {
+		t.Helper()
+		var err error
+		for until := time.Now().Add(ample); near == nil; { // a door that is turned is shut for a moment
+			if near, err = net.DialTimeout("tcp", l.door.addr, ample); err != nil && time.Now().After(until) {
+				t.Fatal(err)
+			}
+		}
+		if far, err = behind.Accept(); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { near.Close(); far.Close() })
+		return near, far
+	}
+	heard := func(c net.Conn, within time.Duration) error {
+		_ = c.SetReadDeadline(time.Now().Add(within))
+		_, err := io.ReadFull(c, make([]byte, 1))
+		return err
+	}
+	near, far := connect()
+	for id, f := range []plan.Link{{How: plan.LinkBoth}, {How: plan.LinkThere}, {How: plan.LinkBack}, {How: plan.LinkSlow, Delay: 2 * quiet}} {
+		l.begin(id, f)
+		for _, way := range []struct {
+			from, to net.Conn
+			held     bool
+		}{{near, far, f.Cuts(true) || f.Delay > 0}, {far, near, f.Cuts(false) || f.Delay > 0}} {
+			if _, err := way.from.Write([]byte{1}); err != nil {
+				t.Fatal(err)
+			}
+			within := ample
+			if way.held {
+				within = quiet
+			}
+			if err := heard(way.to, within); (err != nil) != way.held {
+				t.Errorf("%+v: %v, held back is %v", f, err, way.held)
+			}
+		}
+		l.heal(id)
+		for _, way := range []struct {
+			to   net.Conn
+			held bool
+		}{{far, f.Cuts(true) || f.Delay > 0}, {near, f.Cuts(false) || f.Delay > 0}} {
+			if way.held && heard(way.to, ample) != nil {
+				t.Errorf("%+v: what was held back is lost", f)
+			}
+		}
+		connect() // it comes up again
+	}
+	l.begin(9, plan.Link{How: plan.LinkReset})
+	if err := heard(near, ample); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("reset, at the one that connected: %v", err)
+	}
+	if err := heard(far, ample); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("reset, behind it: %v", err)
+	}
+	l.heal(9)
+	l.begin(10, plan.Link{How: plan.LinkBoth})
+	for until := time.Now().Add(ample); ; { // the door is turned beside
+		c, err := net.DialTimeout("tcp", l.door.addr, quiet)
+		if err != nil {
+			break
+		}
+		c.Close()
+		if time.Now().After(until) {
+			t.Fatal("connections come up over a cut link")
+		}
+	}
+}
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -30,6 +30,8 @@
 	boxes   []*box
 	tiers   []*tier  // what boxes of a tier share; filled as they are made
 	agents  []*agent // of discovery, one for each sidecar
+	service service  // the list service behind them
+	links   map[linkKey]*link
 	fleet   *fleet
 	callers *callers
 
@@ -101,6 +103,18 @@
 	c.log.Changes = append(c.log.Changes, h)
 }
 
+func (c *collector) asked(a trace.Asked) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.log.Asked = append(c.log.Asked, a)
+}
+
+func (c *collector) dialled(d trace.Dialled) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.log.Dials = append(c.log.Dials, d)
+}
+
 func (c *collector) sample(s ...trace.Sample) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -52,6 +52,7 @@
 	if r.fleet, err = newFleet(r); err != nil {
 		return err
 	}
+	r.service.bound(r.plan)
 	for i := range r.plan.Boxes {
 		b, err := newBox(r, i)
 		if err != nil {
@@ -66,6 +67,9 @@
 		}
 		r.agents = append(r.agents, a)
 	}
+	if err := r.openLinks(); err != nil {
+		return err
+	}
 	return r.fleet.begin(ctx)
 }
 
@@ -145,6 +149,12 @@
 			for _, a := range r.agents {
 				a.silence(e.Kind == plan.SilenceDiscovery)
 			}
+		case plan.BeginList, plan.EndList:
+			if err := r.agents[e.Sidecar].fault(e); err != nil {
+				r.broken(e.Sidecar, err)
+			}
+		case plan.BeginLink, plan.EndLink:
+			r.turnLinks(e)
 		case plan.MoveDiscovery:
 			moves++
 			r.move(moves)
@@ -157,6 +167,10 @@
 	for i, a := range r.agents {
 		to := r.net.agent(i, moves)
 		err := a.move(to)
+		if l := r.links[linkKey{"list", i, 0}]; l != nil {
+			l.leads(to)
+			continue
+		}
 		if err == nil {
 			err = r.fleet.hup(i, to)
 		}
@@ -217,6 +231,9 @@
 	if r.fleet != nil {
 		usage = r.fleet.close()
 	}
+	for _, l := range r.links {
+		l.close()
+	}
 	for _, a := range r.agents {
 		a.close()
 	}
@@ -252,6 +269,8 @@
 	})
 	slices.SortStableFunc(l.Visits, func(a, b trace.Visit) int { return cmp.Compare(a.Begun, b.Begun) })
 	slices.SortStableFunc(l.Told, func(a, b trace.Told) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(l.Asked, func(a, b trace.Asked) int { return cmp.Compare(a.At, b.At) })
+	slices.SortStableFunc(l.Dials, func(a, b trace.Dialled) int { return cmp.Compare(a.At, b.At) })
 	slices.SortStableFunc(l.Changes, func(a, b trace.Change) int { return cmp.Compare(a.At, b.At) })
 	slices.SortStableFunc(l.Samples, func(a, b trace.Sample) int { return cmp.Compare(a.At, b.At) })
 }
--- /dev/null
+++ b/internal/lab/live/service_test.go
@@ -0,0 +1,105 @@
+package live
+
+import (
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/model"
+	"pinelb.example/pinelb/internal/lab/plan"
+	"pinelb.example/pinelb/internal/lab/trace"
+)
+
+// Each fault of the list service shows to a sidecar as its name says, and is over when it ends.
+func TestListFaults(t *testing.T) {
+	r := newAgents(t, 1, "")
+	a := newAsks(t, r.net.agent(0, 0))
+	a.client.Timeout = time.Second
+	usual := a.get("").text()
+	two := func(m members) bool { return strings.Count(m.text(), "order-") == 2 && strings.Count(m.text(), "other-") == 0 }
+	for id, c := range []struct {
+		f    plan.ListFault
+		want func(m members, err error) bool
+	}{
+		{plan.ListFault{Kind: "list_down"}, func(_ members, err error) bool { return err != nil }},
+		{plan.ListFault{Kind: "list_slow", Delay: 2 * time.Second}, func(_ members, err error) bool { return err != nil }},
+		{plan.ListFault{Kind: "list_cut", Size: 1}, func(_ members, err error) bool { return err != nil }},
+		{plan.ListFault{Kind: "list_wrong", Of: "empty"}, func(m members, err error) bool { return err == nil && m.Complete && len(m.Members) == 0 }},
+		{plan.ListFault{Kind: "list_wrong", Of: "half"}, func(m members, err error) bool { return err == nil && m.Complete && len(m.Members) == 1 }},
+		{plan.ListFault{Kind: "list_wrong", Of: "other"}, func(m members, err error) bool { return err == nil && len(m.Members) == 2 && !two(m) }},
+	} {
+		turn := func(kind plan.EventKind) {
+			t.Helper()
+			if err := r.agents[0].fault(plan.Event{Kind: kind, ID: id, List: c.f}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		turn(plan.BeginList)
+		if m, err := a.try(""); !c.want(m, err) {
+			t.Errorf("%+v: %s, %v", c.f, m.text(), err)
+		}
+		turn(plan.EndList)
+		if got := a.get("").text(); got != usual {
+			t.Errorf("%+v is over: %s, expected %s", c.f, got, usual)
+		}
+	}
+}
+
+// An old list goes on being told while the true one changes; a restart counts its revisions from 1 and loses no entry.
+func TestListOldAndForgotten(t *testing.T) {
+	r := newAgents(t, 1, "")
+	a := newAsks(t, r.net.agent(0, 0))
+	turn := func(kind plan.EventKind, id int, what string) {
+		t.Helper()
+		if err := r.agents[0].fault(plan.Event{Kind: kind, ID: id, List: plan.ListFault{Kind: what}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	before := a.get("")
+	turn(plan.BeginList, 1, "list_old")
+	r.agents[0].tell(plan.Listed{Box: 0, Phase: trace.Terminating})
+	if m := a.get(""); m.text() != before.text() {
+		t.Errorf("an old list: %s", m.text())
+	}
+	turn(plan.EndList, 1, "list_old")
+	after := a.get("")
+	if after.Revision <= before.Revision || after.text() == before.text() {
+		t.Errorf("the true list: %d %s", after.Revision, after.text())
+	}
+	turn(plan.BeginList, 2, "list_forget")
+	turn(plan.EndList, 2, "list_forget")
+	if m := a.get(""); m.Revision != 1 || m.text() != after.text() {
+		t.Errorf("after a restart: %d %s, expected 1 %s", m.Revision, m.text(), after.text())
+	}
+}
+
+// The capacity is one for all sidecars: of ten calls at once, one is in work, two wait and seven are turned away.
+func TestListCapacity(t *testing.T) {
+	r := newAgents(t, 10, "")
+	r.service.listing = &model.Listing{Calls: 1, Call: time.Hour, Line: 2, Beyond: model.Turns}
+	var all sync.WaitGroup
+	for i := range 10 {
+		all.Go(func() { _, _ = newAsks(t, r.net.agent(i, 0)).try("") })
+	}
+	turned := func() (n int) {
+		r.trace.mu.Lock()
+		defer r.trace.mu.Unlock()
+		for _, k := range r.trace.log.Asked {
+			if k.How == trace.Turned {
+				n++
+			}
+		}
+		return n
+	}
+	await(t, "all but three are turned away", func() bool { return turned() == 7 })
+	for i := range 10 {
+		r.agents[i].mu.Lock()
+		r.agents[i].down()
+		r.agents[i].mu.Unlock()
+	}
+	all.Wait()
+	if n := turned(); n != 7 {
+		t.Errorf("%d calls were turned away, 7 expected", n)
+	}
+}
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -59,6 +59,9 @@
 
 func newSidecar(f *fleet, id int) *sidecar {
 	s := &sidecar{fleet: f, id: id, plan: &f.plan.Sidecars[id], discovery: f.net.agent(id, 0)}
+	if f.plan.Linked("list", id) {
+		s.discovery = f.net.link("list", id, 0)
+	}
 	s.standing.Store(&standing{until: model.Never})
 	s.taken = trace.Usage{Sidecar: id, Build: s.plan.Build}
 	return s
--- a/internal/lab/live/sidecar_config.go
+++ b/internal/lab/live/sidecar_config.go
@@ -75,7 +75,7 @@
 	var out []any
 	for box := range p.Boxes {
 		if l, ok := list[box]; ok && l.Phase != trace.Away {
-			out = append(out, p.Member(l, s.fleet.net.box(box), s.fleet.run.start()))
+			out = append(out, p.Member(l, s.fleet.run.boxFor(s.id, box), s.fleet.run.start()))
 		}
 	}
 	return out
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -99,10 +99,14 @@
 	MoveDiscovery  // to another address, which SIGHUP tells
 	UpgradeSidecar // a second process takes the first one's place
 	PauseSidecar   // For: its process does not run, and then goes on as if nothing had been
+	BeginList      // Sidecar, ID, List: a fault of the list service as that one has it
+	EndList        // Sidecar, ID
+	BeginLink      // Sidecar, ID, Link
+	EndLink        // Sidecar, ID, Link.Of
 )
 
 var eventWords = [...]string{"", "begins", "ends", "box starts", "told", "sidecar starts", "sidecar stops", "sidecar is killed",
-	"discovery falls silent", "discovery is back", "discovery moves", "sidecar is upgraded", "sidecar pauses"}
+	"discovery falls silent", "discovery is back", "discovery moves", "sidecar is upgraded", "sidecar pauses", "list fault begins", "list fault ends", "link fault begins", "link fault ends"}
 
 func (k EventKind) String() string { return eventWords[k] }
 
@@ -115,6 +119,9 @@
 	Fault   model.Fault
 	Entry   Listed
 	For     time.Duration
+	ID      int // of a fault of the list service or of a link
+	List    ListFault
+	Link    Link
 }
 
 // Mark is a fault as a reader of a report sees it: a name, where and from when to when.
@@ -132,7 +139,8 @@
 	Sidecars []Sidecar
 	Events   []Event // by At
 	Marks    []Mark
-	Rate     float64 // first tries a second that the warm boxes can do
+	Rate     float64          // first tries a second that the warm boxes can do
+	Links    map[string][]int // the sidecars whose links of a kind can be broken: see Linked
 }
 
 // Arrival is a request of a record.
--- a/internal/lab/plan/script.go
+++ b/internal/lab/plan/script.go
@@ -141,6 +141,8 @@
 	case "discovery_move":
 		s.add(Event{At: from, Kind: MoveDiscovery, Box: -1, Sidecar: -1})
 		s.mark("discovery moves", from, from+time.Millisecond)
+	case "list_down", "list_slow", "list_old", "list_wrong", "list_cut", "list_forget", "link_cut", "link_slow", "link_reset":
+		s.betweenProcesses(f, from, to)
 	case "sidecar_kill", "sidecar_stop", "sidecar_pause", "sidecar_upgrade":
 		s.sidecarFault(f)
 	case "hurry": // the requests have it already
@@ -222,18 +224,8 @@
 
 // sidecarFault kills or stops sidecars of the first tier, one after another where there is a step.
 func (s *script) sidecarFault(f *scenario.Fault) {
-	var hit []int
-	for i := range s.Sidecars {
-		if s.Sidecars[i].Box < 0 && (len(f.Names) == 0 || slices.Contains(f.Names, s.Sidecars[i].Name)) {
-			hit = append(hit, i)
-		}
-	}
-	if len(f.Names) == 0 {
-		s.rng.Shuffle(len(hit), func(i, j int) { hit[i], hit[j] = hit[j], hit[i] })
-		hit = hit[:min(len(hit), max(1, f.Boxes, int(math.Round(f.Share*float64(len(hit))))))]
-	}
 	at := f.At.D()
-	for _, i := range hit {
+	for _, i := range s.hit(f) {
 		if f.Kind == "sidecar_pause" {
 			s.add(Event{At: at, Kind: PauseSidecar, Box: -1, Sidecar: i, For: f.For.D()})
 			s.mark("sidecar pause "+s.Sidecars[i].Name, at, at+f.For.D())
--- a/internal/lab/result/of.go
+++ b/internal/lab/result/of.go
@@ -26,6 +26,9 @@
 		out.Tiers = append(out.Tiers, t.Name)
 	}
 	out.Notice = noticeOf(p, log)
+	if len(log.Asked) > 0 || len(log.Dials) > 0 {
+		out.Together = r.together()
+	}
 	out.Room = r.room(len(out.Seconds))
 	out.All = r.tally(-1, r.settle, longest).figures()
 	for i, c := range s.Class {
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -54,21 +54,22 @@
 	// Room is the worth that the boxes' present capacity allowed, over the worth asked: in each second, from
 	// Settle on, the work they could do over the work asked, 1 at most; of the tier that allows the least. A
 	// policy that serves the more valuable first can be above it.
-	Room    float64   `json:"room"`
-	All     Figures   `json:"all"`
-	Classes []Class   `json:"classes"`
-	Strays  int       `json:"stray_visits"` // visits with the id of no try: probes, or forged
-	Broken  []Broken  `json:"broken"`
-	Expect  []Expect  `json:"expect"`
-	Marks   []Mark    `json:"marks"`
-	Notice  Notice    `json:"notice"`
-	Rig     Rig       `json:"rig"`
-	Usage   []Usage   `json:"usage"`
-	Fallen  int       `json:"boxes_fallen"` // boxes that fell over at least once
-	Worst   float64   `json:"worst_load"`   // the highest of the boxes' worst_load
-	Boxes   []Box     `json:"boxes"`
-	Seconds []Second  `json:"seconds"`
-	Aims    []float64 `json:"aims_ms"` // the different aims of the classes, rising
+	Room     float64   `json:"room"`
+	All      Figures   `json:"all"`
+	Classes  []Class   `json:"classes"`
+	Strays   int       `json:"stray_visits"` // visits with the id of no try: probes, or forged
+	Broken   []Broken  `json:"broken"`
+	Expect   []Expect  `json:"expect"`
+	Marks    []Mark    `json:"marks"`
+	Notice   Notice    `json:"notice"`
+	Together *Together `json:"together,omitempty"` // of runs on sockets
+	Rig      Rig       `json:"rig"`
+	Usage    []Usage   `json:"usage"`
+	Fallen   int       `json:"boxes_fallen"` // boxes that fell over at least once
+	Worst    float64   `json:"worst_load"`   // the highest of the boxes' worst_load
+	Boxes    []Box     `json:"boxes"`
+	Seconds  []Second  `json:"seconds"`
+	Aims     []float64 `json:"aims_ms"` // the different aims of the classes, rising
 }
 
 // Part is a number of requests and its share of those asked, 0 where none was.
--- a/internal/lab/result/summary.go
+++ b/internal/lab/result/summary.go
@@ -37,6 +37,7 @@
 		p.line("Latency   nothing was answered")
 	}
 	p.boxes(r)
+	p.together(r.Together)
 	p.rules(r.Broken)
 	p.expectations(r.Expect)
 	p.usage(r)
@@ -136,6 +137,25 @@
 	}
 }
 
+// together is a line for the list service, one for the sidecars' beginnings.
+func (p *printer) together(t *Together) {
+	if t == nil {
+		return
+	}
+	p.line("Listing   %d calls, %d turned away, %d connections, worst 100 ms %d; boxes: %d connections, worst 100 ms %d at one", t.Calls, t.Turned, t.Dials, t.Peak, t.Total, t.AtBox)
+	if t.Ready == nil || t.Listed == nil {
+		return
+	}
+	words := func(s *Spread) string {
+		if s == nil {
+			return "-"
+		}
+		return fmt.Sprintf("%.2f, %.2f, %.2f", s.P50, s.P99, s.Max)
+	}
+	p.line("Starts    seconds of half, 99%%, the last: ready %s (%d never), listed %s (%d never), first served %s (%d never)",
+		words(t.Ready), t.Unready, words(t.Listed), t.Unheard, words(t.Served), t.Unfed)
+}
+
 func (p *printer) expectations(all []Expect) {
 	if len(all) == 0 {
 		return
--- /dev/null
+++ b/internal/lab/result/together.go
@@ -0,0 +1,226 @@
+package result
+
+import (
+	"slices"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/trace"
+)
+
+// step is the interval of the counts of calls and connections.
+const step = 100 * time.Millisecond
+
+// Together is how the processes behaved towards each other: what the list service was asked, how many connections came to
+// a box at once, and how long sidecars could not serve. Counts are of the whole run; null where there was nothing.
+type Together struct {
+	Calls   int     `json:"list_calls"`
+	Turned  int     `json:"list_turned"`  // calls beyond the service's capacity
+	Dials   int     `json:"list_dials"`   // connections to it
+	Peak    int     `json:"list_peak"`    // most calls in 100 ms
+	Steps   []int   `json:"list_steps"`   // calls in each 100 ms
+	AtBox   int     `json:"handshakes"`   // most new connections at one box in 100 ms
+	Total   int     `json:"box_dials"`    // connections at boxes
+	Ready   *Spread `json:"ready"`        // from a process's start until it took clients
+	Listed  *Spread `json:"listed"`       // until it had a list from the service
+	Served  *Spread `json:"served_first"` // until the first request was served, from the start or from its being asked, if later
+	Unready int     `json:"never_ready"`  // sidecars whose last process, alive at the end, never took clients
+	Unheard int     `json:"never_listed"` // or never had a list from the service
+	Unfed   int     `json:"never_served"` // or were asked and served nothing
+}
+
+// Spread is seconds, over processes.
+type Spread struct {
+	P50 float64 `json:"p50_s"`
+	P99 float64 `json:"p99_s"`
+	Max float64 `json:"max_s"`
+}
+
+// lifeOf is one process of a sidecar: times in which what a figure names came, None if never.
+type lifeOf struct {
+	sidecar             int
+	begun, over         time.Duration
+	able, listed, asked time.Duration
+	served              time.Duration
+}
+
+// processes are the lives of all sidecars' processes. A second process of an upgrade is not a life of its own.
+func (r *run) processes() []lifeOf {
+	var out []lifeOf
+	last := map[int]int{} // by sidecar, into out
+	for _, c := range r.log.Changes {
+		at, had := last[c.Sidecar]
+		switch c.What {
+		case trace.Begun:
+			last[c.Sidecar] = len(out)
+			out = append(out, lifeOf{sidecar: c.Sidecar, begun: c.At, over: trace.None, able: trace.None, listed: trace.None, asked: trace.None, served: trace.None})
+		case trace.Able:
+			if had && out[at].able == trace.None {
+				out[at].able = c.At
+			}
+		case trace.Killed, trace.Stopping, trace.Crashed, trace.Ended:
+			if had && out[at].over == trace.None {
+				out[at].over = c.At
+			}
+		}
+	}
+	of := func(sidecar int, at time.Duration) *lifeOf {
+		for i := range out {
+			if l := &out[i]; l.sidecar == sidecar && l.begun <= at && (l.over == trace.None || at <= l.over) {
+				return l
+			}
+		}
+		return nil
+	}
+	for _, a := range r.log.Asked {
+		if l := of(a.Sidecar, a.At); l != nil && a.How == trace.Listed && l.listed == trace.None {
+			l.listed = a.At + a.Took
+		}
+	}
+	for _, t := range r.log.Tries {
+		l := of(t.Sidecar, t.Due)
+		if l == nil {
+			continue
+		}
+		if l.asked == trace.None {
+			l.asked = t.Due
+		}
+		if t.Status == trace.Served && (l.served == trace.None || t.Answered < l.served) {
+			l.served = t.Answered
+		}
+	}
+	return out
+}
+
+func (r *run) together() *Together {
+	out := &Together{Steps: []int{}}
+	for _, a := range r.log.Asked {
+		out.Calls++
+		if a.How == trace.Turned {
+			out.Turned++
+		}
+	}
+	out.Steps = steps(len(r.log.Asked), func(i int) time.Duration { return r.log.Asked[i].At })
+	for _, n := range out.Steps {
+		out.Peak = max(out.Peak, n)
+	}
+	byBox := make([][]time.Duration, len(r.plan.Boxes))
+	for _, d := range r.log.Dials {
+		if d.Box < 0 {
+			out.Dials++
+			continue
+		}
+		out.Total++
+		byBox[d.Box] = append(byBox[d.Box], d.At)
+	}
+	for _, all := range byBox {
+		for _, n := range steps(len(all), func(i int) time.Duration { return all[i] }) {
+			out.AtBox = max(out.AtBox, n)
+		}
+	}
+	var ready, listed, served []time.Duration
+	for _, l := range r.processes() {
+		add := func(to *[]time.Duration, never *int, at, from time.Duration) {
+			switch {
+			case at != trace.None:
+				*to = append(*to, at-from)
+			case l.over == trace.None:
+				*never++
+			}
+		}
+		add(&ready, &out.Unready, l.able, l.begun)
+		add(&listed, &out.Unheard, l.listed, l.begun)
+		if l.asked != trace.None {
+			add(&served, &out.Unfed, l.served, max(l.begun, l.asked))
+		}
+	}
+	out.Ready, out.Listed, out.Served = spreadOf(ready), spreadOf(listed), spreadOf(served)
+	return out
+}
+
+// steps counts what has a time into intervals of 100 ms; what came before the run counts into the first.
+func steps(n int, at func(int) time.Duration) []int {
+	out := []int{}
+	for i := range n {
+		k := int(max(0, at(i)) / step)
+		for len(out) <= k {
+			out = append(out, 0)
+		}
+		out[k]++
+	}
+	return out
+}
+
+func spreadOf(all []time.Duration) *Spread {
+	if len(all) == 0 {
+		return nil
+	}
+	slices.Sort(all)
+	at := func(share float64) float64 { return tidy(all[int(share*float64(len(all)-1))].Seconds()) }
+	return &Spread{at(0.5), at(0.99), at(1)}
+}
+
+// measureTogether is one of the measures of processes beside each other, in a window.
+func (r *run) measureTogether(what string, from, to time.Duration) (v float64, known bool) {
+	calls, turned := []time.Duration{}, 0
+	for _, a := range r.log.Asked {
+		if a.At < from || a.At >= to {
+			continue
+		}
+		calls = append(calls, a.At)
+		if a.How == trace.Turned {
+			turned++
+		}
+	}
+	most := func(all []time.Duration) (n int) {
+		for _, k := range steps(len(all), func(i int) time.Duration { return all[i] }) {
+			n = max(n, k)
+		}
+		return n
+	}
+	switch what {
+	case "list_calls":
+		return float64(len(calls)), true
+	case "list_refused":
+		return ratio(float64(turned), float64(len(calls))), len(calls) > 0
+	case "list_peak":
+		return float64(most(calls)), true
+	case "list_dials", "handshakes":
+		at := map[int][]time.Duration{}
+		for _, d := range r.log.Dials {
+			if d.At >= from && d.At < to {
+				at[d.Box] = append(at[d.Box], d.At)
+			}
+		}
+		if what == "list_dials" {
+			return float64(len(at[-1])), true
+		}
+		n := 0
+		for box, all := range at {
+			if box >= 0 {
+				n = max(n, most(all))
+			}
+		}
+		return float64(n), true
+	}
+	// How long the slowest process could not: one that lives and never could counts until the end, one that ended before
+	// it could until then.
+	for _, l := range r.processes() {
+		at, since := l.able, max(l.begun, from)
+		switch what {
+		case "unlisted":
+			at = l.listed
+		case "unserving":
+			if at, since = l.served, max(l.begun, l.asked, from); l.asked == trace.None {
+				continue
+			}
+		}
+		if at == trace.None {
+			at = l.over
+		}
+		if at == trace.None {
+			at = r.log.End
+		}
+		v = max(v, min(at, to, r.log.End).Seconds()-since.Seconds())
+	}
+	return tidy(v), len(r.log.Changes) > 0
+}
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -35,12 +36,29 @@
 var OtherKinds = []string{"discovery_silent", "discovery_late", "discovery_move", "sidecar_kill", "sidecar_stop",
 	"sidecar_pause", "sidecar_upgrade", "hurry"}
 
+// ListKinds are faults of the list service, as all sidecars or some of them have it, and LinkKinds those of the network
+// between sidecars and other processes. They need processes: the virtual player refuses them.
+var (
+	ListKinds = []string{"list_down", "list_slow", "list_old", "list_wrong", "list_cut", "list_forget"}
+	LinkKinds = []string{"link_cut", "link_slow", "link_reset"}
+)
+
+// SocketsOnly tells whether a scenario asks for what only the player on sockets has.
+func (s *Scenario) SocketsOnly() bool {
+	return s.Discovery.Service != nil || slices.ContainsFunc(s.Fault, func(f Fault) bool { return between(f.Kind) })
+}
+
+func between(kind string) bool {
+	return slices.Contains(ListKinds, kind) || slices.Contains(LinkKinds, kind)
+}
+
 // shareKinds strike a share of the requests at a box.
 var shareKinds = []string{"fail", "cut", "spoil", "drip", "mute"}
 
 // Measures are what an Expect can name: shares of the first tries, counts and seconds.
 var Measures = []string{"service", "served", "late", "refused", "failed", "gone", "attempts", "copies", "wasted",
-	"p50", "p90", "p99", "p999", "fallen", "worst", "refusals", "bottom"}
+	"p50", "p90", "p99", "p999", "fallen", "worst", "refusals", "bottom",
+	"list_calls", "list_refused", "list_dials", "list_peak", "handshakes", "unready", "unlisted", "unserving"}
 
 // Default is a scenario's values where its file says nothing.
 func Default() Scenario {
@@ -169,6 +187,13 @@
 	c.rules(&s.Rules)
 	c.fleet(s)
 	c.need(s.Discovery.LateShare >= 0 && s.Discovery.LateShare <= 1, "discovery.late_share", "must be from 0 to 1")
+	if v := s.Discovery.Service; v != nil {
+		c.need(v.Calls > 0 && v.Call > 0 && v.Call.D() <= time.Minute, "discovery.service.calls", "and call must be above 0")
+		c.need(v.Line >= 0, "discovery.service.line", "must not be negative")
+		c.need(v.RetryAfter >= 0 && v.RetryAfter.D() <= time.Minute, "discovery.service.retry_after", "must be from 0 to 1m")
+		v.Beyond = orText(v.Beyond, "503")
+		c.oneOf(v.Beyond, "discovery.service.beyond", "503", "reset", "silence", "slower")
+	}
 	c.need(s.Network.Delay >= 0 && s.Network.Delay.D() <= time.Second, "network.delay", "must be from 0 to 1s")
 	c.need(len(s.Fault) <= mostFaults, "fault", "there may be %d at most", mostFaults)
 	for i := range s.Fault {
@@ -316,10 +341,14 @@
 }
 
 func (c *checker) fault(at string, k *Fault, s *Scenario) {
-	kinds := slices.Concat(BoxFaults, BoxEvents, OtherKinds, []string{"flap"})
+	kinds := slices.Concat(BoxFaults, BoxEvents, OtherKinds, ListKinds, LinkKinds, []string{"flap"})
 	c.oneOf(k.Kind, at+".kind", kinds...)
 	c.need(k.At >= 0 && k.At <= s.Length && k.For >= 0, at+".at", "must be from 0 to length, and for not negative")
 	c.need(k.Tier == "" || s.TierIndex(k.Tier) >= 0, at+".tier", "%q is no tier", k.Tier)
+	if between(k.Kind) {
+		c.between(at, k, s)
+		return
+	}
 	if !slices.Contains(OtherKinds, k.Kind) {
 		ways := 0
 		for _, given := range []bool{k.Boxes > 0, k.Share > 0, len(k.Names) > 0} {
@@ -363,6 +392,33 @@
 	}
 }
 
+// between checks a fault of the list service or of links.
+func (c *checker) between(at string, k *Fault, s *Scenario) {
+	c.need((k.Up > 0) == (k.Down > 0) && (k.Up == 0 || k.Up >= Span(10*time.Millisecond) && k.Down >= Span(10*time.Millisecond) && k.For > 0),
+		at+".up", "and down go together, are 10ms or more, and need for")
+	c.need(k.Share >= 0 && k.Share <= 1 && k.Boxes >= 0, at+".share", "must be from 0 to 1, and boxes not negative")
+	c.need(k.Back >= 0 && k.Back.D() <= time.Minute, at+".back", "must be from 0 to 1m")
+	switch k.Kind {
+	case "list_wrong":
+		c.oneOf(k.Of, at+".of", "empty", "half", "other")
+	case "list_slow":
+		c.need(k.Size >= 1 || k.Size == 0 && k.Back > 0, at+".size", "must be 1 or more, or back given")
+	case "list_cut":
+		c.need(k.Size > 0 && k.Size <= 1, at+".size", "must be above 0 and at most 1: a share of the answers")
+	case "link_cut", "link_slow", "link_reset":
+		c.oneOf(k.Of, at+".of", "list", "boxes", "clients")
+		c.need(k.By == "" || k.Kind == "link_cut", at+".by", "is for link_cut alone")
+		c.need((k.Kind == "link_slow") == (k.Back > 0), at+".back", "must be given for link_slow, and is for that alone")
+	}
+	if k.By != "" {
+		c.oneOf(k.By, at+".by", "both", "there", "back")
+	}
+	for _, name := range k.Names {
+		n, err := strconv.Atoi(strings.TrimPrefix(name, "n"))
+		c.need(err == nil && n > 0 && n <= s.Fleet.Sidecars, at+".names", "%q is no sidecar of the first tier; the first is \"n1\"", name)
+	}
+}
+
 func (c *checker) expect(at string, k *Expect, s *Scenario) {
 	c.oneOf(k.What, at+".what", Measures...)
 	c.need(k.Class == "" || s.ClassIndex(k.Class) >= 0, at+".class", "%q is no class", k.Class)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -162,6 +162,16 @@
 	Whole     bool    // every change brings the whole list
 	LateShare float64 `toml:"late_share"` // share of the sidecars that hear all by Late later
 	Late      Span
+	Service   *Service // one service behind all agents, of bounded capacity; nil: agents answer at once and at no cost
+}
+
+// Service is the capacity of the list service. Every call takes its part of it, also one that then waits for news.
+type Service struct {
+	Calls      int    // at a time
+	Call       Span   // that each takes
+	Line       int    // that may wait
+	Beyond     string // what becomes of a call beyond that: "503", "reset", "silence" or "slower" (for all)
+	RetryAfter Span   `toml:"retry_after"` // of the 503; 0 is none
 }
 
 // Network is the virtual one; on sockets it is the machine's own.
@@ -183,10 +193,10 @@
 	Above    int      // share of requests: only while a box has so many in work and waiting
 	By       string   // share of requests: "request", or "connection": a share of these is struck, as a whole
 	Left     float64  // hurry: share of the usual time that such clients give a try
-	Of       string   // flap: the fault that comes and goes
-	Up, Down Span     // flap
+	Of       string   // flap: the fault that comes and goes; list_wrong: "empty", "half", "other"; links: "list", "boxes", "clients"
+	Up, Down Span     // flap, and faults of the list service and of links
 	Grace    Span     // drain: until the process ends; sidecar_stop: until SIGKILL
-	Back     Span     // until it is back, after the end: drain, sidecar_kill, sidecar_stop; 0 is never
+	Back     Span     // until it is back, after the end: drain, sidecar_kill, sidecar_stop; 0 is never. list_slow, link_slow: by how much
 	Step     Span     // between one sidecar and the next
 }
 
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -88,6 +88,32 @@
 	Status balance.Status
 }
 
+// Asked is one call at the list service.
+type Asked struct {
+	At      time.Duration // when it came
+	Sidecar int
+	Took    time.Duration // until it was answered, the wait for news included
+	Watch   bool          // for what is newer than a revision, and not for the whole list
+	How     AskedHow
+}
+
+// AskedHow says what became of a call at the list service.
+type AskedHow uint8
+
+// What becomes of calls.
+const (
+	Listed AskedHow = iota // a list or changes were written
+	Turned                 // beyond the service's capacity
+	Left                   // the sidecar gave it up, or the connection broke
+)
+
+// Dialled is a connection that came up at a box, or at the list service (Box -1).
+type Dialled struct {
+	At      time.Duration
+	Box     int
+	Sidecar int // of the list service's; -1 is not known
+}
+
 // End says how a visit ended.
 type End uint8
 
@@ -192,6 +218,8 @@
 	Attempts []Attempt // that are over, in the order in which they began; likewise
 	Told     []Told
 	Changes  []Change
+	Asked    []Asked // players on sockets only, as the next
+	Dials    []Dialled
 	Samples  []Sample
 	Judged   []Judged // of the virtual player only
 	Usage    []Usage
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -7,6 +7,7 @@
 package virtual
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -151,6 +152,9 @@
 
 // Play plays a plan to its end.
 func Play(p *plan.Plan) (*trace.Log, error) {
+	if p.Scenario.SocketsOnly() {
+		return nil, errors.New("virtual: the scenario has a list service of bounded capacity, or faults of it or of links: they need processes, on sockets")
+	}
 	s := &sim{p: p, delay: p.Scenario.Network.Delay.D(), requests: make([]client, len(p.Requests))}
 	s.log.Tries = make([]trace.Try, 0, len(p.Requests)*5/4)
 	s.log.Visits = make([]trace.Visit, 0, len(p.Requests)*5/4)
