Decide when a list service is asked in a pure package, and play it at any size

Need: 300 sidecars that start together make 6,021 calls in 12 s at a service that bears 200 a second, and 3,584 are turned away. Change: internal/pace gives each instance one moment in each period of instances / rate, drawn at random; its own rate goes down by half with each call that is turned away and comes back by eighths. Property tests hold the spacing and the longest wait for any answers and stops, with a plain oracle of the moments beside. pinelab asking plays it in virtual time beside five rules that were weighed.

--- a/cmd/pinelab/main.go
+++ b/cmd/pinelab/main.go
@@ -33,6 +33,7 @@
 	List     listCmd     `cmd:"" help:"Name the scenarios that come with the program."`
 	Rehearse rehearseCmd `cmd:"" help:"Fit boxes and failures to sidecars' records and play them again."`
 	Diff     diffCmd     `cmd:"" help:"Compare two results."`
+	Asking   askingCmd   `cmd:"" help:"Play in virtual time how a fleet asks one list service, by several rules."`
 }
 
 // terminal is where the program writes.
--- /dev/null
+++ b/internal/lab/asking/asking_test.go
@@ -0,0 +1,53 @@
+package asking
+
+import (
+	"testing"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/model"
+)
+
+// The measured case in virtual time: a service of 200 calls a second that is down for 3 s. By the daemon's rule none is turned
+// away, all have a list within 1.5 times what the service could do, and the line is never full, on every seed; by the rule for
+// an agent of the machine's own most calls are turned away, so that the case can fail.
+func TestColdStart(t *testing.T) {
+	for _, n := range []int{1, 10, 300, 1000} {
+		for seed := range uint64(5) {
+			c := Case{Instances: n, Spread: time.Second, Rate: 150, Burst: 20, Calls: 4, Call: 20 * time.Millisecond, Line: 40, Beyond: model.Turns,
+				Down: 3 * time.Second, Length: 20 * time.Second, Seed: seed + 1}
+			f := Play(c, Policies["pace"])
+			most := max(time.Second, time.Duration(1.5*float64(n)/200*float64(time.Second)))
+			if f.Turned > 0 || f.Never > 0 || f.Line >= c.Line || f.Back > most {
+				t.Errorf("%d instances, seed %d: %+v; all may have a list after %s", n, seed+1, f, most)
+			}
+			if f != Play(c, Policies["pace"]) {
+				t.Errorf("%d instances, seed %d: another play differs", n, seed+1)
+			}
+			if plain := Play(c, Policies["agent"]); n >= 300 && plain.Turned < plain.Calls/2 {
+				t.Errorf("%d instances, seed %d: the rule for an agent comes through: %+v", n, seed+1, plain)
+			}
+		}
+	}
+}
+
+// A service that comes and goes, answers late, or brings news to all at once is asked beyond its line by nobody.
+func TestBadServices(t *testing.T) {
+	usual := Case{Instances: 300, Spread: time.Second, Rate: 150, Burst: 20, Calls: 4, Call: 20 * time.Millisecond, Line: 40, Beyond: model.Turns,
+		Length: 60 * time.Second}
+	for name, change := range map[string]func(*Case){
+		"up for 1 s in 5":     func(c *Case) { c.Up, c.Off = time.Second, 4*time.Second },
+		"every answer late":   func(c *Case) { c.Late = 2500 * time.Millisecond },
+		"news to all at once": func(c *Case) { c.News = 7 * time.Second },
+		"a third comes up":    func(c *Case) { c.Instances, c.Told = 100, 300 },
+		"down for half":       func(c *Case) { c.Down = 30 * time.Second },
+	} {
+		for seed := range uint64(5) {
+			c := usual
+			c.Seed = seed + 1
+			change(&c)
+			if f := Play(c, Policies["pace"]); f.Turned > 0 || f.Never > 0 {
+				t.Errorf("%s, seed %d: %+v", name, c.Seed, f)
+			}
+		}
+	}
+}
--- a/internal/lab/model/listing.go
+++ b/internal/lab/model/listing.go
@@ -59,3 +59,13 @@
 
 // Forget is a restart: whoever was in work or waited is gone.
 func (l *Listing) Forget() { l.free, l.waits = nil, nil }
+
+// Waiting is how many wait at a time.
+func (l *Listing) Waiting(now time.Duration) (n int) {
+	for _, begins := range l.waits {
+		if begins > now {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/pace/pace.go
@@ -0,0 +1,184 @@
+// Package pace decides when one instance of a fleet asks the list service, and for how long it may be kept waiting there. It
+// is pure: times and answers in, times out. No instance knows of another one: what a fleet may ask together follows from
+// what the settings tell each of them, and from the service's own answers.
+//
+// Time is divided into slots. An instance has one moment in each period of instances / rate seconds, drawn at random, and
+// asks at such moments alone: whatever happens, two of its calls are seven eighths of a period apart at least, so that n
+// instances make no more than n calls in that time. Moments drawn at random, and not by rank, hold where ranks are equal or missing, clocks
+// differ, or a third of the fleet is there. What the service turns away or answers late halves the instance's own rate, and
+// each quick answer gives an eighth of it back: additive increase, multiplicative decrease (Chiu and Jain 1989), at each
+// instance by itself, for a fleet whose number is told wrong or a service that can do less than was stated.
+package pace
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Tunables.
+const (
+	restShare  = 0.5                    // of the rate, for watches that end without news
+	watchMost  = 55 * time.Second       // that a watch waits; the protocol allows 60 s
+	waitMost   = 15 * time.Second       // between two calls, whatever the service answers, but for what it asks for itself
+	adviceTop  = time.Minute            // that a Retry-After is followed
+	rateLeast  = 1.0 / 16               // of an instance's own part of the rate
+	lateShare  = 1.0 / 8                // of a period that a call may go out late
+	rateStep   = 1.0 / 8                // that a quick answer gives back
+	slowAfter  = 500 * time.Millisecond // an answer that takes longer tells of a line, whatever the service is
+	slowCut    = 0.75                   // of the rate after such an answer
+	turnedCut  = 0.5                    // and after one that was turned away
+	within     = 5 * time.Second        // a list is waited for so long at first, for to ask again costs the service as much again,
+	withinTop  = 16 * time.Second       // and up to so long where the service is seen to be slow
+	againLeast = 100 * time.Millisecond // after a failure, for a fleet so small that a period is less,
+	againTop   = 800 * time.Millisecond // and after many in a row
+)
+
+// Fleet is what an instance is told.
+type Fleet struct {
+	Instances int           // that ask the same service
+	Rate      float64       // calls a second that all of them may make together
+	Burst     int           // calls at once that the service has room for
+	Watch     time.Duration // that a watch waits at least
+}
+
+// Period is the time in which each instance may ask once.
+func (f Fleet) Period() time.Duration {
+	return time.Duration(float64(max(1, f.Instances)) / f.Rate * float64(time.Second))
+}
+
+// window is the time over which first calls are spread: what the service has room for at once need not be.
+func (f Fleet) window() time.Duration {
+	return time.Duration(float64(max(0, f.Instances-f.Burst)) / f.Rate * float64(time.Second))
+}
+
+// How says how a call ended.
+type How uint8
+
+// The ends of a call.
+const (
+	Told   How = iota // a list, or changes: to a question that does not wait, or news
+	Quiet             // a watch ran out with no news
+	Turned            // the service had no room: it said so, or broke off a question that does not wait
+	Down              // nobody listens there, or the connection was lost while there was nothing to say
+	Silent            // no answer in time
+)
+
+// End is how a call ended.
+type End struct {
+	How        How
+	Took       time.Duration // the service's: less the wait that a watch asked for, and the time for which this process was stopped
+	RetryAfter time.Duration // that the service asks for; 0 is nothing
+}
+
+// Pacer is one instance's. Times are of a clock that never goes back.
+type Pacer struct {
+	fleet  Fleet
+	rand   *rand.Rand
+	rate   float64 // of its own part
+	within time.Duration
+	failed int // in a row
+	asked  bool
+	last   time.Duration // when it asked last
+	slot   time.Duration // one of its moments
+	next   time.Duration
+}
+
+// New returns an instance's that asks for the first time within the window from now on.
+func New(f Fleet, r *rand.Rand, now time.Duration) *Pacer {
+	p := &Pacer{fleet: f, rand: r, rate: 1, within: within}
+	p.next = now + p.upTo(f.window())
+	p.slot = p.next
+	return p
+}
+
+// At is when the next call goes out.
+func (p *Pacer) At() time.Duration { return p.next }
+
+// Wait is how long the next watch is to wait for news: so long that all watches together take a part of the rate, and a
+// little less than a number of periods, so that its end comes before the instance's next moment.
+func (p *Pacer) Wait() time.Duration {
+	period := p.period()
+	long := min(watchMost, max(p.fleet.Watch, time.Duration(float64(period)/restShare)))
+	if period < p.fleet.Watch/4 { // moments are everywhere, and what is drawn spreads the ends
+		return p.spread(long)
+	}
+	return min(watchMost, (long+period-1)/period*period-period/16)
+}
+
+// Within is how long a list may take. Half of it is what a watch may take beyond its wait.
+func (p *Pacer) Within() time.Duration { return p.within }
+
+// Ask notes that a call goes out. One that goes out a little after its moment does not cost the instance the next one.
+func (p *Pacer) Ask(now time.Duration) {
+	p.asked, p.last = true, max(p.next, now-time.Duration(lateShare*float64(p.period())))
+}
+
+// Ended takes how the call ended, after which At says when the next one goes out.
+func (p *Pacer) Ended(now time.Duration, e End) {
+	failed := p.failed
+	p.failed++
+	switch e.How {
+	case Told, Quiet:
+		p.failed = 0
+		if e.Took > slowAfter {
+			p.rate *= slowCut
+			p.within = min(withinTop, max(p.within, 2*e.Took))
+		} else {
+			p.rate += rateStep
+			p.within = within
+		}
+	case Turned:
+		p.rate *= turnedCut
+	case Silent:
+		p.rate *= turnedCut
+		p.within = min(withinTop, 2*p.within)
+	case Down: // it costs the service nothing to be asked, so that the instance need not stand back
+		// Nor may it fall into step with a service that comes and goes.
+		p.slot = p.last + p.period() - p.upTo(time.Duration(lateShare*float64(p.period())))
+		p.last = p.slot - p.period()
+	}
+	p.rate = max(rateLeast, min(1, p.rate))
+	if e.How == Turned || e.How == Silent { // others had the same moment, perhaps: it draws another
+		p.slot = now + p.upTo(p.period())
+	}
+	p.next = p.moment(now)
+	if p.failed > 0 {
+		p.next = max(p.next, now+p.spread(min(againTop, againLeast<<min(failed, 8))))
+	}
+	if e.RetryAfter > 0 {
+		p.next = max(p.next, now+min(adviceTop, e.RetryAfter)+p.upTo(p.period()))
+	}
+}
+
+// Woke says that the process has not run for a while: whoever was stopped with it wakes now, too, and each draws another
+// moment.
+func (p *Pacer) Woke(now time.Duration) {
+	p.slot = now + p.upTo(p.period())
+	p.next = p.moment(now)
+}
+
+// period is the present time between two calls.
+func (p *Pacer) period() time.Duration {
+	own := p.fleet.Period()
+	return max(own, min(waitMost/2, time.Duration(float64(own)/p.rate)))
+}
+
+// moment is the instance's first one that is no sooner than now, and a period after its last call.
+func (p *Pacer) moment(now time.Duration) time.Duration {
+	period := p.period()
+	if p.asked {
+		now = max(now, p.last+period)
+	}
+	if ahead := p.slot - now; ahead >= 0 {
+		return now + ahead%period
+	}
+	return now + (period-(now-p.slot)%period)%period
+}
+
+// upTo is a random time from 0 to most.
+func (p *Pacer) upTo(most time.Duration) time.Duration {
+	return time.Duration(p.rand.Float64() * float64(most))
+}
+
+// spread is a random time between three quarters of most and most.
+func (p *Pacer) spread(most time.Duration) time.Duration { return 3*most/4 + p.upTo(most/4) }
--- /dev/null
+++ b/internal/pace/pace_test.go
@@ -0,0 +1,129 @@
+package pace
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var fleets = rapid.Custom(func(t *rapid.T) Fleet {
+	return Fleet{Instances: rapid.IntRange(0, 5000).Draw(t, "instances"), Rate: rapid.Float64Range(1, 2000).Draw(t, "rate"),
+		Burst: rapid.IntRange(0, 500).Draw(t, "burst"), Watch: time.Second}
+})
+
+func span(t *rapid.T, name string, least, most time.Duration) time.Duration {
+	return time.Duration(rapid.Int64Range(int64(least), int64(most)).Draw(t, name))
+}
+
+// However calls end and the process is stopped, and though calls go out up to a sixteenth of a period late, an instance
+// leaves three quarters of a period between any two, so that n of them make n calls in that time at most; and none waits
+// longer than stated for its next one: two periods, or what the service asks for and a period.
+func TestSpacing(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := fleets.Draw(t, "fleet")
+		period := f.Period()
+		now := span(t, "start", 0, 1<<50)
+		p := New(f, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1)), now)
+		waits := func(after string, most time.Duration) {
+			t.Helper()
+			if wait := p.At() - now; wait < 0 || wait > most {
+				t.Fatalf("after %s the next call is %s away; 0 to %s may be", after, wait, most)
+			}
+		}
+		waits("the start", f.window())
+		asked := time.Duration(-1)
+		slowest := max(period, waitMost/2)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = p.At() + span(t, "late", 0, period/16)
+			if rapid.IntRange(0, 9).Draw(t, "stop") == 0 {
+				now += span(t, "stopped", time.Second, time.Minute)
+				p.Woke(now)
+				waits("a stop", 2*slowest)
+				continue
+			}
+			if asked >= 0 && now-asked < 3*period/4 {
+				t.Fatalf("calls at %s and %s, a period is %s", asked, now, period)
+			}
+			asked = now
+			p.Ask(now)
+			e := End{How: How(rapid.IntRange(0, int(Silent)).Draw(t, "how")), Took: span(t, "took", 0, 5*time.Second)}
+			if e.How == Turned {
+				e.RetryAfter = span(t, "advice", 0, 2*time.Minute)
+			}
+			now += e.Took
+			if e.How == Quiet {
+				now += p.Wait()
+			}
+			p.Ended(now, e)
+			waits("a call", max(2*slowest, min(adviceTop, e.RetryAfter)+slowest, againTop))
+			if e.RetryAfter > 0 && p.At() < now+min(adviceTop, e.RetryAfter) {
+				t.Fatalf("it asks after %s, and was told %s", p.At()-now, e.RetryAfter)
+			}
+			if w := p.Within(); w < within || w > withinTop {
+				t.Fatalf("an answer is waited for for %s", w)
+			}
+			if w := p.Wait(); w < f.Watch/2 || w > watchMost {
+				t.Fatalf("a watch waits for %s", w)
+			}
+		}
+	})
+}
+
+// A plain, slow oracle of an instance's moments: one period after the other from the first, until one fits.
+func TestMoments(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := Fleet{Instances: rapid.IntRange(1, 300).Draw(t, "instances"), Rate: 100, Watch: time.Second}
+		p := New(f, rand.New(rand.NewPCG(1, 1)), 0)
+		p.slot, p.next = span(t, "slot", 0, 10*time.Second), 0
+		now := span(t, "now", 0, 10*time.Second)
+		from := now
+		if rapid.Bool().Draw(t, "asked") {
+			at := span(t, "last", 0, now)
+			p.next = at
+			p.Ask(at)
+			from = max(now, at+f.Period())
+		}
+		want := p.slot
+		for want < from {
+			want += f.Period()
+		}
+		for want-f.Period() >= from {
+			want -= f.Period()
+		}
+		if got := p.moment(now); got != want {
+			t.Fatalf("slot %s, now %s, from %s: %s, want %s", p.slot, now, from, got, want)
+		}
+	})
+}
+
+// What an instance does of its own rate: half after each call that is turned away or not answered, less after slow ones, an
+// eighth back with each quick answer, and nothing where nobody listens.
+func TestOwnRate(t *testing.T) {
+	quick, slow := End{How: Told}, End{How: Told, Took: time.Second}
+	turned, silent, down := End{How: Turned}, End{How: Silent}, End{How: Down}
+	for _, c := range []struct {
+		name   string
+		ends   []End
+		rate   float64
+		within time.Duration
+	}{
+		{"down is free", []End{down, down, down}, 1, within},
+		{"turned away", []End{turned, turned}, 0.25, within},
+		{"never less than a sixteenth", []End{turned, turned, turned, turned, turned, turned}, rateLeast, within},
+		{"quick answers give it back", []End{turned, turned, quick, quick}, 0.5, within},
+		{"slow answers take some, and are waited for", []End{slow}, 0.75, within},
+		{"silence doubles the wait", []End{silent, silent}, 0.25, withinTop},
+		{"and a quick answer ends that", []End{silent, quick}, 0.625, within},
+	} {
+		p := New(Fleet{Instances: 100, Rate: 100, Watch: time.Second}, rand.New(rand.NewPCG(1, 1)), 0)
+		for _, e := range c.ends {
+			p.Ask(p.At())
+			p.Ended(p.At()+e.Took, e)
+		}
+		if p.rate != c.rate || p.within != c.within {
+			t.Errorf("%s: rate %v, an answer is waited for for %s; want %v, %s", c.name, p.rate, p.within, c.rate, c.within)
+		}
+	}
+}
