--- a/cmd/pinelb/control_test.go
+++ b/cmd/pinelb/control_test.go
@@ -41,8 +41,10 @@
 	s := newSite(t, host("s-1", a.addr, "Ready"), host("s-2", b.addr, "Ready"))
 	p, at := operated(t, configFile(t, configFor(s.addr)), t.TempDir())
 	p.await(t, "cluster changed")
-	if got := admin(t, "GET", at, "/admin/health"); got != 200 {
-		t.Errorf("health is %d", got)
+	for until := time.Now().Add(time.Minute); admin(t, "GET", at, "/admin/health") != 200; { // it is ready a moment after that
+		if time.Now().After(until) {
+			t.Fatal("health never says yes")
+		}
 	}
 	if got := admin(t, "POST", at, "/admin/cordon?name=s-9"); got != 404 {
 		t.Errorf("a cordon of what nobody has is answered %d", got)
