Ask a list service that many sidecars share at moments of one's own

Need: what internal/pace decides is to be carried out, off the platform.

With a list it takes clients at once. Without the section nothing changes.

--- a/cmd/pinelb/serve.go
+++ b/cmd/pinelb/serve.go
@@ -27,6 +27,7 @@
 	"pinelb.example/pinelb/internal/effects"
 	"pinelb.example/pinelb/internal/engine"
 	"pinelb.example/pinelb/internal/handover"
+	"pinelb.example/pinelb/internal/pace"
 	"pinelb.example/pinelb/internal/record"
 	"pinelb.example/pinelb/internal/stream"
 	"pinelb.example/pinelb/internal/upstream"
@@ -208,13 +209,20 @@
 		})
 	})
 	if known { // without any host there is nothing to be ready for
-		late := time.AfterFunc(syncWithin, ready)
+		within := syncWithin
+		if op.Discovery != nil { // it may be long until the service is asked
+			within = 0
+		}
+		late := time.AfterFunc(within, ready)
 		defer late.Stop()
 	}
 	moves := make(chan string)
 	go tuned.follow(life, hups, moves)
 	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log,
 		Rand: rand.New(rand.NewPCG(cfg.Seed, discoveryStream))}
+	if op.Discovery != nil {
+		watch.Paced, watch.Rand = paced(op.Discovery, cfg, table)
+	}
 	if fleet := op.Fleet; fleet != nil && known {
 		watch.After = time.Duration(rand.Float64() * float64(fleet.Spread.D()))
 	}
@@ -242,6 +250,19 @@
 	return err
 }
 
+// paced is how the list service is asked where the operator's file says that it is one for many. The random numbers are not
+// the seed's alone: sidecars that were given the same one must not ask in the same moments.
+func paced(d *config.Discovery, cfg *config.Config, table *cluster.Table) (*cluster.Paced, *rand.Rand) {
+	p := &cluster.Paced{Whole: d.Whole.D(), Fleet: pace.Fleet{Instances: d.Instances, Rate: d.Calls, Burst: d.Burst, Watch: d.Watch.D()}}
+	if p.Fleet.Instances == 0 {
+		p.Fleet.Instances = cfg.Settings.Instances
+	}
+	if d.Resume {
+		p.Since = table.Held().List.Revision
+	}
+	return p, rand.New(rand.NewPCG(cfg.Seed^rand.Uint64(), discoveryStream))
+}
+
 // open opens an address for clients, or takes it over. Where operators can call, it may be shared with a process that
 // can't hand it over.
 func open(former *handover.Former, cfg *config.Config, addr string) (net.Listener, error) {
--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -78,6 +78,8 @@
 	w.cordons = append(w.cordons, cordon{id, out})
 }
 
+func (w *world) Expect(time.Duration) {}
+
 // cordon is what a table says of one.
 type cordon struct {
 	id  balance.EndpointID
--- a/internal/cluster/table.go
+++ b/internal/cluster/table.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"pinelb.example/pinelb/balance"
 )
@@ -20,6 +21,7 @@
 type Decisions interface {
 	Membership(kind balance.ListKind, entries []balance.Entry)
 	Cordon(id balance.EndpointID, out bool)
+	Expect(in time.Duration) // a list may come then, and not before
 }
 
 // Observer is told each list that the table takes over, its members numbered and in the order of their ids. It
@@ -42,6 +44,7 @@
 	taken        map[balance.EndpointID]string
 	listed       map[string]Member
 	cordoned     map[string]bool
+	revision     int64 // of the last list
 }
 
 // NewTable returns an empty table; zones and kinds are the settings' names, in their order.
@@ -56,6 +59,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	// In the order of ids, or two that collide would be numbered by the order in which they came.
+	t.revision = list.Revision
 	slices.SortFunc(list.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	entries := make([]balance.Entry, 0, len(list.Members))
 	gone := map[string]bool{}
@@ -136,7 +140,7 @@
 func (t *Table) Held() Held {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := Held{List: List{Complete: true, Members: slices.Collect(maps.Values(t.listed))}, Cordoned: slices.Collect(maps.Keys(t.cordoned))}
+	h := Held{List: List{Revision: t.revision, Complete: true, Members: slices.Collect(maps.Values(t.listed))}, Cordoned: slices.Collect(maps.Keys(t.cordoned))}
 	slices.SortFunc(h.List.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	slices.Sort(h.Cordoned)
 	return h
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"time"
 
@@ -36,6 +37,7 @@
 	Table *Table
 	Rand  *rand.Rand // spreads the calls, so that those of many sidecars don't fall into step
 	Log   zerolog.Logger
+	Paced *Paced // spares a list service that a whole fleet asks; nil: an agent of the machine's own is asked
 }
 
 // Run follows discovery until ctx ends, and calls synced after the first fetch. When discovery moves, the
@@ -44,16 +46,25 @@
 func (w *Watcher) Run(ctx context.Context, synced func()) {
 	sleep(ctx, w.After)
 	once := sync.OnceFunc(synced)
+	paced := w.Paced
 	for addr := w.Addr; addr != ""; {
 		life, leave := context.WithCancel(ctx)
 		left := make(chan struct{})
 		go func() {
 			defer close(left)
-			(&watch{addr: addr, table: w.Table, rand: w.Rand, log: w.Log}).follow(life, once)
+			at := &watch{addr: addr, table: w.Table, rand: w.Rand, log: w.Log}
+			if paced == nil {
+				at.follow(life, once)
+				return
+			}
+			at.paced(*paced).follow(life, once)
 		}()
 		addr = w.moved(ctx, addr)
 		leave()
 		<-left
+		if paced != nil { // the new agent's revisions may not compare
+			paced = &Paced{Fleet: paced.Fleet, Whole: paced.Whole}
+		}
 	}
 }
 
@@ -80,6 +91,8 @@
 	log      zerolog.Logger
 	conn     net.Conn
 	in       *bufio.Reader
+	late     *late // of a paced watch: what in reads from
+	sliced   bool  // there is to be one
 	revision int64
 	have     bool // the whole list has come from this agent
 }
@@ -149,6 +162,13 @@
 			return List{}, fmt.Errorf("cluster: dial: %w", err)
 		}
 		w.conn, w.in = conn, bufio.NewReader(conn)
+		if w.sliced {
+			w.late = &late{ctx: ctx, conn: conn}
+			w.in.Reset(w.late)
+		}
+	}
+	if w.late != nil {
+		w.late.end, w.late.lost = time.Now().Add(within), 0
 	}
 	if err := w.conn.SetDeadline(time.Now().Add(within)); err != nil {
 		return List{}, fmt.Errorf("cluster: deadline: %w", err)
@@ -166,6 +186,13 @@
 	if err != nil {
 		return List{}, fmt.Errorf("cluster: read: %w", err)
 	}
+	if res.Close && res.StatusCode != http.StatusOK {
+		defer w.hangUp()
+	}
+	if s := res.StatusCode; s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests {
+		seconds, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64) // none, or none that is read: 0
+		return List{}, &turnedAway{s, time.Duration(max(0, min(seconds, 1e6)) * float64(time.Second))}
+	}
 	if res.StatusCode != http.StatusOK || !gjson.ValidBytes(body) {
 		return List{}, fmt.Errorf("cluster: answer %d of %d bytes is no list", res.StatusCode, len(body))
 	}
@@ -179,7 +206,7 @@
 func (w *watch) hangUp() {
 	if w.conn != nil {
 		_ = w.conn.Close() // nothing is lost: all that it said has been read
-		w.conn, w.in = nil, nil
+		w.conn, w.in, w.late = nil, nil, nil
 	}
 }
 
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -15,11 +15,12 @@
 // Operator is the operator's file: what a site switches on beyond what the platform asks for. A section that
 // the file lacks is off.
 type Operator struct {
-	Record *Record `toml:"record"`
-	Fleet  *Fleet  `toml:"fleet"`
-	Thrift *Thrift `toml:"thrift"`
-	Budget *Budget `toml:"budget"`
-	State  *State  `toml:"state"`
+	Record    *Record    `toml:"record"`
+	Discovery *Discovery `toml:"discovery"`
+	Fleet     *Fleet     `toml:"fleet"`
+	Thrift    *Thrift    `toml:"thrift"`
+	Budget    *Budget    `toml:"budget"`
+	State     *State     `toml:"state"`
 }
 
 // State is the section [state]: what a process knows is kept on the disk, for the one that comes after it.
@@ -57,6 +58,49 @@
 	return nil
 }
 
+// Discovery is the section [discovery]: the list service is one for many sidecars, and is asked so as to spare it.
+type Discovery struct {
+	Calls     float64       `toml:"calls"`     // a second that all instances together may make
+	Burst     int           `toml:"burst"`     // calls at once that it has room for
+	Instances int           `toml:"instances"` // that ask it; 0 is as many as the settings tell
+	Watch     tomlfile.Span `toml:"watch"`     // how long a call waits for news, at least
+	Whole     tomlfile.Span `toml:"whole"`     // the whole list is asked for anew so often; 0 is never
+	Resume    bool          `toml:"resume"`    // what is held already is not asked for again, but the changes since
+}
+
+// Defaults and limits of [discovery].
+const (
+	leastCalls, mostCalls = 1, 100_000
+	mostBurst             = 100_000
+	mostInstances         = 100_000
+	defaultWatch          = time.Second
+	leastWatch, mostWatch = 100 * time.Millisecond, 30 * time.Second
+	defaultWhole          = 5 * time.Minute
+	leastWhole            = 10 * time.Second
+)
+
+func (d *Discovery) check(file *tomlfile.File) error {
+	if !file.Has("discovery.watch") {
+		d.Watch = tomlfile.Span(defaultWatch)
+	}
+	if !file.Has("discovery.whole") {
+		d.Whole = tomlfile.Span(defaultWhole)
+	}
+	switch {
+	case d.Calls < leastCalls || d.Calls > mostCalls:
+		return file.Fault("discovery.calls", "must be given, from %d to %d", leastCalls, mostCalls)
+	case d.Burst < 0 || d.Burst > mostBurst:
+		return file.Fault("discovery.burst", "must be from 0 to %d", mostBurst)
+	case d.Instances < 0 || d.Instances > mostInstances:
+		return file.Fault("discovery.instances", "must be from 0 to %d", mostInstances)
+	case d.Watch.D() < leastWatch || d.Watch.D() > mostWatch:
+		return file.Fault("discovery.watch", "must be from %s to %s", leastWatch, mostWatch)
+	case d.Whole != 0 && d.Whole.D() < leastWhole:
+		return file.Fault("discovery.whole", "must be 0s or %s and more", leastWhole)
+	}
+	return nil
+}
+
 // Fleet is the section [fleet]: how the instances of a tier are told apart.
 type Fleet struct {
 	// Numbered says that the settings' rank and number of instances are right, so that upstream hosts are chosen
@@ -130,6 +174,9 @@
 	if f := op.Fleet; err == nil && f != nil && (f.Spread < 0 || f.Spread.D() > mostSpread) {
 		err = file.Fault("fleet.spread", "must be from 0s to %s", mostSpread)
 	}
+	if err == nil && op.Discovery != nil {
+		err = op.Discovery.check(file)
+	}
 	if err == nil && op.Record != nil {
 		err = op.Record.check(file)
 	}
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -41,7 +41,7 @@
 func TestOperatorExample(t *testing.T) {
 	op, err := LoadOperator("../../deploy/operator.example.toml")
 	if err != nil || op.Record == nil || op.Fleet == nil || op.Thrift == nil || len(op.Thrift.Methods) == 0 ||
-		op.Budget == nil || op.Budget.Service == "" {
+		op.Budget == nil || op.Budget.Service == "" || op.Discovery == nil || !op.Discovery.Resume || op.Discovery.Calls == 0 {
 		t.Errorf("%+v, %v", op, err)
 	}
 }
@@ -49,6 +49,12 @@
 func TestOperatorFaultsNameTheKey(t *testing.T) {
 	for text, want := range map[string]string{
 		"[recorder]":                              ":1: recorder",
+		"[discovery]\nburst = 1":                  ": discovery.calls: must be given",
+		"[discovery]\ncalls = 0.5":                ":2: discovery.calls: ",
+		"[discovery]\ncalls = 9\nburst = -1":      ":3: discovery.burst: ",
+		"[discovery]\ncalls = 9\ninstances = -1":  ":3: discovery.instances: ",
+		"[discovery]\ncalls = 9\nwatch = \"1ms\"": ":3: discovery.watch: ",
+		"[discovery]\ncalls = 9\nwhole = \"1s\"":  ":3: discovery.whole: ",
 		"[record]\nto = \"log\"\n\nfrom = 1":      ":4: record.from: ",
 		"[record]":                                ":1: record.to: ",
 		"[record]\nto = \"here\"":                 ":2: record.to: ",
--- a/internal/lab/live/service_test.go
+++ b/internal/lab/live/service_test.go
@@ -17,7 +17,9 @@
 	a := newAsks(t, r.net.agent(0, 0))
 	a.client.Timeout = time.Second
 	usual := a.get("").text()
-	two := func(m members) bool { return strings.Count(m.text(), "order-") == 2 && strings.Count(m.text(), "other-") == 0 }
+	two := func(m members) bool {
+		return strings.Count(m.text(), "order-") == 2 && strings.Count(m.text(), "other-") == 0
+	}
 	for id, c := range []struct {
 		f    plan.ListFault
 		want func(m members, err error) bool
--- a/internal/lab/result/of.go
+++ b/internal/lab/result/of.go
@@ -26,7 +26,7 @@
 		out.Tiers = append(out.Tiers, t.Name)
 	}
 	out.Notice = noticeOf(p, log)
-	if len(log.Asked) > 0 || len(log.Dials) > 0 {
+	if meta.Player == "sockets" {
 		out.Together = r.together()
 	}
 	out.Room = r.room(len(out.Seconds))
--- a/internal/lab/virtual/sidecar.go
+++ b/internal/lab/virtual/sidecar.go
@@ -60,6 +60,9 @@
 	c.sim.decide(c.index, &balance.Event{Kind: balance.EventMembership, List: kind, Entries: entries})
 }
 
+// Expect is for sidecars that spare a list service; here each has an agent of its own.
+func (c *sidecar) Expect(time.Duration) {}
+
 // Cordon passes on an operator's word.
 func (c *sidecar) Cordon(id balance.EndpointID, out bool) {
 	c.sim.decide(c.index, &balance.Event{Kind: balance.EventCordon, Endpoint: id, Out: out})
