Refuse at once, and say when to come again, while no list of hosts can come in time

Need: a sidecar that knows no host held a request for 155 ms and then advised 0.08 to 0.37 s, drawn, though it would ask for a list only seconds later: what is given up is to be answered at once, and honestly.

--- a/balance/api.go
+++ b/balance/api.go
@@ -168,6 +168,7 @@
 	EventWhole                           // the last byte of a request that was still coming has been passed on
 	EventSettings                        // the site's settings have changed
 	EventCordon                          // an operator takes an endpoint out, or puts it back
+	EventExpect                          // when discovery is asked next
 )
 
 // Status is how an attempt or a probe ended.
@@ -251,6 +252,7 @@
 
 	List    ListKind
 	Entries []Entry
+	In      time.Duration // until a list may come, where discovery is not asked all the time
 
 	Settings *Settings // the classes that there were keep their places; a new one comes after them
 
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -110,7 +110,7 @@
 		}
 	case EventMembership:
 		b.onMembership(ev)
-	case EventWhole, EventCordon, EventSettings:
+	case EventWhole, EventCordon, EventSettings, EventExpect:
 		b.onWord(ev)
 	case EventTimer:
 		if ev.Token == tokenTick {
@@ -196,7 +196,8 @@
 
 // refuseEarly tells whether a request is better turned away before any work is done.
 func (b *Balancer) refuseEarly(r *request) bool {
-	if r.most < 1 || !b.inTime(r) || r.repeat && !b.repeatable(r, &r.before) {
+	blind := len(b.ready) == 0 && b.expect > r.holdTill // there is nobody, and will be nobody in time
+	if blind || r.most < 1 || !b.inTime(r) || r.repeat && !b.repeatable(r, &r.before) {
 		return true
 	}
 	return b.set.Tier == 0 && (r.over && (len(b.waiting) > 0 || b.loadShare() > spareShare) ||
@@ -457,6 +458,8 @@
 		return 0
 	case r.over:
 		return b.set.MaxRetryAfter
+	case len(b.ready) == 0 && b.expect > b.now: // there is nobody to send to before that
+		return min(b.set.MaxRetryAfter, b.expect-b.now+b.jitter(r.class.Aim/4))
 	}
 	short := 1 / (1 - min(shortMost, b.asked.mean(0, 0)))
 	return min(b.set.MaxRetryAfter, time.Duration(short*(0.5+b.rng.Float64())*float64(r.class.Aim)/4))
--- a/balance/state.go
+++ b/balance/state.go
@@ -63,7 +63,8 @@
 	share      []float64   // each server's share over all bins
 	sums       [][]float64 // of each row, up to each server
 	solved     snapshot
-	dirty      bool // a change that calls for a solve as soon as one is allowed
+	expect     time.Duration // when discovery may tell of a first list; long past where it is asked all the time
+	dirty      bool          // a change that calls for a solve as soon as one is allowed
 	solvedAt   time.Duration
 	maintainAt time.Duration
 	refreshAt  time.Duration
@@ -508,6 +509,8 @@
 		b.onCordon(ev)
 	case EventSettings:
 		b.onSettings(ev.Settings)
+	case EventExpect:
+		b.expect = b.now + ev.In
 	}
 }
 
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -49,7 +49,7 @@
 func TestOperatorFaultsNameTheKey(t *testing.T) {
 	for text, want := range map[string]string{
 		"[recorder]":                              ":1: recorder",
-		"[discovery]\nburst = 1":                  ": discovery.calls: must be given",
+		"[discovery]\nburst = 1":                  ":1: discovery.calls: must be given",
 		"[discovery]\ncalls = 0.5":                ":2: discovery.calls: ",
 		"[discovery]\ncalls = 9\nburst = -1":      ":3: discovery.burst: ",
 		"[discovery]\ncalls = 9\ninstances = -1":  ":3: discovery.instances: ",
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -77,6 +77,13 @@
 	e.handle(&balance.Event{Kind: balance.EventMembership, List: kind, Entries: entries})
 }
 
+// Expect says that discovery is asked next in a while, where it is not asked all the time.
+func (e *Engine) Expect(in time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.handle(&balance.Event{Kind: balance.EventExpect, In: in})
+}
+
 // Retune has changed settings take effect, whole or, where they can't be used, not at all. The classes that there were
 // have to keep their places.
 func (e *Engine) Retune(s balance.Settings) error {
