Send no copies of what is merely overdue while many requests are refused

Change: while more than 0.15 is refused (shortShare) a copy goes out only of an attempt that is stuck by the odds (Balancer.look).

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -521,7 +521,7 @@
 	first := slices.IndexFunc(r.tries, func(a attempt) bool { return a.open })
 	third := first < len(r.tries)-1
 	if b.retries < cost || b.loadShare() >= copyShare+(1-copyShare)*h.hangs ||
-		!h.stuck() && (third || b.now < h.at+b.overdue(r.class) || !b.worthCopy(r.class)) ||
+		!h.stuck() && (third || b.asked.mean(0, 0) > shortShare || b.now < h.at+b.overdue(r.class) || !b.worthCopy(r.class)) ||
 		third && (!b.set.Cancel || !sentOf(r, &r.tries[first]).stuck()) {
 		return
 	}
