Let the first sends to cold hosts be half as many again where the number of sidecars is sure

Where nothing has been answered all rests on the trickle, which is kept small for sidecars that are told half of their number. Property test: 8,000 random fleets told right stay under 2.5 with 2.0, one in 1,400 does not with 2.4; told half, one does not with 1.6 (tried for all: decided against).

--- a/balance/state.go
+++ b/balance/state.go
@@ -566,7 +566,7 @@
 // adopt takes over settings. The classes that there are keep what was learned of them.
 func (b *Balancer) adopt(s *Settings) {
 	b.set, b.own = *s, hashed(s.Name)
-	b.site = warmup.Site{Share: s.ColdShare, Warm: s.ColdFor, Aim: s.Classes[0].Aim}
+	b.site = warmup.Site{Share: s.ColdShare, Warm: s.ColdFor, Aim: s.Classes[0].Aim, Sure: s.Name == ""}
 	for i, c := range s.Classes {
 		b.site.Aim = min(b.site.Aim, c.Aim)
 		if i == len(b.classes) {
--- a/balance/warmup/warmup.go
+++ b/balance/warmup/warmup.go
@@ -30,7 +30,10 @@
 	stayFor = 4.0                    // rights earned that the trickle stands back for at most, or it would stay away after a silence
 
 	trickleAims = 0.1 // of the shortest aim: what a request is taken to need of a warm server before any is answered
+	// Times what that allows, of all instances together. Where the number of instances is sure, 8,000 random fleets stay under
+	// the multiple with 2.0, and one in 1,400 does not with 2.4; told half of the truth, some don't with 1.6 already.
 	trickleGain = 1.2
+	sureGain    = 1.8
 )
 
 // Site is what the settings say.
@@ -38,6 +41,7 @@
 	Share float64       // of its capacity that a server has right after its start, at least
 	Warm  time.Duration // until it has all of it, growing evenly at least
 	Aim   time.Duration // the shortest of the classes'
+	Sure  bool          // the number of instances is right
 }
 
 // Capacity is the part of its full capacity that a server of that age has at least, from Site.Share to 1.
@@ -52,7 +56,11 @@
 // Trickle is how many sends a second one instance may make to a server of that age without any evidence, if so
 // many instances use that server.
 func (s *Site) Trickle(age time.Duration, users float64) float64 {
-	return trickleGain * s.Capacity(age) / (trickleAims * s.Aim.Seconds() * max(1, users))
+	gain := trickleGain
+	if s.Sure {
+		gain = sureGain
+	}
+	return gain * s.Capacity(age) / (trickleAims * s.Aim.Seconds() * max(1, users))
 }
 
 // Budget is the rights to send of one instance to one cold server: when each lapses, the first first.
--- a/balance/warmup/warmup_test.go
+++ b/balance/warmup/warmup_test.go
@@ -196,6 +196,7 @@
 var fleets = rapid.Custom(func(t *rapid.T) *fleet {
 	f := newFleet(rapid.IntRange(1, 60).Draw(t, "instances"), rapid.Uint64().Draw(t, "seed"))
 	f.told = max(1, int(float64(f.instances)*rapid.SampledFrom([]float64{1, 0.5, 2}).Draw(t, "told")))
+	f.site.Sure = f.told == f.instances && rapid.Bool().Draw(t, "sure")
 	f.site.Share = rapid.Float64Range(0.2, 0.5).Draw(t, "share")
 	f.quick = rapid.Float64Range(1, 2).Draw(t, "quick")
 	f.site.Aim = time.Duration(rapid.IntRange(100, 300).Draw(t, "aim")) * time.Millisecond
