Count hosts of an old list as cold until a list of the present tells their starts

Change, where [discovery] is given and there is more than one instance, but not for what a process hands over: entries of a cached list are guesses (Entry.Guess, Table.Old). Such a host is cold from now on; one send goes out at once, two a second while nothing answers, and the rest is earned by answers; a list that tells the same start makes it as old as it is, at once.

--- a/balance/api.go
+++ b/balance/api.go
@@ -216,6 +216,7 @@
 	Cell     int
 	Kind     int
 	UpSince  time.Duration // when it last started; 0 = long ago
+	Guess    bool          // as an old list has it: it may have started since, and is cold until a list of the present says otherwise
 }
 
 // LoadReport holds the first N of Settings.LoadFields.
--- a/balance/balance.go
+++ b/balance/balance.go
@@ -483,7 +483,7 @@
 	b.do(Action{Kind: ActTimer, Token: tokenTick, After: b.tick})
 	for _, s := range b.servers {
 		if b.isCold(s) {
-			s.cold.Tick(b.now, b.site.Trickle(b.age(s), b.users), b.rng.Float64())
+			s.cold.Tick(b.now, b.trickle(s), b.rng.Float64())
 		}
 	}
 	b.watch()
@@ -521,7 +521,7 @@
 	first := slices.IndexFunc(r.tries, func(a attempt) bool { return a.open })
 	third := first < len(r.tries)-1
 	if b.retries < cost || b.loadShare() >= copyShare+(1-copyShare)*h.hangs ||
-		!h.stuck() && (third || b.asked.mean(0, 0) > shortShare || b.now < h.at+b.overdue(r.class) || !b.worthCopy(r.class)) ||
+		!h.stuck() && (third || b.now < h.at+b.overdue(r.class) || !b.worthCopy(r.class)) ||
 		third && (!b.set.Cancel || !sentOf(r, &r.tries[first]).stuck()) {
 		return
 	}
@@ -537,7 +537,8 @@
 // worthCopy tells whether a copy of an overdue attempt can still be expected to be in time. Where answers
 // take long, being overdue is no sign of a fault, and copies would only make them longer.
 func (b *Balancer) worthCopy(c *class) bool {
-	return float64(b.overdue(c))+copyNeeds*float64(b.classDelay(c)) < float64(c.Aim)
+	return b.asked.mean(0, 0) <= shortShare && // or what it takes is missing elsewhere
+		float64(b.overdue(c))+copyNeeds*float64(b.classDelay(c)) < float64(c.Aim)
 }
 
 // learnGivenUp takes what can be learned from attempts that are out when their time is up. Their age is a
@@ -843,6 +844,7 @@
 	switch {
 	case s == nil && e.State == Gone:
 		return
+	case s != nil && s.Guess && !e.Guess && told == s.told: // as old as was guessed
 	case s != nil && (told <= s.UpSince || told == s.told): // missing or moved back: no warmer for that
 		e.UpSince = s.UpSince
 	default: // a new process, and what was learned of an old one is void. None starts in the future
@@ -851,7 +853,9 @@
 			s = &server{}
 			b.byID[e.Endpoint] = s
 		}
-		*s = server{held: s.held, told: told}
+		if *s = (server{held: s.held, told: told}); e.Guess {
+			e.UpSince = b.now
+		}
 	}
 	s.Entry, s.listed = e, e.State == Ready && !b.cordoned[e.Endpoint]
 	k := groupKey{e.Kind, e.Weight}
--- a/balance/expect_test.go
+++ b/balance/expect_test.go
@@ -37,3 +37,48 @@
 		}
 	}
 }
+
+// Of an old list: the hosts count as cold, one send goes out at once and the rest is earned; a list of the present that tells
+// the same start makes them as old as they are, one that tells a later start makes them cold by that.
+func TestOldList(t *testing.T) {
+	s := testSettings()
+	s.Instances = 2
+	guess := func() *world {
+		w := newWorld(t, s, 1)
+		var es []Entry
+		for id := EndpointID(1); id <= 4; id++ {
+			es = append(es, Entry{Endpoint: id, State: Ready, Weight: 1, Guess: true})
+		}
+		w.list(ListCached, es...)
+		return w
+	}
+	w := guess()
+	for range 10 {
+		w.request(safeClass)
+	}
+	if len(w.sends) != 1 {
+		t.Errorf("%d of ten requests went out at once to hosts of an old list, want 1", len(w.sends))
+	}
+	w.end(0, OK, 20*ms)
+	w.run(100 * ms)
+	if n := len(w.sends); n < 2 || n > 4 {
+		t.Errorf("%d sends after one answer: the rest is to be earned", n)
+	}
+	for _, c := range []struct {
+		name string
+		up   time.Duration
+		cold bool
+	}{{"as was guessed", 0, false}, {"started since", time.Hour - time.Second, true}} {
+		w := guess()
+		w.list(ListFull, Entry{Endpoint: 1, State: Ready, Weight: 1, UpSince: c.up})
+		if got := w.b.isCold(w.b.byID[1]); got != c.cold {
+			t.Errorf("%s: cold %v", c.name, got)
+		}
+		for range 10 {
+			w.request(safeClass)
+		}
+		if sent := len(w.sends); !c.cold && sent < 4 || c.cold && sent > 1 {
+			t.Errorf("%s: %d of ten requests went out", c.name, sent)
+		}
+	}
+}
--- a/balance/state.go
+++ b/balance/state.go
@@ -63,6 +63,7 @@
 	share      []float64   // each server's share over all bins
 	sums       [][]float64 // of each row, up to each server
 	solved     snapshot
+	begun      bool          // it has had its first send to a host of an old list
 	expect     time.Duration // when discovery may tell of a first list; long past where it is asked all the time
 	dirty      bool          // a change that calls for a solve as soon as one is allowed
 	solvedAt   time.Duration
@@ -351,6 +352,7 @@
 		b.do(Action{Kind: ActCloseUnused, Endpoint: id})
 	}
 	slices.SortFunc(b.servers, func(x, y *server) int { return cmp.Compare(x.Endpoint, y.Endpoint) })
+	b.begin()
 	rows := make([][]float64, len(b.bins))
 	for k := range rows {
 		rows[k] = make([]float64, len(b.servers))
@@ -560,6 +562,35 @@
 	}
 }
 
+// guessRate is how many sends a second an instance makes to hosts of which an old list is all that is known, before any of them
+// has answered: three hundred instances that come back together with twelve cold hosts send each 50, one alone is not dark.
+const guessRate = 2.0
+
+// trickle is how many sends a second go to a cold host without evidence.
+func (b *Balancer) trickle(s *server) float64 {
+	rate := b.site.Trickle(b.age(s), b.users)
+	if s.Guess {
+		rate = max(rate, guessRate/float64(len(b.servers)))
+	}
+	return rate
+}
+
+// begin gives an instance that starts with an old list one send at once, to any of its hosts: the rest is earned by answers.
+func (b *Balancer) begin() {
+	if b.begun {
+		return
+	}
+	var guessed []*server
+	for _, s := range b.servers {
+		if s.Guess {
+			guessed = append(guessed, s)
+		}
+	}
+	if b.begun = len(guessed) > 0; b.begun {
+		guessed[b.rng.IntN(len(guessed))].cold.Answered(b.now, 1, 0)
+	}
+}
+
 // sharers is by how many processes what all may do is shared.
 func (s *Settings) sharers() float64 { return float64(s.Instances * max(1, s.Processes)) }
 
--- a/cmd/pinelb/serve.go
+++ b/cmd/pinelb/serve.go
@@ -148,6 +148,8 @@
 		shares.beside(1) // before what it hands over, which is its part already
 	}
 	known := len(cfg.Known.Members) > 0
+	// What a process hands over is of the present; and one instance alone pushes nobody over.
+	table.Old = op.Discovery != nil && next.former == nil && set.Instances > 1
 	keep := newKeeper(op.State, cfg, next, log)
 	switch {
 	case next.former != nil && next.take(), keep.remember(cfg):
--- a/internal/cluster/table.go
+++ b/internal/cluster/table.go
@@ -34,6 +34,8 @@
 // discovery id alone, so that every sidecar numbers the cluster alike and a ring of it is the same for all.
 type Table struct {
 	Observer Observer // nil: nobody; set before the first list
+	// Old says that cached lists may be: whoever they name may have started since. Set before the first list.
+	Old bool
 
 	hosts     Hosts
 	decisions Decisions
@@ -60,6 +62,7 @@
 	defer t.mu.Unlock()
 	// In the order of ids, or two that collide would be numbered by the order in which they came.
 	t.revision = list.Revision
+	t.Old = t.Old && kind == balance.ListCached // from a list of the present on, what is held is no guess
 	slices.SortFunc(list.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	entries := make([]balance.Entry, 0, len(list.Members))
 	gone := map[string]bool{}
@@ -81,7 +84,7 @@
 		}
 		entries = append(entries, balance.Entry{
 			Endpoint: id, State: m.State, Weight: m.Weight, Zone: index(t.zones, m.Zone),
-			Cell: m.Cell, Kind: index(t.kinds, m.Kind), UpSince: m.UpSince,
+			Cell: m.Cell, Kind: index(t.kinds, m.Kind), UpSince: m.UpSince, Guess: t.Old && kind == balance.ListCached,
 		})
 	}
 	if t.Observer != nil { // before the decisions, whose sends name these hosts
--- a/internal/lab/virtual/sidecar.go
+++ b/internal/lab/virtual/sidecar.go
@@ -20,6 +20,7 @@
 	index    int
 	set      config.Settings
 	budget   *config.Budget
+	old      bool              // the list that it starts with may be
 	b        *balance.Balancer // nil while it does not run
 	life     int
 	able     bool // the front sends to it
@@ -81,6 +82,7 @@
 	}
 	c.hosts, c.judged = map[balance.EndpointID]int{}, map[int]trace.Judged{}
 	c.table = cluster.NewTable(c.set.ZoneNames, c.set.KindNames, c, c)
+	c.table.Old = c.old
 	s.change(i, trace.Begun, "")
 	if known := s.p.Sidecars[i].Known; len(known) > 0 {
 		c.table.Apply(balance.ListCached, s.list(known))
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -183,7 +183,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("virtual: %w", err)
 		}
-		s.sidecars = append(s.sidecars, sidecar{index: i, set: set, budget: op.Budget, agent: map[int]plan.Listed{}})
+		s.sidecars = append(s.sidecars, sidecar{index: i, set: set, budget: op.Budget, old: op.Discovery != nil && set.Instances > 1, agent: map[int]plan.Listed{}})
 		for _, l := range p.First(p.Sidecars[i].Tier) {
 			s.sidecars[i].agent[l.Box] = l
 		}
