--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -190,8 +190,7 @@
 		defer w.hangUp()
 	}
 	if s := res.StatusCode; s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests {
-		seconds, _ := strconv.ParseFloat(res.Header.Get("Retry-After"), 64) // none, or none that is read: 0
-		return List{}, &turnedAway{s, time.Duration(max(0, min(seconds, 1e6)) * float64(time.Second))}
+		return List{}, &turnedAway{s, advice(res.Header.Get("Retry-After"))}
 	}
 	if res.StatusCode != http.StatusOK || !gjson.ValidBytes(body) {
 		return List{}, fmt.Errorf("cluster: answer %d of %d bytes is no list", res.StatusCode, len(body))
@@ -203,6 +202,15 @@
 	return list, err
 }
 
+// advice reads a Retry-After in seconds, whole or decimal. Any other, and more than a day, is none.
+func advice(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds > 0 && seconds <= 86400) { // NaN is neither
+		return 0
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
 func (w *watch) hangUp() {
 	if w.conn != nil {
 		_ = w.conn.Close() // nothing is lost: all that it said has been read
