Let a moment drift only from the second refused connection in a row on

Cause: the drift that keeps instances out of step with a service that comes and goes came with the first refusal, up to an eighth of a period early: at 5,000 instances those that had asked before the service was there fell on top of others' first calls. Change: the drift comes from the second in a row on, and later, by a sixteenth at most (Pacer.Ended).

--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -23,6 +23,7 @@
 	adviceTop  = time.Minute            // that a Retry-After is followed
 	rateLeast  = 1.0 / 16               // of an instance's own part of the rate
 	lateShare  = 1.0 / 8                // of a period that a call may go out late
+	driftShare = 1.0 / 16               // of a period by which a moment drifts with each call but the first for which nobody was there
 	rateStep   = 1.0 / 8                // that a quick answer gives back
 	slowAfter  = 500 * time.Millisecond // an answer that takes longer tells of a line, whatever the service is
 	slowCut    = 0.75                   // of the rate after such an answer
@@ -133,9 +134,9 @@
 		p.rate *= turnedCut
 		p.within = min(withinTop, 2*p.within)
 	case Down: // it costs the service nothing to be asked, so that the instance need not stand back
-		// Nor may it fall into step with a service that comes and goes.
-		p.slot = p.last + p.period() - p.upTo(time.Duration(lateShare*float64(p.period())))
-		p.last = p.slot - p.period()
+		if failed > 0 { // nor may it be in step with a service that comes and goes
+			p.slot = p.last + p.period() + p.upTo(time.Duration(driftShare*float64(p.period())))
+		}
 	}
 	p.rate = max(rateLeast, min(1, p.rate))
 	if e.How == Turned || e.How == Silent { // others had the same moment, perhaps: it draws another
