Bound a doubted list's second call whole, and end all guesses with a resumed watch

Cause, found in a second reading: while a list is doubted the call that asks again was bounded but for its dial, up to 2 s beyond the 2.5 s after which hosts that are told gone must get nothing; and where the first answer is only the changes since a revision that is held, hosts that it leaves out stayed guesses, cold for 9 s though the service had spoken. Change: the call ends with the doubt, dial included (paced.ask); the held list is told anew without guesses after such changes (paced.take). A field that nothing read is gone from the asking simulation. Measured: TestDoubtBoundsTheCall and the resume row of TestPaced hold both.

--- a/internal/cluster/paced.go
+++ b/internal/cluster/paced.go
@@ -126,7 +126,10 @@
 		limit = q.wait + limit/2
 	}
 	if p.doubted != nil {
-		limit = min(limit, max(slice, p.doubtEnds-from))
+		limit = min(limit, p.doubtEnds-from)
+		var over context.CancelFunc
+		ctx, over = context.WithTimeout(ctx, limit) // a dial that hangs must not outlast the doubt
+		defer over()
 	}
 	list, err = p.call(ctx, q.target, limit)
 	if p.late != nil {
@@ -185,6 +188,9 @@
 // take takes a list over.
 func (p *paced) take(list List) {
 	p.apply(list)
+	if !p.told && !list.Complete { // what changes since a held revision leave out is as it was held, and no guess any more
+		p.table.Apply(balance.ListCached, p.table.Held().List)
+	}
 	p.told = true
 }
 
--- a/internal/cluster/paced_test.go
+++ b/internal/cluster/paced_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -31,6 +32,7 @@
 		status  string // "" is 200
 		body    string
 		told    int  // hosts in the list that is then taken over; -1: none is
+		again   int  // hosts in the list that is told anew after that, none of them a guess; 0: none is
 		newConn bool // the call comes on another connection than the one before
 	}
 	const whole, busy = "/catalog/members", "503 Busy\r\nRetry-After: 0.1"
@@ -41,7 +43,7 @@
 	}{
 		"a refusal keeps the connection": {0, []step{{asks: whole, status: busy, told: -1}, {asks: whole, status: busy, told: -1}, first}},
 		"a broken answer does not":       {0, []step{{asks: whole, body: "nonsense", told: -1}, {asks: whole, body: list(41, true, 4, "Ready"), told: 4, newConn: true}}},
-		"what is held is not asked for again": {41, []step{{asks: whole + "?since=41&timeout_ms=0", body: list(43, false, 1, "Terminating"), told: 1},
+		"what is held is not asked for again": {41, []step{{asks: whole + "?since=41&timeout_ms=0", body: list(43, false, 1, "Terminating"), told: 1, again: 2},
 			{asks: whole + "?since=43&timeout_ms=", body: list(43, false, 0, ""), told: 0}}},
 		"a service that does not know the revision answers whole": {41, []step{{asks: whole + "?since=41&timeout_ms=0", body: list(7, true, 4, "Ready"), told: 4},
 			{asks: whole + "?since=7&", body: list(7, false, 0, ""), told: 0}}},
@@ -61,8 +63,14 @@
 			a := newAgent(t)
 			w, table := newWorld()
 			if c.since > 0 {
-				table.Apply(balance.ListCached, List{Revision: c.since, Members: []Member{member("h0", "127.0.0.1:1", balance.Ready)}})
-				<-w.lists
+				table.Old = true
+				table.Apply(balance.ListCached, List{Revision: c.since, Members: []Member{member("h0", "127.0.0.1:1", balance.Ready),
+					member("h9", "127.0.0.9:1", balance.Ready)}})
+				for _, e := range <-w.lists {
+					if !e.Guess {
+						t.Errorf("%+v of an old list is no guess", e)
+					}
+				}
 			}
 			ctx, end := context.WithCancel(context.Background())
 			ended := make(chan struct{})
@@ -92,6 +100,12 @@
 						t.Errorf("step %d: %d hosts were told, want %d", i, got, s.told)
 					}
 				}
+				if s.again > 0 {
+					again := <-w.lists
+					if len(again) != s.again || slices.ContainsFunc(again, func(e balance.Entry) bool { return e.Guess }) {
+						t.Errorf("step %d: told anew %+v, want %d hosts that are no guess", i, again, s.again)
+					}
+				}
 			}
 			<-a.calls // by then whatever was taken has been told
 			if n := len(w.lists); n != 0 {
@@ -191,3 +205,18 @@
 		}
 	})
 }
+
+// Guards against a doubt that outlasts its time because the service can't even be reached: the call is over with the doubt.
+func TestDoubtBoundsTheCall(t *testing.T) {
+	a := newAgent(t)
+	_, table := newWorld()
+	w := &watch{addr: a.addr, table: table, rand: rand.New(rand.NewPCG(1, 2)), log: zerolog.Nop()}
+	p := w.paced(Paced{Fleet: pace.Fleet{Instances: 1, Rate: 1000, Watch: time.Second}})
+	p.doubted, p.doubtEnds = &List{}, p.now() // it is over already: not even a connection is waited for
+	if _, end, _, err := p.ask(context.Background(), question{target: "/catalog/members"}); err == nil || end.How == pace.Told {
+		t.Errorf("a call beyond the doubt ended as %+v, %v", end, err)
+	}
+	if p.conn != nil {
+		t.Error("a connection came up")
+	}
+}
--- a/internal/cluster/table.go
+++ b/internal/cluster/table.go
@@ -60,9 +60,9 @@
 func (t *Table) Apply(kind balance.ListKind, list List) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	// In the order of ids, or two that collide would be numbered by the order in which they came.
 	t.revision = list.Revision
 	t.Old = t.Old && kind == balance.ListCached // from a list of the present on, what is held is no guess
+	// In the order of ids, or two that collide would be numbered by the order in which they came.
 	slices.SortFunc(list.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	entries := make([]balance.Entry, 0, len(list.Members))
 	gone := map[string]bool{}
@@ -84,7 +84,7 @@
 		}
 		entries = append(entries, balance.Entry{
 			Endpoint: id, State: m.State, Weight: m.Weight, Zone: index(t.zones, m.Zone),
-			Cell: m.Cell, Kind: index(t.kinds, m.Kind), UpSince: m.UpSince, Guess: t.Old && kind == balance.ListCached,
+			Cell: m.Cell, Kind: index(t.kinds, m.Kind), UpSince: m.UpSince, Guess: t.Old,
 		})
 	}
 	if t.Observer != nil { // before the decisions, whose sends name these hosts
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -163,12 +163,12 @@
 		}
 		w.conn, w.in = conn, bufio.NewReader(conn)
 		if w.sliced {
-			w.late = &late{ctx: ctx, conn: conn}
+			w.late = &late{conn: conn}
 			w.in.Reset(w.late)
 		}
 	}
 	if w.late != nil {
-		w.late.end, w.late.lost = time.Now().Add(within), 0
+		w.late.ctx, w.late.end, w.late.lost = ctx, time.Now().Add(within), 0
 	}
 	if err := w.conn.SetDeadline(time.Now().Add(within)); err != nil {
 		return List{}, fmt.Errorf("cluster: deadline: %w", err)
--- a/internal/lab/asking/asking.go
+++ b/internal/lab/asking/asking.go
@@ -63,7 +63,6 @@
 type instance struct {
 	Instance
 	begun, listed time.Duration
-	conn          bool
 }
 
 type event struct {
@@ -143,7 +142,6 @@
 	end := func(at time.Duration, e pace.End) { s.push(event{at: at, who: who, end: &e}) }
 	if !s.up(now) {
 		s.out.Refused++
-		c.conn = false
 		end(now, pace.End{How: pace.Down})
 		return
 	}
