Move the daemon's own files from cmd/pinelb to internal/daemon

No behaviour changes; the tests of cmd/pinelb pass as they were but for one that named a constant of the daemon's.

--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -1,14 +1,17 @@
 // Command pinelb is the sidecar: it takes streams from callers, has the decision module choose their
-// upstream hosts, and carries out what it decides. Here are only its command line and the wiring of the parts.
+// upstream hosts, and carries out what it decides. Here are only its command line and its exit statuses.
 package main
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"pinelb.example/pinelb/internal/daemon"
 )
 
 // statusFaulty is the exit status where the arguments or a file that is checked are faulty.
@@ -64,3 +67,18 @@
 	}
 	return sidecar(line.Serve.Config, hups)
 }
+
+func sidecar(operator string, hups <-chan os.Signal) int {
+	if daemon.Serve(operator, hups) != nil { // it is in the log
+		return 1
+	}
+	return 0
+}
+
+func show(path string, out io.Writer) int {
+	if err := daemon.Show(path, out); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return statusFaulty
+	}
+	return 0
+}
--- a/cmd/pinelb/main_test.go
+++ b/cmd/pinelb/main_test.go
@@ -382,7 +382,7 @@
 		s.ServeHTTP(w, r)
 	}))
 	p := start(t, discovery)
-	for end := time.Now().Add(2 * syncWithin); time.Now().Before(end); {
+	for end := time.Now().Add(600 * time.Millisecond); time.Now().Before(end); { // twice the time after which a known list has to do
 		if res, _ := p.call(t, "GET", "/_health", ""); res.StatusCode != 503 {
 			t.Fatalf("health is %d with no host known", res.StatusCode)
 		}
--- a/cmd/pinelb/state_bench_test.go
+++ b/cmd/pinelb/state_bench_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -13,83 +12,8 @@
 	"sync"
 	"testing"
 	"time"
-
-	"github.com/rs/zerolog"
-
-	"pinelb.example/pinelb/balance"
-	"pinelb.example/pinelb/internal/cluster"
-	"pinelb.example/pinelb/internal/config"
-	"pinelb.example/pinelb/internal/durable"
-	"pinelb.example/pinelb/internal/engine"
-	"pinelb.example/pinelb/internal/upstream"
 )
 
-// heir is a succession of that many hosts, all of which it has been taught.
-func heir(b *testing.B, hosts int) *succession {
-	set, err := config.ParseSettings([]byte(settings))
-	if err != nil {
-		b.Fatal(err)
-	}
-	pool := upstream.NewPool(time.Second, time.Second, 10)
-	eng, err := engine.New(set.Settings, 1, pool, zerolog.Nop())
-	if err != nil {
-		b.Fatal(err)
-	}
-	s := &succession{classes: func() []string { return set.ClassNames }, table: cluster.NewTable(set.ZoneNames, set.KindNames, pool, eng), eng: eng, log: zerolog.Nop()}
-	list := cluster.List{Complete: true}
-	for i := range hosts {
-		list.Members = append(list.Members, cluster.Member{ID: fmt.Sprintf("front-std-%d", i), Addr: fmt.Sprintf("127.0.0.1:%d", 10000+i),
-			Zone: "moonah", Kind: "front-std", State: balance.Ready, Weight: 1})
-	}
-	s.table.Apply(balance.ListFull, list)
-	h := s.held()
-	for i := range h.Engine.Learned.Hosts {
-		of := &h.Engine.Learned.Hosts[i]
-		of.Delay = balance.Sample{N: 3.123456789, Sum: 0.987654321}
-		of.Seen.Lately.N, of.Seen.Suspect = 1.23456789, 0.123456789
-	}
-	s.eng.Take(h.Engine)
-	return s
-}
-
-// BenchmarkSnapshot is what a snapshot costs, by the number of hosts: its bytes, and the microseconds that it takes to be put
-// together, to come to the disk, and to be read and taken over.
-func BenchmarkSnapshot(b *testing.B) {
-	for _, hosts := range []int{14, 100, 1000} {
-		b.Run(fmt.Sprint("hosts=", hosts), func(b *testing.B) {
-			s, d := heir(b, hosts), durable.Dir(b.TempDir())
-			var put, save, load time.Duration
-			size := 0
-			for b.Loop() {
-				from := time.Now()
-				state, err := json.Marshal(s.held())
-				put += time.Since(from)
-				from = time.Now()
-				if err == nil {
-					size, err = durable.Save(d, &durable.Snapshot{Saved: durable.Now(), Site: "x", State: state})
-				}
-				save += time.Since(from)
-				if err != nil {
-					b.Fatal(err)
-				}
-				from = time.Now()
-				got, _, err := durable.Load(d, durable.Now(), "x", time.Minute)
-				if err == nil {
-					_, err = s.adopt(got.State, 0, cluster.List{})
-				}
-				load += time.Since(from)
-				if err != nil {
-					b.Fatal(err)
-				}
-			}
-			for name, took := range map[string]time.Duration{"put-µs": put, "save-µs": save, "load-µs": load} {
-				b.ReportMetric(float64(took.Microseconds())/float64(b.N), name)
-			}
-			b.ReportMetric(float64(size), "bytes")
-		})
-	}
-}
-
 // BenchmarkJournal is how long a stream takes through the program with and without a journal of effects, in microseconds.
 func BenchmarkJournal(b *testing.B) {
 	box := listen(b, http.HandlerFunc(serve("ok")))
--- a/cmd/pinelb/serve.go
+++ b/internal/daemon/serve.go
@@ -1,4 +1,6 @@
-package main
+// Package daemon is the sidecar's process: the wiring of its parts, its configuration read again, its place between the process
+// before it and the one after it, and what it keeps on the disk.
+package daemon
 
 import (
 	"context"
@@ -51,9 +53,9 @@
 		Sample(&zerolog.BurstSampler{Burst: 50, Period: time.Second}).With().Timestamp().Logger()
 }
 
-// sidecar serves by the environment and the operator's file, of which there may be none. It returns the
-// exit status.
-func sidecar(operator string, hups <-chan os.Signal) int {
+// Serve serves by the environment and the operator's file, of which there may be none, until SIGTERM. The configuration is
+// read again at each of hups. What ends it before its time is in the log, and is returned.
+func Serve(operator string, hups <-chan os.Signal) error {
 	log := newLog(os.Stderr)
 	cfg, err := config.Load(os.Getenv)
 	var op *config.Operator
@@ -78,10 +80,7 @@
 	if rec != nil {
 		_ = rec.Close() // a log or file that is blocked can't be told so
 	}
-	if err != nil {
-		return 1
-	}
-	return 0
+	return err
 }
 
 // recorder starts to record, if that is asked for, and returns the log that goes with it.
--- a/cmd/pinelb/show.go
+++ b/internal/daemon/show.go
@@ -1,4 +1,4 @@
-package main
+package daemon
 
 import (
 	"encoding/json"
@@ -14,8 +14,8 @@
 	"pinelb.example/pinelb/internal/durable"
 )
 
-// show prints what a file of [state] holds, and returns the exit status.
-func show(path string, out io.Writer) int {
+// Show prints what a file of [state] holds.
+func Show(path string, out io.Writer) error {
 	text, err := os.ReadFile(path)
 	if err == nil {
 		now := durable.Now()
@@ -30,10 +30,9 @@
 		}
 	}
 	if err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", path, err)
-		return statusFaulty
+		return fmt.Errorf("%s: %w", path, err)
 	}
-	return 0
+	return nil
 }
 
 func showSnapshot(s *durable.Snapshot, now durable.Clock, out io.Writer) error {
