Let a sidecar judge itself by an auditor's floor, and read orders strictly

A fleet's stragglers have to be brought up or shut out, by a decision that holds when its auditor dies.

--- /dev/null
+++ b/internal/version/floor.go
@@ -0,0 +1,121 @@
+package version
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Bounds on what an order may say. They are the same everywhere: an auditor counts on what the sidecars of others refuse.
+const (
+	forMost    = time.Hour       // a wrong floor is over by then, whoever can't take it back
+	ticketMost = 5 * time.Second // a dead auditor's tickets are over by then. Renewed every second, four may be lost
+	slack      = 5 * time.Second // by which wall clocks may be apart
+	epochMost  = 1<<53 - 1       // beyond that JSON's readers disagree
+	issuedMost = Millis(1 << 43) // the year 2248: as nanoseconds it fits
+	namesMost  = 16              // builds
+	textMost   = 256             // bytes of a name
+)
+
+// Meets tells whether v may act under the floor, and if not, what is wanting: the list, the settings, the operator's file or the build.
+func (f *Floor) Meets(v *Version) (list, settings, file, build bool) {
+	// A digest of the same revision that differs is of a service that has restarted, or of another one.
+	list = f.List == 0 || v.List.Digest == f.List || v.List.Revision > f.Revision
+	settings = f.Settings == 0 || v.Settings == f.Settings
+	file = f.File == 0 || v.File == f.File
+	build = len(f.Builds) == 0 || slices.Contains(f.Builds, v.Build)
+	return
+}
+
+// lacks names what v lacks of the floor; nothing if it meets it.
+func (f *Floor) lacks(v *Version) string {
+	list, settings, file, build := f.Meets(v)
+	var lacks []string
+	for _, one := range []struct {
+		met  bool
+		name string
+	}{{list, "list"}, {settings, "settings"}, {file, "file"}, {build, "build"}} {
+		if !one.met {
+			lacks = append(lacks, one.name)
+		}
+	}
+	return strings.Join(lacks, ", ")
+}
+
+// compare orders floors of two orders: the one that is less loses.
+func compare(epoch uint64, by string, other uint64, otherBy string) int {
+	if epoch != other {
+		if epoch < other {
+			return -1
+		}
+		return 1
+	}
+	return strings.Compare(by, otherBy)
+}
+
+// same tells whether two floors of one epoch are one.
+func (f *Floor) same(o *Floor) bool {
+	return f.Epoch == o.Epoch && f.By == o.By && f.Site == o.Site && f.List == o.List && f.Revision == o.Revision &&
+		f.Settings == o.Settings && f.File == o.File && slices.Equal(f.Builds, o.Builds) &&
+		f.Grace == o.Grace && f.Spread == o.Spread && f.For == o.For
+}
+
+// Most is how many of n sidecars may be shut out at once: the share, rounded down, and never all of them. With one sidecar, or
+// less than 1 / share, it is none: who serves by an old list serves better than nobody.
+func Most(share float64, n int) int {
+	if !(share > 0) || n < 1 {
+		return 0
+	}
+	return min(int(math.Floor(min(share, 1)*float64(n)+1e-9)), n-1) // 1e-9: 0.29 x 100 is less than 29 in binary
+}
+
+// FaultyKey is an order that can't be: Key as the order's JSON has it.
+type FaultyKey struct{ Key, Why string }
+
+func (e FaultyKey) Error() string { return fmt.Sprintf("version: an order's %s: %s", e.Key, e.Why) }
+
+// Check returns a FaultyKey for what no auditor may ask, or nil.
+func (o *Order) Check() error {
+	f := &o.Floor
+	span := func(key string, m Millis, least, most time.Duration) error {
+		if m < Millis(least.Milliseconds()) || m > Millis(most.Milliseconds()) {
+			return FaultyKey{key, fmt.Sprintf("%d is not from %d to %d", m, least.Milliseconds(), most.Milliseconds())}
+		}
+		return nil
+	}
+	switch {
+	case f.Epoch == 0 || f.Epoch > epochMost:
+		return FaultyKey{"floor.epoch", fmt.Sprintf("%d is not from 1 to %d", f.Epoch, uint64(epochMost))}
+	case f.By == "" || len(f.By) > textMost:
+		return FaultyKey{"floor.by", fmt.Sprintf("has 1 to %d bytes", textMost)}
+	case f.Site == "" || len(f.Site) > textMost:
+		return FaultyKey{"floor.site", fmt.Sprintf("has 1 to %d bytes", textMost)}
+	case f.Revision < 0 || f.Revision > 0 && f.List == 0:
+		return FaultyKey{"floor.revision", "is 0 or more, and stands beside floor.list"}
+	case len(f.Builds) > namesMost:
+		return FaultyKey{"floor.builds", fmt.Sprintf("names %d at most", namesMost)}
+	case slices.ContainsFunc(f.Builds, func(b string) bool { return b == "" || len(b) > textMost }):
+		return FaultyKey{"floor.builds", fmt.Sprintf("each has 1 to %d bytes", textMost)}
+	}
+	if err := span("floor.for_ms", f.For, time.Millisecond, forMost); err != nil {
+		return err
+	}
+	if err := span("floor.grace_ms", f.Grace, 0, f.For.D()); err != nil {
+		return err
+	}
+	if err := span("floor.spread_ms", f.Spread, 0, f.For.D()); err != nil {
+		return err
+	}
+	if t := o.Ticket; t != nil {
+		if t.No < 0 {
+			return FaultyKey{"ticket.no", "is 0 or more"}
+		}
+		if t.Issued < 0 || t.Issued > issuedMost {
+			return FaultyKey{"ticket.issued_ms", "is no Unix time in milliseconds"}
+		}
+		return span("ticket.for_ms", t.For, time.Millisecond, ticketMost)
+	}
+	return nil
+}
