Number versions under the engine's lock, and have a whole list asked for out of turn

An audit has to tell under which version each attempt was decided. Membership and Retune take the version's number under the engine's lock and every Send carries it; a Table tells a Versions of each list that differs from the one before (revision, digest by an order-free sum kept in step, who told it) and applies it under the number that it gets. Proxy has a Gate (new streams, attempts) and a Trail (attempts by number, class, host): nil is nobody. A Watcher can be asked for the whole list: a plain watch breaks off the call that waits, a paced one asks at the pacer's next moment. [audit] is read; it needs LB_CONTROL. Nothing sets any of it yet.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -69,7 +69,7 @@
 
 func (w *world) Set(id balance.EndpointID, addr string) { w.addrs[id] = addr }
 func (w *world) Remove(id balance.EndpointID)           { delete(w.addrs, id) }
-func (w *world) Membership(kind balance.ListKind, entries []balance.Entry) {
+func (w *world) Membership(kind balance.ListKind, entries []balance.Entry, _ uint32) {
 	w.kinds = append(w.kinds, kind)
 	w.lists <- entries
 }
--- a/internal/cluster/list.go
+++ b/internal/cluster/list.go
@@ -28,6 +28,7 @@
 
 // List is one answer of discovery: the whole cluster, or the members that have changed.
 type List struct {
+	From     string `json:"-"` // who told it, as version.List has it
 	Revision int64
 	Complete bool
 	Members  []Member
--- a/internal/cluster/paced.go
+++ b/internal/cluster/paced.go
@@ -27,11 +27,16 @@
 	Since int64         // the revision of a list that is held already; 0 is none, and the whole list is asked for
 }
 
+// errBroken is a watch that was broken off because the whole list is wanted.
+var errBroken = errors.New("cluster: broken off")
+
 // question is what one call asks.
 type question struct {
 	target string
 	wait   time.Duration // for news
 	watch  bool          // what is newer than a revision, and not the whole list
+	due    uint64        // the whole list is wanted out of turn; 0 is not
+	at     time.Time
 }
 
 // paced is a watch that asks at its own moments.
@@ -73,6 +78,9 @@
 			return
 		}
 		p.pacer.Ended(p.now(), end)
+		if errors.Is(err, errBroken) {
+			continue
+		}
 		if stopped > 0 {
 			p.log.Info().Dur("stopped", stopped).Msg("was stopped while discovery was asked")
 			p.pacer.Woke(p.now())
@@ -106,14 +114,17 @@
 // question is what is to be asked now.
 func (p *paced) question() question {
 	whole := p.Whole > 0 && p.now()-p.wholeAt > p.Whole
+	q := question{at: time.Now(), due: p.whole.due()}
 	switch {
-	case !p.have || p.doubted != nil || whole && p.told:
-		return question{target: "/catalog/members"}
+	case !p.have || p.doubted != nil || whole && p.told || q.due > 0:
+		q.target = "/catalog/members"
 	case !p.told: // it may be far behind, and the service may know nothing of that revision
-		return question{target: fmt.Sprintf("/catalog/members?since=%d&timeout_ms=0", p.revision), watch: true}
+		q.target, q.watch = fmt.Sprintf("/catalog/members?since=%d&timeout_ms=0", p.revision), true
+	default:
+		q.wait, q.watch = p.pacer.Wait(), true
+		q.target = fmt.Sprintf("/catalog/members?since=%d&timeout_ms=%d", p.revision, q.wait.Milliseconds())
 	}
-	wait := p.pacer.Wait()
-	return question{target: fmt.Sprintf("/catalog/members?since=%d&timeout_ms=%d", p.revision, wait.Milliseconds()), wait: wait, watch: true}
+	return q
 }
 
 // ask makes one call and says how it ended. Stopped is for how long the process did not run meanwhile: so much longer the
@@ -131,14 +142,17 @@
 		ctx, over = context.WithTimeout(ctx, limit) // a dial that hangs must not outlast the doubt
 		defer over()
 	}
-	list, err = p.call(ctx, q.target, limit)
+	list, broken, err := p.interruptible(ctx, q.wait > 0, q.target, limit)
 	if p.late != nil {
 		stopped = p.late.lost
 	}
 	end.Took = max(0, p.now()-from-stopped)
 	var turned *turnedAway
-	var broken *net.OpError
+	var lost *net.OpError
 	switch {
+	case broken: // the service had nothing to say, and is asked again at the next moment
+		p.hangUp()
+		return list, pace.End{How: pace.Quiet}, stopped, errBroken
 	case err == nil && q.wait > 0 && len(list.Members) == 0 && !list.Complete:
 		end.How, end.Took = pace.Quiet, max(0, end.Took-q.wait)
 		return list, end, stopped, nil
@@ -149,7 +163,7 @@
 		return list, end, stopped, nil
 	case errors.As(err, &turned):
 		end.How, end.RetryAfter = pace.Turned, turned.after
-	case errors.As(err, &broken) && broken.Op == "dial":
+	case errors.As(err, &lost) && lost.Op == "dial":
 		end.How = pace.Down
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		end.How = pace.Silent
@@ -180,8 +194,10 @@
 	p.doubted = nil
 	if list.Complete {
 		p.wholeAt = p.now()
+		p.whole.done(q.due)
 	}
 	p.take(list)
+	p.hear(q.at)
 	return true
 }
 
--- a/internal/cluster/paced_test.go
+++ b/internal/cluster/paced_test.go
@@ -210,7 +210,7 @@
 func TestDoubtBoundsTheCall(t *testing.T) {
 	a := newAgent(t)
 	_, table := newWorld()
-	w := &watch{addr: a.addr, table: table, rand: rand.New(rand.NewPCG(1, 2)), log: zerolog.Nop()}
+	w := &watch{addr: a.addr, table: table, rand: rand.New(rand.NewPCG(1, 2)), log: zerolog.Nop(), whole: &afresh{}}
 	p := w.paced(Paced{Fleet: pace.Fleet{Instances: 1, Rate: 1000, Watch: time.Second}})
 	p.doubted, p.doubtEnds = &List{}, p.now() // it is over already: not even a connection is waited for
 	if _, end, _, err := p.ask(context.Background(), question{target: "/catalog/members"}); err == nil || end.How != pace.Down {
--- a/internal/cluster/table.go
+++ b/internal/cluster/table.go
@@ -9,8 +9,12 @@
 	"time"
 
 	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/version"
 )
 
+// namesSpare is how many names of former hosts are kept at least.
+const namesSpare = 1024
+
 // Hosts is told where each upstream host is to be reached; the connection pools are one.
 type Hosts interface {
 	Set(id balance.EndpointID, addr string)
@@ -19,7 +23,9 @@
 
 // Decisions is told what discovery says, and operators.
 type Decisions interface {
-	Membership(kind balance.ListKind, entries []balance.Entry)
+	// Membership takes over a list, and the number of the version with it under which is decided from then on; 0 is none,
+	// or the same as before.
+	Membership(kind balance.ListKind, entries []balance.Entry, under uint32)
 	Cordon(id balance.EndpointID, out bool)
 	Expect(in time.Duration) // a list may come then, and not before
 }
@@ -30,10 +36,18 @@
 	Listed(kind balance.ListKind, members []Member)
 }
 
+// Versions numbers what is acted on.
+type Versions interface {
+	// Listed notes that another list is acted on from now on, and calls apply with the number of the version that it makes,
+	// before any other change of the version.
+	Listed(l version.List, apply func(under uint32))
+}
+
 // Table turns discovery's names into the decisions' numbers. The number of a host follows from its
 // discovery id alone, so that every sidecar numbers the cluster alike and a ring of it is the same for all.
 type Table struct {
 	Observer Observer // nil: nobody; set before the first list
+	Versions Versions // nil: nobody; set before the first list
 	// Old says that cached lists may be: whoever they name may have started since. Set before the first list.
 	Old bool
 
@@ -47,6 +61,12 @@
 	listed       map[string]Member
 	cordoned     map[string]bool
 	revision     int64 // of the last list
+	from         string
+
+	// Where versions are numbered.
+	digest  uint64                        // the sum of those of the members that are listed
+	adopted version.List                  // that Versions has been told
+	names   map[balance.EndpointID]string // of those in taken, and of former ones, whose last attempts may still be out
 }
 
 // NewTable returns an empty table; zones and kinds are the settings' names, in their order.
@@ -60,7 +80,7 @@
 func (t *Table) Apply(kind balance.ListKind, list List) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.revision = list.Revision
+	t.revision, t.from = list.Revision, list.From
 	t.Old = t.Old && kind == balance.ListCached // from a list of the present on, what is held is no guess
 	// In the order of ids, or two that collide would be numbered by the order in which they came.
 	slices.SortFunc(list.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
@@ -79,6 +99,7 @@
 		if m.State == balance.Gone {
 			gone[m.ID] = true
 		} else {
+			t.sum(m.ID, m)
 			t.listed[m.ID] = *m
 			t.hosts.Set(id, m.Addr)
 		}
@@ -90,7 +111,10 @@
 	if t.Observer != nil { // before the decisions, whose sends name these hosts
 		t.Observer.Listed(kind, list.Members)
 	}
-	t.decisions.Membership(kind, entries)
+	for id := range gone {
+		t.sum(id, nil)
+	}
+	t.numbered(func(under uint32) { t.decisions.Membership(kind, entries, under) })
 	for id := range gone {
 		t.hosts.Remove(t.ids[id])
 		delete(t.listed, id)
@@ -98,6 +122,30 @@
 	}
 }
 
+// sum keeps the digest in step: a member takes the place of the one that was listed under that id, or nil does.
+func (t *Table) sum(id string, m *Member) {
+	if t.Versions == nil {
+		return
+	}
+	if was, listed := t.listed[id]; listed {
+		t.digest -= was.digest()
+	}
+	if m != nil {
+		t.digest += m.digest()
+	}
+}
+
+// numbered has a list that is not the one that was adopted last take effect with a number of its own.
+func (t *Table) numbered(apply func(under uint32)) {
+	now := version.List{From: t.from, Revision: t.revision, Digest: version.Digest(max(1, t.digest))} // as List.Digest
+	if t.Versions == nil || now == t.adopted {
+		apply(0)
+		return
+	}
+	t.adopted = now
+	t.Versions.Listed(now, apply)
+}
+
 // Cordon takes a host out for as long as it takes until Uncordon, whatever discovery lists meanwhile. It returns false
 // where nobody has such a host.
 func (t *Table) Cordon(id string) bool { return t.cordon(id, true) }
@@ -143,7 +191,7 @@
 func (t *Table) Held() Held {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	h := Held{List: List{Revision: t.revision, Complete: true, Members: slices.Collect(maps.Values(t.listed))}, Cordoned: slices.Collect(maps.Keys(t.cordoned))}
+	h := Held{List: List{From: t.from, Revision: t.revision, Complete: true, Members: slices.Collect(maps.Values(t.listed))}, Cordoned: slices.Collect(maps.Keys(t.cordoned))}
 	slices.SortFunc(h.List.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	slices.Sort(h.Cordoned)
 	return h
@@ -183,9 +231,22 @@
 		n = balance.EndpointID(h.Sum32())
 	}
 	t.ids[id], t.taken[n] = n, id
+	if t.Versions != nil {
+		if t.names == nil || len(t.names) > 2*len(t.taken)+namesSpare {
+			t.names = maps.Clone(t.taken)
+		}
+		t.names[n] = id
+	}
 	return n
 }
 
+// Name is discovery's id of a host, also of one that has lately been listed; known where Versions is set.
+func (t *Table) Name(n balance.EndpointID) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.names[n]
+}
+
 // index is the place of a name in the settings' list; names that the settings lack share the next number.
 func index(names []string, name string) int {
 	if i := slices.Index(names, name); i >= 0 {
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -38,8 +38,16 @@
 	Rand  *rand.Rand // spreads the calls, so that those of many sidecars don't fall into step
 	Log   zerolog.Logger
 	Paced *Paced // spares a list service that a whole fleet asks; nil: an agent of the machine's own is asked
+	// Heard is told that an answer has been taken over, to a question that was asked at that time. Nil: nobody is.
+	Heard func(asked time.Time)
+
+	whole afresh
 }
 
+// Refresh has the whole list be asked for out of turn: at once, or of a list service that is spared, at this instance's next
+// moment. What is waited for meanwhile is broken off.
+func (w *Watcher) Refresh() { w.whole.want() }
+
 // Run follows discovery until ctx ends, and calls synced after the first fetch. When discovery moves, the
 // old watch is left at once and all is asked anew: the new agent's revisions may not compare with the old
 // one's. The list that is held stays in force meanwhile.
@@ -52,7 +60,7 @@
 		left := make(chan struct{})
 		go func() {
 			defer close(left)
-			at := &watch{addr: addr, table: w.Table, rand: w.Rand, log: w.Log}
+			at := &watch{addr: addr, table: w.Table, rand: w.Rand, log: w.Log, whole: &w.whole, heard: w.Heard}
 			if paced == nil {
 				at.follow(life, once)
 				return
@@ -95,6 +103,8 @@
 	sliced   bool  // there is to be one
 	revision int64
 	have     bool // the whole list has come from this agent
+	whole    *afresh
+	heard    func(asked time.Time) // nil: nobody
 }
 
 // follow fetches the list and then watches its changes until ctx ends. A silent or broken agent costs
@@ -104,15 +114,21 @@
 	failures := 0 // in a row
 	for ctx.Err() == nil {
 		target, within := "/catalog/members", answerIn
-		if w.have {
+		due, waits := w.whole.due(), false
+		if w.have && due == 0 {
 			wait := w.spread(watchWait)
+			waits = true
 			target = fmt.Sprintf("/catalog/members?since=%d&timeout_ms=%d", w.revision, wait.Milliseconds())
 			within = wait + watchGrace
 		}
-		list, err := w.call(ctx, target, within)
+		asked := time.Now()
+		list, broken, err := w.interruptible(ctx, waits, target, within)
 		switch {
 		case ctx.Err() != nil: // an agent that was left has no more say
 			return
+		case broken:
+			w.hangUp()
+			continue
 		case err != nil:
 			w.hangUp()
 			if failures == 0 { // once, not ten times a second for as long as it is down
@@ -125,11 +141,20 @@
 			failures = 0
 			w.log.Info().Msg("discovery answers again")
 		}
+		w.whole.done(due)
 		w.apply(list)
+		w.hear(asked)
 		synced()
 	}
 }
 
+// hear passes on that an answer to a question of that time has been taken over.
+func (w *watch) hear(asked time.Time) {
+	if w.heard != nil {
+		w.heard(asked)
+	}
+}
+
 // redialAfter is how long at most discovery is left alone after so many failures in a row before the last: twice as long
 // each time, up to redialLast.
 func redialAfter(failures int) time.Duration { return min(redialLast, redialMost<<min(failures, 8)) }
@@ -196,6 +221,7 @@
 		return List{}, fmt.Errorf("cluster: answer %d of %d bytes is no list", res.StatusCode, len(body))
 	}
 	list, err := ParseList(gjson.ParseBytes(body))
+	list.From = w.addr
 	if err == nil && res.Close {
 		w.hangUp()
 	}
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -21,6 +21,7 @@
 	Thrift    *Thrift    `toml:"thrift"`
 	Budget    *Budget    `toml:"budget"`
 	State     *State     `toml:"state"`
+	Audit     *Audit     `toml:"audit"`
 }
 
 // State is the section [state]: what a process knows is kept on the disk, for the one that comes after it.
@@ -189,6 +190,10 @@
 	if err == nil && op.State != nil {
 		err = op.State.check(file)
 	}
+	if err == nil && op.Audit != nil {
+		err = op.Audit.check(file)
+		op.Audit.File = DigestOf(data)
+	}
 	if err != nil {
 		return nil, err // it begins with the file and the line
 	}
@@ -198,6 +203,9 @@
 // Fits names the first key that can't be used beside the platform's configuration, such as a class that its
 // settings lack.
 func (o *Operator) Fits(c *Config) error {
+	if o.Audit != nil && c.Control == "" {
+		return fmt.Errorf("config: LB_CONTROL: audit needs an address for operators, which auditors call")
+	}
 	if o.Thrift == nil {
 		return nil
 	}
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -41,7 +41,8 @@
 func TestOperatorExample(t *testing.T) {
 	op, err := LoadOperator("../../deploy/operator.example.toml")
 	if err != nil || op.Record == nil || op.Fleet == nil || op.Thrift == nil || len(op.Thrift.Methods) == 0 ||
-		op.Budget == nil || op.Budget.Service == "" || op.Discovery == nil || !op.Discovery.Resume || op.Discovery.Calls == 0 {
+		op.Budget == nil || op.Budget.Service == "" || op.Discovery == nil || !op.Discovery.Resume || op.Discovery.Calls == 0 ||
+		op.Audit == nil || op.Audit.Share != 0.1 || op.Audit.Closed() || op.Audit.File == 0 {
 		t.Errorf("%+v, %v", op, err)
 	}
 }
@@ -70,6 +71,12 @@
 		"[budget]\nservice = \"a\"\nreentry = -1": ":3: budget.reentry: ",
 		"[fleet]\nnumbered = 1":                   ":2: fleet.numbered: ",
 		"[fleet]\nspread = \"6s\"":                ":2: fleet.spread: must be from 0s to 5s",
+		"[audit]\nshare = 1.1":                    ":2: audit.share: must be from 0 to 1",
+		"[audit]\nshare = nan":                    ":2: audit.share: must be from 0 to 1",
+		"[audit]\nlease = \"1s\"":                 ":2: audit.lease: must be 0s, or from 2s to 10m",
+		"[audit]\nsilence = \"shut\"":             ":2: audit.silence: must be \"open\"",
+		"[audit]\nsilence = \"closed\"":           ":2: audit.silence: \"closed\" needs a lease",
+		"[audit]\nfile = 1":                       ":2: audit.file: ",
 		"[state]\ndir = \"here\"":                 ":2: state.dir: must be the absolute",
 		"[state]\ndir = \"/s\"\nevery = \"0s\"":   ":3: state.every: must be from 1s to 10m",
 		"[state]\ndir = \"/s\"\noldest = \"5s\"":  ":3: state.oldest: must be from state.every",
@@ -82,3 +89,29 @@
 		t.Errorf("a file that is not there: %v", err)
 	}
 }
+
+// Guards against an audit that nobody can call, and against digests that tell apart what is the same for a fleet, or don't
+// what differs.
+func TestAudit(t *testing.T) {
+	op, err := loadOperator(t, "[audit]\n")
+	if err != nil || op.Audit.Share != 0.1 || op.Audit.Lease != 0 || op.Audit.Closed() {
+		t.Fatalf("%+v, %v", op, err)
+	}
+	if other, _ := loadOperator(t, "[audit]\n\n"); other.Audit.File == op.Audit.File {
+		t.Error("another file has the same digest")
+	}
+	if err := op.Fits(&Config{}); err == nil || !strings.Contains(err.Error(), "LB_CONTROL") {
+		t.Errorf("with no address for operators: %v", err)
+	}
+	if err := op.Fits(&Config{Control: "127.0.0.1:1"}); err != nil {
+		t.Error(err)
+	}
+	of := func(site string) any { return (&Config{Site: site}).Digest() }
+	was := of(`{"rank":3,"locality":1,"classes":[{"aim":9007199254740993,"name":"a"}]}`)
+	if same := of("{ \"locality\":0,\n\"classes\":[{\"name\":\"a\",\"aim\":9007199254740993}], \"rank\":4 }"); same != was {
+		t.Error("of another instance the same settings have another digest")
+	}
+	if other := of(`{"rank":3,"locality":1,"classes":[{"aim":9007199254740992,"name":"a"}]}`); other == was {
+		t.Error("other settings have the same digest")
+	}
+}
--- a/internal/daemon/retune.go
+++ b/internal/daemon/retune.go
@@ -88,7 +88,7 @@
 		return nil, err
 	}
 	after.Name = t.cfg.Settings.Name // by which hosts are chosen: the same for as long as the process runs
-	if err := t.eng.Retune(after.Settings); err != nil {
+	if err := t.eng.Retune(after.Settings, 0); err != nil {
 		return nil, err
 	}
 	t.table.Retune(after.ZoneNames, after.KindNames)
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -42,6 +42,7 @@
 	cluster map[balance.EndpointID]balance.Entry
 	out     map[balance.EndpointID]bool          // by an operator's word
 	back    map[balance.EndpointID]time.Duration // when it was put back: it has not started before
+	under   uint32                               // the number of the version that is acted on
 }
 
 // New returns an engine with no cluster yet.
@@ -60,10 +61,11 @@
 // times compare with it directly, and a step of the wall clock does no harm.
 func (e *Engine) now() time.Duration { return e.unix + time.Since(e.start) }
 
-// Membership passes on what discovery says.
-func (e *Engine) Membership(kind balance.ListKind, entries []balance.Entry) {
+// Membership passes on what discovery says. What is sent from then on is sent under that number; 0 is under the same as before.
+func (e *Engine) Membership(kind balance.ListKind, entries []balance.Entry, under uint32) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.adopt(under)
 	if kind != balance.ListDelta {
 		clear(e.cluster)
 	}
@@ -77,6 +79,19 @@
 	e.handle(&balance.Event{Kind: balance.EventMembership, List: kind, Entries: entries})
 }
 
+// Adopt has what is sent from now on be sent under that number, with nothing else changed.
+func (e *Engine) Adopt(under uint32) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.adopt(under)
+}
+
+func (e *Engine) adopt(under uint32) {
+	if under != 0 {
+		e.under = under
+	}
+}
+
 // Expect says that discovery is asked next in a while, where it is not asked all the time.
 func (e *Engine) Expect(in time.Duration) {
 	e.mu.Lock()
@@ -85,8 +100,8 @@
 }
 
 // Retune has changed settings take effect, whole or, where they can't be used, not at all. The classes that there were
-// have to keep their places.
-func (e *Engine) Retune(s balance.Settings) error {
+// have to keep their places. What is sent from then on is sent under that number; 0 is under the same as before.
+func (e *Engine) Retune(s balance.Settings, under uint32) error {
 	if err := s.Validate(); err != nil {
 		return fmt.Errorf("engine: %w", err)
 	}
@@ -95,6 +110,7 @@
 	if len(s.Classes) < len(e.settings.Classes) {
 		return fmt.Errorf("engine: %d classes in place of %d", len(s.Classes), len(e.settings.Classes))
 	}
+	e.adopt(under)
 	s.Processes = e.settings.Processes
 	e.settings = s
 	e.handle(&balance.Event{Kind: balance.EventSettings, Settings: &s})
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -50,7 +50,7 @@
 	for _, h := range hosts {
 		entries = append(entries, balance.Entry{Endpoint: h, State: balance.Ready, Weight: 1})
 	}
-	e.Membership(balance.ListFull, entries)
+	e.Membership(balance.ListFull, entries, 0)
 	return e
 }
 
--- a/internal/engine/stream.go
+++ b/internal/engine/stream.go
@@ -10,6 +10,7 @@
 // Send asks for an upstream request. Whoever takes it owes Settle one outcome.
 type Send struct {
 	Attempt int
+	Under   uint32 // the number of the version by which it was decided; 0: versions have none
 	Host    balance.EndpointID
 	Until   time.Time       // when to stop waiting
 	Worth   float64         // share of its class's worth that the stream is worth
@@ -73,7 +74,7 @@
 			return
 		}
 		s.sent++
-		s.sends <- Send{Attempt: attempt, Host: a.Endpoint, Until: s.e.start.Add(now - s.e.unix + a.After), Worth: a.Worth, Ctx: ctx}
+		s.sends <- Send{Attempt: attempt, Under: s.e.under, Host: a.Endpoint, Until: s.e.start.Add(now - s.e.unix + a.After), Worth: a.Worth, Ctx: ctx}
 	case balance.ActCancel:
 		if a.Attempt < len(s.tries) {
 			s.tries[a.Attempt].cancel()
--- a/internal/lab/virtual/sidecar.go
+++ b/internal/lab/virtual/sidecar.go
@@ -57,7 +57,7 @@
 }
 
 // Membership passes on what discovery says.
-func (c *sidecar) Membership(kind balance.ListKind, entries []balance.Entry) {
+func (c *sidecar) Membership(kind balance.ListKind, entries []balance.Entry, _ uint32) {
 	c.sim.decide(c.index, &balance.Event{Kind: balance.EventMembership, List: kind, Entries: entries})
 }
 
--- a/internal/record/bench_test.go
+++ b/internal/record/bench_test.go
@@ -36,7 +36,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			eng.Membership(balance.ListFull, []balance.Entry{{Endpoint: 1, State: balance.Ready, Weight: 1}})
+			eng.Membership(balance.ListFull, []balance.Entry{{Endpoint: 1, State: balance.Ready, Weight: 1}}, 0)
 			p := &stream.Proxy{Engine: eng, Upstream: served{}, Log: zerolog.Nop()}
 			if on {
 				r := newRecorder(b, "log", 0, io.Discard)
--- a/internal/stream/life.go
+++ b/internal/stream/life.go
@@ -87,8 +87,7 @@
 }
 
 // unheard ends a stream of which the decisions are not told.
-func (p *Proxy) unheard(req *Request, end Outcome) Response {
-	res := Response{Outcome: end}
+func (p *Proxy) unheard(req *Request, res Response) Response {
 	if p.Observer != nil {
 		p.Observer.Ended(&Life{Request: req, Response: res, Answered: time.Now()})
 	}
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -101,6 +101,8 @@
 	// Promise is called before an attempt that must not be unknown to whoever comes after this process; it returns once
 	// Effects is kept. Nil: it is not kept.
 	Promise func()
+	Gate    Gate  // nil: all is let through
+	Trail   Trail // nil: nobody keeps one
 	Log     zerolog.Logger
 
 	mu   sync.Mutex
@@ -120,8 +122,13 @@
 // Serve tells the decisions of a stream and sees it through. An id that is under way is not taken again:
 // upstream hosts would have the other request's copy.
 func (p *Proxy) Serve(ctx context.Context, req *Request) (res Response) {
+	if p.Gate != nil {
+		if takes, again := p.Gate.Takes(); !takes {
+			return p.unheard(req, Response{Outcome: Refused, RetryAfter: again})
+		}
+	}
 	if !p.take(req) {
-		return p.unheard(req, Duplicate)
+		return p.unheard(req, Response{Outcome: Duplicate})
 	}
 	res = Response{Outcome: Failed} // what a panic leaves
 	defer func() { p.release(req.Txn, func(l *Life) { l.Response, l.Answered = res, time.Now() }) }()
@@ -159,7 +166,7 @@
 }
 
 // Refuse turns a stream away of which the decisions are not told: the front has no room for it.
-func (p *Proxy) Refuse(req *Request) Response { return p.unheard(req, Refused) }
+func (p *Proxy) Refuse(req *Request) Response { return p.unheard(req, Response{Outcome: Refused}) }
 
 // live is one stream's life. The decisions choose every send and may end the stream; the first answer
 // of an upstream host ends it too, and so do the client's leaving and its deadline.
@@ -172,6 +179,7 @@
 	}()
 	watchdog := time.NewTimer(time.Until(req.Deadline) - watchdogLead)
 	defer watchdog.Stop()
+	first := uint32(0) // the number of the version under which the first attempt was decided
 	whole := req.Upload.passed()
 	if whole != nil {
 		req.Upload.told = s.Whole
@@ -179,7 +187,10 @@
 	for {
 		select {
 		case send := <-s.Sends():
-			go p.attempt(s, send, p.Budget.send(a, req, send.Worth), p.begin(req.Txn, send.Host), answer, over)
+			if first == 0 {
+				first = send.Under
+			}
+			go p.attempt(s, send, send.Under != first, p.Budget.send(a, req, send.Worth), p.begin(req.Txn, send.Host), answer, over)
 		case v := <-s.Verdict():
 			return localReply(v, req)
 		case res := <-answer:
@@ -209,11 +220,18 @@
 	}
 }
 
-// attempt is one upstream request, the n-th of its stream. However it ends, its outcome is told once.
-func (p *Proxy) attempt(s decided, send engine.Send, req sent, n int, answer chan Response, over <-chan struct{}) {
+// attempt is one upstream request, the n-th of its stream. However it ends, its outcome is told once. It has crossed if the
+// version that is acted on has changed since the stream's first.
+func (p *Proxy) attempt(s decided, send engine.Send, crossed bool, req sent, n int, answer chan Response, over <-chan struct{}) {
 	status, res := balance.Reset, Response{Outcome: Failed} // what a panic leaves: it may have run
 	effect, kept := p.Effects.Sent(time.Now(), req.Txn, send.Host)
+	if p.Trail != nil {
+		p.Trail.Sent(send.Under, req.Class, send.Host, crossed)
+	}
 	defer func() {
+		if p.Trail != nil {
+			p.Trail.Ended(send.Under, req.Class, send.Host, status == balance.ConnectFailed || status == balance.Moot, status == balance.Cancelled)
+		}
 		p.Effects.Settled(req.Txn, effect, status != balance.Full && status != balance.ConnectFailed && status != balance.Moot)
 		p.release(req.Txn, func(l *Life) { l.Attempts[n].Status, l.Attempts[n].Ended = status, time.Now() })
 		if fault := recover(); fault != nil {
@@ -234,6 +252,10 @@
 	if kept && p.Promise != nil {
 		p.Promise()
 	}
+	if p.Gate != nil && !p.Gate.Sends() {
+		status = balance.Moot
+		return
+	}
 	status, res = p.Upstream.Do(send.Ctx, send.Host, send.Until, req.Request)
 	req.ended(res.Tried)
 }
--- a/internal/stream/stream_test.go
+++ b/internal/stream/stream_test.go
@@ -38,7 +38,7 @@
 	for id := range hosts {
 		entries = append(entries, balance.Entry{Endpoint: balance.EndpointID(id + 1), State: balance.Ready, Weight: 1})
 	}
-	e.Membership(balance.ListFull, entries)
+	e.Membership(balance.ListFull, entries, 0)
 	return &Proxy{Engine: e, Upstream: up, Log: zerolog.Nop()}
 }
 
