--- a/cmd/pinelb/check.go
+++ b/cmd/pinelb/check.go
@@ -42,8 +42,8 @@
 	return op.Fits(cfg)
 }
 
-// version is the module's version, Go's, and the revision that was built, as far as the build noted it.
-func version() string {
+// built is the module's version, Go's, and the revision that was built, as far as the build noted it.
+func built() string {
 	info, ok := debug.ReadBuildInfo()
 	if !ok {
 		return "pinelb, built without notes"
--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -62,7 +62,7 @@
 	case "check":
 		return check(line.Check.File, line.Check.Platform)
 	case "version":
-		fmt.Println(version())
+		fmt.Println(built())
 		return 0
 	}
 	return sidecar(line.Serve.Config, hups)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -30,9 +30,10 @@
 	Uncordon(id string) bool
 }
 
-// New returns a server for a listener that Listener has made; ready tells whether this process takes clients.
-func New(ready func() bool, hosts Hosts, log zerolog.Logger) *http.Server {
-	c := &calls{ready: ready, hosts: hosts, log: log}
+// New returns a server for a listener that Listener has made; ready tells whether this process takes clients. With no audit
+// auditors' calls are unknown paths.
+func New(ready func() bool, hosts Hosts, audit Audit, log zerolog.Logger) *http.Server {
+	c := &calls{ready: ready, hosts: hosts, audit: audit, log: log}
 	srv := &http.Server{Handler: c, ReadTimeout: readWithin, WriteTimeout: 2 * readWithin, MaxHeaderBytes: headMost,
 		DisableGeneralOptionsHandler: true, ConnContext: withConn, ErrorLog: stdlog.New(log, "", 0)}
 	srv.SetKeepAlivesEnabled(false)
@@ -42,11 +43,16 @@
 type calls struct {
 	ready func() bool
 	hosts Hosts
+	audit Audit // nil: there is none
 	log   zerolog.Logger
 }
 
 // ServeHTTP answers one call with a line: 2xx is yes, 4xx or 5xx is no and says why.
 func (c *calls) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if c.audit != nil && (r.URL.Path == auditPath || r.URL.Path == floorPath) {
+		c.audited(w, r)
+		return
+	}
 	called(r.Context())
 	status, line := c.answer(r)
 	if r.URL.Path != "/admin/health" {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -33,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv := New(func() bool { return ready }, h, zerolog.Nop())
+	srv := New(func() bool { return ready }, h, nil, zerolog.Nop())
 	go func() { _ = srv.Serve(Listener(l)) }()
 	t.Cleanup(func() { _ = srv.Close() })
 	return l.Addr().String()
--- /dev/null
+++ b/internal/daemon/audit_test.go
@@ -0,0 +1,274 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/cluster"
+	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/durable"
+	"pinelb.example/pinelb/internal/engine"
+	"pinelb.example/pinelb/internal/stream"
+	"pinelb.example/pinelb/internal/trail"
+	"pinelb.example/pinelb/internal/version"
+)
+
+// world is an audited process without sockets. Its time passes as the test says.
+type world struct {
+	*audited
+	time  time.Time
+	asked int // for whole lists
+	set   *config.Settings
+	eng   *engine.Engine
+	table *cluster.Table
+}
+
+func newWorld(t testing.TB, section config.Audit) *world {
+	t.Helper()
+	set, err := config.ParseSettings([]byte(settings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set.Instances, set.RetryAfter = 10, true
+	eng, err := engine.New(set.Settings, 1, noHosts{}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{time: time.Now(), set: &set, eng: eng, table: cluster.NewTable(set.ZoneNames, set.KindNames, noHosts{}, eng)}
+	cfg := &config.Config{Name: "n0", Settings: set, Site: settings}
+	w.audited = newAudited(&section, cfg, nil, &succession{}, zerolog.Nop())
+	w.start, w.clock, w.refresh = w.time, func() time.Time { return w.time }, func() { w.asked++ }
+	w.begins(cfg, eng.Adopt)
+	w.table.Versions = w
+	w.book.Names(func(class int, host balance.EndpointID) (string, string) {
+		return set.ClassNames[class], w.table.Name(host)
+	})
+	return w
+}
+
+type noHosts struct{}
+
+func (noHosts) Probe(balance.EndpointID) balance.Status { return balance.OK }
+func (noHosts) CloseUnused(balance.EndpointID)          {}
+func (noHosts) Set(balance.EndpointID, string)          {}
+func (noHosts) Remove(balance.EndpointID)               {}
+
+// only is a list of one host.
+func only(revision int64) cluster.List {
+	return cluster.List{From: "a:1", Revision: revision, Complete: true, Members: []cluster.Member{{ID: fmt.Sprint("h", revision), Addr: "127.0.0.1:1",
+		Zone: "moonah", Kind: "front-std", State: balance.Ready, Weight: 1}}}
+}
+
+// Guards against a gate that lets through what must not go, or holds up what may: by script, one step after the other.
+func TestGate(t *testing.T) {
+	const ms = time.Millisecond
+	order := func(epoch uint64, list version.Digest, ticket time.Duration) func(w *world) {
+		return func(w *world) {
+			o := version.Order{Floor: version.Floor{Epoch: epoch, By: "a", Site: w.site, List: list, Revision: 1 << 40, Grace: 1000, For: 60000}}
+			if list == 0 {
+				o.Floor.Revision = 0
+			}
+			if ticket > 0 {
+				o.Ticket = &version.Ticket{Issued: version.Millis(w.time.UnixMilli()), For: millis(ticket)}
+			}
+			if err := w.Take(o); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+	hear := func(ago time.Duration) func(w *world) {
+		return func(w *world) { w.listens(w.time.Add(-ago)) }
+	}
+	beat := func(w *world) { w.tick() }
+	stop := func(*world) {} // nothing runs until the next step
+	type step struct {
+		after       time.Duration
+		do          func(w *world)
+		takes, acts bool
+		state       string
+	}
+	for name, c := range map[string]struct {
+		section config.Audit
+		steps   []step
+		asked   int // for the whole list
+	}{
+		"a stop, and a fresh list": {config.Audit{}, []step{{100 * ms, beat, true, true, version.Acts}, {6 * time.Second, stop, false, false, version.Waking},
+			{10 * ms, hear(20 * ms), false, false, version.Waking}, {30 * ms, hear(20 * ms), true, true, version.Acts}}, 1},
+		"a stop, and a dead list service": {config.Audit{}, []step{{6 * time.Second, stop, false, false, version.Waking}, {1400 * ms, beat, false, false, version.Waking},
+			{200 * ms, stop, true, true, version.Acts}}, 1},
+		"a stop that an answer wakes from": {config.Audit{}, []step{{6 * time.Second, hear(6100 * ms), false, false, version.Waking}}, 1},
+		"a busy machine":                   {config.Audit{}, []step{{1900 * ms, stop, true, true, version.Acts}}, 0},
+		"a floor, no ticket": {config.Audit{Share: 0.1}, []step{{0, order(1, 99, 0), true, true, version.Acts}, {500 * ms, beat, true, true, version.Acts},
+			{600 * ms, stop, true, true, version.Acts}, {100 * ms, beat, true, true, version.Behind}}, 1},
+		"a ticket, which lapses": {config.Audit{Share: 0.1}, []step{{0, order(1, 99, 3*time.Second), true, true, version.Acts}, {900 * ms, beat, true, true, version.Acts},
+			{100 * ms, stop, false, true, version.Shut}, {1900 * ms, beat, false, true, version.Shut}, {100 * ms, stop, true, true, version.Behind}}, 2},
+		"a ticket, and the list": {config.Audit{Share: 0.1}, []step{{0, order(1, only(3).Digest(), 3*time.Second), true, true, version.Acts}, {1000 * ms, beat, false, true, version.Shut},
+			{0, func(w *world) { w.table.Apply(balance.ListFull, only(3)) }, true, true, version.Acts}}, 1},
+		"a share of none": {config.Audit{Share: 0.05}, []step{{0, order(1, 99, 3*time.Second), true, true, version.Acts}, {1000 * ms, beat, true, true, version.Behind}}, 1},
+		"alone, open":     {config.Audit{Share: 0.1, Lease: 2e9, Silence: "open"}, []step{{1000 * ms, beat, true, true, version.Acts}, {1000 * ms, beat, true, true, version.Acts}}, 0},
+		"alone, closed": {config.Audit{Share: 0.1, Lease: 2e9, Silence: "closed"}, []step{{1900 * ms, beat, true, true, version.Acts}, {100 * ms, stop, false, true, version.Shut},
+			{100 * ms, hear(10 * ms), true, true, version.Acts}, {1900 * ms, order(1, 0, 0), true, true, version.Acts}, {1900 * ms, beat, true, true, version.Acts}}, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, c.section)
+			for i, s := range c.steps {
+				w.time = w.time.Add(s.after)
+				s.do(w)
+				takes, again := w.Takes()
+				if acts := w.Sends(); takes != s.takes || acts != s.acts || !takes && (again <= 0 || again > 2*time.Second) {
+					t.Errorf("step %d: takes %v, acts %v, again %v", i, takes, acts, again)
+				}
+				if got := w.verdict.State; got != s.state {
+					t.Errorf("step %d: %s, want %s", i, got, s.state)
+				}
+			}
+			if w.asked != c.asked {
+				t.Errorf("the whole list is asked for %d times, want %d", w.asked, c.asked)
+			}
+			// What was judged is noted, once each.
+			last := ""
+			for _, e := range w.book.Past() {
+				if e.Kind == trail.Judged {
+					if now := e.State + e.Why; now == last {
+						t.Errorf("%s is noted twice", now)
+					} else {
+						last = now
+					}
+				}
+			}
+			if want := w.verdict.State + w.verdict.Why; last != want {
+				t.Errorf("noted last is %q, want %q", last, want)
+			}
+		})
+	}
+}
+
+// seen notes, of each attempt, the number that the trail is told.
+type seen struct {
+	*trail.Book
+	mu  sync.Mutex
+	got map[attempt]int
+}
+
+type attempt struct {
+	under uint32
+	host  balance.EndpointID
+}
+
+func (s *seen) Sent(under uint32, class int, host balance.EndpointID, crossed bool) {
+	s.Book.Sent(under, class, host, crossed)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.got[attempt{under, host}]++
+}
+
+// Guards against an attempt that stands under a version which did not choose its host: lists, each of another host, and
+// settings change while streams come. The last changes of all and the trail's totals are looked at, too.
+func TestAttemptsHaveOneVersion(t *testing.T) {
+	w := newWorld(t, config.Audit{})
+	s := &seen{Book: w.book, got: map[attempt]int{}}
+	var visits atomic.Int64
+	p := &stream.Proxy{Engine: w.eng, Trail: s, Log: zerolog.Nop(), Upstream: upstreamFunc(func() balance.Status {
+		if visits.Add(1)%3 == 0 {
+			return balance.ConnectFailed
+		}
+		return balance.OK
+	})}
+	w.table.Apply(balance.ListFull, only(1))
+	var changes, streams sync.WaitGroup
+	var over atomic.Bool
+	changes.Go(func() {
+		for n := range int64(2000) {
+			w.table.Apply(balance.ListFull, only(n+2))
+		}
+	})
+	changes.Go(func() {
+		for n := range 1000 {
+			cfg := &config.Config{Settings: *w.set, Site: fmt.Sprintf(`{"n":%d}`, n)}
+			w.settings(cfg, func(under uint32) { _ = w.eng.Retune(cfg.Settings.Settings, under) })
+		}
+	})
+	for i := range 4 {
+		streams.Go(func() {
+			for n := 0; !over.Load(); n++ {
+				p.Serve(context.Background(), &stream.Request{Txn: fmt.Sprint(i, n), Class: 0, Deadline: time.Now().Add(time.Minute)})
+			}
+		})
+	}
+	changes.Wait()
+	over.Store(true)
+	streams.Wait()
+	w.book.Flush()
+	lists, total, counted := map[uint32]version.List{}, 0, 0
+	for _, e := range w.book.Past() {
+		if e.Kind == trail.Adopted {
+			lists[e.Under] = e.Version.List
+		}
+		for _, a := range e.Attempts {
+			counted += a.N
+			if l, kept := lists[e.Under]; kept && a.Host != fmt.Sprint("h", l.Revision) {
+				t.Errorf("the trail has %s under revision %d", a.Host, l.Revision)
+			}
+		}
+	}
+	_, first, _ := w.book.Since(0, 0)
+	_ = first
+	wrong := 0
+	for at, n := range s.got {
+		total += n
+		if l, kept := lists[at.under]; kept && w.table.Name(at.host) != fmt.Sprint("h", l.Revision) {
+			wrong++
+		}
+	}
+	if wrong > 0 || total == 0 || total != int(visits.Load()) {
+		t.Errorf("%d of %d numbers with attempts are of another list; %d attempts, %d visits", wrong, len(s.got), total, visits.Load())
+	}
+	if v, _ := w.book.Version(); v.List.Revision != 2001 || v.Settings != (&config.Config{Site: `{"n":999}`}).Digest() {
+		t.Errorf("in the end it acts on %+v", v)
+	}
+	t.Logf("%d attempts under %d numbers, %d of them still in the ring", total, len(s.got), counted)
+}
+
+type upstreamFunc func() balance.Status
+
+func (f upstreamFunc) Do(context.Context, balance.EndpointID, time.Time, *stream.Request) (balance.Status, stream.Response) {
+	return f(), stream.Response{}
+}
+
+// Guards against a successor that does not go on where the former process was: with its trail, its epoch, and a life of its own;
+// handed over or read from a disk.
+func TestTrailGoesOn(t *testing.T) {
+	disk := durable.Dir(filepath.Join(t.TempDir()))
+	w := newWorld(t, config.Audit{})
+	w.file = &trail.File{Disk: disk, Book: w.book, Fault: func(err error) { t.Error(err) }}
+	w.file.Begin()
+	if err := w.Take(version.Order{Floor: version.Floor{Epoch: 7, By: "a", Site: w.site, Grace: 1, For: 1000}}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	end()
+	w.run(ctx)
+	cfg := &config.Config{Name: "n0", Settings: *w.set, Site: settings}
+	next := newAudited(&config.Audit{}, cfg, &keeper{disk: disk}, &succession{}, zerolog.Nop())
+	past := next.book.Past()
+	next.file.Close()
+	if faults := trail.Check(past); len(faults) > 0 || past[0].Life != w.life || past[len(past)-1].Life != next.life || past[0].Life == next.life {
+		t.Errorf("%v in %+v", faults, past)
+	}
+	for _, e := range past {
+		if e.Kind == trail.Began && e.Life == next.life && e.From != "disk" {
+			t.Errorf("it begins from %q", e.From)
+		}
+	}
+	if err := next.Take(version.Order{Floor: version.Floor{Epoch: 6, By: "a", Site: w.site, Grace: 1, For: 1000}}); err == nil {
+		t.Error("an older order is taken after a restart")
+	}
+}
--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -80,7 +80,7 @@
 	snap, past, err := durable.Load(k.disk, durable.Now(), k.site, k.Oldest.D())
 	var h handed
 	if err == nil {
-		h, err = k.next.adopt(snap.State, past, cfg.Known)
+		h, err = k.next.adopt(snap.State, "snapshot", past, cfg.Known)
 	}
 	switch {
 	case errors.Is(err, durable.ErrNone):
--- a/internal/daemon/retune.go
+++ b/internal/daemon/retune.go
@@ -26,6 +26,7 @@
 	table   *cluster.Table
 	budget  *stream.Budget           // nil: none
 	rec     *record.Recorder         // nil: none
+	audited *audited                 // nil: nobody audits
 	reclass []func(*config.Settings) // the fronts
 	log     zerolog.Logger
 
@@ -47,12 +48,20 @@
 	return out
 }
 
-// follow reads the configuration again at each SIGHUP until ctx ends, and hands on where discovery is then. One that
+// follow reads the configuration again at each SIGHUP, and when a floor wants it, until ctx ends, and hands on where discovery is then. One that
 // can't be used changes nothing. Addresses and the machine's limits take a restart.
 func (t *tuning) follow(ctx context.Context, hups <-chan os.Signal, moves chan<- string) {
 	for {
+		var floor <-chan struct{}
+		if t.audited != nil {
+			floor = t.audited.reread
+		}
 		select {
 		case <-hups:
+		case <-floor:
+			if !t.differs(os.Getenv) {
+				continue // it will be looked at again while the floor is in force
+			}
 		case <-ctx.Done():
 			return
 		}
@@ -88,7 +97,9 @@
 		return nil, err
 	}
 	after.Name = t.cfg.Settings.Name // by which hosts are chosen: the same for as long as the process runs
-	if err := t.eng.Retune(after.Settings, 0); err != nil {
+	told := *cfg
+	if t.audited.settings(&told, func(under uint32) { err = t.eng.Retune(after.Settings, under) }); err != nil {
+		t.audited.settings(t.cfg, t.eng.Adopt)
 		return nil, err
 	}
 	t.table.Retune(after.ZoneNames, after.KindNames)
@@ -97,7 +108,6 @@
 	if t.budget != nil {
 		t.budget.Retune(aims(&after))
 	}
-	told := *cfg
 	if t.rec != nil { // before the first stream of a new class can end
 		t.rec.Retune(&told)
 	}
@@ -108,3 +118,11 @@
 	t.cfg = cfg
 	return &told, nil
 }
+
+// differs tells whether the settings that are there to be read are not those in force; a file that can't be used is told of.
+func (t *tuning) differs(getenv func(string) string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	cfg, err := config.Reload(getenv, t.cfg)
+	return err != nil || cfg.Site != t.cfg.Site
+}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -45,6 +45,7 @@
 	syncWithin  = 300 * time.Millisecond // after which the known list has to do
 
 	discoveryStream = 2 // of the random numbers that the seed gives, the one that spreads calls to discovery
+	auditStream     = 3 // and the one that spreads what a floor wants
 )
 
 // newLog is the sidecar's log, as JSON lines.
@@ -147,9 +148,28 @@
 		shares.beside(1) // before what it hands over, which is its part already
 	}
 	known := len(cfg.Known.Members) > 0
+	cfg.Known.From = "known"
 	// What a process hands over is of the present; and one instance alone pushes nobody over.
 	table.Old = op.Discovery != nil && next.former == nil && set.Instances > 1
+	moves := make(chan string)
+	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log,
+		Rand: rand.New(rand.NewPCG(cfg.Seed, discoveryStream))}
 	keep := newKeeper(op.State, cfg, next, log)
+	audit := newAudited(op.Audit, cfg, keep, next, log)
+	if audit != nil {
+		audit.book.Names(func(class int, host balance.EndpointID) (string, string) {
+			return tuned.classes()[class], table.Name(host)
+		})
+		audit.begins(cfg, eng.Adopt)
+		tuned.audited, next.audited, table.Versions = audit, audit, audit
+		for _, p := range []*stream.Proxy{streams, overThrift} {
+			if p != nil {
+				p.Gate, p.Trail = audit, audit.book
+			}
+		}
+		srv.Gate = audit
+		watch.Heard, audit.refresh = audit.listens, watch.Refresh
+	}
 	switch {
 	case next.former != nil && next.take(), keep.remember(cfg):
 		known = true
@@ -187,7 +207,7 @@
 		if err != nil {
 			return fmt.Errorf("listen: LB_CONTROL: %w", err)
 		}
-		operators := control.New(srv.Takes, next, log)
+		operators := control.New(srv.Takes, next, audit.calls(), log)
 		defer operators.Close() // calls are answered for as long as the process runs
 		go func() { _ = operators.Serve(control.Listener(cl)) }()
 		log.Info().Stringer("addr", cl.Addr()).Msg("listening for operators")
@@ -217,10 +237,7 @@
 		late := time.AfterFunc(within, ready)
 		defer late.Stop()
 	}
-	moves := make(chan string)
 	go tuned.follow(life, hups, moves)
-	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log,
-		Rand: rand.New(rand.NewPCG(cfg.Seed, discoveryStream))}
 	if op.Discovery != nil {
 		watch.Paced, watch.Rand = paced(op.Discovery, cfg, table)
 	}
@@ -238,6 +255,9 @@
 	var followed atomic.Bool
 	go func() {
 		defer close(kept)
+		var noted sync.WaitGroup
+		defer noted.Wait()
+		noted.Go(func() { audit.run(life) })
 		keep.run(life)
 		keep.end(followed.Load())
 	}()
--- a/internal/daemon/snapshot_bench_test.go
+++ b/internal/daemon/snapshot_bench_test.go
@@ -74,7 +74,7 @@
 				from = time.Now()
 				got, _, err := durable.Load(d, durable.Now(), "x", time.Minute)
 				if err == nil {
-					_, err = s.adopt(got.State, 0, cluster.List{})
+					_, err = s.adopt(got.State, "snapshot", 0, cluster.List{})
 				}
 				load += time.Since(from)
 				if err != nil {
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -18,6 +18,7 @@
 	"pinelb.example/pinelb/internal/effects"
 	"pinelb.example/pinelb/internal/engine"
 	"pinelb.example/pinelb/internal/handover"
+	"pinelb.example/pinelb/internal/trail"
 	"pinelb.example/pinelb/internal/upstream"
 )
 
@@ -54,7 +55,8 @@
 	Classes []string
 	Table   cluster.Held
 	Engine  engine.State
-	Effects *known // nil: the process is of a kind that shares none
+	Effects *known        // nil: the process is of a kind that shares none
+	Trail   []trail.Entry `json:",omitempty"` // of a process that is audited, to the one that succeeds it
 }
 
 // known is what a process knows of requests under way and of their effects.
@@ -77,6 +79,7 @@
 	former  *handover.Former // nil: none
 	owner   *handover.Owner  // nil: nobody can follow
 	effects *effects.Table
+	audited *audited // nil: nobody audits
 	log     zerolog.Logger
 
 	mu     sync.Mutex
@@ -100,7 +103,7 @@
 
 // take takes over what the former process knew, and returns whether that holds a list.
 func (s *succession) take() (listed bool) {
-	h, err := s.adopt(s.former.State, 0, cluster.List{})
+	h, err := s.adopt(s.former.State, "former", 0, cluster.List{})
 	if err != nil {
 		s.log.Error().Err(fmt.Errorf("handover: state: %w", err)).Msg("nothing is taken over")
 		return false
@@ -112,11 +115,22 @@
 	return len(h.Table.List.Members) > 0
 }
 
-// adopt takes over what a process knew that long ago. A list goes before the one that it had, where there is one.
-func (s *succession) adopt(state []byte, past time.Duration, list cluster.List) (h handed, err error) {
+// trail is the former process's, where there is one; nil: none.
+func (s *succession) trail() []trail.Entry {
+	var h struct{ Trail []trail.Entry }
+	if s.former == nil || json.Unmarshal(s.former.State, &h) != nil { // of a fault there take says what it is
+		return nil
+	}
+	return h.Trail
+}
+
+// adopt takes over what a process knew that long ago, whose name is from. A list goes before the one that it had, where there
+// is one.
+func (s *succession) adopt(state []byte, from string, past time.Duration, list cluster.List) (h handed, err error) {
 	if err := json.Unmarshal(state, &h); err != nil {
 		return h, err
 	}
+	h.Table.List.From = from
 	if len(list.Members) > 0 {
 		h.Table.List = list
 	}
@@ -148,6 +162,9 @@
 	notes := s.effects.Watch(effects.Next, next.note)
 	h := s.held()
 	h.Effects = &known{Notes: notes}
+	if s.audited != nil {
+		h.Trail = s.audited.book.Past()
+	}
 	return json.Marshal(h)
 }
 
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -29,6 +29,8 @@
 // Server takes streams over HTTP.
 type Server struct {
 	*Side
+	Gate stream.Gate // says whether the sidecar takes streams at present; nil: it does
+
 	classes atomic.Pointer[map[string]class]
 	streams Handler
 	log     zerolog.Logger
@@ -68,8 +70,17 @@
 // Ready lets the front send streams.
 func (s *Server) Ready() { s.ready.Store(true) }
 
-// Takes tells whether the front is to send streams: the sidecar is ready, and not about to end.
-func (s *Server) Takes() bool { return s.ready.Load() && !s.draining.Load() }
+// Takes tells whether the front is to send streams: the sidecar is ready, not about to end, and its gate lets them in.
+func (s *Server) Takes() bool {
+	if !s.ready.Load() || s.draining.Load() {
+		return false
+	}
+	if s.Gate == nil {
+		return true
+	}
+	takes, _ := s.Gate.Takes()
+	return takes
+}
 
 // Front is the server on l.
 func (s *Server) Front(l net.Listener) Front {
