--- a/internal/trail/entry.go
+++ b/internal/trail/entry.go
@@ -15,7 +15,7 @@
 	Ordered Kind = "ordered" // an auditor's order was taken or, with Why, refused
 	Judged  Kind = "judged"  // State is the verdict on itself from here on, Why the reason
 	Stopped Kind = "stopped" // the process did not run for Took ms
-	Lost    Kind = "lost"    // so many entries before this one were not kept: N
+	Lost    Kind = "lost"    // N entries up to that of the number Upto came to no disk
 	Ended   Kind = "ended"   // a planned end
 )
 
@@ -32,7 +32,7 @@
 
 	Under    uint32           `json:"under,omitempty"` // numbers adoptions within a life, from 1
 	Version  *version.Version `json:"version,omitempty"`
-	From     string           `json:"from,omitempty"`
+	From     string           `json:"from,omitempty"` // "kept": the entry repeats one that had to be dropped
 	Attempts []Attempts       `json:"attempts,omitempty"`
 	Crossed  int              `json:"crossed,omitempty"` // Counted: attempts of streams whose first attempt was made under another number
 	Order    *version.Order   `json:"order,omitempty"`
@@ -40,6 +40,7 @@
 	Why      string           `json:"why,omitempty"`
 	Took     version.Millis   `json:"took_ms,omitempty"`
 	N        int              `json:"n,omitempty"`
+	Upto     uint64           `json:"upto,omitempty"`
 }
 
 // Attempts are those of one class at one host.
--- /dev/null
+++ b/internal/trail/file.go
@@ -0,0 +1,308 @@
+package trail
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"pinelb.example/pinelb/internal/durable"
+)
+
+const (
+	fileName    = "trail-"
+	freshName   = "trail.new"
+	fileMost    = 1 << 20                // bytes, from which on the next file is begun; one before it is kept
+	readMost    = 4 * fileMost           // bytes of a file that are read
+	filesMost   = 16                     // files that are read: two of each process, of which one or two are alive
+	batchMost   = 256 << 10              // bytes that are written at once
+	againAfter  = time.Second            // a disk that has failed is tried again
+	closeWithin = 200 * time.Millisecond // the last write may take
+)
+
+// File writes a book's entries to a disk, in the background: a disk that is slow, full or gone holds nothing up. What it does
+// not take is written later, as long as the book has it; what that has dropped by then is told by an entry. All but counts
+// are brought to outlast a power cut at once.
+type File struct {
+	Disk durable.Disk
+	Book *Book
+	// Fault is told when the trail can't be written, and with nil when it can again.
+	Fault func(err error)
+
+	stop, ended chan struct{}
+
+	// Of run alone.
+	file   durable.File
+	name   string
+	unlock func()
+	size   int
+	next   uint64 // the number of the first entry that is not written; 0: nothing has been
+	failed error
+}
+
+// Begin has the book's entries be written until Close.
+func (f *File) Begin() {
+	f.stop, f.ended = make(chan struct{}), make(chan struct{})
+	go f.run()
+}
+
+// Close writes what is left, within moments.
+func (f *File) Close() {
+	close(f.stop)
+	late := time.NewTimer(closeWithin)
+	defer late.Stop()
+	select {
+	case <-f.ended:
+	case <-late.C:
+	}
+}
+
+func (f *File) run() {
+	defer close(f.ended)
+	renew := true
+	for open := true; open; {
+		f.set(f.write(renew))
+		var again <-chan time.Time
+		woken := f.Book.Woken
+		if renew = f.failed != nil; renew {
+			again, woken = time.After(againAfter), nil
+		}
+		select {
+		case <-woken:
+		case <-again:
+		case <-f.stop:
+			open = false
+		}
+	}
+	if f.failed == nil {
+		f.set(f.write(false))
+	}
+	if f.file != nil {
+		_ = f.file.Close()
+		f.unlock()
+	}
+}
+
+func (f *File) set(err error) {
+	was := f.failed
+	if f.failed = err; (err == nil) != (was == nil) {
+		f.Fault(err)
+	}
+}
+
+// write writes what is in no file yet, to a new one if it has to be renewed.
+func (f *File) write(renew bool) error {
+	for {
+		if renew || f.size > fileMost {
+			if err := f.begin(); err != nil {
+				return err
+			}
+			renew = false
+		}
+		text, to, sync := f.lacks(nil)
+		if len(text) == 0 {
+			return nil
+		}
+		_, err := f.file.Write(text)
+		if err == nil && sync {
+			err = f.file.Sync()
+		}
+		if err != nil {
+			return fmt.Errorf("trail: %w", err)
+		}
+		f.size += len(text)
+		f.wrote(to)
+	}
+}
+
+// span is from the first entry that a book has to the one after the last that is written.
+type span struct{ first, next uint64 }
+
+// lacks is the text of entries that are not written, but for those whose sums are given, and whether it has to outlast a
+// power cut at once.
+func (f *File) lacks(have map[string]bool) (text []byte, to span, sync bool) {
+	entries, next, first := f.Book.Since(f.next, batchMost)
+	for _, e := range entries {
+		if !have[e.Sum] {
+			text, sync = appendLine(text, e), sync || e.Kind != Counted
+		}
+	}
+	return text, span{first, next}, sync
+}
+
+// wrote takes in what has been written, and tells of what came to no file while the book had it.
+func (f *File) wrote(to span) {
+	if f.next > 0 && f.next < to.first {
+		f.Book.Note(Entry{Kind: Lost, N: int(to.first - f.next), Upto: to.first - 1})
+	}
+	f.next = to.next
+}
+
+// appendLine appends an entry's line.
+func appendLine(text []byte, e Entry) []byte {
+	l, err := json.Marshal(e)
+	if err != nil {
+		return text // it has no such values
+	}
+	return append(append(text, l...), '\n')
+}
+
+// begin begins a file. It takes the lines of the last one over, where that is of another process or has failed and is not
+// full, so that many short lives need no more files than a long one; then all but one that are nobody's are removed. Until
+// the new file has its name, the others stand.
+func (f *File) begin() error {
+	unlock, err := f.Disk.Lock(freshName)
+	if err == nil && unlock == nil {
+		err = fmt.Errorf("another process begins a file")
+	}
+	if err != nil {
+		return fmt.Errorf("trail: %w", err)
+	}
+	if err = f.fresh(unlock); err != nil {
+		unlock()
+		return fmt.Errorf("trail: %w", err)
+	}
+	return nil
+}
+
+func (f *File) fresh(unlock func()) error {
+	names, high, err := f.ours()
+	if err != nil {
+		return err
+	}
+	var text []byte
+	have, keep := map[string]bool{}, 1
+	for i, name := range names[max(0, len(names)-2):] {
+		old, err := f.Disk.Read(name, readMost)
+		if err != nil {
+			continue // it is kept, if it is the last
+		}
+		old = old[:bytes.LastIndexByte(old, '\n')+1]
+		entries, _ := decode(old, name)
+		for _, e := range entries {
+			have[e.Sum] = true
+		}
+		if i == min(len(names), 2)-1 && len(old) < fileMost { // the last
+			text, keep = old, 2
+		}
+	}
+	lacking, to, _ := f.lacks(have)
+	text = append(text, lacking...)
+	file, err := f.Disk.Create(freshName)
+	if err != nil {
+		return err
+	}
+	if _, err = file.Write(text); err == nil {
+		err = file.Sync()
+	}
+	name := fmt.Sprintf("%s%09d", fileName, high+1)
+	if err == nil {
+		err = f.Disk.Rename(freshName, name)
+	}
+	if err == nil {
+		err = f.Disk.Sync()
+	}
+	if err != nil {
+		return errors.Join(err, file.Close())
+	}
+	if f.file != nil {
+		_ = f.file.Close()
+		f.unlock()
+	}
+	for i, old := range names {
+		if i != len(names)-keep { // taken over, or too old; whatever fails here is tried again with the next file
+			_ = f.Disk.Remove(old)
+		}
+	}
+	f.file, f.name, f.unlock, f.size = file, name, unlock, len(text)
+	f.wrote(to)
+	return nil
+}
+
+// ours are the files of trails that no other process writes, in order, and the highest number of any.
+func (f *File) ours() (names []string, high int, err error) {
+	all, err := f.Disk.Names()
+	for _, name := range all {
+		n, ok := number(name)
+		if !ok {
+			continue
+		}
+		high = max(high, n)
+		if name != f.name {
+			unlock, err := f.Disk.Lock(name)
+			if err != nil || unlock == nil {
+				continue
+			}
+			unlock()
+		}
+		names = append(names, name)
+	}
+	return names, high, err
+}
+
+// number is that of a trail's file.
+func number(name string) (n int, ok bool) {
+	digits, ok := strings.CutPrefix(name, fileName)
+	n, err := strconv.Atoi(digits)
+	return n, ok && err == nil && n > 0
+}
+
+// IsTrail tells whether a file of that name is one of a trail.
+func IsTrail(name string) bool { _, ok := number(name); return ok }
+
+// Load reads what processes of one sidecar have left on a disk, alive or dead: the entries in order of their numbers, and
+// where the trail is not whole. In which order the lines stand does not matter. Of a last line that is cut off nothing is told: what was not written whole was not promised.
+func Load(d durable.Disk) (entries []Entry, faults []Fault, err error) {
+	names, err := d.Names()
+	if err != nil {
+		return nil, nil, fmt.Errorf("trail: %w", err)
+	}
+	names = slices.DeleteFunc(names, func(name string) bool { return !IsTrail(name) })
+	known := map[string]bool{}
+	for _, name := range names[max(0, len(names)-filesMost):] {
+		text, err := d.Read(name, readMost)
+		if errors.Is(err, os.ErrNotExist) {
+			continue // a process that runs has removed it since
+		} else if err != nil {
+			return nil, nil, fmt.Errorf("trail: %w", err)
+		}
+		read, bad := decode(text, name)
+		faults = append(faults, bad...)
+		for _, e := range read {
+			if line := sum(e) + e.Sum; !known[line] { // files begin with what others held, and those may still be there
+				known[line] = true
+				entries = append(entries, e)
+			}
+		}
+	}
+	slices.SortStableFunc(entries, bySeq)
+	return entries, append(faults, Check(entries)...), nil
+}
+
+// ReadDir reads the trail in a directory, as Load does: of a dead sidecar, or one that runs.
+func ReadDir(path string) ([]Entry, []Fault, error) { return Load(durable.Dir(path)) }
+
+// decode reads a file's text. A line that is no entry, or not written as entries are, is a fault; one that is cut off at the
+// end is left out.
+func decode(text []byte, name string) (entries []Entry, faults []Fault) {
+	n := 0
+	for l := range bytes.Lines(text) {
+		n++
+		whole, ended := bytes.CutSuffix(l, []byte{'\n'})
+		if !ended {
+			break
+		}
+		var e Entry
+		if json.Unmarshal(whole, &e) != nil || e.check() != nil || !bytes.Equal(appendLine(nil, e), l) {
+			faults = append(faults, Fault{Flaw: Unreadable, File: name, Line: n})
+			continue
+		}
+		entries = append(entries, e)
+	}
+	return entries, faults
+}
--- /dev/null
+++ b/internal/trail/trail_test.go
@@ -0,0 +1,680 @@
+package trail
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"reflect"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"pgregory.net/rapid"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/durable"
+	"pinelb.example/pinelb/internal/version"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func clock() durable.Clock { return durable.Clock{Wall: time.UnixMilli(5000), Up: time.Second} }
+
+func names(class int, host balance.EndpointID) (string, string) {
+	return fmt.Sprint("class", class), fmt.Sprint("host-", host)
+}
+
+// book is one that goes on from a past.
+func book(life string, past []Entry) *Book {
+	b := NewBook(life, "test", past, clock)
+	b.Names(names)
+	return b
+}
+
+// list has a book adopt a list.
+func list(b *Book, revision int64) {
+	b.Change(func(v *version.Version) { v.List.Revision = revision }, "list", func(uint32) {})
+}
+
+// busy notes something of each kind.
+func busy(b *Book, n int) {
+	for i := range n {
+		list(b, int64(i+1))
+		_, under := b.Version()
+		b.Sent(under, 0, 7, i%2 == 1)
+		b.Ended(under, 0, 7, true, false)
+		b.Note(Entry{Kind: Judged, State: "behind", Why: "w\xff"})
+		order := version.Order{Floor: version.Floor{Epoch: uint64(i + 1), By: "a", Builds: []string{}}}
+		b.Note(Entry{Kind: Ordered, Order: &order})
+	}
+	b.Flush()
+}
+
+// has are the flaws of faults.
+func has(faults []Fault) (flaws []Flaw) {
+	for _, f := range faults {
+		flaws = append(flaws, f.Flaw)
+	}
+	return flaws
+}
+
+// Guards against a change to a trail that does not show, and against a whole one that is said not to be.
+func TestCheck(t *testing.T) {
+	former := book("a", nil)
+	busy(former, 4)
+	handed := former.Past()
+	next := book("b", handed)
+	busy(next, 2)
+	busy(former, 1) // beside its successor
+	n := len(handed)
+	both := append(next.Past(), former.Past()[n:]...)
+	slices.SortStableFunc(both, bySeq)
+	change := func(i int, edit func(*Entry)) []Entry {
+		out := slices.Clone(handed)
+		edit(&out[i])
+		return out
+	}
+	remade := func(i int, edit func(*Entry)) []Entry {
+		return change(i, func(e *Entry) { edit(e); e.Sum = sum(*e) })
+	}
+	told := slices.Clone(handed)
+	e, _, _ := seal(handed[n-1], Entry{Life: "a", Kind: Lost, N: 2, Upto: 6})
+	told = append(slices.Delete(told, 4, 6), e)
+	for name, c := range map[string]struct {
+		entries []Entry
+		want    []Flaw
+	}{
+		"whole":                        {handed, nil},
+		"none":                         {nil, nil},
+		"succeeded":                    {next.Past(), nil},
+		"two processes":                {both, nil},
+		"older ones dropped":           {handed[3:], nil},
+		"one missing":                  {slices.Delete(slices.Clone(handed), 3, 4), []Flaw{Hole}},
+		"a whole life missing":         {append(slices.Clone(handed[:3]), next.Past()[n:]...), []Flaw{Hole}},
+		"missing, and told so":         {told, nil},
+		"missing, and one more":        {slices.Delete(slices.Clone(told), 6, 7), []Flaw{Hole}},
+		"twice":                        {slices.Insert(slices.Clone(handed), 3, handed[2]), []Flaw{Disordered}},
+		"changed":                      {change(3, func(e *Entry) { e.At++ }), []Flaw{Changed}},
+		"another sum":                  {change(3, func(e *Entry) { e.Sum = handed[2].Sum }), []Flaw{Changed, Unchained}},
+		"made anew":                    {remade(3, func(e *Entry) { e.At++ }), []Flaw{Unchained}},
+		"another life's":               {remade(3, func(e *Entry) { e.Life = "x" }), []Flaw{Unchained, Hole}},
+		"the first goes on":            {remade(0, func(e *Entry) { e.Prev = handed[2].Sum }), []Flaw{Unchained, Unchained}},
+		"a later one that goes on":     {remade(0, func(e *Entry) { e.Seq = 2; e.Kind = Judged })[:1], []Flaw{Unchained}},
+		"a fork from nothing known":    {append(slices.Clone(handed[:3]), remade(3, func(e *Entry) { e.Life, e.Kind, e.Prev = "x", Began, e.Sum })[3]), []Flaw{Unchained}},
+		"another life's begins from 1": {append(slices.Clone(handed), book("c", nil).Past()...), nil},
+	} {
+		if got := has(Check(c.entries)); !slices.Equal(got, c.want) {
+			t.Errorf("%s: %v, not %v", name, Check(c.entries), c.want)
+		}
+	}
+	for i := range handed { // whatever in it is changed
+		var e map[string]any
+		text, _ := json.Marshal(handed[i])
+		_ = json.Unmarshal(text, &e)
+		for key := range e {
+			with := maps.Clone(e)
+			delete(with, key)
+			text, _ := json.Marshal(with)
+			out := slices.Clone(handed)
+			out[i] = Entry{}
+			if _ = json.Unmarshal(text, &out[i]); !reflect.DeepEqual(out, handed) && Check(out) == nil {
+				t.Errorf("entry %d is whole without %s", i+1, key)
+			}
+		}
+	}
+}
+
+// Guards against numbers that come in another order than what is applied under them, against attempts that are counted twice,
+// not at all, or under another number, and against a lock that is held where names are asked for.
+func TestNumbersUnderConcurrency(t *testing.T) {
+	b := NewBook("a", "test", nil, clock)
+	b.Names(func(class int, host balance.EndpointID) (string, string) {
+		b.Flush() // what gives names may wait for a Change
+		return names(class, host)
+	})
+	var applied []uint32 // by whoever has the book's lock
+	var current sync.Map
+	var wait sync.WaitGroup
+	sent := make([]map[uint32]int, 8)
+	for g := range 8 {
+		sent[g] = map[uint32]int{}
+		wait.Go(func() {
+			for i := range 40 {
+				b.Change(func(v *version.Version) { v.List.Revision, v.File = int64(i), version.Digest(g+1) }, "x", func(under uint32) {
+					applied = append(applied, under)
+					current.Store("under", under)
+				})
+				got, _ := current.Load("under")
+				under := got.(uint32)
+				b.Sent(under, g, balance.EndpointID(i%3), false)
+				b.Ended(under, g, balance.EndpointID(i%3), i%2 == 0, i%2 == 1)
+				sent[g][under]++
+				if i%10 == 0 {
+					b.Flush()
+				}
+			}
+		})
+	}
+	wait.Wait()
+	b.Flush()
+	entries := b.Past()
+	if !slices.IsSorted(applied) || len(applied) != 320 || Check(entries) != nil {
+		t.Fatalf("%d changes, in order %v, %v", len(applied), slices.IsSorted(applied), Check(entries))
+	}
+	counted, of := map[string]int{}, map[string]int{}
+	for _, e := range entries {
+		for _, a := range e.Attempts {
+			counted[fmt.Sprint(e.Under, a.Class)] += a.N
+			counted["ended"] += a.Never + a.Left
+		}
+	}
+	for g := range sent {
+		for under, n := range sent[g] {
+			of[fmt.Sprint(under, "class", g)] += n
+			of["ended"] += n
+		}
+	}
+	if !maps.Equal(counted, of) {
+		t.Errorf("%d of %d numbers and classes are counted right", len(counted), len(of))
+	}
+}
+
+// Guards against a nil book that does not let changes through.
+func TestNoBook(t *testing.T) {
+	var b *Book
+	under := uint32(9)
+	b.Change(func(*version.Version) { t.Error("edited") }, "x", func(u uint32) { under = u })
+	b.Sent(1, 2, 3, true)
+	b.Ended(1, 2, 3, true, false)
+	b.Note(Entry{Kind: Ended})
+	b.Flush()
+	entries, next, first := b.Since(0, 100)
+	if under != 0 || entries != nil || next != 1 || first != 1 || b.Past() != nil {
+		t.Errorf("%d, %v, %d, %d", under, entries, next, first)
+	}
+}
+
+// Guards against a ring that grows, that forgets the epoch or the version, against renewals that fill it, against a number for
+// what changes nothing, and against an answer beyond its bytes or one that skips an entry.
+func TestRing(t *testing.T) {
+	b := book("a", nil)
+	list(b, 1)
+	order := func(epoch uint64, no int, issued version.Millis, why string) {
+		b.Note(Entry{Kind: Ordered, Why: why, Order: &version.Order{Floor: version.Floor{Epoch: epoch, By: "z"},
+			Ticket: &version.Ticket{No: no, Issued: issued}}})
+	}
+	for i := range 100 {
+		order(7, 0, version.Millis(i), "")
+		order(5, 0, version.Millis(i), "older")
+		list(b, 1)
+	}
+	if seq := b.last.Seq; seq != 4 || b.under != 1 {
+		t.Errorf("renewals make %d entries, number %d", seq, b.under)
+	}
+	order(7, 1, 0, "")
+	for i := range 20000 {
+		b.Sent(1, i%200, balance.EndpointID(i), false)
+		if i%50 == 0 {
+			b.Note(Entry{Kind: Stopped, Took: 3000, Why: strings.Repeat("x", 10000)})
+			b.Flush()
+		}
+	}
+	past := b.Past()
+	next := NewBook("b", "former", past, clock)
+	v, _ := next.Version()
+	epoch, by := LastOrder(next.Past())
+	held := slices.ContainsFunc(past, func(e Entry) bool { return e.Kind == Adopted && e.Version.List.Revision == 1 })
+	if b.size > ringBytes || past[0].Seq == 1 || Check(next.Past()) != nil || v.Epoch != 7 || epoch != 7 || by != "z" || !held {
+		t.Errorf("%d bytes from %d, epochs %d and %d %s, adopted %v", b.size, past[0].Seq, v.Epoch, epoch, by, held)
+	}
+	var got []Entry
+	for seq := uint64(0); ; {
+		entries, to, first := b.Since(seq, 50000)
+		text, _ := json.Marshal(entries)
+		if len(text) > 51000 || first != past[0].Seq {
+			t.Fatalf("an answer of %d bytes, first %d", len(text), first)
+		}
+		if got = append(got, entries...); len(entries) == 0 {
+			break
+		}
+		seq = to
+	}
+	if !reflect.DeepEqual(got, past) {
+		t.Errorf("asked for by parts they are %d entries of %d", len(got), len(past))
+	}
+}
+
+// Guards against memory that grows with hosts that come and go, and against attempts beyond it that are not counted.
+func TestCountsAreBounded(t *testing.T) {
+	var c counts
+	c.names = names
+	n := 0
+	for i := range 3 * countedMost {
+		c.at(countKey{1, 0, balance.EndpointID(i)}).N++
+		c.mu.Unlock()
+	}
+	size := len(c.cells)
+	for _, e := range c.take() {
+		if text, _ := json.Marshal(e); len(text) > 2*entryBytes {
+			t.Errorf("an entry of %d bytes", len(text))
+		}
+		for _, a := range e.Attempts {
+			n += a.N
+		}
+	}
+	c.take()
+	c.take()
+	if n != 3*countedMost || size > countedMost+1 || len(c.cells) != 0 {
+		t.Errorf("%d counted, %d cells, then %d", n, size, len(c.cells))
+	}
+}
+
+// disk is one in memory that can lose power, or be full.
+type disk struct {
+	mu    sync.Mutex
+	files map[string]*content
+	sure  map[string]*content // the directory as it outlasts a power cut
+	locks map[string]bool     // by other processes
+	steps int                 // until all fails; below 0: never
+	block chan struct{}       // writes wait for it; nil: they don't
+}
+
+type content struct{ sure, text []byte }
+
+func newDisk(steps int) *disk {
+	return &disk{files: map[string]*content{}, locks: map[string]bool{}, steps: steps}
+}
+
+var errDisk = errors.New("no room, or no power")
+
+func (d *disk) step() error {
+	if d.steps == 0 {
+		return errDisk
+	}
+	d.steps--
+	return nil
+}
+
+func (d *disk) Create(name string) (durable.File, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.files[name] = &content{}
+	return &opened{d, d.files[name]}, d.step()
+}
+
+func (d *disk) Read(name string, most int64) ([]byte, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if f := d.files[name]; f != nil {
+		return slices.Clone(f.text[:min(int(most), len(f.text))]), nil
+	}
+	return nil, os.ErrNotExist
+}
+
+func (d *disk) Rename(from, to string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.step(); err != nil {
+		return err
+	}
+	d.files[to] = d.files[from]
+	delete(d.files, from)
+	return nil
+}
+
+func (d *disk) Remove(name string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.step(); err != nil {
+		return err
+	}
+	delete(d.files, name)
+	return nil
+}
+
+func (d *disk) Names() ([]string, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.Sorted(maps.Keys(d.files)), nil
+}
+
+func (d *disk) Sync() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if err := d.step(); err != nil {
+		return err
+	}
+	d.sure = maps.Clone(d.files)
+	return nil
+}
+
+func (d *disk) Lock(name string) (func(), error) {
+	if d.locks[name] {
+		return nil, nil
+	}
+	return func() {}, nil
+}
+
+type opened struct {
+	d *disk
+	f *content
+}
+
+func (o *opened) Write(b []byte) (int, error) {
+	if o.d.block != nil {
+		<-o.d.block
+	}
+	o.d.mu.Lock()
+	defer o.d.mu.Unlock()
+	if err := o.d.step(); err != nil {
+		o.f.text = append(o.f.text, b[:len(b)/2]...) // a disk that is full takes what has room
+		return len(b) / 2, err
+	}
+	o.f.text = append(o.f.text, b...)
+	return len(b), nil
+}
+
+func (o *opened) Sync() error {
+	o.d.mu.Lock()
+	defer o.d.mu.Unlock()
+	if err := o.d.step(); err != nil {
+		return err
+	}
+	o.f.sure = slices.Clone(o.f.text)
+	return nil
+}
+
+func (o *opened) Close() error { return nil }
+
+// after is the disk once the power was cut: with the share of what was not synced that is there, in quarters, and the
+// directory as it was synced or as it was; or once the process was killed, with all of it.
+func (d *disk) after(quarters int, renamed bool) *disk {
+	out, names := newDisk(-1), d.sure
+	if renamed {
+		names = d.files
+	}
+	for name, f := range names {
+		lost := max(0, len(f.text)-len(f.sure))
+		text := slices.Clone(f.text[:len(f.text)-lost+lost*quarters/4])
+		out.files[name] = &content{text, text}
+	}
+	out.sure = maps.Clone(out.files)
+	return out
+}
+
+// writer is a file whose steps are taken one by one.
+func writer(d durable.Disk, b *Book) *File { return &File{Disk: d, Book: b, Fault: func(error) {}} }
+
+// Guards against more than the cut line being lost, wherever a file is cut, against a byte that is changed without a fault,
+// and against a next process that does not go on from it.
+func TestCutAndFlippedAtEveryByte(t *testing.T) {
+	b := book("a", nil)
+	busy(b, 1)
+	var text []byte
+	entries := b.Past()
+	for _, e := range entries {
+		text = appendLine(text, e)
+	}
+	load := func(text []byte) ([]Entry, []Fault) {
+		d := newDisk(-1)
+		d.files[fileName+"000000003"] = &content{text, text}
+		got, faults, err := Load(d)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return got, faults
+	}
+	for i := range text {
+		whole := strings.Count(string(text[:i]), "\n")
+		got, faults := load(text[:i])
+		if faults != nil || len(got) != whole || whole > 0 && !reflect.DeepEqual(got, entries[:whole]) {
+			t.Fatalf("cut after %d bytes: %d entries of %d, %v", i, len(got), whole, faults)
+		}
+		flipped := slices.Clone(text)
+		flipped[i] ^= 1 << (i % 8)
+		if got, faults = load(flipped); faults == nil && i < len(text)-1 {
+			t.Fatalf("byte %d is flipped and nothing is told", i)
+		}
+		if i%32 > 0 {
+			continue
+		}
+		next := book("b", got)
+		d := newDisk(-1)
+		d.files[fileName+"000000003"] = &content{flipped, flipped}
+		if err := writer(d, next).write(true); err != nil {
+			t.Fatal(err)
+		}
+		after, still, _ := Load(d)
+		if after[len(after)-1].Kind != Began || i < len(text)-1 && len(still) < 1 {
+			t.Fatalf("byte %d is flipped: the next process has %v after %v", i, still, faults)
+		}
+	}
+}
+
+// Guards against a kill, a power cut or a full disk, at any step, that leaves a hole or loses what was synced; against a new
+// process that does not show; and against what the disk did not take not being written later.
+func TestDiskFailsAtEveryStep(t *testing.T) {
+	for steps := 0; ; steps++ {
+		d := newDisk(-1)
+		first := book("a", nil)
+		busy(first, 3)
+		if err := writer(d, first).write(true); err != nil {
+			t.Fatal(err)
+		}
+		d.steps = steps
+		past, _, _ := Load(d)
+		b := book("b", past)
+		f := writer(d, b)
+		sure, failed := past[len(past)-1].Seq, false
+		for i := range 3 {
+			list(b, int64(100+i))
+			if f.failed = f.write(i == 0 || f.failed != nil); f.failed == nil {
+				sure = b.last.Seq
+			}
+			failed = failed || f.failed != nil
+		}
+		for quarters := range 5 {
+			for _, renamed := range []bool{false, true} {
+				got, faults, err := Load(d.after(quarters, renamed))
+				if err != nil || faults != nil || got[len(got)-1].Seq < sure {
+					t.Fatalf("%d steps, %d quarters, renamed %v: up to %d of %d, %v, %v", steps, quarters, renamed, got[len(got)-1].Seq, sure, faults, err)
+				}
+				next := book("c", got).Past()
+				if e := next[len(next)-1]; e.Kind != Began || e.Life != "c" || Check(next) != nil {
+					t.Fatalf("%d steps: the next process begins with %+v", steps, e)
+				}
+			}
+		}
+		d.steps = -1 // there is room again
+		if err := f.write(f.failed != nil); err != nil {
+			t.Fatal(err)
+		}
+		got, faults, _ := Load(d.after(0, false))
+		if faults != nil || got[len(got)-1].Sum != b.last.Sum {
+			t.Fatalf("%d steps: up to %d of %d once there is room, %v", steps, got[len(got)-1].Seq, b.last.Seq, faults)
+		}
+		if !failed {
+			return
+		}
+	}
+}
+
+// Guards against a disk that is slow or gone and holds changes up, is not tried again, or leaves a hole that is not told; and
+// against faults that are told again and again.
+func TestSlowAndGoneDisk(t *testing.T) {
+	d := newDisk(-1)
+	d.block = make(chan struct{})
+	b := book("a", nil)
+	said := []string{}
+	f := &File{Disk: d, Book: b, Fault: func(err error) {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		said = append(said, fmt.Sprint(err))
+	}}
+	f.Begin()
+	list(b, 1) // and what follows returns while the first write hangs
+	for range 2 * ringEntries {
+		b.Note(Entry{Kind: Stopped})
+	}
+	d.mu.Lock()
+	d.steps = 0
+	d.mu.Unlock()
+	close(d.block)
+	for d.lacks(b) { // it fails, and is tried again in a second
+		d.mu.Lock()
+		if len(said) > 0 {
+			d.steps = -1
+		}
+		d.mu.Unlock()
+		time.Sleep(time.Millisecond)
+	}
+	b.Note(Entry{Kind: Ended})
+	f.Close()
+	<-f.ended // however busy the machine is
+	got, faults, _ := Load(d)
+	if e := got[len(got)-1]; faults != nil || e.Kind != Ended || len(said) != 2 || said[1] != "<nil>" {
+		t.Errorf("ends with %+v, %v, told %q", e, faults, said)
+	}
+}
+
+// lacks tells whether a book's last entry is not on the disk.
+func (d *disk) lacks(b *Book) bool {
+	got, _, _ := Load(d)
+	entries, _, _ := b.Since(0, ringBytes)
+	return len(got) == 0 || got[len(got)-1].Seq < entries[len(entries)-1].Seq
+}
+
+// Guards against entries that came to no file while the disk failed, and were dropped, of which nothing is told.
+func TestLostEntriesAreTold(t *testing.T) {
+	d := newDisk(-1)
+	b := book("a", nil)
+	f := writer(d, b)
+	if err := f.write(true); err != nil {
+		t.Fatal(err)
+	}
+	d.steps = 0
+	for i := range 2 * ringEntries {
+		b.Note(Entry{Kind: Stopped})
+		if i%512 == 0 && f.write(true) == nil {
+			t.Fatal("a disk that fails takes entries")
+		}
+	}
+	d.steps = -1
+	if err := f.write(true); err != nil {
+		t.Fatal(err)
+	}
+	got, faults, _ := Load(d)
+	e := got[len(got)-1]
+	if faults != nil || e.Kind != Lost || e.N != ringEntries || e.Upto != ringEntries+1 {
+		t.Errorf("%+v, %v", e, faults)
+	}
+	if faults = Check(got[:len(got)-1]); !slices.Equal(has(faults), []Flaw{Hole}) || faults[0].N != ringEntries {
+		t.Errorf("without that entry: %v", faults)
+	}
+}
+
+// Guards against lives that are forgotten because they were short, against a file of another process that is removed, and
+// against a fault anywhere, over lives that end by kills, power cuts and hand-overs.
+func TestLives(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		d := newDisk(-1)
+		past, _, _ := Load(d)
+		b := book("0", past)
+		f := writer(d, b)
+		kept := map[uint64]int{} // numbers of entries that were synced, by life
+		for life := range rapid.IntRange(1, 12).Draw(t, "lives") {
+			renew := true
+			for i := range rapid.IntRange(0, 5).Draw(t, "notes") {
+				list(b, int64(1000*life+i))
+				if rapid.Bool().Draw(t, "write") {
+					if err := f.write(renew); err != nil {
+						t.Fatal(err)
+					}
+					renew = false
+					kept[b.last.Seq] = life
+				}
+			}
+			next := fmt.Sprint(life + 1)
+			switch rapid.IntRange(0, 2).Draw(t, "end") {
+			case 0:
+				d = d.after(4, true)
+			case 1:
+				d = d.after(rapid.IntRange(0, 4).Draw(t, "quarters"), rapid.Bool().Draw(t, "renamed"))
+			case 2: // both write for a while
+				d.locks = map[string]bool{f.name: true}
+				former := f
+				b = book(next, b.Past())
+				f = writer(d, b)
+				if err := f.write(true); err != nil {
+					t.Fatal(err)
+				}
+				d.locks = map[string]bool{f.name: true}
+				former.Book.Note(Entry{Kind: Ended})
+				if err := former.write(former.file == nil); err != nil {
+					t.Fatal(err)
+				}
+				kept[former.Book.last.Seq] = life
+				d.locks = map[string]bool{}
+				continue
+			}
+			past, faults, _ := Load(d)
+			if faults != nil {
+				t.Fatalf("after life %d: %v", life, faults)
+			}
+			b = book(next, past)
+			f = writer(d, b)
+		}
+		got, faults, _ := Load(d)
+		if faults != nil {
+			t.Fatal(faults)
+		}
+		for seq := range kept {
+			if !slices.ContainsFunc(got, func(e Entry) bool { return e.Seq == seq }) {
+				t.Fatalf("entry %d was kept and is gone", seq)
+			}
+		}
+	})
+}
+
+// Guards against files that grow or become many, and against locks and files that the operating system's disk leaves.
+func TestRotation(t *testing.T) {
+	path := t.TempDir()
+	d := durable.Dir(path)
+	b := book("a", nil)
+	f := writer(d, b)
+	for i := range 6000 { // 3 MiB
+		b.Note(Entry{Kind: Stopped, Why: strings.Repeat("x", textMost)})
+		if i%100 == 0 {
+			if err := f.write(i == 0); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	got, faults, err := Load(d)
+	all, _ := d.Names()
+	text, _ := d.Read(all[0], 2*fileMost)
+	if len(all) != 2 || len(text) < fileMost || len(text) > fileMost+batchMost || faults != nil || err != nil || got[0].Seq == 1 {
+		t.Errorf("%q, %d bytes in the first, from %d, %v, %v", all, len(text), got[0].Seq, faults, err)
+	}
+	if unlock, _ := d.Lock(all[1]); unlock != nil {
+		t.Error("the file that is written is anybody's")
+	}
+	f.unlock()
+	_ = f.file.Close()
+	next := book("b", got)
+	f = writer(d, next)
+	f.Begin()
+	next.Note(Entry{Kind: Ended})
+	f.Close()
+	<-f.ended // however busy the machine is
+	all, _ = d.Names()
+	after, faults, err := ReadDir(path)
+	if e := after[len(after)-1]; len(all) != 2 || faults != nil || err != nil || e.Kind != Ended || after[0].Seq != got[0].Seq {
+		t.Errorf("the next process: %q, from %d to %+v, %v, %v", all, after[0].Seq, e, faults, err)
+	}
+}
