--- a/internal/daemon/audit.go
+++ b/internal/daemon/audit.go
@@ -214,10 +214,10 @@
 
 // listens tells that the list service has answered what it was asked at that time, and that the answer has been taken over.
 func (a *audited) listens(asked time.Time) {
+	a.tick() // it may be what tells of a stop
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
-	a.lives(now)
 	a.actor.Heard(now, a.at(asked))
 	a.judge(now)
 	if a.verdict.State != version.Waking { // what came from before a stop says nothing of now
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"runtime"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -199,3 +201,45 @@
 		t.Errorf("the clock shows %v then %v; Unix time is %v later than 1970", a, b, from)
 	}
 }
+
+// Guards against a send under the number of a version that did not choose its host: each list here has one host, of the same
+// number, and settings change meanwhile, under the number of the list.
+func TestSendsHaveOneVersion(t *testing.T) {
+	e := newEngine(t)
+	var changes, streams sync.WaitGroup
+	var over atomic.Bool
+	var sends, wrong atomic.Int64
+	changes.Go(func() {
+		for under := uint32(1); under <= 5000; under++ {
+			e.Membership(balance.ListFull, []balance.Entry{{Endpoint: balance.EndpointID(under), State: balance.Ready, Weight: 1}}, under)
+			if err := e.Retune(e.settings, under); err != nil {
+				t.Error(err)
+			}
+			e.Membership(balance.ListDelta, nil, 0) // changes nothing
+		}
+	})
+	for range 4 {
+		streams.Go(func() {
+			for !over.Load() {
+				s := e.Open(context.Background(), Call{Left: time.Minute})
+				select {
+				case send := <-s.Sends():
+					sends.Add(1)
+					if send.Host != balance.EndpointID(send.Under) {
+						wrong.Add(1)
+					}
+					s.Settle(send.Attempt, Outcome{Status: balance.OK, Answers: true})
+				default: // it waits for a host
+				}
+				s.Close()
+			}
+		})
+	}
+	changes.Wait()
+	over.Store(true)
+	streams.Wait()
+	if sends.Load() == 0 || wrong.Load() > 0 {
+		t.Errorf("%d of %d sends are under the number of another list", wrong.Load(), sends.Load())
+	}
+	t.Logf("%d sends", sends.Load())
+}
