--- a/cmd/pinelb/thrift_bench_test.go
+++ b/cmd/pinelb/thrift_bench_test.go
@@ -129,37 +129,42 @@
 		}
 		benchmarkCalls(b, cmd.Process.Pid, thriftCall(b, "framed-binary", addr))
 	})
-	b.Run("http", func(b *testing.B) {
-		box := func() string {
-			return listen(b, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
-		}
-		p, _ := startThrift(b, fmt.Sprintf(thriftSection, "any"), box(), box())
-		id := 0
-		benchmarkCalls(b, p.cmd.Process.Pid, func() func() error {
-			client, of := &http.Client{Transport: &http.Transport{}}, id
-			id++
-			n := 0
-			return func() error {
-				n++
-				req, err := http.NewRequest("POST", "http://"+p.addr+"/remake-charge/1", strings.NewReader(strings.Repeat("x", 100)))
-				if err != nil {
-					return err
-				}
-				req.Header.Set("X-Txn", fmt.Sprintf("%d-%d", of, n))
-				req.Header.Set("X-Remaining-Ms", "60000")
-				res, err := client.Do(req)
-				if err != nil {
+	for name, section := range map[string]string{"http": "", "http-audit": "[audit]\n"} {
+		b.Run(name, func(b *testing.B) {
+			if section != "" {
+				b.Setenv("LB_CONTROL", "127.0.0.1:0")
+			}
+			box := func() string {
+				return listen(b, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) }))
+			}
+			p, _ := startThrift(b, section+fmt.Sprintf(thriftSection, "any"), box(), box())
+			id := 0
+			benchmarkCalls(b, p.cmd.Process.Pid, func() func() error {
+				client, of := &http.Client{Transport: &http.Transport{}}, id
+				id++
+				n := 0
+				return func() error {
+					n++
+					req, err := http.NewRequest("POST", "http://"+p.addr+"/remake-charge/1", strings.NewReader(strings.Repeat("x", 100)))
+					if err != nil {
+						return err
+					}
+					req.Header.Set("X-Txn", fmt.Sprintf("%d-%d", of, n))
+					req.Header.Set("X-Remaining-Ms", "60000")
+					res, err := client.Do(req)
+					if err != nil {
+						return err
+					}
+					defer res.Body.Close()
+					_, err = io.Copy(io.Discard, res.Body)
+					if res.StatusCode != 200 {
+						return fmt.Errorf("status %d", res.StatusCode)
+					}
 					return err
 				}
-				defer res.Body.Close()
-				_, err = io.Copy(io.Discard, res.Body)
-				if res.StatusCode != 200 {
-					return fmt.Errorf("status %d", res.StatusCode)
-				}
-				return err
-			}
+			})
 		})
-	})
+	}
 }
 
 // BenchmarkOpenConnections is the memory of a sidecar that has no callers, and of one with so many Thrift
--- a/internal/config/audit.go
+++ b/internal/config/audit.go
@@ -14,7 +14,7 @@
 // Audit is the section [audit]: what the sidecar acts on is noted, auditors may ask for it, and they may order what it has to
 // act on at least.
 type Audit struct {
-	Share   float64       `toml:"share"`   // of all instances, and of each zone's, that may be shut out at once
+	Share   float64       `toml:"share"`   // of all instances that may be shut out at once; for zones auditors see to it
 	Lease   tomlfile.Span `toml:"lease"`   // without a word of the list service or of an auditor it is alone; 0 is never
 	Silence string        `toml:"silence"` // what it does alone: "open", it acts; "closed", it shuts itself out where the share has room
 
--- a/internal/daemon/audit.go
+++ b/internal/daemon/audit.go
@@ -40,8 +40,9 @@
 	site    string
 	life    string
 	name    string
-	clock   func() time.Time // whose monotonic part is the actor's: it goes on while the process is stopped
 	start   time.Time
+	now     func() time.Duration // since the start, by the monotonic clock, which goes on while the process is stopped
+	wall    func() time.Time
 	book    *trail.Book
 	file    *trail.File // nil: no disk
 	log     zerolog.Logger
@@ -73,7 +74,8 @@
 		return nil
 	}
 	a := &audited{section: op, build: build(), site: siteName(cfg), life: fmt.Sprintf("%016x", rand.Uint64()), name: cmp.Or(cfg.Name, cfg.Listen),
-		clock: time.Now, start: time.Now(), log: log, reread: make(chan struct{}, 1), set: &cfg.Settings, heard: -1}
+		start: time.Now(), wall: time.Now, log: log, reread: make(chan struct{}, 1), set: &cfg.Settings, heard: -1}
+	a.now = func() time.Duration { return time.Since(a.start) }
 	past, from := next.trail(), "former"
 	if len(past) == 0 && keep != nil {
 		from = "disk"
@@ -163,8 +165,6 @@
 // at is a time by the actor's clock.
 func (a *audited) at(t time.Time) time.Duration { return t.Sub(a.start) }
 
-func (a *audited) now() time.Duration { return a.at(a.clock()) }
-
 // change has another version take effect; nobody else changes it meanwhile. Where nothing is audited there are no numbers.
 func (a *audited) change(edit func(*version.Version), from string, apply func(under uint32)) {
 	if a == nil {
@@ -344,7 +344,7 @@
 	now := a.now()
 	a.lives(now)
 	was := a.actor.Floor(now)
-	err := a.actor.Take(now, time.Duration(a.clock().UnixNano()), o)
+	err := a.actor.Take(now, time.Duration(a.wall().UnixNano()), o)
 	e := trail.Entry{Kind: trail.Ordered, Order: &o}
 	switch {
 	case err != nil:
@@ -370,10 +370,9 @@
 	a.tick()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	wall := a.clock()
-	now := a.at(wall)
+	now := a.now()
 	r := trail.Report{Name: a.name, Site: a.site, Rank: a.set.Rank, Instances: max(1, a.set.Instances), Life: a.life,
-		Now: version.Millis(wall.UnixMilli()), Since: millis(now - a.since), Heard: -1, State: a.verdict.State, Why: a.verdict.Why,
+		Now: version.Millis(a.wall().UnixMilli()), Since: millis(now - a.since), Heard: -1, State: a.verdict.State, Why: a.verdict.Why,
 		Floor: a.actor.Floor(now), Ticket: a.actor.Ticket(now), Succeed: a.succeed}
 	if z := a.set.Zone; z >= 0 && z < len(a.set.ZoneNames) {
 		r.Zone = a.set.ZoneNames[z]
--- a/internal/daemon/audit_test.go
+++ b/internal/daemon/audit_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -46,7 +47,8 @@
 	w := &world{time: time.Now(), set: &set, eng: eng, table: cluster.NewTable(set.ZoneNames, set.KindNames, noHosts{}, eng)}
 	cfg := &config.Config{Name: "n0", Settings: set, Site: settings}
 	w.audited = newAudited(&section, cfg, nil, &succession{}, zerolog.Nop())
-	w.start, w.clock, w.refresh = w.time, func() time.Time { return w.time }, func() { w.asked++ }
+	w.start, w.wall, w.refresh = w.time, func() time.Time { return w.time }, func() { w.asked++ }
+	w.now = func() time.Duration { return w.time.Sub(w.start) }
 	w.begins(cfg, eng.Adopt)
 	w.table.Versions = w
 	w.book.Names(func(class int, host balance.EndpointID) (string, string) {
@@ -300,3 +302,39 @@
 		})
 	}
 }
+
+// BenchmarkAudit is what a stream of one attempt costs between the front and the upstream side, with and without an audit, and
+// what of that the gate and the trail are. On a machine that does other things, too, the processor's time tells more.
+func BenchmarkAudit(b *testing.B) {
+	w := newWorld(b, config.Audit{})
+	w.now = func() time.Duration { return time.Since(w.start) }
+	w.beat.Store(1 << 62) // nobody beats here
+	w.table.Apply(balance.ListFull, only(1))
+	host := w.table.Held().List.Members[0].Endpoint
+	measure := func(name string, do func()) {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			var from, to syscall.Rusage
+			_ = syscall.Getrusage(syscall.RUSAGE_SELF, &from)
+			for b.Loop() {
+				do()
+			}
+			_ = syscall.Getrusage(syscall.RUSAGE_SELF, &to)
+			b.ReportMetric(float64(to.Utime.Nano()+to.Stime.Nano()-from.Utime.Nano()-from.Stime.Nano())/float64(b.N), "cpu-ns/op")
+		})
+	}
+	for _, on := range []bool{false, true} {
+		p := &stream.Proxy{Engine: w.eng, Log: zerolog.Nop(), Upstream: upstreamFunc(func() balance.Status { return balance.OK })}
+		if on {
+			p.Gate, p.Trail = w, w.book
+		}
+		measure(fmt.Sprint("stream/on=", on), func() {
+			p.Serve(context.Background(), &stream.Request{Txn: "a", Deadline: time.Now().Add(time.Minute)})
+		})
+	}
+	measure("gate", func() { w.Sends() })
+	measure("trail", func() {
+		w.book.Sent(1, 0, host, false)
+		w.book.Ended(1, 0, host, false, false)
+	})
+}
