--- /dev/null
+++ b/internal/version/search_test.go
@@ -0,0 +1,470 @@
+package version
+
+import (
+	"encoding/binary"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// The search: a fleet of three, of which one may be shut out, two auditors and three lists, all by the code that is deployed. Each
+// state is tried with each fault, breadth first, up to so many faults and so many ticks; a state that has been seen is not gone
+// into again. What has to hold is looked at after each fault and four times a tick.
+const (
+	sidecars = 3
+	auditors = 2
+	tick     = 5 * time.Second
+	poolMost = 3
+)
+
+// lists are what the list service tells, one after the other; the last one after it has restarted and counts from 1 again.
+var lists = [3]Version{{List: List{Revision: 5, Digest: 1}}, {List: List{Revision: 6, Digest: 2}}, {List: List{Revision: 1, Digest: 3}}}
+
+// Wall clocks are as far apart as is allowed for.
+var (
+	sidecarWall = [sidecars]time.Duration{-2500 * time.Millisecond, 2500 * time.Millisecond, 0}
+	auditorWall = [auditors]time.Duration{2500 * time.Millisecond, -2500 * time.Millisecond}
+)
+
+type sidecar struct {
+	actor   Actor
+	life    int
+	version int
+	cut     bool // from the list service
+	stopped bool
+	links   [auditors]bool
+
+	// What the judge knows, by the orders that the sidecar said it took.
+	floor  *Floor
+	under  bool
+	ripe   time.Duration // when the least grace is over of the floors under which it has been since it came under one
+	ticket time.Duration // when the last one was taken; 0 is none of this floor
+	issued Millis
+	sure   time.Duration // the ticket is valid up to then at least
+}
+
+type world struct {
+	now      time.Duration
+	newest   int
+	sidecars [sidecars]sidecar
+	auditors [auditors]*Auditor // nil: not there
+	delay    [auditors]bool     // its orders of the next round are under way for long
+	pool     []late
+	lives    int
+}
+
+type late struct {
+	to int
+	o  Order
+}
+
+func auditorName(i int) string { return string(rune('a' + i)) }
+
+func rulesOf(i int) Rules {
+	return Rules{By: auditorName(i), Site: "s", Share: 0.5, Grace: 3 * time.Second, For: 60 * time.Second, Raise: true, ShutOut: true}
+}
+
+func (w *world) clone() *world {
+	c := *w
+	c.pool = append([]late(nil), w.pool...)
+	for i, a := range w.auditors {
+		if a == nil {
+			continue
+		}
+		b := *a
+		b.known, b.held = make(map[string]*known, len(a.known)), make(map[string]held, len(a.held))
+		for n, k := range a.known {
+			v := *k
+			b.known[n] = &v
+		}
+		for n, h := range a.held {
+			b.held[n] = h
+		}
+		c.auditors[i] = &b
+	}
+	return &c
+}
+
+// hash tells states apart, by what lies how long ago or ahead, and not by what the clock says.
+func (w *world) hash() uint64 {
+	b := make([]byte, 0, 1024)
+	num := func(ns ...int64) {
+		for _, n := range ns {
+			b = binary.AppendVarint(b, n)
+		}
+	}
+	at := func(ts ...time.Duration) {
+		for _, t := range ts {
+			d := int64(1 << 20) // never
+			if t != never && t != 0 {
+				d = max(-80_000, min(int64((t-w.now)/time.Millisecond), 80_000))
+			}
+			num(d)
+		}
+	}
+	yes := func(vs ...bool) {
+		for _, v := range vs {
+			if v {
+				b = append(b, 1)
+			} else {
+				b = append(b, 0)
+			}
+		}
+	}
+	floor := func(f *Floor) {
+		if f == nil {
+			num(-1)
+			return
+		}
+		num(int64(f.Epoch), int64(f.By[0]), int64(f.List), f.Revision)
+	}
+	ticket := func(t *Ticket) {
+		if t == nil {
+			num(-1)
+			return
+		}
+		num(int64(t.No))
+		at(t.Issued.D())
+	}
+	num(int64(w.newest))
+	for i := range w.sidecars {
+		s, a := &w.sidecars[i], &w.sidecars[i].actor
+		num(int64(s.version), int64(a.epoch), int64(len(a.by)))
+		b = append(b, a.by...)
+		yes(s.cut, s.stopped, s.links[0], s.links[1], s.under, a.under, a.waking, a.list.wanted)
+		floor(s.floor)
+		floor(a.floor)
+		ticket(a.ticket)
+		at(s.ripe, s.ticket, s.sure, a.lapses, a.ripe, a.until, a.beat, a.list.next)
+		if a.waking {
+			at(a.woke)
+		}
+	}
+	for i, a := range w.auditors {
+		yes(a != nil, w.delay[i])
+		if a == nil {
+			continue
+		}
+		num(int64(a.epoch), int64(a.first))
+		at(a.raised)
+		yes(a.loser != "")
+		floor(a.floor)
+		for j := range sidecars {
+			if k := a.known[strconv.Itoa(j)]; k != nil {
+				yes(k.life == lifeOf(w.sidecars[j].life))
+				yes(k.life == "")
+				num(k.revision)
+				at(k.mine, k.behind, k.under)
+			}
+			if h, ok := a.held[strconv.Itoa(j)]; ok {
+				num(int64(h.no))
+				at(h.until)
+			} else {
+				num(-2)
+			}
+		}
+	}
+	for _, l := range w.pool {
+		num(int64(l.to))
+		floor(&l.o.Floor)
+		ticket(l.o.Ticket)
+	}
+	return xxhash.Sum64(b)
+}
+
+func lifeOf(n int) string { return strconv.Itoa(n + 1) }
+
+func (w *world) start(i, version int, epoch uint64, by string) {
+	s := &w.sidecars[i]
+	w.lives++
+	s.life, s.version, s.stopped, s.floor, s.under, s.ticket, s.sure = w.lives, version, false, nil, false, 0, 0
+	s.actor = *NewActor(w.now, Limits{Site: "s", Share: 0.5, Instances: sidecars, Rank: i}, nil, epoch, by)
+	s.actor.Adopt(w.now, lists[version])
+}
+
+// deliver hands over an order, and notes what the sidecar says of it.
+func (w *world) deliver(l late) error {
+	s := &w.sidecars[l.to]
+	epoch, by := s.actor.Last()
+	if err := s.actor.Take(w.now, w.now+sidecarWall[l.to], l.o); err != nil {
+		return nil
+	}
+	f := l.o.Floor
+	if compare(f.Epoch, f.By, epoch, by) < 0 {
+		return fmt.Errorf("sidecar %d took epoch %d by %s after %d by %s", l.to, f.Epoch, f.By, epoch, by)
+	}
+	if s.floor == nil || compare(f.Epoch, f.By, s.floor.Epoch, s.floor.By) != 0 {
+		s.floor, s.ticket, s.issued, s.sure = &f, 0, 0, 0
+		if end := w.now + f.Grace.D(); s.under {
+			s.ripe = min(s.ripe, end)
+		}
+	}
+	if t := l.o.Ticket; t != nil && t.Issued > s.issued {
+		s.ticket, s.issued, s.sure = w.now, t.Issued, 0
+		if w.now+sidecarWall[l.to]-t.Issued.D() <= slack {
+			s.sure = w.now + t.For.D()
+		}
+	}
+	w.look(l.to)
+	return nil
+}
+
+// look keeps the judge's view of whether a sidecar is under its floor.
+func (w *world) look(i int) {
+	s := &w.sidecars[i]
+	v := lists[s.version].List
+	under := s.floor != nil && v.Digest != s.floor.List && v.Revision <= s.floor.Revision
+	if under && !s.under {
+		s.ripe = w.now + s.floor.Grace.D()
+	}
+	s.under = under
+}
+
+func (w *world) adopt(i, version int) {
+	s := &w.sidecars[i]
+	s.version = version
+	s.actor.Adopt(w.now, lists[version])
+	s.actor.Heard(w.now, w.now)
+	w.look(i)
+}
+
+// check is what has to hold at all times.
+func (w *world) check() error {
+	shut := 0
+	for i := range w.sidecars {
+		s := &w.sidecars[i]
+		v := s.actor.Verdict(w.now)
+		if v.State == Shut {
+			shut++
+			if !s.under {
+				return fmt.Errorf("sidecar %d is shut out, and is up to date", i)
+			}
+			if s.ticket == 0 || w.now >= s.ticket+ticketMost {
+				return fmt.Errorf("sidecar %d is shut out, and nobody has said so for %s", i, w.now-s.ticket)
+			}
+		}
+		if s.under && w.now >= s.ripe && w.now < s.sure && v.Takes() {
+			return fmt.Errorf("sidecar %d acts (%+v) under the floor after its grace, with a ticket", i, v)
+		}
+	}
+	if shut > 1 {
+		return fmt.Errorf("%d of %d are shut out", shut, sidecars)
+	}
+	return nil
+}
+
+// tick lets time go on, and then has each auditor make a round and each sidecar hear of the newest list.
+func (w *world) tick() error {
+	for range 4 {
+		w.now += tick / 4
+		for i := range w.sidecars {
+			if s := &w.sidecars[i]; !s.stopped {
+				s.actor.Beat(w.now)
+			}
+		}
+		if err := w.check(); err != nil {
+			return err
+		}
+	}
+	for n, a := range w.auditors {
+		if a == nil {
+			continue
+		}
+		fleet := make([]Seen, sidecars)
+		for i := range w.sidecars {
+			s := &w.sidecars[i]
+			fleet[i] = Seen{Name: strconv.Itoa(i), Reached: s.links[n] && !s.stopped, At: w.now, Life: lifeOf(s.life), Site: "s", Instances: sidecars,
+				Version: s.actor.now, Floor: s.actor.Floor(w.now), State: s.actor.Verdict(w.now).State}
+		}
+		round := a.Round(w.now, w.now+auditorWall[n], fleet, &Demand{List: lists[w.newest].List, At: w.now})
+		for _, o := range round.Orders {
+			l := late{int(o.Name[0] - '0'), o.Order}
+			if !w.delay[n] {
+				if err := w.deliver(l); err != nil {
+					return err
+				}
+			} else if len(w.pool) < poolMost {
+				w.pool = append(w.pool, l)
+			}
+		}
+		w.delay[n] = false
+	}
+	for i := range w.sidecars {
+		if s := &w.sidecars[i]; !s.stopped && !s.cut {
+			w.adopt(i, w.newest)
+		}
+	}
+	return w.check()
+}
+
+// fault is what may happen between two ticks. It says whether it could happen.
+type fault struct {
+	name string
+	does func(w *world) (bool, error)
+}
+
+func faults() (out []fault) {
+	add := func(name string, does func(w *world) bool) {
+		out = append(out, fault{name, func(w *world) (bool, error) { return does(w), nil }})
+	}
+	for i := range sidecars {
+		add(fmt.Sprint("link of the list service and ", i), func(w *world) bool { w.sidecars[i].cut = !w.sidecars[i].cut; return true })
+		add(fmt.Sprint("stop or go on ", i), func(w *world) bool {
+			s := &w.sidecars[i]
+			s.stopped = !s.stopped
+			if !s.stopped {
+				s.actor.Beat(w.now)
+			}
+			return true
+		})
+		add(fmt.Sprint("restart ", i), func(w *world) bool {
+			epoch, by := w.sidecars[i].actor.Last()
+			w.start(i, w.sidecars[i].version, epoch, by)
+			return true
+		})
+		add(fmt.Sprint("restart without memory ", i), func(w *world) bool { w.start(i, 0, 0, ""); return true })
+		for n := range auditors {
+			add(fmt.Sprint("link of ", auditorName(n), " and ", i), func(w *world) bool { w.sidecars[i].links[n] = !w.sidecars[i].links[n]; return true })
+		}
+	}
+	for n := range auditors {
+		add("begin or die "+auditorName(n), func(w *world) bool {
+			if w.auditors[n] != nil {
+				w.auditors[n] = nil
+			} else {
+				w.auditors[n] = NewAuditor(rulesOf(n), 0)
+			}
+			return true
+		})
+		add("delay orders of "+auditorName(n), func(w *world) bool {
+			had := w.auditors[n] != nil && !w.delay[n]
+			w.delay[n] = true
+			return had
+		})
+	}
+	for j := range poolMost { // what came late stays, to come once more
+		out = append(out, fault{fmt.Sprint("late order ", j), func(w *world) (bool, error) {
+			if j >= len(w.pool) || w.sidecars[w.pool[j].to].stopped {
+				return false, nil
+			}
+			return true, w.deliver(w.pool[j])
+		}})
+	}
+	add("publish", func(w *world) bool { w.newest++; return w.newest < len(lists) })
+	return out
+}
+
+// node is a state and how it was come to.
+type node struct {
+	w      *world
+	faults int
+	before *node
+	did    string
+}
+
+func (n *node) path() string {
+	var did []string
+	for ; n != nil; n = n.before {
+		did = append([]string{n.did}, did...)
+	}
+	return strings.Join(did, "; ")
+}
+
+// search goes through all that can come of a state within so many ticks and with so many faults.
+// In some of them somebody has to be shut out, or nothing has been looked at.
+func search(t *testing.T, root *world, ticks, most int) (states, shut int) {
+	seen := map[uint64]int{} // the least faults with which a state was come to
+	all := faults()
+	layer := []*node{{w: root, did: "begin"}}
+	for range ticks {
+		var next []*node
+		for i := 0; i < len(layer); i++ { // it grows by faults
+			n := layer[i]
+			step := func(did string, faults int, does func(w *world) (bool, error)) {
+				w := n.w.clone()
+				able, err := does(w)
+				if err == nil && able {
+					err = w.check()
+				}
+				m := &node{w, faults, n, did}
+				if err != nil {
+					t.Fatalf("%v\nafter %s", err, m.path())
+				}
+				if !able {
+					return
+				}
+				h := w.hash()
+				if least, ok := seen[h]; ok && least <= faults {
+					return
+				}
+				seen[h] = faults
+				for i := range w.sidecars {
+					if w.sidecars[i].actor.Verdict(w.now).State == Shut {
+						shut++
+					}
+				}
+				if faults > n.faults {
+					layer = append(layer, m)
+				} else {
+					next = append(next, m)
+				}
+			}
+			step("tick", n.faults, func(w *world) (bool, error) { return true, w.tick() })
+			if n.faults < most {
+				for _, f := range all {
+					step(f.name, n.faults+1, f.does)
+				}
+			}
+			n.w = nil
+		}
+		layer = next
+	}
+	return len(seen), shut
+}
+
+// begin is a fleet with the first list, of which those that are cut stay with it when the second one comes. links tells which
+// sidecars each auditor sees; an auditor that sees none has not begun.
+func begin(cut string, links ...string) *world {
+	w := &world{now: 1000 * time.Second, newest: 1}
+	for i := range w.sidecars {
+		w.start(i, 0, 0, "")
+		w.sidecars[i].cut = strings.Contains(cut, strconv.Itoa(i))
+		for n, l := range links {
+			w.sidecars[i].links[n] = strings.Contains(l, strconv.Itoa(i))
+		}
+	}
+	for n, l := range links {
+		if l != "" {
+			w.auditors[n] = NewAuditor(rulesOf(n), 0)
+		}
+	}
+	return w
+}
+
+func TestSearch(t *testing.T) {
+	most := 2
+	if text := os.Getenv("VERSION_FAULTS"); text != "" {
+		most, _ = strconv.Atoi(text)
+	}
+	for _, c := range []struct {
+		name string
+		w    *world
+	}{
+		{"one straggler, one auditor", begin("0", "012", "")},
+		{"one straggler, two auditors", begin("0", "012", "012")},
+		{"two stragglers, a fleet cut in two", begin("01", "02", "12")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			began := time.Now()
+			states, shut := search(t, c.w, 10, most)
+			if t.Logf("%d states, in %d one is shut out, %s", states, shut, time.Since(began)); shut == 0 {
+				t.Error("nobody is ever shut out")
+			}
+		})
+	}
+}
