--- /dev/null
+++ b/internal/version/auditor_test.go
@@ -0,0 +1,275 @@
+package version
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// bench is an auditor and a fleet that takes what it orders at once, and never acts on it.
+type bench struct {
+	a     *Auditor
+	now   time.Duration
+	fleet []Seen
+	d     Demand
+	last  Round
+}
+
+var (
+	oldList = List{Revision: 5, Digest: 1}
+	newList = List{Revision: 6, Digest: 2}
+)
+
+func newBench(n int, share float64) *bench {
+	b := &bench{now: 100 * time.Second, d: Demand{List: newList}}
+	b.a = NewAuditor(Rules{By: "a", Site: "s", Share: share, Grace: 2 * time.Second, For: time.Minute, Raise: true, ShutOut: true}, 0)
+	for i := range n {
+		b.fleet = append(b.fleet, Seen{Name: fmt.Sprintf("%03d", i), Zone: "z", Reached: true, Life: fmt.Sprint("life ", i), Site: "s", Instances: n, State: Acts,
+			Version: Version{List: newList}})
+	}
+	return b
+}
+
+// behind leaves the first n with the old list.
+func (b *bench) behind(n int) *bench {
+	for i := range n {
+		b.fleet[i].Version.List = oldList
+	}
+	return b
+}
+
+// rounds makes one a second and returns who has a ticket after the last one.
+func (b *bench) rounds(n int) (tickets []string) {
+	for range n {
+		b.now += time.Second
+		for i := range b.fleet {
+			b.fleet[i].At = b.now
+		}
+		b.d.At = b.now
+		b.last = b.a.Round(b.now, b.now, b.fleet, &b.d)
+		tickets = nil
+		for _, o := range b.last.Orders {
+			for i := range b.fleet {
+				if s := &b.fleet[i]; s.Name == o.Name && s.Reached {
+					s.Floor, s.Version.Epoch = &o.Order.Floor, o.Order.Floor.Epoch
+				}
+			}
+			if o.Order.Ticket != nil {
+				tickets = append(tickets, o.Name)
+			}
+		}
+	}
+	return tickets
+}
+
+const known18 = int(voteAfter/time.Second) + 2 // rounds after which a fleet counts
+
+// Each case is what a fleet of ten with one straggler and a share of 0.3 gets after a change, and what it would get without.
+func TestTickets(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		change func(b *bench)
+		rounds int
+		want   int
+	}{
+		{"a straggler", func(b *bench) {}, known18, 1},
+		{"a new auditor waits", func(b *bench) {}, known18 - 2, 0},
+		{"not reached", func(b *bench) { b.fleet[0].Reached = false }, known18, 0},
+		{"of another site", func(b *bench) { b.fleet[0].Site = "t" }, known18, 0},
+		{"in its grace", func(b *bench) { b.fleet[0].Version.List = newList; b.rounds(known18); b.behind(1) }, 1, 0},
+		{"after its grace", func(b *bench) { b.fleet[0].Version.List = newList; b.rounds(known18); b.behind(1) }, 4, 1},
+		{"as many as the share", func(b *bench) { b.behind(3) }, known18, 3},
+		{"more than the share are behind", func(b *bench) { b.behind(4) }, known18, 0},
+		{"half was not told to adopt", func(b *bench) { b.behind(5) }, known18, 0},
+		{"a floor that nobody meets", func(b *bench) { b.behind(10) }, known18, 0},
+		{"small zones", func(b *bench) { b.behind(3); b.fleet[0].Zone, b.fleet[1].Zone = "y", "y" }, known18, 1},
+		{"one ticket a zone", func(b *bench) {
+			b.behind(3)
+			for i := range 5 {
+				b.fleet[i].Zone = "y"
+			}
+		}, known18, 1},
+		{"the roster is twice as long", func(b *bench) {
+			b.behind(3)
+			for i := range b.fleet {
+				b.fleet[i].Instances = 5
+			}
+		}, known18, 1},
+		{"the roster is half", func(b *bench) {
+			for i := range b.fleet {
+				b.fleet[i].Instances = 20
+			}
+		}, known18, 0},
+		{"half is reached", func(b *bench) {
+			for i := range 5 {
+				b.fleet[9-i].Reached = false
+			}
+		}, known18, 0},
+		{"more than half is reached", func(b *bench) {
+			for i := range 4 {
+				b.fleet[9-i].Reached = false
+			}
+		}, known18, 1},
+		{"lives that are new", func(b *bench) {
+			b.rounds(known18)
+			for i := range 5 {
+				b.fleet[9-i].Life = fmt.Sprint("new ", i)
+			}
+		}, 1, 0},
+		{"names twice", func(b *bench) {
+			for i := range 5 {
+				b.fleet = append(b.fleet, b.fleet[0], b.fleet[i])
+			}
+		}, known18, 1},
+		{"two names for one", func(b *bench) {
+			for i := range 9 {
+				b.fleet[i].Life = "one"
+			}
+		}, known18, 0},
+		{"a later order", func(b *bench) { b.rounds(known18); b.fleet[5].Version.Epoch = 9 }, 1, 0},
+		{"a later order of the same epoch", func(b *bench) {
+			b.rounds(known18)
+			f := *b.fleet[5].Floor
+			f.By = "b"
+			b.fleet[5].Floor = &f
+		}, 1, 0},
+		{"tickets are not asked for", func(b *bench) { b.a.rules.ShutOut = false }, known18, 0},
+		{"nothing is raised", func(b *bench) { b.a.rules.Raise = false }, known18, 0},
+	} {
+		b := newBench(10, 0.3).behind(1)
+		c.change(b)
+		if got := b.rounds(c.rounds); len(got) != c.want {
+			t.Errorf("%s: tickets for %v, should be %d; %+v", c.name, got, c.want, b.last)
+		}
+	}
+}
+
+// A ticket's number is one sidecar's until it has lapsed for certain, and the share holds meanwhile.
+func TestTicketsAreHeld(t *testing.T) {
+	b := newBench(10, 0.2).behind(2)
+	b.rounds(known18)
+	b.fleet[0].Reached, b.fleet[1].Reached = false, false
+	b.fleet[2].Version.List = oldList
+	if got := b.rounds(int(ticketHeld/time.Second) - 1); len(got) != 0 {
+		t.Errorf("tickets for %v beside two that may be shut out", got)
+	}
+	if got := b.rounds(1); len(got) != 1 || got[0] != "002" {
+		t.Errorf("tickets for %v once those have lapsed", got)
+	}
+}
+
+// An answer that is older than a round gives nobody a ticket.
+func TestOldAnswers(t *testing.T) {
+	b := newBench(10, 0.3).behind(1)
+	b.rounds(known18)
+	if r := b.a.Round(b.now+roundMost, b.now, b.fleet, nil); len(r.Orders) != 1 {
+		t.Errorf("%+v", r.Orders)
+	}
+	if r := b.a.Round(b.now+roundMost+1, b.now, b.fleet, nil); len(r.Orders) != 0 {
+		t.Errorf("%+v", r.Orders)
+	}
+}
+
+// A list service that has restarted counts from 1 again: who has the old one's list is behind, though its revision is later.
+func TestRestartedListService(t *testing.T) {
+	b := newBench(10, 0.3)
+	b.rounds(1)
+	b.d.List = List{Revision: 1, Digest: 3}
+	for i := range 9 {
+		b.fleet[i].Version.List = b.d.List
+	}
+	b.rounds(known18)
+	for i, s := range b.last.Standings {
+		if want := []string{UpToDate, Behind}[i/9]; s.State != want {
+			t.Errorf("%s is %s, should be %s", s.Name, s.State, want)
+		}
+	}
+	if b.last.Floor.lacks(&Version{List: newList}) == "" || b.last.Floor.lacks(&Version{List: List{Revision: 7, Digest: 9}}) != "" {
+		t.Errorf("%+v", b.last.Floor)
+	}
+}
+
+// Floors are raised when the demand changes, but one in a time of grace at most, and anew in half of their time, over the highest epoch known.
+func TestRaise(t *testing.T) {
+	b := newBench(3, 0.5)
+	b.fleet[2].Version.Epoch = 41
+	var at []int
+	epoch := uint64(0)
+	for i := range 100 {
+		if i >= 10 && i < 20 {
+			b.d.List.Revision++
+			b.d.List.Digest++
+		}
+		b.rounds(1)
+		if f := b.last.Floor; f.Epoch != epoch {
+			at, epoch = append(at, i), f.Epoch
+		}
+	}
+	if fmt.Sprint(at) != "[0 10 12 14 16 18 20 50 80]" || epoch != 42+8 || b.a.Epoch() != epoch {
+		t.Errorf("raised at %v, epoch %d", at, epoch)
+	}
+}
+
+// Whoever was not reached, or can't be compared, is not up to date; nor is it behind. A later list than the reference's is met at first; that
+// the list service still has an earlier one when it is asked once more shows it to be of another life.
+func TestStandings(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := newBench(rapid.IntRange(1, 8).Draw(t, "n"), 0.3)
+		for i := range b.fleet {
+			s := &b.fleet[i]
+			s.Reached = rapid.Bool().Draw(t, "reached")
+			s.Site = rapid.SampledFrom([]string{"s", "t"}).Draw(t, "site")
+			s.Version.List = rapid.SampledFrom([]List{oldList, newList, {Revision: 6, Digest: 9}, {Revision: 7, Digest: 9}, {}}).Draw(t, "list")
+			s.Version.Settings = rapid.SampledFrom([]Digest{0, 1, 2}).Draw(t, "settings")
+		}
+		b.d.Settings = rapid.SampledFrom([]Digest{0, 1}).Draw(t, "asked")
+		began := b.now + time.Second
+		b.rounds(3)
+		for i, got := range b.last.Standings {
+			s := b.fleet[i]
+			want := UpToDate
+			switch list := s.Version.List; {
+			case !s.Reached:
+				want = NotReached
+			case s.Site != "s":
+				want = Unknown
+			case list != newList, b.d.Settings != 0 && s.Version.Settings != 1:
+				want = Behind
+			}
+			since := began
+			if s.Version.List.Revision == 7 && (b.d.Settings == 0 || s.Version.Settings == 1) {
+				since += time.Second
+			}
+			if got.State != want || got.Name != s.Name || want == Behind && got.Since != since {
+				t.Fatalf("%+v of %+v, should be %s", got, s, want)
+			}
+		}
+	})
+}
+
+func TestRules(t *testing.T) {
+	good := Rules{By: "a", Site: "s", Share: 0.1, Grace: time.Second, For: time.Minute}
+	if err := good.Check(); err != nil {
+		t.Error(err)
+	}
+	for _, c := range []struct {
+		key  string
+		edit func(r *Rules)
+	}{
+		{"share", func(r *Rules) { r.Share = math.NaN() }},
+		{"share", func(r *Rules) { r.Share = 1.1 }},
+		{"floor.grace_ms", func(r *Rules) { r.Grace = 31 * time.Second }},
+		{"floor.grace_ms", func(r *Rules) { r.Grace = -1e6 }},
+		{"floor.for_ms", func(r *Rules) { r.For = 2 * time.Hour }},
+		{"floor.site", func(r *Rules) { r.Site = "" }},
+	} {
+		r := good
+		c.edit(&r)
+		if err, ok := r.Check().(FaultyKey); !ok || err.Key != c.key {
+			t.Errorf("%+v: %v, should name %s", r, err, c.key)
+		}
+	}
+}
--- a/internal/version/search_test.go
+++ b/internal/version/search_test.go
@@ -4,35 +4,33 @@
 	"encoding/binary"
 	"fmt"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"pgregory.net/rapid"
 )
 
 // The search: a fleet of three, of which one may be shut out, two auditors and three lists, all by the code that is deployed. Each
 // state is tried with each fault, breadth first, up to so many faults and so many ticks; a state that has been seen is not gone
-// into again. What has to hold is looked at after each fault and four times a tick.
+// into again. What has to hold is looked at after each fault and four times a tick. Bigger fleets are played at random.
 const (
-	sidecars = 3
 	auditors = 2
 	tick     = 5 * time.Second
 	poolMost = 3
+	skew     = slack / 2 // of each wall clock, to either side
 )
 
 // lists are what the list service tells, one after the other; the last one after it has restarted and counts from 1 again.
 var lists = [3]Version{{List: List{Revision: 5, Digest: 1}}, {List: List{Revision: 6, Digest: 2}}, {List: List{Revision: 1, Digest: 3}}}
 
-// Wall clocks are as far apart as is allowed for.
-var (
-	sidecarWall = [sidecars]time.Duration{-2500 * time.Millisecond, 2500 * time.Millisecond, 0}
-	auditorWall = [auditors]time.Duration{2500 * time.Millisecond, -2500 * time.Millisecond}
-)
-
 type sidecar struct {
 	actor   Actor
+	zone    string
+	wall    time.Duration // before the true time
 	life    int
 	version int
 	cut     bool // from the list service
@@ -41,6 +39,7 @@
 
 	// What the judge knows, by the orders that the sidecar said it took.
 	floor  *Floor
+	lapses time.Duration
 	under  bool
 	ripe   time.Duration // when the least grace is over of the floors under which it has been since it came under one
 	ticket time.Duration // when the last one was taken; 0 is none of this floor
@@ -51,9 +50,11 @@
 type world struct {
 	now      time.Duration
 	newest   int
-	sidecars [sidecars]sidecar
+	share    float64
+	sidecars []sidecar
 	auditors [auditors]*Auditor // nil: not there
-	delay    [auditors]bool     // its orders of the next round are under way for long
+	walls    [auditors]time.Duration
+	delay    [auditors]bool // its orders of the next round are under way for long
 	pool     []late
 	lives    int
 }
@@ -65,13 +66,13 @@
 
 func auditorName(i int) string { return string(rune('a' + i)) }
 
-func rulesOf(i int) Rules {
-	return Rules{By: auditorName(i), Site: "s", Share: 0.5, Grace: 3 * time.Second, For: 60 * time.Second, Raise: true, ShutOut: true}
+func (w *world) begin(n int) {
+	w.auditors[n] = NewAuditor(Rules{By: auditorName(n), Site: "s", Share: w.share, Grace: 3 * time.Second, For: time.Minute, Raise: true, ShutOut: true}, 0)
 }
 
 func (w *world) clone() *world {
 	c := *w
-	c.pool = append([]late(nil), w.pool...)
+	c.pool, c.sidecars = slices.Clone(w.pool), slices.Clone(w.sidecars)
 	for i, a := range w.auditors {
 		if a == nil {
 			continue
@@ -136,17 +137,17 @@
 		s, a := &w.sidecars[i], &w.sidecars[i].actor
 		num(int64(s.version), int64(a.epoch), int64(len(a.by)))
 		b = append(b, a.by...)
-		yes(s.cut, s.stopped, s.links[0], s.links[1], s.under, a.under, a.waking, a.list.wanted)
+		yes(s.wall > 0, s.cut, s.stopped, s.links[0], s.links[1], s.under, a.under, a.waking, a.list.wanted)
 		floor(s.floor)
 		floor(a.floor)
 		ticket(a.ticket)
-		at(s.ripe, s.ticket, s.sure, a.lapses, a.ripe, a.until, a.beat, a.list.next)
+		at(s.ripe, s.lapses, s.ticket, s.sure, a.lapses, a.ripe, a.until, a.beat, a.list.next)
 		if a.waking {
 			at(a.woke)
 		}
 	}
 	for i, a := range w.auditors {
-		yes(a != nil, w.delay[i])
+		yes(a != nil, w.delay[i], w.walls[i] > 0)
 		if a == nil {
 			continue
 		}
@@ -154,7 +155,7 @@
 		at(a.raised)
 		yes(a.loser != "")
 		floor(a.floor)
-		for j := range sidecars {
+		for j := range w.sidecars {
 			if k := a.known[strconv.Itoa(j)]; k != nil {
 				yes(k.life == lifeOf(w.sidecars[j].life))
 				yes(k.life == "")
@@ -183,7 +184,7 @@
 	s := &w.sidecars[i]
 	w.lives++
 	s.life, s.version, s.stopped, s.floor, s.under, s.ticket, s.sure = w.lives, version, false, nil, false, 0, 0
-	s.actor = *NewActor(w.now, Limits{Site: "s", Share: 0.5, Instances: sidecars, Rank: i}, nil, epoch, by)
+	s.actor = *NewActor(w.now, Limits{Site: "s", Share: w.share, Instances: len(w.sidecars), Rank: i}, nil, epoch, by)
 	s.actor.Adopt(w.now, lists[version])
 }
 
@@ -191,7 +192,7 @@
 func (w *world) deliver(l late) error {
 	s := &w.sidecars[l.to]
 	epoch, by := s.actor.Last()
-	if err := s.actor.Take(w.now, w.now+sidecarWall[l.to], l.o); err != nil {
+	if err := s.actor.Take(w.now, w.now+s.wall, l.o); err != nil {
 		return nil
 	}
 	f := l.o.Floor
@@ -199,14 +200,15 @@
 		return fmt.Errorf("sidecar %d took epoch %d by %s after %d by %s", l.to, f.Epoch, f.By, epoch, by)
 	}
 	if s.floor == nil || compare(f.Epoch, f.By, s.floor.Epoch, s.floor.By) != 0 {
-		s.floor, s.ticket, s.issued, s.sure = &f, 0, 0, 0
+		s.under = s.under && w.now < s.lapses
+		s.floor, s.lapses, s.ticket, s.issued, s.sure = &f, w.now+f.For.D(), 0, 0, 0
 		if end := w.now + f.Grace.D(); s.under {
 			s.ripe = min(s.ripe, end)
 		}
 	}
 	if t := l.o.Ticket; t != nil && t.Issued > s.issued {
 		s.ticket, s.issued, s.sure = w.now, t.Issued, 0
-		if w.now+sidecarWall[l.to]-t.Issued.D() <= slack {
+		if w.now+s.wall-t.Issued.D() <= slack {
 			s.sure = w.now + t.For.D()
 		}
 	}
@@ -218,7 +220,7 @@
 func (w *world) look(i int) {
 	s := &w.sidecars[i]
 	v := lists[s.version].List
-	under := s.floor != nil && v.Digest != s.floor.List && v.Revision <= s.floor.Revision
+	under := s.floor != nil && w.now < s.lapses && v.Digest != s.floor.List && v.Revision <= s.floor.Revision
 	if under && !s.under {
 		s.ripe = w.now + s.floor.Grace.D()
 	}
@@ -235,12 +237,14 @@
 
 // check is what has to hold at all times.
 func (w *world) check() error {
-	shut := 0
+	shut, size, shutIn := 0, map[string]int{}, map[string]int{}
 	for i := range w.sidecars {
 		s := &w.sidecars[i]
+		size[s.zone]++
 		v := s.actor.Verdict(w.now)
 		if v.State == Shut {
 			shut++
+			shutIn[s.zone]++
 			if !s.under {
 				return fmt.Errorf("sidecar %d is shut out, and is up to date", i)
 			}
@@ -248,12 +252,17 @@
 				return fmt.Errorf("sidecar %d is shut out, and nobody has said so for %s", i, w.now-s.ticket)
 			}
 		}
-		if s.under && w.now >= s.ripe && w.now < s.sure && v.Takes() {
+		if s.under && w.now >= s.ripe && w.now < min(s.sure, s.lapses) && v.Takes() {
 			return fmt.Errorf("sidecar %d acts (%+v) under the floor after its grace, with a ticket", i, v)
 		}
 	}
-	if shut > 1 {
-		return fmt.Errorf("%d of %d are shut out", shut, sidecars)
+	if most := min(w.share*float64(len(w.sidecars)), float64(len(w.sidecars)-1)); float64(shut) > most+1e-9 {
+		return fmt.Errorf("%d are shut out, %g may be", shut, most)
+	}
+	for zone, n := range shutIn {
+		if most := w.share * float64(size[zone]); float64(n) > most+1e-9 {
+			return fmt.Errorf("%d are shut out in zone %s, %g may be", n, zone, most)
+		}
 	}
 	return nil
 }
@@ -275,15 +284,16 @@
 		if a == nil {
 			continue
 		}
-		fleet := make([]Seen, sidecars)
+		fleet := make([]Seen, len(w.sidecars))
 		for i := range w.sidecars {
 			s := &w.sidecars[i]
-			fleet[i] = Seen{Name: strconv.Itoa(i), Reached: s.links[n] && !s.stopped, At: w.now, Life: lifeOf(s.life), Site: "s", Instances: sidecars,
+			fleet[i] = Seen{Name: strconv.Itoa(i), Zone: s.zone, Reached: s.links[n] && !s.stopped, At: w.now, Life: lifeOf(s.life), Site: "s", Instances: len(w.sidecars),
 				Version: s.actor.now, Floor: s.actor.Floor(w.now), State: s.actor.Verdict(w.now).State}
 		}
-		round := a.Round(w.now, w.now+auditorWall[n], fleet, &Demand{List: lists[w.newest].List, At: w.now})
+		round := a.Round(w.now, w.now+w.walls[n], fleet, &Demand{List: lists[w.newest].List, At: w.now})
 		for _, o := range round.Orders {
-			l := late{int(o.Name[0] - '0'), o.Order}
+			to, _ := strconv.Atoi(o.Name)
+			l := late{to, o.Order}
 			if !w.delay[n] {
 				if err := w.deliver(l); err != nil {
 					return err
@@ -308,7 +318,7 @@
 	does func(w *world) (bool, error)
 }
 
-func faults() (out []fault) {
+func faults(sidecars int) (out []fault) {
 	add := func(name string, does func(w *world) bool) {
 		out = append(out, fault{name, func(w *world) (bool, error) { return does(w), nil }})
 	}
@@ -328,6 +338,7 @@
 			return true
 		})
 		add(fmt.Sprint("restart without memory ", i), func(w *world) bool { w.start(i, 0, 0, ""); return true })
+		add(fmt.Sprint("set the clock of ", i), func(w *world) bool { w.sidecars[i].wall *= -1; return true })
 		for n := range auditors {
 			add(fmt.Sprint("link of ", auditorName(n), " and ", i), func(w *world) bool { w.sidecars[i].links[n] = !w.sidecars[i].links[n]; return true })
 		}
@@ -337,10 +348,11 @@
 			if w.auditors[n] != nil {
 				w.auditors[n] = nil
 			} else {
-				w.auditors[n] = NewAuditor(rulesOf(n), 0)
+				w.begin(n)
 			}
 			return true
 		})
+		add("set the clock of "+auditorName(n), func(w *world) bool { w.walls[n] *= -1; return w.auditors[n] != nil })
 		add("delay orders of "+auditorName(n), func(w *world) bool {
 			had := w.auditors[n] != nil && !w.delay[n]
 			w.delay[n] = true
@@ -379,7 +391,7 @@
 // In some of them somebody has to be shut out, or nothing has been looked at.
 func search(t *testing.T, root *world, ticks, most int) (states, shut int) {
 	seen := map[uint64]int{} // the least faults with which a state was come to
-	all := faults()
+	all := faults(len(root.sidecars))
 	layer := []*node{{w: root, did: "begin"}}
 	for range ticks {
 		var next []*node
@@ -427,20 +439,21 @@
 	return len(seen), shut
 }
 
-// begin is a fleet with the first list, of which those that are cut stay with it when the second one comes. links tells which
+// fleet is one with the first list, of which those that are cut stay with it when the second one comes. links tells which
 // sidecars each auditor sees; an auditor that sees none has not begun.
-func begin(cut string, links ...string) *world {
-	w := &world{now: 1000 * time.Second, newest: 1}
+func fleet(n, zones int, share float64, cut func(i int) bool, links func(n, i int) bool) *world {
+	w := &world{now: 1000 * time.Second, newest: 1, share: share, sidecars: make([]sidecar, n), walls: [auditors]time.Duration{skew, -skew}}
 	for i := range w.sidecars {
-		w.start(i, 0, 0, "")
-		w.sidecars[i].cut = strings.Contains(cut, strconv.Itoa(i))
-		for n, l := range links {
-			w.sidecars[i].links[n] = strings.Contains(l, strconv.Itoa(i))
+		s := &w.sidecars[i]
+		s.zone, s.wall, s.cut = strconv.Itoa(i%zones), skew, cut(i)
+		if i%2 == 0 {
+			s.wall = -skew
 		}
-	}
-	for n, l := range links {
-		if l != "" {
-			w.auditors[n] = NewAuditor(rulesOf(n), 0)
+		w.start(i, 0, 0, "")
+		for n := range auditors {
+			if s.links[n] = links(n, i); s.links[n] && w.auditors[n] == nil {
+				w.begin(n)
+			}
 		}
 	}
 	return w
@@ -451,20 +464,50 @@
 	if text := os.Getenv("VERSION_FAULTS"); text != "" {
 		most, _ = strconv.Atoi(text)
 	}
-	for _, c := range []struct {
-		name string
-		w    *world
-	}{
-		{"one straggler, one auditor", begin("0", "012", "")},
-		{"one straggler, two auditors", begin("0", "012", "012")},
-		{"two stragglers, a fleet cut in two", begin("01", "02", "12")},
+	for _, c := range []struct{ name, cut, a, b string }{
+		{"one straggler, one auditor", "0", "012", ""},
+		{"one straggler, two auditors", "0", "012", "012"},
+		{"two stragglers, a fleet cut in two", "01", "02", "12"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
+			has := func(of string, i int) bool { return strings.Contains(of, strconv.Itoa(i)) }
+			w := fleet(3, 1, 0.5, func(i int) bool { return has(c.cut, i) }, func(n, i int) bool { return has([]string{c.a, c.b}[n], i) })
 			began := time.Now()
-			states, shut := search(t, c.w, 10, most)
+			states, shut := search(t, w, 10, most)
 			if t.Logf("%d states, in %d one is shut out, %s", states, shut, time.Since(began)); shut == 0 {
 				t.Error("nobody is ever shut out")
 			}
 		})
 	}
 }
+
+// The same holds in bigger fleets with zones, at random.
+func TestFleetAtRandom(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 24).Draw(t, "sidecars")
+		among := func(name string, of int) func(i int) bool {
+			in := rapid.SliceOfN(rapid.IntRange(0, of-1), n, n).Draw(t, name)
+			return func(i int) bool { return in[i] == 0 }
+		}
+		cut, unseen := among("cut", 5), [auditors]func(int) bool{among("unseen by a", 8), among("unseen by b", 2)}
+		w := fleet(n, rapid.IntRange(1, 3).Draw(t, "zones"), float64(rapid.IntRange(0, 10).Draw(t, "share"))/10, cut,
+			func(a, i int) bool { return !unseen[a](i) })
+		all := faults(n)
+		for range rapid.IntRange(1, 30).Draw(t, "ticks") {
+			for range max(0, rapid.IntRange(-3, 3).Draw(t, "faults")) {
+				f := all[rapid.IntRange(0, len(all)-1).Draw(t, "fault")]
+				c := w.clone()
+				able, err := f.does(c)
+				if err == nil && able {
+					w, err = c, c.check()
+				}
+				if err != nil {
+					t.Fatalf("%s: %v", f.name, err)
+				}
+			}
+			if err := w.tick(); err != nil {
+				t.Fatal(err)
+			}
+		}
+	})
+}
