--- a/internal/version/actor.go
+++ b/internal/version/actor.go
@@ -307,7 +307,7 @@
 		switch {
 		case now < end:
 			v.Until = end
-		case l.Closed && l.mayBeAlone():
+		case l.mayBeAlone():
 			return Verdict{State: Shut, Why: "alone", Since: end, Until: Forever, Again: shutAgain}
 		default:
 			v.Why, v.Since = "alone", end
--- a/internal/version/actor_test.go
+++ b/internal/version/actor_test.go
@@ -157,7 +157,7 @@
 					}
 					o.Floor = f
 					if pick("ticket", 4) != 0 {
-						o.Ticket = &Ticket{No: pick("no", 3), Issued: Millis(now / time.Millisecond), For: Millis(1000 * (1 + pick("lasts", 5)))}
+						o.Ticket = &Ticket{No: pick("no", 3), Issued: Millis((now + time.Duration(pick("issued", 18)-11)*s) / time.Millisecond), For: Millis(1000 * (1 + pick("lasts", 5)))}
 					}
 					sent = append(sent, o)
 				}
@@ -270,6 +270,21 @@
 				configs = append(configs, now)
 			}
 		}
+		quarters := [4]int{}
+		for range 200 {
+			b := begin(limits)
+			if err := b.Take(0, 0, Order{Floor: f}); err != nil {
+				t.Fatal(err)
+			}
+			now := time.Duration(0)
+			for !b.Wants(now).List {
+				now += 50 * time.Millisecond
+			}
+			quarters[min(3, now/s)]++
+		}
+		if least := min(quarters[0], quarters[1], quarters[2], quarters[3]); least < 25 {
+			t.Errorf("200 ask first in the quarters of the spread %v times", quarters)
+		}
 		for _, asked := range [][]time.Duration{lists, configs} {
 			if len(asked) < 4 || asked[0] > 4*s {
 				t.Fatalf("asked at %v", asked)
--- a/internal/version/auditor.go
+++ b/internal/version/auditor.go
@@ -372,9 +372,6 @@
 		taken[h.no] = true
 		inZone[h.zone]++
 	}
-	room := func(zone string, more int) bool {
-		return float64(inZone[zone]+more) <= a.rules.Share*float64(zones[zone])+1e-9
-	}
 	out := map[string]*Ticket{}
 	for _, s := range under {
 		h, has := a.held[s.Name]
@@ -383,15 +380,16 @@
 			for taken[h.no] {
 				h.no++
 			}
-			if len(a.held) >= most || !room(h.zone, 1) {
-				continue
-			}
-			taken[h.no] = true
 			inZone[h.zone]++
 		}
-		if h.no >= most || !room(h.zone, 0) {
-			continue // the fleet has become smaller
+		// Both are looked at for a renewal too: the fleet may have become smaller.
+		if h.no >= most || float64(inZone[h.zone]) > a.rules.Share*float64(zones[h.zone])+1e-9 {
+			if !has {
+				inZone[h.zone]--
+			}
+			continue
 		}
+		taken[h.no] = true
 		h.until = now + ticketHeld
 		a.held[s.Name] = h
 		out[s.Name] = &Ticket{h.no, Millis(wall.Milliseconds()), Millis(ticketMost.Milliseconds())}
--- a/internal/version/auditor_test.go
+++ b/internal/version/auditor_test.go
@@ -51,6 +51,7 @@
 		b.d.At = b.now
 		b.last = b.a.Round(b.now, b.now, b.fleet, &b.d)
 		tickets = nil
+		numbers := map[int]bool{}
 		for _, o := range b.last.Orders {
 			for i := range b.fleet {
 				if s := &b.fleet[i]; s.Name == o.Name && s.Reached {
@@ -58,6 +59,10 @@
 				}
 			}
 			if o.Order.Ticket != nil {
+				if no := o.Order.Ticket.No; numbers[no] {
+					panic(fmt.Sprint("two tickets have the number ", no))
+				}
+				numbers[o.Order.Ticket.No] = true
 				tickets = append(tickets, o.Name)
 			}
 		}
@@ -65,7 +70,11 @@
 	return tickets
 }
 
-const known18 = int(voteAfter/time.Second) + 2 // rounds after which a fleet counts
+// The times are written as numbers, so that a change of them shows: a fleet counts after 18 s, from the second round on, and a ticket may be held for 15 s.
+const (
+	known18 = 20
+	held15  = 15
+)
 
 // Each case is what a fleet of ten with one straggler and a share of 0.3 gets after a change, and what it would get without.
 func TestTickets(t *testing.T) {
@@ -85,6 +94,8 @@
 		{"more than the share are behind", func(b *bench) { b.behind(4) }, known18, 0},
 		{"half was not told to adopt", func(b *bench) { b.behind(5) }, known18, 0},
 		{"a floor that nobody meets", func(b *bench) { b.behind(10) }, known18, 0},
+		{"a floor that nobody meets, and all may be shut out", func(b *bench) { b.behind(10); b.a.rules.Share = 1 }, known18, 0},
+		{"those of another site don't meet it", func(b *bench) { b.behind(3); b.fleet[8].Site, b.fleet[9].Site = "t", "t" }, known18, 0},
 		{"small zones", func(b *bench) { b.behind(3); b.fleet[0].Zone, b.fleet[1].Zone = "y", "y" }, known18, 1},
 		{"one ticket a zone", func(b *bench) {
 			b.behind(3)
@@ -119,10 +130,20 @@
 				b.fleet[9-i].Life = fmt.Sprint("new ", i)
 			}
 		}, 1, 0},
+		{"lives that are new, and have forgotten", func(b *bench) {
+			b.rounds(known18)
+			for i := range 5 {
+				s := &b.fleet[9-i]
+				s.Life, s.Floor, s.Version.Epoch = fmt.Sprint("new ", i), nil, 0
+			}
+		}, 1, 0},
 		{"names twice", func(b *bench) {
 			for i := range 5 {
 				b.fleet = append(b.fleet, b.fleet[0], b.fleet[i])
 			}
+			gone := b.fleet[0]
+			gone.Reached = false
+			b.fleet = append([]Seen{gone}, b.fleet...)
 		}, known18, 1},
 		{"two names for one", func(b *bench) {
 			for i := range 9 {
@@ -153,7 +174,7 @@
 	b.rounds(known18)
 	b.fleet[0].Reached, b.fleet[1].Reached = false, false
 	b.fleet[2].Version.List = oldList
-	if got := b.rounds(int(ticketHeld/time.Second) - 1); len(got) != 0 {
+	if got := b.rounds(held15 - 1); len(got) != 0 {
 		t.Errorf("tickets for %v beside two that may be shut out", got)
 	}
 	if got := b.rounds(1); len(got) != 1 || got[0] != "002" {
@@ -161,6 +182,19 @@
 	}
 }
 
+// Who has been under the floor longest gets the ticket that there is.
+func TestLongestFirst(t *testing.T) {
+	b := newBench(10, 0.3)
+	for i := range 5 {
+		b.fleet[i].Zone = "y"
+	}
+	b.fleet[3].Version.List = oldList
+	b.rounds(2)
+	if got := b.behind(1).rounds(known18); len(got) != 1 || got[0] != "003" {
+		t.Errorf("tickets for %v", got)
+	}
+}
+
 // An answer that is older than a round gives nobody a ticket.
 func TestOldAnswers(t *testing.T) {
 	b := newBench(10, 0.3).behind(1)
@@ -190,6 +224,14 @@
 	if b.last.Floor.lacks(&Version{List: newList}) == "" || b.last.Floor.lacks(&Version{List: List{Revision: 7, Digest: 9}}) != "" {
 		t.Errorf("%+v", b.last.Floor)
 	}
+	// But not one that was told since the service was asked.
+	b = newBench(1, 0.3)
+	b.fleet[0].Version.List = List{Revision: 7, Digest: 9}
+	b.rounds(1)
+	b.d.At -= time.Second
+	if r := b.a.Round(b.now, b.now, b.fleet, &b.d); r.Standings[0].State != UpToDate {
+		t.Errorf("%+v", r.Standings)
+	}
 }
 
 // Floors are raised when the demand changes, but one in a time of grace at most, and anew in half of their time, over the highest epoch known.
@@ -227,7 +269,13 @@
 		}
 		b.d.Settings = rapid.SampledFrom([]Digest{0, 1}).Draw(t, "asked")
 		began := b.now + time.Second
-		b.rounds(3)
+		b.rounds(1)
+		for _, o := range b.last.Orders {
+			if s := b.fleet[int(o.Name[2]-'0')]; !s.Reached || s.Site != "s" {
+				t.Fatalf("an order for %+v", s)
+			}
+		}
+		b.rounds(2)
 		for i, got := range b.last.Standings {
 			s := b.fleet[i]
 			want := UpToDate
--- a/internal/version/search_test.go
+++ b/internal/version/search_test.go
@@ -19,7 +19,7 @@
 // into again. What has to hold is looked at after each fault and four times a tick. Bigger fleets are played at random.
 const (
 	auditors = 2
-	tick     = 5 * time.Second
+	tick     = 4 * time.Second // less than a ticket's time, so that one auditor's last and another's first are seen together
 	poolMost = 3
 	skew     = slack / 2 // of each wall clock, to either side
 )
@@ -467,13 +467,13 @@
 	for _, c := range []struct{ name, cut, a, b string }{
 		{"one straggler, one auditor", "0", "012", ""},
 		{"one straggler, two auditors", "0", "012", "012"},
-		{"two stragglers, a fleet cut in two", "01", "02", "12"},
+		{"two stragglers, a fleet cut in two", "01", "02", "1"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			has := func(of string, i int) bool { return strings.Contains(of, strconv.Itoa(i)) }
 			w := fleet(3, 1, 0.5, func(i int) bool { return has(c.cut, i) }, func(n, i int) bool { return has([]string{c.a, c.b}[n], i) })
 			began := time.Now()
-			states, shut := search(t, w, 10, most)
+			states, shut := search(t, w, 11, most)
 			if t.Logf("%d states, in %d one is shut out, %s", states, shut, time.Since(began)); shut == 0 {
 				t.Error("nobody is ever shut out")
 			}
