Refuse a lease that ends between two answers of a list service that is spared

Beside [discovery] a watch waits for news for up to two periods and more: 8 s at 400 instances and 150 calls a second, in which a lease of 6 s would call a healthy sidecar alone. Fits names audit.lease, at SIGHUP too, where the number of instances may have changed. Both checks fail with their mechanism out.

--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"pinelb.example/pinelb/internal/pace"
 	"pinelb.example/pinelb/internal/tomlfile"
 )
 
@@ -102,6 +103,14 @@
 	return nil
 }
 
+// Fleet is the same for the watch of an instance, of whom the settings tell so many.
+func (d *Discovery) Fleet(instances int) pace.Fleet {
+	if d.Instances != 0 {
+		instances = d.Instances
+	}
+	return pace.Fleet{Instances: instances, Rate: d.Calls, Burst: d.Burst, Watch: d.Watch.D()}
+}
+
 // Fleet is the section [fleet]: how the instances of a tier are told apart.
 type Fleet struct {
 	// Numbered says that the settings' rank and number of instances are right, so that upstream hosts are chosen
@@ -206,6 +215,12 @@
 	if o.Audit != nil && c.Control == "" {
 		return fmt.Errorf("config: LB_CONTROL: audit needs an address for operators, which auditors call")
 	}
+	if o.Audit != nil && o.Audit.Lease > 0 && o.Discovery != nil {
+		longest := o.Discovery.Fleet(c.Settings.Instances).Longest().Round(time.Millisecond)
+		if o.Audit.Lease.D() < longest+leastLease {
+			return fmt.Errorf("config: audit.lease must be %s or more: beside [discovery] a call waits for news for up to %s", longest+leastLease, longest)
+		}
+	}
 	if o.Thrift == nil {
 		return nil
 	}
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -106,6 +106,17 @@
 	if err := op.Fits(&Config{Control: "127.0.0.1:1"}); err != nil {
 		t.Error(err)
 	}
+	paced, err := loadOperator(t, "[audit]\nlease = \"6s\"\n[discovery]\ncalls = 150\n")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for instances, fits := range map[int]bool{100: true, 400: false} { // 400 of them wait for news for up to 8 s
+		c := &Config{Control: "127.0.0.1:1"}
+		c.Settings.Instances = instances
+		if err := paced.Fits(c); (err == nil) != fits || err != nil && !strings.Contains(err.Error(), "audit.lease must be 10s") {
+			t.Errorf("a lease of 6 s, %d instances: %v", instances, err)
+		}
+	}
 	of := func(site string) any { return (&Config{Site: site}).Digest() }
 	was := of(`{"rank":3,"locality":1,"classes":[{"aim":9007199254740993,"name":"a"}]}`)
 	if same := of("{ \"locality\":0,\n\"classes\":[{\"name\":\"a\",\"aim\":9007199254740993}], \"rank\":4 }"); same != was {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -29,7 +29,6 @@
 	"pinelb.example/pinelb/internal/effects"
 	"pinelb.example/pinelb/internal/engine"
 	"pinelb.example/pinelb/internal/handover"
-	"pinelb.example/pinelb/internal/pace"
 	"pinelb.example/pinelb/internal/record"
 	"pinelb.example/pinelb/internal/stream"
 	"pinelb.example/pinelb/internal/upstream"
@@ -274,10 +273,7 @@
 // paced is how the list service is asked where the operator's file says that it is one for many. The random numbers are not
 // the seed's alone: sidecars that were given the same one must not ask in the same moments.
 func paced(d *config.Discovery, cfg *config.Config, table *cluster.Table) (*cluster.Paced, *rand.Rand) {
-	p := &cluster.Paced{Whole: d.Whole.D(), Fleet: pace.Fleet{Instances: d.Instances, Rate: d.Calls, Burst: d.Burst, Watch: d.Watch.D()}}
-	if p.Fleet.Instances == 0 {
-		p.Fleet.Instances = cfg.Settings.Instances
-	}
+	p := &cluster.Paced{Whole: d.Whole.D(), Fleet: d.Fleet(cfg.Settings.Instances)}
 	if d.Resume {
 		p.Since = table.Held().List.Revision
 	}
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -47,6 +47,11 @@
 	return time.Duration(float64(max(1, f.Instances)) / f.Rate * float64(time.Second))
 }
 
+// Longest is how long a watch waits for news at most, while the service is quick.
+func (f Fleet) Longest() time.Duration {
+	return min(watchMost, max(f.Watch, time.Duration(float64(f.Period())/restShare))+f.Period())
+}
+
 // window is the time over which first calls are spread: what the service has room for at once need not be.
 func (f Fleet) window() time.Duration {
 	return time.Duration(float64(max(0, f.Instances-f.Burst)) / f.Rate * float64(time.Second))
--- a/internal/pace/pace_test.go
+++ b/internal/pace/pace_test.go
@@ -66,6 +66,8 @@
 			}
 			if w := p.Wait(); w < f.Watch/2 || w > watchMost {
 				t.Fatalf("a watch waits for %s", w)
+			} else if p.rate == 1 && w > f.Longest() {
+				t.Fatalf("a watch waits for %s, longer than the longest, %s", w, f.Longest())
 			}
 		}
 	})
