Look at the gate once more when an attempt has its connection

A process that is stopped while an attempt dials, or waits for a connection of a host whose handshakes are bounded, would send it on waking, before it has asked again. The pool asks Sends between taking a connection and writing, over HTTP and Thrift; without a yes the attempt is moot and the connection is kept. Seen to fail: no question, the connection dropped, the host blamed, Thrift left out.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -166,7 +166,7 @@
 				p.Gate, p.Trail = audit, audit.book
 			}
 		}
-		srv.Gate = audit
+		srv.Gate, pool.Sends = audit, audit.Sends
 		watch.Heard, audit.refresh = audit.listens, watch.Refresh
 	}
 	switch {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -23,6 +23,7 @@
 var (
 	errUnknownHost = errors.New("upstream: the host is not in the cluster")
 	errCrowded     = errors.New("upstream: no connection is free")
+	errHeldBack    = errors.New("upstream: nothing is to be sent at present")
 )
 
 // Pool holds the connections to all upstream hosts of the cluster. Its own requests are HTTP's.
@@ -30,6 +31,9 @@
 	// ConnectOnly is for hosts whose listed ports don't speak HTTP: a probe is a connection that comes up. It
 	// is set before the pool is used.
 	ConnectOnly bool
+	// Sends is asked once a request has its connection, for which it may have waited: without a yes it is never sent. Nil
+	// is yes. It is set before the pool is used.
+	Sends func() bool
 
 	connectTimeout time.Duration
 	idleMost       time.Duration
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -23,7 +23,7 @@
 
 // Do carries out one upstream request on one connection. It never sends it again.
 func (p *Pool) Do(ctx context.Context, id balance.EndpointID, until time.Time, req *stream.Request) (balance.Status, stream.Response) {
-	c, err := p.take(ctx, id, until, purpose{})
+	c, err := p.takeToSend(ctx, id, until, purpose{})
 	if err != nil {
 		return neverSent(ctx, err), stream.Response{Outcome: stream.Failed}
 	}
@@ -54,6 +54,16 @@
 	return status, stream.Response{Outcome: stream.Failed, Tried: a.tried}
 }
 
+// takeToSend takes a connection for a request, which may still go out once that is there.
+func (p *Pool) takeToSend(ctx context.Context, id balance.EndpointID, until time.Time, use purpose) (*conn, error) {
+	c, err := p.take(ctx, id, until, use)
+	if err == nil && p.Sends != nil && !p.Sends() {
+		p.put(c)
+		return nil, errHeldBack
+	}
+	return c, err
+}
+
 // served is what a host has answered.
 func (p *Pool) served(c *conn, a *answer) stream.Response {
 	res := stream.Response{Outcome: stream.Served, MediaType: a.mediaType, Body: a.body, Tried: a.tried}
@@ -213,7 +223,7 @@
 	switch {
 	case ctx.Err() != nil:
 		return balance.Cancelled
-	case errors.Is(err, errUnknownHost), errors.Is(err, errCrowded): // nothing that the host has done
+	case errors.Is(err, errUnknownHost), errors.Is(err, errCrowded), errors.Is(err, errHeldBack): // nothing that the host has done
 		return balance.Moot
 	}
 	return balance.ConnectFailed
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -175,3 +175,30 @@
 		t.Errorf("outcome %d", status)
 	}
 }
+
+// Guards against a request that goes out, or blames its host, although the process was stopped while it waited for its
+// connection: the gate is shut when that is there. The connection is kept.
+func TestHeldBack(t *testing.T) {
+	s := newScripted(t)
+	p := poolFor(s.addr, 2)
+	open := false
+	p.Sends = func() bool { return open }
+	if status, _ := get(p, time.Second); status != balance.Moot {
+		t.Errorf("a request that is held back ends with %d", status)
+	}
+	if idle, opened := counts(p, 1); idle != 1 || opened != 1 {
+		t.Errorf("%d connections of %d are idle, want the one", idle, opened)
+	}
+	call := &stream.Request{Operation: "call", Target: "a", MediaType: framedBinary.MediaType(), Body: []byte{0}}
+	if status, _ := (&Thrift{Pool: p}).Do(context.Background(), 1, time.Now().Add(time.Second), call); status != balance.Moot {
+		t.Errorf("over Thrift one that is held back ends with %d", status)
+	}
+	open = true
+	go func() {
+		a := <-s.arrivals
+		_, _ = a.nc.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"))
+	}()
+	if status, _ := get(p, time.Minute); status != balance.OK {
+		t.Errorf("then one ends with %d", status)
+	}
+}
