--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"pinelb.example/pinelb/internal/pace"
 	"pinelb.example/pinelb/internal/tomlfile"
 )
 
@@ -21,6 +22,7 @@
 	Thrift    *Thrift    `toml:"thrift"`
 	Budget    *Budget    `toml:"budget"`
 	State     *State     `toml:"state"`
+	Audit     *Audit     `toml:"audit"`
 }
 
 // State is the section [state]: what a process knows is kept on the disk, for the one that comes after it.
@@ -101,6 +103,14 @@
 	return nil
 }
 
+// Fleet is the same for the watch of an instance, of whom the settings tell so many.
+func (d *Discovery) Fleet(instances int) pace.Fleet {
+	if d.Instances != 0 {
+		instances = d.Instances
+	}
+	return pace.Fleet{Instances: instances, Rate: d.Calls, Burst: d.Burst, Watch: d.Watch.D()}
+}
+
 // Fleet is the section [fleet]: how the instances of a tier are told apart.
 type Fleet struct {
 	// Numbered says that the settings' rank and number of instances are right, so that upstream hosts are chosen
@@ -189,6 +199,10 @@
 	if err == nil && op.State != nil {
 		err = op.State.check(file)
 	}
+	if err == nil && op.Audit != nil {
+		err = op.Audit.check(file)
+		op.Audit.File = DigestOf(data)
+	}
 	if err != nil {
 		return nil, err // it begins with the file and the line
 	}
@@ -198,6 +212,15 @@
 // Fits names the first key that can't be used beside the platform's configuration, such as a class that its
 // settings lack.
 func (o *Operator) Fits(c *Config) error {
+	if o.Audit != nil && c.Control == "" {
+		return fmt.Errorf("config: LB_CONTROL: audit needs an address for operators, which auditors call")
+	}
+	if o.Audit != nil && o.Audit.Lease > 0 && o.Discovery != nil {
+		longest := o.Discovery.Fleet(c.Settings.Instances).Longest().Round(time.Millisecond)
+		if o.Audit.Lease.D() < longest+leastLease {
+			return fmt.Errorf("config: audit.lease must be %s or more: beside [discovery] a call waits for news for up to %s", longest+leastLease, longest)
+		}
+	}
 	if o.Thrift == nil {
 		return nil
 	}
