--- a/internal/version/version.go
+++ b/internal/version/version.go
@@ -77,7 +77,7 @@
 type Ticket struct {
 	No     int    `json:"no"`        // from 0; each number is one sidecar's at a time
 	Issued Millis `json:"issued_ms"` // Unix time by the auditor's clock
-	For    Millis `json:"for_ms"`    // it lapses after that, unless it comes anew
+	For    Millis `json:"for_ms"`    // it lapses after that, unless it comes anew; 5 s at most
 }
 
 // Order is what an auditor tells one sidecar.
