--- a/internal/trail/book.go
+++ b/internal/trail/book.go
@@ -4,7 +4,6 @@
 	"encoding/json"
 	"reflect"
 	"slices"
-	"strings"
 	"sync"
 
 	"pinelb.example/pinelb/internal/durable"
@@ -127,7 +126,7 @@
 }
 
 // clip keeps what comes from outside from filling the ring.
-func clip(s string) string { return strings.ToValidUTF8(s[:min(len(s), textMost)], "") }
+func clip(s string) string { return s[:min(len(s), textMost)] }
 
 // Flush notes the attempts since the last time, where there were any.
 func (b *Book) Flush() {
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -184,6 +184,48 @@
 	}
 }
 
+// Guards against attempts that are told after what ended them, or in no entry, and against a late one under another number.
+func TestCountsComeBeforeTheNext(t *testing.T) {
+	b := book("a", nil)
+	list(b, 1)
+	b.Sent(1, 0, 7, false)
+	list(b, 2)
+	b.Sent(2, 0, 7, true)
+	b.Ended(1, 0, 7, false, true)
+	b.Note(Entry{Kind: Ended})
+	said := ""
+	for _, e := range b.Past() {
+		said += fmt.Sprintf("%s %d %v %d\n", e.Kind, e.Under, e.Attempts, e.Crossed)
+	}
+	want := "began 0 [] 0\nadopted 1 [] 0\ncounted 1 [{class0 host-7 1 0 0}] 0\nadopted 2 [] 0\n" +
+		"counted 1 [{class0 host-7 0 0 1}] 0\ncounted 2 [{class0 host-7 1 0 0}] 1\nended 0 [] 0\n"
+	if said != want {
+		t.Errorf("%s, not %s", said, want)
+	}
+}
+
+// Guards against a process that takes an order which a former one would not have.
+func TestLastOrder(t *testing.T) {
+	entry := func(epoch uint64, by, why string) Entry {
+		return Entry{Kind: Ordered, Why: why, Order: &version.Order{Floor: version.Floor{Epoch: epoch, By: by}}}
+	}
+	adopted := Entry{Kind: Adopted, Version: &version.Version{Epoch: 8}}
+	for _, c := range []struct {
+		entries []Entry
+		epoch   uint64
+		by      string
+	}{
+		{nil, 0, ""},
+		{[]Entry{entry(5, "a", ""), entry(5, "b", ""), entry(5, "a", ""), entry(4, "c", ""), entry(9, "c", "another site's")}, 5, "b"},
+		{[]Entry{entry(5, "b", ""), adopted, entry(7, "c", "")}, 8, ""},
+		{[]Entry{adopted, entry(8, "a", "")}, 8, "a"},
+	} {
+		if epoch, by := LastOrder(c.entries); epoch != c.epoch || by != c.by {
+			t.Errorf("%d by %q, not %d by %q", epoch, by, c.epoch, c.by)
+		}
+	}
+}
+
 // Guards against a nil book that does not let changes through.
 func TestNoBook(t *testing.T) {
 	var b *Book
@@ -282,6 +324,7 @@
 	locks map[string]bool     // by other processes
 	steps int                 // until all fails; below 0: never
 	block chan struct{}       // writes wait for it; nil: they don't
+	made  int                 // files that were begun, or not for want of room
 }
 
 type content struct{ sure, text []byte }
@@ -303,8 +346,12 @@
 func (d *disk) Create(name string) (durable.File, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.made++
+	if err := d.step(); err != nil {
+		return nil, err
+	}
 	d.files[name] = &content{}
-	return &opened{d, d.files[name]}, d.step()
+	return &opened{d, d.files[name]}, nil
 }
 
 func (d *disk) Read(name string, most int64) ([]byte, error) {
@@ -525,9 +572,9 @@
 	d.steps = 0
 	d.mu.Unlock()
 	close(d.block)
-	for d.lacks(b) { // it fails, and is tried again in a second
+	for d.lacks(b) { // it fails, and is tried again each second
 		d.mu.Lock()
-		if len(said) > 0 {
+		if d.made > 1 {
 			d.steps = -1
 		}
 		d.mu.Unlock()
@@ -586,7 +633,7 @@
 		past, _, _ := Load(d)
 		b := book("0", past)
 		f := writer(d, b)
-		kept := map[uint64]int{} // numbers of entries that were synced, by life
+		kept := map[string]int{} // sums of entries that were synced, by life
 		for life := range rapid.IntRange(1, 12).Draw(t, "lives") {
 			renew := true
 			for i := range rapid.IntRange(0, 5).Draw(t, "notes") {
@@ -596,7 +643,7 @@
 						t.Fatal(err)
 					}
 					renew = false
-					kept[b.last.Seq] = life
+					kept[b.last.Sum] = life
 				}
 			}
 			next := fmt.Sprint(life + 1)
@@ -618,7 +665,7 @@
 				if err := former.write(former.file == nil); err != nil {
 					t.Fatal(err)
 				}
-				kept[former.Book.last.Seq] = life
+				kept[former.Book.last.Sum] = life
 				d.locks = map[string]bool{}
 				continue
 			}
@@ -633,9 +680,9 @@
 		if faults != nil {
 			t.Fatal(faults)
 		}
-		for seq := range kept {
-			if !slices.ContainsFunc(got, func(e Entry) bool { return e.Seq == seq }) {
-				t.Fatalf("entry %d was kept and is gone", seq)
+		for sum, life := range kept {
+			if !slices.ContainsFunc(got, func(e Entry) bool { return e.Sum == sum }) {
+				t.Fatalf("an entry of life %d was kept and is gone", life)
 			}
 		}
 	})
