Remove a trail's file that could not be begun: tries each second filled a disk

Where the directory can't be synced but all else works, each try left a file of up to 1 MiB under its name. Tried with the removal taken out: TestTriedAgainFillsNoDisk fails.

--- a/internal/trail/file.go
+++ b/internal/trail/file.go
@@ -200,15 +200,16 @@
 	if _, err = file.Write(text); err == nil {
 		err = file.Sync()
 	}
-	name := fmt.Sprintf("%s%09d", fileName, high+1)
+	at, name := freshName, fmt.Sprintf("%s%09d", fileName, high+1)
 	if err == nil {
 		err = f.Disk.Rename(freshName, name)
 	}
 	if err == nil {
+		at = name
 		err = f.Disk.Sync()
 	}
-	if err != nil {
-		return errors.Join(err, file.Close())
+	if err != nil { // what is tried again each second must not fill the disk
+		return errors.Join(err, file.Close(), f.Disk.Remove(at))
 	}
 	if f.file != nil {
 		_ = f.file.Close()
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -324,6 +324,7 @@
 	locks map[string]bool     // by other processes
 	steps int                 // until all fails; below 0: never
 	block chan struct{}       // writes wait for it; nil: they don't
+	odd   bool                // the directory can't be synced, and all else works
 	made  int                 // files that were begun, or not for want of room
 }
 
@@ -393,8 +394,8 @@
 func (d *disk) Sync() error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if err := d.step(); err != nil {
-		return err
+	if err := d.step(); err != nil || d.odd {
+		return errDisk
 	}
 	d.sure = maps.Clone(d.files)
 	return nil
@@ -688,6 +689,25 @@
 	})
 }
 
+// Guards against a disk that is filled by files that are tried again, and against a trail that they push out.
+func TestTriedAgainFillsNoDisk(t *testing.T) {
+	d := newDisk(-1)
+	b := book("a", nil)
+	f := writer(d, b)
+	if err := f.write(true); err != nil {
+		t.Fatal(err)
+	}
+	d.odd = true
+	for range 5 {
+		if f.write(true) == nil {
+			t.Fatal("a directory that is not synced will do")
+		}
+	}
+	if all, _ := d.Names(); len(all) != 1 {
+		t.Errorf("%q", all)
+	}
+}
+
 // Guards against files that grow or become many, and against locks and files that the operating system's disk leaves.
 func TestRotation(t *testing.T) {
 	path := t.TempDir()
