--- /dev/null
+++ b/internal/audit/ask.go
@@ -0,0 +1,191 @@
+package audit
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"pinelb.example/pinelb/internal/cluster"
+	"pinelb.example/pinelb/internal/trail"
+	"pinelb.example/pinelb/internal/version"
+)
+
+const (
+	answerMost = 256 << 10 // bytes: what a sidecar may have the audit hold, times those asked at a time
+	headMost   = 16 << 10
+	listMost   = 8 << 20 // bytes of the list service's answer, as sidecars have it
+	pagesMost  = 8       // calls in a row at one sidecar, for the rest of a long trail
+)
+
+// Asker asks sidecars and the list service. It keeps no connection: operators' listeners take one call to each.
+type Asker struct {
+	AtATime int           // sidecars, and so connections; 256 is a fair number
+	Within  time.Duration // a call at most
+	client  *http.Client
+}
+
+// NewAsker returns one. Close it in the end.
+func NewAsker(atATime int, within time.Duration) *Asker {
+	return &Asker{AtATime: atATime, Within: within, client: &http.Client{
+		Transport: &http.Transport{DialContext: (&net.Dialer{}).DialContext, DisableKeepAlives: true, DisableCompression: true,
+			MaxResponseHeaderBytes: headMost},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+}
+
+// Close gives up what is left of connections.
+func (a *Asker) Close() { a.client.CloseIdleConnections() }
+
+// Question is what one sidecar is asked.
+type Question struct {
+	Addr  string
+	Since uint64         // of its trail; an entry that is held already is asked for again, to see whether it is the same
+	Last  time.Duration  // that the call took the last time
+	Order *version.Order // to be given before; nil is none
+}
+
+// Answer is what came of it.
+type Answer struct {
+	Report  *trail.Report  // with the entries of all its pages; nil: not reached
+	Middle  version.Millis // of the last call, Unix time by the auditor's clock
+	Within  version.Millis // of which the sidecar's Now is known: half of that call
+	Took    time.Duration
+	Err     error // why it was not reached
+	Refused error // why the order was not taken; nil where there was none
+}
+
+// Ask asks them all, so many at a time, and returns the answers in the questions' order. The end of ctx ends it: who had
+// not answered then counts as not reached.
+func (a *Asker) Ask(ctx context.Context, questions []Question) []Answer {
+	answers := make([]Answer, len(questions))
+	took := make([]time.Duration, len(questions))
+	for i, q := range questions {
+		took[i] = q.Last
+	}
+	due := newTurns(took, max(1, a.AtATime))
+	ended := make(chan struct{}, len(questions))
+	for left := len(questions); left > 0; left-- {
+		for who, ok := due.next(); ok; who, ok = due.next() {
+			go func() {
+				answers[who] = a.one(ctx, questions[who])
+				ended <- struct{}{}
+			}()
+		}
+		<-ended
+		due.ended()
+	}
+	return answers
+}
+
+// one gives a sidecar its order, if there is one, and asks for its trail's new entries, page by page.
+func (a *Asker) one(ctx context.Context, q Question) (out Answer) {
+	began := time.Now()
+	defer func() { out.Took = time.Since(began) }()
+	ctx, cancel := context.WithTimeout(ctx, a.Within)
+	defer cancel()
+	if q.Order != nil {
+		out.Refused = a.order(ctx, q.Addr, *q.Order)
+	}
+	since, anew := max(1, q.Since), false
+	for range pagesMost {
+		from := time.Now()
+		text, err := a.call(ctx, http.MethodGet, fmt.Sprintf("http://%s/admin/audit?since=%d", q.Addr, since), nil, answerMost)
+		half := time.Since(from) / 2
+		var r *trail.Report
+		if err == nil {
+			r, err = parseReport(text)
+		}
+		if err != nil {
+			if out.Report == nil {
+				out.Err = err
+			}
+			return out // the rest of the trail comes the next time
+		}
+		out.Middle, out.Within = millis(from.Add(half)), version.Millis(half.Milliseconds()+1)
+		if r.Next < since && !anew { // a trail that has begun anew is shorter
+			since, anew = 1, true
+			continue
+		}
+		if out.Report != nil {
+			r.Entries = append(out.Report.Entries, r.Entries...)
+			r.Entries = r.Entries[max(0, len(r.Entries)-entriesMost):]
+		}
+		out.Report = r
+		if len(text) < answerMost/2 || r.Next <= since {
+			return out
+		}
+		since = r.Next
+	}
+	return out
+}
+
+// order gives an order.
+func (a *Asker) order(ctx context.Context, addr string, o version.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return fmt.Errorf("audit: order: %w", err)
+	}
+	_, err = a.call(ctx, http.MethodPost, "http://"+addr+"/admin/floor", body, answerMost)
+	return err
+}
+
+// List asks the list service what it tells now.
+func (a *Asker) List(ctx context.Context, addr string) (version.List, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.Within)
+	defer cancel()
+	text, err := a.call(ctx, http.MethodGet, "http://"+addr+"/catalog/members", nil, listMost)
+	if err != nil {
+		return version.List{}, err
+	}
+	if !gjson.ValidBytes(text) {
+		return version.List{}, fmt.Errorf("audit: the list service's %d bytes are no JSON", len(text))
+	}
+	l, err := cluster.ParseList(gjson.ParseBytes(text))
+	if err == nil && !l.Complete {
+		err = errors.New("audit: the list service tells a part of its list alone")
+	}
+	if err != nil {
+		return version.List{}, err
+	}
+	return version.List{From: addr, Revision: l.Revision, Digest: l.Digest()}, nil
+}
+
+// call makes a call. An answer that is not 200 or longer than most is an error.
+func (a *Asker) call(ctx context.Context, method, url string, body []byte, most int64) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("audit: %w", err)
+	}
+	res, err := a.client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("audit: %w", err)
+	}
+	defer res.Body.Close()
+	text, err := readMost(res.Body, most)
+	if err != nil {
+		return nil, fmt.Errorf("audit: answer: %w", err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("audit: answer %d: %.100q", res.StatusCode, bytes.TrimSpace(text))
+	}
+	return text, nil
+}
+
+// readMost reads all of r, which may have so many bytes at most.
+func readMost(r io.Reader, most int64) ([]byte, error) {
+	text, err := io.ReadAll(io.LimitReader(r, most+1))
+	if err == nil && int64(len(text)) > most {
+		err = fmt.Errorf("longer than %d bytes", most)
+	}
+	return text, err
+}
+
+func millis(t time.Time) version.Millis { return version.Millis(t.UnixMilli()) }
--- /dev/null
+++ b/internal/audit/ask_test.go
@@ -0,0 +1,235 @@
+package audit
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"pinelb.example/pinelb/internal/trail"
+	"pinelb.example/pinelb/internal/version"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// sidecarAt is a stand-in for a sidecar's operators' listener.
+func sidecarAt(t testing.TB, answer http.HandlerFunc) string {
+	t.Helper()
+	s := httptest.NewServer(answer)
+	s.Config.ErrorLog = nil
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// hanging is the address of a listener that takes connections, and never says anything.
+func hanging(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	return l.Addr().String()
+}
+
+// dead is an address at which nobody listens.
+func dead(t testing.TB) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// says answers with a report.
+func says(r trail.Report) http.HandlerFunc {
+	text, err := json.Marshal(r)
+	return func(w http.ResponseWriter, _ *http.Request) {
+		if err != nil {
+			w.WriteHeader(http.StatusInternalServerError)
+		}
+		_, _ = w.Write(text)
+	}
+}
+
+// fleetOf is questions at stand-ins, of which 5% are dead and 5% hang, and how many were asked at once at most.
+func fleetOf(t testing.TB, fleet int) ([]Question, *atomic.Int64) {
+	now, most := new(atomic.Int64), new(atomic.Int64)
+	questions := make([]Question, fleet)
+	for i := range questions {
+		switch i % 20 {
+		case 7:
+			questions[i].Addr = dead(t)
+		case 13:
+			questions[i].Addr = hanging(t)
+		default:
+			answer := says(trail.Report{Name: fmt.Sprint(i), Next: 1, First: 1})
+			questions[i].Addr = sidecarAt(t, func(w http.ResponseWriter, r *http.Request) {
+				n := now.Add(1)
+				defer now.Add(-1)
+				for old := most.Load(); n > old && !most.CompareAndSwap(old, n); old = most.Load() {
+				}
+				answer(w, r)
+			})
+		}
+	}
+	return questions, most
+}
+
+// Guards against an audit that a few dead or hanging sidecars hold up, and one that opens connections without bound. The
+// time is half of what those that hang take one after the other; what it is on a machine at rest is the benchmark's.
+func TestAsksManyAtOnce(t *testing.T) {
+	const fleet, atATime, within = 100, 32, 4 * time.Second
+	questions, most := fleetOf(t, fleet)
+	a := NewAsker(atATime, within)
+	defer a.Close()
+	began := time.Now()
+	answers := a.Ask(t.Context(), questions)
+	if took := time.Since(began); took >= fleet/20*within/2 {
+		t.Errorf("took %v", took)
+	}
+	if most.Load() > atATime {
+		t.Errorf("%d connections at once, %d at most", most.Load(), atATime)
+	}
+	for i, got := range answers {
+		if well := i%20 != 7 && i%20 != 13; well != (got.Report != nil) || well && got.Report.Name != fmt.Sprint(i) || !well && got.Err == nil {
+			t.Errorf("sidecar %d: %+v", i, got)
+		}
+	}
+}
+
+func BenchmarkAsk400(b *testing.B) {
+	questions, _ := fleetOf(b, 400)
+	a := NewAsker(256, time.Second)
+	defer a.Close()
+	for b.Loop() {
+		reached := 0
+		for _, got := range a.Ask(b.Context(), questions) {
+			if got.Report != nil {
+				reached++
+			}
+		}
+		b.ReportMetric(float64(reached), "reached")
+	}
+}
+
+// Guards against calls that outlast their context.
+func TestAskEnds(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	addr := sidecarAt(t, func(_ http.ResponseWriter, r *http.Request) {
+		cancel()
+		<-r.Context().Done()
+	})
+	a := NewAsker(2, time.Hour)
+	defer a.Close()
+	for _, got := range a.Ask(ctx, []Question{{Addr: addr}, {Addr: addr}, {Addr: addr}}) {
+		if got.Report != nil || got.Err == nil {
+			t.Errorf("%+v", got)
+		}
+	}
+}
+
+// Guards against answers that are taken for reports, and answers without bound.
+func TestFaultyAnswers(t *testing.T) {
+	a := NewAsker(1, 10*time.Second)
+	defer a.Close()
+	for name, c := range map[string]struct {
+		answer http.HandlerFunc
+		want   string
+	}{
+		"long": {func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = w.Write([]byte(`{"name":"` + strings.Repeat("x", answerMost) + `"}`))
+		}, "longer than 262144 bytes"},
+		"no audit": {func(w http.ResponseWriter, _ *http.Request) {
+			http.Error(w, "unknown path: there are", http.StatusNotFound)
+		}, "answer 404"},
+		"no JSON": {func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok")) }, "report"},
+		"moved": {func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "http://"+r.Host+"/elsewhere", http.StatusFound)
+		}, "answer 302"},
+	} {
+		got := a.Ask(t.Context(), []Question{{Addr: sidecarAt(t, c.answer)}})[0]
+		if got.Report != nil || got.Err == nil || !strings.Contains(got.Err.Error(), c.want) {
+			t.Errorf("%s: %v, want %q", name, got.Err, c.want)
+		}
+	}
+}
+
+// Guards against orders that are lost, or refused unseen, and trails of which only the beginning is read.
+func TestOrdersAndPages(t *testing.T) {
+	var orders, pages atomic.Int64
+	addr := sidecarAt(t, func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodPost {
+			orders.Add(1)
+			var o version.Order
+			if err := json.NewDecoder(r.Body).Decode(&o); err != nil || r.URL.Path != "/admin/floor" || o.Floor.Epoch != 7 {
+				t.Errorf("%s: %+v, %v", r.URL, o, err)
+			}
+			http.Error(w, "an older epoch", http.StatusConflict)
+			return
+		}
+		pages.Add(1)
+		var since uint64
+		_, _ = fmt.Sscanf(r.URL.RawQuery, "since=%d", &since)
+		rep := trail.Report{Next: since + 1, First: 1}
+		if since < 4 {
+			rep.Entries = []trail.Entry{{Seq: since, Why: strings.Repeat("x", answerMost/2)}}
+		}
+		says(rep)(w, r)
+	})
+	a := NewAsker(1, 10*time.Second)
+	defer a.Close()
+	got := a.Ask(t.Context(), []Question{{Addr: addr, Since: 2, Order: &version.Order{Floor: version.Floor{Epoch: 7}}}})[0]
+	if got.Refused == nil || !strings.Contains(got.Refused.Error(), "409") || orders.Load() != 1 {
+		t.Errorf("%d orders, %v", orders.Load(), got.Refused)
+	}
+	if got.Report == nil || len(got.Report.Entries) != 2 || got.Report.Next != 5 || pages.Load() != 3 {
+		t.Errorf("%d pages, %+v", pages.Load(), got)
+	}
+}
+
+// Guards against rounds that grow with the fleet times the time-out, in virtual time: of 5,000 sidecars 5% don't answer, and
+// 5% take connections and say nothing. Where that is known from the round before they begin it.
+func TestTurns(t *testing.T) {
+	const fleet, atATime = 5000, 256
+	takes := make([]time.Duration, fleet)
+	for i := range takes {
+		takes[i] = 5 * time.Millisecond
+		if i >= fleet*9/10 { // the last of the roster: the worst order
+			takes[i] = time.Second
+		}
+	}
+	round := func(last []time.Duration) (end time.Duration, most int) {
+		due := newTurns(last, atATime)
+		var under []time.Duration // when calls end, in order
+		for now := time.Duration(0); ; {
+			for who, ok := due.next(); ok; who, ok = due.next() {
+				at, _ := slices.BinarySearch(under, now+takes[who])
+				under = slices.Insert(under, at, now+takes[who])
+			}
+			most = max(most, len(under))
+			if len(under) == 0 {
+				return now, most
+			}
+			now, under = under[0], under[1:]
+			due.ended()
+		}
+	}
+	first, most := round(make([]time.Duration, fleet))
+	second, _ := round(takes)
+	t.Logf("first round %v, the next %v", first, second)
+	if first > 2100*time.Millisecond || second > 2100*time.Millisecond || second > first || most != atATime {
+		t.Errorf("%v, then %v; %d at once", first, second, most)
+	}
+}
--- /dev/null
+++ b/internal/audit/roster.go
@@ -0,0 +1,78 @@
+// Package audit asks a fleet of sidecars which version each acts on, merges their trails into one history, and says who is
+// behind and where trails contradict each other. Who is behind, and what is ordered, is decided by internal/version.
+package audit
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+
+	"pinelb.example/pinelb/internal/tomlfile"
+)
+
+const (
+	rosterMost = 16 << 20 // bytes
+	listedMost = 20_000   // sidecars: what is kept of each is bounded, and so is what is kept of all
+	nameMost   = 256      // bytes, as operators' calls have it
+)
+
+// Sidecar is one that the roster lists.
+type Sidecar struct {
+	Name string // its own, as its configuration has it
+	Addr string // where operators call it
+	Zone string // "" is as it says itself
+	Dir  string // its [state] directory, to be read if it can't be asked; "" is none
+}
+
+// Roster is whom to ask.
+type Roster struct {
+	Sidecars []Sidecar // each name once
+	Faults   []string  // what stands twice; it is part of what an audit finds, and ends none
+}
+
+// ReadRoster reads a roster's file. The error names the file, the line and the key.
+func ReadRoster(path string) (*Roster, error) {
+	f, err := os.Open(path)
+	if err != nil {
+		return nil, fmt.Errorf("audit: roster: %w", err)
+	}
+	defer f.Close()
+	text, err := readMost(f, rosterMost)
+	if err != nil {
+		return nil, fmt.Errorf("audit: roster: %s: %w", path, err)
+	}
+	return ParseRoster(path, text)
+}
+
+// ParseRoster reads a roster: tables [[sidecar]] with name, addr and, where they are known, zone and dir.
+func ParseRoster(file string, text []byte) (*Roster, error) {
+	var v struct{ Sidecar []Sidecar }
+	f, err := tomlfile.Decode(file, text, &v)
+	if err != nil {
+		return nil, err
+	}
+	if n := len(v.Sidecar); n == 0 || n > listedMost {
+		return nil, f.Fault("sidecar", "lists %d sidecars: must be 1 to %d", n, listedMost)
+	}
+	r := &Roster{}
+	names, addrs := map[string]int{}, map[string]int{}
+	for i, s := range v.Sidecar {
+		key := func(name string) string { return fmt.Sprintf("sidecar[%d].%s", i, name) }
+		if s.Name == "" || len(s.Name) > nameMost {
+			return nil, f.Fault(key("name"), "must have 1 to %d bytes", nameMost)
+		}
+		if at, err := netip.ParseAddrPort(s.Addr); err != nil || at.Port() == 0 {
+			return nil, f.Fault(key("addr"), "must be an address and port, not %q", s.Addr)
+		}
+		if first, twice := addrs[s.Addr]; twice && v.Sidecar[first].Name != s.Name {
+			r.Faults = append(r.Faults, fmt.Sprintf("address %s is listed for %s and for %s", s.Addr, v.Sidecar[first].Name, s.Name))
+		}
+		if first, twice := names[s.Name]; twice { // judged once, as the first says, or the fleet would seem larger than it is
+			r.Faults = append(r.Faults, fmt.Sprintf("%s is listed twice, at %s and at %s: the first counts", s.Name, v.Sidecar[first].Addr, s.Addr))
+			continue
+		}
+		names[s.Name], addrs[s.Addr] = i, i
+		r.Sidecars = append(r.Sidecars, s)
+	}
+	return r, nil
+}
--- a/internal/trail/entry.go
+++ b/internal/trail/entry.go
@@ -59,7 +59,8 @@
 	Rank      int             `json:"rank"`
 	Instances int             `json:"instances"` // as its settings tell
 	Life      string          `json:"life"`
-	Now       version.Millis  `json:"now_ms"` // Unix time by its wall clock
+	Now       version.Millis  `json:"now_ms"`          // Unix time by its wall clock
+	Up        version.Millis  `json:"up_ms,omitempty"` // by the clock since its machine's start, as entries have it; 0 is not known
 	Version   version.Version `json:"version"`
 	Under     uint32          `json:"under"`
 	Since     version.Millis  `json:"since_ms"`          // for how long it has acted on that
