Audit a fleet round by round: who is behind, floors and tickets, table, JSON lines and a page

A round asks the list service (or takes the list adopted last as the reference), asks all sidecars, merges their trails, has version.Auditor judge, gives its orders at once and shows the whole: a table, JSON lines, a page without scripts. What was gathered is kept in a file that is replaced whole; dead sidecars' directories are read where they can't be asked. Who answers under another name was not reached. pinelb audit is arguments and exit statuses.

--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -28,7 +28,8 @@
 			File string `arg:"" placeholder:"FILE" help:"A snapshot, or a journal of effects, in the directory that [state] names."`
 		} `cmd:"" help:"Show what a file holds, and how old each part is. The exit status is 2 where it can't be read."`
 	} `cmd:"" help:"What a process has left for the one after it."`
-	Version struct{} `cmd:"" help:"Print the version, and what it was built from and with."`
+	Audit   auditLine `cmd:"" help:"Ask a fleet of sidecars which version each acts on. The exit status is 0 where all are up to date, 1 where not, 2 where an argument or a file is faulty, and 3 where nobody was reached."`
+	Version struct{}  `cmd:"" help:"Print the version, and what it was built from and with."`
 }
 
 func main() {
@@ -58,6 +59,8 @@
 		return show(line.State.Show.File, os.Stdout)
 	case "check":
 		return check(line.Check.File, line.Check.Platform)
+	case "audit":
+		return runAudit(&line.Audit)
 	case "version":
 		fmt.Println(version())
 		return 0
--- a/internal/audit/ask.go
+++ b/internal/audit/ask.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -47,7 +48,8 @@
 // Question is what one sidecar is asked.
 type Question struct {
 	Addr  string
-	Since uint64         // of its trail; an entry that is held already is asked for again, to see whether it is the same
+	Since uint64         // of its trail; an entry that is held already is asked for again,
+	Sum   string         // to see whether it is the same: if it is not, all of the trail is; "" is none
 	Last  time.Duration  // that the call took the last time
 	Order *version.Order // to be given before; nil is none
 }
@@ -57,6 +59,7 @@
 	Report  *trail.Report  // with the entries of all its pages; nil: not reached
 	Middle  version.Millis // of the last call, Unix time by the auditor's clock
 	Within  version.Millis // of which the sidecar's Now is known: half of that call
+	Back    time.Time      // when it was over, by the auditor's clock
 	Took    time.Duration
 	Err     error // why it was not reached
 	Refused error // why the order was not taken; nil where there was none
@@ -88,7 +91,7 @@
 // one gives a sidecar its order, if there is one, and asks for its trail's new entries, page by page.
 func (a *Asker) one(ctx context.Context, q Question) (out Answer) {
 	began := time.Now()
-	defer func() { out.Took = time.Since(began) }()
+	defer func() { out.Back, out.Took = time.Now(), time.Since(began) }()
 	ctx, cancel := context.WithTimeout(ctx, a.Within)
 	defer cancel()
 	if q.Order != nil {
@@ -110,7 +113,8 @@
 			return out // the rest of the trail comes the next time
 		}
 		out.Middle, out.Within = millis(from.Add(half)), version.Millis(half.Milliseconds()+1)
-		if r.Next < since && !anew { // a trail that has begun anew is shorter
+		held := q.Sum == "" || len(r.Entries) > 0 && r.Entries[0].Seq == q.Since && r.Entries[0].Sum == q.Sum
+		if out.Report == nil && !anew && (r.Next < since || !held) { // a trail that has begun anew, or was changed
 			since, anew = 1, true
 			continue
 		}
@@ -166,12 +170,12 @@
 	}
 	res, err := a.client.Do(req)
 	if err != nil {
-		return nil, fmt.Errorf("audit: %w", err)
+		return nil, a.shortly(err)
 	}
 	defer res.Body.Close()
 	text, err := readMost(res.Body, most)
 	if err != nil {
-		return nil, fmt.Errorf("audit: answer: %w", err)
+		return nil, a.shortly(err)
 	}
 	if res.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("audit: answer %d: %.100q", res.StatusCode, bytes.TrimSpace(text))
@@ -179,6 +183,18 @@
 	return text, nil
 }
 
+// shortly leaves out of an error what stands beside it anyway, the address that was called.
+func (a *Asker) shortly(err error) error {
+	var call *url.Error
+	if errors.As(err, &call) {
+		err = call.Err
+	}
+	if errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("audit: no answer within %v: %w", a.Within, context.DeadlineExceeded)
+	}
+	return fmt.Errorf("audit: %w", err)
+}
+
 // readMost reads all of r, which may have so many bytes at most.
 func readMost(r io.Reader, most int64) ([]byte, error) {
 	text, err := io.ReadAll(io.LimitReader(r, most+1))
--- /dev/null
+++ b/internal/audit/audit_test.go
@@ -0,0 +1,291 @@
+package audit
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pinelb.example/pinelb/internal/trail"
+	"pinelb.example/pinelb/internal/version"
+)
+
+// fleet is stand-ins for sidecars, which say what the test sets.
+type fleet struct {
+	t  *testing.T
+	mu sync.Mutex
+
+	reports []trail.Report
+	orders  [][]version.Order
+}
+
+// newFleet has so many, in two zones, all of which act on a list and tell no trail.
+func newFleet(t *testing.T, n int) (*fleet, *Roster) {
+	f := &fleet{t: t, reports: make([]trail.Report, n), orders: make([][]version.Order, n)}
+	r := &Roster{}
+	for i := range n {
+		name := fmt.Sprintf("s%d", i)
+		f.reports[i] = trail.Report{Name: name, Zone: fmt.Sprintf("z%d", i%2), Site: "site", Rank: i, Instances: n, Life: "life" + name,
+			Version: version.Version{List: version.List{From: "ls", Revision: 7, Digest: 70}, Build: "new"}, Under: 1, State: "acts", Next: 1, First: 1}
+		r.Sidecars = append(r.Sidecars, Sidecar{Name: name, Addr: sidecarAt(t, func(w http.ResponseWriter, q *http.Request) { f.answer(i, w, q) })})
+	}
+	return f, r
+}
+
+func (f *fleet) answer(i int, w http.ResponseWriter, q *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	r := f.reports[i]
+	if q.Method == http.MethodPost {
+		var o version.Order
+		if err := json.NewDecoder(q.Body).Decode(&o); err != nil {
+			f.t.Error(err)
+		}
+		f.orders[i] = append(f.orders[i], o)
+		f.reports[i].Floor, f.reports[i].Version.Epoch = &o.Floor, o.Floor.Epoch
+	}
+	r.Now = millis(time.Now())
+	says(r)(w, q)
+}
+
+func (f *fleet) set(i int, edit func(r *trail.Report)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	edit(&f.reports[i])
+}
+
+// options are those of tests: no time is tight.
+func options(r *Roster) Options {
+	return Options{Roster: r, By: "auditor", AtATime: 8, Within: 10 * time.Second, Grace: time.Second, Spread: time.Second, For: time.Minute, Share: 0.1}
+}
+
+func round(t *testing.T, a *Audit) *View {
+	t.Helper()
+	v, err := a.Round(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+// status is the row of a sidecar.
+func (v *View) row(name string) Row {
+	for _, r := range v.Rows {
+		if r.Name == name {
+			return r
+		}
+	}
+	return Row{}
+}
+
+// Guards against stragglers that are taken for up to date, and against who was not reached being counted at all.
+func TestRound(t *testing.T) {
+	f, r := newFleet(t, 6)
+	f.set(1, func(r *trail.Report) { r.Version.List = version.List{From: "ls", Revision: 6, Digest: 60} })
+	f.set(2, func(r *trail.Report) { r.Name = "s9" }) // its address is another one's now
+	r.Sidecars[3].Addr = dead(t)
+	f.set(4, func(r *trail.Report) { r.Rank = 0; r.Instances = 8 })
+	a := New(options(r))
+	defer a.Close()
+	v := round(t, a)
+	for name, want := range map[string]Status{"s0": UpToDate, "s1": Behind, "s2": NotReached, "s3": NotReached, "s4": UpToDate, "s5": UpToDate} {
+		if got := v.row(name); got.Status != want {
+			t.Errorf("%s: %+v, want %s", name, got, want)
+		}
+	}
+	if v.Exit() != NotWell || v.Count(UpToDate) != 3 || v.row("s1").Why != "list" {
+		t.Errorf("%d, %s, %+v", v.Exit(), v.Verdict(), v.row("s1"))
+	}
+	faults := strings.Join(v.Faults, "\n")
+	for _, want := range []string{`s2: ` + r.Sidecars[2].Addr + ` answers as "s9"`, "s0 and s4 have the same rank, 0", "6 sidecars are listed, and their settings tell of 8"} {
+		if !strings.Contains(faults, want) {
+			t.Errorf("no %q among %s", want, faults)
+		}
+	}
+	var table, lines, page bytes.Buffer
+	for _, err := range []error{v.Table(&table, false), v.JSON(&lines), v.Page(&page)} {
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	if !strings.Contains(table.String(), "3 of 6 up to date, 1 behind, 2 not reached") || strings.Contains(table.String(), "\ns0 ") {
+		t.Error(table.String())
+	}
+	if got := bytes.Count(lines.Bytes(), []byte("\n")); got != 7 {
+		t.Errorf("%d lines: %s", got, lines.String())
+	}
+	for l := range bytes.Lines(lines.Bytes()) {
+		if !json.Valid(l) {
+			t.Errorf("%s", l)
+		}
+	}
+	if text := page.String(); strings.Contains(text, "<script") || strings.Count(text, `class="away" title`) != 2 {
+		t.Error("the page has a script, or not two who were not reached")
+	}
+}
+
+func TestExit(t *testing.T) {
+	f, r := newFleet(t, 2)
+	a := New(options(r))
+	defer a.Close()
+	if v := round(t, a); v.Exit() != AllWell || v.Contradictions != nil || v.Faults != nil {
+		t.Errorf("%d: %s, %q", v.Exit(), v.Verdict(), v.Faults)
+	}
+	f.set(0, func(r *trail.Report) { r.Name = "other" })
+	if v := round(t, a); v.Exit() != NotWell {
+		t.Error("one of two was not reached")
+	}
+	f.set(1, func(r *trail.Report) { r.Name = "other" })
+	if v := round(t, a); v.Exit() != NobodyThere || v.row("s1").Seen == 0 || v.row("s1").Version == nil {
+		t.Errorf("%d: %+v", v.Exit(), v.row("s1"))
+	}
+}
+
+// Guards against a reference that is not the list service's, and one that is forgotten while that does not answer.
+func TestListService(t *testing.T) {
+	f, r := newFleet(t, 3)
+	down := false
+	o := options(r)
+	o.List = sidecarAt(t, func(w http.ResponseWriter, _ *http.Request) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if down {
+			http.Error(w, "", http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = w.Write([]byte(`{"revision":9,"complete":true,"members":[{"id":"a","host_port":"127.0.0.1:1","phase":"Ready"}]}`))
+	})
+	a := New(o)
+	defer a.Close()
+	v := round(t, a)
+	if v.Count(Behind) != 3 || v.Reference.Revision != 9 || v.Reference.Digest == 0 {
+		t.Errorf("%s by %+v", v.Verdict(), v.Reference)
+	}
+	f.set(0, func(r *trail.Report) { r.Version.List = v.Reference })
+	f.mu.Lock()
+	down = true
+	f.mu.Unlock()
+	if v := round(t, a); v.Count(UpToDate) != 1 || v.Count(Behind) != 2 {
+		t.Error(v.Verdict())
+	}
+}
+
+// Guards against floors that don't go out, and audits that end before they have.
+func TestRaises(t *testing.T) {
+	f, r := newFleet(t, 3)
+	o := options(r)
+	o.Raise, o.Builds = true, []string{"new"}
+	f.set(2, func(r *trail.Report) { r.Version.Build = "old" })
+	var out bytes.Buffer
+	kept := filepath.Join(t.TempDir(), "kept")
+	if exit, err := Run(t.Context(), o, Output{To: &out, Kept: kept, Rounds: 2, Every: time.Millisecond}); exit != NotWell || err != nil {
+		t.Errorf("%d, %v", exit, err)
+	}
+	f.mu.Lock()
+	epoch := uint64(0)
+	for i, orders := range f.orders {
+		if len(orders) != 1 || orders[0].Floor.Builds[0] != "new" || orders[0].Floor.Site != "site" || orders[0].Floor.List != 70 || orders[0].Ticket != nil {
+			t.Errorf("sidecar %d: %+v", i, orders)
+			continue
+		}
+		epoch = orders[0].Floor.Epoch
+		f.reports[i].Floor, f.reports[i].Version.Epoch = nil, 0 // all have forgotten it
+	}
+	f.mu.Unlock()
+	// Who continues goes on from the epoch that was given.
+	o.By = "another"
+	if _, err := Run(t.Context(), o, Output{To: &out, Kept: kept, Rounds: 1}); err != nil {
+		t.Error(err)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if got := f.orders[0]; len(got) != 2 || got[1].Floor.Epoch <= epoch {
+		t.Errorf("after epoch %d: %+v", epoch, got)
+	}
+}
+
+// Guards against a file that is taken for another's, or for none where it can't be read.
+func TestKept(t *testing.T) {
+	_, r := newFleet(t, 1)
+	a := New(options(r))
+	defer a.Close()
+	for text, want := range map[string]string{
+		"":              "unexpected end",
+		`{"version":2}`: "version: 2",
+		`{"version":1}`: "history is missing",
+		`{"version":1,"history":{"Sidecars":{"a":null}}}`: `nothing stands under "a"`,
+	} {
+		if err := a.restore([]byte(text)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%q: %v, want %s", text, err, want)
+		}
+	}
+	a.o.Site = "mine"
+	if err := a.restore([]byte(`{"version":1,"history":{},"site":"its"}`)); err == nil {
+		t.Error("another site's")
+	}
+}
+
+// FuzzMerge has sidecars tell anything, twice: nothing panics, what is held is bounded, and who was not reached is not up to date.
+func FuzzMerge(f *testing.F) {
+	for _, s := range []*script{
+		(&script{life: "l"}).add(100, trail.Entry{Kind: trail.Began}).adopt(200, 1, 5, 50).count(300, 1, 9, 1),
+		(&script{life: "m", ahead: -5000}).adopt(900, 1, 6, 60).adopt(950, 2, 4, 40),
+	} {
+		r := s.told(1000, 1).Report
+		r.Name, r.Site, r.Version.List = "a", "site", s.entries[len(s.entries)-2].Version.List
+		text, err := json.Marshal(r)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(text, text, true)
+		f.Add(text, []byte(`{"name":"b","entries":[{"kind":"ordered","order":{}},{"kind":"adopted","version":{}}]}`), false)
+	}
+	roster := &Roster{Sidecars: []Sidecar{{Name: "a", Addr: "127.0.0.1:1"}, {Name: "b", Addr: "127.0.0.1:2"}}}
+	began := time.Unix(1000, 0)
+	f.Fuzz(func(t *testing.T, first, second []byte, bothReached bool) {
+		a := New(options(roster))
+		defer a.Close()
+		for i := range 3 {
+			answers := make([]Answer, 2)
+			for j, text := range [][]byte{first, second} {
+				answers[j] = Answer{Back: began, Middle: millis(began), Err: fmt.Errorf("none")}
+				r := trail.Report{}
+				if json.Unmarshal(text, &r) == nil && (bothReached || j == i%2) {
+					answers[j].Report = &r
+				}
+			}
+			at := began.Add(time.Duration(i) * time.Second)
+			a.now = time.Duration(i) * time.Second
+			decided, _ := a.decide([]Question{a.question(roster.Sidecars[0], nil), a.question(roster.Sidecars[1], nil)}, answers, &version.Demand{},
+				func(m time.Time) time.Duration { return m.Sub(began) }, at)
+			v := a.view(answers, &decided, at)
+			for j := range answers {
+				if got := v.row(roster.Sidecars[j].Name).Status; (answers[j].Report == nil) != (got == NotReached) {
+					t.Errorf("sidecar %d is %s: %+v", j, got, answers[j])
+				}
+			}
+			var b bytes.Buffer
+			if err := errors.Join(v.Table(&b, true), v.JSON(&b), v.Page(&b)); err != nil {
+				t.Error(err)
+			}
+			text, err := json.Marshal(kept{keptVersion, 0, a.site, a.epoch, &a.history, a.memories})
+			if err == nil {
+				err = a.restore(text)
+			}
+			if err != nil {
+				t.Error(err)
+			}
+		}
+		for name, p := range a.history.Sidecars {
+			if len(p.Entries) > entriesMost || len(a.history.Found) > foundMost {
+				t.Errorf("%s: %d entries and %d contradictions are held", name, len(p.Entries), len(a.history.Found))
+			}
+		}
+	})
+}
--- a/internal/audit/history.go
+++ b/internal/audit/history.go
@@ -1,6 +1,7 @@
 package audit
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 
@@ -9,12 +10,15 @@
 )
 
 const (
-	entriesMost = 512    // kept of a sidecar, the newest: 85 minutes of counts every 10 s
-	foundMost   = 1000   // contradictions, the oldest: what follows from one is seldom news
-	namesMost   = 20_000 // list's names, of which each is looked at for a second content
-	pollsMost   = 4096   // changes of what the list service tells
-	floorsMost  = 256    // the newest
+	entriesMost = 512     // kept of a sidecar, the newest: 85 minutes of counts every 10 s
+	entriesAll  = 200_000 // and of all, some 100 MB: from 400 sidecars on less of each
+	foundMost   = 1000    // contradictions, the oldest: what follows from one is seldom news
+	namesMost   = 20_000  // list's names, of which each is looked at for a second content
+	pollsMost   = 4096    // changes of what the list service tells
+	floorsMost  = 256     // the newest
 	slack       = version.Millis(1000)
+
+	repeated = "kept" // what an adoption comes from that a trail tells once more, for the first telling was dropped
 )
 
 // What a contradiction is about. Two processes of a sidecar beside each other are none: each life numbers its own adoptions.
@@ -86,12 +90,18 @@
 	return p
 }
 
-// Since is what to ask a sidecar's trail from: the last entry that is held, which has to come again as it was.
-func (h *History) Since(name string) uint64 {
-	if p := h.Sidecars[name]; p != nil && p.Next > 1 {
-		return p.Next - 1
+// Since is what to ask a sidecar's trail from: the last entry that is held, which has to come again as it was, with that sum.
+func (h *History) Since(name string) (since uint64, sum string) {
+	p := h.Sidecars[name]
+	if p == nil || p.Next <= 1 {
+		return 1, ""
 	}
-	return 1
+	for _, e := range p.Entries {
+		if e.Seq == p.Next-1 {
+			sum = e.Sum // of several lives the last that was read
+		}
+	}
+	return p.Next - 1, sum
 }
 
 // Merge takes in what a sidecar answered when it was asked from since on.
@@ -108,6 +118,9 @@
 			h.note(Hole, name, a.Middle, fmt.Sprintf("asked from entry %d on, of which it says that it has it, it did not tell it", since))
 		}
 	}
+	for _, f := range checkChain(r.Entries) {
+		h.note(Hole, name, a.Middle, f)
+	}
 	h.merge(name, r.Entries, at)
 	p.Next = r.Next
 }
@@ -133,9 +146,6 @@
 func (h *History) merge(name string, entries []trail.Entry, at anchor) {
 	p := h.past(name)
 	placed := place(entries, at)
-	for _, f := range checkChain(entries) {
-		h.note(Hole, name, at.Time, f)
-	}
 	fresh := 0
 	for _, e := range placed {
 		i := slices.IndexFunc(p.Entries, func(old Placed) bool { return old.Seq == e.Seq && old.Life == e.Life })
@@ -153,9 +163,12 @@
 	if fresh > 0 {
 		h.look(name, p, fresh)
 	}
-	p.Entries = slices.Clone(p.Entries[max(0, len(p.Entries)-entriesMost):])
+	p.Entries = slices.Clone(p.Entries[max(0, len(p.Entries)-h.most()):])
 }
 
+// most is how many entries are kept of each sidecar.
+func (h *History) most() int { return min(entriesMost, entriesAll/max(1, len(h.Sidecars))) }
+
 // look looks at the last entries of a sidecar, so many of which are new, for what can't be.
 func (h *History) look(name string, p *Past, fresh int) {
 	first := len(p.Entries) - fresh
@@ -168,7 +181,7 @@
 			h.ordered(name, e, o.Floor)
 		}
 		v := e.Version
-		if e.Kind != trail.Adopted || v == nil {
+		if !adopts(e) {
 			continue
 		}
 		if last, seen := revisions[v.List.From]; i >= first && seen && v.List.Revision < last && served(v.List) {
@@ -222,7 +235,7 @@
 	h.listed("the list service", back, l)
 	for name, p := range h.Sidecars { // who had it before
 		for _, e := range p.Entries {
-			if e.Kind == trail.Adopted && e.Version != nil {
+			if adopts(e) {
 				h.early(name, e)
 			}
 		}
@@ -285,3 +298,8 @@
 		h.Found = append(h.Found, Contradiction{kind, sidecar, at, what})
 	}
 }
+
+// compareFloors orders floors: the one that is less loses.
+func compareFloors(a, b version.Floor) int {
+	return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.By, b.By))
+}
--- /dev/null
+++ b/internal/audit/history_test.go
@@ -0,0 +1,200 @@
+package audit
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"pinelb.example/pinelb/internal/trail"
+	"pinelb.example/pinelb/internal/version"
+)
+
+// script writes a trail: each call is an entry.
+type script struct {
+	entries []trail.Entry
+	life    string
+	ahead   version.Millis // by how much the wall clock goes before the auditor's
+}
+
+func (s *script) add(at version.Millis, e trail.Entry) *script {
+	e.Seq, e.At, e.Up, e.Life = uint64(len(s.entries)+1), at+s.ahead, at, s.life
+	if n := len(s.entries); n > 0 {
+		e.Prev = s.entries[n-1].Sum
+	}
+	e.Sum = fmt.Sprintf("%s %d %d %v", s.life, e.Seq, at, e.Kind)
+	s.entries = append(s.entries, e)
+	return s
+}
+
+func (s *script) adopt(at version.Millis, under uint32, revision int64, digest version.Digest) *script {
+	return s.add(at, trail.Entry{Kind: trail.Adopted, Under: under, Version: &version.Version{List: version.List{From: "ls", Revision: revision, Digest: digest}}})
+}
+
+func (s *script) count(at version.Millis, under uint32, n, never int) *script {
+	return s.add(at, trail.Entry{Kind: trail.Counted, Under: under, Attempts: []trail.Attempts{{Class: "c", Host: "h", N: n, Never: never}}})
+}
+
+// told is what is answered at a time to a call for entries from since on.
+func (s *script) told(at version.Millis, since int) Answer {
+	return Answer{Middle: at, Within: 10, Report: &trail.Report{Now: at + s.ahead, Up: at, First: 1, Next: uint64(len(s.entries) + 1),
+		Entries: s.entries[since-1:]}}
+}
+
+func found(h *History) string {
+	var all []string
+	for _, c := range h.Found {
+		all = append(all, c.Kind+" "+c.Sidecar+" "+c.What)
+	}
+	return strings.Join(all, "\n")
+}
+
+// Guards against contradictions that are missed, and against what is none being told as one.
+func TestContradictions(t *testing.T) {
+	start := func() *script {
+		return (&script{life: "l"}).add(100, trail.Entry{Kind: trail.Began}).adopt(200, 1, 5, 50)
+	}
+	for name, c := range map[string]struct {
+		play func(h *History)
+		want string // "" is nothing
+	}{
+		"well": {func(h *History) {
+			s := start().adopt(5000, 2, 6, 60)
+			h.Merge("a", 1, s.told(6000, 1))
+			h.Merge("a", 3, s.count(7000, 2, 3, 0).told(8000, 3))
+			h.Merge("b", 1, s.told(8000, 1))
+		}, ""},
+		"hole": {func(h *History) {
+			s := start().adopt(5000, 2, 6, 60).adopt(5500, 3, 7, 70)
+			a := s.told(6000, 1)
+			a.Report.Entries = append(s.entries[:1:1], s.entries[2:]...)
+			h.Merge("a", 1, a)
+		}, Hole + " a"},
+		"not told": {func(h *History) {
+			h.Merge("a", 1, start().told(1000, 1))
+			h.Merge("a", 2, start().adopt(5000, 2, 6, 60).told(6000, 3))
+		}, Hole + " a"},
+		"dropped": {func(h *History) {
+			h.Merge("a", 1, start().told(1000, 1))
+			a := start().adopt(5000, 2, 6, 60).told(6000, 3)
+			a.Report.First = 3
+			h.Merge("a", 2, a)
+		}, ""},
+		"rewritten": {func(h *History) {
+			h.Merge("a", 1, start().told(1000, 1))
+			h.Merge("a", 2, (&script{life: "l"}).add(100, trail.Entry{Kind: trail.Began}).adopt(300, 1, 5, 50).told(2000, 2))
+		}, Rewritten + " a entry 2"},
+		"begun anew": {func(h *History) {
+			h.Merge("a", 1, start().adopt(5000, 2, 6, 60).told(6000, 1))
+			h.Merge("a", 3, (&script{life: "m"}).add(7000, trail.Entry{Kind: trail.Began}).adopt(7100, 1, 5, 50).told(8000, 1))
+		}, ""},
+		"two processes": {func(h *History) { // the former goes on beside the one that succeeds it
+			s := start()
+			next := &script{entries: append([]trail.Entry(nil), s.entries...), life: "m"}
+			h.Merge("a", 1, s.adopt(5000, 2, 6, 60).told(6000, 1))
+			h.Merge("a", 3, next.add(4000, trail.Entry{Kind: trail.Began}).adopt(4100, 1, 5, 50).told(7000, 3))
+		}, ""},
+		"revision back": {func(h *History) { h.Merge("a", 1, start().adopt(5000, 2, 4, 40).told(6000, 1)) }, Back + " a ls: revision 4 after 5"},
+		"epoch back": {func(h *History) {
+			s := start()
+			s.entries[1].Version.Epoch = 3
+			h.Merge("a", 1, s.adopt(5000, 2, 6, 60).told(6000, 1))
+		}, Back + " a epoch 0 after 3"},
+		"twice": {func(h *History) {
+			h.Merge("a", 1, start().told(1000, 1))
+			h.Merge("b", 1, (&script{life: "m"}).adopt(200, 1, 5, 51).told(1000, 1))
+		}, Twice + " b ls revision 5"},
+		"early": {func(h *History) {
+			publish(h, 1000, 5, 20_000, 6)
+			h.Merge("a", 1, (&script{life: "l", ahead: -5000}).adopt(12_000, 1, 6, 60).told(30_000, 1)) // by its clock at 7 s
+		}, Early + " a revision 6 was adopted 8."},
+		"early, heard of before the list service": {func(h *History) {
+			h.Merge("a", 1, (&script{life: "l"}).adopt(12_000, 1, 6, 60).told(13_000, 1))
+			publish(h, 1000, 5, 20_000, 6)
+		}, Early + " a"},
+		"in time by the auditor's clock": {func(h *History) {
+			publish(h, 1000, 5, 20_000, 6)
+			h.Merge("a", 1, (&script{life: "l", ahead: -5000}).adopt(20_500, 1, 6, 60).told(30_000, 1))
+		}, ""},
+		"within what the clocks are sure of": {func(h *History) {
+			publish(h, 1000, 5, 20_000, 6)
+			h.Merge("a", 1, (&script{life: "l"}).adopt(19_500, 1, 6, 60).told(30_000, 1))
+		}, ""},
+		"a service that counts anew": {func(h *History) {
+			publish(h, 1000, 9, 20_000, 6)
+			h.Merge("a", 1, (&script{life: "l"}).adopt(12_000, 1, 6, 60).told(30_000, 1))
+		}, ""},
+		"an order before it was raised": {func(h *History) {
+			o := version.Order{Floor: version.Floor{Epoch: 4, By: "me"}}
+			h.Raise(20_000, o.Floor)
+			h.Merge("a", 1, (&script{life: "l"}).add(5000, trail.Entry{Kind: trail.Ordered, Order: &o}).told(30_000, 1))
+		}, Early + " a epoch 4"},
+	} {
+		h := &History{}
+		c.play(h)
+		if got := found(h); c.want == "" && got != "" || !strings.HasPrefix(got, c.want) || len(h.Found) > 1 {
+			t.Errorf("%s: %q, want %q", name, got, c.want)
+		}
+	}
+}
+
+// publish has the list service tell one revision up to a time, and another from then on.
+func publish(h *History, from version.Millis, first int64, then version.Millis, second int64) {
+	for at := from; at < then+5000; at += 1000 {
+		l := version.List{From: "ls", Revision: first, Digest: version.Digest(first * 10)}
+		if at >= then {
+			l = version.List{From: "ls", Revision: second, Digest: version.Digest(second * 10)}
+		}
+		h.Published(at, at+5, l)
+	}
+}
+
+// Guards against clocks that move what was done: 5 s ahead, set back between two entries or after the last, and a machine that
+// was started in between.
+func TestPlace(t *testing.T) {
+	for name, c := range map[string]struct {
+		entries []trail.Entry
+		wall    version.Millis
+		want    []version.Millis
+	}{
+		"ahead":                {[]trail.Entry{{At: 15_000, Up: 1000}, {At: 16_000, Up: 2000}}, 25_000, []version.Millis{10_000, 11_000}},
+		"set back between":     {[]trail.Entry{{At: 15_000, Up: 1000}, {At: 11_000, Up: 2000}}, 20_000, []version.Millis{10_000, 11_000}},
+		"set back after":       {[]trail.Entry{{At: 15_000, Up: 1000}, {At: 16_000, Up: 2000}}, 12_000, []version.Millis{10_000, 11_000}},
+		"started in between":   {[]trail.Entry{{At: 5000, Up: 900_000}, {At: 16_000, Up: 2000, Life: "m"}}, 25_000, []version.Millis{0, 11_000}},
+		"up is not known once": {[]trail.Entry{{At: 15_000, Up: 1000}, {At: 15_500}, {At: 16_000, Up: 2000}}, 25_000, []version.Millis{10_000, 10_500, 11_000}},
+		"up is not known":      {[]trail.Entry{{At: 15_000}, {At: 16_000}}, 25_000, []version.Millis{10_000, 11_000}},
+	} {
+		got := place(c.entries, anchor{Time: 20_000, Within: 3, Wall: c.wall, Up: 11_000})
+		for i := range got {
+			if got[i].Time != c.want[i] || got[i].Within != 3 {
+				t.Errorf("%s: entry %d at %d, want %d", name, i, got[i].Time, c.want[i])
+			}
+		}
+	}
+}
+
+// Guards against attempts under an old version that don't show, and against those being counted that were in time, or never
+// reached a host.
+func TestLate(t *testing.T) {
+	floor := version.Floor{Epoch: 1, By: "me", List: 60, Revision: 6, Grace: 3000, For: 60_000}
+	s := (&script{life: "l"}).add(100, trail.Entry{Kind: trail.Began}).adopt(200, 1, 5, 50)
+	s.count(9000, 1, 100, 0)                           // before the floor
+	s.count(19_000, 1, 7, 2)                           // over its grace's end, at 13 s
+	s.count(29_000, 1, 20, 3)                          // after
+	s.adopt(30_000, 2, 6, 60)                          // up to date
+	s.count(30_001, 1, 4, 0)                           // of the old one until then
+	s.count(39_000, 2, 100, 0)                         // under the new one
+	s.adopt(70_500, 3, 5, 50).count(80_000, 3, 100, 0) // the floor has lapsed
+	h := &History{}
+	h.Raise(10_000, floor)
+	h.Merge("a", 1, s.told(90_000, 1))
+	if got := h.Late("a"); len(got) != 1 || got[0] != (Late{Host: "h", N: 21, Perhaps: 5}) {
+		t.Errorf("%+v", got)
+	}
+	// A floor that is raised anew gives no second time of grace.
+	again := floor
+	again.Epoch, again.For = 2, 42_000
+	h.Raise(28_000, again)
+	if got := h.Late("a"); len(got) != 1 || got[0] != (Late{Host: "h", N: 21, Perhaps: 5}) {
+		t.Errorf("raised anew: %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/audit/kept.go
@@ -0,0 +1,103 @@
+package audit
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"pinelb.example/pinelb/internal/version"
+)
+
+const (
+	keptVersion = 1
+	keptMost    = 1 << 30 // bytes: what is held of all sidecars is bounded, and stays under it
+)
+
+// kept is an audit in a file, for the one that continues it.
+type kept struct {
+	Version  int                `json:"version"`
+	Saved    version.Millis     `json:"saved_ms"` // Unix time
+	Site     string             `json:"site"`
+	Epoch    uint64             `json:"epoch"`
+	History  *History           `json:"history"`
+	Memories map[string]*memory `json:"sidecars"`
+}
+
+// Save has what was gathered take the file's place: whatever happens meanwhile, the former one or this is there whole.
+func (a *Audit) Save(path string, now version.Millis) error {
+	text, err := json.Marshal(kept{keptVersion, now, a.site, a.epoch, &a.history, a.memories})
+	if err != nil {
+		return fmt.Errorf("audit: kept: %w", err)
+	}
+	return replace(path, text)
+}
+
+// Load continues an audit from a file. One that is not there is none; one that can't be read is an error, for whoever
+// continues from nothing would give an epoch twice.
+func (a *Audit) Load(path string) error {
+	f, err := os.Open(path)
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	} else if err != nil {
+		return fmt.Errorf("audit: kept: %w", err)
+	}
+	defer f.Close()
+	text, err := readMost(f, keptMost)
+	if err == nil {
+		err = a.restore(text)
+	}
+	if err != nil {
+		return fmt.Errorf("audit: kept: %s: %w", path, err)
+	}
+	return nil
+}
+
+func (a *Audit) restore(text []byte) error {
+	var k kept
+	if err := json.Unmarshal(text, &k); err != nil {
+		return err
+	}
+	switch {
+	case k.Version != keptVersion:
+		return fmt.Errorf("version: %d, %d is read", k.Version, keptVersion)
+	case a.o.Site != "" && k.Site != "" && k.Site != a.o.Site:
+		return fmt.Errorf("site: is of %q, not %q", k.Site, a.o.Site)
+	case k.History == nil:
+		return errors.New("history is missing")
+	}
+	for name, p := range k.History.Sidecars {
+		if p == nil {
+			return fmt.Errorf("history: nothing stands under %q", name)
+		}
+	}
+	for _, s := range a.o.Roster.Sidecars { // who is not listed any more has no row, but a history
+		if m := k.Memories[s.Name]; m != nil {
+			a.memories[s.Name] = m
+		}
+	}
+	if a.site == "" {
+		a.site = k.Site
+	}
+	a.epoch, a.history = k.Epoch, *k.History
+	return nil
+}
+
+// replace has a file hold a text, which takes the place of what it held whole.
+func replace(path string, text []byte) error {
+	f, err := os.CreateTemp(filepath.Dir(path), filepath.Base(path)+".new*")
+	if err != nil {
+		return fmt.Errorf("audit: %w", err)
+	}
+	if _, err = f.Write(text); err == nil {
+		err = f.Sync()
+	}
+	if err = errors.Join(err, f.Close()); err == nil {
+		err = os.Rename(f.Name(), path)
+	}
+	if err != nil {
+		return fmt.Errorf("audit: %w", errors.Join(err, os.Remove(f.Name())))
+	}
+	return nil
+}
--- a/internal/audit/late.go
+++ b/internal/audit/late.go
@@ -34,8 +34,11 @@
 	for _, e := range p.Entries {
 		key := adoption{e.Life, e.Under}
 		switch {
-		case e.Kind == trail.Adopted && e.Version != nil:
-			versions[key], began[key] = e.Version, e.Time
+		case adopts(e):
+			versions[key] = e.Version
+			if e.From != repeated {
+				began[key] = e.Time
+			}
 		case e.Kind == trail.Counted && versions[key] != nil:
 			from := began[key]
 			for _, t := range flushed[e.Life] {
@@ -64,15 +67,28 @@
 	})
 }
 
-// ended tells since when a version should have ended, at a moment: the floor of the highest epoch that stands then decides.
+// ended tells since when a version should have ended, at a moment: the floor of the highest epoch that stands then decides, and
+// where it was raised while one stood that the version did not meet either, that one's grace counts.
 func (h *History) ended(v *version.Version, at version.Millis) (since version.Millis, over bool) {
-	for i := len(h.Raised) - 1; i >= 0; i-- {
-		r := &h.Raised[i]
-		if at < r.At || at >= r.At+r.Floor.For {
-			continue
+	i := len(h.Raised) - 1
+	for ; i >= 0 && (at < h.Raised[i].At || at >= h.Raised[i].At+h.Raised[i].Floor.For); i-- {
+	}
+	if i < 0 || meets(&h.Raised[i].Floor, v) {
+		return 0, false
+	}
+	since = h.Raised[i].At + h.Raised[i].Floor.Grace
+	for ; i > 0; i-- {
+		former := &h.Raised[i-1]
+		if former.At+former.Floor.For < h.Raised[i].At || meets(&former.Floor, v) {
+			break
 		}
-		since = r.At + r.Floor.Grace
-		return since, !meets(r.Floor, *v) && at > since
+		since = min(since, former.At+former.Floor.Grace)
 	}
-	return 0, false
+	return since, at > since
+}
+
+// meets tells whether a version meets all of a floor.
+func meets(f *version.Floor, v *version.Version) bool {
+	list, settings, file, build := f.Meets(v)
+	return list && settings && file && build
 }
--- a/internal/audit/stand_in.go
+++ b/internal/audit/stand_in.go
@@ -1,13 +1,10 @@
 package audit
 
 import (
-	"cmp"
 	"encoding/json"
 	"fmt"
-	"slices"
 
 	"pinelb.example/pinelb/internal/trail"
-	"pinelb.example/pinelb/internal/version"
 )
 
 func parseReport(text []byte) (*trail.Report, error) {
@@ -27,11 +24,4 @@
 	return faults
 }
 
-func compareFloors(a, b version.Floor) int {
-	return cmp.Or(cmp.Compare(a.Epoch, b.Epoch), cmp.Compare(a.By, b.By))
-}
-
-func meets(f version.Floor, v version.Version) bool {
-	return (f.List == 0 || v.List.Digest == f.List || v.List.Revision > f.Revision) && (f.Settings == 0 || f.Settings == v.Settings) &&
-		(f.File == 0 || f.File == v.File) && (len(f.Builds) == 0 || slices.Contains(f.Builds, v.Build))
-}
+func readTrail(string) ([]trail.Entry, []string, error) { return nil, nil, nil }
--- /dev/null
+++ b/internal/audit/table.go
@@ -0,0 +1,176 @@
+package audit
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"pinelb.example/pinelb/internal/version"
+)
+
+// Table writes a view for people: who is not up to date, or everybody, and what is wrong.
+func (v *View) Table(out io.Writer, everybody bool) error {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s  %s\n", moment(v.At), v.Verdict())
+	if v.Measure != "" {
+		fmt.Fprintf(&b, "measured by %s: %s\n", v.Measure, name(v.Reference))
+	}
+	if f := v.Floor; f != nil {
+		fmt.Fprintf(&b, "floor epoch %d by %s, grace %v\n", f.Epoch, f.By, f.Grace.D())
+	}
+	if v.Standing != "" {
+		fmt.Fprintln(&b, v.Standing)
+	}
+	t := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	head := false
+	for i := range v.Rows {
+		r := &v.Rows[i]
+		if r.Status == UpToDate && !everybody {
+			continue
+		}
+		if !head {
+			head = true
+			fmt.Fprint(t, "\nsidecar\tzone\tstatus\tfor\tlist\tsettings\tfile\tbuild\tlate\twhy\n")
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", plain(r.Name), plain(r.Zone), r.Status, v.since(r.Since),
+			r.list(), r.settings(), r.file(), r.build(), late(r.Late), plain(r.Why))
+	}
+	_ = t.Flush() // into b, which takes all
+	for _, c := range v.Contradictions {
+		fmt.Fprintf(&b, "contradiction, %s: %s, %s: %s\n", c.Kind, plain(c.Sidecar), moment(c.Time), plain(c.What))
+	}
+	if v.Unkept > 0 {
+		fmt.Fprintf(&b, "and %s more\n", plural(v.Unkept, "contradiction"))
+	}
+	for _, f := range v.Faults {
+		fmt.Fprintf(&b, "roster: %s\n", plain(f))
+	}
+	_, err := io.WriteString(out, b.String())
+	return err
+}
+
+// JSON writes a line for each sidecar, one for each contradiction and fault of the roster, and one for all of it.
+func (v *View) JSON(out io.Writer) error {
+	e := json.NewEncoder(out)
+	for i := range v.Rows {
+		if err := e.Encode(struct {
+			Line string `json:"line"`
+			*Row
+		}{"sidecar", &v.Rows[i]}); err != nil {
+			return err
+		}
+	}
+	for _, c := range v.Contradictions {
+		if err := e.Encode(struct {
+			Line string `json:"line"`
+			Contradiction
+		}{"contradiction", c}); err != nil {
+			return err
+		}
+	}
+	return e.Encode(map[string]any{"line": "summary", "at_ms": v.At, "took_ms": v.Took, "round": v.Round, "site": v.Site, "by": v.By,
+		"reference": v.Reference, "measure": v.Measure, "floor": v.Floor, "standing": v.Standing, "sidecars": len(v.Rows),
+		"up_to_date": v.Count(UpToDate), "behind": v.Count(Behind), "shut_out": v.Count(Shut), "not_reached": v.Count(NotReached),
+		"cant_tell": v.Count(Unknown), "contradictions": len(v.Contradictions) + v.Unkept, "roster": v.Faults,
+		"verdict": v.Verdict(), "exit": v.Exit()})
+}
+
+// plain is a text of somebody else's as it can stand in a line.
+func plain(s string) string {
+	return strings.Map(func(r rune) rune {
+		if r < ' ' || r == 0x7f {
+			return '?'
+		}
+		return r
+	}, s)
+}
+
+func moment(t version.Millis) string {
+	if t == 0 {
+		return "-"
+	}
+	return time.UnixMilli(int64(t)).UTC().Format("2006-01-02 15:04:05.000Z")
+}
+
+// clock is a moment without its day.
+func clock(t version.Millis) string {
+	if t == 0 {
+		return "–"
+	}
+	return time.UnixMilli(int64(t)).UTC().Format("15:04:05.000")
+}
+
+// since is how long before the view's moment something was.
+func (v *View) since(t version.Millis) string {
+	if t == 0 {
+		return "-"
+	}
+	return span(v.At - t)
+}
+
+func span(m version.Millis) string {
+	d := m.D()
+	switch {
+	case d < 0:
+		return "-"
+	case d < 10*time.Second:
+		return d.Round(100 * time.Millisecond).String()
+	}
+	return d.Round(time.Second).String()
+}
+
+// name is a list's, short.
+func name(l version.List) string {
+	if l.Digest == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%d/%s", l.Revision, short(l.Digest))
+}
+
+// short is enough of a digest to tell it from the others by eye.
+func short(d version.Digest) string {
+	if d == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%016x", uint64(d))[:6]
+}
+
+func (r *Row) list() string { return r.of(func(v *version.Version) string { return name(v.List) }) }
+func (r *Row) settings() string {
+	return r.of(func(v *version.Version) string { return short(v.Settings) })
+}
+func (r *Row) file() string { return r.of(func(v *version.Version) string { return short(v.File) }) }
+func (r *Row) build() string {
+	return r.of(func(v *version.Version) string {
+		if len(v.Build) > 12 {
+			return plain(v.Build[:12])
+		}
+		return plain(v.Build)
+	})
+}
+
+// of is a part of the last version that is known.
+func (r *Row) of(part func(v *version.Version) string) string {
+	if r.Version == nil {
+		return "-"
+	}
+	return part(r.Version)
+}
+
+// late is how many attempts were made too late: those that surely were, and those that may have been.
+func late(all []Late) string {
+	n, perhaps := 0, 0
+	for _, l := range all {
+		n, perhaps = n+l.N, perhaps+l.Perhaps
+	}
+	switch {
+	case n+perhaps == 0:
+		return "-"
+	case perhaps == 0:
+		return fmt.Sprint(n)
+	}
+	return fmt.Sprintf("%d to %d", n, n+perhaps)
+}
