Read reports, chains and dead sidecars' trails by package trail in the audit

trail.ParseReport knows up_ms; a directory that can't be read is a finding beside the roster's, not a hole. Tests write sealed chains with a sum of their own making.

--- a/internal/audit/ask.go
+++ b/internal/audit/ask.go
@@ -20,7 +20,7 @@
 )
 
 const (
-	answerMost = 256 << 10 // bytes: what a sidecar may have the audit hold, times those asked at a time
+	answerMost = trail.ReportMost // bytes: what a sidecar may have the audit hold, times those asked at a time
 	headMost   = 16 << 10
 	listMost   = 8 << 20 // bytes of the list service's answer, as sidecars have it
 	pagesMost  = 8       // calls in a row at one sidecar, for the rest of a long trail
@@ -102,9 +102,9 @@
 		from := time.Now()
 		text, err := a.call(ctx, http.MethodGet, fmt.Sprintf("http://%s/admin/audit?since=%d", q.Addr, since), nil, answerMost)
 		half := time.Since(from) / 2
-		var r *trail.Report
+		var r trail.Report
 		if err == nil {
-			r, err = parseReport(text)
+			r, err = trail.ParseReport(text)
 		}
 		if err != nil {
 			if out.Report == nil {
@@ -122,7 +122,7 @@
 			r.Entries = append(out.Report.Entries, r.Entries...)
 			r.Entries = r.Entries[max(0, len(r.Entries)-entriesMost):]
 		}
-		out.Report = r
+		out.Report = &r
 		if len(text) < answerMost/2 || r.Next <= since {
 			return out
 		}
--- a/internal/audit/ask_test.go
+++ b/internal/audit/ask_test.go
@@ -52,6 +52,12 @@
 	return l.Addr().String()
 }
 
+// report is that of a sidecar that acts, and has no trail yet.
+func report(name string) trail.Report {
+	return trail.Report{Name: name, Zone: "z0", Site: "site", Instances: 1, Life: "life " + name, State: "acts", Under: 1, Next: 1, First: 1,
+		Version: version.Version{List: version.List{From: "ls", Revision: 7, Digest: 70}, Build: "new"}}
+}
+
 // says answers with a report.
 func says(r trail.Report) http.HandlerFunc {
 	text, err := json.Marshal(r)
@@ -74,7 +80,7 @@
 		case 13:
 			questions[i].Addr = hanging(t)
 		default:
-			answer := says(trail.Report{Name: fmt.Sprint(i), Next: 1, First: 1})
+			answer := says(report(fmt.Sprint(i)))
 			questions[i].Addr = sidecarAt(t, func(w http.ResponseWriter, r *http.Request) {
 				n := now.Add(1)
 				defer now.Add(-1)
@@ -169,6 +175,10 @@
 // Guards against orders that are lost, or refused unseen, and trails of which only the beginning is read.
 func TestOrdersAndPages(t *testing.T) {
 	var orders, pages atomic.Int64
+	long := &script{life: "l"}
+	for range 3 {
+		long.add(1000, trail.Entry{Kind: trail.Counted, Attempts: slices.Repeat([]trail.Attempts{{Class: "c", Host: strings.Repeat("h", 250), N: 1}}, 512)})
+	}
 	addr := sidecarAt(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodPost {
 			orders.Add(1)
@@ -182,9 +192,9 @@
 		pages.Add(1)
 		var since uint64
 		_, _ = fmt.Sscanf(r.URL.RawQuery, "since=%d", &since)
-		rep := trail.Report{Next: since + 1, First: 1}
-		if since < 4 {
-			rep.Entries = []trail.Entry{{Seq: since, Why: strings.Repeat("x", answerMost/2)}}
+		rep := report("a")
+		if rep.Next = since + 1; since < 4 {
+			rep.Entries = long.entries[since-1 : since]
 		}
 		says(rep)(w, r)
 	})
--- a/internal/audit/audit.go
+++ b/internal/audit/audit.go
@@ -78,6 +78,7 @@
 	site     string
 	epoch    uint64 // the highest one known, until there is an auditor
 	round    int
+	unread   map[string]string // why directories could not be read, by whose they are
 	began    time.Time
 	now      time.Duration // the moment that is decided at
 	memories map[string]*memory
@@ -86,7 +87,7 @@
 
 // New returns an audit that knows nothing yet. Close it in the end.
 func New(o Options) *Audit {
-	a := &Audit{o: o, asker: NewAsker(o.AtATime, o.Within), site: o.Site, began: time.Now(), memories: map[string]*memory{}, dirs: maps.Clone(o.Dirs)}
+	a := &Audit{o: o, asker: NewAsker(o.AtATime, o.Within), site: o.Site, began: time.Now(), memories: map[string]*memory{}, unread: map[string]string{}, dirs: maps.Clone(o.Dirs)}
 	for i := range o.Roster.Sidecars {
 		if s := &o.Roster.Sidecars[i]; o.Dirs[s.Name] != "" {
 			s.Dir = o.Dirs[s.Name]
@@ -143,6 +144,9 @@
 	faults = slices.Concat(a.o.Roster.Faults, a.faults(answers))
 	a.take(questions, answers)
 	a.readDirs(answers)
+	for _, name := range slices.Sorted(maps.Keys(a.unread)) {
+		faults = append(faults, a.unread[name])
+	}
 	if a.o.List == "" {
 		demand.List, demand.At = a.reference(answers), a.now
 	}
@@ -299,10 +303,12 @@
 }
 
 func (a *Audit) readDir(name, dir string) {
-	entries, faults, err := readTrail(dir)
+	entries, faults, err := trail.ReadDir(dir)
 	if err != nil {
-		faults = []string{fmt.Sprintf("%s can't be read: %v", dir, err)}
+		a.unread[name] = fmt.Sprintf("%s: its trail can't be read: %v", name, err)
+		return
 	}
+	delete(a.unread, name)
 	a.history.MergeDir(name, entries, faults)
 }
 
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -31,8 +31,8 @@
 	r := &Roster{}
 	for i := range n {
 		name := fmt.Sprintf("s%d", i)
-		f.reports[i] = trail.Report{Name: name, Zone: fmt.Sprintf("z%d", i%2), Site: "site", Rank: i, Instances: n, Life: "life" + name,
-			Version: version.Version{List: version.List{From: "ls", Revision: 7, Digest: 70}, Build: "new"}, Under: 1, State: "acts", Next: 1, First: 1}
+		f.reports[i] = report(name)
+		f.reports[i].Zone, f.reports[i].Rank, f.reports[i].Instances = fmt.Sprintf("z%d", i%2), i, n
 		r.Sidecars = append(r.Sidecars, Sidecar{Name: name, Addr: sidecarAt(t, func(w http.ResponseWriter, q *http.Request) { f.answer(i, w, q) })})
 	}
 	return f, r
--- a/internal/audit/history.go
+++ b/internal/audit/history.go
@@ -118,15 +118,15 @@
 			h.note(Hole, name, a.Middle, fmt.Sprintf("asked from entry %d on, of which it says that it has it, it did not tell it", since))
 		}
 	}
-	for _, f := range checkChain(r.Entries) {
-		h.note(Hole, name, a.Middle, f)
+	for _, f := range trail.Check(r.Entries) {
+		h.note(Hole, name, a.Middle, f.String())
 	}
 	h.merge(name, r.Entries, at)
 	p.Next = r.Next
 }
 
 // MergeDir takes in a trail that was read from the disk of a sidecar that can't be asked.
-func (h *History) MergeDir(name string, entries []trail.Entry, faults []string) {
+func (h *History) MergeDir(name string, entries []trail.Entry, faults []trail.Fault) {
 	p := h.past(name)
 	at := anchor{Within: apart}
 	if n := len(entries); n > 0 {
@@ -137,7 +137,7 @@
 		}
 	}
 	for _, f := range faults {
-		h.note(Hole, name, at.Time, f)
+		h.note(Hole, name, at.Time, f.String())
 	}
 	h.merge(name, entries, at)
 }
--- a/internal/audit/history_test.go
+++ b/internal/audit/history_test.go
@@ -1,7 +1,9 @@
 package audit
 
 import (
-	"fmt"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
 	"strings"
 	"testing"
 
@@ -13,6 +15,7 @@
 type script struct {
 	entries []trail.Entry
 	life    string
+	epoch   uint64
 	ahead   version.Millis // by how much the wall clock goes before the auditor's
 }
 
@@ -21,13 +24,18 @@
 	if n := len(s.entries); n > 0 {
 		e.Prev = s.entries[n-1].Sum
 	}
-	e.Sum = fmt.Sprintf("%s %d %d %v", s.life, e.Seq, at, e.Kind)
+	text, err := json.Marshal(e) // as package trail says that a sum is made
+	if err != nil {
+		panic(err)
+	}
+	sum := sha256.Sum256(text)
+	e.Sum = hex.EncodeToString(sum[:16])
 	s.entries = append(s.entries, e)
 	return s
 }
 
 func (s *script) adopt(at version.Millis, under uint32, revision int64, digest version.Digest) *script {
-	return s.add(at, trail.Entry{Kind: trail.Adopted, Under: under, Version: &version.Version{List: version.List{From: "ls", Revision: revision, Digest: digest}}})
+	return s.add(at, trail.Entry{Kind: trail.Adopted, Under: under, Version: &version.Version{Epoch: s.epoch, List: version.List{From: "ls", Revision: revision, Digest: digest}}})
 }
 
 func (s *script) count(at version.Millis, under uint32, n, never int) *script {
@@ -69,6 +77,11 @@
 			a.Report.Entries = append(s.entries[:1:1], s.entries[2:]...)
 			h.Merge("a", 1, a)
 		}, Hole + " a"},
+		"changed": {func(h *History) {
+			s := start()
+			s.entries[1].Under = 7
+			h.Merge("a", 1, s.told(6000, 1))
+		}, Hole + " a entry 2: changed"},
 		"not told": {func(h *History) {
 			h.Merge("a", 1, start().told(1000, 1))
 			h.Merge("a", 2, start().adopt(5000, 2, 6, 60).told(6000, 3))
@@ -95,8 +108,8 @@
 		}, ""},
 		"revision back": {func(h *History) { h.Merge("a", 1, start().adopt(5000, 2, 4, 40).told(6000, 1)) }, Back + " a ls: revision 4 after 5"},
 		"epoch back": {func(h *History) {
-			s := start()
-			s.entries[1].Version.Epoch = 3
+			s := (&script{life: "l", epoch: 3}).adopt(200, 1, 5, 50)
+			s.epoch = 0
 			h.Merge("a", 1, s.adopt(5000, 2, 6, 60).told(6000, 1))
 		}, Back + " a epoch 0 after 3"},
 		"twice": {func(h *History) {
--- a/internal/trail/report.go
+++ b/internal/trail/report.go
@@ -37,7 +37,7 @@
 	}{
 		{"name", &r.Name, true}, {"zone", &r.Zone, true}, {"site", &r.Site, true}, {"rank", &r.Rank, true},
 		{"instances", &r.Instances, true}, {"life", &r.Life, true}, {"now_ms", &r.Now, true}, {"version", &r.Version, true},
-		{"under", &r.Under, true}, {"since_ms", &r.Since, true}, {"heard_ms", &r.Heard, true}, {"state", &r.State, true},
+		{"up_ms", &r.Up, false}, {"under", &r.Under, true}, {"since_ms", &r.Since, true}, {"heard_ms", &r.Heard, true}, {"state", &r.State, true},
 		{"why", &r.Why, false}, {"floor", &r.Floor, false}, {"ticket", &r.Ticket, false}, {"succeed", &r.Succeed, false},
 		{"entries", &entries, false}, {"next", &r.Next, true}, {"first", &r.First, true},
 	} {
