Test the audit's readers of dead trails, trails begun anew, and clocks over a machine's start

Cause: with the mechanism taken out (the entry asked for again compared by its sum; the step of a clock between lives; the uncertainty of clocks; the order of who hung) tests passed. A dead address in tests is bound and never listens: a freed port was given to the next listener in one run of ten.

--- a/internal/audit/ask_test.go
+++ b/internal/audit/ask_test.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"go.uber.org/goleak"
+	"golang.org/x/sys/unix"
 
 	"pinelb.example/pinelb/internal/trail"
 	"pinelb.example/pinelb/internal/version"
@@ -41,15 +42,22 @@
 	return l.Addr().String()
 }
 
-// dead is an address at which nobody listens.
+// dead is an address at which nobody listens, and that nobody else gets meanwhile.
 func dead(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer l.Close()
-	return l.Addr().String()
+	t.Cleanup(func() { _ = unix.Close(fd) })
+	if err := unix.Bind(fd, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	at, err := unix.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", at.(*unix.SockaddrInet4).Port)
 }
 
 // report is that of a sidecar that acts, and has no trail yet.
@@ -209,6 +217,25 @@
 	}
 }
 
+// Guards against a trail that has begun anew, and has grown as long as the former one, being read from its middle.
+func TestBegunAnew(t *testing.T) {
+	s := (&script{life: "m"}).add(100, trail.Entry{Kind: trail.Began}).adopt(200, 1, 5, 50).adopt(300, 2, 6, 60)
+	addr := sidecarAt(t, func(w http.ResponseWriter, r *http.Request) {
+		rep, since := report("a"), 0
+		_, _ = fmt.Sscanf(r.URL.RawQuery, "since=%d", &since)
+		rep.Entries, rep.Next = s.entries[since-1:], 4
+		says(rep)(w, r)
+	})
+	a := NewAsker(2, 10*time.Second)
+	defer a.Close()
+	got := a.Ask(t.Context(), []Question{{Addr: addr, Since: 3, Sum: strings.Repeat("0", 32)}, {Addr: addr, Since: 3, Sum: s.entries[2].Sum}})
+	for i, want := range []int{3, 1} {
+		if got[i].Report == nil || len(got[i].Report.Entries) != want {
+			t.Errorf("%+v, want %d entries", got[i], want)
+		}
+	}
+}
+
 // Guards against rounds that grow with the fleet times the time-out, in virtual time: of 5,000 sidecars 5% don't answer, and
 // 5% take connections and say nothing. Where that is known from the round before they begin it.
 func TestTurns(t *testing.T) {
@@ -239,7 +266,7 @@
 	first, most := round(make([]time.Duration, fleet))
 	second, _ := round(takes)
 	t.Logf("first round %v, the next %v", first, second)
-	if first > 2100*time.Millisecond || second > 2100*time.Millisecond || second > first || most != atATime {
+	if first > 2100*time.Millisecond || second > 2100*time.Millisecond || second >= first || most != atATime {
 		t.Errorf("%v, then %v; %d at once", first, second, most)
 	}
 }
--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"path/filepath"
 	"strings"
 	"sync"
@@ -210,6 +211,50 @@
 	}
 }
 
+// Guards against dead sidecars whose trail is not read, and against them counting as reached because it is.
+func TestDeadSidecars(t *testing.T) {
+	_, r := newFleet(t, 3)
+	s := (&script{life: "l", ahead: millis(time.Now())}).adopt(100, 1, 6, 60).count(200, 1, 5, 0)
+	var text []byte
+	for _, e := range s.entries {
+		line, err := json.Marshal(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = append(append(text, line...), '\n')
+	}
+	dirs := []string{t.TempDir(), t.TempDir()}
+	for i, dir := range dirs {
+		if err := os.WriteFile(filepath.Join(dir, "trail-000000001"), text[i:], 0o600); err != nil { // the second's first line is cut
+			t.Fatal(err)
+		}
+	}
+	r.Sidecars[1].Addr, r.Sidecars[1].Dir = dead(t), dirs[0]
+	r.Sidecars[2].Addr = dead(t)
+	o := options(r)
+	o.Dirs = map[string]string{"s2": dirs[1], "unlisted": dirs[0], "nowhere": dirs[0] + "/none"}
+	a := New(o)
+	defer a.Close()
+	v := round(t, a)
+	if v.Count(NotReached) != 2 || v.Count(UpToDate) != 1 {
+		t.Error(v.Verdict())
+	}
+	for name, want := range map[string]int{"s1": 2, "s2": 1, "unlisted": 2} {
+		if got := a.history.Sidecars[name]; got == nil || len(got.Entries) != want {
+			t.Errorf("%s: %+v, want %d entries", name, got, want)
+		}
+	}
+	if got := found(&a.history); !strings.HasPrefix(got, Hole+" s2 ") || strings.Contains(got, "s1") {
+		t.Error(got)
+	}
+	if got := strings.Join(v.Faults, "\n"); !strings.Contains(got, "nowhere: its trail can't be read") {
+		t.Error(got)
+	}
+	if v.Lists[0].List.Revision != 6 || v.Lists[0].Adopted != 2 {
+		t.Errorf("%+v", v.Lists)
+	}
+}
+
 // Guards against a file that is taken for another's, or for none where it can't be read.
 func TestKept(t *testing.T) {
 	_, r := newFleet(t, 1)
--- a/internal/audit/history_test.go
+++ b/internal/audit/history_test.go
@@ -130,7 +130,7 @@
 		}, ""},
 		"within what the clocks are sure of": {func(h *History) {
 			publish(h, 1000, 5, 20_000, 6)
-			h.Merge("a", 1, (&script{life: "l"}).adopt(19_500, 1, 6, 60).told(30_000, 1))
+			h.Merge("a", 1, (&script{life: "l"}).adopt(18_500, 1, 6, 60).told(30_000, 1))
 		}, ""},
 		"a service that counts anew": {func(h *History) {
 			publish(h, 1000, 9, 20_000, 6)
@@ -173,6 +173,8 @@
 		"set back between":     {[]trail.Entry{{At: 15_000, Up: 1000}, {At: 11_000, Up: 2000}}, 20_000, []version.Millis{10_000, 11_000}},
 		"set back after":       {[]trail.Entry{{At: 15_000, Up: 1000}, {At: 16_000, Up: 2000}}, 12_000, []version.Millis{10_000, 11_000}},
 		"started in between":   {[]trail.Entry{{At: 5000, Up: 900_000}, {At: 16_000, Up: 2000, Life: "m"}}, 25_000, []version.Millis{0, 11_000}},
+		"and soon":             {[]trail.Entry{{At: 5000, Up: 20_000}, {At: 16_000, Up: 2000, Life: "m"}}, 25_000, []version.Millis{0, 11_000}},
+		"and for long":         {[]trail.Entry{{At: 5000, Up: 1000}, {At: 500_000, Up: 2000, Life: "m"}}, 509_000, []version.Millis{-484_000, 11_000}},
 		"up is not known once": {[]trail.Entry{{At: 15_000, Up: 1000}, {At: 15_500}, {At: 16_000, Up: 2000}}, 25_000, []version.Millis{10_000, 10_500, 11_000}},
 		"up is not known":      {[]trail.Entry{{At: 15_000}, {At: 16_000}}, 25_000, []version.Millis{10_000, 11_000}},
 	} {
