--- /dev/null
+++ b/internal/audit/late.go
@@ -0,0 +1,95 @@
+package audit
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"pinelb.example/pinelb/internal/trail"
+	"pinelb.example/pinelb/internal/version"
+)
+
+// Late are attempts that a sidecar made at a host under a version that had ended: one that did not meet the floor in force,
+// after its grace.
+type Late struct {
+	Host    string `json:"host"`
+	N       int    `json:"n"`       // surely after
+	Perhaps int    `json:"perhaps"` // of a count that began before, or of which the clocks are not sure
+}
+
+// Late adds up, by host, what was done under an old version after it should have ended, as far as entries are kept. What
+// proved never to have reached its host is not counted.
+func (h *History) Late(name string) []Late {
+	p := h.Sidecars[name]
+	if p == nil || len(h.Raised) == 0 {
+		return nil
+	}
+	type adoption struct {
+		life  string
+		under uint32
+	}
+	versions, began := map[adoption]*version.Version{}, map[adoption]version.Millis{}
+	flushed := map[string][]version.Millis{} // of each life
+	sums := map[string]Late{}
+	for _, e := range p.Entries {
+		key := adoption{e.Life, e.Under}
+		switch {
+		case adopts(e):
+			versions[key] = e.Version
+			if e.From != repeated {
+				began[key] = e.Time
+			}
+		case e.Kind == trail.Counted && versions[key] != nil:
+			from := began[key]
+			for _, t := range slices.Backward(flushed[e.Life]) {
+				if t < e.Time-slack { // those of one flush stand closer together
+					from = max(from, t)
+					break
+				}
+			}
+			flushed[e.Life] = append(flushed[e.Life], e.Time)
+			ended, over := h.ended(versions[key], e.Time+e.Within)
+			if !over {
+				continue
+			}
+			for _, a := range e.Attempts {
+				s := sums[a.Host]
+				if s.Host = a.Host; from-e.Within >= ended {
+					s.N += max(0, a.N-a.Never)
+				} else {
+					s.Perhaps += max(0, a.N-a.Never)
+				}
+				sums[a.Host] = s
+			}
+		}
+	}
+	return slices.SortedFunc(maps.Values(sums), func(a, b Late) int {
+		return cmp.Or(cmp.Compare(b.N+b.Perhaps, a.N+a.Perhaps), cmp.Compare(a.Host, b.Host))
+	})
+}
+
+// ended tells since when a version should have ended, at a moment: the floor of the highest epoch that stands then decides, and
+// where it was raised while one stood that the version did not meet either, that one's grace counts.
+func (h *History) ended(v *version.Version, at version.Millis) (since version.Millis, over bool) {
+	i := len(h.Raised) - 1
+	for ; i >= 0 && (at < h.Raised[i].At || at >= h.Raised[i].At+h.Raised[i].Floor.For); i-- {
+	}
+	if i < 0 || meets(&h.Raised[i].Floor, v) {
+		return 0, false
+	}
+	since = h.Raised[i].At + h.Raised[i].Floor.Grace
+	for ; i > 0; i-- {
+		former := &h.Raised[i-1]
+		if former.At+former.Floor.For < h.Raised[i].At || meets(&former.Floor, v) {
+			break
+		}
+		since = min(since, former.At+former.Floor.Grace)
+	}
+	return since, at > since
+}
+
+// meets tells whether a version meets all of a floor.
+func meets(f *version.Floor, v *version.Version) bool {
+	list, settings, file, build := f.Meets(v)
+	return list && settings && file && build
+}
