Count attempts at the worst box in its worst second, and those that come again

Cold starts had counts of connections and list calls, none of what a box is sent at once. result.json has peak (box, from_s, attempts, again, copies) in virtual time and on sockets, the summary a line of it, and a scenario can expect attempts_peak and again_peak. A window slides, so that a burst across two seconds counts whole; visits of no try don't count.

--- a/internal/lab/result/measure.go
+++ b/internal/lab/result/measure.go
@@ -19,7 +19,7 @@
 			v = max(v, r.boxes[i].worst(r.plan.Scenario.Rules.FallWindow.D(), from, to))
 		}
 		return v, true
-	case "list_calls", "list_refused", "list_dials", "list_peak", "handshakes", "unready", "unlisted", "unserving":
+	case "list_calls", "list_refused", "list_dials", "list_peak", "handshakes", "attempts_peak", "again_peak", "unready", "unlisted", "unserving":
 		return r.measureTogether(what, from, to)
 	}
 	t := r.tally(class, from, to)
--- a/internal/lab/result/of.go
+++ b/internal/lab/result/of.go
@@ -29,6 +29,7 @@
 	if meta.Player == "sockets" {
 		out.Together = r.together()
 	}
+	out.Peak = r.peak(-longest, longest)
 	out.Room = r.room(len(out.Seconds))
 	out.All = r.tally(-1, r.settle, longest).figures()
 	for i, c := range s.Class {
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -63,6 +63,7 @@
 	Marks    []Mark    `json:"marks"`
 	Notice   Notice    `json:"notice"`
 	Together *Together `json:"together,omitempty"` // of runs on sockets
+	Peak     *Peak     `json:"peak"`               // null where no box was sent anything
 	Rig      Rig       `json:"rig"`
 	Usage    []Usage   `json:"usage"`
 	Fallen   int       `json:"boxes_fallen"` // boxes that fell over at least once
--- a/internal/lab/result/result_test.go
+++ b/internal/lab/result/result_test.go
@@ -75,6 +75,9 @@
 func TestFiguresCountedByHand(t *testing.T) {
 	p, log := morning()
 	r := Of(p, log, []Broken{{Kind: "twice", Count: 2, Stories: [][]string{{"a", "b"}}}, {Kind: "kept"}}, Meta{Player: "virtual"})
+	if want := (Peak{Box: "front-1", From: 1.6, Attempts: 2, Again: 1, Copies: 1}); r.Peak == nil || *r.Peak != want {
+		t.Errorf("the worst second is %+v, want %+v", r.Peak, want)
+	}
 	a := r.All
 	sixth := tidy(1.0 / 6)
 	if a.Asked != 6 || a.Served.Count != 2 || a.Late != (Part{1, sixth}) || a.Refused.Count != 1 || a.Failed.Count != 1 || a.Gone.Count != 1 {
--- a/internal/lab/result/summary.go
+++ b/internal/lab/result/summary.go
@@ -37,6 +37,9 @@
 		p.line("Latency   nothing was answered")
 	}
 	p.boxes(r)
+	if k := r.Peak; k != nil {
+		p.line("Crowding  %d attempts at %s in its worst second, from %.2f s on; %d of them not the first of their try, %d copies", k.Attempts, k.Box, k.From, k.Again, k.Copies)
+	}
 	p.together(r.Together)
 	p.rules(r.Broken)
 	p.expectations(r.Expect)
--- a/internal/lab/result/together.go
+++ b/internal/lab/result/together.go
@@ -1,6 +1,7 @@
 package result
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -28,6 +29,17 @@
 	Unfed   int     `json:"never_served"` // or were asked and served nothing
 }
 
+// Peak is the second in which a box was sent the most attempts, of all boxes and all intervals of that length. Of its
+// attempts, Again are those that are not the first of their try: what is tried again, and copies. Copies are those of
+// Again that began while another attempt of the try was open. Trials of a box that was left out are clients' tries as well.
+type Peak struct {
+	Box      string  `json:"box"`
+	From     float64 `json:"from_s"`
+	Attempts int     `json:"attempts"`
+	Again    int     `json:"again"`
+	Copies   int     `json:"copies"`
+}
+
 // Spread is seconds, over processes.
 type Spread struct {
 	P50 float64 `json:"p50_s"`
@@ -137,6 +149,60 @@
 	return out
 }
 
+// peak is the worst second of all boxes, of visits that began in a window; nil if there was none. Visits that are of no
+// try, as probes are, don't count.
+func (r *run) peak(from, to time.Duration) *Peak {
+	type sent struct {
+		at            time.Duration
+		again, copied int
+	}
+	tries := make(map[uint64]bool, len(r.log.Tries))
+	for i := range r.log.Tries {
+		tries[r.log.Tries[i].Txn] = true
+	}
+	order := make([]*trace.Visit, 0, len(r.log.Visits))
+	for i := range r.log.Visits {
+		if v := &r.log.Visits[i]; tries[v.Txn] {
+			order = append(order, v)
+		}
+	}
+	slices.SortStableFunc(order, func(a, b *trace.Visit) int { return cmp.Compare(a.Begun, b.Begun) })
+	open := make(map[uint64]time.Duration, len(tries)) // by try that has been sent: until when
+	byBox := make([][]sent, len(r.plan.Boxes))
+	for _, v := range order {
+		s := sent{at: v.Begun}
+		until, was := open[v.Txn]
+		if was {
+			s.again = 1
+		}
+		if v.Begun < until {
+			s.copied = 1
+		}
+		ended := v.Ended
+		if ended == trace.None {
+			ended = longest
+		}
+		open[v.Txn] = max(until, ended)
+		if v.Begun >= from && v.Begun < to {
+			byBox[v.Box] = append(byBox[v.Box], s)
+		}
+	}
+	var out *Peak
+	for box, all := range byBox {
+		first, again, copied := 0, 0, 0
+		for n, s := range all {
+			again, copied = again+s.again, copied+s.copied
+			for ; s.at-all[first].at >= time.Second; first++ {
+				again, copied = again-all[first].again, copied-all[first].copied
+			}
+			if k := n + 1 - first; out == nil || k > out.Attempts {
+				out = &Peak{Box: r.plan.Boxes[box].Name, From: tidy(all[first].at.Seconds()), Attempts: k, Again: again, Copies: copied}
+			}
+		}
+	}
+	return out
+}
+
 // steps counts what has a time into intervals of 100 ms; what came before the run counts into the first.
 func steps(n int, at func(int) time.Duration) []int {
 	out := []int{}
@@ -178,6 +244,15 @@
 		return n
 	}
 	switch what {
+	case "attempts_peak", "again_peak":
+		p := r.peak(from, to)
+		if p == nil {
+			return 0, false
+		}
+		if what == "again_peak" {
+			return float64(p.Again), true
+		}
+		return float64(p.Attempts), true
 	case "list_calls":
 		return float64(len(calls)), true
 	case "list_refused":
