A bound on handshakes at an upstream host for a whole fleet: [fleet] handshakes

New connections at one box were measured and bounded by nothing: when a box resets its connections all sidecars redial at once. pace.Doors says when one instance may open one, by its part of the bound or by moments drawn at random, and Pool.take carries it out: an attempt without an idle connection waits for its moment or one that is put back, and ends as never sent after a connect time-out. Off unless asked for.

--- a/cmd/pinelb/serve.go
+++ b/cmd/pinelb/serve.go
@@ -109,6 +109,7 @@
 
 	set := &cfg.Settings
 	pool := upstream.NewPool(set.ConnectTimeout, set.ConnIdle, sockets/2)
+	pool.Guard(doors(op.Fleet, set))
 	eng, err := engine.New(set.Settings, cfg.Seed, pool, log)
 	if err != nil {
 		return err
@@ -252,6 +253,14 @@
 	return err
 }
 
+// doors is the bound on new connections at each upstream host; there is none where the operator's file states none.
+func doors(f *config.Fleet, set *config.Settings) pace.Doors {
+	if f == nil {
+		return pace.Doors{}
+	}
+	return pace.Doors{Handshakes: f.Handshakes, Instances: set.Instances, Numbered: f.Numbered}
+}
+
 // paced is how the list service is asked where the operator's file says that it is one for many. The random numbers are not
 // the seed's alone: sidecars that were given the same one must not ask in the same moments.
 func paced(d *config.Discovery, cfg *config.Config, table *cluster.Table) (*cluster.Paced, *rand.Rand) {
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -109,6 +109,21 @@
 	// Spread is the time over which a sidecar that holds a list already makes its first call to discovery: where
 	// many start at once and ask one service, they should not do so in the same moment. At most 5 s.
 	Spread tomlfile.Span `toml:"spread"`
+	// Handshakes is how many connections all instances together may open to one upstream host in 100 ms; 0 is no bound.
+	Handshakes int `toml:"handshakes"`
+}
+
+// mostHandshakes is more than any host takes.
+const mostHandshakes = 10_000
+
+func (f *Fleet) check(file *tomlfile.File) error {
+	switch {
+	case f.Spread < 0 || f.Spread.D() > mostSpread:
+		return file.Fault("fleet.spread", "must be from 0s to %s", mostSpread)
+	case f.Handshakes < 0 || f.Handshakes > mostHandshakes:
+		return file.Fault("fleet.handshakes", "must be from 0 to %d", mostHandshakes)
+	}
+	return nil
 }
 
 // mostSpread keeps a list that may be old from being all that there is for long.
@@ -171,8 +186,8 @@
 func ParseOperator(path string, data []byte) (*Operator, error) {
 	op := &Operator{}
 	file, err := tomlfile.Decode(path, data, op)
-	if f := op.Fleet; err == nil && f != nil && (f.Spread < 0 || f.Spread.D() > mostSpread) {
-		err = file.Fault("fleet.spread", "must be from 0s to %s", mostSpread)
+	if err == nil && op.Fleet != nil {
+		err = op.Fleet.check(file)
 	}
 	if err == nil && op.Discovery != nil {
 		err = op.Discovery.check(file)
--- a/internal/config/operator_test.go
+++ b/internal/config/operator_test.go
@@ -69,6 +69,7 @@
 		"[budget]\nservice = \"a\"\nattempts = 9": ":3: budget.attempts: ",
 		"[budget]\nservice = \"a\"\nreentry = -1": ":3: budget.reentry: ",
 		"[fleet]\nnumbered = 1":                   ":2: fleet.numbered: ",
+		"[fleet]\nhandshakes = -1":                ":2: fleet.handshakes: must be from 0 to 10000",
 		"[fleet]\nspread = \"6s\"":                ":2: fleet.spread: must be from 0s to 5s",
 		"[state]\ndir = \"here\"":                 ":2: state.dir: must be the absolute",
 		"[state]\ndir = \"/s\"\nevery = \"0s\"":   ":3: state.every: must be from 1s to 10m",
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -42,7 +42,7 @@
 
 	limit *io.LimitedReader // HTTP: what may still come of the present heads
 	in    *bufio.Reader     // HTTP
-	pace  pace              // HTTP
+	pace  pacing            // HTTP
 	seq   int32             // Thrift: of the last call
 }
 
@@ -79,8 +79,8 @@
 
 func (c *conn) close() { _ = c.Conn.Close() } // nothing that is still wanted is lost by an error here
 
-// pace is how long reading may take at present.
-type pace struct {
+// pacing is how long reading may take at present.
+type pacing struct {
 	ctx   context.Context
 	until time.Time     // the latest; zero: there is none
 	piece time.Duration // from one piece to the next, once an answer has begun
--- /dev/null
+++ b/internal/upstream/line.go
@@ -0,0 +1,147 @@
+package upstream
+
+import (
+	"context"
+	"hash/fnv"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/pace"
+)
+
+// waiter is an attempt that stands in a host's line for a connection, or the place of one that has gone: what is opened at
+// its moment is for whoever comes next.
+type waiter struct {
+	use  purpose
+	told chan turn // nil: nobody is there
+}
+
+// turn is what ends a wait: a connection that was put back, that there will be none, or leave to open one.
+type turn struct {
+	conn *conn
+	err  error
+}
+
+// Guard bounds the new connections at each host from now on.
+func (p *Pool) Guard(d pace.Doors) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.doors = d
+	for id, h := range p.hosts {
+		p.admit(id, h)
+	}
+}
+
+// queue waits until a connection may be opened, or for one that is put back, whichever is first, and for no longer than a
+// connect may take. The caller holds the lock, which is free afterwards. Without a connection nor an error one may be opened.
+func (p *Pool) queue(ctx context.Context, id balance.EndpointID, h *host, until time.Time, use purpose) (*conn, error) {
+	w := &waiter{use: use, told: make(chan turn, 1)}
+	h.line = append(h.line, w)
+	p.admit(id, h)
+	late := time.NewTimer(min(p.connectTimeout, time.Until(until)))
+	defer late.Stop()
+	p.mu.Unlock()
+	select {
+	case t := <-w.told:
+		return t.conn, t.err
+	case <-ctx.Done():
+	case <-late.C:
+	}
+	p.mu.Lock()
+	i := slices.Index(h.line, w)
+	if i < 0 { // its turn came in the same moment
+		p.mu.Unlock()
+		t := <-w.told
+		if t.conn != nil && ctx.Err() != nil {
+			p.put(t.conn)
+			return nil, ctx.Err()
+		}
+		return t.conn, t.err
+	}
+	if ctx.Err() == nil && !slices.ContainsFunc(h.line, func(w *waiter) bool { return w.told == nil && w.use == use }) {
+		h.line[i] = &waiter{use: use}
+	} else {
+		h.line = slices.Delete(h.line, i, i+1)
+	}
+	p.mu.Unlock()
+	return nil, errCrowded
+}
+
+// admit has those in a host's line open connections as its door allows, in their order, and sees to it that the next is
+// looked at in time. The caller holds the lock.
+func (p *Pool) admit(id balance.EndpointID, h *host) {
+	h.line = slices.DeleteFunc(h.line, func(w *waiter) bool { return w.told == nil && h.has(w.use) })
+	for share := p.doors.Share(len(p.hosts)); len(h.line) > 0; {
+		now := p.now().Sub(p.began)
+		if !h.door.Open(share, now) {
+			h.again.Reset(h.door.At(share, now) - now)
+			return
+		}
+		w := h.line[0]
+		h.line = slices.Delete(h.line, 0, 1)
+		if w.told != nil {
+			w.told <- turn{}
+		} else if p.open < p.most && !p.ended {
+			p.open++
+			addr, timeout := h.addr, p.connectTimeout
+			p.ahead.Go(func() {
+				if c, err := p.dial(context.Background(), id, addr, timeout, w.use); err == nil {
+					p.put(c)
+				}
+			})
+		}
+	}
+	h.again.Stop()
+}
+
+// endAhead waits for what is being opened for nobody yet, after which nothing is any more.
+func (p *Pool) endAhead() {
+	p.mu.Lock()
+	p.ended = true
+	p.mu.Unlock()
+	p.ahead.Wait()
+}
+
+// hand gives a connection that is put back to the first that waits for one of its kind. The caller holds the lock.
+func (h *host) hand(c *conn) bool {
+	i := slices.IndexFunc(h.line, func(w *waiter) bool { return w.told != nil && w.use == c.use })
+	if i < 0 {
+		return false
+	}
+	h.line[i].told <- turn{conn: c}
+	h.line = slices.Delete(h.line, i, i+1)
+	return true
+}
+
+// dismiss ends all waits for a host that is gone. The caller holds the lock.
+func (h *host) dismiss() {
+	for _, w := range h.line {
+		if w.told != nil {
+			w.told <- turn{err: errUnknownHost}
+		}
+	}
+	h.line = nil
+	h.again.Stop()
+}
+
+// has tells whether a connection for that purpose is idle.
+func (h *host) has(use purpose) bool {
+	return slices.ContainsFunc(h.idle, func(c *conn) bool { return c.use == use })
+}
+
+// newHost is a host that nothing is known of. Its moments are drawn by the process and are the same when it comes back.
+func (p *Pool) newHost(id balance.EndpointID) *host {
+	sum := fnv.New64a()
+	_, _ = sum.Write(strconv.AppendInt(nil, int64(id), 10))
+	h := &host{door: pace.Door{Phase: rand.New(rand.NewPCG(p.secret, sum.Sum64())).Float64()}}
+	h.again = time.AfterFunc(time.Hour, func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.admit(id, h)
+	})
+	h.again.Stop()
+	return h
+}
--- /dev/null
+++ b/internal/upstream/line_test.go
@@ -0,0 +1,120 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"pinelb.example/pinelb/internal/pace"
+)
+
+// guarded is a pool with one moment in 10 s, and a clock that the test turns, at which none is near.
+func guarded(t *testing.T) (p *Pool, moment func()) {
+	p = poolFor(newScripted(t).addr, 10)
+	var clock time.Duration
+	p.now = func() time.Time { return p.began.Add(clock) }
+	p.Guard(pace.Doors{Handshakes: 1, Instances: 100})
+	p.hosts[1].door.Phase = 0.5
+	return p, func() { // the next one comes
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		share := p.doors.Share(1)
+		clock = clock.Truncate(share.Every) + 3*share.Every/2
+		p.admit(1, p.hosts[1])
+	}
+}
+
+type taken struct {
+	c   *conn
+	err error
+}
+
+// begin takes a connection, and returns when the attempt stands in the line as the nth.
+func begin(ctx context.Context, p *Pool, use purpose, nth int) <-chan taken {
+	out := make(chan taken, 1)
+	go func() {
+		c, err := p.take(ctx, 1, time.Now().Add(time.Minute), use)
+		out <- taken{c, err}
+	}()
+	for n := 0; n < nth; {
+		p.mu.Lock()
+		n = len(p.hosts[1].line)
+		p.mu.Unlock()
+	}
+	return out
+}
+
+// Attempts that find no connection wait for a moment or for one that is put back, in their order, and each wait ends once:
+// by a client that leaves, a host that goes, one's own purpose, or for good.
+func TestLine(t *testing.T) {
+	p, moment := guarded(t)
+	ctx, leave := context.WithCancel(context.Background())
+	first := begin(ctx, p, purpose{}, 1)
+	second := begin(context.Background(), p, purpose{}, 2)
+	third := begin(context.Background(), p, purpose{}, 3)
+	other := begin(context.Background(), p, purpose{protocol: "x"}, 4)
+	if _, open := counts(p, 1); open != 0 {
+		t.Fatalf("%d open before any moment", open)
+	}
+	leave()
+	if got := <-first; got.c != nil || !errors.Is(got.err, errCrowded) {
+		t.Fatalf("one whose client has left: %+v", got)
+	}
+	moment()
+	got := <-second // and not the third
+	if got.err != nil {
+		t.Fatal(got.err)
+	}
+	p.put(got.c)
+	if again := <-third; again.c != got.c {
+		t.Fatalf("the third got %+v, not the connection that was put back", again)
+	}
+	p.drop(got.c)
+	if _, open := counts(p, 1); open != 0 || len(p.hosts[1].line) != 1 {
+		t.Fatalf("%d open, %d wait; want 0 and the one of another protocol", open, len(p.hosts[1].line))
+	}
+	p.Remove(1)
+	if got := <-other; got.err != errUnknownHost {
+		t.Fatalf("the host is gone: %+v", got)
+	}
+}
+
+// An attempt whose time is up ends as one that was never sent, and what is opened at its moment lies ready for the next; in
+// a pool that is full nothing is.
+func TestPlaceIsKept(t *testing.T) {
+	for most, want := range []int{0, 1} {
+		p, moment := guarded(t)
+		p.Retune(time.Millisecond, time.Minute)
+		for range 2 {
+			if c, err := p.take(context.Background(), 1, time.Now().Add(time.Minute), purpose{}); c != nil || err != errCrowded {
+				t.Fatalf("%v, %v before any moment", c, err)
+			}
+		}
+		p.Retune(time.Minute, time.Minute)
+		p.Bound(most)
+		moment()
+		p.ahead.Wait()
+		moment() // one is enough
+		p.ahead.Wait()
+		if idle, open := counts(p, 1); idle != want || open != want {
+			t.Errorf("room for %d: %d idle of %d open, want %d", most, idle, open, want)
+		}
+		p.CloseUnused(1)
+	}
+}
+
+// Without a bound, and where an instance is alone, nothing waits.
+func TestNoLine(t *testing.T) {
+	for _, d := range []pace.Doors{{}, {Handshakes: 1, Instances: 1}} {
+		p, _ := guarded(t)
+		p.Guard(d)
+		for range 5 {
+			c, err := p.take(context.Background(), 1, time.Now().Add(time.Minute), purpose{})
+			if err != nil {
+				t.Fatalf("%+v: %v", d, err)
+			}
+			defer p.drop(c)
+		}
+	}
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"strconv"
@@ -13,6 +14,7 @@
 	"time"
 
 	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/pace"
 )
 
 const (
@@ -35,9 +37,14 @@
 	idleMost       time.Duration
 	most           int // connections in all, those being opened included
 
-	now func() time.Time
+	now    func() time.Time
+	began  time.Time // from when doors count
+	secret uint64    // of the process: by which its moments at hosts are drawn
+	ahead  sync.WaitGroup
 
 	mu    sync.Mutex
+	doors pace.Doors // the zero value is no bound
+	ended bool       // nothing is opened ahead any more
 	open  int
 	hosts map[balance.EndpointID]*host
 }
@@ -52,14 +59,17 @@
 
 // host is one upstream host's address and its idle connections, the last used last.
 type host struct {
-	addr string
-	idle []*conn
+	addr  string
+	idle  []*conn
+	door  pace.Door
+	line  []*waiter   // for a connection, the first first
+	again *time.Timer // when the line is looked at
 }
 
 // NewPool returns a pool without hosts that opens at most that many connections.
 func NewPool(connectTimeout, connIdle time.Duration, most int) *Pool {
 	return &Pool{connectTimeout: connectTimeout, idleMost: time.Duration(idleShare * float64(connIdle)), most: most,
-		now: time.Now, hosts: map[balance.EndpointID]*host{}}
+		now: time.Now, began: time.Now(), secret: rand.Uint64(), hosts: map[balance.EndpointID]*host{}}
 }
 
 // Retune takes over changed settings.
@@ -84,7 +94,7 @@
 	defer p.mu.Unlock()
 	h := p.hosts[id]
 	if h == nil {
-		h = &host{}
+		h = p.newHost(id)
 		p.hosts[id] = h
 	}
 	if h.addr != addr {
@@ -98,6 +108,9 @@
 	p.CloseUnused(id)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if h := p.hosts[id]; h != nil {
+		h.dismiss()
+	}
 	delete(p.hosts, id)
 }
 
@@ -115,6 +128,7 @@
 func (p *Pool) Sweep(ctx context.Context) {
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
+	defer p.endAhead()
 	for {
 		select {
 		case <-ctx.Done():
@@ -171,6 +185,12 @@
 		c.close()
 		p.open--
 	}
+	if p.doors.Handshakes > 0 {
+		if c, err := p.queue(ctx, id, h, until, use); c != nil || err != nil {
+			return c, err
+		}
+		p.mu.Lock()
+	}
 	if p.open >= p.most && !p.makeRoom() {
 		p.mu.Unlock()
 		return nil, errCrowded
@@ -178,9 +198,13 @@
 	p.open++
 	addr, timeout := h.addr, p.connectTimeout
 	p.mu.Unlock()
+	return p.dial(ctx, id, addr, min(timeout, time.Until(until)), use)
+}
 
+// dial opens a connection that is counted already.
+func (p *Pool) dial(ctx context.Context, id balance.EndpointID, addr string, within time.Duration, use purpose) (*conn, error) {
 	from := time.Now()
-	d := net.Dialer{Timeout: max(1, min(timeout, time.Until(until))), KeepAlive: -1}
+	d := net.Dialer{Timeout: max(1, within), KeepAlive: -1}
 	nc, err := d.DialContext(ctx, "tcp", use.at(addr))
 	if err != nil {
 		p.drop(nil)
@@ -232,8 +256,10 @@
 		p.drop(c)
 		return
 	}
-	c.idleSince = p.now()
-	h.idle = append(h.idle, c)
+	if !h.hand(c) {
+		c.idleSince = p.now()
+		h.idle = append(h.idle, c)
+	}
 	p.mu.Unlock()
 }
 
