Tests of the line: purposes, one place, and connections put back meanwhile

Mutations that lived are caught: a connection handed to another protocol's waiter, a place kept twice, one opened beside an idle one.

--- a/internal/upstream/line_test.go
+++ b/internal/upstream/line_test.go
@@ -52,8 +52,8 @@
 	ctx, leave := context.WithCancel(context.Background())
 	first := begin(ctx, p, purpose{}, 1)
 	second := begin(context.Background(), p, purpose{}, 2)
-	third := begin(context.Background(), p, purpose{}, 3)
-	other := begin(context.Background(), p, purpose{protocol: "x"}, 4)
+	other := begin(context.Background(), p, purpose{protocol: "x"}, 3)
+	third := begin(context.Background(), p, purpose{}, 4)
 	if _, open := counts(p, 1); open != 0 {
 		t.Fatalf("%d open before any moment", open)
 	}
@@ -80,10 +80,12 @@
 	}
 }
 
-// An attempt whose time is up ends as one that was never sent, and what is opened at its moment lies ready for the next; in
-// a pool that is full nothing is.
+// An attempt whose time is up ends as one that was never sent, and what is opened at its moment lies ready for the next: one,
+// and none where another has been put back meanwhile or the pool is full.
 func TestPlaceIsKept(t *testing.T) {
-	for most, want := range []int{0, 1} {
+	for _, c := range []struct {
+		back, most, want int
+	}{{0, 0, 0}, {0, 10, 1}, {1, 10, 1}} {
 		p, moment := guarded(t)
 		p.Retune(time.Millisecond, time.Minute)
 		for range 2 {
@@ -91,14 +93,25 @@
 				t.Fatalf("%v, %v before any moment", c, err)
 			}
 		}
+		if n := len(p.hosts[1].line); n != 1 {
+			t.Fatalf("%d places are kept", n)
+		}
 		p.Retune(time.Minute, time.Minute)
-		p.Bound(most)
+		p.Bound(c.most)
+		for range c.back {
+			p.open++
+			busy, err := p.dial(context.Background(), 1, p.hosts[1].addr, time.Minute, purpose{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.put(busy)
+		}
 		moment()
 		p.ahead.Wait()
 		moment() // one is enough
 		p.ahead.Wait()
-		if idle, open := counts(p, 1); idle != want || open != want {
-			t.Errorf("room for %d: %d idle of %d open, want %d", most, idle, open, want)
+		if idle, open := counts(p, 1); idle != c.want || open != c.want {
+			t.Errorf("%+v: %d idle of %d open", c, idle, open)
 		}
 		p.CloseUnused(1)
 	}
