--- a/internal/upstream/line.go
+++ b/internal/upstream/line.go
@@ -12,6 +12,10 @@
 	"pinelb.example/pinelb/internal/pace"
 )
 
+// waitMost is how many connect time-outs an attempt waits for a moment that is sure to come by then. Elsewhere it waits for
+// one, in which a connection may be put back: other hosts' moments may be nearer.
+const waitMost = 4
+
 // waiter is an attempt that stands in a host's line for a connection, or the place of one that has gone: what is opened at
 // its moment is for whoever comes next.
 type waiter struct {
@@ -35,13 +39,14 @@
 	}
 }
 
-// queue waits until a connection may be opened, or for one that is put back, whichever is first, and for no longer than a
-// connect may take. The caller holds the lock, which is free afterwards. Without a connection nor an error one may be opened.
+// queue waits until a connection may be opened, or for one that is put back, whichever is first, and for so long
+// and no longer. The caller holds the lock, which is free afterwards. Without a connection nor an error one may be opened.
 func (p *Pool) queue(ctx context.Context, id balance.EndpointID, h *host, until time.Time, use purpose) (*conn, error) {
 	w := &waiter{use: use, told: make(chan turn, 1)}
 	h.line = append(h.line, w)
 	p.admit(id, h)
-	late := time.NewTimer(min(p.connectTimeout, time.Until(until)))
+	wait := h.patience(p.doors.Share(len(p.hosts)), p.now().Sub(p.began), p.connectTimeout)
+	late := time.NewTimer(min(wait, time.Until(until)))
 	defer late.Stop()
 	p.mu.Unlock()
 	select {
@@ -70,6 +75,15 @@
 	return nil, errCrowded
 }
 
+// patience is how long the last in a line waits.
+func (h *host) patience(share pace.Share, now, timeout time.Duration) time.Duration {
+	before := time.Duration(max(0, len(h.line)-1) / max(1, share.AtOnce)) // periods
+	if h.door.At(share, now)+before*share.Every <= now+waitMost*timeout {
+		return waitMost * timeout
+	}
+	return timeout
+}
+
 // admit has those in a host's line open connections as its door allows, in their order, and sees to it that the next is
 // looked at in time. The caller holds the lock.
 func (p *Pool) admit(id balance.EndpointID, h *host) {
--- a/internal/upstream/line_test.go
+++ b/internal/upstream/line_test.go
@@ -131,3 +131,25 @@
 		}
 	}
 }
+
+// How long an attempt waits: for a moment that comes soon, with those before it, and otherwise for a connect time-out.
+func TestPatience(t *testing.T) {
+	one := pace.Share{AtOnce: 1, Every: time.Second}
+	for _, c := range []struct {
+		share pace.Share
+		line  int
+		now   time.Duration
+		want  time.Duration
+	}{
+		{one, 1, 200 * time.Millisecond, 400 * time.Millisecond},
+		{one, 1, 50 * time.Millisecond, 100 * time.Millisecond},
+		{one, 2, 200 * time.Millisecond, 100 * time.Millisecond},
+		{pace.Share{AtOnce: 2, Every: 100 * time.Millisecond}, 9, 0, 400 * time.Millisecond},
+		{pace.Share{AtOnce: 2, Every: 100 * time.Millisecond}, 11, 0, 100 * time.Millisecond},
+	} {
+		h := &host{door: pace.Door{Phase: 0.5}, line: make([]*waiter, c.line)}
+		if got := h.patience(c.share, c.now, 100*time.Millisecond); got != c.want {
+			t.Errorf("%+v, %d in line at %s: %s, want %s", c.share, c.line, c.now, got, c.want)
+		}
+	}
+}
