--- a/internal/upstream/line.go
+++ b/internal/upstream/line.go
@@ -51,7 +51,7 @@
 	p.mu.Unlock()
 	select {
 	case t := <-w.told:
-		return t.conn, t.err
+		return p.taken(ctx, t)
 	case <-ctx.Done():
 	case <-late.C:
 	}
@@ -59,12 +59,7 @@
 	i := slices.Index(h.line, w)
 	if i < 0 { // its turn came in the same moment
 		p.mu.Unlock()
-		t := <-w.told
-		if t.conn != nil && ctx.Err() != nil {
-			p.put(t.conn)
-			return nil, ctx.Err()
-		}
-		return t.conn, t.err
+		return p.taken(ctx, <-w.told)
 	}
 	if ctx.Err() == nil && !slices.ContainsFunc(h.line, func(w *waiter) bool { return w.told == nil && w.use == use }) {
 		h.line[i] = &waiter{use: use}
@@ -75,6 +70,15 @@
 	return nil, errCrowded
 }
 
+// taken is what a turn brings an attempt that may have been withdrawn meanwhile: nothing is to be sent for it.
+func (p *Pool) taken(ctx context.Context, t turn) (*conn, error) {
+	if t.conn != nil && ctx.Err() != nil {
+		p.put(t.conn)
+		return nil, ctx.Err()
+	}
+	return t.conn, t.err
+}
+
 // patience is how long the last in a line waits.
 func (h *host) patience(share pace.Share, now, timeout time.Duration) time.Duration {
 	before := time.Duration(max(0, len(h.line)-1) / max(1, share.AtOnce)) // periods
--- a/internal/upstream/line_test.go
+++ b/internal/upstream/line_test.go
@@ -132,6 +132,25 @@
 	}
 }
 
+// A connection that comes when the client has left is not used, and stays.
+func TestTurnOfOneThatHasLeft(t *testing.T) {
+	p, _ := guarded(t)
+	p.open++
+	c, err := p.dial(context.Background(), 1, p.hosts[1].addr, time.Minute, purpose{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, leave := context.WithCancel(context.Background())
+	leave()
+	if got, err := p.taken(ctx, turn{conn: c}); got != nil || !errors.Is(err, context.Canceled) {
+		t.Fatalf("%v, %v", got, err)
+	}
+	if idle, open := counts(p, 1); idle != 1 || open != 1 {
+		t.Fatalf("%d idle of %d open, want one", idle, open)
+	}
+	p.CloseUnused(1)
+}
+
 // How long an attempt waits: for a moment that comes soon, with those before it, and otherwise for a connect time-out.
 func TestPatience(t *testing.T) {
 	one := pace.Share{AtOnce: 1, Every: time.Second}
