--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -29,6 +29,7 @@
 	"pinelb.example/pinelb/internal/effects"
 	"pinelb.example/pinelb/internal/engine"
 	"pinelb.example/pinelb/internal/handover"
+	"pinelb.example/pinelb/internal/pace"
 	"pinelb.example/pinelb/internal/record"
 	"pinelb.example/pinelb/internal/stream"
 	"pinelb.example/pinelb/internal/upstream"
