--- a/internal/lab/judge/pressure.go
+++ b/internal/lab/judge/pressure.go
@@ -145,7 +145,7 @@
 		}
 	}
 	for i := range j.p.Events {
-		if e := &j.p.Events[i]; e.Kind == plan.Tell && e.Entry.Box == box {
+		if e := &j.p.Events[i]; e.Kind == plan.Tell && e.Sidecar >= 0 && e.Entry.Box == box {
 			hears(e.Sidecar, e.At+countsTold, e.Entry.UpSince)
 		}
 	}
--- a/internal/lab/live/addresses.go
+++ b/internal/lab/live/addresses.go
@@ -20,6 +20,7 @@
 	controls    = 10
 	listLink    = 18094 // of the links, on the sidecar's host
 	clientLink  = 18095
+	controlLink = 18096
 	boxLinks    = 27000 // and the next for each box
 	agentPort   = 18100 // and the next with each move of discovery
 	agentMoves  = 8000  // after which the ports begin anew
@@ -83,6 +84,9 @@
 	return a.at(sidecarRow, i, agentPort+moves%agentMoves)
 }
 
+// list is where the list service itself listens, for auditors.
+func (a *addresses) list() string { return a.at(lockRow, 0, agentPort) }
+
 // link is where a sidecar's link of a kind listens; box is that of "boxes".
 func (a *addresses) link(of string, i, box int) string {
 	switch of {
@@ -90,6 +94,8 @@
 		return a.at(sidecarRow, i, listLink)
 	case "clients":
 		return a.at(sidecarRow, i, clientLink)
+	case "control":
+		return a.at(sidecarRow, i, controlLink)
 	}
 	return a.at(sidecarRow, i, boxLinks+box)
 }
--- a/internal/lab/live/addresses_test.go
+++ b/internal/lab/live/addresses_test.go
@@ -28,12 +28,19 @@
 		}
 		defer a.close()
 		take(a.lock.Addr().String())
+		take(a.list())
 		for i := range boxes {
 			take(a.box(i))
 		}
 		for i := range sidecars {
 			take(a.sidecar(i))
 			take(a.thrift(i))
+			for start := range controls {
+				take(a.control(i, start))
+			}
+			for _, of := range []string{"list", "clients", "control"} {
+				take(a.link(of, i, 0))
+			}
 			for m := range moves {
 				take(a.agent(i, m))
 			}
--- a/internal/lab/live/discovery.go
+++ b/internal/lab/live/discovery.go
@@ -28,7 +28,8 @@
 	mu      sync.Mutex
 	catalog *catalog
 	heard   map[int]plan.Listed // what has been written to the sidecar, by box
-	news    chan struct{}       // closed, and made anew, with every change that a waiting call must look at
+	held    holdings
+	news    chan struct{} // closed, and made anew, with every change that a waiting call must look at
 	silent  bool
 	closed  bool
 	server  *http.Server // at the present address; nil while the service is down
@@ -38,10 +39,14 @@
 	old     *catalog // what is told while the service has an old list; nil: what is true
 }
 
-// newAgent makes a sidecar's, which serves at addr from now on what the plan has at first.
+// newAgent makes a sidecar's, or with -1 the list service itself, which serves at addr from now on what the plan has at first.
 func newAgent(r *run, sidecar int, addr string) (*agent, error) {
+	tier := 0
+	if sidecar >= 0 {
+		tier = r.plan.Sidecars[sidecar].Tier
+	}
 	a := &agent{run: r, sidecar: sidecar, faults: map[int]plan.ListFault{}, done: make(chan struct{}), news: make(chan struct{}),
-		catalog: newCatalog(r.plan.First(r.plan.Sidecars[sidecar].Tier)), heard: map[int]plan.Listed{}}
+		catalog: newCatalog(r.plan.First(tier)), heard: map[int]plan.Listed{}}
 	if err := a.open(addr); err != nil {
 		return nil, err
 	}
@@ -52,7 +57,7 @@
 func (a *agent) open(addr string) error {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return fmt.Errorf("live: discovery of %s: %w", a.run.plan.Sidecars[a.sidecar].Name, err)
+		return fmt.Errorf("live: discovery at %s: %w", addr, err)
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /catalog/members", a.members)
@@ -161,7 +166,7 @@
 		}
 		wait = min(time.Duration(ms)*time.Millisecond, watchMost)
 	}
-	asked := trace.Asked{At: a.run.now(), Sidecar: a.sidecar, Watch: q.Has("since"), How: trace.Left}
+	asked := trace.Asked{At: a.run.now(), Sidecar: a.sidecar, Watch: q.Has("since"), Since: since, How: trace.Left}
 	defer func() {
 		asked.Took = a.run.now() - asked.At
 		a.run.trace.asked(asked)
@@ -184,9 +189,13 @@
 		_, _ = w.Write(text[:len(text)/2])
 		panic(http.ErrAbortHandler)
 	}
+	if a.run.plan.Operators() {
+		a.hold(&asked, answer)
+	}
+	asked.Told = a.run.now()
 	if _, err := w.Write(text); err == nil && http.NewResponseController(w).Flush() == nil {
 		asked.How = trace.Listed
-		if wrong {
+		if wrong || a.sidecar < 0 {
 			return // what no service should have said binds nobody
 		}
 		a.written(entries, answer.Complete, q.Has("since"))
@@ -224,16 +233,12 @@
 // held.
 func (a *agent) answer(since int64) (list, []plan.Listed) {
 	c := a.present()
-	out := list{Revision: c.revision, Complete: a.run.plan.Scenario.Discovery.Whole || !c.knows(since),
-		Members: []map[string]any{}}
+	out := list{Revision: c.revision, Complete: a.run.plan.Scenario.Discovery.Whole || !c.knows(since)}
 	entries := c.changes(since)
 	if out.Complete {
 		entries = c.whole()
 	}
-	start := a.run.start()
-	for _, l := range entries {
-		out.Members = append(out.Members, a.run.plan.Member(l, a.run.boxFor(a.sidecar, l.Box), start))
-	}
+	out.Members = a.run.members(a.sidecar, entries)
 	return out, entries
 }
 
--- a/internal/lab/live/links.go
+++ b/internal/lab/live/links.go
@@ -25,6 +25,8 @@
 					to = r.net.entry(i, r.plan.Scenario.Fleet.Protocol)
 				case "boxes":
 					to = r.net.box(box)
+				case "control":
+					to = r.net.control(i, 0)
 				}
 				l, err := newLink(r.net.link(of, i, box), to)
 				if err != nil {
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -30,6 +30,7 @@
 	boxes   []*box
 	tiers   []*tier  // what boxes of a tier share; filled as they are made
 	agents  []*agent // of discovery, one for each sidecar
+	whole   *agent   // the list service as auditors ask it; nil without any
 	service service  // the list service behind them
 	links   map[linkKey]*link
 	fleet   *fleet
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -32,6 +32,7 @@
 		return r.close(), err
 	}
 	r.play(ctx)
+	r.trace.log.Start = r.start()
 	r.trace.log.End = r.now()
 	end()
 	r.fleet.finish(ctx.Err() != nil)
@@ -67,6 +68,11 @@
 		}
 		r.agents = append(r.agents, a)
 	}
+	if len(r.plan.Scenario.Audit) > 0 {
+		if r.whole, err = newAgent(r, -1, r.net.list()); err != nil {
+			return err
+		}
+	}
 	if err := r.openLinks(); err != nil {
 		return err
 	}
@@ -129,7 +135,7 @@
 			r.boxes[e.Box].event(r.now(), e)
 			r.rotate(e)
 		case plan.Tell:
-			r.agents[e.Sidecar].tell(e.Entry)
+			r.agent(e.Sidecar).tell(e.Entry)
 		case plan.StartSidecar:
 			if err := r.fleet.start(e.Sidecar); err != nil {
 				r.broken(e.Sidecar, err)
@@ -150,7 +156,7 @@
 				a.silence(e.Kind == plan.SilenceDiscovery)
 			}
 		case plan.BeginList, plan.EndList:
-			if err := r.agents[e.Sidecar].fault(e); err != nil {
+			if err := r.agent(e.Sidecar).fault(e); err != nil {
 				r.broken(e.Sidecar, err)
 			}
 		case plan.BeginLink, plan.EndLink:
@@ -162,6 +168,14 @@
 	}
 }
 
+// agent is a sidecar's, or with -1 the list service itself.
+func (r *run) agent(sidecar int) *agent {
+	if sidecar < 0 {
+		return r.whole
+	}
+	return r.agents[sidecar]
+}
+
 // move has discovery's agents listen elsewhere and tells the sidecars where.
 func (r *run) move(moves int) {
 	for i, a := range r.agents {
@@ -207,6 +221,9 @@
 	})
 	r.rotate(plan.Event{Kind: plan.BeginFault, Box: box, Fault: model.Fault{Kind: model.Dead}})
 	r.after(r.plan.Scenario.Discovery.Notice.D(), func() {
+		if r.whole != nil && r.plan.Boxes[box].Tier == 0 {
+			r.whole.tell(plan.Listed{Box: box, Phase: trace.Away})
+		}
 		for i := range r.plan.Sidecars {
 			if r.plan.Sidecars[i].Tier == r.plan.Boxes[box].Tier {
 				r.agents[i].tell(plan.Listed{Box: box, Phase: trace.Away})
@@ -237,6 +254,9 @@
 	for _, a := range r.agents {
 		a.close()
 	}
+	if r.whole != nil {
+		r.whole.close()
+	}
 	for _, b := range r.boxes {
 		b.close()
 	}
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -36,7 +36,8 @@
 	mu        sync.Mutex
 	discovery string // where its agent is
 	starts    int
-	process   *process // that runs, or the last; nil before the first
+	knows     []map[string]any // the list that it was configured with
+	process   *process         // that runs, or the last; nil before the first
 	taken     trace.Usage
 }
 
@@ -79,7 +80,8 @@
 		return err
 	}
 	s.process = p
-	s.note(trace.Begun, "")
+	s.lead()
+	s.fleet.trace.change(trace.Change{At: s.fleet.now(), Sidecar: s.id, What: trace.Begun, Digest: s.holds()})
 	s.fleet.tasks.Go(func() { s.wait(p) })
 	s.fleet.tasks.Go(func() { s.admit(p) })
 	return nil
@@ -92,8 +94,11 @@
 		return nil, err
 	}
 	p := &process{settled: make(chan struct{}), ended: make(chan struct{})}
-	if s.fleet.plan.Upgrades() {
+	switch {
+	case s.fleet.plan.Upgrades(): // two processes at a time
 		p.control = s.fleet.net.control(s.id, s.starts)
+	case s.fleet.plan.Operators():
+		p.control = s.fleet.net.control(s.id, 0)
 	}
 	p.cmd = s.command(p.control)
 	how := os.O_CREATE | os.O_WRONLY | os.O_APPEND
@@ -115,6 +120,13 @@
 	return p, nil
 }
 
+// lead has the link of operators, if there is one, pass on to the present process. It needs the lock.
+func (s *sidecar) lead() {
+	if l := s.fleet.links[linkKey{"control", s.id, 0}]; l != nil {
+		l.leads(s.process.control)
+	}
+}
+
 func (s *sidecar) command(control string) *exec.Cmd {
 	cmd := exec.Command(s.fleet.builds[s.plan.Build])
 	if s.operatorText() != "" {
--- a/internal/lab/live/sidecar_config.go
+++ b/internal/lab/live/sidecar_config.go
@@ -38,8 +38,8 @@
 		"limits":   map[string]any{"cores": f.Cores, "memory_mb": f.MemoryMB, "sockets": f.Sockets},
 		"settings": p.Settings(s.id),
 	}
-	if known := s.known(); len(known) > 0 {
-		doc["known"] = map[string]any{"revision": 1, "complete": true, "members": known}
+	if s.knows = s.known(); len(s.knows) > 0 {
+		doc["known"] = map[string]any{"revision": 1, "complete": true, "members": s.knows}
 	}
 	text, err := json.Marshal(doc)
 	if err != nil {
@@ -61,7 +61,7 @@
 }
 
 // known is the list as this sidecar last had it: the plan's, and what its agent has been told since.
-func (s *sidecar) known() []any {
+func (s *sidecar) known() []map[string]any {
 	p, now := s.fleet.plan, s.fleet.now()
 	list := map[int]plan.Listed{}
 	for _, l := range s.plan.Known {
@@ -72,11 +72,11 @@
 			list[e.Entry.Box] = e.Entry
 		}
 	}
-	var out []any
+	var out []plan.Listed
 	for box := range p.Boxes {
 		if l, ok := list[box]; ok && l.Phase != trace.Away {
-			out = append(out, p.Member(l, s.fleet.run.boxFor(s.id, box), s.fleet.run.start()))
+			out = append(out, l)
 		}
 	}
-	return out
+	return s.fleet.run.members(s.id, out)
 }
--- a/internal/lab/live/upgrade.go
+++ b/internal/lab/live/upgrade.go
@@ -24,6 +24,7 @@
 		return err
 	}
 	close(p.settled)
+	s.note(trace.Doubled, "")
 	s.fleet.tasks.Go(func() { s.wait(p) })
 	s.fleet.tasks.Go(func() { s.succeed(old, p) })
 	return nil
@@ -36,11 +37,13 @@
 		if !s.pause(p, readySoonest) || time.Since(from) > yesWithin {
 			s.note(trace.Crashed, "the new process of an upgrade does not say yes")
 			s.end(p)
+			s.note(trace.Succeeded, "")
 			return
 		}
 	}
 	s.mu.Lock()
 	s.process, old.stopping = p, true
+	s.lead()
 	_ = old.cmd.Process.Signal(syscall.SIGTERM) // one that has just ended needs none
 	s.mu.Unlock()
 	late := time.NewTimer(s.fleet.grace())
@@ -51,6 +54,7 @@
 	case <-s.fleet.life.Done():
 	}
 	s.end(old)
+	s.note(trace.Succeeded, "")
 }
 
 // end kills a process that is not the sidecar's, if it still runs.
--- a/internal/lab/plan/between.go
+++ b/internal/lab/plan/between.go
@@ -22,7 +22,7 @@
 
 // Link is a fault of the network between a sidecar and another process.
 type Link struct {
-	Of    string // "list", "boxes" or "clients"
+	Of    string // "list", "boxes", "clients" or "control"
 	How   LinkHow
 	Delay time.Duration // slow: of each piece, each way
 }
@@ -43,6 +43,9 @@
 // betweenProcesses is a fault of the list service or of links, at each sidecar that it hits, on and off where it comes and goes.
 func (s *script) betweenProcesses(f *scenario.Fault, from, to time.Duration) {
 	hit := s.hit(f)
+	if linkKinds[f.Kind] == "" && len(f.Names) == 0 && f.Boxes == 0 && f.Share == 0 && len(s.Scenario.Audit) > 0 {
+		hit = append(hit, -1) // the service itself, as auditors ask it
+	}
 	if to == 0 {
 		to = s.end()
 	}
@@ -84,7 +87,7 @@
 	}
 }
 
-// Linked tells whether a sidecar's connections to the list service, to boxes or from clients go over links.
+// Linked tells whether a sidecar's connections to the list service, to boxes, from clients or from operators go over links.
 func (p *Plan) Linked(of string, sidecar int) bool { return slices.Contains(p.Links[of], sidecar) }
 
 // hit are the sidecars that a fault strikes: those named, a number or a share of the first tier's, or all there are.
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -115,7 +115,7 @@
 	At      time.Duration
 	Kind    EventKind
 	Box     int // -1 is none
-	Sidecar int // -1 is none, or all
+	Sidecar int // -1 is none, or all; of Tell the list service itself
 	Fault   model.Fault
 	Entry   Listed
 	For     time.Duration
@@ -537,3 +537,8 @@
 func (p *Plan) Upgrades() bool {
 	return slices.ContainsFunc(p.Events, func(e Event) bool { return e.Kind == UpgradeSidecar })
 }
+
+// Operators says whether operators call the sidecars: to upgrade them, or to audit them.
+func (p *Plan) Operators() bool {
+	return p.Upgrades() || len(p.Scenario.Audit) > 0 || p.Scenario.Fleet.Audited()
+}
--- a/internal/lab/plan/script.go
+++ b/internal/lab/plan/script.go
@@ -57,6 +57,11 @@
 	for i := range p.Scenario.Fault {
 		s.fault(&p.Scenario.Fault[i])
 	}
+	if len(s.Scenario.Audit) > 0 && s.Upgrades() { // whose processes are at an address each, and a roster has one of a sidecar
+		for i := range s.Sidecars {
+			s.linked("control", i)
+		}
+	}
 	s.hold()
 	p.Events = append(p.Events, s.told...)
 	for i := range p.Sidecars {
@@ -81,6 +86,9 @@
 
 // tell has every sidecar of the box's tier hear of it, each in its time.
 func (s *script) tell(at time.Duration, box int, phase trace.Phase, upSince time.Duration) {
+	if len(s.Scenario.Audit) > 0 && s.Boxes[box].Tier == 0 {
+		s.told = append(s.told, Event{At: at, Kind: Tell, Box: -1, Sidecar: -1, Entry: Listed{Box: box, Phase: phase, UpSince: upSince}})
+	}
 	for i := range s.Sidecars {
 		if s.Sidecars[i].Tier == s.Boxes[box].Tier {
 			s.told = append(s.told, Event{At: at + s.delays[i], Kind: Tell, Box: -1, Sidecar: i,
@@ -304,7 +312,7 @@
 		}
 		for j := range s.told {
 			e := &s.told[j]
-			if e.At < from || e.At >= to {
+			if e.At < from || e.At >= to || e.Sidecar < 0 { // what is held back is held back on the way
 				continue
 			}
 			switch {
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"regexp"
 	"slices"
 	"strconv"
 	"strings"
@@ -22,6 +23,9 @@
 	mostFaults  = 1000
 	mostClasses = 32
 	mostTiers   = 4
+	mostAudits  = 4
+
+	longestPause = time.Minute // of a sidecar
 )
 
 // BoxFaults are the kinds of Fault that a box has, by what the model calls them; those that discovery sees
@@ -45,13 +49,19 @@
 
 // SocketsOnly tells whether a scenario asks for what only the player on sockets has.
 func (s *Scenario) SocketsOnly() bool {
-	return s.Discovery.Service != nil || slices.ContainsFunc(s.Fault, func(f Fault) bool { return between(f.Kind) })
+	return s.Discovery.Service != nil || len(s.Audit) > 0 || slices.ContainsFunc(s.Fault, func(f Fault) bool { return between(f.Kind) })
 }
 
 func between(kind string) bool {
 	return slices.Contains(ListKinds, kind) || slices.Contains(LinkKinds, kind)
 }
 
+// auditorName is one that fits a file's name and an order.
+var auditorName = regexp.MustCompile(`^[a-z0-9-]+$`)
+
+// Audited tells whether the sidecars keep trails and take orders: their operator's file has the section for it.
+func (f *Fleet) Audited() bool { return slices.Contains(strings.Fields(f.Operator), "[audit]") }
+
 // shareKinds strike a share of the requests at a box.
 var shareKinds = []string{"fail", "cut", "spoil", "drip", "mute"}
 
@@ -126,6 +136,15 @@
 	if b := s.Fleet.Budget; b != nil && b.Share == 0 {
 		b.Share = 1
 	}
+	for i := range s.Audit {
+		a := &s.Audit[i]
+		or(&a.Every, time.Second)
+		or(&a.Grace, 3*time.Second)
+		or(&a.Spread, time.Second)
+		if a.Share == 0 {
+			a.Share = 0.1
+		}
+	}
 	for i := range s.Tier {
 		t := &s.Tier[i]
 		if t.Work == 0 {
@@ -199,6 +218,11 @@
 	for i := range s.Fault {
 		c.fault(fmt.Sprintf("fault[%d]", i), &s.Fault[i], s)
 	}
+	c.need(len(s.Audit) <= mostAudits, "audit", "there may be %d at most", mostAudits)
+	names := map[string]bool{}
+	for i := range s.Audit {
+		c.audit(fmt.Sprintf("audit[%d]", i), &s.Audit[i], names)
+	}
 	for i := range s.Expect {
 		c.expect(fmt.Sprintf("expect[%d]", i), &s.Expect[i], s)
 	}
@@ -383,7 +407,7 @@
 	case "hurry":
 		c.need(k.Size > 0 && k.Size <= 1, at+".size", "must be above 0 and at most 1: a share of the clients")
 	case "sidecar_pause":
-		c.need(k.For > 0 && k.For <= Span(5*time.Second), at+".for", "must be given, and 5s at most")
+		c.need(k.For > 0 && k.For <= Span(longestPause), at+".for", "must be given, and %s at most", longestPause)
 	case "slow":
 		c.need(k.Size >= 1, at+".size", "must be 1 or more: how many times as long work takes")
 	case "discovery_late":
@@ -406,7 +430,8 @@
 	case "list_cut":
 		c.need(k.Size > 0 && k.Size <= 1, at+".size", "must be above 0 and at most 1: a share of the answers")
 	case "link_cut", "link_slow", "link_reset":
-		c.oneOf(k.Of, at+".of", "list", "boxes", "clients")
+		c.oneOf(k.Of, at+".of", "list", "boxes", "clients", "control")
+		c.need(k.Of != "control" || len(s.Audit) > 0 || s.Fleet.Audited(), at+".of", "control needs [[audit]], or [audit] in fleet.operator")
 		c.need(k.By == "" || k.Kind == "link_cut", at+".by", "is for link_cut alone")
 		c.need((k.Kind == "link_slow") == (k.Back > 0), at+".back", "must be given for link_slow, and is for that alone")
 	}
@@ -419,6 +444,17 @@
 	}
 }
 
+func (c *checker) audit(at string, k *Audit, seen map[string]bool) {
+	c.need(auditorName.MatchString(k.Name) && !seen[k.Name], at+".name", "must be letters, digits and dashes, and unique")
+	seen[k.Name] = true
+	c.need(k.Every >= Span(100*time.Millisecond) && k.Every.D() <= time.Minute, at+".every", "must be from 100ms to 1m")
+	c.need(k.Grace > 0 && k.Spread >= 0, at+".grace", "must be above 0, and spread not negative")
+	c.need(k.Share >= 0 && k.Share <= 1, at+".share", "must be from 0 to 1")
+	c.need(!k.ShutOut || k.Raise, at+".shut_out", "needs raise")
+	c.need((k.Kill == 0 || k.Kill > k.Start) && (k.Back == 0 || k.Kill > 0), at+".kill", "must be after start; back needs it")
+	c.need((k.Pause > 0) == (k.For > 0), at+".pause", "and for go together")
+}
+
 func (c *checker) expect(at string, k *Expect, s *Scenario) {
 	c.oneOf(k.What, at+".what", Measures...)
 	c.need(k.Class == "" || s.ClassIndex(k.Class) >= 0, at+".class", "%q is no class", k.Class)
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -24,6 +24,7 @@
 	Fleet     Fleet
 	Discovery Discovery
 	Network   Network
+	Audit     []Audit
 	Fault     []Fault
 	Expect    []Expect
 }
@@ -174,6 +175,23 @@
 	RetryAfter Span   `toml:"retry_after"` // of the 503; 0 is none
 }
 
+// Audit is an auditor beside the fleet, as a process of the program's. It asks all sidecars of the first tier.
+type Audit struct {
+	Name    string
+	Start   Span    // from then on
+	Every   Span    // between its rounds
+	List    bool    // it asks the list service, too; otherwise the newest version that it finds is the one to have
+	Raise   bool    // it raises floors
+	Grace   Span    // of them
+	Spread  Span    // over which those under them ask again
+	ShutOut bool    `toml:"shut_out"` // it gives tickets
+	Share   float64 // of the fleet and of each zone, at most
+	Kill    Span    // SIGKILL; 0 is never
+	Back    Span    // after that until it starts again from what it has kept; 0 is never
+	Pause   Span    // it does not run from then on; 0 is never
+	For     Span    // for so long
+}
+
 // Network is the virtual one; on sockets it is the machine's own.
 type Network struct {
 	Delay Span // one way, to and from a sidecar
@@ -193,7 +211,7 @@
 	Above    int      // share of requests: only while a box has so many in work and waiting
 	By       string   // share of requests: "request", or "connection": a share of these is struck, as a whole
 	Left     float64  // hurry: share of the usual time that such clients give a try
-	Of       string   // flap: the fault that comes and goes; list_wrong: "empty", "half", "other"; links: "list", "boxes", "clients"
+	Of       string   // flap: the fault that comes and goes; list_wrong: "empty", "half", "other"; links: "list", "boxes", "clients", "control"
 	Up, Down Span     // flap, and faults of the list service and of links
 	Grace    Span     // drain: until the process ends; sidecar_stop: until SIGKILL
 	Back     Span     // until it is back, after the end: drain, sidecar_kill, sidecar_stop; 0 is never. list_slow, link_slow: by how much
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -8,6 +8,7 @@
 
 	"pinelb.example/pinelb/balance"
 	"pinelb.example/pinelb/internal/budget"
+	"pinelb.example/pinelb/internal/version"
 )
 
 // None is a time that never came.
@@ -94,7 +95,13 @@
 	Sidecar int
 	Took    time.Duration // until it was answered, the wait for news included
 	Watch   bool          // for what is newer than a revision, and not for the whole list
+	Since   int64         // that revision: what its list is of, by its own word
 	How     AskedHow
+
+	// Where operators call the sidecars, of an answer that was written: what the sidecar holds once it has taken it over.
+	Told     time.Duration // just before it was written
+	Revision int64
+	Digest   version.Digest // 0: nothing was written
 }
 
 // AskedHow says what became of a call at the list service.
@@ -160,7 +167,8 @@
 	At      time.Duration
 	Sidecar int
 	What    Happening
-	Text    string // of a crash: how it ended and the end of its log
+	Text    string         // of a crash: how it ended and the end of its log
+	Digest  version.Digest // Begun, where operators call it: of the list that it was configured with
 }
 
 // Happening is what happened.
@@ -168,16 +176,18 @@
 
 // What happens to sidecars.
 const (
-	Begun    Happening = iota // its process was started
-	Able                      // it answered 200 on /_health
-	Stopping                  // SIGTERM was sent
-	Killed                    // SIGKILL was sent, by the script or at the end of the grace
-	Ended                     // it ended after SIGTERM by itself
-	Crashed                   // it ended by itself, unasked
-	Reloaded                  // SIGHUP was sent
+	Begun     Happening = iota // its process was started
+	Able                       // it answered 200 on /_health
+	Stopping                   // SIGTERM was sent
+	Killed                     // SIGKILL was sent, by the script or at the end of the grace
+	Ended                      // it ended after SIGTERM by itself
+	Crashed                    // it ended by itself, unasked
+	Reloaded                   // SIGHUP was sent
+	Doubled                    // a second process was started beside it
+	Succeeded                  // and is alone now
 )
 
-var happeningWords = [...]string{"started", "ready", "stopping", "killed", "ended", "crashed", "reloaded"}
+var happeningWords = [...]string{"started", "ready", "stopping", "killed", "ended", "crashed", "reloaded", "doubled", "succeeded"}
 
 func (h Happening) String() string { return happeningWords[h] }
 
@@ -224,5 +234,6 @@
 	Judged   []Judged // of the virtual player only
 	Usage    []Usage
 	Lateness []time.Duration // of each first try: when it was sent, less when it was due; players on sockets only
+	Start    time.Time       // the run's, by the wall clock; players on sockets only
 	End      time.Duration   // when the run was over
 }
