Play auditors beside the fleet, and compare the stragglers they find with the true ones

Need: what an auditor prints has to be checked as the trails are. audited.Find takes its JSON lines and says which sidecars could not have held the list service's list and were not found, and which were found and held it; audited.Ends how long a straggler goes on. The rig starts, stops and kills auditors as processes with a roster of its own, reads all trails at the end, and can give an order again later.

Seen to fail: a straggler hidden, one never reached and one found that is none give other counts each.

--- a/internal/lab/audited/audited_test.go
+++ b/internal/lab/audited/audited_test.go
@@ -1,6 +1,7 @@
 package audited
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -159,3 +160,67 @@
 		}
 	}
 }
+
+// What an auditor printed is measured by what is true: a straggler that is hidden, and one that is none, are found.
+func TestStragglersAreCompared(t *testing.T) {
+	const reached = `{"line":"sidecar","name":"n%d","status":"%s","seen_ms":%d}` + "\n"
+	const summary = `{"line":"summary","at_ms":%d,"took_ms":10,"reference":{"digest":"%016x"}}` + "\n"
+	print := func(status func(sidecar, second int) string) (out string) {
+		for second := 1; second < 10; second++ {
+			for sidecar := range 2 {
+				out += fmt.Sprintf(reached, sidecar+1, status(sidecar, second), 1_000_000+1000*second)
+			}
+			reference := listA
+			if second >= 5 {
+				reference = listB
+			}
+			out += fmt.Sprintf(summary, 1_000_000+1000*second, uint64(reference))
+		}
+		return out
+	}
+	well := func(sidecar, second int) string {
+		if sidecar == 1 && second >= 5 || sidecar == 0 && second == 5 {
+			return "behind"
+		}
+		return "up to date"
+	}
+	for _, c := range []struct {
+		name                                   string
+		isTrue, found, unasked, hidden, falsly int
+		status                                 func(sidecar, second int) string
+	}{
+		{"nothing", 1, 1, 0, 0, 0, well},
+		{"a straggler hidden", 1, 0, 0, 1, 0, func(int, int) string { return "up to date" }},
+		{"one that was never reached", 1, 0, 1, 0, 0, func(sidecar, second int) string {
+			if sidecar == 1 {
+				return "not reached"
+			}
+			return well(sidecar, second)
+		}},
+		{"one found that is none", 1, 1, 0, 0, 2, func(sidecar, second int) string {
+			if sidecar == 0 && second >= 8 {
+				return "shut out"
+			}
+			return well(sidecar, second)
+		}},
+	} {
+		p, log, _ := story(t)
+		log.End = at(10)
+		for _, r := range []trace.Asked{{Told: at(0.1), Digest: listA}, {Told: at(2), Digest: listA}, {Told: at(4.5), Digest: listB}} {
+			r.Sidecar = -1
+			log.Asked = append(log.Asked, r)
+		}
+		got, err := Find(p, log, []byte(print(c.status)+`{"line":"si`), at(3))
+		if err != nil || got.Rounds != 9 || got.True != c.isTrue || got.Found != c.found || got.Unasked != c.unasked || got.Hidden != c.hidden || got.False != c.falsly {
+			t.Errorf("%s: %+v %v", c.name, got, err)
+		}
+		log.Trails = map[int][]trail.Entry{}
+		if ends, never := Ends(p, log, at(1)); !slices.Equal(ends, []time.Duration{}) || never != 1 {
+			t.Errorf("%s: it ended after %v, never %d", c.name, ends, never)
+		}
+		log.Trails[1] = []trail.Entry{{Kind: trail.Judged, At: 1_007_500, State: version.Shut}}
+		if ends, never := Ends(p, log, at(1)); !slices.Equal(ends, []time.Duration{at(3)}) || never != 0 {
+			t.Errorf("%s: shut out after %v, never %d", c.name, ends, never)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/live/auditor.go
@@ -0,0 +1,131 @@
+package live
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+
+	"pinelb.example/pinelb/internal/lab/plan"
+	"pinelb.example/pinelb/internal/lab/scenario"
+)
+
+// auditor is one beside the fleet, over all its processes, of which there is one at a time.
+type auditor struct {
+	run  *run
+	plan *scenario.Audit
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd     // of the present process or the last one; nil before the first
+	ended chan struct{} // closed once that has
+}
+
+func (a *auditor) path(ending string) string {
+	return filepath.Join(a.run.fleet.logs, "audit-"+a.plan.Name+ending)
+}
+
+// kept is the file by which it goes on where it was stopped.
+func (a *auditor) kept() string { return a.path(".kept") }
+
+// found is where it prints to.
+func (a *auditor) found() string { return a.path(".jsonl") }
+
+// start starts a process of it.
+func (a *auditor) start() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	roster := a.path(".toml")
+	if err := os.WriteFile(roster, a.run.roster(), filesMode); err != nil {
+		return fmt.Errorf("live: roster: %w", err)
+	}
+	how := os.O_CREATE | os.O_WRONLY | os.O_APPEND
+	if a.cmd == nil {
+		how |= os.O_TRUNC
+		os.Remove(a.kept()) // of another run
+	}
+	found, err := os.OpenFile(a.found(), how, 0o644)
+	if err != nil {
+		return fmt.Errorf("live: auditor: %w", err)
+	}
+	defer found.Close()
+	log, err := os.OpenFile(a.path(".log"), how, 0o644)
+	if err != nil {
+		return fmt.Errorf("live: auditor: %w", err)
+	}
+	defer log.Close()
+	cmd := exec.Command(a.run.fleet.builds[0], a.args(roster)...)
+	cmd.Stdout, cmd.Stderr = found, log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	if err := a.run.fleet.launch(cmd); err != nil {
+		return fmt.Errorf("live: auditor %s: %w", a.plan.Name, err)
+	}
+	ended := make(chan struct{})
+	a.cmd, a.ended = cmd, ended
+	a.run.fleet.tasks.Go(func() {
+		defer close(ended)
+		cmd.Wait() // its status tells what it found, and that is in what it prints
+	})
+	return nil
+}
+
+func (a *auditor) args(roster string) []string {
+	p := a.plan
+	args := []string{"audit", roster, "--by=" + p.Name, "--json", "--watch=" + p.Every.D().String(), "--kept=" + a.kept(),
+		"--share=" + strconv.FormatFloat(p.Share, 'g', -1, 64)}
+	if p.List {
+		args = append(args, "--list="+a.run.net.list())
+	}
+	if p.Raise {
+		args = append(args, "--raise", "--grace="+p.Grace.D().String(), "--spread="+p.Spread.D().String())
+	}
+	if p.ShutOut {
+		args = append(args, "--shut-out")
+	}
+	return args
+}
+
+func (a *auditor) signal(s syscall.Signal) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.cmd == nil {
+		return
+	}
+	select {
+	case <-a.ended:
+	default:
+		_ = a.cmd.Process.Signal(s) // one that has just ended needs none
+	}
+}
+
+// wait waits until the present process, if there is one, has ended.
+func (a *auditor) wait() {
+	a.mu.Lock()
+	ended := a.ended
+	a.mu.Unlock()
+	if ended != nil {
+		<-ended
+	}
+}
+
+// roster lists the sidecars of the first tier by the addresses at which operators call them.
+func (r *run) roster() []byte {
+	var out strings.Builder
+	for i := range r.plan.Sidecars {
+		if s := &r.plan.Sidecars[i]; s.Box < 0 {
+			fmt.Fprintf(&out, "[[sidecar]]\nname = %q\naddr = %q\nzone = %q\n", s.Name, r.operators(i), plan.Zone)
+		}
+	}
+	return []byte(out.String())
+}
+
+// operators is where operators call a sidecar, whichever of its processes runs.
+func (r *run) operators(sidecar int) string {
+	if r.plan.Linked("control", sidecar) {
+		return r.net.link("control", sidecar, 0)
+	}
+	return r.net.control(sidecar, 0)
+}
--- a/internal/lab/live/fleet.go
+++ b/internal/lab/live/fleet.go
@@ -32,6 +32,7 @@
 	builds    [2]string
 	sidecars  []*sidecar
 	front     http.Client // asks for health
+	operators http.Client
 	spawn     chan func()
 	life      context.Context
 	end       context.CancelFunc
@@ -59,6 +60,7 @@
 		f.sidecars = append(f.sidecars, newSidecar(f, i))
 	}
 	f.front = http.Client{Timeout: healthWithin, Transport: &http.Transport{DisableKeepAlives: true}}
+	f.operators = http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	f.life, f.end = context.WithCancel(context.Background())
 	f.tasks.Go(f.parent)
 	f.tasks.Go(f.watch)
--- a/internal/lab/live/live.go
+++ b/internal/lab/live/live.go
@@ -36,6 +36,9 @@
 	fleet   *fleet
 	callers *callers
 
+	auditors []*auditor // as the scenario has them
+	orders   orders
+
 	rotation *rotation       // of the plain policy; nil with sidecars
 	life     context.Context // ends when the clients are done
 	later    sync.WaitGroup  // what was put off until a time of the plan
@@ -116,6 +119,12 @@
 	c.log.Dials = append(c.log.Dials, d)
 }
 
+func (c *collector) ordered(o trace.Ordered) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.log.Ordered = append(c.log.Ordered, o)
+}
+
 func (c *collector) sample(s ...trace.Sample) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -33,6 +33,7 @@
 	}
 	r.play(ctx)
 	r.trace.log.Start = r.start()
+	r.endAudits()
 	r.trace.log.End = r.now()
 	end()
 	r.fleet.finish(ctx.Err() != nil)
@@ -73,6 +74,10 @@
 			return err
 		}
 	}
+	for i := range r.plan.Scenario.Audit {
+		r.auditors = append(r.auditors, &auditor{run: r, plan: &r.plan.Scenario.Audit[i]})
+	}
+	r.orders.run = r
 	if err := r.openLinks(); err != nil {
 		return err
 	}
@@ -161,6 +166,19 @@
 			}
 		case plan.BeginLink, plan.EndLink:
 			r.turnLinks(e)
+		case plan.StartAuditor:
+			if err := r.auditors[e.ID].start(); err != nil {
+				r.broken(-1, err)
+			}
+		case plan.KillAuditor:
+			r.auditors[e.ID].signal(syscall.SIGKILL)
+		case plan.PauseAuditor:
+			r.auditors[e.ID].signal(syscall.SIGSTOP)
+			r.after(e.For, func() { r.auditors[e.ID].signal(syscall.SIGCONT) })
+		case plan.KeepOrder:
+			r.orders.keep(e)
+		case plan.PlayOrder:
+			r.orders.play(e)
 		case plan.MoveDiscovery:
 			moves++
 			r.move(moves)
@@ -245,6 +263,10 @@
 // close ends what is left of the run, whatever of it was opened, and returns its log.
 func (r *run) close() *trace.Log {
 	var usage []trace.Usage
+	for _, a := range r.auditors { // where the run was broken off, some still run
+		a.signal(syscall.SIGKILL)
+		a.wait()
+	}
 	if r.fleet != nil {
 		usage = r.fleet.close()
 	}
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -103,10 +103,16 @@
 	EndList        // Sidecar, ID
 	BeginLink      // Sidecar, ID, Link
 	EndLink        // Sidecar, ID, Link.Of
+	StartAuditor   // ID: its place among the scenario's
+	KillAuditor    // ID
+	PauseAuditor   // ID, For
+	KeepOrder      // Sidecar, ID: the order in force there is remembered
+	PlayOrder      // Sidecar, ID, Raised: and given again
 )
 
 var eventWords = [...]string{"", "begins", "ends", "box starts", "told", "sidecar starts", "sidecar stops", "sidecar is killed",
-	"discovery falls silent", "discovery is back", "discovery moves", "sidecar is upgraded", "sidecar pauses", "list fault begins", "list fault ends", "link fault begins", "link fault ends"}
+	"discovery falls silent", "discovery is back", "discovery moves", "sidecar is upgraded", "sidecar pauses", "list fault begins", "list fault ends", "link fault begins", "link fault ends", "auditor starts", "auditor is killed", "auditor pauses",
+	"order is kept", "order is played again"}
 
 func (k EventKind) String() string { return eventWords[k] }
 
@@ -119,7 +125,8 @@
 	Fault   model.Fault
 	Entry   Listed
 	For     time.Duration
-	ID      int // of a fault of the list service or of a link
+	ID      int // of a fault of the list service or of a link, or of an auditor or an order
+	Raised  int // by how much a kept order's epoch is raised
 	List    ListFault
 	Link    Link
 }
--- a/internal/lab/plan/script.go
+++ b/internal/lab/plan/script.go
@@ -57,6 +57,9 @@
 	for i := range p.Scenario.Fault {
 		s.fault(&p.Scenario.Fault[i])
 	}
+	for i := range s.Scenario.Audit {
+		s.auditor(i, &s.Scenario.Audit[i])
+	}
 	if len(s.Scenario.Audit) > 0 && s.Upgrades() { // whose processes are at an address each, and a roster has one of a sidecar
 		for i := range s.Sidecars {
 			s.linked("control", i)
@@ -153,6 +156,13 @@
 		s.betweenProcesses(f, from, to)
 	case "sidecar_kill", "sidecar_stop", "sidecar_pause", "sidecar_upgrade":
 		s.sidecarFault(f)
+	case "order_again":
+		for _, i := range s.hit(f) {
+			s.faults++
+			s.add(Event{At: from, Kind: KeepOrder, Box: -1, Sidecar: i, ID: s.faults})
+			s.add(Event{At: from + f.Back.D(), Kind: PlayOrder, Box: -1, Sidecar: i, ID: s.faults, Raised: int(f.Size)})
+		}
+		s.mark("old order", from+f.Back.D(), from+f.Back.D()+time.Millisecond)
 	case "hurry": // the requests have it already
 		s.mark("clients in a hurry", from, to)
 	default:
@@ -267,6 +277,24 @@
 	}
 }
 
+// auditor is when one starts, stops and is killed.
+func (s *script) auditor(id int, a *scenario.Audit) {
+	s.add(Event{At: a.Start.D(), Kind: StartAuditor, Box: -1, Sidecar: -1, ID: id})
+	if a.Pause > 0 {
+		s.add(Event{At: a.Pause.D(), Kind: PauseAuditor, Box: -1, Sidecar: -1, ID: id, For: a.For.D()})
+		s.mark("auditor pause "+a.Name, a.Pause.D(), (a.Pause + a.For).D())
+	}
+	if a.Kill > 0 {
+		s.add(Event{At: a.Kill.D(), Kind: KillAuditor, Box: -1, Sidecar: -1, ID: id})
+		back := s.end()
+		if a.Back > 0 {
+			back = (a.Kill + a.Back).D()
+			s.add(Event{At: back, Kind: StartAuditor, Box: -1, Sidecar: -1, ID: id})
+		}
+		s.mark("auditor kill "+a.Name, a.Kill.D(), back)
+	}
+}
+
 // choose picks a fault's boxes: those named, or drawn, and then such as have had the fewest faults so far.
 func (s *script) choose(f *scenario.Fault) []int {
 	tier := 0
--- a/internal/lab/trace/trace.go
+++ b/internal/lab/trace/trace.go
@@ -8,6 +8,7 @@
 
 	"pinelb.example/pinelb/balance"
 	"pinelb.example/pinelb/internal/budget"
+	"pinelb.example/pinelb/internal/trail"
 	"pinelb.example/pinelb/internal/version"
 )
 
@@ -211,6 +212,14 @@
 	Ejected      bool // left out for a while, or on trial
 }
 
+// Ordered is an order that the rig itself gave a sidecar.
+type Ordered struct {
+	At      time.Duration
+	Sidecar int
+	Epoch   uint64
+	Code    int // HTTP's of the answer; 0: there was none
+}
+
 // Usage is what a sidecar's process took.
 type Usage struct {
 	Sidecar     int
@@ -231,7 +240,11 @@
 	Asked    []Asked // players on sockets only, as the next
 	Dials    []Dialled
 	Samples  []Sample
-	Judged   []Judged // of the virtual player only
+	Ordered  []Ordered
+	Reports  []trail.Report        // what sidecars of the first tier answered auditors at the end, by sidecar; empty: nothing
+	Trails   map[int][]trail.Entry // and all entries that anybody has of each
+	Findings map[string][]byte     // what each auditor printed, JSON lines, by name
+	Judged   []Judged              // of the virtual player only
 	Usage    []Usage
 	Lateness []time.Duration // of each first try: when it was sent, less when it was due; players on sockets only
 	Start    time.Time       // the run's, by the wall clock; players on sockets only
