Tell in a run's result what its audit found, and what stragglers did

result.json has audited, the summary its lines, and scenarios may expect audit_wrong, audit_missing, audit_hidden, audit_false, audit_late and audit_ends. A killed process of which a trail has nothing excuses nothing.

--- a/internal/lab/audited/audited.go
+++ b/internal/lab/audited/audited.go
@@ -223,14 +223,20 @@
 		case trace.Begun:
 			begun = c.At
 		case trace.Killed, trace.Crashed:
-			last := begun
+			last, any := begun, false
 			for i := range entries {
 				at := entries[i].At.D() - time.Duration(j.log.Start.UnixMilli())*time.Millisecond
-				if entries[i].Kind == trail.Counted && at >= begun && at <= c.At+clocksApart {
+				if at < begun-clocksApart || at > c.At+clocksApart {
+					continue
+				}
+				any = true // a process of which nothing at all is left excuses nothing
+				if entries[i].Kind == trail.Counted {
 					last = max(last, at)
 				}
 			}
-			out = append(out, [2]time.Duration{last - clocksApart, c.At})
+			if any {
+				out = append(out, [2]time.Duration{last - clocksApart, c.At})
+			}
 		}
 	}
 	return out
--- a/internal/lab/audited/audited_test.go
+++ b/internal/lab/audited/audited_test.go
@@ -122,6 +122,10 @@
 			trails[1] = trails[1][:2]
 			trails[1][1].Attempts[0].N--
 		}},
+		{name: "killed, and nothing is left of that process", missing: 4, plant: func(_ *plan.Plan, log *trace.Log, trails map[int][]trail.Entry) {
+			log.Changes = append(log.Changes, trace.Change{At: at(9), Sidecar: 1, What: trace.Killed})
+			trails[1] = []trail.Entry{{Seq: 1, Life: "m", Kind: trail.Began, At: 1_010_000}}
+		}},
 		{name: "a box that went down: what was on its way has no end", plant: func(p *plan.Plan, _ *trace.Log, trails map[int][]trail.Entry) {
 			p.Events = append(p.Events, plan.Event{Kind: plan.BeginFault, Box: 0, Fault: model.Fault{Kind: model.Dead}})
 			trails[0][1].Attempts[0].N += 2
--- /dev/null
+++ b/internal/lab/audited/left.go
@@ -0,0 +1,40 @@
+package audited
+
+import (
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/model"
+	"pinelb.example/pinelb/internal/lab/plan"
+	"pinelb.example/pinelb/internal/lab/trace"
+)
+
+// Left counts, by sidecar, the attempts at boxes of the first tier that came later than late after discovery first told anybody that
+// the box leaves or is gone, and before it told that it is back.
+func Left(p *plan.Plan, log *trace.Log, late time.Duration) map[int]int {
+	type off struct{ from, to time.Duration }
+	boxes := map[int]*off{}
+	for _, e := range p.Events { // by time
+		if e.Kind != plan.Tell || p.Boxes[e.Entry.Box].Tier != 0 {
+			continue
+		}
+		o := boxes[e.Entry.Box]
+		switch {
+		case e.Entry.Phase != trace.Ready && o == nil:
+			boxes[e.Entry.Box] = &off{e.At, model.Never}
+		case e.Entry.Phase == trace.Ready && o != nil:
+			o.to = min(o.to, e.At)
+		}
+	}
+	tries := map[uint64]*trace.Try{}
+	for i := range log.Tries {
+		tries[log.Tries[i].Txn] = &log.Tries[i]
+	}
+	out := map[int]int{}
+	for i := range log.Visits {
+		v := &log.Visits[i]
+		if o, t := boxes[v.Box], tries[v.Txn]; o != nil && t != nil && t.Tier == 0 && v.Begun > o.from+late && v.Begun < o.to {
+			out[t.Sidecar]++
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/lab/result/audits.go
@@ -0,0 +1,86 @@
+package result
+
+import (
+	"slices"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/audited"
+)
+
+// Audited compares what the audit of a run found with what is true, and tells what stragglers did. Null where nobody can call the
+// sidecars and nothing was late.
+type Audited struct {
+	Trails   *audited.Verdict              `json:"trails"`   // null: none was read
+	Auditors map[string]audited.Stragglers `json:"auditors"` // by name: what each found of stragglers
+	Faults   []string                      `json:"faults"`   // what could not be compared
+	Ends     *Spread                       `json:"ends"`     // from the list service's telling until a straggler was brought up or shut out
+	Goes     int                           `json:"goes_on"`  // stragglers that were neither by the end
+	Late     int                           `json:"late"`     // attempts at boxes that had left for longer than the grace and a second
+	ByWhom   map[string]int                `json:"late_by"`  // by sidecar
+}
+
+const (
+	usualGrace = 3 * time.Second // of floors, where no auditor raises any
+	lateBeyond = time.Second
+)
+
+// grace is that of the floors that are raised.
+func (r *run) grace() time.Duration {
+	for _, a := range r.plan.Scenario.Audit {
+		if a.Raise {
+			return a.Grace.D()
+		}
+	}
+	return usualGrace
+}
+
+// audits is what the run's audit comes to.
+func (r *run) audits() *Audited {
+	late := r.grace() + lateBeyond
+	out := &Audited{Auditors: map[string]audited.Stragglers{}, Faults: []string{}, ByWhom: map[string]int{}}
+	for sidecar, n := range audited.Left(r.plan, r.log, late) {
+		out.Late += n
+		out.ByWhom[r.plan.Sidecars[sidecar].Name] = n
+	}
+	if len(r.log.Trails) > 0 {
+		v := audited.Judge(r.plan, r.log, r.log.Trails)
+		out.Trails = &v
+	}
+	for _, a := range r.plan.Scenario.Audit {
+		found, err := audited.Find(r.plan, r.log, r.log.Findings[a.Name], late)
+		if err != nil {
+			out.Faults = append(out.Faults, err.Error())
+		}
+		out.Auditors[a.Name] = found
+	}
+	slices.Sort(out.Faults)
+	ends, never := audited.Ends(r.plan, r.log, lateBeyond)
+	out.Ends, out.Goes = spreadOf(ends), never
+	return out
+}
+
+// measureAudit is one of the measures of an audit; they know no window. Of several auditors the worst counts.
+func (r *run) measureAudit(what string) (v float64, known bool) {
+	a := r.audited
+	if a == nil {
+		return 0, false
+	}
+	switch what {
+	case "audit_late":
+		return float64(a.Late), true
+	case "audit_ends":
+		if a.Ends == nil {
+			return 0, false
+		}
+		return a.Ends.Max, true
+	case "audit_wrong", "audit_missing":
+		if a.Trails == nil {
+			return 0, false
+		}
+		return float64(map[string]int{"audit_wrong": a.Trails.Wrong, "audit_missing": a.Trails.Missing + len(a.Trails.Unread)}[what]), true
+	}
+	for _, f := range a.Auditors {
+		v = max(v, float64(map[string]int{"audit_hidden": f.Hidden + f.Unasked, "audit_false": f.False}[what]))
+	}
+	return v, len(a.Auditors) > 0 && len(a.Faults) == 0
+}
--- a/internal/lab/result/measure.go
+++ b/internal/lab/result/measure.go
@@ -1,6 +1,9 @@
 package result
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // measure is one of scenario.Measures in a window: of due times, and for boxes of the samples' times. It is
 // unknown where there was nothing to measure.
@@ -22,6 +25,9 @@
 	case "list_calls", "list_refused", "list_dials", "list_peak", "handshakes", "unready", "unlisted", "unserving":
 		return r.measureTogether(what, from, to)
 	}
+	if strings.HasPrefix(what, "audit_") {
+		return r.measureAudit(what)
+	}
 	t := r.tally(class, from, to)
 	if percent, isQuantile := quantiles[what]; isQuantile {
 		return tidy(t.quantile(percent) / 1000), t.latency.TotalCount() > 0
--- a/internal/lab/result/of.go
+++ b/internal/lab/result/of.go
@@ -28,6 +28,9 @@
 	out.Notice = noticeOf(p, log)
 	if meta.Player == "sockets" {
 		out.Together = r.together()
+		if r.audited = r.audits(); p.Operators() || r.audited.Late > 0 {
+			out.Audited = r.audited
+		}
 	}
 	out.Room = r.room(len(out.Seconds))
 	out.All = r.tally(-1, r.settle, longest).figures()
@@ -63,6 +66,8 @@
 	fates  []fate
 	stray  stray
 	boxes  []boxLog
+
+	audited *Audited // nil: nobody can call the sidecars
 }
 
 // tally sums up a class (-1 is all) in a window of due times.
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -63,6 +63,7 @@
 	Marks    []Mark    `json:"marks"`
 	Notice   Notice    `json:"notice"`
 	Together *Together `json:"together,omitempty"` // of runs on sockets
+	Audited  *Audited  `json:"audited,omitempty"`  // where operators can call the sidecars, or something came late to a box that had left
 	Rig      Rig       `json:"rig"`
 	Usage    []Usage   `json:"usage"`
 	Fallen   int       `json:"boxes_fallen"` // boxes that fell over at least once
--- a/internal/lab/result/summary.go
+++ b/internal/lab/result/summary.go
@@ -3,7 +3,9 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"math"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -38,6 +40,7 @@
 	}
 	p.boxes(r)
 	p.together(r.Together)
+	p.audited(r.Audited)
 	p.rules(r.Broken)
 	p.expectations(r.Expect)
 	p.usage(r)
@@ -156,6 +159,31 @@
 		words(t.Ready), t.Unready, words(t.Listed), t.Unheard, words(t.Served), t.Unfed)
 }
 
+func (p *printer) audited(a *Audited) {
+	if a == nil {
+		return
+	}
+	p.line("Audit     %d attempts at boxes that had left, more than the grace and a second after", a.Late)
+	if t := a.Trails; t != nil {
+		p.line("            trails: %d attempts for %d visits (%d sure); wrong %d, missing %d, unproven %d, unread %d", t.Attempts, t.Visits, t.Sure,
+			t.Wrong, t.Missing, t.Unproven, len(t.Unread))
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.Auditors)) {
+		f := a.Auditors[name]
+		p.line("            %s: %d stragglers in %d rounds: found %d, not reached %d, hidden %d; false %d", name, f.True, f.Rounds, f.Found, f.Unasked, f.Hidden, f.False)
+	}
+	for _, f := range a.Faults {
+		p.line("            %s", p.bad(f))
+	}
+	if e := a.Ends; e != nil || a.Goes > 0 {
+		half, last := "-", "-"
+		if e != nil {
+			half, last = fmt.Sprintf("%.2f", e.P50), fmt.Sprintf("%.2f", e.Max)
+		}
+		p.line("            seconds until a straggler was brought up or shut out: half %s, the last %s; %d neither", half, last, a.Goes)
+	}
+}
+
 func (p *printer) expectations(all []Expect) {
 	if len(all) == 0 {
 		return
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -68,7 +68,8 @@
 // Measures are what an Expect can name: shares of the first tries, counts and seconds.
 var Measures = []string{"service", "served", "late", "refused", "failed", "gone", "attempts", "copies", "wasted",
 	"p50", "p90", "p99", "p999", "fallen", "worst", "refusals", "bottom",
-	"list_calls", "list_refused", "list_dials", "list_peak", "handshakes", "unready", "unlisted", "unserving"}
+	"list_calls", "list_refused", "list_dials", "list_peak", "handshakes", "unready", "unlisted", "unserving",
+	"audit_wrong", "audit_missing", "audit_hidden", "audit_false", "audit_late", "audit_ends"}
 
 // Default is a scenario's values where its file says nothing.
 func Default() Scenario {
