--- a/internal/lab/live/sidecar_config.go
+++ b/internal/lab/live/sidecar_config.go
@@ -2,11 +2,14 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
 
+	"pinelb.example/pinelb/internal/config"
 	"pinelb.example/pinelb/internal/lab/plan"
 	"pinelb.example/pinelb/internal/lab/trace"
 )
@@ -50,6 +53,11 @@
 			return fmt.Errorf("live: %w", err)
 		}
 	}
+	if s.plan.Full {
+		if err := s.fillDisk(); err != nil {
+			return err
+		}
+	}
 	next := s.file() + ".next"
 	if err := os.WriteFile(next, text, filesMode); err != nil {
 		return fmt.Errorf("live: %w", err)
@@ -60,6 +68,24 @@
 	return nil
 }
 
+// newTrail is the file that a process begins its trail in.
+const newTrail = "trail.new"
+
+// fillDisk has the disk take no trail: what is written to it goes to a device that is always full.
+func (s *sidecar) fillDisk() error {
+	op, err := config.ParseOperator(s.operator(), []byte(s.operatorText()))
+	if err != nil {
+		return fmt.Errorf("live: %w", err)
+	}
+	if err := os.MkdirAll(op.State.Dir, 0o700); err != nil {
+		return fmt.Errorf("live: %w", err)
+	}
+	if err := os.Symlink("/dev/full", filepath.Join(op.State.Dir, newTrail)); err != nil && !errors.Is(err, fs.ErrExist) {
+		return fmt.Errorf("live: %w", err)
+	}
+	return nil
+}
+
 // known is the list as this sidecar last had it: the plan's, and what its agent has been told since.
 func (s *sidecar) known() []map[string]any {
 	p, now := s.fleet.plan, s.fleet.now()
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -73,6 +73,7 @@
 	Weight float64       // part of the clients that the front gives it
 	Known  []Listed      // the list that it has at its start
 	Books  bool          // it gets the scenario's section of budgets
+	Full   bool          // the disk of its trail is full from the start
 }
 
 // Listed is one entry of a list.
--- a/internal/lab/plan/script.go
+++ b/internal/lab/plan/script.go
@@ -156,6 +156,11 @@
 		s.betweenProcesses(f, from, to)
 	case "sidecar_kill", "sidecar_stop", "sidecar_pause", "sidecar_upgrade":
 		s.sidecarFault(f)
+	case "disk_full":
+		for _, i := range s.hit(f) {
+			s.Sidecars[i].Full = true
+		}
+		s.mark("disk full", 0, s.end())
 	case "order_again":
 		for _, i := range s.hit(f) {
 			s.faults++
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -38,7 +38,7 @@
 
 // OtherKinds are those of discovery and of the sidecars.
 var OtherKinds = []string{"discovery_silent", "discovery_late", "discovery_move", "sidecar_kill", "sidecar_stop",
-	"sidecar_pause", "sidecar_upgrade", "hurry", "order_again"}
+	"sidecar_pause", "sidecar_upgrade", "hurry", "order_again", "disk_full"}
 
 // ListKinds are faults of the list service, as all sidecars or some of them have it, and LinkKinds those of the network
 // between sidecars and other processes. They need processes: the virtual player refuses them.
@@ -411,6 +411,9 @@
 		c.need(k.For > 0 && k.For <= Span(longestPause), at+".for", "must be given, and %s at most", longestPause)
 	case "order_again":
 		c.need(len(s.Audit) > 0 && k.Back > 0 && k.Size >= 0, at+".back", "must be given, size not negative, and [[audit]] there")
+	case "disk_full":
+		c.need(k.At == 0 && k.For == 0, at+".at", "must be 0, and no for: it is full all the time")
+		c.need(strings.Contains(s.Fleet.Operator, "[state]"), at+".kind", "needs [state] in fleet.operator")
 	case "slow":
 		c.need(k.Size >= 1, at+".size", "must be 1 or more: how many times as long work takes")
 	case "discovery_late":
