Have sidecars write down what they have counted at a run's end

Counts are noted every 10 s, so that the last ones were in no trail. The rig ends the count by settings that differ in a price, and waits for the adoption.

--- a/internal/lab/audited/stragglers.go
+++ b/internal/lab/audited/stragglers.go
@@ -178,7 +178,7 @@
 // Ends are the times from when the list service told a list until each straggler was brought up to it or had shut itself out, in the
 // order of the lists, and how many were neither by the end. Who held it within settle is no straggler.
 func Ends(p *plan.Plan, log *trace.Log, settle time.Duration) (ends []time.Duration, never int) {
-	all := reigns(log)
+	all, over := reigns(log), p.Scenario.Length.D() // when what was cut is healed
 	for i, r := range all {
 		for sidecar := range p.Sidecars {
 			if p.Sidecars[sidecar].Box >= 0 || !alive(log, sidecar, r.from, r.from+settle) {
@@ -190,12 +190,12 @@
 			}
 			end := model.Never
 			for _, s := range stretches {
-				if s.from > r.from && anyOf(s.digests, all[i:]) {
+				if s.from > r.from && s.from < over && anyOf(s.digests, all[i:]) {
 					end = min(end, s.from)
 				}
 			}
 			for _, s := range shut(log, sidecar) {
-				if s[0] <= r.to && s[1] > r.from {
+				if s[0] < over && s[1] > r.from {
 					end = min(end, max(s[0], r.from))
 				}
 			}
--- a/internal/lab/live/auditor.go
+++ b/internal/lab/live/auditor.go
@@ -19,9 +19,10 @@
 	run  *run
 	plan *scenario.Audit
 
-	mu    sync.Mutex
-	cmd   *exec.Cmd     // of the present process or the last one; nil before the first
-	ended chan struct{} // closed once that has
+	mu     sync.Mutex
+	starts int
+	cmd    *exec.Cmd     // of the present process or the last one; nil before the first
+	ended  chan struct{} // closed once that has
 }
 
 func (a *auditor) path(ending string) string {
@@ -57,6 +58,7 @@
 		return fmt.Errorf("live: auditor: %w", err)
 	}
 	defer log.Close()
+	a.starts++
 	cmd := exec.Command(a.run.fleet.builds[0], a.args(roster)...)
 	cmd.Stdout, cmd.Stderr = found, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
@@ -74,7 +76,7 @@
 
 func (a *auditor) args(roster string) []string {
 	p := a.plan
-	args := []string{"audit", roster, "--by=" + p.Name, "--json", "--watch=" + p.Every.D().String(), "--kept=" + a.kept(),
+	args := []string{"audit", roster, "--by=" + fmt.Sprintf("%s-%d", p.Name, a.starts), "--json", "--watch=" + p.Every.D().String(), "--kept=" + a.kept(),
 		"--share=" + strconv.FormatFloat(p.Share, 'g', -1, 64)}
 	if p.List {
 		args = append(args, "--list="+a.run.net.list())
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -36,6 +36,7 @@
 	mu        sync.Mutex
 	discovery string // where its agent is
 	starts    int
+	closing   bool             // the run is over
 	knows     []map[string]any // the list that it was configured with
 	process   *process         // that runs, or the last; nil before the first
 	taken     trace.Usage
--- a/internal/lab/live/sidecar_config.go
+++ b/internal/lab/live/sidecar_config.go
@@ -1,6 +1,7 @@
 package live
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -39,7 +40,7 @@
 		"name": s.plan.Name, "listen": s.fleet.net.sidecar(s.id), "discovery": s.discovery,
 		"seed":     fmt.Sprintf("%016x", s.plan.Seed+uint64(s.starts)*seedStep), // new with each start
 		"limits":   map[string]any{"cores": f.Cores, "memory_mb": f.MemoryMB, "sockets": f.Sockets},
-		"settings": p.Settings(s.id),
+		"settings": s.settings(),
 	}
 	if s.knows = s.known(); len(s.knows) > 0 {
 		doc["known"] = map[string]any{"revision": 1, "complete": true, "members": s.knows}
@@ -68,6 +69,15 @@
 	return nil
 }
 
+// settings are the plan's; at the end of a run a price that decides nothing any more is another one. It needs the lock.
+func (s *sidecar) settings() json.RawMessage {
+	text := s.fleet.plan.Settings(s.id)
+	if s.closing {
+		text = bytes.Replace(text, []byte(`"probe":0.01`), []byte(`"probe":0.02`), 1)
+	}
+	return text
+}
+
 // newTrail is the file that a process begins its trail in.
 const newTrail = "trail.new"
 
--- a/internal/lab/live/trails.go
+++ b/internal/lab/live/trails.go
@@ -25,6 +25,8 @@
 	reportMost   = 4 << 20 // bytes
 	pagesMost    = 1000    // of one trail
 	auditorEnds  = 5 * time.Second
+	countWithin  = 30 * time.Second
+	countEach    = 20 * time.Millisecond
 )
 
 // endAudits ends the auditors as an operator does, reads the trails of the sidecars that run, and adds what auditors have of
@@ -53,6 +55,7 @@
 			continue
 		}
 		all.Go(func() {
+			r.count(i)
 			report, entries := r.wholeReport(i)
 			mu.Lock()
 			defer mu.Unlock()
@@ -66,6 +69,29 @@
 	}
 }
 
+// count has a sidecar that runs write down what it has counted: settings that differ end the count under the version before.
+// It waits for that until the process has ended or for a while.
+func (r *run) count(sidecar int) {
+	s := r.fleet.sidecars[sidecar]
+	s.signal(syscall.SIGCONT)
+	before, err := r.report(sidecar, 1)
+	if err != nil {
+		return
+	}
+	s.mu.Lock()
+	s.closing = true
+	discovery := s.discovery
+	s.mu.Unlock()
+	if s.hup(discovery) != nil {
+		return
+	}
+	for until := time.Now().Add(countWithin); time.Now().Before(until) && s.pause(s.last(), countEach); {
+		if now, err := r.report(sidecar, before.Next); err == nil && now.Version.Settings != before.Version.Settings {
+			return
+		}
+	}
+}
+
 // addKept adds the entries in what an auditor has kept. One that has kept nothing has none.
 func (r *run) addKept(text []byte) {
 	var kept struct {
