Raise a floor anew without holding up one that demands something else

A floor that is raised anew, for half its time is over, kept a changed list's floor waiting for a time of grace: in the case of 24 sidecars (six cut off, four stopped) those cut off were shut out 5.2 s after the list service told it, and 45 attempts came to boxes that had left more than grace + 1 s after.

The rig's front looks at the health of sidecars that may shut themselves out, as a platform does, and gives those that say no nothing new; an auditor may wait less than 1 s for one that does not answer, for a round takes as long.

--- a/internal/lab/live/auditor.go
+++ b/internal/lab/live/auditor.go
@@ -78,6 +78,9 @@
 	p := a.plan
 	args := []string{"audit", roster, "--by=" + fmt.Sprintf("%s-%d", p.Name, a.starts), "--json", "--watch=" + p.Every.D().String(), "--kept=" + a.kept(),
 		"--share=" + strconv.FormatFloat(p.Share, 'g', -1, 64)}
+	if p.Within > 0 {
+		args = append(args, "--within="+p.Within.D().String())
+	}
 	if p.List {
 		args = append(args, "--list="+a.run.net.list())
 	}
--- a/internal/lab/live/fleet.go
+++ b/internal/lab/live/fleet.go
@@ -165,7 +165,7 @@
 // has it. Of one whose health says that it drains, clients go on using the connections they have.
 func (f *fleet) admitted(i int) bool {
 	at := f.sidecars[i].standing.Load()
-	return at.able && f.now() < at.until && (!at.draining || f.callers.kept(i))
+	return at.able && !at.out && f.now() < at.until && (!at.draining || f.callers.kept(i))
 }
 
 // grace is how long a planned end may take, as on the platform.
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -22,6 +22,7 @@
 const (
 	readySoonest = 5 * time.Millisecond // after its start, and then ever more seldom
 	readySeldom  = 50 * time.Millisecond
+	attendEach   = 300 * time.Millisecond // where it may shut itself out
 	drainEach    = 200 * time.Millisecond // from SIGTERM on: new connections come for 0.2 to 0.4 s more
 )
 
@@ -46,6 +47,7 @@
 type standing struct {
 	able     bool          // its health has said 200 since its start
 	draining bool          // it has said 503 since SIGTERM
+	out      bool          // its health says 503 now
 	until    time.Duration // when the front will have noticed that it has died
 }
 
@@ -200,11 +202,29 @@
 		if s.runs() {
 			s.standing.Store(&standing{able: true, until: model.Never})
 			s.note(trace.Able, "")
+			if s.fleet.plan.Scenario.Fleet.Audited() {
+				s.fleet.tasks.Go(func() { s.attend(p) })
+			}
 		}
 		return
 	}
 }
 
+// attend has the front look at the health of a process that may shut itself out, until it ends: one that says no gets nothing new.
+// One that does not answer is no matter of this.
+func (s *sidecar) attend(p *process) {
+	for s.pause(p, attendEach) {
+		code := s.fleet.health(s.id)
+		s.mu.Lock()
+		at := *s.standing.Load()
+		if out := code == http.StatusServiceUnavailable; code != 0 && out != at.out && s.process == p && !p.stopping {
+			at.out = out
+			s.standing.Store(&at)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // drain waits until a process says that it drains and takes it from the front.
 func (s *sidecar) drain(p *process) {
 	for s.pause(p, drainEach) {
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -180,6 +180,7 @@
 	Name    string
 	Start   Span    // from then on
 	Every   Span    // between its rounds
+	Within  Span    // that it waits for one sidecar; 0: as the program has it
 	List    bool    // it asks the list service, too; otherwise the newest version that it finds is the one to have
 	Raise   bool    // it raises floors
 	Grace   Span    // of them
--- a/internal/version/auditor.go
+++ b/internal/version/auditor.go
@@ -107,15 +107,16 @@
 // Auditor decides for one auditor. It needs the answers of more than half of the fleet, for a while, before it shuts anybody out:
 // two halves of a fleet that is cut in two have two auditors that don't know of each other, and one of them at most has that.
 type Auditor struct {
-	rules  Rules
-	demand Demand
-	floor  *Floor // the last one raised
-	first  uint64 // epoch that it raised
-	epoch  uint64 // the highest one known
-	raised time.Duration
-	loser  string
-	known  map[string]*known // by name
-	held   map[string]held   // tickets that may be valid, by name
+	rules   Rules
+	demand  Demand
+	floor   *Floor // the last one raised
+	first   uint64 // epoch that it raised
+	epoch   uint64 // the highest one known
+	raised  time.Duration
+	changed time.Duration // when one was that demanded something else than the one before
+	loser   string
+	known   map[string]*known // by name
+	held    map[string]held   // tickets that may be valid, by name
 }
 
 // known is what an auditor remembers of a sidecar.
@@ -253,13 +254,14 @@
 // raise raises a floor where the demand is another one than the floor's, but no more than one in a time of grace, so that who is well
 // has met one before the next; and anew when half of its time is over.
 func (a *Auditor) raise(now time.Duration, fleet []Seen) {
-	next := a.rules.floor(a.demand, a.epoch)
+	next, changed := a.rules.floor(a.demand, a.epoch), true
 	if f := a.floor; f != nil {
-		age := now - a.raised
 		next.Epoch = f.Epoch
-		if age < a.rules.Grace || next.same(f) && age < a.rules.For/2 {
+		again := next.same(f) // which demands nothing new, and so holds up no other one
+		if again && now-a.raised < a.rules.For/2 || !again && now-a.changed < a.rules.Grace {
 			return
 		}
+		changed = !again
 	}
 	reached := slices.ContainsFunc(fleet, func(s Seen) bool { return s.Reached })
 	if a.demand.empty() || !reached || a.epoch >= epochMost {
@@ -271,6 +273,9 @@
 		a.first = a.epoch
 	}
 	a.floor, a.raised = &next, now
+	if changed {
+		a.changed = now
+	}
 }
 
 // stand judges one.
--- a/internal/version/search_test.go
+++ b/internal/version/search_test.go
@@ -151,7 +151,7 @@
 			continue
 		}
 		num(int64(a.epoch), int64(a.first))
-		at(a.raised)
+		at(a.raised, a.changed)
 		yes(a.loser != "")
 		floor(a.floor)
 		for j := range sidecars {
