--- a/internal/lab/live/fleet.go
+++ b/internal/lab/live/fleet.go
@@ -32,6 +32,7 @@
 	builds    [2]string
 	sidecars  []*sidecar
 	front     http.Client // asks for health
+	operators http.Client
 	spawn     chan func()
 	life      context.Context
 	end       context.CancelFunc
@@ -59,6 +60,7 @@
 		f.sidecars = append(f.sidecars, newSidecar(f, i))
 	}
 	f.front = http.Client{Timeout: healthWithin, Transport: &http.Transport{DisableKeepAlives: true}}
+	f.operators = http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 	f.life, f.end = context.WithCancel(context.Background())
 	f.tasks.Go(f.parent)
 	f.tasks.Go(f.watch)
@@ -163,7 +165,7 @@
 // has it. Of one whose health says that it drains, clients go on using the connections they have.
 func (f *fleet) admitted(i int) bool {
 	at := f.sidecars[i].standing.Load()
-	return at.able && f.now() < at.until && (!at.draining || f.callers.kept(i))
+	return at.able && !at.out && f.now() < at.until && (!at.draining || f.callers.kept(i))
 }
 
 // grace is how long a planned end may take, as on the platform.
--- a/internal/lab/live/sidecar_config.go
+++ b/internal/lab/live/sidecar_config.go
@@ -1,12 +1,16 @@
 package live
 
 import (
+	"bytes"
 	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"strings"
 
+	"pinelb.example/pinelb/internal/config"
 	"pinelb.example/pinelb/internal/lab/plan"
 	"pinelb.example/pinelb/internal/lab/trace"
 )
@@ -36,10 +40,10 @@
 		"name": s.plan.Name, "listen": s.fleet.net.sidecar(s.id), "discovery": s.discovery,
 		"seed":     fmt.Sprintf("%016x", s.plan.Seed+uint64(s.starts)*seedStep), // new with each start
 		"limits":   map[string]any{"cores": f.Cores, "memory_mb": f.MemoryMB, "sockets": f.Sockets},
-		"settings": p.Settings(s.id),
+		"settings": s.settings(),
 	}
-	if known := s.known(); len(known) > 0 {
-		doc["known"] = map[string]any{"revision": 1, "complete": true, "members": known}
+	if s.knows = s.known(); len(s.knows) > 0 {
+		doc["known"] = map[string]any{"revision": 1, "complete": true, "members": s.knows}
 	}
 	text, err := json.Marshal(doc)
 	if err != nil {
@@ -50,6 +54,11 @@
 			return fmt.Errorf("live: %w", err)
 		}
 	}
+	if s.plan.Full {
+		if err := s.fillDisk(); err != nil {
+			return err
+		}
+	}
 	next := s.file() + ".next"
 	if err := os.WriteFile(next, text, filesMode); err != nil {
 		return fmt.Errorf("live: %w", err)
@@ -60,8 +69,35 @@
 	return nil
 }
 
+// settings are the plan's; at the end of a run a price that decides nothing any more is another one. It needs the lock.
+func (s *sidecar) settings() json.RawMessage {
+	text := s.fleet.plan.Settings(s.id)
+	if s.closing {
+		text = bytes.Replace(text, []byte(`"probe":0.01`), []byte(`"probe":0.02`), 1)
+	}
+	return text
+}
+
+// newTrail is the file that a process begins its trail in.
+const newTrail = "trail.new"
+
+// fillDisk has the disk take no trail: what is written to it goes to a device that is always full.
+func (s *sidecar) fillDisk() error {
+	op, err := config.ParseOperator(s.operator(), []byte(s.operatorText()))
+	if err != nil {
+		return fmt.Errorf("live: %w", err)
+	}
+	if err := os.MkdirAll(op.State.Dir, 0o700); err != nil {
+		return fmt.Errorf("live: %w", err)
+	}
+	if err := os.Symlink("/dev/full", filepath.Join(op.State.Dir, newTrail)); err != nil && !errors.Is(err, fs.ErrExist) {
+		return fmt.Errorf("live: %w", err)
+	}
+	return nil
+}
+
 // known is the list as this sidecar last had it: the plan's, and what its agent has been told since.
-func (s *sidecar) known() []any {
+func (s *sidecar) known() []map[string]any {
 	p, now := s.fleet.plan, s.fleet.now()
 	list := map[int]plan.Listed{}
 	for _, l := range s.plan.Known {
@@ -72,11 +108,11 @@
 			list[e.Entry.Box] = e.Entry
 		}
 	}
-	var out []any
+	var out []plan.Listed
 	for box := range p.Boxes {
 		if l, ok := list[box]; ok && l.Phase != trace.Away {
-			out = append(out, p.Member(l, s.fleet.run.boxFor(s.id, box), s.fleet.run.start()))
+			out = append(out, l)
 		}
 	}
-	return out
+	return s.fleet.run.members(s.id, out)
 }
