--- a/internal/lab/live/audit_test.go
+++ b/internal/lab/live/audit_test.go
@@ -1,6 +1,7 @@
 package live_test
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -62,6 +63,7 @@
 // Real processes of the program and of its auditor, with kills, stops, cut links and full disks between them. Each row holds
 // with the mechanism, and fails in the same play with it taken out.
 func TestAuditedProcesses(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name    string
 		with    string
@@ -113,18 +115,21 @@
 	}
 }
 
-// besides is how many plays go on at a time: each is a dozen processes and more.
-const besides = 4
+// room is for so many plays at a time, of all tests together: each is a dozen processes and more, which do little.
+var room = make(chan struct{}, 7)
 
-// playAll plays scenarios and checks what must hold in all of them.
+// playAll plays scenarios, the longest first, and checks what must hold in all of them.
 func playAll(t *testing.T, texts []string) map[string]*together {
-	build, room := program(t), make(chan struct{}, besides)
+	build := program(t)
+	slices.SortFunc(texts, func(a, b string) int {
+		return cmp.Compare(planned(t, b).Scenario.Length, planned(t, a).Scenario.Length)
+	})
 	var mu sync.Mutex
 	var all sync.WaitGroup
 	plays := map[string]*together{}
 	for _, text := range texts {
+		room <- struct{}{}
 		all.Go(func() {
-			room <- struct{}{}
 			defer func() { <-room }()
 			o := playTogether(t, build, text)
 			o.wellTold()
@@ -148,6 +153,7 @@
 
 // What is owed at a full disk, after the list service has counted from 1 anew, and by one that is alone.
 func TestAuditIsNoOutage(t *testing.T) {
+	t.Parallel()
 	rows := []struct {
 		name  string
 		text  string
