--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -6,7 +6,9 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"sync"
 	"testing"
@@ -210,6 +212,50 @@
 	}
 }
 
+// Guards against dead sidecars whose trail is not read, and against them counting as reached because it is.
+func TestDeadSidecars(t *testing.T) {
+	_, r := newFleet(t, 3)
+	s := (&script{life: "l", ahead: millis(time.Now())}).adopt(100, 1, 6, 60).count(200, 1, 5, 0)
+	var text []byte
+	for _, e := range s.entries {
+		line, err := json.Marshal(e)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text = append(append(text, line...), '\n')
+	}
+	dirs := []string{t.TempDir(), t.TempDir()}
+	for i, dir := range dirs {
+		if err := os.WriteFile(filepath.Join(dir, "trail-000000001"), text[i:], 0o600); err != nil { // the second's first line is cut
+			t.Fatal(err)
+		}
+	}
+	r.Sidecars[1].Addr, r.Sidecars[1].Dir = dead(t), dirs[0]
+	r.Sidecars[2].Addr = dead(t)
+	o := options(r)
+	o.Dirs = map[string]string{"s2": dirs[1], "unlisted": dirs[0], "nowhere": dirs[0] + "/none"}
+	a := New(o)
+	defer a.Close()
+	v := round(t, a)
+	if v.Count(NotReached) != 2 || v.Count(UpToDate) != 1 {
+		t.Error(v.Verdict())
+	}
+	for name, want := range map[string]int{"s1": 2, "s2": 1, "unlisted": 2} {
+		if got := a.history.Sidecars[name]; got == nil || len(got.Entries) != want {
+			t.Errorf("%s: %+v, want %d entries", name, got, want)
+		}
+	}
+	if got := found(&a.history); !strings.HasPrefix(got, Hole+" s2 ") || strings.Contains(got, "s1") {
+		t.Error(got)
+	}
+	if got := strings.Join(v.Faults, "\n"); !strings.Contains(got, "nowhere: its trail can't be read") {
+		t.Error(got)
+	}
+	if v.Lists[0].List.Revision != 6 || v.Lists[0].Adopted != 2 {
+		t.Errorf("%+v", v.Lists)
+	}
+}
+
 // Guards against a file that is taken for another's, or for none where it can't be read.
 func TestKept(t *testing.T) {
 	_, r := newFleet(t, 1)
@@ -231,6 +277,57 @@
 	}
 }
 
+// BenchmarkRound is what a round costs beside asking, where all that may be held of so many sidecars is.
+func BenchmarkRound(b *testing.B) {
+	for _, fleet := range []int{400, 5000} {
+		b.Run(fmt.Sprint(fleet), func(b *testing.B) {
+			r, answers := &Roster{}, make([]Answer, fleet)
+			for i := range fleet {
+				name := fmt.Sprintf("s%d", i)
+				r.Sidecars = append(r.Sidecars, Sidecar{Name: name, Addr: "127.0.0.1:1"})
+				s := &script{life: name}
+				for k := range min(entriesMost, entriesAll/fleet) {
+					if at := version.Millis(1000 * k); k%4 == 0 {
+						s.adopt(at, uint32(k), int64(k), version.Digest(k+1))
+					} else {
+						s.count(at, uint32(k-k%4), 9, 0)
+					}
+				}
+				rep := report(name)
+				rep.Entries, rep.Now, rep.Up, rep.Next = s.entries, 600_000, 600_000, uint64(len(s.entries)+1)
+				answers[i] = Answer{Report: &rep, Middle: 600_000, Back: time.UnixMilli(600_000)}
+			}
+			a := New(options(r))
+			defer a.Close()
+			questions := make([]Question, fleet)
+			at := func(t time.Time) time.Duration { return time.Duration(t.UnixNano()) }
+			round := func() {
+				a.now += time.Second
+				a.history.Raise(60_000, version.Floor{Epoch: 1, List: 9, Revision: 1 << 40, For: 600_000})
+				decided, _ := a.decide(questions, answers, &version.Demand{}, at, time.UnixMilli(600_000))
+				if v := a.view(answers, &decided, time.UnixMilli(600_000)); len(v.Rows) != fleet {
+					b.Fatal(v.Verdict())
+				}
+				for i := range answers { // from then on the last entry comes again
+					r := answers[i].Report
+					r.Entries = r.Entries[len(r.Entries)-1:]
+					questions[i].Since = r.Next - 1
+				}
+			}
+			began := time.Now()
+			round()
+			b.Logf("the first round: %v", time.Since(began))
+			for b.Loop() {
+				round()
+			}
+			var m runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&m)
+			b.ReportMetric(float64(m.HeapAlloc)/(1<<20), "MB-held")
+		})
+	}
+}
+
 // FuzzMerge has sidecars tell anything, twice: nothing panics, what is held is bounded, and who was not reached is not up to date.
 func FuzzMerge(f *testing.F) {
 	for _, s := range []*script{
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -9,6 +9,7 @@
 	"strings"
 	"time"
 
+	"pinelb.example/pinelb/internal/pace"
 	"pinelb.example/pinelb/internal/tomlfile"
 )
 
@@ -102,6 +103,14 @@
 	return nil
 }
 
+// Fleet is the same for the watch of an instance, of whom the settings tell so many.
+func (d *Discovery) Fleet(instances int) pace.Fleet {
+	if d.Instances != 0 {
+		instances = d.Instances
+	}
+	return pace.Fleet{Instances: instances, Rate: d.Calls, Burst: d.Burst, Watch: d.Watch.D()}
+}
+
 // Fleet is the section [fleet]: how the instances of a tier are told apart.
 type Fleet struct {
 	// Numbered says that the settings' rank and number of instances are right, so that upstream hosts are chosen
@@ -110,6 +119,21 @@
 	// Spread is the time over which a sidecar that holds a list already makes its first call to discovery: where
 	// many start at once and ask one service, they should not do so in the same moment. At most 5 s.
 	Spread tomlfile.Span `toml:"spread"`
+	// Handshakes is how many connections all instances together may open to one upstream host in 100 ms; 0 is no bound.
+	Handshakes int `toml:"handshakes"`
+}
+
+// mostHandshakes is more than any host takes.
+const mostHandshakes = 10_000
+
+func (f *Fleet) check(file *tomlfile.File) error {
+	switch {
+	case f.Spread < 0 || f.Spread.D() > mostSpread:
+		return file.Fault("fleet.spread", "must be from 0s to %s", mostSpread)
+	case f.Handshakes < 0 || f.Handshakes > mostHandshakes:
+		return file.Fault("fleet.handshakes", "must be from 0 to %d", mostHandshakes)
+	}
+	return nil
 }
 
 // mostSpread keeps a list that may be old from being all that there is for long.
@@ -172,8 +196,8 @@
 func ParseOperator(path string, data []byte) (*Operator, error) {
 	op := &Operator{}
 	file, err := tomlfile.Decode(path, data, op)
-	if f := op.Fleet; err == nil && f != nil && (f.Spread < 0 || f.Spread.D() > mostSpread) {
-		err = file.Fault("fleet.spread", "must be from 0s to %s", mostSpread)
+	if err == nil && op.Fleet != nil {
+		err = op.Fleet.check(file)
 	}
 	if err == nil && op.Discovery != nil {
 		err = op.Discovery.check(file)
@@ -206,6 +230,12 @@
 	if o.Audit != nil && c.Control == "" {
 		return fmt.Errorf("config: LB_CONTROL: audit needs an address for operators, which auditors call")
 	}
+	if o.Audit != nil && o.Audit.Lease > 0 && o.Discovery != nil {
+		longest := o.Discovery.Fleet(c.Settings.Instances).Longest().Round(time.Millisecond)
+		if o.Audit.Lease.D() < longest+leastLease {
+			return fmt.Errorf("config: audit.lease must be %s or more: beside [discovery] a call waits for news for up to %s", longest+leastLease, longest)
+		}
+	}
 	if o.Thrift == nil {
 		return nil
 	}
--- a/internal/lab/result/of.go
+++ b/internal/lab/result/of.go
@@ -32,6 +32,7 @@
 			out.Audited = r.audited
 		}
 	}
+	out.Peak = r.peak(-longest, longest)
 	out.Room = r.room(len(out.Seconds))
 	out.All = r.tally(-1, r.settle, longest).figures()
 	for i, c := range s.Class {
--- a/internal/lab/scenario/load.go
+++ b/internal/lab/scenario/load.go
@@ -69,6 +69,7 @@
 var Measures = []string{"service", "served", "late", "refused", "failed", "gone", "attempts", "copies", "wasted",
 	"p50", "p90", "p99", "p999", "fallen", "worst", "refusals", "bottom",
 	"list_calls", "list_refused", "list_dials", "list_peak", "handshakes", "unready", "unlisted", "unserving",
+	"attempts_peak", "again_peak",
 	"audit_wrong", "audit_missing", "audit_hidden", "audit_false", "audit_late", "audit_ends"}
 
 // Default is a scenario's values where its file says nothing.
