--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -1,14 +1,17 @@
 // Command pinelb is the sidecar: it takes streams from callers, has the decision module choose their
-// upstream hosts, and carries out what it decides. Here are only its command line and the wiring of the parts.
+// upstream hosts, and carries out what it decides. Here are only its command line and its exit statuses.
 package main
 
 import (
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/alecthomas/kong"
+
+	"pinelb.example/pinelb/internal/daemon"
 )
 
 // statusFaulty is the exit status where the arguments or a file that is checked are faulty.
@@ -28,7 +31,8 @@
 			File string `arg:"" placeholder:"FILE" help:"A snapshot, or a journal of effects, in the directory that [state] names."`
 		} `cmd:"" help:"Show what a file holds, and how old each part is. The exit status is 2 where it can't be read."`
 	} `cmd:"" help:"What a process has left for the one after it."`
-	Version struct{} `cmd:"" help:"Print the version, and what it was built from and with."`
+	Audit   auditLine `cmd:"" help:"Ask a fleet of sidecars which version each acts on. The exit status is 0 where all are up to date, 1 where not, 2 where an argument or a file is faulty, and 3 where nobody was reached."`
+	Version struct{}  `cmd:"" help:"Print the version, and what it was built from and with."`
 }
 
 func main() {
@@ -58,9 +62,26 @@
 		return show(line.State.Show.File, os.Stdout)
 	case "check":
 		return check(line.Check.File, line.Check.Platform)
+	case "audit":
+		return runAudit(&line.Audit)
 	case "version":
-		fmt.Println(version())
+		fmt.Println(built())
 		return 0
 	}
 	return sidecar(line.Serve.Config, hups)
 }
+
+func sidecar(operator string, hups <-chan os.Signal) int {
+	if daemon.Serve(operator, hups) != nil { // it is in the log
+		return 1
+	}
+	return 0
+}
+
+func show(path string, out io.Writer) int {
+	if err := daemon.Show(path, out); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return statusFaulty
+	}
+	return 0
+}
--- a/cmd/pinelb/serve.go
+++ b/internal/daemon/serve.go
@@ -1,4 +1,6 @@
-package main
+// Package daemon is the sidecar's process: the wiring of its parts, its configuration read again, its place between the process
+// before it and the one after it, and what it keeps on the disk.
+package daemon
 
 import (
 	"context"
@@ -43,6 +45,7 @@
 	syncWithin  = 300 * time.Millisecond // after which the known list has to do
 
 	discoveryStream = 2 // of the random numbers that the seed gives, the one that spreads calls to discovery
+	auditStream     = 3 // and the one that spreads what a floor wants
 )
 
 // newLog is the sidecar's log, as JSON lines.
@@ -51,9 +54,9 @@
 		Sample(&zerolog.BurstSampler{Burst: 50, Period: time.Second}).With().Timestamp().Logger()
 }
 
-// sidecar serves by the environment and the operator's file, of which there may be none. It returns the
-// exit status.
-func sidecar(operator string, hups <-chan os.Signal) int {
+// Serve serves by the environment and the operator's file, of which there may be none, until SIGTERM. The configuration is
+// read again at each of hups. What ends it before its time is in the log, and is returned.
+func Serve(operator string, hups <-chan os.Signal) error {
 	log := newLog(os.Stderr)
 	cfg, err := config.Load(os.Getenv)
 	var op *config.Operator
@@ -78,10 +81,7 @@
 	if rec != nil {
 		_ = rec.Close() // a log or file that is blocked can't be told so
 	}
-	if err != nil {
-		return 1
-	}
-	return 0
+	return err
 }
 
 // recorder starts to record, if that is asked for, and returns the log that goes with it.
@@ -149,9 +149,28 @@
 		shares.beside(1) // before what it hands over, which is its part already
 	}
 	known := len(cfg.Known.Members) > 0
+	cfg.Known.From = "known"
 	// What a process hands over is of the present; and one instance alone pushes nobody over.
 	table.Old = op.Discovery != nil && next.former == nil && set.Instances > 1
+	moves := make(chan string)
+	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log,
+		Rand: rand.New(rand.NewPCG(cfg.Seed, discoveryStream))}
 	keep := newKeeper(op.State, cfg, next, log)
+	audit := newAudited(op.Audit, cfg, keep, next, log)
+	if audit != nil {
+		audit.book.Names(func(class int, host balance.EndpointID) (string, string) {
+			return tuned.classes()[class], table.Name(host)
+		})
+		audit.begins(cfg, eng.Adopt)
+		tuned.audited, next.audited, table.Versions = audit, audit, audit
+		for _, p := range []*stream.Proxy{streams, overThrift} {
+			if p != nil {
+				p.Gate, p.Trail = audit, audit.book
+			}
+		}
+		srv.Gate, pool.Sends = audit, audit.Sends
+		watch.Heard, audit.refresh = audit.listens, watch.Refresh
+	}
 	switch {
 	case next.former != nil && next.take(), keep.remember(cfg):
 		known = true
@@ -189,7 +208,7 @@
 		if err != nil {
 			return fmt.Errorf("listen: LB_CONTROL: %w", err)
 		}
-		operators := control.New(srv.Takes, next, log)
+		operators := control.New(srv.Takes, next, audit.calls(), log)
 		defer operators.Close() // calls are answered for as long as the process runs
 		go func() { _ = operators.Serve(control.Listener(cl)) }()
 		log.Info().Stringer("addr", cl.Addr()).Msg("listening for operators")
@@ -219,10 +238,7 @@
 		late := time.AfterFunc(within, ready)
 		defer late.Stop()
 	}
-	moves := make(chan string)
 	go tuned.follow(life, hups, moves)
-	watch := &cluster.Watcher{Addr: cfg.Discovery, Moves: moves, Table: table, Log: log,
-		Rand: rand.New(rand.NewPCG(cfg.Seed, discoveryStream))}
 	if op.Discovery != nil {
 		watch.Paced, watch.Rand = paced(op.Discovery, cfg, table)
 	}
@@ -240,6 +256,9 @@
 	var followed atomic.Bool
 	go func() {
 		defer close(kept)
+		var noted sync.WaitGroup
+		defer noted.Wait()
+		noted.Go(func() { audit.run(life) })
 		keep.run(life)
 		keep.end(followed.Load())
 	}()
@@ -264,10 +283,7 @@
 // paced is how the list service is asked where the operator's file says that it is one for many. The random numbers are not
 // the seed's alone: sidecars that were given the same one must not ask in the same moments.
 func paced(d *config.Discovery, cfg *config.Config, table *cluster.Table) (*cluster.Paced, *rand.Rand) {
-	p := &cluster.Paced{Whole: d.Whole.D(), Fleet: pace.Fleet{Instances: d.Instances, Rate: d.Calls, Burst: d.Burst, Watch: d.Watch.D()}}
-	if p.Fleet.Instances == 0 {
-		p.Fleet.Instances = cfg.Settings.Instances
-	}
+	p := &cluster.Paced{Whole: d.Whole.D(), Fleet: d.Fleet(cfg.Settings.Instances)}
 	if d.Resume {
 		p.Since = table.Held().List.Revision
 	}
--- a/internal/lab/live/run.go
+++ b/internal/lab/live/run.go
@@ -32,6 +32,8 @@
 		return r.close(), err
 	}
 	r.play(ctx)
+	r.trace.log.Start = r.start()
+	r.endAudits()
 	r.trace.log.End = r.now()
 	end()
 	r.fleet.finish(ctx.Err() != nil)
@@ -67,6 +69,15 @@
 		}
 		r.agents = append(r.agents, a)
 	}
+	if len(r.plan.Scenario.Audit) > 0 {
+		if r.whole, err = newAgent(r, -1, r.net.list()); err != nil {
+			return err
+		}
+	}
+	for i := range r.plan.Scenario.Audit {
+		r.auditors = append(r.auditors, &auditor{run: r, plan: &r.plan.Scenario.Audit[i]})
+	}
+	r.orders.run = r
 	if err := r.openLinks(); err != nil {
 		return err
 	}
@@ -129,7 +140,7 @@
 			r.boxes[e.Box].event(r.now(), e)
 			r.rotate(e)
 		case plan.Tell:
-			r.agents[e.Sidecar].tell(e.Entry)
+			r.agent(e.Sidecar).tell(e.Entry)
 		case plan.StartSidecar:
 			if err := r.fleet.start(e.Sidecar); err != nil {
 				r.broken(e.Sidecar, err)
@@ -150,11 +161,24 @@
 				a.silence(e.Kind == plan.SilenceDiscovery)
 			}
 		case plan.BeginList, plan.EndList:
-			if err := r.agents[e.Sidecar].fault(e); err != nil {
+			if err := r.agent(e.Sidecar).fault(e); err != nil {
 				r.broken(e.Sidecar, err)
 			}
 		case plan.BeginLink, plan.EndLink:
 			r.turnLinks(e)
+		case plan.StartAuditor:
+			if err := r.auditors[e.ID].start(); err != nil {
+				r.broken(-1, err)
+			}
+		case plan.KillAuditor:
+			r.auditors[e.ID].signal(syscall.SIGKILL)
+		case plan.PauseAuditor:
+			r.auditors[e.ID].signal(syscall.SIGSTOP)
+			r.after(e.For, func() { r.auditors[e.ID].signal(syscall.SIGCONT) })
+		case plan.KeepOrder:
+			r.orders.keep(e)
+		case plan.PlayOrder:
+			r.orders.play(e)
 		case plan.MoveDiscovery:
 			moves++
 			r.move(moves)
@@ -162,6 +186,14 @@
 	}
 }
 
+// agent is a sidecar's, or with -1 the list service itself.
+func (r *run) agent(sidecar int) *agent {
+	if sidecar < 0 {
+		return r.whole
+	}
+	return r.agents[sidecar]
+}
+
 // move has discovery's agents listen elsewhere and tells the sidecars where.
 func (r *run) move(moves int) {
 	for i, a := range r.agents {
@@ -207,6 +239,9 @@
 	})
 	r.rotate(plan.Event{Kind: plan.BeginFault, Box: box, Fault: model.Fault{Kind: model.Dead}})
 	r.after(r.plan.Scenario.Discovery.Notice.D(), func() {
+		if r.whole != nil && r.plan.Boxes[box].Tier == 0 {
+			r.whole.tell(plan.Listed{Box: box, Phase: trace.Away})
+		}
 		for i := range r.plan.Sidecars {
 			if r.plan.Sidecars[i].Tier == r.plan.Boxes[box].Tier {
 				r.agents[i].tell(plan.Listed{Box: box, Phase: trace.Away})
@@ -228,6 +263,10 @@
 // close ends what is left of the run, whatever of it was opened, and returns its log.
 func (r *run) close() *trace.Log {
 	var usage []trace.Usage
+	for _, a := range r.auditors { // where the run was broken off, some still run
+		a.signal(syscall.SIGKILL)
+		a.wait()
+	}
 	if r.fleet != nil {
 		usage = r.fleet.close()
 	}
@@ -237,6 +276,9 @@
 	for _, a := range r.agents {
 		a.close()
 	}
+	if r.whole != nil {
+		r.whole.close()
+	}
 	for _, b := range r.boxes {
 		b.close()
 	}
--- a/internal/lab/live/sidecar.go
+++ b/internal/lab/live/sidecar.go
@@ -22,6 +22,7 @@
 const (
 	readySoonest = 5 * time.Millisecond // after its start, and then ever more seldom
 	readySeldom  = 50 * time.Millisecond
+	attendEach   = 300 * time.Millisecond // where it may shut itself out
 	drainEach    = 200 * time.Millisecond // from SIGTERM on: new connections come for 0.2 to 0.4 s more
 )
 
@@ -36,7 +37,9 @@
 	mu        sync.Mutex
 	discovery string // where its agent is
 	starts    int
-	process   *process // that runs, or the last; nil before the first
+	closing   bool             // the run is over
+	knows     []map[string]any // the list that it was configured with
+	process   *process         // that runs, or the last; nil before the first
 	taken     trace.Usage
 }
 
@@ -44,6 +47,7 @@
 type standing struct {
 	able     bool          // its health has said 200 since its start
 	draining bool          // it has said 503 since SIGTERM
+	out      bool          // its health says 503 now
 	until    time.Duration // when the front will have noticed that it has died
 }
 
@@ -79,7 +83,8 @@
 		return err
 	}
 	s.process = p
-	s.note(trace.Begun, "")
+	s.lead()
+	s.fleet.trace.change(trace.Change{At: s.fleet.now(), Sidecar: s.id, What: trace.Begun, Digest: s.holds()})
 	s.fleet.tasks.Go(func() { s.wait(p) })
 	s.fleet.tasks.Go(func() { s.admit(p) })
 	return nil
@@ -92,8 +97,11 @@
 		return nil, err
 	}
 	p := &process{settled: make(chan struct{}), ended: make(chan struct{})}
-	if s.fleet.plan.Upgrades() {
+	switch {
+	case s.fleet.plan.Upgrades(): // two processes at a time
 		p.control = s.fleet.net.control(s.id, s.starts)
+	case s.fleet.plan.Operators():
+		p.control = s.fleet.net.control(s.id, 0)
 	}
 	p.cmd = s.command(p.control)
 	how := os.O_CREATE | os.O_WRONLY | os.O_APPEND
@@ -115,6 +123,13 @@
 	return p, nil
 }
 
+// lead has the link of operators, if there is one, pass on to the present process. It needs the lock.
+func (s *sidecar) lead() {
+	if l := s.fleet.links[linkKey{"control", s.id, 0}]; l != nil {
+		l.leads(s.process.control)
+	}
+}
+
 func (s *sidecar) command(control string) *exec.Cmd {
 	cmd := exec.Command(s.fleet.builds[s.plan.Build])
 	if s.operatorText() != "" {
@@ -187,11 +202,29 @@
 		if s.runs() {
 			s.standing.Store(&standing{able: true, until: model.Never})
 			s.note(trace.Able, "")
+			if s.fleet.plan.Scenario.Fleet.Audited() {
+				s.fleet.tasks.Go(func() { s.attend(p) })
+			}
 		}
 		return
 	}
 }
 
+// attend has the front look at the health of a process that may shut itself out, until it ends: one that says no gets nothing new.
+// One that does not answer is no matter of this.
+func (s *sidecar) attend(p *process) {
+	for s.pause(p, attendEach) {
+		code := s.fleet.health(s.id)
+		s.mu.Lock()
+		at := *s.standing.Load()
+		if out := code == http.StatusServiceUnavailable; code != 0 && out != at.out && s.process == p && !p.stopping {
+			at.out = out
+			s.standing.Store(&at)
+		}
+		s.mu.Unlock()
+	}
+}
+
 // drain waits until a process says that it drains and takes it from the front.
 func (s *sidecar) drain(p *process) {
 	for s.pause(p, drainEach) {
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -73,6 +73,7 @@
 	Weight float64       // part of the clients that the front gives it
 	Known  []Listed      // the list that it has at its start
 	Books  bool          // it gets the scenario's section of budgets
+	Full   bool          // the disk of its trail is full from the start
 }
 
 // Listed is one entry of a list.
@@ -103,10 +104,16 @@
 	EndList        // Sidecar, ID
 	BeginLink      // Sidecar, ID, Link
 	EndLink        // Sidecar, ID, Link.Of
+	StartAuditor   // ID: its place among the scenario's
+	KillAuditor    // ID
+	PauseAuditor   // ID, For
+	KeepOrder      // Sidecar, ID: the order in force there is remembered
+	PlayOrder      // Sidecar, ID, Raised: and given again
 )
 
 var eventWords = [...]string{"", "begins", "ends", "box starts", "told", "sidecar starts", "sidecar stops", "sidecar is killed",
-	"discovery falls silent", "discovery is back", "discovery moves", "sidecar is upgraded", "sidecar pauses", "list fault begins", "list fault ends", "link fault begins", "link fault ends"}
+	"discovery falls silent", "discovery is back", "discovery moves", "sidecar is upgraded", "sidecar pauses", "list fault begins", "list fault ends", "link fault begins", "link fault ends", "auditor starts", "auditor is killed", "auditor pauses",
+	"order is kept", "order is played again"}
 
 func (k EventKind) String() string { return eventWords[k] }
 
@@ -115,11 +122,12 @@
 	At      time.Duration
 	Kind    EventKind
 	Box     int // -1 is none
-	Sidecar int // -1 is none, or all
+	Sidecar int // -1 is none, or all; of Tell the list service itself
 	Fault   model.Fault
 	Entry   Listed
 	For     time.Duration
-	ID      int // of a fault of the list service or of a link
+	ID      int // of a fault of the list service or of a link, or of an auditor or an order
+	Raised  int // by how much a kept order's epoch is raised
 	List    ListFault
 	Link    Link
 }
@@ -537,3 +545,8 @@
 func (p *Plan) Upgrades() bool {
 	return slices.ContainsFunc(p.Events, func(e Event) bool { return e.Kind == UpgradeSidecar })
 }
+
+// Operators says whether operators call the sidecars: to upgrade them, or to audit them.
+func (p *Plan) Operators() bool {
+	return p.Upgrades() || len(p.Scenario.Audit) > 0 || p.Scenario.Fleet.Audited()
+}
--- a/internal/lab/result/result.go
+++ b/internal/lab/result/result.go
@@ -64,6 +64,7 @@
 	Notice   Notice    `json:"notice"`
 	Together *Together `json:"together,omitempty"` // of runs on sockets
 	Peak     *Peak     `json:"peak"`               // null where no box was sent anything
+	Audited  *Audited  `json:"audited,omitempty"`  // where operators can call the sidecars, or something came late to a box that had left
 	Rig      Rig       `json:"rig"`
 	Usage    []Usage   `json:"usage"`
 	Fallen   int       `json:"boxes_fallen"` // boxes that fell over at least once
