Give plays of processes a share of the machine, and tests of a busy one the same verdict

Cause: with the audited plays beside them, TestProcessesTogether played twelve fleets more at a time: on four cores beside a build a storm was too slow to exceed the service (2.8 to 11.9% of the first tries late), and its row held without the mechanism too.

--- a/internal/lab/live/together_test.go
+++ b/internal/lab/live/together_test.go
@@ -79,13 +79,18 @@
 		t.Run(c.name, func(t *testing.T) {
 			t.Parallel()
 			for how, fleet := range map[bool]string{true: c.with, false: c.without} {
+				room <- struct{}{}
 				o := playTogether(t, build, crowd+fleet+c.faults)
+				<-room
 				if o.verdict.Counts[judge.Crashed] > 0 || o.verdict.Counts[judge.Lost] > 0 {
 					t.Errorf("%v", told(o.verdict))
 				}
 				if o.res.Rig.Void {
 					t.Logf("the rig ran late: %s", o.res.Rig.Why)
 				}
+				if !how && o.res.Rig.Void { // a machine that is too busy for a storm says nothing of what keeps one off
+					continue
+				}
 				if got := c.holds(o); got != how {
 					t.Errorf("with the mechanism %v: it holds %v; %+v", how, got, *o.res.Together)
 				}
