Tell auditors the clock since the machine's start in a report

Cause: the audit places a trail's entries by that clock where a report tells it, but the daemon did not, so that a wall clock set back after the newest entry moved all of that sidecar's times. Change: Report fills up_ms. TestAudit fails without it.

--- a/cmd/pinelb/audit_test.go
+++ b/cmd/pinelb/audit_test.go
@@ -89,7 +89,7 @@
 	expect("after a change", "b", 200)
 	second := report(0)
 	if first.Version.List == second.Version.List || second.Under != first.Under+1 || second.Version.List.From != s.addr || second.State != version.Acts ||
-		second.Heard < 0 || second.Instances != 2 {
+		second.Heard < 0 || second.Instances != 2 || second.Up <= 0 || second.Up < first.Up {
 		t.Errorf("a change of the list: %+v\n%+v", first, second)
 	}
 	r := report(0)
--- a/internal/daemon/audit.go
+++ b/internal/daemon/audit.go
@@ -372,7 +372,7 @@
 	defer a.mu.Unlock()
 	now := a.now()
 	r := trail.Report{Name: a.name, Site: a.site, Rank: a.set.Rank, Instances: max(1, a.set.Instances), Life: a.life,
-		Now: version.Millis(a.wall().UnixMilli()), Since: millis(now - a.since), Heard: -1, State: a.verdict.State, Why: a.verdict.Why,
+		Now: version.Millis(a.wall().UnixMilli()), Up: millis(durable.Now().Up), Since: millis(now - a.since), Heard: -1, State: a.verdict.State, Why: a.verdict.Why,
 		Floor: a.actor.Floor(now), Ticket: a.actor.Ticket(now), Succeed: a.succeed}
 	if z := a.set.Zone; z >= 0 && z < len(a.set.ZoneNames) {
 		r.Zone = a.set.ZoneNames[z]
