Draw calls at the list service and new connections over time in the report

Change: handshake_steps in together, and a plot of both by 100 ms. The page's test counts seven plots, and fails without it.

--- a/internal/lab/report/plots.go
+++ b/internal/lab/report/plots.go
@@ -19,6 +19,9 @@
 	if boxes := sampled(r); len(boxes) > 0 {
 		out = append(out, heat(f, boxes), queues(f, boxes, len(r.Seconds)))
 	}
+	if r.Together != nil {
+		out = append(out, asked(f, r.Together))
+	}
 	return out
 }
 
@@ -201,6 +204,25 @@
 	return p
 }
 
+// asked is what the list service and the boxes had from all processes together.
+func asked(f *frame, t *result.Together) plot {
+	p := plot{Title: "Calls and connections", About: "In each 100 ms: calls at the list service, and new connections at the box that had the most.",
+		Legend: []key{{"l1", "calls at the list service"}, {"l2", "new connections at one box"}}}
+	y := upTo(float64(max(t.Peak, t.AtBox)), 4)
+	p.SVG = f.draw(plotTall, p.Title, ofBoxes, func(s *svg, top, bottom float64) {
+		y.top, y.bottom = top, bottom
+		grid(s, y, short)
+		for k, steps := range [][]int{t.Steps, t.Opened} {
+			var line strings.Builder
+			for i, count := range steps {
+				fmt.Fprintf(&line, "%c%s %s", "ML"[min(i, 1)], n(f.x((float64(i)+0.5)/10)), n(y.y(float64(count))))
+			}
+			s.path(line.String(), "stroke "+p.Legend[k].Class)
+		}
+	})
+	return p
+}
+
 // nothing says so in the middle of a plot that has nothing to show.
 func nothing(s *svg, holds bool, top, bottom float64, words string) {
 	if holds {
--- a/internal/lab/report/report_test.go
+++ b/internal/lab/report/report_test.go
@@ -17,9 +17,10 @@
 		Builds: []string{"one"}, Aims: []float64{100, 110, 2000},
 		Marks: []result.Mark{{What: "hang front-1", From: 2, To: 6, Before: &some}, {What: "slow front-2, front-3", From: 4, To: 8},
 			{What: "discovery moves & more", From: 5, To: 5.001}},
-		Expect: []result.Expect{{What: "p99", Most: &most, Measured: &some}, {What: "served", Least: &most}},
-		Broken: []result.Broken{{Kind: "twice", Count: 2, Stories: [][]string{{"1 s: asked", "2 s: <answered> twice"}}}},
-		Usage:  []result.Usage{{Sidecar: "n1", CPU: 1.5, PeakMemory: 20, Descriptors: 9}}}
+		Expect:   []result.Expect{{What: "p99", Most: &most, Measured: &some}, {What: "served", Least: &most}},
+		Broken:   []result.Broken{{Kind: "twice", Count: 2, Stories: [][]string{{"1 s: asked", "2 s: <answered> twice"}}}},
+		Together: &result.Together{Peak: 40, AtBox: 7, Steps: []int{40, 2}, Opened: []int{0, 7, 1}},
+		Usage:    []result.Usage{{Sidecar: "n1", CPU: 1.5, PeakMemory: 20, Descriptors: 9}}}
 	r.All = result.Figures{Asked: 100 * seconds, Attempts: []float64{1.1}, Latency: &result.Latency{P50: 12}}
 	for i := range seconds {
 		r.Seconds = append(r.Seconds, result.Second{At: i, Asked: 100, Served: 80, Late: 10, Refused: 5, Failed: 3, Gone: 2, Service: 0.8,
@@ -56,7 +57,7 @@
 		}
 		plots := strings.Count(page, "<svg ")
 		for i, label := range []string{"hang front-1", "slow front-2, front-3", "discovery moves &amp; more"} {
-			if n := strings.Count(page, fmt.Sprintf(">%d %s</text>", i+1, label)); n != plots || plots != 6 {
+			if n := strings.Count(page, fmt.Sprintf(">%d %s</text>", i+1, label)); n != plots || plots != 7 {
 				t.Errorf("%d boxes: %q is in %d of %d plots", boxes, label, n, plots)
 			}
 		}
--- a/internal/lab/result/together.go
+++ b/internal/lab/result/together.go
@@ -15,18 +15,19 @@
 // a box at once, and how long sidecars could not serve. Counts are of the whole run; null where there was nothing.
 type Together struct {
 	Calls   int     `json:"list_calls"`
-	Turned  int     `json:"list_turned"`  // calls beyond the service's capacity
-	Dials   int     `json:"list_dials"`   // connections to it
-	Peak    int     `json:"list_peak"`    // most calls in 100 ms
-	Steps   []int   `json:"list_steps"`   // calls in each 100 ms
-	AtBox   int     `json:"handshakes"`   // most new connections at one box in 100 ms
-	Total   int     `json:"box_dials"`    // connections at boxes
-	Ready   *Spread `json:"ready"`        // from a process's start until it took clients
-	Listed  *Spread `json:"listed"`       // until it had a list from the service
-	Served  *Spread `json:"served_first"` // until the first request was served, from the start or from its being asked, if later
-	Unready int     `json:"never_ready"`  // sidecars whose last process, alive at the end, never took clients
-	Unheard int     `json:"never_listed"` // or never had a list from the service
-	Unfed   int     `json:"never_served"` // or were asked and served nothing
+	Turned  int     `json:"list_turned"`     // calls beyond the service's capacity
+	Dials   int     `json:"list_dials"`      // connections to it
+	Peak    int     `json:"list_peak"`       // most calls in 100 ms
+	Steps   []int   `json:"list_steps"`      // calls in each 100 ms
+	AtBox   int     `json:"handshakes"`      // most new connections at one box in 100 ms
+	Opened  []int   `json:"handshake_steps"` // the same of each 100 ms
+	Total   int     `json:"box_dials"`       // connections at boxes
+	Ready   *Spread `json:"ready"`           // from a process's start until it took clients
+	Listed  *Spread `json:"listed"`          // until it had a list from the service
+	Served  *Spread `json:"served_first"`    // until the first request was served, from the start or from its being asked, if later
+	Unready int     `json:"never_ready"`     // sidecars whose last process, alive at the end, never took clients
+	Unheard int     `json:"never_listed"`    // or never had a list from the service
+	Unfed   int     `json:"never_served"`    // or were asked and served nothing
 }
 
 // Peak is the second in which a box was sent the most attempts, of all boxes and all intervals of that length. Of its
@@ -104,7 +105,7 @@
 }
 
 func (r *run) together() *Together {
-	out := &Together{Steps: []int{}}
+	out := &Together{Steps: []int{}, Opened: []int{}}
 	for _, a := range r.log.Asked {
 		out.Calls++
 		if a.How == trace.Turned {
@@ -125,7 +126,11 @@
 		byBox[d.Box] = append(byBox[d.Box], d.At)
 	}
 	for _, all := range byBox {
-		for _, n := range steps(len(all), func(i int) time.Duration { return all[i] }) {
+		for k, n := range steps(len(all), func(i int) time.Duration { return all[i] }) {
+			if k == len(out.Opened) {
+				out.Opened = append(out.Opened, 0)
+			}
+			out.Opened[k] = max(out.Opened[k], n)
 			out.AtBox = max(out.AtBox, n)
 		}
 	}
