Wait for whatever interrupts a call at discovery, so that a sidecar can't crash by it

It needs a context that ends in the moment a call does: discovery moving at SIGHUP, a planned end, a doubt's or a refresh's end. Ruled out: the doubt itself, its dial. TestInterruptIsWaitedFor fails with the wait taken out.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -375,3 +375,29 @@
 		t.Errorf("the decisions were told %v, want %v", w.cordons, want)
 	}
 }
+
+// slowToStop is a connection that takes its time to be interrupted.
+type slowToStop struct {
+	net.Conn
+	began   chan struct{}
+	stopped bool
+}
+
+func (c *slowToStop) SetDeadline(time.Time) error {
+	close(c.began)
+	time.Sleep(20 * time.Millisecond) // whoever doesn't wait for it is gone by then
+	c.stopped = true
+	return nil
+}
+
+// Guards against a call that ends while it is being interrupted: what comes late would find no connection, or another call's.
+func TestInterruptIsWaitedFor(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	c := &slowToStop{began: make(chan struct{})}
+	release := interrupt(ctx, c)
+	cancel()
+	<-c.began
+	if release(); !c.stopped {
+		t.Error("the connection was let go of before")
+	}
+}
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -198,7 +198,7 @@
 	if err := w.conn.SetDeadline(time.Now().Add(within)); err != nil {
 		return List{}, fmt.Errorf("cluster: deadline: %w", err)
 	}
-	defer context.AfterFunc(ctx, func() { _ = w.conn.SetDeadline(time.Unix(1, 0)) })()
+	defer interrupt(ctx, w.conn)()
 	if _, err := fmt.Fprintf(w.conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, w.addr); err != nil {
 		return List{}, fmt.Errorf("cluster: write: %w", err)
 	}
@@ -228,6 +228,21 @@
 	return list, err
 }
 
+// interrupt has what is under way on a connection return at once when ctx ends, until release is called. The connection may be
+// another's from then on: what is about to interrupt it is waited for.
+func interrupt(ctx context.Context, conn net.Conn) (release func()) {
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		_ = conn.SetDeadline(time.Unix(1, 0)) // one that is broken returns by itself
+		close(done)
+	})
+	return func() {
+		if !stop() {
+			<-done
+		}
+	}
+}
+
 // advice reads a Retry-After in seconds, whole or decimal. Any other, and more than a day, is none.
 func advice(text string) time.Duration {
 	seconds, err := strconv.ParseFloat(text, 64)
