--- a/balance/subset_test.go
+++ b/balance/subset_test.go
@@ -7,8 +7,17 @@
 	"slices"
 	"testing"
 	"time"
+
+	"pinelb.example/pinelb/internal/pace"
 )
 
+// Guards against a bound on handshakes that counts other users of a host than there are.
+func TestDoorsCountTheSameUsers(t *testing.T) {
+	if pace.UsedLeast != usedLeast || pace.UsersWanted != usersWanted {
+		t.Errorf("package pace counts by %d and %d, this one chooses by %d and %d", pace.UsedLeast, pace.UsersWanted, usedLeast, usersWanted)
+	}
+}
+
 // Of a large fleet, all instances together must use every server about equally, kind by kind; of a small
 // one, every instance uses all.
 func TestSubsetsCoverTheFleetEvenly(t *testing.T) {
--- a/internal/pace/doors.go
+++ b/internal/pace/doors.go
@@ -9,10 +9,12 @@
 const (
 	doorSpan = 100 * time.Millisecond // that the bound counts in
 	doorLate = 10 * time.Millisecond  // after its moment that an instance may open: more than a timer is late
+)
 
-	// As usedLeast and usersWanted of package balance, by which an instance chooses its hosts.
-	usedLeast   = 8
-	usersWanted = 6
+// By which an instance chooses its hosts: usedLeast and usersWanted of package balance, whose tests compare them.
+const (
+	UsedLeast   = 8
+	UsersWanted = 6
 )
 
 // Doors is a bound on new connections at one upstream host, from all instances together.
@@ -34,7 +36,7 @@
 	if !d.Numbered || hosts < 1 {
 		return float64(d.Instances)
 	}
-	used := max(usedLeast, (usersWanted*hosts+d.Instances-1)/d.Instances)
+	used := max(UsedLeast, (UsersWanted*hosts+d.Instances-1)/d.Instances)
 	return float64(d.Instances) * float64(min(hosts, used)) / float64(hosts)
 }
 
