Send nothing on for clients that have left, or to hosts told off, while it waited

Cause: nothing looked between the wait for a connection and the first byte. upstream/request.go:58 (takeToSend) asked the process's gate alone, so that an attempt withdrawn meanwhile, or whose host had begun to drain, was gone, was taken out or had moved, was written (carry's AfterFunc interrupts the write only if its goroutine runs first). A client's leave is seen by net/http's background read alone, which is not started while a body comes, stops at the first further byte (a pipelined request, a stray CRLF) and, on one core, runs after the handler: live (stream.go) then sent on for nobody, held streams to their hold's end, and kept attempts out. Over Thrift the reader is blind while 16 calls are under way. With cancel not allowed, an attempt that waits outlived its stream. Ruled out: a request resent by the pool (one write a connection, model test); the decisions sending to drained hosts (balance.go allowed: listed is false at once); a held stream of a client whose leave is seen (ctx ends it).

The pool is told which hosts take nothing new (Shut). An answer that was first goes out although all ends in that moment: live chose at random.

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -60,14 +60,16 @@
 	kinds []balance.ListKind
 
 	cordons []cordon
+	shut    map[balance.EndpointID]bool
 }
 
 func newWorld() (*world, *Table) {
-	w := &world{addrs: map[balance.EndpointID]string{}, lists: make(chan []balance.Entry, 10)}
+	w := &world{addrs: map[balance.EndpointID]string{}, shut: map[balance.EndpointID]bool{}, lists: make(chan []balance.Entry, 10)}
 	return w, NewTable([]string{"z0", "z1"}, []string{"k0", "k1"}, w, w)
 }
 
 func (w *world) Set(id balance.EndpointID, addr string) { w.addrs[id] = addr }
+func (w *world) Shut(id balance.EndpointID, on bool)    { w.shut[id] = on }
 func (w *world) Remove(id balance.EndpointID)           { delete(w.addrs, id) }
 func (w *world) Membership(kind balance.ListKind, entries []balance.Entry, _ uint32) {
 	w.kinds = append(w.kinds, kind)
@@ -401,3 +403,32 @@
 		t.Error("the connection was let go of before")
 	}
 }
+
+// Guards against a host that drains or is taken out still getting what was sent there before and waits for its connection, and
+// against one that is back and gets nothing.
+func TestShut(t *testing.T) {
+	w, table := newWorld()
+	id := table.number("h")
+	list := func(state balance.Availability) {
+		table.Apply(balance.ListDelta, List{Members: []Member{{ID: "h", Addr: "127.0.0.1:1", State: state}}})
+		<-w.lists
+	}
+	for i, step := range []struct {
+		do   func()
+		want bool
+	}{
+		{func() { list(balance.Ready) }, false},
+		{func() { list(balance.Draining) }, true},
+		{func() { list(balance.Ready) }, false},
+		{func() { table.Cordon("h") }, true},
+		{func() { list(balance.Ready) }, true}, // whatever is listed meanwhile
+		{func() { list(balance.Draining) }, true},
+		{func() { table.Uncordon("h") }, true}, // it drains still
+		{func() { list(balance.Ready) }, false},
+		{func() { table.Cordon("h"); table.Uncordon("h") }, false},
+	} {
+		if step.do(); w.shut[id] != step.want {
+			t.Errorf("step %d: shut is %v", i, w.shut[id])
+		}
+	}
+}
--- /dev/null
+++ b/internal/downstream/left_test.go
@@ -0,0 +1,62 @@
+package downstream
+
+import (
+	"net"
+	"runtime"
+	"testing"
+)
+
+// Guards against a client that is taken to be there after it has left, which a byte that nobody has read can hide, and
+// against one that is taken to have left while it waits.
+func TestLeft(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for _, c := range []struct {
+		name string
+		says string
+		ends func(client *net.TCPConn, here net.Conn)
+		left bool
+	}{
+		{"it waits", "", nil, false},
+		{"it has sent another request ahead", "GET", nil, false},
+		{"it closes", "", func(c *net.TCPConn, _ net.Conn) { c.Close() }, true},
+		{"it closes behind a byte", "G", func(c *net.TCPConn, _ net.Conn) { c.Close() }, true},
+		{"it resets", "", func(c *net.TCPConn, _ net.Conn) { _ = c.SetLinger(0); c.Close() }, true},
+		{"it resets behind a byte", "G", func(c *net.TCPConn, _ net.Conn) { _ = c.SetLinger(0); c.Close() }, true},
+		{"it ends its sending", "", func(c *net.TCPConn, _ net.Conn) { _ = c.CloseWrite() }, true},
+		{"it ends its sending behind a byte", "G", func(c *net.TCPConn, _ net.Conn) { _ = c.CloseWrite() }, true},
+		{"this side has closed", "", func(_ *net.TCPConn, here net.Conn) { here.Close() }, true},
+	} {
+		client, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		here, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = client.Write([]byte(c.says))
+		if Left(here) {
+			t.Errorf("%s: it has left before it does", c.name)
+		}
+		if c.ends != nil {
+			c.ends(client.(*net.TCPConn), here)
+		}
+		own := &caller{Conn: here}
+		for c.left && !Left(own) { // it comes over the loopback; a leave that is never seen runs into the tests' time-out
+			runtime.Gosched()
+		}
+		if Left(own) != c.left {
+			t.Errorf("%s: left is %v", c.name, !c.left)
+		}
+		client.Close()
+		here.Close()
+	}
+	near, _ := net.Pipe()
+	if Left(near) {
+		t.Error("one of which nothing can be seen has left")
+	}
+}
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -188,6 +188,9 @@
 	if !isPlain(req.Baggage, true) { // nobody's concern but ours: no reason to turn the request away
 		req.Baggage = ""
 	}
+	if own, ok := r.Context().Value(callerKey{}).(*caller); ok {
+		req.Left = own.left
+	}
 	req.Arrived = at // for now
 	// An answer within the class's deadline is in time for every client, however long it says it waits.
 	req.Deadline = at.Add(min(time.Duration(left)*time.Millisecond, c.deadline))
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"pinelb.example/pinelb/internal/downstream"
 	"pinelb.example/pinelb/internal/stream"
 	"pinelb.example/pinelb/internal/thriftwire"
 )
@@ -162,9 +163,9 @@
 	room := side.Enter(c.LocalAddr())
 	if room && bad == nil && side.Keep(len(m.Body)) {
 		req.Body = append(make([]byte, 0, len(m.Body)), m.Body...)
-		ctx := c.ctx
-		if k == nil {
-			ctx = side.Life()
+		ctx := side.Life() // a oneway's client waits for nothing
+		if k != nil {
+			ctx, req.Left = c.ctx, c.left
 		}
 		go func() {
 			res := c.s.serve(ctx, req)
@@ -197,6 +198,9 @@
 	c.end(k, exception(k.head, e))
 }
 
+// left tells whether the client has gone, which the reader may be too busy to notice.
+func (c *conn) left() bool { return downstream.Left(c.Conn) }
+
 // finish sees through what is owed. What still comes is dropped, so that closing does not reset the connection
 // under an answer that its client is yet to read, and the client's leaving is noticed.
 func (c *conn) finish() {
--- a/internal/lab/virtual/sidecar.go
+++ b/internal/lab/virtual/sidecar.go
@@ -46,6 +46,9 @@
 	c.hosts[id] = c.sim.byName[addr]
 }
 
+// Shut is for attempts that wait for their connections: here the decisions' sends go out at once.
+func (c *sidecar) Shut(balance.EndpointID, bool) {}
+
 // Remove forgets a host.
 func (c *sidecar) Remove(id balance.EndpointID) {
 	box, known := c.hosts[id]
--- /dev/null
+++ b/internal/stream/left_test.go
@@ -0,0 +1,124 @@
+package stream
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/engine"
+)
+
+// Guards against a request that is sent on for a client that has left, where its front did not notice: a look at the
+// connection is all that tells. Each case says when that begins to tell it.
+func TestLeftUnseen(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		class  int
+		hosts  int
+		before bool             // the client is gone before its stream begins,
+		during int              // or during that visit,
+		after  time.Duration    // or so long after its beginning
+		status []balance.Status // of the visits that there are
+	}{
+		{name: "before its head is read", class: 1, hosts: 1, before: true},
+		{name: "between two attempts", class: 1, hosts: 3, during: 1, status: []balance.Status{balance.Full}},
+		{name: "held for want of a host", class: 1, hosts: 0, after: time.Second},
+		{name: "while its attempt is out", class: 0, hosts: 3, during: 1, status: []balance.Status{balance.Cancelled}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				var left atomic.Bool
+				left.Store(c.before)
+				visits := make(chan time.Time, 9)
+				p := newProxy(t, c.hosts, func(ctx context.Context, _ balance.EndpointID) (balance.Status, Response) {
+					visits <- time.Now()
+					if len(visits) == c.during {
+						left.Store(true)
+					}
+					if n := len(visits); n <= len(c.status) && c.status[n-1] != balance.Cancelled {
+						return c.status[n-1], Response{}
+					}
+					<-ctx.Done()
+					return balance.Cancelled, Response{}
+				})
+				client, leave := context.WithCancel(context.Background())
+				defer leave()
+				from := time.Now()
+				req := request(c.class, time.Minute)
+				req.Left = func() bool { return left.Load() || c.after > 0 && time.Since(from) >= c.after }
+				res := p.Serve(client, req)
+				if res.Outcome != Gone || len(visits) != len(c.status) {
+					t.Errorf("outcome %d after %d visits, want gone after %d", res.Outcome, len(visits), len(c.status))
+				}
+				if took := time.Since(from) - c.after; took > 200*time.Millisecond {
+					t.Errorf("it is held for %v after the leave", took)
+				}
+				synctest.Wait()
+				if n := p.Out(); n != 0 {
+					t.Errorf("%d streams are kept", n)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an attempt that still waits for its connection going out for a stream that is over, where the settings
+// let nothing be withdrawn.
+func TestOverIsUnwanted(t *testing.T) {
+	waits, over := make(chan *Request, 1), make(chan struct{})
+	wanted := make(chan bool, 1)
+	p := &Proxy{uses: map[string]use{}, Upstream: doFunc(func(_ context.Context, req *Request) (balance.Status, Response) {
+		waits <- req
+		<-over
+		wanted <- req.Wanted()
+		return balance.Moot, Response{}
+	})}
+	sent := &mute{sends: make(chan engine.Send, 1), sent: true}
+	sent.sends <- engine.Send{}
+	client, leave := context.WithCancel(context.Background())
+	go func() {
+		if !(<-waits).Wanted() {
+			t.Error("it is not wanted while its client waits")
+		}
+		leave()
+	}()
+	p.live(client, sent, request(1, time.Minute), &unbound)
+	close(over)
+	if <-wanted {
+		t.Error("it is wanted although the stream is over")
+	}
+}
+
+type doFunc func(ctx context.Context, req *Request) (balance.Status, Response)
+
+func (f doFunc) Do(ctx context.Context, _ balance.EndpointID, _ time.Time, req *Request) (balance.Status, Response) {
+	return f(ctx, req)
+}
+
+// decidedFirst is a stream whose final answer was decided as its client, or all, came to its end.
+type decidedFirst struct {
+	mute
+	verdict chan engine.Verdict
+}
+
+func (d *decidedFirst) Verdict() <-chan engine.Verdict { return d.verdict }
+func (d *decidedFirst) Abandon() (ended, sent bool) {
+	select {
+	case d.verdict <- engine.Verdict{Refused: true}:
+	default:
+	}
+	return false, false
+}
+
+// Guards against an answer that is thrown away because all ends in the same moment: the client may still be there.
+func TestAnswerBeforeTheEnd(t *testing.T) {
+	ended, end := context.WithCancel(context.Background())
+	end()
+	s := &decidedFirst{verdict: make(chan engine.Verdict, 1)}
+	if res := (&Proxy{uses: map[string]use{}}).live(ended, s, request(1, time.Minute), &unbound); res.Outcome != Refused {
+		t.Errorf("outcome %d, want the answer that was first", res.Outcome)
+	}
+}
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -33,6 +33,21 @@
 	Baggage   string    // what travels from tier to tier beside it (W3C Baggage): as it came, and of an attempt as it goes on
 	Arrived   time.Time // when it began to come
 	Deadline  time.Time // when the client gives up
+	// Left tells whether the client has left, by a look at its connection: not every leave ends the stream's context in time.
+	// Any goroutine may call it, also after the stream. Nil: it can't be seen, or says nothing.
+	Left func() bool
+
+	over <-chan struct{} // ends with the stream
+}
+
+// Wanted tells whether anybody still waits for the answer: what has waited before it goes out is not sent for nobody.
+func (r *Request) Wanted() bool {
+	select {
+	case <-r.over:
+		return false
+	default:
+		return r.Left == nil || !r.Left()
+	}
 }
 
 // Outcome says how a stream ended.
@@ -91,6 +106,10 @@
 // a stream by then, if they work at all.
 const watchdogLead = 2 * time.Millisecond
 
+// lookEvery is how often a client that waits is looked for: what its front doesn't notice is seen well within 0.3 s, after
+// which nothing is to be sent on for a client that has left.
+const lookEvery = 100 * time.Millisecond
+
 // Proxy serves streams.
 type Proxy struct {
 	Engine   *engine.Engine
@@ -173,12 +192,16 @@
 func (p *Proxy) live(ctx context.Context, s decided, req *Request, a *budget.Account) Response {
 	defer s.Close()
 	answer, over := make(chan Response, 1), make(chan struct{}) // one answer at most: only one attempt can win
+	req.over = over
 	defer func() {
 		close(over)
 		unread(answer)
 	}()
 	watchdog := time.NewTimer(time.Until(req.Deadline) - watchdogLead)
 	defer watchdog.Stop()
+	looks := time.NewTicker(lookEvery)
+	defer looks.Stop()
+	left := ctx.Done()
 	first := uint32(0) // the number of the version under which the first attempt was decided
 	whole := req.Upload.passed()
 	if whole != nil {
@@ -187,6 +210,13 @@
 	for {
 		select {
 		case send := <-s.Sends():
+			if !req.Wanted() {
+				ended, _ := s.Abandon() // before the outcome, or the decisions would send it elsewhere
+				if s.Settle(send.Attempt, engine.Outcome{Status: balance.Moot}); ended {
+					return Response{Outcome: Gone}
+				}
+				continue
+			}
 			if first == 0 {
 				first = send.Under
 			}
@@ -198,9 +228,17 @@
 		case <-whole: // its time begins
 			whole, req.Deadline = nil, time.Now().Add(req.Upload.Left)
 			watchdog.Reset(req.Upload.Left - watchdogLead)
-		case <-ctx.Done():
-			s.Abandon()
-			return Response{Outcome: Gone}
+		case <-left:
+			if ended, _ := s.Abandon(); ended {
+				return Response{Outcome: Gone}
+			}
+			left = nil // its answer was first, and comes: the client may be there where all is to end
+		case <-looks.C:
+			if !req.Wanted() {
+				if ended, _ := s.Abandon(); ended {
+					return Response{Outcome: Gone}
+				}
+			}
 		case <-watchdog.C: // the decisions should have ended it by now
 			if ended, sent := s.Abandon(); ended && sent {
 				return Response{Outcome: Expired}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -64,6 +64,7 @@
 // host is one upstream host's address and its idle connections, the last used last.
 type host struct {
 	addr  string
+	shut  bool // nothing new is to go there
 	idle  []*conn
 	door  pace.Door
 	line  []*waiter   // for a connection, the first first
@@ -107,6 +108,24 @@
 	}
 }
 
+// Shut says whether nothing new is to go to a host, as it drains or is taken out: also not what the decisions have sent
+// before and still waits for its connection. A host that is not known stays so.
+func (p *Pool) Shut(id balance.EndpointID, on bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[id]; h != nil {
+		h.shut = on
+	}
+}
+
+// takes tells whether a connection's host may be sent something new at this moment, and is still where it leads.
+func (p *Pool) takes(c *conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[c.host]
+	return h != nil && h.addr == c.addr && !h.shut
+}
+
 // Remove forgets a host. Requests that are out to it go on.
 func (p *Pool) Remove(id balance.EndpointID) {
 	p.CloseUnused(id)
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -23,7 +23,7 @@
 
 // Do carries out one upstream request on one connection. It never sends it again.
 func (p *Pool) Do(ctx context.Context, id balance.EndpointID, until time.Time, req *stream.Request) (balance.Status, stream.Response) {
-	c, err := p.takeToSend(ctx, id, until, purpose{})
+	c, err := p.takeToSend(ctx, id, until, purpose{}, req)
 	if err != nil {
 		return neverSent(ctx, err), stream.Response{Outcome: stream.Failed}
 	}
@@ -55,13 +55,21 @@
 }
 
 // takeToSend takes a connection for a request, which may still go out once that is there.
-func (p *Pool) takeToSend(ctx context.Context, id balance.EndpointID, until time.Time, use purpose) (*conn, error) {
+func (p *Pool) takeToSend(ctx context.Context, id balance.EndpointID, until time.Time, use purpose, req *stream.Request) (*conn, error) {
 	c, err := p.take(ctx, id, until, use)
-	if err == nil && p.Sends != nil && !p.Sends() {
+	if err != nil {
+		return nil, err
+	}
+	// The last look before the first byte: the attempt may have waited, and the world gone on.
+	held := p.Sends != nil && !p.Sends()
+	if err = ctx.Err(); err == nil && (held || !p.takes(c) || !req.Wanted()) {
+		err = errHeldBack
+	}
+	if err != nil {
 		p.put(c)
-		return nil, errHeldBack
+		return nil, err
 	}
-	return c, err
+	return c, nil
 }
 
 // served is what a host has answered.
--- a/internal/upstream/thrift.go
+++ b/internal/upstream/thrift.go
@@ -40,7 +40,7 @@
 	if oneway {
 		call.Kind = thriftwire.Oneway
 	}
-	c, err := t.Pool.takeToSend(ctx, id, until, purpose{port: t.Port, protocol: req.MediaType, oneway: oneway})
+	c, err := t.Pool.takeToSend(ctx, id, until, purpose{port: t.Port, protocol: req.MediaType, oneway: oneway}, req)
 	if err != nil {
 		return neverSent(ctx, err), res
 	}
