Rest an HTTP connection for 20 ms after an answer, so that a second one serves nobody

Ruled out: bytes that came with the first answer (reusable is false) or while the connection was idle (quiet); Thrift, whose replies name their calls.

Change: an HTTP connection that is put back carries nothing for 20 ms; a request that comes sooner takes another or a new one. One that is handed to an attempt in a host's line rests first and is looked at again (line.go, taken: it was handed on blindly).

Measured without the mend: TestLateSecondAnswer 'served with "old" on connection 0, want its own answer on 1'; TestHandedOnRested "the end: the next has got {c:0x...}". With it both 200 times, -race, and 8,080 runs of FuzzConnections. The model test knew connections as used again at once; its stack now rests by the same clock, and seeds cover both. TestPurposesShareThePool asked twice at once on one connection: its clock moves by the rest, all else as before.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -74,6 +74,14 @@
 	return err == nil && silent
 }
 
+// rest is how much longer an idle connection has to rest before it may carry another request.
+func (c *conn) rest(now time.Time) time.Duration {
+	if c.use.protocol != "" {
+		return 0
+	}
+	return restFor - now.Sub(c.idleSince)
+}
+
 // interrupt makes what is under way on the connection return at once.
 func (c *conn) interrupt() { _ = c.SetDeadline(time.Unix(1, 0)) }
 
--- a/internal/upstream/line.go
+++ b/internal/upstream/line.go
@@ -70,13 +70,27 @@
 	return nil, errCrowded
 }
 
-// taken is what a turn brings an attempt that may have been withdrawn meanwhile: nothing is to be sent for it.
+// taken is what a turn brings an attempt that may have been withdrawn meanwhile: nothing is to be sent for it. A connection
+// that comes from another request rests first, and may have shown by then that it is of no use.
 func (p *Pool) taken(ctx context.Context, t turn) (*conn, error) {
-	if t.conn != nil && ctx.Err() != nil {
+	if t.conn == nil {
+		return nil, t.err
+	}
+	rested := time.NewTimer(t.conn.rest(p.now()))
+	defer rested.Stop()
+	select {
+	case <-rested.C:
+	case <-ctx.Done():
+	}
+	switch {
+	case ctx.Err() != nil:
 		p.put(t.conn)
 		return nil, ctx.Err()
+	case !t.conn.quiet():
+		p.drop(t.conn)
+		return nil, errCrowded
 	}
-	return t.conn, t.err
+	return t.conn, nil
 }
 
 // patience is how long the last in a line waits.
--- a/internal/upstream/line_test.go
+++ b/internal/upstream/line_test.go
@@ -25,6 +25,32 @@
 	}
 }
 
+// Guards against a connection that goes from one request to the next at once, and with it what its host says once more, or its end.
+func TestHandedOnRested(t *testing.T) {
+	for name, end := range map[string]say{"a second answer": says[0], "the end": {hangUp: true}} {
+		host := newScripted(t)
+		p := poolFor(host.addr, 10)
+		c, err := p.take(context.Background(), 1, time.Now().Add(time.Minute), purpose{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
+		at := <-host.arrivals
+		p.Guard(pace.Doors{Handshakes: 1, Instances: 1 << 20}) // no moment is near
+		next := begin(context.Background(), p, purpose{}, 1)
+		end.end(at.nc)
+		for c.quiet() { // until the kernel has brought it
+		}
+		p.put(c)
+		if got := <-next; got.c != nil || !errors.Is(got.err, errCrowded) {
+			t.Errorf("%s: the next has got %+v", name, got)
+		}
+		if _, open := counts(p, 1); open != 0 {
+			t.Errorf("%s: %d connections are open", name, open)
+		}
+	}
+}
+
 type taken struct {
 	c   *conn
 	err error
--- a/internal/upstream/model_test.go
+++ b/internal/upstream/model_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strconv"
 	"strings"
 	"testing"
@@ -141,15 +142,22 @@
 	ended  chan balance.Status
 }
 
+// resting is an idle connection, and until when it rests.
+type resting struct {
+	arrival
+	until time.Time
+}
+
 // FuzzConnections walks a pool through random steps and checks each against a model in which the
-// connections are a stack of idle ones and a set of busy ones: which connection carries a request, what
-// its outcome is, and how many are open after it.
+// connections are a stack of idle ones, of which those rest that have just been put there, and a set of busy ones: which
+// connection carries a request, what its outcome is, and how many are open after it.
 func FuzzConnections(f *testing.F) {
 	f.Add([]byte{0, 1, 0, 1, 0x11, 0, 1})                      // reuse, after a plain and a chunked answer
 	f.Add([]byte{0, 0, 0, 1, 1, 1, 0, 0})                      // three at once, then the last used first
 	f.Add([]byte{0, 0x71, 0, 0x81, 0, 0xc1, 0, 0xd1, 0, 1})    // what must not be reused
 	f.Add([]byte{0, 1, 4, 0, 1, 5, 0, 1, 6, 0, 1, 7, 0, 2, 0}) // idle ones closed in every way; a cancel
 	f.Add([]byte{0, 3, 1, 0, 0, 1, 3, 0, 1})                   // the host moves while a request is out, and while none is
+	f.Add([]byte{0, 0, 1, 0x10, 1, 0x10, 1, 1, 0, 0x10})       // at once after an answer: on one that has rested, or a new one
 	for arg := range says {                                    // every way to end a request, then another on what is left
 		f.Add([]byte{0, byte(arg<<4 | 1), 0, 1})
 	}
@@ -160,16 +168,19 @@
 		p := NewPool(time.Minute, 10*time.Second, 100)
 		p.now = func() time.Time { return clock }
 		p.Set(id, host.addr)
-		var idle []arrival // the model: a stack
+		var idle []resting // the model: a stack
 		var busy []held
 		opened := 0
 		for _, step := range steps[:min(len(steps), 40)] {
 			arg := int(step >> 4)
 			switch step & 7 {
-			case 0: // a request begins, on the last idle connection or a new one
+			case 0: // a request begins, on the last idle connection that has rested or a new one; mostly all have
 				if len(busy) == 8 {
 					continue
 				}
+				if arg&1 == 0 {
+					clock = clock.Add(restFor)
+				}
 				ctx, cancel := context.WithCancel(context.Background())
 				h := held{addr: host.addr, cancel: cancel, ended: make(chan balance.Status, 1)}
 				go func() {
@@ -179,8 +190,13 @@
 				}()
 				h.at = <-host.arrivals
 				want := opened
-				if n := len(idle); n > 0 {
-					want, idle = idle[n-1].conn, idle[:n-1]
+				n := len(idle) - 1
+				for n >= 0 && clock.Before(idle[n].until) {
+					n--
+				}
+				if n >= 0 {
+					want = idle[n].conn
+					idle = slices.Delete(idle, n, n+1)
 				} else {
 					opened++
 				}
@@ -198,7 +214,7 @@
 					end = say{status: balance.Cancelled}
 					h.cancel()
 				} else if end.end(h.at.nc); end.reuse && h.addr == host.addr {
-					idle = append(idle, h.at)
+					idle = append(idle, resting{h.at, clock.Add(restFor)})
 				}
 				if got := <-h.ended; got != end.status {
 					t.Fatalf("answer %q gave outcome %d, want %d", end.text, got, end.status)
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,6 +20,9 @@
 const (
 	idleShare  = 0.8 // of the time that an upstream host lets a connection idle: retired clearly before
 	sweepEvery = time.Second
+	// restFor is how long an HTTP connection rests after an answer. A host that answers twice may do so some milliseconds later,
+	// and nothing tells that answer from one to the next request on the connection. Thrift's replies name their calls.
+	restFor = 20 * time.Millisecond
 )
 
 var (
@@ -200,7 +203,7 @@
 		return nil, errUnknownHost
 	}
 	now := p.now()
-	for c := h.last(use); c != nil; c = h.last(use) {
+	for c := h.last(use, now); c != nil; c = h.last(use, now) {
 		if p.fit(c, now) {
 			p.mu.Unlock()
 			return c, nil
@@ -238,10 +241,10 @@
 	return c, nil
 }
 
-// last takes the idle connection out that was used last for that purpose, if there is one.
-func (h *host) last(use purpose) *conn {
+// last takes the idle connection out that was used last for that purpose and has rested, if there is one.
+func (h *host) last(use purpose, now time.Time) *conn {
 	for i := len(h.idle) - 1; i >= 0; i-- {
-		if c := h.idle[i]; c.use == use {
+		if c := h.idle[i]; c.use == use && c.rest(now) <= 0 {
 			h.idle = slices.Delete(h.idle, i, i+1)
 			return c
 		}
@@ -279,8 +282,8 @@
 		p.drop(c)
 		return
 	}
+	c.idleSince = p.now()
 	if !h.hand(c) {
-		c.idleSince = p.now()
 		h.idle = append(h.idle, c)
 	}
 	p.mu.Unlock()
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -134,6 +136,43 @@
 	}
 }
 
+// Guards against an answer to the last request, which its host gives once more some milliseconds later, being served to the
+// next: that goes out on another connection until the first has rested, and then has shown what came on it.
+func TestLateSecondAnswer(t *testing.T) {
+	host := newScripted(t)
+	p := poolFor(host.addr, 9)
+	clock := time.Now()
+	p.now = func() time.Time { return clock }
+	ask := func(want int, more ...arrival) arrival {
+		t.Helper()
+		body := make(chan string, 1)
+		go func() {
+			_, res := get(p, time.Minute)
+			body <- string(res.Body)
+		}()
+		at := <-host.arrivals
+		for _, m := range more {
+			_, _ = io.WriteString(m.nc, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold")
+		}
+		_, _ = io.WriteString(at.nc, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
+		if got := <-body; got != "new" || at.conn != want {
+			t.Errorf("served with %q on connection %d, want its own answer on %d", got, at.conn, want)
+		}
+		return at
+	}
+	first := ask(0)
+	ask(1, first) // the host's first answer comes once more, after the next request was sent
+	clock = clock.Add(restFor)
+	last := ask(1)
+	clock = clock.Add(restFor)
+	_, _ = io.WriteString(last.nc, "HTTP/1.1 200 OK")
+	for idle := 1; idle > 0; idle, _ = counts(p, 1) { // all that is idle has something unasked on it, once the kernel has brought it
+		runtime.Gosched()
+		p.retire()
+	}
+	ask(2)
+}
+
 // Guards against a host at an address used before meeting a connection of the former one, whichever news
 // comes first.
 func TestAddressUsedAgain(t *testing.T) {
--- a/internal/upstream/thrift_test.go
+++ b/internal/upstream/thrift_test.go
@@ -247,7 +247,10 @@
 	up := thriftTo(web.addr)
 	n, _ := strconv.Atoi(port)
 	up.Port = uint16(n)
+	clock := time.Now()
+	up.Pool.now = func() time.Time { return clock }
 	for range 2 { // each takes up its own connection again
+		clock = clock.Add(restFor)
 		go func() { says[0].end((<-web.arrivals).nc) }()
 		if status, _ := get(up.Pool, time.Minute); status != balance.OK {
 			t.Errorf("over HTTP: status %d", status)
