Repeat a keyed request only where a late connection still brings it in time

Cause: balance.go repeatable asked whether the hosts still remember the first attempt at the moment of the decision. Ruled out: the first attempt's time (the decision's, which is earlier than its send); a class changed by SIGHUP (requests keep theirs, state.go adopt).

Change: the connect time-out comes off the window. Measured without the mend: TestMemoryOutlastsALateConnection "450ms after the first: may be sent again is true, want false".

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -347,9 +347,9 @@
 	return true
 }
 
-// repeatable tells whether servers still drop repeats of what an attempt may have done.
+// repeatable tells whether servers still drop repeats of what an attempt may have done, on a late connection too.
 func (b *Balancer) repeatable(r *request, a *attempt) bool {
-	return r.class.Effect == Keyed && b.now < a.sentAt+r.class.Memory-b.margin()
+	return r.class.Effect == Keyed && b.now < a.sentAt+r.class.Memory-b.set.ConnectTimeout-b.margin()
 }
 
 func (b *Balancer) isCold(s *server) bool { return s.UpSince > 0 && b.now < s.UpSince+b.set.ColdFor }
--- a/balance/rules_test.go
+++ b/balance/rules_test.go
@@ -206,6 +206,20 @@
 	}
 }
 
+// TestMemoryOutlastsALateConnection: what is sent now may arrive a connect time-out later, and has to be remembered then.
+func TestMemoryOutlastsALateConnection(t *testing.T) {
+	s := testSettings()
+	s.ConnectTimeout = 200 * ms
+	w := newWorld(t, s, 1)
+	w.b.now, w.b.tick = time.Hour, 10*ms
+	for ago, want := range map[time.Duration]bool{300 * ms: true, 450 * ms: false} { // of 600 that it is remembered
+		r := request{class: w.b.classes[keyedClass], tries: []attempt{{server: &server{}, sentAt: w.b.now - ago, mayHave: true}}}
+		if got := w.b.effectAllows(&r, &server{}); got != want {
+			t.Errorf("%v after the first: may be sent again is %v, want %v", ago, got, want)
+		}
+	}
+}
+
 func TestNoSecondCopyWhereForbidden(t *testing.T) {
 	s := testSettings()
 	s.SecondCopies = false
