Bound an answer that never ends, and a client that takes none, in time

Cause: request.go (rest.Read) cleared the time for an answer that is passed on, so that one that drips a byte now and then held its client and two connections for ever, up to 128 MB; and only such answers had a time for the client's taking (message.go, pass). A client that sends on and reads nothing blocked net/http's write of a short answer for ever: its connection counts as busy, gives way to nobody, and 16 such fill a small sidecar. Ruled out: answers held whole (the attempt's time), heads and bodies that don't come (HeadWithin, bodyRate), Thrift (writeWithin).

Change: such an answer has 20 minutes, as a body has; each write to a caller has the 10 s that pass had, now in one place. Measured without the mend: TestEndlessAnswer runs into the tests' time-out (30 s); TestNothingIsTaken "a write that nobody takes ends after 1h0m0s with io: read/write on closed pipe, want 10s". With it both pass.

--- a/internal/downstream/connections.go
+++ b/internal/downstream/connections.go
@@ -170,6 +170,12 @@
 	return n, err
 }
 
+// Write gives a client so long to take what it is answered: one that sends on and reads nothing would hold its connection for ever.
+func (c *caller) Write(b []byte) (int, error) {
+	_ = c.SetWriteDeadline(time.Now().Add(takeFor)) // on a connection that is broken the write says so
+	return c.Conn.Write(b)
+}
+
 type callerKey struct{}
 
 // withConn is for http.Server.ConnContext.
--- a/internal/downstream/left_test.go
+++ b/internal/downstream/left_test.go
@@ -4,6 +4,8 @@
 	"net"
 	"runtime"
 	"testing"
+	"testing/synctest"
+	"time"
 )
 
 // Guards against a client that is taken to be there after it has left, which a byte that nobody has read can hide, and
@@ -60,3 +62,16 @@
 		t.Error("one of which nothing can be seen has left")
 	}
 }
+
+// Guards against a client that sends on and takes no answers holding its connection for ever.
+func TestNothingIsTaken(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		here, client := net.Pipe()
+		defer client.Close()
+		from := time.Now()
+		time.AfterFunc(time.Hour, func() { here.Close() })
+		if _, err := (&caller{Conn: here}).Write([]byte("an answer")); err == nil || time.Since(from) > takeFor {
+			t.Errorf("a write that nobody takes ends after %v with %v, want %v", time.Since(from), err, takeFor)
+		}
+	})
+}
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -348,7 +348,6 @@
 	control, buf := http.NewResponseController(w), buffers.Get().(*[copyBytes]byte)
 	defer buffers.Put(buf)
 	send := func(b []byte) error {
-		_ = control.SetWriteDeadline(time.Now().Add(takeFor)) // on a connection that is broken the write says so
 		if _, err := w.Write(b); err != nil {
 			return err
 		}
@@ -367,7 +366,6 @@
 	if err != io.EOF {
 		cut(r.Context())
 	}
-	_ = control.SetWriteDeadline(time.Time{})
 }
 
 // say writes a short answer of our own.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -27,6 +27,7 @@
 	restWithin = 300 * time.Millisecond // from an answer's first byte to its last, over Thrift: more than a lost packet takes
 	pieceIn    = time.Second            // and over HTTP from one piece of an answer to the next, which slow hosts take their time for
 	streamIn   = 5 * time.Second        // the same of one that is passed on: cutting it off loses it, and waiting costs a connection
+	restMost   = 20 * time.Minute       // for all of it: one that never ends holds two connections, however it drips. As stream.UploadMost
 	lengthIn   = 200 * time.Millisecond // from a head that states no length on, after which the body is passed on as it comes
 	bodyFirst  = 4 << 10                // bytes to begin with
 )
@@ -90,7 +91,7 @@
 // pacing is how long reading may take at present.
 type pacing struct {
 	ctx   context.Context
-	until time.Time     // the latest; zero: there is none
+	until time.Time     // the latest
 	piece time.Duration // from one piece to the next, once an answer has begun
 	begun bool
 	cut   atomic.Bool // no more is to be read, whatever comes
@@ -103,7 +104,7 @@
 	p := &c.pace
 	if p.begun {
 		at := time.Now().Add(p.piece)
-		if !p.until.IsZero() && p.until.Before(at) {
+		if p.until.Before(at) {
 			at = p.until
 		}
 		_ = c.Conn.SetReadDeadline(at) // on a connection that is broken the read says so
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -77,7 +77,7 @@
 	res := stream.Response{Outcome: stream.Served, MediaType: a.mediaType, Body: a.body, Tried: a.tried}
 	if a.rest != nil { // which is the front's to read: the attempt's context ends with the attempt
 		c.pace.ctx = context.Background()
-		res.Rest, res.Length = &rest{pool: p, conn: c, body: a.rest, keep: a.keep}, a.length
+		res.Rest, res.Length = &rest{pool: p, conn: c, body: a.rest, keep: a.keep, end: time.Now().Add(restMost)}, a.length
 	}
 	return res
 }
@@ -166,15 +166,16 @@
 	conn  *conn
 	body  io.ReadCloser
 	keep  bool // the host goes on with the connection
+	end   time.Time
 	whole bool
 
 	mu     sync.Mutex
 	closed bool
 }
 
-// Read reads more, and waits for each piece of it so long and no longer.
+// Read reads more, and waits for each piece of it so long and no longer; nor does it read on beyond the end.
 func (r *rest) Read(b []byte) (int, error) {
-	r.conn.pace.until, r.conn.pace.piece = time.Time{}, streamIn
+	r.conn.pace.until, r.conn.pace.piece = r.end, streamIn
 	n, err := r.body.Read(b)
 	r.whole = err == io.EOF
 	if err != nil && !r.whole {
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -108,3 +108,27 @@
 		t.Errorf("outcome %d with %q", status, res.Body)
 	}
 }
+
+// Guards against an answer that never ends, however it drips, holding its client and a connection for ever.
+func TestEndlessAnswer(t *testing.T) {
+	host := newScripted(t)
+	p := poolFor(host.addr, 1)
+	go func() {
+		at := <-host.arrivals
+		say{text: "HTTP/1.1 200 OK\r\nContent-Length: 60000000\r\n\r\n"}.end(at.nc)
+		for _, err := io.WriteString(at.nc, "x"); err == nil; _, err = io.WriteString(at.nc, "x") {
+		}
+	}()
+	_, res := get(p, time.Minute)
+	if _, err := res.Rest.Read(make([]byte, 1)); err != nil {
+		t.Fatalf("it is cut off at once: %v", err)
+	}
+	res.Rest.(*rest).end = time.Now()
+	if _, err := io.Copy(io.Discard, res.Rest); err == nil {
+		t.Error("an answer whose time is over goes on to its end")
+	}
+	res.Rest.Close()
+	if idle, open := counts(p, 1); idle+open != 0 {
+		t.Errorf("%d idle of %d connections open, want none", idle, open)
+	}
+}
