Bound the time of a body that nobody reads, so that it holds no connection for ever

Cause: message.go (ServeHTTP) answered health with a body, a stream that found no room and a message at fault without reading the body; net/http then reads up to 256 KiB of it, before the answer where the connection is kept and after it where not, with no time: the head's is over by then. A client that stops half-way held its connection, which counts as busy and gives way to nobody, and a refusal waited for a body that never came. Ruled out: bodies that are read here (paced), Thrift (ReadWithin).

Change: a message that states a body has bodyFor to bring it, whoever reads; readBody sets its own by the rate, as before. Measured without the mend: TestUnreadBody, a stream that finds no room and health: '"", and the connection is held for 1h0m0s'; an unknown class: '"HTTP/1.1 404 Not Fou", and the connection is held for 1h0m0s'. With it 20 times, -race.

--- a/internal/downstream/left_test.go
+++ b/internal/downstream/left_test.go
@@ -1,11 +1,16 @@
 package downstream
 
 import (
+	"context"
+	"errors"
+	"io"
 	"net"
 	"runtime"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"pinelb.example/pinelb/internal/stream"
 )
 
 // Guards against a client that is taken to be there after it has left, which a byte that nobody has read can hide, and
@@ -75,3 +80,52 @@
 		}
 	})
 }
+
+// Guards against a body that never comes whole holding its connection for ever, where nobody here reads it.
+func TestUnreadBody(t *testing.T) {
+	for name, c := range map[string]struct {
+		held    int64
+		message string
+		answer  string
+	}{
+		"health":                      {0, "GET /_health", "HTTP/1.1 400"},
+		"a stream that finds no room": {2, "POST /charge/1", "HTTP/1.1 503"},
+		"a class that nobody knows":   {0, "POST /unheard-of/1", "HTTP/1.1 404"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newServer(func(context.Context, *stream.Request) stream.Response { return stream.Response{} })
+				s.held.Add(c.held)
+				l := make(pipes, 1)
+				here, client := net.Pipe()
+				l <- here
+				server := s.Front(l).Server
+				go func() { _ = server.Serve(&limited{Listener: l, conns: s.conns}) }()
+				from := time.Now()
+				time.AfterFunc(time.Hour, func() { client.Close() })
+				go func() {
+					_, _ = io.WriteString(client, c.message+" HTTP/1.1\r\nHost: x\r\nX-Txn: a\r\nX-Remaining-Ms: 900\r\nContent-Length: 9\r\n\r\nhalf")
+				}()
+				got, _ := io.ReadAll(client)
+				if took := time.Since(from); took > 2*bodyFor || len(got) < len(c.answer) || string(got[:len(c.answer)]) != c.answer {
+					t.Errorf("%.20q, and the connection is held for %v", got, took)
+				}
+				_ = server.Close()
+			})
+		})
+	}
+}
+
+// pipes is a listener whose connections a test makes.
+type pipes chan net.Conn
+
+func (p pipes) Accept() (net.Conn, error) {
+	conn, open := <-p
+	if !open {
+		return nil, errors.New("closed")
+	}
+	return conn, nil
+}
+
+func (p pipes) Close() error   { close(p); return nil }
+func (p pipes) Addr() net.Addr { return &net.TCPAddr{} }
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -61,6 +61,9 @@
 		// beside it: by the one that was dropped, another request may stand inside this one's body.
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength != 0 { // where nobody here reads a body, net/http does before it answers
+		_ = http.NewResponseController(w).SetReadDeadline(at.Add(bodyFor))
+	}
 	if r.URL.Path == "/_health" {
 		if r.ContentLength != 0 {
 			say(w, http.StatusBadRequest, "health takes no body")
