--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -61,6 +61,9 @@
 		// beside it: by the one that was dropped, another request may stand inside this one's body.
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength != 0 { // where nobody here reads a body, net/http does before it answers
+		_ = http.NewResponseController(w).SetReadDeadline(at.Add(bodyFor))
+	}
 	if r.URL.Path == "/_health" {
 		if r.ContentLength != 0 {
 			say(w, http.StatusBadRequest, "health takes no body")
@@ -188,6 +191,9 @@
 	if !isPlain(req.Baggage, true) { // nobody's concern but ours: no reason to turn the request away
 		req.Baggage = ""
 	}
+	if own, ok := r.Context().Value(callerKey{}).(*caller); ok {
+		req.Left = own.left
+	}
 	req.Arrived = at // for now
 	// An answer within the class's deadline is in time for every client, however long it says it waits.
 	req.Deadline = at.Add(min(time.Duration(left)*time.Millisecond, c.deadline))
@@ -345,7 +351,6 @@
 	control, buf := http.NewResponseController(w), buffers.Get().(*[copyBytes]byte)
 	defer buffers.Put(buf)
 	send := func(b []byte) error {
-		_ = control.SetWriteDeadline(time.Now().Add(takeFor)) // on a connection that is broken the write says so
 		if _, err := w.Write(b); err != nil {
 			return err
 		}
@@ -364,7 +369,6 @@
 	if err != io.EOF {
 		cut(r.Context())
 	}
-	_ = control.SetWriteDeadline(time.Time{})
 }
 
 // say writes a short answer of our own.
