Serve no answer that a host gives before it has the whole request

Cause: upload.go (early) read what a host says while the body still comes and, where that was a whole 200, had it served; a longer one was an error already. A host begins a request once its last byte has come, so that such an answer is another's: said twice on the connection, or late. Ruled out: 503 and 504 that turn away and 4xx, which stay; requests of one write (nothing is read before it).

Change: an early 200 of any length is an error. Measured without the mend: TestUploadMayHaveRun 'after "HTTP/1.1 200 OK\r\nContent-Length: 7...another": status 0 with "another", want 1'. With it 50 times, -race.

--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net/http"
 	"sync"
 	"time"
 
@@ -80,7 +81,7 @@
 	c.wait(ctx, until)
 	err := c.read(ctx, until, a)
 	switch {
-	case err == nil && a.rest != nil: // of a request that it has not had; but it says that it ran
+	case err == nil && a.status == http.StatusOK: // to a request that it has not had: another's, said twice or late; but who knows
 		*a = answer{}
 		return balance.Error
 	case err == nil:
--- a/internal/upstream/upload_test.go
+++ b/internal/upstream/upload_test.go
@@ -119,9 +119,10 @@
 }
 
 // Guards against a request whose last byte has gone being taken for one that never ran, because the end of its body is
-// told after that byte; and against a long answer that comes early being taken so.
+// told after that byte; and against an answer that comes before the host has all being taken so, or being served.
 func TestUploadMayHaveRun(t *testing.T) {
-	for says, want := range map[string]balance.Status{"": balance.Reset, "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\nx": balance.Error} {
+	for says, want := range map[string]balance.Status{"": balance.Reset, "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\nx": balance.Error,
+		"HTTP/1.1 200 OK\r\nContent-Length: 7\r\n\r\nanother": balance.Error} {
 		said := make(chan struct{})
 		p := hostOf(t, func(nc net.Conn, in *bufio.Reader) {
 			if says == "" {
@@ -142,9 +143,10 @@
 			}
 			return copy(b, "more"), nil
 		})
-		if status, _ := p.Do(context.Background(), 1, time.Now().Add(time.Hour),
-			uploading(io.MultiReader(strings.NewReader("last"), tail), int64(len("first last"))+int64(len(says)))); status != want {
-			t.Errorf("after %.20q: status %d, want %d", says, status, want)
+		status, res := p.Do(context.Background(), 1, time.Now().Add(time.Hour),
+			uploading(io.MultiReader(strings.NewReader("last"), tail), int64(len("first last"))+int64(len(says))))
+		if status != want || len(res.Body) > 0 {
+			t.Errorf("after %.60q: status %d with %q, want %d", says, status, res.Body, want)
 		}
 	}
 }
