Keep a drain that is told while zones are renamed, and the last word on a host

A list that came between the last two was undone: a host told as draining was held and decided on as Ready again, until something else was said of it. Apply (table.go:86) sorted members by id with an unstable sort, so that of a host named twice in one list (back and gone, ready and draining) any word could count.

Ruled out: Table.Take (runs before the watcher does), the paced watch's second Apply (paced.go:239: its watcher is the only other caller, and lists the same), a changed host_port (pool.go:96 closes the idle connections), a host that goes and comes back under its id between two answers (balance.go:843-858: a later start is a new process, and cold), size 1e400 or below 0 (only the key of a group, balance.go:861), cell and revision beyond 64 bits (gjson's Int is total), ids of kilobytes.

--- a/internal/cluster/table.go
+++ b/internal/cluster/table.go
@@ -80,10 +80,14 @@
 func (t *Table) Apply(kind balance.ListKind, list List) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.apply(kind, list)
+}
+
+func (t *Table) apply(kind balance.ListKind, list List) {
 	t.revision, t.from = list.Revision, list.From
 	t.Old = t.Old && kind == balance.ListCached // from a list of the present on, what is held is no guess
-	// In the order of ids, or two that collide would be numbered by the order in which they came.
-	slices.SortFunc(list.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
+	// In the order of ids, or two that collide would be numbered by the order in which they came. Of one id the last word counts.
+	slices.SortStableFunc(list.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	entries := make([]balance.Entry, 0, len(list.Members))
 	gone := map[string]bool{}
 	if kind != balance.ListDelta {
@@ -172,12 +176,12 @@
 
 // Retune takes over changed names of zones and kinds; the decisions are told of the cluster anew where they have changed.
 func (t *Table) Retune(zones, kinds []string) {
-	t.mu.Lock()
+	t.mu.Lock() // to the end: a drain that is told meanwhile would be undone by what was held before
+	defer t.mu.Unlock()
 	same := slices.Equal(t.zones, zones) && slices.Equal(t.kinds, kinds)
 	t.zones, t.kinds = zones, kinds
-	t.mu.Unlock()
-	if !same {
-		t.Apply(balance.ListCached, t.Held().List)
+	if !same && len(t.listed) > 0 { // as in Take
+		t.apply(balance.ListCached, t.held().List)
 	}
 }
 
@@ -191,6 +195,10 @@
 func (t *Table) Held() Held {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.held()
+}
+
+func (t *Table) held() Held {
 	h := Held{List: List{From: t.from, Revision: t.revision, Complete: true, Members: slices.Collect(maps.Values(t.listed))}, Cordoned: slices.Collect(maps.Keys(t.cordoned))}
 	slices.SortFunc(h.List.Members, func(a, b Member) int { return strings.Compare(a.ID, b.ID) })
 	slices.Sort(h.Cordoned)
