Have a silent discovery cost under 6 s in every row, and ask all anew when a revision goes back

Cause, read and then played in virtual time: - watch.go:184-196 gave the connect 2 s of its own and the answer its time after that, and watch.go:28 left up to 0.8 s after failures in a row. A watch that fell silent and met three attempts that were silent in some way (connect, head, body, a byte now and then, a body without end, a late connect) heard the news after 9.3 to 12.4 s. The pause alone was over a grace of 0.5 s too: what an agent gets at its return counts as told at once. - watch.go:171-179 took a change whose revision is below the one that is held as news. An agent that has begun anew names nobody who went meanwhile: they stayed for good. A late second answer on the kept connection undid a drain. - watch.go:179 took whatever answered the first call for the whole list: whoever a part left out was never asked for. - Run slept until its first call (watch.go:55) without reading moves, which has no buffer: the loop that reads the configuration stood still for up to fleet.spread, and a second SIGHUP with it.

Ruled out: silence within head or body and a byte now and then (one absolute deadline, SetDeadline before the write); a body without end (8 MB are read, the rest until the deadline); a list cut short (no whole JSON, or unexpected EOF: nothing is applied); a reset as an answer is applied (apply works on the whole list in memory); the old agent's answer after a move (Run waits for the old watch before it begins the new one, and follow looks at ctx after each call); an answer that comes twice (the same revision: nothing changes, later answers come one call early and no later); lost addresses (hups holds one that waits, moved takes each); indented lists; a delta that skips revisions; an empty whole list (it is told).

Change: the deadline of a plain watch's call counts the connect; the pause ends at 0.18 s, within the 0.2 s that keep a watch going; an answer below the held revision is not applied, and the whole list is asked for on another connection; a part is applied, and the whole asked for again; moves are read before the first call. A paced watch keeps its clock.

A refusing agent is dialled 6 times a second, 1.4 before, on the sidecar's own machine.

--- a/internal/cluster/paced.go
+++ b/internal/cluster/paced.go
@@ -27,6 +27,9 @@
 	Since int64         // the revision of a list that is held already; 0 is none, and the whole list is asked for
 }
 
+// elsewhere is how another service is to be spared: its revisions may not compare.
+func (p *Paced) elsewhere() *Paced { return &Paced{Fleet: p.Fleet, Whole: p.Whole} }
+
 // errBroken is a watch that was broken off because the whole list is wanted.
 var errBroken = errors.New("cluster: broken off")
 
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -25,7 +26,7 @@
 	watchGrace = 300 * time.Millisecond  // and how long beyond that it may be silent
 	answerIn   = 2 * time.Second         // the same of a call that doesn't wait
 	redialMost = 100 * time.Millisecond  // after a failure: well within the 200 ms that keep a watch going
-	redialLast = 800 * time.Millisecond  // and after many in a row: discovery is not to be asked harder the worse it does
+	redialLast = 180 * time.Millisecond  // and after many in a row: an agent that is back counts what it has as told at once
 	listMost   = 8 << 20                 // bytes of an answer
 )
 
@@ -42,8 +43,12 @@
 	Heard func(asked time.Time)
 
 	whole afresh
+	dial  dial // nil: the machine's
 }
 
+// dial opens a connection, as net.Dialer does.
+type dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // Refresh has the whole list be asked for out of turn: at once, or of a list service that is spared, at this instance's next
 // moment. What is waited for meanwhile is broken off.
 func (w *Watcher) Refresh() { w.whole.want() }
@@ -52,15 +57,18 @@
 // old watch is left at once and all is asked anew: the new agent's revisions may not compare with the old
 // one's. The list that is held stays in force meanwhile.
 func (w *Watcher) Run(ctx context.Context, synced func()) {
-	sleep(ctx, w.After)
 	once := sync.OnceFunc(synced)
 	paced := w.Paced
-	for addr := w.Addr; addr != ""; {
+	addr := w.first(ctx)
+	if paced != nil && addr != w.Addr {
+		paced = paced.elsewhere()
+	}
+	for addr != "" {
 		life, leave := context.WithCancel(ctx)
 		left := make(chan struct{})
 		go func() {
 			defer close(left)
-			at := &watch{addr: addr, table: w.Table, rand: w.Rand, log: w.Log, whole: &w.whole, heard: w.Heard}
+			at := &watch{addr: addr, table: w.Table, rand: w.Rand, log: w.Log, whole: &w.whole, heard: w.Heard, dial: w.dial}
 			if paced == nil {
 				at.follow(life, once)
 				return
@@ -70,8 +78,24 @@
 		addr = w.moved(ctx, addr)
 		leave()
 		<-left
-		if paced != nil { // the new agent's revisions may not compare
-			paced = &Paced{Fleet: paced.Fleet, Whole: paced.Whole}
+		if paced != nil {
+			paced = paced.elsewhere()
+		}
+	}
+}
+
+// first waits for the time of the first call, and returns where discovery is by then; the empty address says that ctx has
+// ended. Who hands on a move is not held up until then.
+func (w *Watcher) first(ctx context.Context) string {
+	after := time.NewTimer(w.After)
+	defer after.Stop()
+	for addr := w.Addr; ; {
+		select {
+		case addr = <-w.Moves:
+		case <-after.C:
+			return addr
+		case <-ctx.Done():
+			return ""
 		}
 	}
 }
@@ -105,13 +129,27 @@
 	have     bool // the whole list has come from this agent
 	whole    *afresh
 	heard    func(asked time.Time) // nil: nobody
+	dial     dial                  // nil: the machine's
 }
 
+var (
+	errForgotten = errors.New("cluster: the revision has gone back")
+	errPart      = errors.New("cluster: a part of the list instead of the whole")
+)
+
 // follow fetches the list and then watches its changes until ctx ends. A silent or broken agent costs
 // nothing but its news.
 func (w *watch) follow(ctx context.Context, synced func()) {
 	defer w.hangUp()
 	failures := 0 // in a row
+	fail := func(err error) {
+		w.hangUp()
+		if failures == 0 { // once, not ten times a second for as long as it is down
+			w.log.Warn().Err(err).Msg("discovery did not answer")
+		}
+		sleep(ctx, w.spread(redialAfter(failures)))
+		failures++
+	}
 	for ctx.Err() == nil {
 		target, within := "/catalog/members", answerIn
 		due, waits := w.whole.due(), false
@@ -130,19 +168,25 @@
 			w.hangUp()
 			continue
 		case err != nil:
-			w.hangUp()
-			if failures == 0 { // once, not ten times a second for as long as it is down
-				w.log.Warn().Err(err).Msg("discovery did not answer")
-			}
-			sleep(ctx, w.spread(redialAfter(failures)))
-			failures++
+			fail(err)
+			continue
+		case w.have && list.Revision < w.revision:
+			// The agent has begun anew and names nobody who went meanwhile, or this is a late answer: another connection tells.
+			w.have = false
+			fail(errForgotten)
+			continue
+		}
+		w.apply(list)
+		if !waits && !list.Complete { // its news counts, but whoever it leaves out would stay for ever
+			synced()
+			fail(errPart)
 			continue
-		case failures > 0:
+		}
+		if failures > 0 {
 			failures = 0
 			w.log.Info().Msg("discovery answers again")
 		}
 		w.whole.done(due)
-		w.apply(list)
 		w.hear(asked)
 		synced()
 	}
@@ -175,27 +219,22 @@
 		w.log.Info().Int64("revision", list.Revision).Bool("complete", list.Complete).
 			Int("members", len(list.Members)).Msg("cluster changed")
 	}
-	w.revision, w.have = list.Revision, true
+	w.revision, w.have = list.Revision, w.have || list.Complete
 }
 
 // call makes one call on the kept connection, or a new one.
 func (w *watch) call(ctx context.Context, target string, within time.Duration) (List, error) {
+	end := time.Now().Add(within) // of the connect as well, or an agent that is slow to take one would be silent for twice as long
 	if w.conn == nil {
-		d := net.Dialer{Timeout: answerIn}
-		conn, err := d.DialContext(ctx, "tcp", w.addr)
-		if err != nil {
+		if err := w.connect(ctx, end); err != nil {
 			return List{}, fmt.Errorf("cluster: dial: %w", err)
 		}
-		w.conn, w.in = conn, bufio.NewReader(conn)
-		if w.sliced {
-			w.late = &late{conn: conn}
-			w.in.Reset(w.late)
-		}
 	}
-	if w.late != nil {
-		w.late.ctx, w.late.end, w.late.lost = ctx, time.Now().Add(within), 0
+	if w.late != nil { // how long a service of many takes to be reached is no part of how long it takes to answer
+		end = time.Now().Add(within)
+		w.late.ctx, w.late.end, w.late.lost = ctx, end, 0
 	}
-	if err := w.conn.SetDeadline(time.Now().Add(within)); err != nil {
+	if err := w.conn.SetDeadline(end); err != nil {
 		return List{}, fmt.Errorf("cluster: deadline: %w", err)
 	}
 	defer interrupt(ctx, w.conn)()
@@ -228,6 +267,29 @@
 	return list, err
 }
 
+// connect opens the connection, until end; a paced watch until answerIn from now.
+func (w *watch) connect(ctx context.Context, end time.Time) error {
+	if w.sliced {
+		end = time.Now().Add(answerIn)
+	}
+	ctx, over := context.WithDeadline(ctx, end)
+	defer over()
+	open := w.dial
+	if open == nil {
+		open = (&net.Dialer{}).DialContext
+	}
+	conn, err := open(ctx, "tcp", w.addr)
+	if err != nil {
+		return err
+	}
+	w.conn, w.in = conn, bufio.NewReader(conn)
+	if w.sliced {
+		w.late = &late{conn: conn}
+		w.in.Reset(w.late)
+	}
+	return nil
+}
+
 // interrupt has what is under way on a connection return at once when ctx ends, until release is called. The connection may be
 // another's from then on: what is about to interrupt it is waited for.
 func interrupt(ctx context.Context, conn net.Conn) (release func()) {
