Answer a request that crosses our closing of its connection, at the planned end and in a crowd

Cause: net/http calls a connection active only once a message's whole head is read (net/http/server.go, serve: setState after readRequest), so that one on which a request lay unread, was in the reader's hand, or had come by half passed for quiet. connections.closeQuiet and giveWay (connections.go:75-83, 150-156) closed it, and so did http.Server.Shutdown by its own states; and once Shutdown has begun, serve hangs up on every request whose head becomes whole later (serve: shuttingDown after readRequest), also on a connection that was accepted and waited in connections.claim. All of these had been taken and got no answer, while a new connection was refused.

Change: a quiet connection is retired: its reads end as if its time were over, and net/http closes it by itself, unless bytes come, or lie in the kernel when the read gives up (MSG_PEEK, as upstream's conn.quiet does); then it goes on, under the one lock that states change by. Half a head is left alone at the planned end and may give way in a crowd, as before: when it stands still for stalledLeast, or as the last resort. A kept connection whose next message has begun is ranked as one whose first still comes. HTTP's Shutdown waits until Serve has returned, so that whatever was accepted is counted, and until all connections have ended; whatever falls quiet meanwhile is retired, and answers say close. net/http's Shutdown comes last, or when the time is up.

Ruled out: a request pipelined behind another is parsed from net/http's buffer without a read, so that retiring can't lose it; its background read takes one byte, and the rest is found by the look; the longest deadline changed by SIGHUP in the drain, for drain takes its terms once (side.go:178). Not mended: what arrives between that look and the close, which the protocol has the client send again; connections still in the listener's queue when the listener closes, behind a claim that waits for room.

--- a/internal/downstream/connections.go
+++ b/internal/downstream/connections.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -20,12 +23,13 @@
 // connections bounds how many callers' connections are open, so that they never take the descriptors of
 // the upstream side. When all are in use, one on which no request is under way gives way to a new one.
 type connections struct {
-	mu    sync.Mutex
-	free  *sync.Cond
-	most  int
-	open  int
-	quiet map[net.Conn]quiet
-	now   func() time.Time
+	mu      sync.Mutex
+	free    *sync.Cond
+	most    int
+	open    int
+	quiet   map[net.Conn]quiet
+	leaving bool // whatever falls quiet is closed
+	now     func() time.Time
 }
 
 // quiet is a connection that is idle, or new and silent so far.
@@ -45,13 +49,21 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.quiet, conn)
+	own, ok := conn.(*caller)
+	if ok {
+		own.begun = false
+	}
 	switch state {
 	case http.StateActive:
-		if own, ok := conn.(*caller); ok {
+		if ok {
 			own.asked.Add(1)
+			own.keep()
 		}
 	case http.StateNew, http.StateIdle:
 		c.quiet[conn] = quiet{state, c.now()}
+		if c.leaving {
+			retire(conn)
+		}
 		c.free.Signal()
 	case http.StateClosed, http.StateHijacked:
 		c.open--
@@ -74,12 +86,24 @@
 func (c *connections) giveWay() bool {
 	conn := c.dispensable()
 	if conn != nil {
-		delete(c.quiet, conn)
-		_ = conn.Close() // between requests, or before the first: the client takes another
+		retire(conn) // between requests, or before the first: the client takes another
 	}
 	return conn != nil
 }
 
+// retire has a quiet connection be closed by whoever reads it, once nothing is left to be read: a message may have come that
+// its state does not show yet. The caller holds the lock.
+func retire(conn net.Conn) {
+	own, ok := conn.(*caller)
+	switch {
+	case ok && !own.retired:
+		own.retired = true
+		_ = own.Conn.SetReadDeadline(past) // on a connection that is broken the read says so
+	case !ok:
+		_ = conn.Close()
+	}
+}
+
 // bound has so many connections be open at most from now on. Quiet ones beyond that are closed, busy ones end by themselves.
 func (c *connections) bound(most int) {
 	c.mu.Lock()
@@ -90,29 +114,34 @@
 	c.free.Broadcast()
 }
 
-// none waits until no connection is open.
-func (c *connections) none() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for c.open > 0 {
-		c.free.Wait()
-	}
+// none tells when no connection is open any more.
+func (c *connections) none() <-chan struct{} {
+	none := make(chan struct{})
+	go func() {
+		defer close(none)
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for c.open > 0 {
+			c.free.Wait()
+		}
+	}()
+	return none
 }
 
 // dispensable picks the quiet connection to give up: the oldest of those that have been silent from the start or whose
-// first message stands still, then of the idle ones those that have brought one message, for a crowd asks once and stays,
-// then the others, the longest idle first, and last those whose first message still comes. The caller holds the lock.
+// message stands still, then of the idle ones those that have brought one message, for a crowd asks once and stays,
+// then the others, the longest idle first, and last those whose message still comes. The caller holds the lock.
 func (c *connections) dispensable() net.Conn {
 	now := c.now()
 	rank := func(conn net.Conn, q quiet) (int, time.Time) {
-		heard, asked := int64(0), int64(0)
+		heard, asked, idle := int64(0), int64(0), q.state == http.StateIdle
 		if own, ok := conn.(*caller); ok {
-			heard, asked = own.heard.Load(), own.asked.Load()
+			heard, asked, idle = own.heard.Load(), own.asked.Load(), idle && !own.begun
 		}
 		switch at := time.Unix(0, heard); {
-		case q.state == http.StateIdle && asked <= 1:
+		case idle && asked <= 1:
 			return 1, q.since
-		case q.state == http.StateIdle:
+		case idle:
 			return 2, q.since
 		case heard == 0 && now.Sub(q.since) >= silentLeast:
 			return 0, q.since
@@ -127,6 +156,9 @@
 	var least int
 	var first time.Time
 	for conn, q := range c.quiet {
+		if own, ok := conn.(*caller); ok && own.retired {
+			continue
+		}
 		if n, at := rank(conn, q); best == nil || n < least || n == least && at.Before(first) {
 			best, least, first = conn, n, at
 		}
@@ -146,30 +178,97 @@
 	return n
 }
 
-// closeQuiet closes every connection on which no request has begun.
+// closeQuiet closes every connection on which no request has begun, and from now on each that has answered its last.
 func (c *connections) closeQuiet() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.leaving = true
 	for conn := range c.quiet {
-		_ = conn.Close()
+		if own, ok := conn.(*caller); !ok || !own.begun {
+			retire(conn)
+		}
 	}
 }
 
-// caller is a caller's connection. It knows when something last came on it, and whether anything ever has.
+// past is a deadline by which a read returns at once.
+var past = time.Unix(1, 0)
+
+// caller is a caller's connection. It knows when something last came on it, and whether anything ever has. One that is
+// retired reads as if its time were over, unless more has come: net/http tells of a message only once its head is whole.
 type caller struct {
 	net.Conn
 	heard atomic.Int64 // Unix nanoseconds; 0: never
 	asked atomic.Int64 // messages
+
+	conns   *connections // whose lock guards the rest
+	begun   bool         // something has come since its last state
+	retired bool
+	until   time.Time // for reading, as it was last set
 }
 
 func (c *caller) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) && c.spared() {
+		n, err = c.Conn.Read(b)
+	}
 	if n > 0 {
+		c.conns.mu.Lock()
+		defer c.conns.mu.Unlock()
 		c.heard.Store(time.Now().UnixNano())
+		c.begun = true
+		c.keep()
 	}
 	return n, err
 }
 
+// spared tells whether something waits to be read on a retired connection, which is kept by reading it. Otherwise its reader
+// closes it.
+func (c *caller) spared() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.retired = c.retired && unread(c.Conn); c.retired {
+		_ = c.Conn.SetReadDeadline(c.until)
+	}
+	return c.retired
+}
+
+// keep has a connection that was retired go on. Another may have to give way for it. The caller holds the lock.
+func (c *caller) keep() {
+	if c.retired {
+		c.retired = false
+		_ = c.Conn.SetReadDeadline(c.until)
+		c.conns.free.Signal()
+	}
+}
+
+// SetReadDeadline takes effect once the connection is not retired.
+func (c *caller) SetReadDeadline(until time.Time) error {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	if c.until = until; c.retired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(until)
+}
+
+// unread tells whether something has come that is not read yet.
+func unread(conn net.Conn) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var one [1]byte
+		n, _, _ = syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	return err == nil && n > 0
+}
+
 type callerKey struct{}
 
 // withConn is for http.Server.ConnContext.
@@ -199,5 +298,5 @@
 		return nil, err
 	}
 	l.conns.claim()
-	return &caller{Conn: conn}, nil
+	return &caller{Conn: conn, conns: l.conns}, nil
 }
--- /dev/null
+++ b/internal/downstream/crossing_test.go
@@ -0,0 +1,242 @@
+package downstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"pinelb.example/pinelb/internal/stream"
+)
+
+// gate is a listener whose connections stop before and after each read, from when they are told to.
+type gate struct {
+	net.Listener
+	last     *gated
+	accepted chan struct{}
+	closed   chan struct{} // gets something at each Close
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	conn, err := g.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	g.last = &gated{TCPConn: conn.(*net.TCPConn), held: make(chan struct{}), goOn: make(chan struct{}), ended: make(chan struct{}, 9)}
+	g.accepted <- struct{}{}
+	<-g.accepted
+	return g.last, nil
+}
+
+func (g *gate) Close() error {
+	err := g.Listener.Close()
+	g.closed <- struct{}{}
+	return err
+}
+
+type gated struct {
+	*net.TCPConn
+	stops, watched atomic.Bool
+	held, goOn     chan struct{}
+	ended          chan struct{} // gets something as the watched connection is closed, or its reads are
+}
+
+func (g *gated) hold() {
+	if g.stops.Load() {
+		g.held <- struct{}{}
+		<-g.goOn
+	}
+}
+
+func (g *gated) Read(b []byte) (int, error) {
+	if len(b) == 1 { // net/http's while it serves a request
+		return g.TCPConn.Read(b)
+	}
+	g.hold()
+	n, err := g.TCPConn.Read(b)
+	if n > 0 {
+		g.hold()
+	}
+	return n, err
+}
+
+func (g *gated) end() {
+	if g.watched.Load() {
+		g.ended <- struct{}{}
+	}
+}
+
+func (g *gated) Close() error {
+	g.end()
+	return g.TCPConn.Close()
+}
+
+func (g *gated) SetReadDeadline(t time.Time) error {
+	err := g.TCPConn.SetReadDeadline(t)
+	if t.Equal(time.Unix(1, 0)) {
+		g.end()
+	}
+	return err
+}
+
+// crossing is a server behind a gate, and what a test needs of its planned end.
+type crossing struct {
+	*Server
+	t     *testing.T
+	gate  *gate
+	serve func() // within each request
+	steps chan time.Time
+	end   context.CancelFunc
+	ended chan error
+}
+
+func newCrossing(t *testing.T, most int) *crossing {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &crossing{t: t, gate: &gate{Listener: l, accepted: make(chan struct{}), closed: make(chan struct{}, 9)}, serve: func() {},
+		steps: make(chan time.Time), ended: make(chan error, 1)}
+	c.Server = newServer(func(context.Context, *stream.Request) stream.Response {
+		c.serve()
+		return stream.Response{Body: []byte("whole")}
+	})
+	c.terms.Store(&terms{mostHeld: 10, within: time.Minute})
+	c.conns = newConnections(most)
+	c.After = func(time.Duration) <-chan time.Time { return c.steps }
+	ctx, end := context.WithCancel(context.Background())
+	c.end = end
+	go func() { c.ended <- c.Run(ctx, c.Front(c.gate)) }()
+	t.Cleanup(func() { l.Close() })
+	return c
+}
+
+// dial makes a connection that is accepted, and that stops before its first read where it is to.
+func (c *crossing) dial(stops bool) (net.Conn, *bufio.Reader, *gated) {
+	conn, in := dial(c.t, c.gate.Addr())
+	<-c.gate.accepted
+	at := c.gate.last
+	at.stops.Store(stops)
+	c.gate.accepted <- struct{}{}
+	return conn, in, at
+}
+
+// leave has the planned end go on to where quiet connections are closed.
+func (c *crossing) leave(silent *bufio.Reader) {
+	c.end()
+	close(c.steps)
+	if _, err := silent.ReadByte(); err != io.EOF {
+		c.t.Errorf("a silent connection reads %v, want its end", err)
+	}
+}
+
+// whole reads the answer to a request that was taken.
+func (c *crossing) whole(in *bufio.Reader, closes bool) {
+	c.t.Helper()
+	if res, err := http.ReadResponse(in, nil); err != nil {
+		c.t.Errorf("a request that was taken: %v", err)
+	} else if res.StatusCode != 200 || res.Close != closes {
+		c.t.Errorf("a request that was taken was answered %d, closing %v", res.StatusCode, res.Close)
+	} else if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		c.t.Error(err)
+	}
+}
+
+// Guards against a request lost whose first bytes cross our own closing of its connection, which passes for quiet
+// until net/http has read a whole head: in a planned end, and where it gives way to another.
+func TestRequestCrossesClose(t *testing.T) {
+	const half = 2
+	for at, name := range []string{"unread", "read", "half"} { // as the closing comes; each is one more stop passed than the one before
+		for _, kept := range []bool{false, true} {
+			for _, crowd := range []bool{false, true} {
+				if at == half && crowd {
+					continue // the half may give way
+				}
+				t.Run(fmt.Sprintf("%s,kept=%v,crowd=%v", name, kept, crowd), func(t *testing.T) {
+					most := 2
+					if crowd {
+						most = 1
+					}
+					c := newCrossing(t, most)
+					var silent *bufio.Reader
+					if !crowd {
+						_, silent, _ = c.dial(false)
+					}
+					conn, in, g := c.dial(!kept)
+					if kept {
+						c.serve = func() { g.stops.Store(true) }
+						io.WriteString(conn, raw)
+						c.whole(in, false)
+						c.serve = func() {}
+					}
+					<-g.held
+					now, later := raw, ""
+					if at == half {
+						now, later = raw[:20], raw[20:]
+					}
+					io.WriteString(conn, now)
+					for !unread(g) { // on its way
+						runtime.Gosched()
+					}
+					for range at {
+						g.goOn <- struct{}{}
+						<-g.held
+					}
+					g.watched.Store(true)
+					var other *bufio.Reader
+					if crowd {
+						var to net.Conn
+						to, other, _ = c.dial(false)
+						io.WriteString(to, raw)
+						<-g.ended
+					} else {
+						c.leave(silent)
+					}
+					io.WriteString(conn, later)
+					g.stops.Store(false)
+					g.goOn <- struct{}{}
+					c.whole(in, !crowd)
+					if crowd {
+						c.whole(other, false)
+						c.end()
+						close(c.steps)
+					}
+					if err := <-c.ended; err != nil {
+						t.Error(err)
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a request lost because its connection was accepted and still waited for room as the planned end closed
+// the listener.
+func TestClaimCrossesEnd(t *testing.T) {
+	c := newCrossing(t, 1)
+	held, release := make(chan struct{}, 2), make(chan struct{})
+	c.serve = func() {
+		held <- struct{}{}
+		<-release
+	}
+	first, firstIn, _ := c.dial(false)
+	io.WriteString(first, raw)
+	<-held
+	second, secondIn, _ := c.dial(false)
+	io.WriteString(second, raw)
+	c.end()
+	close(c.steps)
+	<-c.gate.closed
+	close(release)
+	c.whole(firstIn, true)
+	c.whole(secondIn, true)
+	if err := <-c.ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -84,8 +84,36 @@
 
 // Front is the server on l.
 func (s *Server) Front(l net.Listener) Front {
-	return Front{Listener: l, Server: &http.Server{ConnContext: withConn,
-		Handler: s, ReadHeaderTimeout: HeadWithin, IdleTimeout: IdleWithin,
+	return Front{Listener: l, Server: &server{listener: l, conns: s.conns, served: make(chan struct{}), Server: &http.Server{
+		ConnContext: withConn, Handler: s, ReadHeaderTimeout: HeadWithin, IdleTimeout: IdleWithin,
 		MaxHeaderBytes: headerMost, DisableGeneralOptionsHandler: true,
-		BaseContext: func(net.Listener) context.Context { return s.life }, ConnState: s.Changed, ErrorLog: stdlog.New(s.log, "", 0)}}
+		BaseContext: func(net.Listener) context.Context { return s.life }, ConnState: s.Changed, ErrorLog: stdlog.New(s.log, "", 0)}}}
+}
+
+// server is net/http's with another Shutdown: its own hangs up on every message whose head becomes whole later, and on every
+// connection that is idle by its state.
+type server struct {
+	*http.Server
+	listener net.Listener
+	conns    *connections
+	served   chan struct{} // closed once Serve has returned, and every connection that it took is counted
+}
+
+func (s *server) Serve(l net.Listener) error {
+	defer close(s.served)
+	return s.Server.Serve(l)
+}
+
+// Shutdown waits for connections that end by themselves, as closeQuiet has them do.
+func (s *server) Shutdown(ctx context.Context) error {
+	_ = s.listener.Close()
+	select {
+	case <-s.served:
+		select {
+		case <-s.conns.none():
+		case <-ctx.Done():
+		}
+	case <-ctx.Done():
+	}
+	return s.Server.Shutdown(ctx)
 }
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -583,6 +583,9 @@
 		}
 		if first == nil {
 			first = in
+			for s.conns.spare(l.Addr()) == 0 { // it is idle some time after its answer
+				runtime.Gosched()
+			}
 		}
 	}
 	if _, err := first.ReadByte(); err == nil {
--- a/internal/downstream/side.go
+++ b/internal/downstream/side.go
@@ -50,7 +50,7 @@
 	bodies     atomic.Int64
 	bodiesMost atomic.Int64 // bytes of all bodies together
 	draining   atomic.Bool  // the front is to send no more
-	moving     atomic.Bool  // its clients are to go to other sidecars
+	moving     atomic.Bool  // its clients are to go to other sidecars, or nowhere
 	followed   atomic.Bool  // another process serves the same clients
 }
 
@@ -195,11 +195,12 @@
 	ctx, cancel := context.WithDeadline(context.Background(), from.Add(terms.within))
 	defer cancel()
 	last := s.After(kill - cutBefore - leave)
+	s.moving.Store(true)
 	ended := make(chan error, len(fronts))
 	for _, f := range fronts {
 		go func() { ended <- f.Server.Shutdown(ctx) }() // it may wait for a slow connection beyond its context
 	}
-	s.conns.closeQuiet() // net/http's would give the silent ones five seconds
+	s.conns.closeQuiet()
 	for open := len(fronts); open > 0; {
 		select {
 		case err := <-ended:
@@ -221,12 +222,9 @@
 
 // await waits for so long, or until no connection is open where none can come.
 func (s *Side) await(last bool, most time.Duration) {
-	none := make(chan struct{})
+	var none <-chan struct{}
 	if last {
-		go func() {
-			s.conns.none()
-			close(none)
-		}()
+		none = s.conns.none()
 	}
 	select {
 	case <-none:
