Hear SIGTERM from before anything listens

Cause: serve.go opened the listeners for callers, for Thrift and for operators, and only then had SIGTERM and SIGINT caught (serve.go:216 as it was). SIGTERM between the two ended the process at once, and what the kernel had accepted was reset. Change: it is caught before the first listener is opened, so that such a process answers what has come, in a planned end like any other.

Ruled out: a second SIGTERM is caught and ignored until run returns (stop is deferred, now run last), when nothing is open any more. SIGTERM before the first list or before a former process is followed: side.Run begins to serve with its context done, and drains (side.go:171, serve.go at select on up). SIGHUP after SIGTERM is followed until the last stream has ended (life in serve.go), and changes nothing of the drain under way, which took its terms at its start (side.go:178). An early SIGHUP waits in main.go's channel from main's first line on; only while packages are initialised, before that, does it end the process, which then listens nowhere.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -181,6 +181,9 @@
 	if overThrift != nil {
 		overThrift.Promise = streams.Promise
 	}
+	// Before anything listens: from then on the kernel accepts connections, which an end at once would reset.
+	ending, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
 	l, err := open(next.former, cfg, cfg.Listen)
 	if err != nil {
 		return fmt.Errorf("listen: %w", err)
@@ -213,8 +216,6 @@
 		go func() { _ = operators.Serve(control.Listener(cl)) }()
 		log.Info().Stringer("addr", cl.Addr()).Msg("listening for operators")
 	}
-	ending, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	life, end := context.WithCancel(context.Background()) // discovery is heard until the last stream has ended
 	defer end()
 	go pool.Sweep(life)
