Serve a Thrift call that has come, and is not read yet, as its connection is to end

Cause: halt (thrift/state.go:150) put the read deadline into the past, and goOn (state.go:14) wanted no more reads, at the planned end or with the answer before it; a call that lay in the kernel's buffer was then dropped by finish, without an answer. A connection that was accepted and waited in connections.claim until then was closed unread (server.go:125). And finish's half close was never made: a caller's connection hid it (linger asks for CloseWrite), so that for lingerFor after its last answer a client could send calls that were dropped, and learnt of no end. net/http's closeWriteAndWait missed it as well.

Change: halt retires the connection like the shared bounds do: its reader takes what has come, and reads once more before it ends, so that a client with one call at a time loses none. A connection that comes after Shutdown ends like those before it, and Shutdown waits until Serve has returned. A caller's connection can be closed by half. One that is over isn't told of as idle: no call is taken on it, and retiring it would end its lingering.

Ruled out: bytes that conn.Read has returned and reading() has not noted are fed, and their calls taken, whatever stopping says (conn.go:93-98), and half a message sets begun, by which goOn goes on; giveWay at that moment only retires, and changed keeps the connection as the call begins. Not mended: of a client that pipelines more than two reads of 4 KiB at its connection's end, what lies behind them, as before.

--- a/internal/downstream/connections.go
+++ b/internal/downstream/connections.go
@@ -251,6 +251,14 @@
 	return c.Conn.SetReadDeadline(until)
 }
 
+// CloseWrite ends our sending alone, where the connection can.
+func (c *caller) CloseWrite() error {
+	if half, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return half.CloseWrite()
+	}
+	return errors.ErrUnsupported
+}
+
 // unread tells whether something has come that is not read yet.
 func unread(conn net.Conn) bool {
 	sc, ok := conn.(syscall.Conn)
--- a/internal/downstream/crossing_test.go
+++ b/internal/downstream/crossing_test.go
@@ -240,3 +240,29 @@
 		t.Error(err)
 	}
 }
+
+// Guards against a half close that net/http or Thrift's front can't make: the client would learn only from the whole close that
+// no answer follows, and lose what it sent until then.
+func TestHalfClose(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	far, in := dial(t, l.Addr())
+	near, err := (&limited{Listener: l, conns: newConnections(1)}).Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer near.Close()
+	if half, ok := near.(interface{ CloseWrite() error }); !ok || half.CloseWrite() != nil {
+		t.Fatal("a caller's connection can't be closed by half")
+	}
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("the client reads %v, want the end", err)
+	}
+	io.WriteString(far, "x")
+	if n, err := near.Read(make([]byte, 1)); n != 1 {
+		t.Errorf("nothing more can be read: %v", err)
+	}
+}
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -46,7 +46,8 @@
 
 	// The reader's.
 	in   *thriftwire.Reader
-	kept int // bytes counted for the message that is being read
+	kept int  // bytes counted for the message that is being read
+	last bool // it has read, or is about to, for the last time but for a message that is not whole
 }
 
 // call is an answer that is owed.
--- /dev/null
+++ b/internal/downstream/thrift/crossing_test.go
@@ -0,0 +1,169 @@
+package thrift
+
+import (
+	"io"
+	"net"
+	"runtime"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"pinelb.example/pinelb/internal/stream"
+	"pinelb.example/pinelb/internal/thriftwire"
+)
+
+// gate is a listener of whose connections one stops, when it is told to, before a read for which something has come.
+type gate struct {
+	net.Listener
+	stops        atomic.Bool
+	held, goOn   chan struct{}
+	taken, ended chan struct{} // get something at each connection, where it is not nil, once that has brought something, and at Close
+}
+
+func (g *gate) Accept() (net.Conn, error) {
+	conn, err := g.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	c := &gated{conn.(*net.TCPConn), g}
+	if g.taken != nil {
+		c.await()
+		g.taken <- struct{}{}
+	}
+	return c, nil
+}
+
+func (g *gate) Close() error {
+	err := g.Listener.Close()
+	g.ended <- struct{}{}
+	return err
+}
+
+type gated struct {
+	*net.TCPConn
+	gate *gate
+}
+
+// await waits until something can be read, or the time for reading is over. It returns which.
+func (c *gated) await() bool {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return false
+	}
+	return raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK)
+		return err != syscall.EAGAIN
+	}) == nil
+}
+
+func (c *gated) Read(b []byte) (int, error) {
+	if c.await() && c.gate.stops.CompareAndSwap(true, false) {
+		c.gate.held <- struct{}{}
+		<-c.gate.goOn
+	}
+	return c.TCPConn.Read(b)
+}
+
+func (f *front) serveNext() { (<-f.streams).answer <- stream.Response{Body: []byte{0}} }
+
+// Guards against a call lost that has come and is not read yet as its connection is to end: with the planned end, with the
+// answer before it, and where the connection has waited for room until then.
+func TestCallCrossesEnd(t *testing.T) {
+	for _, name := range []string{"end", "answer", "claim"} {
+		t.Run(name, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			g := &gate{Listener: l, held: make(chan struct{}), goOn: make(chan struct{}), ended: make(chan struct{}, 9)}
+			if name == "claim" {
+				g.taken = make(chan struct{}, 2)
+			}
+			f := startOn(t, g, section, 100, 1<<20)
+			steps := make(chan time.Time)
+			f.side.After = func(time.Duration) <-chan time.Time { return steps }
+			call := func(c *client, seq int32) { _, _ = c.Write(message(forms[1], thriftwire.Call, "look", seq)) }
+			var silent *client
+			if name == "end" {
+				silent = f.dial()
+			}
+			c := f.dial()
+			call(c, 1)
+			last := c
+			switch name {
+			case "end":
+				f.serveNext()
+				c.next()
+				g.stops.Store(true)
+				call(c, 2)
+				<-g.held
+				f.end()
+				close(steps)
+				if _, err := silent.Read(make([]byte, 1)); err != io.EOF {
+					t.Errorf("a silent connection reads %v, want its end", err)
+				}
+				silent.Close()
+				g.goOn <- struct{}{}
+			case "answer":
+				s := <-f.streams
+				g.stops.Store(true)
+				call(c, 2)
+				<-g.held
+				f.end()
+				steps <- time.Now()
+				for !f.side.Closing() {
+					runtime.Gosched()
+				}
+				s.answer <- stream.Response{Body: []byte{0}}
+				c.next()
+				for stopping := false; !stopping; {
+					f.server.mu.Lock()
+					for k := range f.server.conns {
+						k.mu.Lock()
+						stopping = k.stopping
+						k.mu.Unlock()
+					}
+					f.server.mu.Unlock()
+				}
+				g.goOn <- struct{}{}
+			case "claim":
+				f.side.Bound(1<<20, 1)
+				s := <-f.streams
+				last = f.dial()
+				call(last, 2)
+				<-g.taken
+				<-g.taken
+				f.end()
+				close(steps)
+				<-g.ended
+				s.answer <- stream.Response{Body: []byte{0}}
+				c.next()
+				c.Close()
+			}
+			select {
+			case s := <-f.streams:
+				s.answer <- stream.Response{Body: []byte{0}}
+				if m, ok := last.next(); !ok || m.Seq != 2 {
+					t.Errorf("a call that had come was answered %+v", m)
+				}
+				if _, ok := last.next(); ok {
+					t.Error("its connection goes on")
+				}
+			case <-time.After(3 * time.Second):
+				t.Error("a call that had come was not served")
+			}
+			last.Close()
+			if name == "answer" {
+				close(steps)
+			}
+			if err := <-f.ended; err != nil {
+				t.Error(err)
+			}
+			goleak.VerifyNone(t)
+		})
+	}
+}
--- a/internal/downstream/thrift/server.go
+++ b/internal/downstream/thrift/server.go
@@ -48,8 +48,9 @@
 	mu       sync.Mutex
 	listener net.Listener
 	conns    map[*conn]struct{}
-	ending   bool
+	how      func(*conn)    // each connection is to end; nil: it is not
 	open     sync.WaitGroup // connections
+	served   chan struct{}  // closed once Serve has returned, and every connection that it took is among them
 }
 
 // table is the operator's methods with the classes that the settings have at present.
@@ -61,7 +62,7 @@
 // New returns a server for the operator's section, which fits the settings.
 func New(t *config.Thrift, set *config.Settings, side *downstream.Side, streams downstream.Handler, log zerolog.Logger) *Server {
 	s := &Server{side: side, streams: streams, log: log, limits: Limits(t.MostMessage), section: t,
-		ids: rand.Uint64(), conns: map[*conn]struct{}{}}
+		ids: rand.Uint64(), conns: map[*conn]struct{}{}, served: make(chan struct{})}
 	if form, known := thriftwire.ParseForm(t.Form); known {
 		s.form = &form
 	}
@@ -103,6 +104,7 @@
 	s.mu.Lock()
 	s.listener = l
 	s.mu.Unlock()
+	defer close(s.served)
 	for {
 		nc, err := l.Accept()
 		var lack net.Error
@@ -122,13 +124,11 @@
 	s.side.Changed(nc, http.StateNew)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ending {
-		_ = nc.Close() // nothing has been read from it
-		s.side.Changed(nc, http.StateClosed)
-		return
-	}
 	c := newConn(s, nc)
 	s.conns[c] = struct{}{}
+	if s.how != nil { // it was accepted, and waited for room
+		s.how(c)
+	}
 	s.open.Add(1)
 	go c.run()
 }
@@ -146,7 +146,7 @@
 func (s *Server) end(how func(*conn)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ending = true
+	s.how = how
 	if s.listener != nil {
 		_ = s.listener.Close()
 	}
@@ -161,6 +161,7 @@
 	s.end((*conn).stop)
 	done := make(chan struct{})
 	go func() {
+		<-s.served
 		s.open.Wait()
 		close(done)
 	}()
--- a/internal/downstream/thrift/server_test.go
+++ b/internal/downstream/thrift/server_test.go
@@ -79,6 +79,15 @@
 }
 
 func start(t *testing.T, text string, held int, bodies int64) *front {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return startOn(t, l, text, held, bodies)
+}
+
+func startOn(t *testing.T, l net.Listener, text string, held int, bodies int64) *front {
 	t.Helper()
 	op, err := config.ParseOperator("operator.toml", []byte(text))
 	if err != nil {
@@ -91,10 +100,6 @@
 	if err := op.Fits(&config.Config{Settings: *set}); err != nil {
 		t.Fatal(err)
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
 	f := &front{t: t, addr: l.Addr().String(), side: downstream.NewSide(set, bodies, 10, zerolog.Nop()),
 		streams: make(chan served, 100), refused: make(chan string, 100), ended: make(chan error, 1)}
 	ctx, end := context.WithCancel(context.Background())
--- a/internal/downstream/thrift/state.go
+++ b/internal/downstream/thrift/state.go
@@ -10,12 +10,16 @@
 	"pinelb.example/pinelb/internal/thriftwire"
 )
 
-// goOn tells whether another read is wanted, and sets how long it may take.
+// goOn tells whether another read is wanted, and sets how long it may take. The last one is for what had come by then.
 func (c *conn) goOn() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopping && c.begun.IsZero() {
-		return false
+		more := !c.last
+		if c.last = true; more {
+			c.s.side.Retire(c.Conn)
+		}
+		return more
 	}
 	var until time.Time // while calls are under way, the client may wait for them
 	switch {
@@ -60,7 +64,7 @@
 
 // mark tells the shared bounds whether the connection may give way to another; the caller holds the lock.
 func (c *conn) mark() {
-	if active := c.busy() || !c.begun.IsZero(); active != c.active {
+	if active := c.busy() || !c.begun.IsZero() || c.over; active != c.active {
 		c.active = active
 		state := http.StateIdle
 		if active {
@@ -152,7 +156,7 @@
 	if !c.stopping {
 		c.stopping = true
 		if c.begun.IsZero() && !c.over {
-			_ = c.SetReadDeadline(time.Unix(1, 0)) // the reader may be waiting for another
+			c.s.side.Retire(c.Conn) // the reader may be waiting for another
 		}
 	}
 }
