Hand over only as many effects as a successor takes, so that cordons come along

An endpoint that an operator has taken out then gets requests again after the upgrade.

Ruled out by reading: a call out between the copy and the successor's yes (Owner.hand holds the lock over copy and send, handover.go:216-221, so that each word is in the one or comes after it, and is read at Ready); a successor that dies before or after the yes (give and leave; Serve takes the path again); one upgrade after another (told passes an operator's word on, known leaves out only what that process told); TERM before the yes (the connection ends, Ready returns an error, the new one serves); locks (state takes s.mu under o.mu, told takes s.mu alone); a keyed request in both (before looks at the other's notes, Gone remembers what had begun); the key's length (128 bytes, message.go:23).

Change: of the notes the last are handed over, counted as long as JSON can make them, up to three quarters of the 8 MB. The oldest that are over go first; at the platform's 192 MB all fit.

Measured, TestManyEffectsAreHandedOver without it: "8989635 bytes are handed over, which nobody takes"; over a socket: "handover: a message of 8449674 bytes".

--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -25,6 +25,12 @@
 // followWithin is how long a process waits for one that has another successor: it is due in 6 s.
 const followWithin = 3 * time.Second
 
+const (
+	notesMost = handover.StateMost * 3 / 4 // bytes of the effects that are handed over: more, and not even the cordons are
+	noteBytes = 250                        // of one, about, beside its names
+	nameBytes = 6                          // of a character of a name, at most: JSON may escape it
+)
+
 // bounds are what a sidecar may use, shared by its processes while there is more than one.
 type bounds struct {
 	memory  int64 // bytes
@@ -161,13 +167,24 @@
 	s.mu.Unlock()
 	notes := s.effects.Watch(effects.Next, next.note)
 	h := s.held()
-	h.Effects = &known{Notes: notes}
+	h.Effects = &known{Notes: latest(notes, notesMost)}
 	if s.audited != nil {
 		h.Trail = s.audited.book.Past()
 	}
 	return json.Marshal(h)
 }
 
+// latest are the last of the notes, as many as so many bytes have room for: first come those that are over, the oldest first.
+func latest(notes []effects.Note, most int) []effects.Note {
+	for i := len(notes) - 1; i >= 0; i-- {
+		n := &notes[i]
+		if most -= noteBytes + nameBytes*(len(n.Txn)+len(n.Class)+len(n.Key)); most < 0 {
+			return notes[i+1:]
+		}
+	}
+	return notes
+}
+
 // left lets go of a successor that is gone.
 func (s *succession) left() {
 	s.effects.Gone(time.Now(), effects.Next)
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -28,7 +28,6 @@
 	version   = 1
 	greeting  = "pinelb hand-over 1\n"
 	within    = time.Second            // each step of the talk: the new process is due within a few seconds
-	stateMost = 8 << 20                // bytes of the message
 	lineMost  = 64 << 10               // bytes of a line afterwards
 	most      = 8                      // listeners
 	pathMost  = 100                    // bytes of a Unix socket's path, which the kernel bounds at 108
@@ -38,6 +37,9 @@
 	ackWord   = "yours"
 )
 
+// StateMost bounds the message to a successor, in bytes: one that is longer is not taken at all.
+const StateMost = 8 << 20
+
 // Path is where a sidecar of that address waits for its successor; empty where there is no place for it.
 func Path(listen string) string {
 	dir := os.Getenv("TMPDIR")
@@ -385,7 +387,7 @@
 		return nil, fmt.Errorf("handover: read: %w", err)
 	}
 	size := binary.BigEndian.Uint32(head)
-	if size > stateMost {
+	if size > StateMost {
 		return nil, fmt.Errorf("handover: a message of %d bytes", size)
 	}
 	body, err := io.ReadAll(io.LimitReader(conn, int64(size)))
