Bound how deep a list's JSON may nest, which else ends the process

Cause: gjson.ValidBytes (watch.go:257 before) goes as deep as the text does, and an answer may have 8 MB: of '[' alone they use up the 1 GB that a goroutine's stack may have, which no recover catches. The check of truncated and endless answers found it.

Ruled out: the rest of an answer without end (8 MB are read; Body.Close reads on until the absolute deadline of the call, and the connection is dropped); a body cut at 8 MB that is still whole JSON (only blanks can follow).

Change: an answer with over 100 objects and lists within one another is no list; a list has four.

--- a/internal/cluster/crossings_test.go
+++ b/internal/cluster/crossings_test.go
@@ -248,3 +248,19 @@
 		})
 	}
 }
+
+// Guards against an answer that ends the process: what checks JSON goes as deep as the text does, until the stack is used up.
+func TestDeepAnswers(t *testing.T) {
+	a := newAgent(t)
+	w := &watch{addr: a.addr, rand: rand.New(longest{}), log: zerolog.Nop(), whole: &afresh{}}
+	defer w.hangUp()
+	go func() { (<-a.calls).answer(`{"members":` + strings.Repeat("[", listMost-100)) }()
+	if _, err := w.call(t.Context(), "/catalog/members", answerIn); err == nil || !strings.Contains(err.Error(), "is no list") {
+		t.Errorf("the answer is taken: %v", err)
+	}
+	for text, want := range map[string]int{`7`: 0, `[]`: 1, `[[],[]]`: 2, `[[[]]]`: 3, `[{"[[[\\":[]},[]]`: 3, `["[[[\"[[[",[]]`: 2, `{"{{":{}}`: 2, document: 4} {
+		if nested([]byte(text), want) || want > 0 && !nested([]byte(text), want-1) {
+			t.Errorf("%s is not %d deep", text, want)
+		}
+	}
+}
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -28,6 +28,7 @@
 	redialMost = 100 * time.Millisecond  // after a failure: well within the 200 ms that keep a watch going
 	redialLast = 180 * time.Millisecond  // and after many in a row: an agent that is back counts what it has as told at once
 	listMost   = 8 << 20                 // bytes of an answer
+	nestedMost = 100                     // objects and lists within one another there: reading them takes stack
 )
 
 // Watcher follows discovery over HTTP/1.1 and applies what it hears.
@@ -256,7 +257,7 @@
 	if s := res.StatusCode; s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests {
 		return List{}, &turnedAway{s, advice(res.Header.Get("Retry-After"))}
 	}
-	if res.StatusCode != http.StatusOK || !gjson.ValidBytes(body) {
+	if res.StatusCode != http.StatusOK || nested(body, nestedMost) || !gjson.ValidBytes(body) {
 		return List{}, fmt.Errorf("cluster: answer %d of %d bytes is no list", res.StatusCode, len(body))
 	}
 	list, err := ParseList(gjson.ParseBytes(body))
@@ -267,6 +268,27 @@
 	return list, err
 }
 
+// nested tells whether more objects and lists than that stand within one another in a JSON text, which may be a faulty one.
+func nested(text []byte, most int) bool {
+	depth, quoted := 0, false
+	for i := 0; i < len(text); i++ {
+		switch c := text[i]; {
+		case quoted && c == '\\':
+			i++
+		case c == '"':
+			quoted = !quoted
+		case quoted:
+		case c == '[' || c == '{':
+			if depth++; depth > most {
+				return true
+			}
+		case c == ']' || c == '}':
+			depth--
+		}
+	}
+	return false
+}
+
 // connect opens the connection, until end; a paced watch until answerIn from now.
 func (w *watch) connect(ctx context.Context, end time.Time) error {
 	if w.sliced {
