Turn down settings that can't be right, and name the key as the file has it

What the decisions miss was named by the program's field, Classes[1].Deadline, and at the start only once parts of the process stood (serve.go, engine.New).

Change: balance.Validate says which field it is by a type of its own, and config names its key, at the start, at SIGHUP and in `pinelb check`; infinite numbers, and amounts and ranks below 0, are refused by the reader. What may be missing at the start is as before: rules.cold, worth, quantum, prices, tenants, and all else that is optional.

Ruled out: deadline, aim, attempts and cold_share of 0, below 0, over 1, as text, null or missing (refused before as well); a class named twice (config.go check, now in the test); a faulty file that changes part of the process or moves discovery (retune.go follow: no move without a retune; TestFaultyFilesMoveNothing).

--- a/balance/api.go
+++ b/balance/api.go
@@ -114,9 +114,16 @@
 	FallWindow   time.Duration
 }
 
-// Validate names the first field without which decisions cannot be made.
+// Fault is a setting without which decisions cannot be made.
+type Fault struct{ Field string } // as it is named here, such as Classes[1].Deadline
+
+func (f *Fault) Error() string {
+	return fmt.Sprintf("balance: settings: %s is missing or out of range", f.Field)
+}
+
+// Validate names the first field without which decisions cannot be made, as a Fault.
 func (s *Settings) Validate() error {
-	bad := func(field string) error { return fmt.Errorf("balance: settings: %s is missing or out of range", field) }
+	bad := func(field string) error { return &Fault{field} }
 	switch {
 	case len(s.Classes) == 0:
 		return bad("Classes")
--- a/cmd/pinelb/check.go
+++ b/cmd/pinelb/check.go
@@ -33,6 +33,9 @@
 		}
 		return os.Getenv(key)
 	})
+	if err == nil {
+		err = cfg.Validate()
+	}
 	if err == nil {
 		_, err = balance.New(cfg.Settings.Settings, cfg.Seed)
 	}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"net/netip"
@@ -15,6 +16,7 @@
 
 	"github.com/tidwall/gjson"
 
+	"pinelb.example/pinelb/balance"
 	"pinelb.example/pinelb/internal/cluster"
 )
 
@@ -67,12 +69,21 @@
 	if key := lacks(former.file, c.file, ""); key != "" {
 		return nil, fmt.Errorf("config: LB_CONFIG%s is missing; the file in force has it", key)
 	}
-	if err := c.Settings.Validate(); err != nil {
-		return nil, fmt.Errorf("config: LB_CONFIG: %w", err)
+	if err := c.Validate(); err != nil {
+		return nil, err
 	}
 	return c, nil
 }
 
+// Validate names the first key, as it stands in the file, without which decisions cannot be made.
+func (c *Config) Validate() error {
+	err := c.Settings.Validate()
+	if fault := new(balance.Fault); errors.As(err, &fault) {
+		return fmt.Errorf("config: LB_CONFIG.settings.%s: %w", keyOf(fault.Field), err)
+	}
+	return err
+}
+
 // lacks names the first key that was there and is not now; empty: there is none. Of lists, every member needs the keys
 // that every member had. What is known of the cluster may come and go.
 func lacks(was, is gjson.Result, at string) string {
@@ -165,7 +176,7 @@
 }
 
 // check names the first key that a sidecar cannot run with. What the decisions need of the settings is
-// checked by balance.New, which names its fields likewise.
+// checked by Validate.
 func (c *Config) check() error {
 	for _, a := range []struct{ key, addr string }{{"LB_LISTEN", c.Listen}, {"LB_DISCOVERY", c.Discovery}} {
 		if _, err := netip.ParseAddrPort(a.addr); err != nil {
--- a/internal/config/reader.go
+++ b/internal/config/reader.go
@@ -45,7 +45,7 @@
 	return v, true
 }
 
-func isNumber(v gjson.Result) bool { return v.Type == gjson.Number }
+func isNumber(v gjson.Result) bool { return v.Type == gjson.Number && !math.IsInf(v.Num, 0) } // as one of 400 digits is
 func isText(v gjson.Result) bool   { return v.Type == gjson.String }
 
 func (r *reader) numberOr(key string, def float64) float64 {
@@ -57,6 +57,17 @@
 
 func (r *reader) number(key string) float64 { return r.numberOr(key, 0) }
 
+// amount reads a number that can't be below 0.
+func (r *reader) amount(key string) float64 { return r.amountOr(key, 0) }
+
+func (r *reader) amountOr(key string, def float64) float64 {
+	v := r.numberOr(key, def)
+	if v < 0 {
+		r.fail(key, "must not be below 0")
+	}
+	return v
+}
+
 func (r *reader) integer(key string) int {
 	v := r.number(key)
 	if v != math.Trunc(v) || math.Abs(v) > 1<<31 {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -59,6 +60,23 @@
 	"mean_ms": balance.LoadServiceMS, "tps": balance.LoadRate, "err_ps": balance.LoadErrorRate,
 }
 
+// keys are what the file calls the fields that a balance.Fault can name.
+var keys = map[string]string{
+	"Classes": "classes", "Instances": "n_instances", "MaxAttempts": "allowed.send_cap", "Quantum": "quantum",
+	"ColdShare": "rules.cold_share", "FallMultiple": "rules.tip_multiple", "FallWindow": "rules.fall", "MustAskIn": "rules.must_ask_in",
+	"Aim": "aim", "Deadline": "deadline", "Worth": "worth", "Effect": "idempotency", "Memory": "memory_span",
+}
+
+// keyOf is the place in the settings of the file of a field, such as classes[1].deadline of Classes[1].Deadline.
+func keyOf(field string) string {
+	if index, ok := strings.CutPrefix(field, "Classes["); ok {
+		if index, of, ok := strings.Cut(index, "]."); ok {
+			return fmt.Sprintf("classes[%s].%s", index, keys[of])
+		}
+	}
+	return keys[field]
+}
+
 // ParseSettings reads the settings object that the simulator's first message and LB_CONFIG share.
 // Keys that it does not know are ignored; a key of the wrong type is an error that names it.
 func ParseSettings(data []byte) (Settings, error) {
@@ -74,7 +92,7 @@
 	}
 	out := Settings{Settings: balance.Settings{
 		Instances: r.integer("n_instances"), Rank: r.integer("rank"), Tier: r.integer("tier"),
-		Zone: r.integer("locality"), OverShareWorth: r.numberOr("over_share_worth", 1),
+		Zone: r.integer("locality"), OverShareWorth: r.amountOr("over_share_worth", 1),
 		ByWork: r.text("counted_by") == "work", PassesDeadline: r.flag("family_info.passes_deadline"),
 		MarksRetry: r.flag("clients.marks_retry"), MustAsk: r.text("registry_mode") == "subscribe",
 		Weights:    r.text("weight_source") != "off" && r.text("weight_source") != "",
@@ -91,6 +109,9 @@
 		ColdShare: r.number("rules.cold_share"), ColdFor: r.span("rules.cold"),
 		FallMultiple: r.number("rules.tip_multiple"), FallWindow: r.span("rules.fall"),
 	}}
+	if out.Rank < 0 { // an index
+		r.fail("rank", "must not be below 0")
+	}
 	out.ConnIdle = r.span("allowed.conn_idle")
 	out.KindNames, out.ZoneNames = r.texts("kinds"), r.texts("zones")
 	out.Kinds, out.Zones, out.Tiers = len(out.KindNames), len(out.ZoneNames), len(r.texts("tiers"))
@@ -98,7 +119,7 @@
 		out.LoadFields = append(out.LoadFields, loadFields[f])
 	}
 	for _, t := range r.objects("tenants") {
-		out.Tenants = append(out.Tenants, balance.Tenant{Share: t.number("share"), Quota: t.number("quota_rps")})
+		out.Tenants = append(out.Tenants, balance.Tenant{Share: t.amount("share"), Quota: t.amount("quota_rps")})
 	}
 	for _, c := range r.objects("classes") {
 		effect, known := effects[c.text("idempotency")]
@@ -111,8 +132,8 @@
 		}
 		out.ClassNames = append(out.ClassNames, c.text("name"))
 		out.Classes = append(out.Classes, balance.Class{
-			Aim: c.span("aim"), AimStretch: c.number("aim_stretch"), Deadline: c.span("deadline"), Effect: effect,
-			Scope: scope, Memory: c.span("memory_span"), Worth: c.number("worth"), LateWorth: c.number("late_worth"),
+			Aim: c.span("aim"), AimStretch: c.amount("aim_stretch"), Deadline: c.span("deadline"), Effect: effect,
+			Scope: scope, Memory: c.span("memory_span"), Worth: c.amount("worth"), LateWorth: c.amount("late_worth"),
 			Stream: c.flag("stream"),
 		})
 	}
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -59,6 +59,9 @@
 func Serve(operator string, hups <-chan os.Signal) error {
 	log := newLog(os.Stderr)
 	cfg, err := config.Load(os.Getenv)
+	if err == nil {
+		err = cfg.Validate()
+	}
 	var op *config.Operator
 	if err == nil {
 		op, err = config.LoadOperator(operator)
