Let go of the connections to a host's former process when its start is told

Cause: table.go (Apply) passed a host on to the pool by its address alone. A machine that vanished never closed its connections; back at the same address it resets what is sent on one, and an unsafe request that so meets an idle connection fails, for it may have run. Ruled out: processes that die (their resets have come, quiet), hosts that move (Set closes what is idle), hosts that are gone meanwhile (Remove).

Change: a later start than the one that is held is a new process, and all that is open to the former one is let go of. Measured without the mend: TestNewProcess "step 1: its connections were let go of 0 times, want 1".

--- a/internal/cluster/cluster_test.go
+++ b/internal/cluster/cluster_test.go
@@ -61,6 +61,7 @@
 
 	cordons []cordon
 	shut    map[balance.EndpointID]bool
+	removed int
 }
 
 func newWorld() (*world, *Table) {
@@ -70,7 +71,7 @@
 
 func (w *world) Set(id balance.EndpointID, addr string) { w.addrs[id] = addr }
 func (w *world) Shut(id balance.EndpointID, on bool)    { w.shut[id] = on }
-func (w *world) Remove(id balance.EndpointID)           { delete(w.addrs, id) }
+func (w *world) Remove(id balance.EndpointID)           { delete(w.addrs, id); w.removed++ }
 func (w *world) Membership(kind balance.ListKind, entries []balance.Entry, _ uint32) {
 	w.kinds = append(w.kinds, kind)
 	w.lists <- entries
@@ -432,3 +433,19 @@
 		}
 	}
 }
+
+// Guards against connections to a former process of a host being kept: a machine that vanished never closed them, and what is
+// sent on one once it is back ends as a reset, which may have run.
+func TestNewProcess(t *testing.T) {
+	w, table := newWorld()
+	for i, step := range []struct {
+		up   time.Duration
+		want int
+	}{{0, 0}, {time.Second, 1}, {time.Second, 1}, {0, 1}, {time.Minute, 2}} {
+		table.Apply(balance.ListDelta, List{Members: []Member{{ID: "h", Addr: "127.0.0.1:1", State: balance.Ready, UpSince: step.up}}})
+		<-w.lists
+		if w.removed != step.want || len(w.addrs) != 1 {
+			t.Errorf("step %d: its connections were let go of %d times, want %d; %d hosts are reachable", i, w.removed, step.want, len(w.addrs))
+		}
+	}
+}
--- a/internal/cluster/table.go
+++ b/internal/cluster/table.go
@@ -106,6 +106,9 @@
 			gone[m.ID] = true
 		} else {
 			t.sum(m.ID, m)
+			if was, listed := t.listed[m.ID]; listed && m.UpSince > was.UpSince {
+				t.hosts.Remove(id) // a new process: what is open leads to the former one, which may never have said that it ended
+			}
 			t.listed[m.ID] = *m
 			t.hosts.Set(id, m.Addr)
 			t.hosts.Shut(id, m.State != balance.Ready || t.cordoned[m.ID])
