Count each request to its own tenant's share, and to none where the settings know none

Cause: the decisions take each first-tier request from its tenant's quota (balance.go:175) and refuse what is over it, but nothing between the front and the engine told whose it was: Event.Tenant was 0 for all, so that every customer's requests were drawn from the first one's share.

Change: X-Org, which the wire's names have for it, is decoded to the tenant's number; an unknown or absent one has no share to be over; it goes on to the host. Tenants keep their numbers at SIGHUP, as classes do, or a request on its way in would be another's; a name that is missing or twice turns the settings down. Measured without the mend: TestTenants "request 2, of tenant 2: {Refused:true ...}".

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -202,12 +202,12 @@
 	if s.ConnIdle == 0 {
 		s.ConnIdle = defaultConnIdle
 	}
-	seen := map[string]bool{}
-	for i, name := range s.ClassNames {
-		if name == "" || seen[name] {
-			return fmt.Errorf("config: LB_CONFIG.settings.classes[%d].name is missing or not unique", i)
+	for what, names := range map[string][]string{"classes": s.ClassNames, "tenants": s.TenantNames} {
+		for i, name := range names {
+			if name == "" || slices.Contains(names[:i], name) {
+				return fmt.Errorf("config: LB_CONFIG.settings.%s[%d].name is missing or not unique", what, i)
+			}
 		}
-		seen[name] = true
 	}
 	return nil
 }
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -180,3 +180,25 @@
 	}
 	t.Error("classes are taken without bound")
 }
+
+// Guards against a tenant that takes another's number, and with it its share, while a request of it is on its way in.
+func TestTenantsKeepTheirNumbers(t *testing.T) {
+	of := func(names ...string) *Settings {
+		s := &Settings{TenantNames: names}
+		for i := range names {
+			s.Tenants = append(s.Tenants, balance.Tenant{Quota: float64(i + 1)})
+		}
+		return s
+	}
+	second, err := of("d", "c").After(of("a", "b", "c"))
+	if want := []balance.Tenant{{Quota: 1}, {Quota: 2}, {Quota: 2}, {Quota: 1}}; err != nil ||
+		!slices.Equal(second.TenantNames, []string{"a", "b", "c", "d"}) || !slices.Equal(second.Tenants, want) {
+		t.Errorf("%+v, %v", second, err)
+	}
+	for i := range classesMost {
+		if second, err = of(fmt.Sprint(i)).After(&second); err != nil {
+			return
+		}
+	}
+	t.Error("tenants are taken without bound")
+}
--- a/internal/config/faults_test.go
+++ b/internal/config/faults_test.go
@@ -90,6 +90,7 @@
 		{"rules.answer_slack", false, span0},
 		{"rules.stop_sending_within", false, span0},
 		{"prices.*", false, number},
+		{"tenants.*.name", true, append([]string{`""`}, text...)},
 		{"tenants.*.share", false, atLeast0},
 		{"tenants.*.quota_rps", false, atLeast0},
 	} {
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -14,18 +14,20 @@
 // Settings is what the site says, for the decisions and for the names on the sockets.
 type Settings struct {
 	balance.Settings
-	ClassNames []string      // by class index, as requests name them
-	KindNames  []string      // by kind index, as discovery names them
-	ZoneNames  []string      // by zone index, as discovery names them
-	Vanished   []bool        // by class index, of settings that follow others: the file has it no more; nil: none
-	ConnIdle   time.Duration // an upstream host closes a connection that has stood idle for this long
+	ClassNames  []string      // by class index, as requests name them
+	TenantNames []string      // by tenant index, as requests name them
+	KindNames   []string      // by kind index, as discovery names them
+	ZoneNames   []string      // by zone index, as discovery names them
+	Vanished    []bool        // by class index, of settings that follow others: the file has it no more; nil: none
+	ConnIdle    time.Duration // an upstream host closes a connection that has stood idle for this long
 }
 
-// classesMost is how many classes a process knows in its life: those that vanish keep their numbers.
+// classesMost is how many classes, and how many tenants, a process knows in its life: those that vanish keep their numbers.
 const classesMost = 256
 
-// After returns settings whose classes have the numbers that they have in former, by their names. Those that only former
-// has keep theirs, as they were, and have vanished.
+// After returns settings whose classes and tenants have the numbers that they have in former, by their names: a request that
+// is on its way in must not be counted as another's. Those that only former has keep theirs, as they were; such classes have
+// vanished.
 func (s *Settings) After(former *Settings) (Settings, error) {
 	out := *s
 	out.ClassNames, out.Classes = slices.Clone(former.ClassNames), slices.Clone(former.Classes)
@@ -41,8 +43,19 @@
 		}
 		out.Classes[at], out.Vanished[at] = s.Classes[i], false
 	}
-	if len(out.ClassNames) > classesMost {
-		return out, fmt.Errorf("config: LB_CONFIG.settings.classes: over %d names since the start; restart to forget those that have vanished", classesMost)
+	out.TenantNames, out.Tenants = slices.Clone(former.TenantNames), slices.Clone(former.Tenants)
+	for i, name := range s.TenantNames {
+		at := slices.Index(out.TenantNames, name)
+		if at < 0 {
+			at = len(out.TenantNames)
+			out.TenantNames, out.Tenants = append(out.TenantNames, name), append(out.Tenants, balance.Tenant{})
+		}
+		out.Tenants[at] = s.Tenants[i]
+	}
+	for what, names := range map[string][]string{"classes": out.ClassNames, "tenants": out.TenantNames} {
+		if len(names) > classesMost {
+			return out, fmt.Errorf("config: LB_CONFIG.settings.%s: over %d names since the start; restart to forget those that have vanished", what, classesMost)
+		}
 	}
 	return out, nil
 }
@@ -119,6 +132,7 @@
 		out.LoadFields = append(out.LoadFields, loadFields[f])
 	}
 	for _, t := range r.objects("tenants") {
+		out.TenantNames = append(out.TenantNames, t.text("name"))
 		out.Tenants = append(out.Tenants, balance.Tenant{Share: t.amount("share"), Quota: t.amount("quota_rps")})
 	}
 	for _, c := range r.objects("classes") {
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -164,7 +164,7 @@
 	req := &stream.Request{
 		Txn: h.Get("X-Txn"), ClassName: lane, Class: c.index, Operation: r.Method, Target: target(r), Authority: r.Host,
 		Key: h.Get("Idempotency-Key"), Repeated: h.Get("X-Resent") == "1", Labels: h.Get("X-Labels"),
-		MediaType: h.Get("Content-Type"), Baggage: strings.Join(h["Baggage"], ","),
+		Org: h.Get("X-Org"), MediaType: h.Get("Content-Type"), Baggage: strings.Join(h["Baggage"], ","),
 	}
 	left, err := strconv.ParseUint(h.Get("X-Remaining-Ms"), 10, 32)
 	method, keyed := http.MethodPost, c.effect == balance.Keyed
@@ -180,7 +180,7 @@
 		return nil, &refusal{http.StatusBadRequest, "the method does not fit the class"}
 	case keyed && (!isName(req.Key) || len(h["Idempotency-Key"]) > 1) || !keyed && len(h["Idempotency-Key"]) > 0:
 		return nil, &refusal{http.StatusBadRequest, "the Idempotency-Key does not fit the class"}
-	case len(h["X-Lane"]) > 1 || len(h["X-Labels"]) > 1 || len(h["Content-Type"]) > 1:
+	case len(h["X-Lane"]) > 1 || len(h["X-Org"]) > 1 || len(h["X-Labels"]) > 1 || len(h["Content-Type"]) > 1:
 		return nil, &refusal{http.StatusBadRequest, "a header is repeated"}
 	case !strings.HasPrefix(req.Target, "/") || !isPlain(req.Target, false) || !isPlain(req.Authority, false) ||
 		!isPlain(req.Labels, true) || !isPlain(req.MediaType, true): // upstream hosts hang up on what they can't read
@@ -188,6 +188,10 @@
 	case c.effect == balance.Safe && r.ContentLength > 0:
 		return nil, bodyless
 	}
+	req.Tenant = (*s.tenants.Load())[req.Org]
+	if !isPlain(req.Org, true) { // a name that only the settings can read
+		req.Org = ""
+	}
 	if !isPlain(req.Baggage, true) { // nobody's concern but ours: no reason to turn the request away
 		req.Baggage = ""
 	}
--- a/internal/downstream/reclass_test.go
+++ b/internal/downstream/reclass_test.go
@@ -54,3 +54,32 @@
 		t.Error("a class that came back is not taken")
 	}
 }
+
+// Guards against requests of one tenant passing for another's: by their header, of names that the settings have.
+func TestTenants(t *testing.T) {
+	var got stream.Request
+	s := newServer(func(_ context.Context, req *stream.Request) stream.Response {
+		got = *req
+		return stream.Response{}
+	})
+	set := &config.Settings{Settings: balance.Settings{MaxHeld: 2, Classes: []balance.Class{{Effect: balance.Safe, Deadline: time.Second}}},
+		ClassNames: []string{"look"}, TenantNames: []string{"north", "süd 1"}}
+	s.Reclass(set)
+	for _, c := range []struct {
+		orgs []string
+		code int
+		want int
+		on   string // what goes on to the host
+	}{{nil, 200, 0, ""}, {[]string{"north"}, 200, 1, "north"}, {[]string{"süd 1"}, 200, 2, ""}, {[]string{"East"}, 200, 0, "East"},
+		{[]string{"North"}, 200, 0, "North"}, {[]string{"north", "süd 1"}, 400, 0, ""}} {
+		got = stream.Request{}
+		r := message("GET", "/look/1", "", "X-Txn", "a", "X-Remaining-Ms", "900")
+		for _, org := range c.orgs {
+			r.Header.Add("X-Org", org)
+		}
+		w := httptest.NewRecorder()
+		if s.ServeHTTP(w, r); w.Code != c.code || got.Tenant != c.want || got.Org != c.on {
+			t.Errorf("%q: %d, tenant %d, %q goes on; want %d, %d, %q", c.orgs, w.Code, got.Tenant, got.Org, c.code, c.want, c.on)
+		}
+	}
+}
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -32,6 +32,7 @@
 	Gate stream.Gate // says whether the sidecar takes streams at present; nil: it does
 
 	classes atomic.Pointer[map[string]class]
+	tenants atomic.Pointer[map[string]int] // as stream.Request has them
 	streams Handler
 	log     zerolog.Logger
 	ready   atomic.Bool
@@ -41,11 +42,12 @@
 func New(s *config.Settings, side *Side, streams Handler, log zerolog.Logger) *Server {
 	srv := &Server{Side: side, streams: streams, log: log}
 	srv.classes.Store(&map[string]class{})
+	srv.tenants.Store(&map[string]int{})
 	srv.Reclass(s)
 	return srv
 }
 
-// Reclass takes over changed classes, by their names; the decisions know them already. One that has vanished is taken for
+// Reclass takes over changed tenants and classes, by their names; the decisions know them already. One that has vanished is taken for
 // as long as its deadline: whoever calls, and was told at another moment, still has requests of it under way.
 func (s *Server) Reclass(set *config.Settings) {
 	was, is, now := *s.classes.Load(), map[string]class{}, time.Now()
@@ -59,6 +61,11 @@
 		is[name] = c
 	}
 	s.classes.Store(&is)
+	tenants := map[string]int{}
+	for i, name := range set.TenantNames {
+		tenants[name] = i + 1
+	}
+	s.tenants.Store(&tenants)
 }
 
 // class finds one by its name, at that time.
--- a/internal/engine/engine.go
+++ b/internal/engine/engine.go
@@ -313,6 +313,7 @@
 // Call is what the decisions are told of a stream.
 type Call struct {
 	Class    int
+	Tenant   int           // 1 is the settings' first; 0: none that they know, which has no share to be over
 	Left     time.Duration // until the client gives up
 	Coming   bool          // its message still comes: Left runs from Stream.Whole on
 	Repeated bool          // the client's own retry
@@ -339,7 +340,10 @@
 		tries: make([]try, 0, most)}
 	e.streams[s.id] = s
 	ev := balance.Event{Kind: balance.EventRequest, Request: s.id, Class: c.Class, Left: c.Left, Coming: c.Coming, Repeated: c.Repeated,
-		Most: c.Most, Worth: c.Worth}
+		Most: c.Most, Worth: c.Worth, Tenant: c.Tenant - 1}
+	if c.Tenant == 0 {
+		ev.Tenant = len(e.settings.Tenants)
+	}
 	if !c.Ran.IsZero() {
 		ev.Ran, ev.Endpoint = max(1, e.unix+c.Ran.Sub(e.start)), c.RanAt
 	}
--- a/internal/engine/engine_test.go
+++ b/internal/engine/engine_test.go
@@ -243,3 +243,33 @@
 	}
 	t.Logf("%d sends", sends.Load())
 }
+
+// Guards against a tenant that is turned away for what another has used up, and against requests of none that the settings know
+// being counted as the first one's.
+func TestTenants(t *testing.T) {
+	e := newEngine(t) // nobody to send to, so that what comes waits, and what is over its share is turned away
+	s := e.settings
+	s.Tenants = []balance.Tenant{{Share: 0.5, Quota: 1}, {Share: 0.5, Quota: 1}}
+	if err := e.Retune(s, 0); err != nil {
+		t.Fatal(err)
+	}
+	for i, c := range []struct {
+		tenant int
+		over   bool
+	}{{1, false}, {1, true}, {2, false}, {2, true}, {0, false}, {0, false}, {1, true}} {
+		st := e.Open(context.Background(), Call{Tenant: c.tenant, Left: time.Minute})
+		select {
+		case v := <-st.Verdict():
+			if !c.over || !v.Refused {
+				t.Errorf("request %d, of tenant %d: %+v", i, c.tenant, v)
+			}
+		default:
+			if c.over {
+				t.Errorf("request %d, of tenant %d, is taken beyond its share", i, c.tenant)
+			}
+		}
+		if i > 0 { // the first waits on
+			st.Close()
+		}
+	}
+}
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -21,6 +21,8 @@
 	Txn       string // fresh for every request
 	ClassName string
 	Class     int
+	Tenant    int    // whose it is: 1 is the settings' first; 0: none's that they know
+	Org       string // the same, as its caller has it
 	Operation string // how it is called: over HTTP, the method
 	Target    string // what is called: over HTTP, the raw path and query
 	Authority string
@@ -163,7 +165,7 @@
 		return res
 	}
 	// Attempts must not end with the client by themselves: the decisions withdraw them.
-	call := engine.Call{Class: req.Class, Left: time.Until(req.Deadline), Repeated: req.Repeated, Most: a.Most(), Worth: a.Worth(),
+	call := engine.Call{Class: req.Class, Tenant: req.Tenant, Left: time.Until(req.Deadline), Repeated: req.Repeated, Most: a.Most(), Worth: a.Worth(),
 		Ran: ran.At, RanAt: ran.Host}
 	if req.Upload != nil {
 		call.Left, call.Coming = req.Upload.Left, true
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -221,6 +221,7 @@
 	b = header(b, "X-Lane", req.ClassName)
 	b = fmt.Appendf(b, "\r\nX-Remaining-Ms: %d", max(1, left.Milliseconds()))
 	b = header(b, "Idempotency-Key", req.Key)
+	b = header(b, "X-Org", req.Org)
 	b = header(b, "X-Labels", req.Labels)
 	b = header(b, "Content-Type", req.MediaType)
 	b = header(b, "Baggage", req.Baggage)
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -78,7 +78,7 @@
 	host := newScripted(t)
 	p := poolFor(host.addr, 1)
 	req := &stream.Request{Operation: "POST", Target: "/place-order/7?x=%2F&y", Authority: "origin.svc", Txn: "0a1b",
-		ClassName: "place-order", Key: "k1", Body: []byte("two lenses"), Repeated: true, Labels: "a=1", MediaType: "text/plain"}
+		ClassName: "place-order", Key: "k1", Body: []byte("two lenses"), Repeated: true, Labels: "a=1", Org: "north", MediaType: "text/plain"}
 	ended := make(chan stream.Response, 1)
 	go func() {
 		_, res := p.Do(context.Background(), 1, time.Now().Add(time.Minute), req)
@@ -90,7 +90,7 @@
 		t.Errorf("the host got %s %s for %s with body %q", at.req.Method, at.req.RequestURI, at.req.Host, h.Get("Body"))
 	}
 	for name, want := range map[string]string{"X-Txn": "0a1b", "X-Lane": "place-order", "Idempotency-Key": "k1",
-		"X-Labels": "a=1", "X-Resent": "1", "Content-Type": "text/plain"} {
+		"X-Labels": "a=1", "X-Org": "north", "X-Resent": "1", "Content-Type": "text/plain"} {
 		if h.Get(name) != want {
 			t.Errorf("%s is %q, want %q", name, h.Get(name), want)
 		}
