Take classes whose names have slashes, as the settings name them

Cause: message.go (decode) took the path up to its first slash for the class.

Change: the class that X-Lane names has to begin the path; without it the longest that does is meant. Measured without the mend: TestClassesWithSlashes '/open/gate/1 of "open/gate": 400, class "", want 200'.

--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -149,16 +150,13 @@
 // decode reads a message's head into a request, or says why it is none.
 func (s *Server) decode(r *http.Request, at time.Time) (*stream.Request, *refusal) {
 	h := r.Header
-	lane, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	named := h.Get("X-Lane")
-	if named == "" {
-		named = lane
-	}
-	c, known := s.class(named, at)
-	if _, fits := s.class(lane, at); !known || !fits {
+	path := strings.TrimPrefix(r.URL.Path, "/")
+	lane := cmp.Or(h.Get("X-Lane"), s.lane(path, at))
+	c, known := s.class(lane, at)
+	switch {
+	case !known || !begins(path, lane) && s.lane(path, at) == "":
 		return nil, &refusal{http.StatusNotFound, "unknown class"}
-	}
-	if named != lane {
+	case !begins(path, lane):
 		return nil, &refusal{http.StatusBadRequest, "X-Lane and the path name different classes"}
 	}
 	req := &stream.Request{
@@ -204,6 +202,22 @@
 	return req, nil
 }
 
+// lane is the class that begins a path, the longest where several do: their names may have slashes. Empty: none does.
+func (s *Server) lane(path string, at time.Time) (lane string) {
+	for name := range *s.classes.Load() {
+		if _, known := s.class(name, at); known && len(name) > len(lane) && begins(path, name) {
+			lane = name
+		}
+	}
+	return lane
+}
+
+// begins tells whether a class is the first part of a path.
+func begins(path, lane string) bool {
+	rest, ok := strings.CutPrefix(path, lane)
+	return ok && (rest == "" || rest[0] == '/')
+}
+
 // target is what is called: the path and query as they came, also where the message names the host before them.
 func target(r *http.Request) string {
 	if _, after, found := strings.Cut(r.RequestURI, "://"); found && r.URL.IsAbs() {
--- a/internal/downstream/reclass_test.go
+++ b/internal/downstream/reclass_test.go
@@ -83,3 +83,34 @@
 		}
 	}
 }
+
+// Guards against a class whose name has a slash being unknown, or taken for one whose name it begins with.
+func TestClassesWithSlashes(t *testing.T) {
+	var got stream.Request
+	s := newServer(func(_ context.Context, req *stream.Request) stream.Response {
+		got = *req
+		return stream.Response{}
+	})
+	safe := balance.Class{Effect: balance.Safe, Deadline: time.Second}
+	s.Reclass(&config.Settings{Settings: balance.Settings{MaxHeld: 2, Classes: []balance.Class{safe, safe, safe}},
+		ClassNames: []string{"open", "open/gate", "a.b/c/d"}})
+	for _, c := range []struct {
+		target, lane string
+		code         int
+		want         string
+	}{
+		{"/open/gate/1", "open/gate", 200, "open/gate"}, {"/open/gate/1", "", 200, "open/gate"}, {"/open/gate", "", 200, "open/gate"},
+		{"/open/gate/1", "open", 200, "open"}, {"/open/gates/1", "", 200, "open"}, {"/open/1", "open/gate", 400, ""},
+		{"/a.b/c/d/x/y", "a.b/c/d", 200, "a.b/c/d"}, {"/a.b/c", "", 404, ""}, {"/a.b/c", "a.b/c", 404, ""}, {"/opened/1", "", 404, ""},
+	} {
+		got = stream.Request{}
+		r := message("GET", c.target, "", "X-Txn", "a", "X-Remaining-Ms", "900")
+		if c.lane != "" {
+			r.Header.Set("X-Lane", c.lane)
+		}
+		w := httptest.NewRecorder()
+		if s.ServeHTTP(w, r); w.Code != c.code || got.ClassName != c.want {
+			t.Errorf("%s of %q: %d, class %q, want %d, %q", c.target, c.lane, w.Code, got.ClassName, c.code, c.want)
+		}
+	}
+}
