Ask a list service that turns calls away up to 0.8 s apart, as before

Cause: the pause after failures had come down to 0.18 s, for agents that are silent and back. Where a site has its lists asked for, one service answers all sidecars, and says 503 where it has no room: on quito-harvest 34 of 42 sidecars got that in the first moment. Asking four times as often keeps it so. Ruled out: an agent of the machine's own, which is silent or answers.

Change: the pause goes by what the failure was.

--- a/internal/cluster/crossings_test.go
+++ b/internal/cluster/crossings_test.go
@@ -264,3 +264,28 @@
 		}
 	}
 }
+
+// Guards against a list service that many ask, and that has no room, being asked harder the worse it does.
+func TestTurnedAwayAsksLess(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		_, table := newWorld()
+		dials := 0
+		watcher := Watcher{Addr: "service", Table: table, Rand: rand.New(longest{}), Log: zerolog.Nop(),
+			dial: func(context.Context, string, string) (net.Conn, error) {
+				dials++
+				ours, theirs := net.Pipe()
+				go func() {
+					defer theirs.Close()
+					_, _ = http.ReadRequest(bufio.NewReader(theirs))
+					_, _ = io.WriteString(theirs, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n")
+				}()
+				return ours, nil
+			}}
+		ctx, over := context.WithTimeout(t.Context(), 10*time.Second)
+		defer over()
+		watcher.Run(ctx, func() {})
+		if dials < 10 || dials > 20 {
+			t.Errorf("asked %d times in 10 s, want 10 to 20", dials)
+		}
+	})
+}
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -27,6 +27,7 @@
 	answerIn   = 2 * time.Second         // the same of a call that doesn't wait
 	redialMost = 100 * time.Millisecond  // after a failure: well within the 200 ms that keep a watch going
 	redialLast = 180 * time.Millisecond  // and after many in a row: an agent that is back counts what it has as told at once
+	turnedLast = 800 * time.Millisecond  // the same where it says that it has no room: it is not to be asked harder the worse it does
 	listMost   = 8 << 20                 // bytes of an answer
 	nestedMost = 100                     // objects and lists within one another there: reading them takes stack
 )
@@ -148,7 +149,11 @@
 		if failures == 0 { // once, not ten times a second for as long as it is down
 			w.log.Warn().Err(err).Msg("discovery did not answer")
 		}
-		sleep(ctx, w.spread(redialAfter(failures)))
+		pause := redialAfter(failures)
+		if turned := (*turnedAway)(nil); errors.As(err, &turned) {
+			pause = min(turnedLast, redialMost<<min(failures, 8))
+		}
+		sleep(ctx, w.spread(pause))
 		failures++
 	}
 	for ctx.Err() == nil {
