--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -1,6 +1,7 @@
 package downstream
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -149,22 +150,19 @@
 // decode reads a message's head into a request, or says why it is none.
 func (s *Server) decode(r *http.Request, at time.Time) (*stream.Request, *refusal) {
 	h := r.Header
-	lane, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/")
-	named := h.Get("X-Lane")
-	if named == "" {
-		named = lane
-	}
-	c, known := s.class(named, at)
-	if _, fits := s.class(lane, at); !known || !fits {
+	path := strings.TrimPrefix(r.URL.Path, "/")
+	lane := cmp.Or(h.Get("X-Lane"), s.lane(path, at))
+	c, known := s.class(lane, at)
+	switch {
+	case !known || !begins(path, lane) && s.lane(path, at) == "":
 		return nil, &refusal{http.StatusNotFound, "unknown class"}
-	}
-	if named != lane {
+	case !begins(path, lane):
 		return nil, &refusal{http.StatusBadRequest, "X-Lane and the path name different classes"}
 	}
 	req := &stream.Request{
 		Txn: h.Get("X-Txn"), ClassName: lane, Class: c.index, Operation: r.Method, Target: target(r), Authority: r.Host,
 		Key: h.Get("Idempotency-Key"), Repeated: h.Get("X-Resent") == "1", Labels: h.Get("X-Labels"),
-		MediaType: h.Get("Content-Type"), Baggage: strings.Join(h["Baggage"], ","),
+		Org: h.Get("X-Org"), MediaType: h.Get("Content-Type"), Baggage: strings.Join(h["Baggage"], ","),
 	}
 	left, err := strconv.ParseUint(h.Get("X-Remaining-Ms"), 10, 32)
 	method, keyed := http.MethodPost, c.effect == balance.Keyed
@@ -180,7 +178,7 @@
 		return nil, &refusal{http.StatusBadRequest, "the method does not fit the class"}
 	case keyed && (!isName(req.Key) || len(h["Idempotency-Key"]) > 1) || !keyed && len(h["Idempotency-Key"]) > 0:
 		return nil, &refusal{http.StatusBadRequest, "the Idempotency-Key does not fit the class"}
-	case len(h["X-Lane"]) > 1 || len(h["X-Labels"]) > 1 || len(h["Content-Type"]) > 1:
+	case len(h["X-Lane"]) > 1 || len(h["X-Org"]) > 1 || len(h["X-Labels"]) > 1 || len(h["Content-Type"]) > 1:
 		return nil, &refusal{http.StatusBadRequest, "a header is repeated"}
 	case !strings.HasPrefix(req.Target, "/") || !isPlain(req.Target, false) || !isPlain(req.Authority, false) ||
 		!isPlain(req.Labels, true) || !isPlain(req.MediaType, true): // upstream hosts hang up on what they can't read
@@ -188,6 +186,10 @@
 	case c.effect == balance.Safe && r.ContentLength > 0:
 		return nil, bodyless
 	}
+	req.Tenant = (*s.tenants.Load())[req.Org]
+	if !isPlain(req.Org, true) { // a name that only the settings can read
+		req.Org = ""
+	}
 	if !isPlain(req.Baggage, true) { // nobody's concern but ours: no reason to turn the request away
 		req.Baggage = ""
 	}
@@ -200,6 +202,22 @@
 	return req, nil
 }
 
+// lane is the class that begins a path, the longest where several do: their names may have slashes. Empty: none does.
+func (s *Server) lane(path string, at time.Time) (lane string) {
+	for name := range *s.classes.Load() {
+		if _, known := s.class(name, at); known && len(name) > len(lane) && begins(path, name) {
+			lane = name
+		}
+	}
+	return lane
+}
+
+// begins tells whether a class is the first part of a path.
+func begins(path, lane string) bool {
+	rest, ok := strings.CutPrefix(path, lane)
+	return ok && (rest == "" || rest[0] == '/')
+}
+
 // target is what is called: the path and query as they came, also where the message names the host before them.
 func target(r *http.Request) string {
 	if _, after, found := strings.Cut(r.RequestURI, "://"); found && r.URL.IsAbs() {
