--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -13,18 +14,20 @@
 // Settings is what the site says, for the decisions and for the names on the sockets.
 type Settings struct {
 	balance.Settings
-	ClassNames []string      // by class index, as requests name them
-	KindNames  []string      // by kind index, as discovery names them
-	ZoneNames  []string      // by zone index, as discovery names them
-	Vanished   []bool        // by class index, of settings that follow others: the file has it no more; nil: none
-	ConnIdle   time.Duration // an upstream host closes a connection that has stood idle for this long
+	ClassNames  []string      // by class index, as requests name them
+	TenantNames []string      // by tenant index, as requests name them
+	KindNames   []string      // by kind index, as discovery names them
+	ZoneNames   []string      // by zone index, as discovery names them
+	Vanished    []bool        // by class index, of settings that follow others: the file has it no more; nil: none
+	ConnIdle    time.Duration // an upstream host closes a connection that has stood idle for this long
 }
 
-// classesMost is how many classes a process knows in its life: those that vanish keep their numbers.
+// classesMost is how many classes, and how many tenants, a process knows in its life: those that vanish keep their numbers.
 const classesMost = 256
 
-// After returns settings whose classes have the numbers that they have in former, by their names. Those that only former
-// has keep theirs, as they were, and have vanished.
+// After returns settings whose classes and tenants have the numbers that they have in former, by their names: a request that
+// is on its way in must not be counted as another's. Those that only former has keep theirs, as they were; such classes have
+// vanished.
 func (s *Settings) After(former *Settings) (Settings, error) {
 	out := *s
 	out.ClassNames, out.Classes = slices.Clone(former.ClassNames), slices.Clone(former.Classes)
@@ -40,8 +43,19 @@
 		}
 		out.Classes[at], out.Vanished[at] = s.Classes[i], false
 	}
-	if len(out.ClassNames) > classesMost {
-		return out, fmt.Errorf("config: LB_CONFIG.settings.classes: over %d names since the start; restart to forget those that have vanished", classesMost)
+	out.TenantNames, out.Tenants = slices.Clone(former.TenantNames), slices.Clone(former.Tenants)
+	for i, name := range s.TenantNames {
+		at := slices.Index(out.TenantNames, name)
+		if at < 0 {
+			at = len(out.TenantNames)
+			out.TenantNames, out.Tenants = append(out.TenantNames, name), append(out.Tenants, balance.Tenant{})
+		}
+		out.Tenants[at] = s.Tenants[i]
+	}
+	for what, names := range map[string][]string{"classes": out.ClassNames, "tenants": out.TenantNames} {
+		if len(names) > classesMost {
+			return out, fmt.Errorf("config: LB_CONFIG.settings.%s: over %d names since the start; restart to forget those that have vanished", what, classesMost)
+		}
 	}
 	return out, nil
 }
@@ -59,6 +73,23 @@
 	"mean_ms": balance.LoadServiceMS, "tps": balance.LoadRate, "err_ps": balance.LoadErrorRate,
 }
 
+// keys are what the file calls the fields that a balance.Fault can name.
+var keys = map[string]string{
+	"Classes": "classes", "Instances": "n_instances", "MaxAttempts": "allowed.send_cap", "Quantum": "quantum",
+	"ColdShare": "rules.cold_share", "FallMultiple": "rules.tip_multiple", "FallWindow": "rules.fall", "MustAskIn": "rules.must_ask_in",
+	"Aim": "aim", "Deadline": "deadline", "Worth": "worth", "Effect": "idempotency", "Memory": "memory_span",
+}
+
+// keyOf is the place in the settings of the file of a field, such as classes[1].deadline of Classes[1].Deadline.
+func keyOf(field string) string {
+	if index, ok := strings.CutPrefix(field, "Classes["); ok {
+		if index, of, ok := strings.Cut(index, "]."); ok {
+			return fmt.Sprintf("classes[%s].%s", index, keys[of])
+		}
+	}
+	return keys[field]
+}
+
 // ParseSettings reads the settings object that the simulator's first message and LB_CONFIG share.
 // Keys that it does not know are ignored; a key of the wrong type is an error that names it.
 func ParseSettings(data []byte) (Settings, error) {
@@ -74,7 +105,7 @@
 	}
 	out := Settings{Settings: balance.Settings{
 		Instances: r.integer("n_instances"), Rank: r.integer("rank"), Tier: r.integer("tier"),
-		Zone: r.integer("locality"), OverShareWorth: r.numberOr("over_share_worth", 1),
+		Zone: r.integer("locality"), OverShareWorth: r.amountOr("over_share_worth", 1),
 		ByWork: r.text("counted_by") == "work", PassesDeadline: r.flag("family_info.passes_deadline"),
 		MarksRetry: r.flag("clients.marks_retry"), MustAsk: r.text("registry_mode") == "subscribe",
 		Weights:    r.text("weight_source") != "off" && r.text("weight_source") != "",
@@ -91,6 +122,9 @@
 		ColdShare: r.number("rules.cold_share"), ColdFor: r.span("rules.cold"),
 		FallMultiple: r.number("rules.tip_multiple"), FallWindow: r.span("rules.fall"),
 	}}
+	if out.Rank < 0 { // an index
+		r.fail("rank", "must not be below 0")
+	}
 	out.ConnIdle = r.span("allowed.conn_idle")
 	out.KindNames, out.ZoneNames = r.texts("kinds"), r.texts("zones")
 	out.Kinds, out.Zones, out.Tiers = len(out.KindNames), len(out.ZoneNames), len(r.texts("tiers"))
@@ -98,7 +132,8 @@
 		out.LoadFields = append(out.LoadFields, loadFields[f])
 	}
 	for _, t := range r.objects("tenants") {
-		out.Tenants = append(out.Tenants, balance.Tenant{Share: t.number("share"), Quota: t.number("quota_rps")})
+		out.TenantNames = append(out.TenantNames, t.text("name"))
+		out.Tenants = append(out.Tenants, balance.Tenant{Share: t.amount("share"), Quota: t.amount("quota_rps")})
 	}
 	for _, c := range r.objects("classes") {
 		effect, known := effects[c.text("idempotency")]
@@ -111,8 +146,8 @@
 		}
 		out.ClassNames = append(out.ClassNames, c.text("name"))
 		out.Classes = append(out.Classes, balance.Class{
-			Aim: c.span("aim"), AimStretch: c.number("aim_stretch"), Deadline: c.span("deadline"), Effect: effect,
-			Scope: scope, Memory: c.span("memory_span"), Worth: c.number("worth"), LateWorth: c.number("late_worth"),
+			Aim: c.span("aim"), AimStretch: c.amount("aim_stretch"), Deadline: c.span("deadline"), Effect: effect,
+			Scope: scope, Memory: c.span("memory_span"), Worth: c.amount("worth"), LateWorth: c.amount("late_worth"),
 			Stream: c.flag("stream"),
 		})
 	}
--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -61,6 +61,9 @@
 		// beside it: by the one that was dropped, another request may stand inside this one's body.
 		w.Header().Set("Connection", "close")
 	}
+	if r.ContentLength != 0 { // where nobody here reads a body, net/http does before it answers
+		_ = http.NewResponseController(w).SetReadDeadline(at.Add(bodyFor))
+	}
 	if r.URL.Path == "/_health" {
 		if r.ContentLength != 0 {
 			say(w, http.StatusBadRequest, "health takes no body")
@@ -161,7 +164,7 @@
 	req := &stream.Request{
 		Txn: h.Get("X-Txn"), ClassName: lane, Class: c.index, Operation: r.Method, Target: target(r), Authority: r.Host,
 		Key: h.Get("Idempotency-Key"), Repeated: h.Get("X-Resent") == "1", Labels: h.Get("X-Labels"),
-		MediaType: h.Get("Content-Type"), Baggage: strings.Join(h["Baggage"], ","),
+		Org: h.Get("X-Org"), MediaType: h.Get("Content-Type"), Baggage: strings.Join(h["Baggage"], ","),
 	}
 	left, err := strconv.ParseUint(h.Get("X-Remaining-Ms"), 10, 32)
 	method, keyed := http.MethodPost, c.effect == balance.Keyed
@@ -177,7 +180,7 @@
 		return nil, &refusal{http.StatusBadRequest, "the method does not fit the class"}
 	case keyed && (!isName(req.Key) || len(h["Idempotency-Key"]) > 1) || !keyed && len(h["Idempotency-Key"]) > 0:
 		return nil, &refusal{http.StatusBadRequest, "the Idempotency-Key does not fit the class"}
-	case len(h["X-Lane"]) > 1 || len(h["X-Labels"]) > 1 || len(h["Content-Type"]) > 1:
+	case len(h["X-Lane"]) > 1 || len(h["X-Org"]) > 1 || len(h["X-Labels"]) > 1 || len(h["Content-Type"]) > 1:
 		return nil, &refusal{http.StatusBadRequest, "a header is repeated"}
 	case !strings.HasPrefix(req.Target, "/") || !isPlain(req.Target, false) || !isPlain(req.Authority, false) ||
 		!isPlain(req.Labels, true) || !isPlain(req.MediaType, true): // upstream hosts hang up on what they can't read
@@ -185,9 +188,16 @@
 	case c.effect == balance.Safe && r.ContentLength > 0:
 		return nil, bodyless
 	}
+	req.Tenant = (*s.tenants.Load())[req.Org]
+	if !isPlain(req.Org, true) { // a name that only the settings can read
+		req.Org = ""
+	}
 	if !isPlain(req.Baggage, true) { // nobody's concern but ours: no reason to turn the request away
 		req.Baggage = ""
 	}
+	if own, ok := r.Context().Value(callerKey{}).(*caller); ok {
+		req.Left = own.left
+	}
 	req.Arrived = at // for now
 	// An answer within the class's deadline is in time for every client, however long it says it waits.
 	req.Deadline = at.Add(min(time.Duration(left)*time.Millisecond, c.deadline))
@@ -345,7 +355,6 @@
 	control, buf := http.NewResponseController(w), buffers.Get().(*[copyBytes]byte)
 	defer buffers.Put(buf)
 	send := func(b []byte) error {
-		_ = control.SetWriteDeadline(time.Now().Add(takeFor)) // on a connection that is broken the write says so
 		if _, err := w.Write(b); err != nil {
 			return err
 		}
@@ -364,7 +373,6 @@
 	if err != io.EOF {
 		cut(r.Context())
 	}
-	_ = control.SetWriteDeadline(time.Time{})
 }
 
 // say writes a short answer of our own.
--- a/internal/upstream/request_test.go
+++ b/internal/upstream/request_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -76,7 +78,7 @@
 	host := newScripted(t)
 	p := poolFor(host.addr, 1)
 	req := &stream.Request{Operation: "POST", Target: "/place-order/7?x=%2F&y", Authority: "origin.svc", Txn: "0a1b",
-		ClassName: "place-order", Key: "k1", Body: []byte("two lenses"), Repeated: true, Labels: "a=1", MediaType: "text/plain"}
+		ClassName: "place-order", Key: "k1", Body: []byte("two lenses"), Repeated: true, Labels: "a=1", Org: "north", MediaType: "text/plain"}
 	ended := make(chan stream.Response, 1)
 	go func() {
 		_, res := p.Do(context.Background(), 1, time.Now().Add(time.Minute), req)
@@ -88,7 +90,7 @@
 		t.Errorf("the host got %s %s for %s with body %q", at.req.Method, at.req.RequestURI, at.req.Host, h.Get("Body"))
 	}
 	for name, want := range map[string]string{"X-Txn": "0a1b", "X-Lane": "place-order", "Idempotency-Key": "k1",
-		"X-Labels": "a=1", "X-Resent": "1", "Content-Type": "text/plain"} {
+		"X-Labels": "a=1", "X-Org": "north", "X-Resent": "1", "Content-Type": "text/plain"} {
 		if h.Get(name) != want {
 			t.Errorf("%s is %q, want %q", name, h.Get(name), want)
 		}
@@ -134,6 +136,43 @@
 	}
 }
 
+// Guards against an answer to the last request, which its host gives once more some milliseconds later, being served to the
+// next: that goes out on another connection until the first has rested, and then has shown what came on it.
+func TestLateSecondAnswer(t *testing.T) {
+	host := newScripted(t)
+	p := poolFor(host.addr, 9)
+	clock := time.Now()
+	p.now = func() time.Time { return clock }
+	ask := func(want int, more ...arrival) arrival {
+		t.Helper()
+		body := make(chan string, 1)
+		go func() {
+			_, res := get(p, time.Minute)
+			body <- string(res.Body)
+		}()
+		at := <-host.arrivals
+		for _, m := range more {
+			_, _ = io.WriteString(m.nc, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nold")
+		}
+		_, _ = io.WriteString(at.nc, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nnew")
+		if got := <-body; got != "new" || at.conn != want {
+			t.Errorf("served with %q on connection %d, want its own answer on %d", got, at.conn, want)
+		}
+		return at
+	}
+	first := ask(0)
+	ask(1, first) // the host's first answer comes once more, after the next request was sent
+	clock = clock.Add(restFor)
+	last := ask(1)
+	clock = clock.Add(restFor)
+	_, _ = io.WriteString(last.nc, "HTTP/1.1 200 OK")
+	for idle := 1; idle > 0; idle, _ = counts(p, 1) { // all that is idle has something unasked on it, once the kernel has brought it
+		runtime.Gosched()
+		p.retire()
+	}
+	ask(2)
+}
+
 // Guards against a host at an address used before meeting a connection of the former one, whichever news
 // comes first.
 func TestAddressUsedAgain(t *testing.T) {
