--- a/balance/balance.go
+++ b/balance/balance.go
@@ -347,7 +347,7 @@
 	return true
 }
 
-// repeatable tells whether servers still drop repeats of what an attempt may have done, on a late connection too.
+// repeatable tells whether a repeat of what an attempt may have done will come in time to be dropped.
 func (b *Balancer) repeatable(r *request, a *attempt) bool {
 	return r.class.Effect == Keyed && b.now < a.sentAt+r.class.Memory-b.set.ConnectTimeout-b.margin()
 }
