Tell a lone sidecar's clients before their connections close, and lose none in the queue

And net/http closes with bytes unread, which resets. Ruled out: a request read and not answered (TestRequestCrossesClose holds).

Change: clients that have nowhere to go are told with the answers of the last 0.1 s too; new connections are closed with the cut; limited.Close has Accept return what the queue holds before the listener closes; a connection that something may cross is closed by half first, and left to its client for 0.1 s. What comes then is not read: it could not be answered.

TestDrainAlone has one step more, and checks what is answered after it; all that it checked before it checks still.

--- a/internal/downstream/connections.go
+++ b/internal/downstream/connections.go
@@ -8,7 +8,10 @@
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // silentLeast is how long a new connection may be silent before it gives way ahead of one that has already
@@ -19,6 +22,10 @@
 // that are slow write a head in pieces.
 const stalledLeast = 700 * time.Millisecond
 
+// lingerFor is how long a connection whose sending has ended is left to its client: there and back, and time to wake up. A
+// planned end has it after what is answered last.
+const lingerFor = cutBefore - endBefore
+
 // connections bounds how many callers' connections are open, so that they never take the descriptors of
 // the upstream side. When all are in use, one on which no request is under way gives way to a new one.
 type connections struct {
@@ -27,7 +34,9 @@
 	most    int
 	open    int
 	quiet   map[net.Conn]quiet
-	leaving bool // whatever falls quiet is closed
+	leaving bool // whatever falls idle is closed
+	shut    bool // and whatever is new
+	over    bool // no close waits for its client any more
 	now     func() time.Time
 }
 
@@ -60,7 +69,7 @@
 		}
 	case http.StateNew, http.StateIdle:
 		c.quiet[conn] = quiet{state, c.now()}
-		if c.leaving {
+		if c.shut || c.leaving && state == http.StateIdle {
 			retire(conn)
 		}
 		c.free.Signal()
@@ -177,11 +186,24 @@
 	return n
 }
 
+// closeIdle closes every connection that waits for another request or has long been silent, and from now on each that has
+// answered its last. Those that are new are left to bring their request.
+func (c *connections) closeIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaving = true
+	for conn, q := range c.quiet {
+		if own, ok := conn.(*caller); (!ok || !own.begun) && (q.state == http.StateIdle || c.now().Sub(q.since) >= silentLeast) {
+			retire(conn)
+		}
+	}
+}
+
 // closeQuiet closes every connection on which no request has begun, and from now on each that has answered its last.
 func (c *connections) closeQuiet() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.leaving = true
+	c.leaving, c.shut = true, true
 	for conn := range c.quiet {
 		if own, ok := conn.(*caller); !ok || !own.begun {
 			retire(conn)
@@ -189,6 +211,13 @@
 	}
 }
 
+// abandon has no close wait for its client from now on.
+func (c *connections) abandon() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.over = true
+}
+
 // past is a deadline by which a read returns at once.
 var past = time.Unix(1, 0)
 
@@ -202,6 +231,7 @@
 	conns   *connections // whose lock guards the rest
 	begun   bool         // something has come since its last state
 	retired bool
+	closing bool      // somebody is about to close it, or it is to be reset
 	until   time.Time // for reading, as it was last set
 }
 
@@ -264,6 +294,39 @@
 	return errors.ErrUnsupported
 }
 
+// Close ends our sending first, and leaves a client that may have something on its way so long to end the connection itself:
+// a close over bytes that nobody has read resets the connection, and takes an answer with it that the client is yet to read.
+// What comes then is not read, for it can't be answered.
+func (c *caller) Close() error {
+	if sc, ok := c.Conn.(syscall.Conn); ok && c.lingers() && c.CloseWrite() == nil {
+		if raw, err := sc.SyscallConn(); err == nil {
+			_ = c.Conn.SetReadDeadline(time.Now().Add(lingerFor))
+			_ = raw.Read(func(uintptr) bool { return Left(c.Conn) }) // or its time is over
+		}
+	}
+	return c.Conn.Close()
+}
+
+// lingers tells whether a client may have something on its way as its connection is closed: because something is here, or
+// because clients are not told of a planned end before it. It does so once.
+func (c *caller) lingers() bool {
+	c.conns.mu.Lock()
+	defer c.conns.mu.Unlock()
+	first := !c.closing
+	c.closing = true
+	return first && !c.conns.over && (c.conns.leaving || unread(c.Conn))
+}
+
+// reset has the connection end with a reset, whatever has come.
+func (c *caller) reset() {
+	c.conns.mu.Lock()
+	c.closing = true
+	c.conns.mu.Unlock()
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0)
+	}
+}
+
 type callerKey struct{}
 
 // withConn is for http.Server.ConnContext.
@@ -274,9 +337,7 @@
 // cut ends a message's connection in a way that can't pass for the end of an answer, whatever its framing.
 func cut(ctx context.Context) {
 	if c, ok := ctx.Value(callerKey{}).(*caller); ok {
-		if tcp, ok := c.Conn.(*net.TCPConn); ok {
-			_ = tcp.SetLinger(0) // a reset, also where the end of the connection would be the end of the answer
-		}
+		c.reset() // also where the end of the connection would be the end of the answer
 	}
 	panic(http.ErrAbortHandler)
 }
@@ -285,13 +346,61 @@
 type limited struct {
 	net.Listener
 	conns *connections
+	ends  atomic.Bool
 }
 
 func (l *limited) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := l.accept()
 	if err != nil {
 		return nil, err
 	}
 	l.conns.claim()
 	return &caller{Conn: conn, conns: l.conns}, nil
 }
+
+// accept goes on after Close, until the kernel's queue is empty.
+func (l *limited) accept() (net.Conn, error) {
+	for {
+		if l.ends.Load() {
+			if !queued(l.Listener) {
+				_ = l.Listener.Close()
+				return nil, net.ErrClosed
+			}
+			_ = l.Listener.(timed).SetDeadline(time.Now().Add(lingerFor)) // another process may take what is there
+		}
+		if conn, err := l.Listener.Accept(); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return conn, err
+		}
+	}
+}
+
+// timed is a listener whose queue can be looked at.
+type timed interface {
+	syscall.Conn
+	SetDeadline(t time.Time) error
+}
+
+// Close has Accept return what is in the kernel's queue yet, and then let go of the address: those connections are this
+// machine's already, and would be reset with what their clients have written.
+func (l *limited) Close() error {
+	t, ok := l.Listener.(timed)
+	if !ok {
+		return l.Listener.Close()
+	}
+	l.ends.Store(true)
+	return t.SetDeadline(past)
+}
+
+// queued tells whether a connection waits to be accepted.
+func queued(l net.Listener) (waits bool) {
+	raw, err := l.(timed).SyscallConn()
+	if err != nil {
+		return false
+	}
+	fault := raw.Control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		n, err := unix.Poll(p, 0)
+		waits = err == nil && n > 0 && p[0].Revents&unix.POLLIN != 0
+	})
+	return waits && fault == nil
+}
--- a/internal/downstream/crossing_test.go
+++ b/internal/downstream/crossing_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -43,6 +44,7 @@
 type gated struct {
 	*net.TCPConn
 	stops, watched atomic.Bool
+	stopsEnd       atomic.Bool // before its sending or all of it is closed, once
 	held, goOn     chan struct{}
 	ended          chan struct{} // gets something as the watched connection is closed, or its reads are
 }
@@ -72,8 +74,21 @@
 	}
 }
 
+func (g *gated) holdEnd() {
+	if g.stopsEnd.CompareAndSwap(true, false) {
+		g.held <- struct{}{}
+		<-g.goOn
+	}
+}
+
+func (g *gated) CloseWrite() error {
+	g.holdEnd()
+	return g.TCPConn.CloseWrite()
+}
+
 func (g *gated) Close() error {
 	g.end()
+	g.holdEnd()
 	return g.TCPConn.Close()
 }
 
@@ -241,6 +256,123 @@
 	}
 }
 
+// Guards against connections that the kernel has accepted, and that wait behind a full bound, being reset with what their
+// clients have written as the listener closes.
+func TestQueueCrossesEnd(t *testing.T) {
+	held, release := make(chan struct{}, 9), make(chan struct{})
+	s := newServer(func(context.Context, *stream.Request) stream.Response {
+		held <- struct{}{}
+		<-release
+		return stream.Response{Body: []byte("whole")}
+	})
+	s.terms.Store(&terms{mostHeld: 10, within: time.Minute})
+	s.conns = newConnections(1)
+	steps := make(chan time.Time)
+	s.After = func(time.Duration) <-chan time.Time { return steps }
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, end := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- s.Run(ctx, s.Front(l)) }()
+	var all []*bufio.Reader // one is served, one waits for room, the others in the queue
+	for range 4 {
+		conn, in := dial(t, l.Addr())
+		io.WriteString(conn, raw)
+		all = append(all, in)
+	}
+	<-held
+	end()
+	steps <- time.Now()
+	steps <- time.Now() // it leaves
+	for leaving := false; !leaving; runtime.Gosched() {
+		s.conns.mu.Lock()
+		leaving = s.conns.leaving
+		s.conns.mu.Unlock()
+	}
+	close(release)
+	for i, in := range all {
+		if res := answer(t, in); res.StatusCode != 200 || !res.Close {
+			t.Errorf("connection %d was answered %d, closing %v", i, res.StatusCode, res.Close)
+		}
+	}
+	close(steps)
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+	if _, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		t.Error("the listener is still open")
+	}
+}
+
+// Guards against a connection that has just come, and whose request is on its way, passing for an idle one as those are closed.
+func TestRequestOfANewConnectionCrossesEnd(t *testing.T) {
+	c := newCrossing(t, 3)
+	clock := time.Now()
+	c.conns.now = func() time.Time { return clock }
+	kept, keptIn, _ := c.dial(false)
+	io.WriteString(kept, raw)
+	c.whole(keptIn, false)
+	fresh, freshIn, _ := c.dial(false)
+	for c.conns.spare(c.gate.Addr()) < 2 {
+		runtime.Gosched()
+	}
+	c.end()
+	c.steps <- time.Now()
+	c.steps <- time.Now() // it leaves
+	if _, err := keptIn.ReadByte(); err != io.EOF {
+		t.Errorf("an idle connection reads %v, want its end", err)
+	}
+	io.WriteString(fresh, raw)
+	c.whole(freshIn, true)
+	close(c.steps)
+	if err := <-c.ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// Guards against a reset where bytes come in the moment in which their connection is closed: it takes an answer with it that
+// its client is yet to read. In a planned end they come as late as they can, and otherwise behind a message that ends its
+// connection.
+func TestBytesCrossClose(t *testing.T) {
+	end := func(in *bufio.Reader) {
+		if _, err := in.ReadByte(); err != io.EOF {
+			t.Errorf("the connection reads %v, want its end", err)
+		}
+	}
+	c := newCrossing(t, 2)
+	conn, in, _ := c.dial(false)
+	io.WriteString(conn, "GET /look/1 HTTP/1.1\r\nHost: x\r\n\r\n"+strings.Repeat(raw, 200)) // the first has no id
+	if res, err := http.ReadResponse(in, nil); err != nil || res.StatusCode != 400 {
+		t.Errorf("a faulty request is answered %+v, %v", res, err)
+	} else if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Error(err)
+	}
+	end(in)
+	conn.Close()
+	conn, in, g := c.dial(false)
+	io.WriteString(conn, raw)
+	c.whole(in, false)
+	for c.conns.spare(c.gate.Addr()) == 0 {
+		runtime.Gosched()
+	}
+	g.stopsEnd.Store(true)
+	c.end()
+	close(c.steps)
+	<-g.held
+	io.WriteString(conn, raw)
+	for !unread(g) {
+		runtime.Gosched()
+	}
+	g.goOn <- struct{}{}
+	end(in)
+	conn.Close()
+	if err := <-c.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // Guards against a half close that net/http or Thrift's front can't make: the client would learn only from the whole close that
 // no answer follows, and lose what it sent until then.
 func TestHalfClose(t *testing.T) {
--- a/internal/downstream/server.go
+++ b/internal/downstream/server.go
@@ -91,7 +91,7 @@
 
 // Front is the server on l.
 func (s *Server) Front(l net.Listener) Front {
-	return Front{Listener: l, Server: &server{listener: l, conns: s.conns, served: make(chan struct{}), Server: &http.Server{
+	return Front{Listener: l, Server: &server{conns: s.conns, served: make(chan struct{}), Server: &http.Server{
 		ConnContext: withConn, Handler: s, ReadHeaderTimeout: HeadWithin, IdleTimeout: IdleWithin,
 		MaxHeaderBytes: headerMost, DisableGeneralOptionsHandler: true,
 		BaseContext: func(net.Listener) context.Context { return s.life }, ConnState: s.Changed, ErrorLog: stdlog.New(s.log, "", 0)}}}
@@ -101,9 +101,8 @@
 // connection that is idle by its state.
 type server struct {
 	*http.Server
-	listener net.Listener
-	conns    *connections
-	served   chan struct{} // closed once Serve has returned, and every connection that it took is counted
+	conns  *connections
+	served chan struct{} // closed once Serve has returned, and every connection that it took is counted
 }
 
 func (s *server) Serve(l net.Listener) error {
@@ -111,9 +110,8 @@
 	return s.Server.Serve(l)
 }
 
-// Shutdown waits for connections that end by themselves, as closeQuiet has them do.
+// Shutdown waits for connections that end by themselves, as closeQuiet has them do, once its listener is closed.
 func (s *server) Shutdown(ctx context.Context) error {
-	_ = s.listener.Close()
 	select {
 	case <-s.served:
 		select {
@@ -122,5 +120,6 @@
 		}
 	case <-ctx.Done():
 	}
+	s.conns.abandon() // net/http closes while it holds its lock
 	return s.Server.Shutdown(ctx)
 }
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -342,8 +342,17 @@
 			t.Errorf("a client with nowhere to go was answered %d, closing %v", res.StatusCode, res.Close)
 		}
 	}
+	told, toldIn := dial(t, l.Addr())
 	io.WriteString(slow, strings.Replace(raw, "/look/1", "/look/slow", 1))
 	<-held
+	steps <- time.Now() // it is about to leave
+	for !s.Closing() {
+		runtime.Gosched()
+	}
+	io.WriteString(told, raw)
+	if res := answer(t, toldIn); res.StatusCode != 200 || !res.Close {
+		t.Errorf("shortly before all is closed a client was answered %d, closing %v", res.StatusCode, res.Close)
+	}
 	steps <- time.Now() // it leaves
 	if _, err := keptIn.ReadByte(); err == nil {
 		t.Error("an idle connection is still open")
--- a/internal/downstream/side.go
+++ b/internal/downstream/side.go
@@ -21,6 +21,7 @@
 	killAfter      = 700 * time.Millisecond // beyond the longest deadline
 	leaveBefore    = 250 * time.Millisecond // SIGKILL: nothing new is taken from then on
 	moveBefore     = 800 * time.Millisecond // that: where there are other sidecars, clients are sent there with their answers
+	tellBefore     = 100 * time.Millisecond // that: where there are none, clients are told all the same, or requests cross the close
 	cutBefore      = 150 * time.Millisecond // SIGKILL: whatever is not answered is failed
 	endBefore      = 50 * time.Millisecond  // SIGKILL
 	spareLeast     = 4                      // connections that are to stay free then,
@@ -162,16 +163,19 @@
 func (s *Side) Run(ctx context.Context, fronts ...Front) error {
 	defer s.cut()
 	ended := make(chan error, len(fronts))
+	var listeners []*limited
 	for _, f := range fronts {
-		go func() { ended <- f.Server.Serve(&limited{Listener: f.Listener, conns: s.conns}) }()
+		l := &limited{Listener: f.Listener, conns: s.conns}
+		listeners = append(listeners, l)
+		go func() { ended <- f.Server.Serve(l) }()
 	}
 	select {
 	case err := <-ended:
-		closeAll(fronts)
+		s.closeAll(fronts)
 		return fmt.Errorf("downstream: %w", err)
 	case <-ctx.Done():
 	}
-	return s.drain(fronts)
+	return s.drain(fronts, listeners)
 }
 
 // drain ends the fronts in steps. Listening goes on while connections may come, or they would be reset
@@ -180,22 +184,26 @@
 // there are others, the last answers close their connections. No new ones come, and a client
 // that finds all of them busy takes the sidecar for dead: so in a crowd, a request that comes on the last ones is
 // turned away at once, where there is one other sidecar at most, which may be about to start. Idle ones are closed
-// last, when hardly any request can cross that, and what can't be answered before SIGKILL is failed. Where another process
+// last, when hardly any request can cross that: clients that have no other sidecar, too, are told to go with the last answers
+// before. What can't be answered before SIGKILL is failed. Where another process
 // has taken over, nothing new comes here: clients keep what they have until its next answer, and all ends with the last one.
-func (s *Side) drain(fronts []Front) error {
+func (s *Side) drain(fronts []Front, listeners []*limited) error {
 	followed, terms := s.followed.Load(), s.terms.Load()
 	s.log.Info().Int64("held", s.held.Load()).Bool("followed", followed).Msg("draining")
 	from := time.Now()
 	s.draining.Store(true)
 	kill := terms.within + endBefore
 	leave := kill - leaveBefore
-	switch {
+	switch before := moveBefore; {
 	case followed: // the queue of connections is the successor's too, so that nothing is lost by letting go of it
 		for _, f := range fronts {
 			_ = f.Listener.Close()
 		}
-	case !terms.alone:
-		<-s.After(leave - moveBefore)
+	default:
+		if terms.alone {
+			before = tellBefore
+		}
+		<-s.After(leave - before)
 		s.moving.Store(true)
 	}
 	s.await(followed, leave-time.Since(from))
@@ -203,11 +211,14 @@
 	defer cancel()
 	last := s.After(kill - cutBefore - leave)
 	s.moving.Store(true)
+	for _, l := range listeners {
+		_ = l.Close()
+	}
 	ended := make(chan error, len(fronts))
 	for _, f := range fronts {
 		go func() { ended <- f.Server.Shutdown(ctx) }() // it may wait for a slow connection beyond its context
 	}
-	s.conns.closeQuiet()
+	s.conns.closeIdle()
 	for open := len(fronts); open > 0; {
 		select {
 		case err := <-ended:
@@ -218,8 +229,9 @@
 		case <-last:
 			last = nil
 			s.cut()
+			s.conns.closeQuiet()
 		case <-ctx.Done():
-			closeAll(fronts) // what is left is beyond its deadline
+			s.closeAll(fronts) // what is left is beyond its deadline
 			open = 0
 		}
 	}
@@ -239,8 +251,10 @@
 	}
 }
 
-func closeAll(fronts []Front) {
+func (s *Side) closeAll(fronts []Front) {
+	s.conns.abandon()
 	for _, f := range fronts {
 		_ = f.Server.Close()
+		_ = f.Listener.Close()
 	}
 }
