Serve all Thrift calls that have come as a planned end stops their connection

Cause: thrift/state.go goOn let a connection that is halted read twice, 4 KiB each, and then dropped the rest; it went on only where a read had ended within a call. What lay in the kernel beyond that had come before the end and was never answered.

Change: halt notes how much lies unread (SIOCINQ), and a reader's buffer more, and so much is read; a read that finds nothing ends it. Retire leaves a connection that has just come until the cut.

--- a/internal/downstream/connections.go
+++ b/internal/downstream/connections.go
@@ -186,6 +186,11 @@
 	return n
 }
 
+// fresh tells whether a connection is new, and its first request may be on its way. The caller holds the lock.
+func (c *connections) fresh(q quiet) bool {
+	return q.state == http.StateNew && c.now().Sub(q.since) < silentLeast
+}
+
 // closeIdle closes every connection that waits for another request or has long been silent, and from now on each that has
 // answered its last. Those that are new are left to bring their request.
 func (c *connections) closeIdle() {
@@ -193,7 +198,7 @@
 	defer c.mu.Unlock()
 	c.leaving = true
 	for conn, q := range c.quiet {
-		if own, ok := conn.(*caller); (!ok || !own.begun) && (q.state == http.StateIdle || c.now().Sub(q.since) >= silentLeast) {
+		if own, ok := conn.(*caller); (!ok || !own.begun) && !c.fresh(q) {
 			retire(conn)
 		}
 	}
@@ -317,6 +322,26 @@
 	return first && !c.conns.over && (c.conns.leaving || unread(c.Conn))
 }
 
+// Unread is how many bytes have come on a connection that are not read yet; 0 where that can't be told.
+func Unread(conn net.Conn) (n int) {
+	if own, ok := conn.(*caller); ok {
+		conn = own.Conn
+	}
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	fault := raw.Control(func(fd uintptr) { n, err = unix.IoctlGetInt(int(fd), unix.SIOCINQ) })
+	if fault != nil || err != nil {
+		return 0
+	}
+	return n
+}
+
 // reset has the connection end with a reset, whatever has come.
 func (c *caller) reset() {
 	c.conns.mu.Lock()
--- a/internal/downstream/crossing_test.go
+++ b/internal/downstream/crossing_test.go
@@ -5,9 +5,11 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"runtime"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -324,6 +326,18 @@
 	if _, err := keptIn.ReadByte(); err != io.EOF {
 		t.Errorf("an idle connection reads %v, want its end", err)
 	}
+	kept.Close()
+	c.conns.mu.Lock()
+	quiets := slices.Collect(maps.Keys(c.conns.quiet))
+	c.conns.mu.Unlock()
+	for _, conn := range quiets { // as another front does with all that it has
+		c.Retire(conn)
+		c.conns.mu.Lock()
+		if own := conn.(*caller); own.retired && own.RemoteAddr().String() == fresh.LocalAddr().String() {
+			t.Error("a connection that has just come is to be closed")
+		}
+		c.conns.mu.Unlock()
+	}
 	io.WriteString(fresh, raw)
 	c.whole(freshIn, true)
 	close(c.steps)
--- a/internal/downstream/side.go
+++ b/internal/downstream/side.go
@@ -149,11 +149,14 @@
 // first byte to its answer, Idle, and Closed at last.
 func (s *Side) Changed(conn net.Conn, state http.ConnState) { s.conns.changed(conn, state) }
 
-// Retire has the reading of a connection end as if its time were over, unless something has come that is not read yet.
+// Retire has the reading of a connection end as if its time were over, unless something has come that is not read yet. One that
+// has just come is left to bring it, until all is cut.
 func (s *Side) Retire(conn net.Conn) {
 	s.conns.mu.Lock()
 	defer s.conns.mu.Unlock()
-	retire(conn)
+	if q, is := s.conns.quiet[conn]; !is || s.conns.shut || !s.conns.fresh(q) {
+		retire(conn)
+	}
 }
 
 // Closing tells whether a connection is to be closed with its answers, for its client to go to another sidecar.
--- a/internal/downstream/thrift/conn.go
+++ b/internal/downstream/thrift/conn.go
@@ -42,13 +42,14 @@
 	writing  bool       // somebody writes answers
 	active   bool       // as the shared bounds know it
 	begun    time.Time  // when the message came that is being read; zero: none is
-	stopping bool       // no more calls are taken
-	over     bool       // nor will any be: what still comes is dropped
+	stopping bool       // no more calls are taken than have come
+	owed     int        // bytes that had come by then, at most
+	final    bool       // a read has begun that is only for those
+	over     bool       // nothing more is read: what still comes is dropped
 
 	// The reader's.
 	in   *thriftwire.Reader
-	kept int  // bytes counted for the message that is being read
-	last bool // it has read, or is about to, for the last time but for a message that is not whole
+	kept int // bytes counted for the message that is being read
 }
 
 // call is an answer that is owed.
@@ -93,6 +94,7 @@
 	}()
 	for c.goOn() {
 		n, err := c.Read(buf)
+		c.took(n)
 		if n > 0 {
 			if fault := c.feed(buf[:n]); fault != nil {
 				c.fault(fault)
--- a/internal/downstream/thrift/crossing_test.go
+++ b/internal/downstream/thrift/crossing_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"runtime"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -11,6 +12,7 @@
 
 	"go.uber.org/goleak"
 
+	"pinelb.example/pinelb/internal/downstream"
 	"pinelb.example/pinelb/internal/stream"
 	"pinelb.example/pinelb/internal/thriftwire"
 )
@@ -47,6 +49,67 @@
 	gate *gate
 }
 
+// Guards against calls lost that a client has sent ahead, as many as there is room for, when its connection is to end.
+func TestManyCallsCrossEnd(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	g := &gate{Listener: l, held: make(chan struct{}), goOn: make(chan struct{}), ended: make(chan struct{}, 9)}
+	g.stops.Store(true)
+	f := startOn(t, g, section, 100, 1<<20)
+	steps := make(chan time.Time)
+	f.side.After = func(time.Duration) <-chan time.Time { return steps }
+	c := f.dial()
+	var all []byte
+	n := int32(0)
+	for ; len(all) < 4*readSize; n++ { // each of 32 bytes, so that no read ends within a call
+		all = append(all, message(forms[0], thriftwire.Call, strings.Repeat("A", 14)+":look", n)...)
+	}
+	_, _ = c.Write(all)
+	<-g.held
+	var k *conn
+	f.server.mu.Lock()
+	for k = range f.server.conns {
+	}
+	f.server.mu.Unlock()
+	for downstream.Unread(k.Conn) < len(all) { // on its way
+		runtime.Gosched()
+	}
+	f.end()
+	close(steps)
+	for stopping := false; !stopping; runtime.Gosched() {
+		k.mu.Lock()
+		stopping = k.stopping
+		k.mu.Unlock()
+	}
+	g.goOn <- struct{}{}
+	done := make(chan struct{})
+	defer close(done)
+	go func() {
+		for {
+			select {
+			case s := <-f.streams:
+				s.answer <- stream.Response{Body: []byte{0}}
+			case <-done:
+				return
+			}
+		}
+	}()
+	for i := range n {
+		if m, ok := c.next(); !ok || m.Seq != i {
+			t.Fatalf("call %d of %d that had come was answered %+v", i, n, m)
+		}
+	}
+	if _, ok := c.next(); ok {
+		t.Error("the connection goes on")
+	}
+	c.Close()
+	if err := <-f.ended; err != nil {
+		t.Error(err)
+	}
+}
+
 // await waits until something can be read, or the time for reading is over. It returns which.
 func (c *gated) await() bool {
 	raw, err := c.SyscallConn()
--- a/internal/downstream/thrift/state.go
+++ b/internal/downstream/thrift/state.go
@@ -10,16 +10,17 @@
 	"pinelb.example/pinelb/internal/thriftwire"
 )
 
-// goOn tells whether another read is wanted, and sets how long it may take. The last one is for what had come by then.
+// goOn tells whether another read is wanted, and sets how long it may take. The last ones are for what had come by then.
 func (c *conn) goOn() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.stopping && c.begun.IsZero() {
-		more := !c.last
-		if c.last = true; more {
-			c.s.side.Retire(c.Conn)
+		if c.owed <= 0 {
+			return false
 		}
-		return more
+		c.final = true
+		c.s.side.Retire(c.Conn)
+		return true
 	}
 	var until time.Time // while calls are under way, the client may wait for them
 	switch {
@@ -32,6 +33,19 @@
 	return true
 }
 
+// took counts what a read has brought of what had come by the end.
+func (c *conn) took(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case !c.stopping:
+	case n > 0:
+		c.owed -= n
+	case c.final: // there is nothing
+		c.owed = 0
+	}
+}
+
 // busy tells whether anything is under way; the caller holds the lock.
 func (c *conn) busy() bool { return len(c.calls) > 0 || c.oneways > 0 || c.writing }
 
@@ -144,7 +158,7 @@
 	c.writing = false
 }
 
-// stop has the connection take no more calls than one that has begun to come, and close after its answers.
+// stop has the connection take no more calls than have come, and one that has begun to, and close after its answers.
 func (c *conn) stop() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -154,7 +168,7 @@
 // halt is stop, where the caller holds the lock.
 func (c *conn) halt() {
 	if !c.stopping {
-		c.stopping = true
+		c.stopping, c.owed = true, downstream.Unread(c.Conn)+readSize // which the reader may have in hand
 		if c.begun.IsZero() && !c.over {
 			c.s.side.Retire(c.Conn) // the reader may be waiting for another
 		}
