Pass an answer on for a moment after the cut, so that what has come reaches the client

Cause: message.go pass had Rest.Interrupt called with the end of the message's context, which is Side's life: at the cut it interrupted the read of the host's connection although the last bytes lay there unread, and the client was reset under an answer that was there whole. Ruled out: upstream's rest (its own context is taken from it in served), and the attempt's context.

Change: Life ends at the cut with errCut as its cause, and onGivenUp has the interrupt wait until 0.1 s before SIGKILL then, 0.05 s later; where the client has left it comes at once, as before. Half of an answer is still cut off before the end of all.

--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -362,7 +361,7 @@
 // pass writes an answer that still comes, as it comes. One that can't be finished is cut so that the client can tell.
 func pass(w http.ResponseWriter, r *http.Request, res stream.Response) {
 	defer res.Rest.Close()
-	defer context.AfterFunc(r.Context(), res.Rest.Interrupt)() // the client has left, or all is to end
+	defer onGivenUp(r.Context(), res.Rest.Interrupt)()
 	if res.Length >= 0 {
 		w.Header().Set("Content-Length", strconv.FormatInt(res.Length, 10))
 	}
--- a/internal/downstream/pass_test.go
+++ b/internal/downstream/pass_test.go
@@ -8,7 +8,10 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"pinelb.example/pinelb/internal/stream"
 )
@@ -96,3 +99,65 @@
 	<-rest.cut
 	<-rest.closed
 }
+
+// oncePipes is pipes that may be closed twice.
+type oncePipes struct {
+	pipes
+	once sync.Once
+}
+
+func (p *oncePipes) Close() error {
+	p.once.Do(func() { close(p.pipes) })
+	return nil
+}
+
+// Guards against an answer that is cut off though its last bytes come as all that is not answered is failed, and against one
+// that goes on beyond the planned end, or passes for whole then.
+func TestPassesOnAcrossTheCut(t *testing.T) {
+	const kill, after = time.Second, 10 * time.Millisecond
+	for _, whole := range []bool{true, false} {
+		t.Run(fmt.Sprintf("whole=%v", whole), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				rest := &pieces{make(chan string, 1), io.EOF, make(chan struct{}), make(chan struct{})}
+				s := newServer(func(context.Context, *stream.Request) stream.Response {
+					return stream.Response{Outcome: stream.Served, Body: []byte("one "), Rest: rest, Length: -1}
+				})
+				s.terms.Store(&terms{mostHeld: 10, within: kill - endBefore})
+				l := &oncePipes{pipes: make(pipes, 1)}
+				here, client := net.Pipe()
+				l.pipes <- here
+				ctx, end := context.WithCancel(context.Background())
+				ended := make(chan error, 1)
+				go func() { ended <- s.Run(ctx, s.Front(l)) }()
+				go func() { _, _ = io.WriteString(client, raw) }()
+				res, err := http.ReadResponse(bufio.NewReader(client), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = io.ReadFull(res.Body, make([]byte, len("one ")))
+				from := time.Now()
+				end()
+				time.Sleep(kill - cutBefore + after)
+				if s.Life().Err() == nil {
+					t.Fatal("all is not cut yet")
+				}
+				if whole {
+					rest.come <- "two "
+					close(rest.come)
+				}
+				got, err := io.ReadAll(res.Body)
+				if whole && (string(got) != "two " || err != nil) {
+					t.Errorf("what came after the cut reads %q, %v", got, err)
+				}
+				if !whole && (err == nil || time.Since(from) >= kill-endBefore) {
+					t.Errorf("an answer that goes on ends after %v with %v", time.Since(from), err)
+				}
+				client.Close()
+				if err := <-ended; err != nil || time.Since(from) >= kill {
+					t.Errorf("the planned end took %v and says %v", time.Since(from), err)
+				}
+				<-rest.closed
+			})
+		})
+	}
+}
--- a/internal/downstream/side.go
+++ b/internal/downstream/side.go
@@ -23,6 +23,7 @@
 	moveBefore     = 800 * time.Millisecond // that: where there are other sidecars, clients are sent there with their answers
 	tellBefore     = 100 * time.Millisecond // that: where there are none, clients are told all the same, or requests cross the close
 	cutBefore      = 150 * time.Millisecond // SIGKILL: whatever is not answered is failed
+	passBefore     = 100 * time.Millisecond // SIGKILL: answers that are still being passed on are cut off
 	endBefore      = 50 * time.Millisecond  // SIGKILL
 	spareLeast     = 4                      // connections that are to stay free then,
 	spareFrom      = 8                      // once so many streams are open,
@@ -45,6 +46,8 @@
 	terms atomic.Pointer[terms]
 	life  context.Context // of all streams
 	cut   context.CancelFunc
+	given context.Context // ends when no answer is passed on any more
+	give  context.CancelFunc
 
 	conns      *connections
 	held       atomic.Int64
@@ -92,10 +95,28 @@
 	side := &Side{log: log, After: time.After, conns: newConnections(connsMost)}
 	side.bodiesMost.Store(bodiesMost)
 	side.Retune(s)
-	side.life, side.cut = context.WithCancel(context.Background())
+	side.given, side.give = context.WithCancel(context.Background())
+	life, cut := context.WithCancelCause(context.Background())
+	side.life, side.cut = life, func() { cut(errCut{side.given}) }
 	return side
 }
 
+// errCut is why Life has ended.
+type errCut struct{ given context.Context }
+
+func (errCut) Error() string { return "downstream: all is cut" }
+
+// onGivenUp has stop be called when an answer that is being passed on is to be given up: as soon as its message's context ends
+// with the client's leaving, and a moment after the cut, for what has come from the host by then is to reach the client.
+func onGivenUp(ctx context.Context, stop func()) (done func() bool) {
+	return context.AfterFunc(ctx, func() {
+		if cut, is := context.Cause(ctx).(errCut); is {
+			<-cut.given.Done()
+		}
+		stop()
+	})
+}
+
 // Retune takes over changed settings.
 func (s *Side) Retune(set *config.Settings) { s.terms.Store(termsOf(set)) }
 
@@ -164,6 +185,7 @@
 
 // Run serves until ctx ends and what was taken is answered.
 func (s *Side) Run(ctx context.Context, fronts ...Front) error {
+	defer s.give()
 	defer s.cut()
 	ended := make(chan error, len(fronts))
 	var listeners []*limited
@@ -212,7 +234,7 @@
 	s.await(followed, leave-time.Since(from))
 	ctx, cancel := context.WithDeadline(context.Background(), from.Add(terms.within))
 	defer cancel()
-	last := s.After(kill - cutBefore - leave)
+	last, given := s.After(kill-cutBefore-leave), (<-chan time.Time)(nil)
 	s.moving.Store(true)
 	for _, l := range listeners {
 		_ = l.Close()
@@ -233,6 +255,10 @@
 			last = nil
 			s.cut()
 			s.conns.closeQuiet()
+			given = s.After(cutBefore - passBefore)
+		case <-given:
+			given = nil
+			s.give()
 		case <-ctx.Done():
 			s.closeAll(fronts) // what is left is beyond its deadline
 			open = 0
