--- a/internal/downstream/side.go
+++ b/internal/downstream/side.go
@@ -21,7 +21,9 @@
 	killAfter      = 700 * time.Millisecond // beyond the longest deadline
 	leaveBefore    = 250 * time.Millisecond // SIGKILL: nothing new is taken from then on
 	moveBefore     = 800 * time.Millisecond // that: where there are other sidecars, clients are sent there with their answers
+	tellBefore     = 100 * time.Millisecond // that: where there are none, clients are told all the same, or requests cross the close
 	cutBefore      = 150 * time.Millisecond // SIGKILL: whatever is not answered is failed
+	passBefore     = 100 * time.Millisecond // SIGKILL: answers that are still being passed on are cut off
 	endBefore      = 50 * time.Millisecond  // SIGKILL
 	spareLeast     = 4                      // connections that are to stay free then,
 	spareFrom      = 8                      // once so many streams are open,
@@ -44,6 +46,8 @@
 	terms atomic.Pointer[terms]
 	life  context.Context // of all streams
 	cut   context.CancelFunc
+	given context.Context // ends when no answer is passed on any more
+	give  context.CancelFunc
 
 	conns      *connections
 	held       atomic.Int64
@@ -91,10 +95,28 @@
 	side := &Side{log: log, After: time.After, conns: newConnections(connsMost)}
 	side.bodiesMost.Store(bodiesMost)
 	side.Retune(s)
-	side.life, side.cut = context.WithCancel(context.Background())
+	side.given, side.give = context.WithCancel(context.Background())
+	life, cut := context.WithCancelCause(context.Background())
+	side.life, side.cut = life, func() { cut(errCut{side.given}) }
 	return side
 }
 
+// errCut is why Life has ended.
+type errCut struct{ given context.Context }
+
+func (errCut) Error() string { return "downstream: all is cut" }
+
+// onGivenUp has stop be called when an answer that is being passed on is to be given up: as soon as its message's context ends
+// with the client's leaving, and a moment after the cut, for what has come from the host by then is to reach the client.
+func onGivenUp(ctx context.Context, stop func()) (done func() bool) {
+	return context.AfterFunc(ctx, func() {
+		if cut, is := context.Cause(ctx).(errCut); is {
+			<-cut.given.Done()
+		}
+		stop()
+	})
+}
+
 // Retune takes over changed settings.
 func (s *Side) Retune(set *config.Settings) { s.terms.Store(termsOf(set)) }
 
@@ -148,11 +170,14 @@
 // first byte to its answer, Idle, and Closed at last.
 func (s *Side) Changed(conn net.Conn, state http.ConnState) { s.conns.changed(conn, state) }
 
-// Retire has the reading of a connection end as if its time were over, unless something has come that is not read yet.
+// Retire has the reading of a connection end as if its time were over, unless something has come that is not read yet. One that
+// has just come is left to bring it, until all is cut.
 func (s *Side) Retire(conn net.Conn) {
 	s.conns.mu.Lock()
 	defer s.conns.mu.Unlock()
-	retire(conn)
+	if q, is := s.conns.quiet[conn]; !is || s.conns.shut || !s.conns.fresh(q) {
+		retire(conn)
+	}
 }
 
 // Closing tells whether a connection is to be closed with its answers, for its client to go to another sidecar.
@@ -160,18 +185,22 @@
 
 // Run serves until ctx ends and what was taken is answered.
 func (s *Side) Run(ctx context.Context, fronts ...Front) error {
+	defer s.give()
 	defer s.cut()
 	ended := make(chan error, len(fronts))
+	var listeners []*limited
 	for _, f := range fronts {
-		go func() { ended <- f.Server.Serve(&limited{Listener: f.Listener, conns: s.conns}) }()
+		l := &limited{Listener: f.Listener, conns: s.conns}
+		listeners = append(listeners, l)
+		go func() { ended <- f.Server.Serve(l) }()
 	}
 	select {
 	case err := <-ended:
-		closeAll(fronts)
+		s.closeAll(fronts)
 		return fmt.Errorf("downstream: %w", err)
 	case <-ctx.Done():
 	}
-	return s.drain(fronts)
+	return s.drain(fronts, listeners)
 }
 
 // drain ends the fronts in steps. Listening goes on while connections may come, or they would be reset
@@ -180,34 +209,41 @@
 // there are others, the last answers close their connections. No new ones come, and a client
 // that finds all of them busy takes the sidecar for dead: so in a crowd, a request that comes on the last ones is
 // turned away at once, where there is one other sidecar at most, which may be about to start. Idle ones are closed
-// last, when hardly any request can cross that, and what can't be answered before SIGKILL is failed. Where another process
+// last, when hardly any request can cross that: clients that have no other sidecar, too, are told to go with the last answers
+// before. What can't be answered before SIGKILL is failed. Where another process
 // has taken over, nothing new comes here: clients keep what they have until its next answer, and all ends with the last one.
-func (s *Side) drain(fronts []Front) error {
+func (s *Side) drain(fronts []Front, listeners []*limited) error {
 	followed, terms := s.followed.Load(), s.terms.Load()
 	s.log.Info().Int64("held", s.held.Load()).Bool("followed", followed).Msg("draining")
 	from := time.Now()
 	s.draining.Store(true)
 	kill := terms.within + endBefore
 	leave := kill - leaveBefore
-	switch {
+	switch before := moveBefore; {
 	case followed: // the queue of connections is the successor's too, so that nothing is lost by letting go of it
 		for _, f := range fronts {
 			_ = f.Listener.Close()
 		}
-	case !terms.alone:
-		<-s.After(leave - moveBefore)
+	default:
+		if terms.alone {
+			before = tellBefore
+		}
+		<-s.After(leave - before)
 		s.moving.Store(true)
 	}
 	s.await(followed, leave-time.Since(from))
 	ctx, cancel := context.WithDeadline(context.Background(), from.Add(terms.within))
 	defer cancel()
-	last := s.After(kill - cutBefore - leave)
+	last, given := s.After(kill-cutBefore-leave), (<-chan time.Time)(nil)
 	s.moving.Store(true)
+	for _, l := range listeners {
+		_ = l.Close()
+	}
 	ended := make(chan error, len(fronts))
 	for _, f := range fronts {
 		go func() { ended <- f.Server.Shutdown(ctx) }() // it may wait for a slow connection beyond its context
 	}
-	s.conns.closeQuiet()
+	s.conns.closeIdle()
 	for open := len(fronts); open > 0; {
 		select {
 		case err := <-ended:
@@ -218,8 +254,13 @@
 		case <-last:
 			last = nil
 			s.cut()
+			s.conns.closeQuiet()
+			given = s.After(cutBefore - passBefore)
+		case <-given:
+			given = nil
+			s.give()
 		case <-ctx.Done():
-			closeAll(fronts) // what is left is beyond its deadline
+			s.closeAll(fronts) // what is left is beyond its deadline
 			open = 0
 		}
 	}
@@ -239,8 +280,10 @@
 	}
 }
 
-func closeAll(fronts []Front) {
+func (s *Side) closeAll(fronts []Front) {
+	s.conns.abandon()
 	for _, f := range fronts {
 		_ = f.Server.Close()
+		_ = f.Listener.Close()
 	}
 }
