Rank what 1,700 endpoints lack, by slopes of real sidecars that a command measures

pinelab slopes control, settings, audit and requests measure real sidecars against a list service on loopback and append lines of JSON with their command (internal/lab/gauge); pinelab slopes page fits them and writes the tables of docs/CAPACITY.md (internal/lab/slope): least squares over three sizes or more that double, error, stretch, a guess beyond eight times, half and twice of what is assumed. A test holds the page to the committed results; fits are held against fractions.

--- a/cmd/pinelab/main.go
+++ b/cmd/pinelab/main.go
@@ -34,6 +34,7 @@
 	Rehearse rehearseCmd `cmd:"" help:"Fit boxes and failures to sidecars' records and play them again."`
 	Diff     diffCmd     `cmd:"" help:"Compare two results."`
 	Asking   askingCmd   `cmd:"" help:"Play in virtual time how a fleet asks one list service, by several rules."`
+	Slopes   slopesCmd   `cmd:"" help:"Measure what control costs at sizes that double, with real sidecars."`
 }
 
 // terminal is where the program writes.
--- /dev/null
+++ b/cmd/pinelab/slopes.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/gauge"
+)
+
+// slopesCmd measures what control costs at sizes that double.
+type slopesCmd struct {
+	Control  slopesControlCmd  `cmd:"" help:"Sidecars at rest: processor time, memory, calls and bytes, by hosts and changes."`
+	Settings slopesSettingsCmd `cmd:"" help:"A change of settings by file and SIGHUP."`
+	Audit    slopesAuditCmd    `cmd:"" help:"An auditor that asks so many sidecars, in processes and stand-ins."`
+	Requests slopesRequestsCmd `cmd:"" help:"What requests cost a sidecar, and what it adds to them."`
+	Page     slopesPageCmd     `cmd:"" help:"Fit the results and write the page's tables."`
+}
+
+// measuring is what all measurements share.
+type measuring struct {
+	Pinelb string `help:"The sidecar's program." default:"" placeholder:"FILE"`
+	Out    string `help:"File to which lines of JSON are appended; none is standard output." placeholder:"FILE"`
+	Trial  bool   `help:"Mark the lines as a trial's."`
+}
+
+// point is one line of results.
+type point struct {
+	What    string  `json:"what"`
+	Trial   bool    `json:"trial,omitempty"`
+	Command string  `json:"command"`
+	Load    float64 `json:"load_1min"` // of the machine as it began
+}
+
+// program is the sidecar's, beside this one where none is named.
+func (m *measuring) program() (string, error) {
+	if m.Pinelb != "" {
+		return m.Pinelb, nil
+	}
+	own, err := os.Executable()
+	if err != nil {
+		return "", err
+	}
+	path := filepath.Join(filepath.Dir(own), "pinelb")
+	if _, err := os.Stat(path); err != nil {
+		return "", exit{rigFault, fmt.Errorf("--pinelb: %w", err)}
+	}
+	return path, nil
+}
+
+// begin is the head of a measurement's lines.
+func (m *measuring) begin(what string) point {
+	return point{What: what, Trial: m.Trial, Command: "pinelab " + strings.Join(os.Args[1:], " "), Load: gauge.Load()}
+}
+
+// write appends a line to the results.
+func (m *measuring) write(t *terminal, line any) error {
+	text, err := json.Marshal(line)
+	if err != nil {
+		return err
+	}
+	if m.Out == "" {
+		_, err = fmt.Fprintln(t.out, string(text))
+		return err
+	}
+	f, err := os.OpenFile(m.Out, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return exit{faulty, fmt.Errorf("--out: %w", err)}
+	}
+	defer f.Close()
+	_, err = fmt.Fprintln(f, string(text))
+	return err
+}
+
+// slopesControlCmd measures sidecars at rest.
+type slopesControlCmd struct {
+	measuring
+	Hosts     []int         `help:"On the list." default:"106,212,425,850,1700"`
+	Changes   []float64     `help:"Of the list a second." default:"0"`
+	Processes []int         `help:"Sidecars beside each other, of which the sum is taken." default:"1"`
+	Operator  string        `help:"An operator's file." placeholder:"FILE"`
+	Mode      string        `help:"A word for the operator's file, in the results." default:"agent"`
+	Settle    time.Duration `help:"Before it is measured." default:"4s"`
+	Windows   int           `help:"Of which the median is taken." default:"5"`
+	Window    time.Duration `help:"Length of each." default:"4s"`
+	Repeat    int           `help:"Measurements of each." default:"3"`
+	Beside    int           `help:"Measurements at a time." default:"6"`
+}
+
+type controlPoint struct {
+	point
+	Mode      string  `json:"mode"`
+	Hosts     int     `json:"hosts"`
+	Changes   float64 `json:"changes_per_s"`
+	Processes int     `json:"processes"`
+	Seconds   float64 `json:"seconds"`
+	Beside    int     `json:"beside"`
+	gauge.Taken
+}
+
+func (c *slopesControlCmd) Run(ctx context.Context, t *terminal) error {
+	program, err := c.program()
+	if err != nil {
+		return err
+	}
+	operator := ""
+	if c.Operator != "" {
+		text, err := os.ReadFile(c.Operator)
+		if err != nil {
+			return exit{faulty, fmt.Errorf("--operator: %w", err)}
+		}
+		operator = string(text)
+	}
+	dir, err := os.MkdirTemp("", "slopes")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	head := c.begin("control")
+	var points []*controlPoint
+	for range c.Repeat {
+		for _, hosts := range c.Hosts {
+			for _, changes := range c.Changes {
+				for _, n := range c.Processes {
+					points = append(points, &controlPoint{point: head, Mode: c.Mode, Hosts: hosts, Changes: changes, Processes: n,
+						Seconds: (time.Duration(c.Windows) * c.Window).Seconds(), Beside: c.Beside})
+				}
+			}
+		}
+	}
+	return inBatches(ctx, points, c.Beside, func(i int, p *controlPoint) (err error) {
+		own := filepath.Join(dir, fmt.Sprint(i))
+		if err := os.Mkdir(own, 0o700); err != nil {
+			return err
+		}
+		p.Load = gauge.Load()
+		p.Taken, err = gauge.Control{Program: program, Dir: own, Hosts: p.Hosts, Changes: p.Changes, Processes: p.Processes, Operator: operator,
+			Settle: c.Settle, Windows: c.Windows, Window: c.Window}.Measure(ctx)
+		return err
+	}, func(p *controlPoint) error { return c.write(t, p) })
+}
+
+// inBatches measures points, so many at a time, and tells each batch's in order; the first fault ends it.
+func inBatches[P any](ctx context.Context, points []*P, beside int, measure func(int, *P) error, tell func(*P) error) error {
+	for from := 0; from < len(points); from += beside {
+		batch := points[from:min(from+beside, len(points))]
+		faults := make([]error, len(batch))
+		var all sync.WaitGroup
+		for i, p := range batch {
+			all.Go(func() { faults[i] = measure(from+i, p) })
+		}
+		all.Wait()
+		for i, p := range batch {
+			if faults[i] != nil {
+				return faults[i]
+			}
+			if err := tell(p); err != nil {
+				return err
+			}
+		}
+	}
+	return ctx.Err()
+}
+
+// slopesSettingsCmd measures changes of settings by hand.
+type slopesSettingsCmd struct {
+	measuring
+	Known   []int `help:"Hosts that the configuration names." default:"12,106,212,425,850,1700"`
+	Classes []int `help:"Of the settings." default:"3"`
+	Changes int   `help:"One after the other." default:"60"`
+	Repeat  int   `help:"Measurements of each." default:"3"`
+}
+
+type settingsPoint struct {
+	point
+	Known   int `json:"known"`
+	Classes int `json:"classes"`
+	Changes int `json:"changes"`
+	gauge.Retuned
+}
+
+func (c *slopesSettingsCmd) Run(ctx context.Context, t *terminal) error {
+	program, err := c.program()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "slopes")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	for range c.Repeat {
+		for _, known := range c.Known {
+			for _, classes := range c.Classes {
+				p := settingsPoint{point: c.begin("settings"), Known: known, Classes: classes, Changes: c.Changes}
+				if p.Retuned, err = (gauge.Retune{Program: program, Dir: dir, Known: known, Classes: classes, Changes: c.Changes}).Measure(ctx); err != nil {
+					return err
+				}
+				if err := c.write(t, p); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/cmd/pinelab/slopes_audit.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/gauge"
+)
+
+// slopesAuditCmd measures an auditor's rounds.
+type slopesAuditCmd struct {
+	measuring
+	Sidecars []int         `help:"Real processes, all audited." default:"25,50,100"`
+	StandIns []int         `help:"Stand-ins in place of processes, all audited." default:"212,425,850,1700"`
+	Trail    time.Duration `help:"Of a stand-in: attempts of so long are in its trail." default:"1m"`
+	Rounds   int           `help:"Beyond the first, of which the median is taken." default:"5"`
+	Repeat   int           `help:"Measurements of each." default:"3"`
+}
+
+type auditPoint struct {
+	point
+	Mode     string  `json:"mode"` // processes or stand-ins
+	Sidecars int     `json:"sidecars"`
+	Trail    float64 `json:"trail_s"`
+	gauge.Audited
+}
+
+func (c *slopesAuditCmd) Run(ctx context.Context, t *terminal) error {
+	program, err := c.program()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "slopes")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	for n := range c.Repeat {
+		for _, size := range c.Sidecars {
+			if err := c.one(ctx, t, gauge.Audit{Program: program, Dir: filepath.Join(dir, fmt.Sprint("processes", size, n)), Sidecars: size, Rounds: c.Rounds}); err != nil {
+				return err
+			}
+		}
+		for _, size := range c.StandIns {
+			if err := c.one(ctx, t, gauge.Audit{Program: program, Dir: filepath.Join(dir, fmt.Sprint("stand-ins", size, n)), Sidecars: size, Rounds: c.Rounds,
+				StandIns: true, Trail: c.Trail}); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// one measures and tells one size.
+func (c *slopesAuditCmd) one(ctx context.Context, t *terminal, a gauge.Audit) error {
+	if err := os.Mkdir(a.Dir, 0o700); err != nil {
+		return err
+	}
+	p := auditPoint{point: c.begin("audit"), Mode: "processes", Sidecars: a.Sidecars, Trail: a.Trail.Seconds()}
+	if a.StandIns {
+		p.Mode = "stand-ins"
+	}
+	var err error
+	if p.Audited, err = a.Measure(ctx); err != nil {
+		return err
+	}
+	return c.write(t, p)
+}
--- /dev/null
+++ b/cmd/pinelab/slopes_page.go
@@ -0,0 +1,66 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"pinelb.example/pinelb/internal/lab/slope"
+)
+
+// slopesPageCmd writes the tables of a page from results.
+type slopesPageCmd struct {
+	Plan string `help:"What the tables are made of." default:"docs/capacity/slopes.toml" placeholder:"FILE"`
+	Page string `help:"The page, whose tables are written anew." default:"docs/CAPACITY.md" placeholder:"FILE"`
+	Dry  bool   `help:"Print the tables, and leave the page."`
+}
+
+// Run fits and writes. A faulty file or result ends it with status 2.
+func (c *slopesPageCmd) Run(t *terminal) error {
+	plan, files, err := readSlopes(c.Plan)
+	if err != nil {
+		return exit{faulty, err}
+	}
+	if c.Dry {
+		for i := range plan.Tables {
+			text, err := plan.Tables[i].Markdown(files)
+			if err != nil {
+				return exit{faulty, err}
+			}
+			fmt.Fprintf(t.out, "%s\n\n%s\n", plan.Tables[i].Name, text)
+		}
+		return nil
+	}
+	page, err := os.ReadFile(c.Page)
+	if err != nil {
+		return exit{faulty, fmt.Errorf("--page: %w", err)}
+	}
+	text, err := plan.Fill(string(page), files)
+	if err != nil {
+		return exit{faulty, err}
+	}
+	return os.WriteFile(c.Page, []byte(text), 0o644)
+}
+
+// readSlopes reads a plan and the results beside it.
+func readSlopes(path string) (*slope.Plan, map[string][]slope.Line, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, nil, fmt.Errorf("--plan: %w", err)
+	}
+	plan, err := slope.ParsePlan(path, text)
+	if err != nil {
+		return nil, nil, err
+	}
+	files := map[string][]slope.Line{}
+	for _, name := range plan.Files() {
+		text, err := os.ReadFile(filepath.Join(filepath.Dir(path), name))
+		if err != nil {
+			return nil, nil, fmt.Errorf("slopes: %w", err)
+		}
+		if files[name], err = slope.Parse(name, text); err != nil {
+			return nil, nil, err
+		}
+	}
+	return plan, files, nil
+}
--- /dev/null
+++ b/cmd/pinelab/slopes_requests.go
@@ -0,0 +1,54 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/gauge"
+)
+
+// slopesRequestsCmd measures what requests cost a sidecar.
+type slopesRequestsCmd struct {
+	measuring
+	Rates  []float64     `help:"Requests a second." default:"53,106,212,424"`
+	Window time.Duration `help:"Length of each measurement, and of the one without a sidecar before it." default:"10s"`
+	Repeat int           `help:"Measurements of each." default:"3"`
+}
+
+type requestsPoint struct {
+	point
+	Rate    float64 `json:"requests_per_s"`
+	Seconds float64 `json:"seconds"`
+	gauge.Requested
+}
+
+func (c *slopesRequestsCmd) Run(ctx context.Context, t *terminal) error {
+	program, err := c.program()
+	if err != nil {
+		return err
+	}
+	dir, err := os.MkdirTemp("", "slopes")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	for n := range c.Repeat {
+		for _, rate := range c.Rates {
+			own := filepath.Join(dir, fmt.Sprint(rate, "-", n))
+			if err := os.Mkdir(own, 0o700); err != nil {
+				return err
+			}
+			p := requestsPoint{point: c.begin("requests"), Rate: rate, Seconds: c.Window.Seconds()}
+			if p.Requested, err = (gauge.Requests{Program: program, Dir: own, Rate: rate, Window: c.Window, Seed: uint64(n + 1)}).Measure(ctx); err != nil {
+				return err
+			}
+			if err := c.write(t, p); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/lab/slope/fit_test.go
@@ -0,0 +1,178 @@
+package slope
+
+import (
+	"fmt"
+	"math"
+	"math/big"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// lines are measurements with hosts, changes and a cost each.
+func lines(hosts, changes, cost []float64) (out []Line) {
+	for i := range cost {
+		out = append(out, Line{at: fmt.Sprint("line ", i+1), words: map[string]string{"what": "x", "command": "measure"},
+			numbers: map[string]float64{"hosts": hosts[i], "changes": changes[i], "cost": cost[i]}})
+	}
+	return out
+}
+
+// exact solves the normal equations in fractions: slow, plain, and without any rounding.
+func exact(t *rapid.T, columns [][]float64, target []float64) []float64 {
+	n := len(columns)
+	rat := func(v float64) *big.Rat { return new(big.Rat).SetFloat64(v) }
+	m := make([][]*big.Rat, n)
+	for i := range n {
+		m[i] = make([]*big.Rat, n+1)
+		for j := range n + 1 {
+			m[i][j] = new(big.Rat)
+			for row := range target {
+				by := target[row]
+				if j < n {
+					by = columns[j][row]
+				}
+				m[i][j].Add(m[i][j], new(big.Rat).Mul(rat(columns[i][row]), rat(by)))
+			}
+		}
+	}
+	for i := range n {
+		if m[i][i].Sign() == 0 {
+			t.Fatal("the columns depend on each other") // a Gram matrix of independent ones has no such pivot
+		}
+		for k := range n {
+			if k == i {
+				continue
+			}
+			factor := new(big.Rat).Quo(m[k][i], m[i][i])
+			for j := i; j <= n; j++ {
+				m[k][j].Sub(m[k][j], new(big.Rat).Mul(factor, m[i][j]))
+			}
+		}
+	}
+	out := make([]float64, n)
+	for i := range n {
+		out[i], _ = new(big.Rat).Quo(m[i][n], m[i][i]).Float64()
+	}
+	return out
+}
+
+// TestFitIsExact holds a fit against the normal equations in fractions, and its residuals against their meaning.
+func TestFitIsExact(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var hosts, changes, cost, ones []float64
+		first := float64(rapid.IntRange(1, 200).Draw(t, "first"))
+		for i := range rapid.IntRange(sizesLeast, 6).Draw(t, "sizes") {
+			for j := range rapid.IntRange(sizesLeast, 4).Draw(t, "rates") {
+				hosts, changes, ones = append(hosts, first*math.Pow(2, float64(i))), append(changes, 0.5*math.Pow(2, float64(j))), append(ones, 1)
+				cost = append(cost, rapid.Float64Range(0, 1e6).Draw(t, "cost"))
+			}
+		}
+		for j, least := range []float64{0.5, 1, 2} { // each size has each rate of these at least
+			hosts, changes, ones, cost = append(hosts, first), append(changes, least), append(ones, 1), append(cost, float64(j))
+		}
+		f, err := Question{map[string]string{"what": "x"}, "cost", []string{"hosts", "changes"}}.Fit(lines(hosts, changes, cost))
+		if err != nil {
+			t.Fatal(err)
+		}
+		want := exact(t, [][]float64{ones, hosts, changes}, cost)
+		for i, got := range append([]float64{f.Fixed}, f.Slopes...) {
+			if off := math.Abs(got - want[i]); off > 1e-6*(1+math.Abs(want[i])) {
+				t.Fatalf("figure %d is %v, exactly %v", i, got, want[i])
+			}
+		}
+		squares, most := 0.0, 0.0
+		for i := range cost {
+			is, _ := f.At(map[string]float64{"hosts": hosts[i], "changes": changes[i]})
+			squares, most = squares+(cost[i]-is)*(cost[i]-is), max(most, math.Abs(cost[i]-is))
+		}
+		if rms := math.Sqrt(squares / float64(len(cost))); math.Abs(rms-f.RMS) > 1e-6*(1+rms) || math.Abs(most-f.Max) > 1e-6*(1+most) {
+			t.Fatalf("off by %v, %v at most; the fit says %v, %v", rms, most, f.RMS, f.Max)
+		}
+	})
+}
+
+// TestFitFindsTheLine guards against a slope that is not the one by which the costs were made, and against stretches that are not told.
+func TestFitFindsTheLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		fixed, slope := rapid.Float64Range(0, 1e4).Draw(t, "fixed"), rapid.Float64Range(0, 1e3).Draw(t, "slope")
+		first := float64(rapid.IntRange(1, 100).Draw(t, "first"))
+		var hosts, changes, cost []float64
+		for i := range 4 {
+			hosts, changes = append(hosts, first*math.Pow(2, float64(i))), append(changes, 0)
+			cost = append(cost, fixed+slope*hosts[i])
+		}
+		f, err := Question{nil, "cost", []string{"hosts"}}.Fit(lines(hosts, changes, cost))
+		if err != nil {
+			t.Fatal(err)
+		}
+		beyond := rapid.Float64Range(1, 50).Draw(t, "beyond")
+		cost0, stretch := f.At(map[string]float64{"hosts": 8 * first * beyond})
+		want := fixed + slope*8*first*beyond
+		if math.Abs(cost0-want) > 1e-6*(1+want) || math.Abs(stretch-beyond) > 1e-9*beyond {
+			t.Fatalf("%v stretched by %v, want %v by %v", cost0, stretch, want, beyond)
+		}
+	})
+}
+
+// TestFitOfAProduct guards against what grows with two things together being told as if it grew with each.
+func TestFitOfAProduct(t *testing.T) {
+	var hosts, changes, cost []float64
+	for _, h := range []float64{10, 20, 40} {
+		for _, c := range []float64{0, 1, 2, 4} {
+			hosts, changes, cost = append(hosts, h), append(changes, c), append(cost, 7+2*h+3*c+0.5*h*c)
+		}
+	}
+	f, err := Question{nil, "cost", []string{"hosts", "changes", "hosts*changes"}}.Fit(lines(hosts, changes, cost))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if is, stretch := f.At(map[string]float64{"hosts": 80, "changes": 8}); math.Abs(is-(7+160+24+320)) > 1e-6 || stretch != 2 {
+		t.Errorf("%v stretched by %v: %+v", is, stretch, f)
+	}
+}
+
+// TestFitRefuses guards against slopes through too few sizes, sizes that do not double, and what is no number; each error names its key.
+func TestFitRefuses(t *testing.T) {
+	three, none := []float64{1, 2, 4, 4}, []float64{0, 0, 0, 0}
+	for what, c := range map[string]struct {
+		lines []Line
+		per   []string
+		says  string
+	}{
+		"two sizes":       {lines([]float64{1, 2, 2, 1}, none, three), []string{"hosts"}, "hosts: 2 sizes measured ([1 2]), 3"},
+		"0 is no size":    {lines([]float64{0, 1, 2, 2}, none, three), []string{"hosts"}, "hosts: 2 sizes"},
+		"not doubling":    {lines([]float64{1, 2, 3, 3}, none, three), []string{"hosts"}, "hosts: 3 is not twice"},
+		"nothing":         {nil, []string{"hosts"}, "hosts: 0 sizes"},
+		"negative":        {lines([]float64{1, -2, 4, 4}, none, three), []string{"hosts"}, "line 2: hosts: -2 must be 0 or more"},
+		"a negative cost": {lines(three, none, []float64{1, -1, 2, 3}), []string{"hosts"}, "line 2: cost: -1"},
+		"missing":         {lines(three, none, three), []string{"beds"}, "beds is missing"},
+		"a word":          {lines(three, none, three), []string{"what"}, `what: "x" is no number`},
+		"nobody":          {lines(three, none, three), nil, "per: names nothing"},
+		"no error left":   {lines(three, none, three)[:3], []string{"hosts", "changes"}, "changes: 0 sizes"},
+		"in step":         {lines([]float64{1, 2, 4, 4}, []float64{2, 4, 8, 8}, three), []string{"hosts", "changes"}, "changes: grows in step"},
+		"as many points":  {lines(three[:3], []float64{4, 1, 2}, three[:3]), []string{"hosts", "changes"}, "leave nothing over"},
+	} {
+		_, err := Question{map[string]string{"what": "x"}, "cost", c.per}.Fit(c.lines)
+		if err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: %v, want %q", what, err, c.says)
+		}
+	}
+}
+
+// TestParse guards against a cut line, and a number that no float has, that is passed over.
+func TestParse(t *testing.T) {
+	got, err := Parse("a.jsonl", []byte("{\"hosts\":12,\"what\":\"x\",\"trial\":true,\"list\":[1]}\n\n{\"hosts\":\"12\"}\n"))
+	if err != nil || len(got) != 2 || got[0].numbers["hosts"] != 12 || got[0].words["trial"] != "true" || got[1].words["hosts"] != "12" {
+		t.Errorf("%+v, %v", got, err)
+	}
+	for _, text := range []string{"{}\n{\"hosts\":1", "{}\n[1]", "{}\n{\"hosts\":1e999}", "{}\n{\"hosts\":NaN}"} {
+		if _, err := Parse("a.jsonl", []byte(text)); err == nil || !strings.Contains(err.Error(), "a.jsonl:2") {
+			t.Errorf("%q: %v", text, err)
+		}
+	}
+	if !got[0].has(map[string]string{"hosts": "12", "trial": "true"}) || got[0].has(map[string]string{"hosts": "1"}) || got[0].has(map[string]string{"no": ""}) {
+		t.Error("lines are not told apart by their words and numbers")
+	}
+}
--- /dev/null
+++ b/internal/lab/slope/line.go
@@ -0,0 +1,74 @@
+// Package slope fits measurements made at sizes that double: cost = fixed + per host x hosts + per change x changes + ..., with
+// the fit's error, the sizes and how far beyond them an answer lies. It writes the tables of docs/CAPACITY.md. Pure: results in,
+// text out.
+package slope
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+)
+
+// Line is one measurement: a JSON object's numbers and words by key.
+type Line struct {
+	at      string // its file and line, for errors
+	numbers map[string]float64
+	words   map[string]string // true and false too
+}
+
+// Parse reads lines of JSON objects; name is the file's. What else stands in an object, such as a list, is left out.
+// Errors name the file and the line.
+func Parse(name string, text []byte) ([]Line, error) {
+	var out []Line
+	for i, one := range bytes.Split(text, []byte("\n")) {
+		if len(bytes.TrimSpace(one)) == 0 {
+			continue
+		}
+		var all map[string]any
+		if err := json.Unmarshal(one, &all); err != nil {
+			return nil, fmt.Errorf("slope: %s:%d: %w", name, i+1, err)
+		}
+		l := Line{at: fmt.Sprintf("%s:%d", name, i+1), numbers: map[string]float64{}, words: map[string]string{}}
+		for key, v := range all {
+			switch v := v.(type) {
+			case float64:
+				l.numbers[key] = v
+			case string:
+				l.words[key] = v
+			case bool:
+				l.words[key] = fmt.Sprint(v)
+			}
+		}
+		out = append(out, l)
+	}
+	return out, nil
+}
+
+// has tells whether a line has those words. Of a number it is the shortest form that counts.
+func (l *Line) has(words map[string]string) bool {
+	for key, want := range words {
+		got, ok := l.words[key]
+		if n, number := l.numbers[key]; number {
+			got, ok = fmt.Sprint(n), true
+		}
+		if !ok || got != want {
+			return false
+		}
+	}
+	return true
+}
+
+// number is what stands under a key, which can't be less than 0.
+func (l *Line) number(key string) (float64, error) {
+	v, ok := l.numbers[key]
+	switch {
+	case !ok && l.words[key] != "":
+		return 0, fmt.Errorf("slope: %s: %s: %q is no number", l.at, key, l.words[key])
+	case !ok:
+		return 0, fmt.Errorf("slope: %s: %s is missing, or no number", l.at, key)
+	case v < 0 || math.IsInf(v, 0):
+		return 0, fmt.Errorf("slope: %s: %s: %v must be 0 or more", l.at, key, v)
+	}
+	return v, nil
+}
--- /dev/null
+++ b/internal/lab/slope/page_test.go
@@ -0,0 +1,130 @@
+package slope
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const plan = `[[table]]
+name = "t"
+[[table.row]]
+role = "sidecar"
+file = "a.jsonl"
+where = { what = "x" }
+cost = "cost"
+unit = "ms"
+per = ["hosts"]
+at = { hosts = 100 }
+limit = 150
+assumed = ["hosts"]
+`
+
+const results = `{"what":"x","command":"m 1","hosts":1,"cost":3}
+{"what":"x","command":"m 1","hosts":2,"cost":5}
+{"what":"x","command":"m 2","trial":true,"hosts":4,"cost":9}
+{"what":"x","command":"m 2","hosts":4,"cost":9}
+`
+
+// TestTable guards against a table that hides an error, a stretch, a trial or what is assumed.
+func TestTable(t *testing.T) {
+	p, err := ParsePlan("plan.toml", []byte(plan))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, err := p.Fill("before\n<!-- slopes t -->\nstale\n<!-- end of slopes t -->\nafter", map[string][]Line{"a.jsonl": parsed(t, results)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, part := range []string{"before\n", "\nafter", "sidecar (trial)", "1 + 2 x hosts", "hosts 1, 2, 4; 4 points", "| 201 | 25, **a guess** | 150 |",
+		"**does not**, by 1.34", "hosts: 101, 401 (holds, 1.49 times over; **does not**, by 2.67)", "\n    m 1\n    m 2\n"} {
+		if !strings.Contains(got, part) {
+			t.Errorf("%q is not in\n%s", part, got)
+		}
+	}
+	if strings.Contains(got, "stale") {
+		t.Error("the old table is still there")
+	}
+	if again, err := p.Fill(got, map[string][]Line{"a.jsonl": parsed(t, results)}); err != nil || again != got {
+		t.Errorf("filled twice it differs: %v", err)
+	}
+	for _, page := range []string{"", "<!-- slopes t -->\n", got + "\n<!-- slopes u -->\n"} {
+		if _, err := p.Fill(page, map[string][]Line{"a.jsonl": parsed(t, results)}); err == nil {
+			t.Errorf("taken: %q", page)
+		}
+	}
+	if _, err := p.Fill(got, nil); err == nil || !strings.Contains(err.Error(), "a.jsonl") {
+		t.Errorf("without results: %v", err)
+	}
+}
+
+func parsed(t *testing.T, text string) []Line {
+	t.Helper()
+	out, err := Parse("a.jsonl", []byte(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
+// TestPlanRefuses guards against a plan whose fault shows as a wrong table; each error names line and key.
+func TestPlanRefuses(t *testing.T) {
+	for _, c := range []struct{ old, new, says string }{
+		{`name = "t"`, `name = ""`, "plan.toml:2: table[0].name"},
+		{`limit = 150`, `limit = -1`, "table[0].row[0].limit"},
+		{`limit = 150`, `limit = nan`, "table[0].row[0].limit"},
+		{`limit = 150`, `limit = "x"`, "limit"},
+		{`limit = 150`, `limits = 1`, "limits"},
+		{`limit = 150`, `times = -2`, "table[0].row[0].times"},
+		{`at = { hosts = 100 }`, `at = { hosts = -1 }`, "table[0].row[0].at"},
+		{`at = { hosts = 100 }`, `at = { beds = 1 }`, "table[0].row[0].at"},
+		{`at = { hosts = 100 }`, `at = { hosts = 1, beds = 1 }`, "beds is not in per"},
+		{`per = ["hosts"]`, `per = ["hosts*hosts", "hosts"]`, "table[0].row[0].per: hosts*hosts needs hosts before"},
+		{`per = ["hosts"]`, `per = []`, "table[0].row[0].per"},
+		{`cost = "cost"`, ``, "table[0].row[0].cost"},
+		{`file = "a.jsonl"`, `file = "../a.jsonl"`, "table[0].row[0].file"},
+		{`assumed = ["hosts"]`, `assumed = ["beds"]`, "table[0].row[0].assumed"},
+		{plan, "", "table"},
+		{plan, "[[table]]\nname = \"t\"\n", "table[0].row"},
+		{plan, plan + plan, "table[1].name"},
+	} {
+		if _, err := ParsePlan("plan.toml", []byte(strings.Replace(plan, c.old, c.new, 1))); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%q: %v, want %q", c.new, err, c.says)
+		}
+	}
+}
+
+// TestPageIsTrue guards against a page whose tables are not what the committed results give.
+func TestPageIsTrue(t *testing.T) {
+	const docs = "../../../docs/"
+	text, err := os.ReadFile(docs + "capacity/slopes.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := ParsePlan("slopes.toml", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	files := map[string][]Line{}
+	for _, name := range p.Files() {
+		text, err := os.ReadFile(filepath.Join(docs, "capacity", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if files[name], err = Parse(name, text); err != nil {
+			t.Fatal(err)
+		}
+	}
+	page, err := os.ReadFile(docs + "CAPACITY.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want, err := p.Fill(string(page), files)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if want != string(page) {
+		t.Error("docs/CAPACITY.md is not what docs/capacity has: run pinelab slopes page")
+	}
+}
