--- a/balance/bench_test.go
+++ b/balance/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 )
@@ -9,7 +10,7 @@
 // BenchmarkDecision is a request's whole cost here: its arrival, its answer, and its part of the ticks, at 1,000 requests
 // a second of which 50 are out at any time.
 func BenchmarkDecision(b *testing.B) {
-	for _, hosts := range []int{12, 1000, 5000} {
+	for _, hosts := range append(slices.Clone(slopeSizes), 1000, 5000) {
 		b.Run(fmt.Sprint(hosts, "hosts"), func(b *testing.B) {
 			bal, err := New(testSettings(), 1)
 			if err != nil {
@@ -43,6 +44,57 @@
 	}
 }
 
+// slopeSizes are hosts at which costs are measured for docs/CAPACITY.md.
+var slopeSizes = []int{12, 106, 212, 425, 850, 1700}
+
+// listed is an instance that knows so many hosts.
+func listed(b *testing.B, hosts int) (*Balancer, []Entry) {
+	s := testSettings()
+	s.Instances = hosts
+	bal, err := New(s, 1)
+	if err != nil {
+		b.Fatal(err)
+	}
+	entries := make([]Entry, hosts)
+	for i := range entries {
+		entries[i] = Entry{Endpoint: EndpointID(i + 1), State: Ready, Weight: 1}
+	}
+	bal.Handle(time.Hour, &Event{Kind: EventMembership, List: ListFull, Entries: entries}, nil)
+	return bal, entries
+}
+
+// BenchmarkList is what a whole list costs, of which one host has just restarted.
+func BenchmarkList(b *testing.B) {
+	for _, hosts := range slopeSizes {
+		b.Run(fmt.Sprint(hosts, "hosts"), func(b *testing.B) {
+			bal, entries := listed(b, hosts)
+			var out []Action
+			b.ReportAllocs()
+			for i := range b.N {
+				now := time.Hour + time.Duration(i+1)*time.Millisecond
+				entries[i%hosts].UpSince = now
+				out = bal.Handle(now, &Event{Kind: EventMembership, List: ListFull, Entries: entries}, out[:0])
+			}
+		})
+	}
+}
+
+// BenchmarkChange is what one host's restart costs that comes as a change.
+func BenchmarkChange(b *testing.B) {
+	for _, hosts := range slopeSizes {
+		b.Run(fmt.Sprint(hosts, "hosts"), func(b *testing.B) {
+			bal, entries := listed(b, hosts)
+			var out []Action
+			b.ReportAllocs()
+			for i := range b.N {
+				now := time.Hour + time.Duration(i+1)*time.Millisecond
+				entries[i%hosts].UpSince = now
+				out = bal.Handle(now, &Event{Kind: EventMembership, List: ListDelta, Entries: entries[i%hosts : i%hosts+1]}, out[:0])
+			}
+		})
+	}
+}
+
 // sixty is an instance of the platform's large fleet, 13 in number, and a list of 60 hosts.
 func sixty(b *testing.B) (*Balancer, []Entry) {
 	s := testSettings()
--- a/cmd/pinelab/slopes.go
+++ b/cmd/pinelab/slopes.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -19,6 +20,7 @@
 	Settings slopesSettingsCmd `cmd:"" help:"A change of settings by file and SIGHUP."`
 	Audit    slopesAuditCmd    `cmd:"" help:"An auditor that asks so many sidecars, in processes and stand-ins."`
 	Requests slopesRequestsCmd `cmd:"" help:"What requests cost a sidecar, and what it adds to them."`
+	Module   slopesModuleCmd   `cmd:"" help:"The decision module's benchmarks: a request, a change, a whole list."`
 	Page     slopesPageCmd     `cmd:"" help:"Fit the results and write the page's tables."`
 }
 
@@ -27,6 +29,7 @@
 	Pinelb string `help:"The sidecar's program." default:"" placeholder:"FILE"`
 	Out    string `help:"File to which lines of JSON are appended; none is standard output." placeholder:"FILE"`
 	Trial  bool   `help:"Mark the lines as a trial's."`
+	Repeat int    `help:"Measurements of each size." default:"3"`
 }
 
 // point is one line of results.
@@ -37,16 +40,23 @@
 	Load    float64 `json:"load_1min"` // of the machine as it began
 }
 
-// program is the sidecar's, beside this one where none is named.
+// program is the sidecar's, beside this one where none is named. That lines can be written is seen before anything is measured.
 func (m *measuring) program() (string, error) {
-	if m.Pinelb != "" {
-		return m.Pinelb, nil
+	if m.Out != "" {
+		f, err := os.OpenFile(m.Out, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+		if err != nil {
+			return "", exit{faulty, fmt.Errorf("--out: %w", err)}
+		}
+		f.Close()
 	}
-	own, err := os.Executable()
-	if err != nil {
-		return "", err
+	path := m.Pinelb
+	if path == "" {
+		own, err := os.Executable()
+		if err != nil {
+			return "", err
+		}
+		path = filepath.Join(filepath.Dir(own), "pinelb")
 	}
-	path := filepath.Join(filepath.Dir(own), "pinelb")
 	if _, err := os.Stat(path); err != nil {
 		return "", exit{rigFault, fmt.Errorf("--pinelb: %w", err)}
 	}
@@ -83,12 +93,12 @@
 	Hosts     []int         `help:"On the list." default:"106,212,425,850,1700"`
 	Changes   []float64     `help:"Of the list a second." default:"0"`
 	Processes []int         `help:"Sidecars beside each other, of which the sum is taken." default:"1"`
+	Instances []int         `help:"That a sidecar is told of; 0 is as many as hosts." default:"0"`
 	Operator  string        `help:"An operator's file." placeholder:"FILE"`
 	Mode      string        `help:"A word for the operator's file, in the results." default:"agent"`
 	Settle    time.Duration `help:"Before it is measured." default:"4s"`
 	Windows   int           `help:"Of which the median is taken." default:"5"`
 	Window    time.Duration `help:"Length of each." default:"4s"`
-	Repeat    int           `help:"Measurements of each." default:"3"`
 	Beside    int           `help:"Measurements at a time." default:"6"`
 }
 
@@ -98,12 +108,36 @@
 	Hosts     int     `json:"hosts"`
 	Changes   float64 `json:"changes_per_s"`
 	Processes int     `json:"processes"`
+	Told      int     `json:"instances"` // 0: as many as hosts
 	Seconds   float64 `json:"seconds"`
 	Beside    int     `json:"beside"`
 	gauge.Taken
 }
 
+// check names the first key whose number can't be.
+func (c *slopesControlCmd) check() error {
+	var b bounds
+	b.number("repeat", float64(c.Repeat), 1, repeatMost)
+	b.sizes("hosts", c.Hosts, hostsMost)
+	b.rates("changes", c.Changes, 0)
+	b.sizes("processes", c.Processes, processesMost)
+	for i, n := range c.Instances {
+		b.number(fmt.Sprintf("instances[%d]", i), float64(n), 0, hostsMost)
+	}
+	b.span("settle", c.Settle, 0)
+	b.number("windows", float64(c.Windows), 1, repeatMost)
+	b.span("window", c.Window, windowLeast)
+	b.number("beside", float64(c.Beside), 1, processesMost)
+	if b.err == nil {
+		b.processes("processes", slices.Max(c.Processes), c.Beside)
+	}
+	return b.err
+}
+
 func (c *slopesControlCmd) Run(ctx context.Context, t *terminal) error {
+	if err := c.check(); err != nil {
+		return err
+	}
 	program, err := c.program()
 	if err != nil {
 		return err
@@ -127,8 +161,10 @@
 		for _, hosts := range c.Hosts {
 			for _, changes := range c.Changes {
 				for _, n := range c.Processes {
-					points = append(points, &controlPoint{point: head, Mode: c.Mode, Hosts: hosts, Changes: changes, Processes: n,
-						Seconds: (time.Duration(c.Windows) * c.Window).Seconds(), Beside: c.Beside})
+					for _, told := range c.Instances {
+						points = append(points, &controlPoint{point: head, Mode: c.Mode, Hosts: hosts, Changes: changes, Processes: n,
+							Told: told, Seconds: (time.Duration(c.Windows) * c.Window).Seconds(), Beside: c.Beside})
+					}
 				}
 			}
 		}
@@ -139,7 +175,7 @@
 			return err
 		}
 		p.Load = gauge.Load()
-		p.Taken, err = gauge.Control{Program: program, Dir: own, Hosts: p.Hosts, Changes: p.Changes, Processes: p.Processes, Operator: operator,
+		p.Taken, err = gauge.Control{Program: program, Dir: own, Hosts: p.Hosts, Changes: p.Changes, Processes: p.Processes, Instances: p.Told, Operator: operator,
 			Settle: c.Settle, Windows: c.Windows, Window: c.Window}.Measure(ctx)
 		return err
 	}, func(p *controlPoint) error { return c.write(t, p) })
@@ -173,7 +209,6 @@
 	Known   []int `help:"Hosts that the configuration names." default:"12,106,212,425,850,1700"`
 	Classes []int `help:"Of the settings." default:"3"`
 	Changes int   `help:"One after the other." default:"60"`
-	Repeat  int   `help:"Measurements of each." default:"3"`
 }
 
 type settingsPoint struct {
@@ -184,7 +219,20 @@
 	gauge.Retuned
 }
 
+// check names the first key whose number can't be.
+func (c *slopesSettingsCmd) check() error {
+	var b bounds
+	b.number("repeat", float64(c.Repeat), 1, repeatMost)
+	b.sizes("known", c.Known, hostsMost)
+	b.sizes("classes", c.Classes, classesMost)
+	b.number("changes", float64(c.Changes), 1, changesMost)
+	return b.err
+}
+
 func (c *slopesSettingsCmd) Run(ctx context.Context, t *terminal) error {
+	if err := c.check(); err != nil {
+		return err
+	}
 	program, err := c.program()
 	if err != nil {
 		return err
@@ -194,11 +242,15 @@
 		return err
 	}
 	defer os.RemoveAll(dir)
-	for range c.Repeat {
+	for n := range c.Repeat {
 		for _, known := range c.Known {
 			for _, classes := range c.Classes {
+				own := filepath.Join(dir, fmt.Sprint(n))
+				if err := os.MkdirAll(own, 0o700); err != nil {
+					return err
+				}
 				p := settingsPoint{point: c.begin("settings"), Known: known, Classes: classes, Changes: c.Changes}
-				if p.Retuned, err = (gauge.Retune{Program: program, Dir: dir, Known: known, Classes: classes, Changes: c.Changes}).Measure(ctx); err != nil {
+				if p.Retuned, err = (gauge.Retune{Program: program, Dir: own, Known: known, Classes: classes, Changes: c.Changes}).Measure(ctx); err != nil {
 					return err
 				}
 				if err := c.write(t, p); err != nil {
--- a/cmd/pinelab/slopes_audit.go
+++ b/cmd/pinelab/slopes_audit.go
@@ -17,7 +17,6 @@
 	StandIns []int         `help:"Stand-ins in place of processes, all audited." default:"212,425,850,1700"`
 	Trail    time.Duration `help:"Of a stand-in: attempts of so long are in its trail." default:"1m"`
 	Rounds   int           `help:"Beyond the first, of which the median is taken." default:"5"`
-	Repeat   int           `help:"Measurements of each." default:"3"`
 }
 
 type auditPoint struct {
@@ -28,7 +27,25 @@
 	gauge.Audited
 }
 
+// check names the first key whose number can't be.
+func (c *slopesAuditCmd) check() error {
+	var b bounds
+	b.number("repeat", float64(c.Repeat), 1, repeatMost)
+	b.sizes("sidecars", c.Sidecars, processesMost)
+	for i, n := range c.Sidecars {
+		b.processes(fmt.Sprintf("sidecars[%d]", i), n, 1)
+	}
+	b.sizes("stand-ins", c.StandIns, hostsMost)
+	b.listeners("stand-ins", c.StandIns)
+	b.span("trail", c.Trail, 0)
+	b.number("rounds", float64(c.Rounds), 1, repeatMost)
+	return b.err
+}
+
 func (c *slopesAuditCmd) Run(ctx context.Context, t *terminal) error {
+	if err := c.check(); err != nil {
+		return err
+	}
 	program, err := c.program()
 	if err != nil {
 		return err
--- /dev/null
+++ b/cmd/pinelab/slopes_module.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"os/exec"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/gauge"
+)
+
+// slopesModuleCmd measures the decision module by its own benchmarks.
+type slopesModuleCmd struct {
+	Out   string        `help:"File to which lines of JSON are appended; none is standard output." placeholder:"FILE"`
+	Trial bool          `help:"Mark the lines as a trial's."`
+	Sizes []int         `help:"Hosts whose benchmarks are taken." default:"12,106,212,425,850,1700"`
+	Count int           `help:"Runs of each." default:"5"`
+	Time  time.Duration `help:"Length of each." default:"300ms"`
+	In    string        `help:"The checkout." default:"." placeholder:"DIR"`
+}
+
+type modulePoint struct {
+	point
+	Mode   string  `json:"mode"` // decision, change or list
+	Hosts  int     `json:"hosts"`
+	Micros float64 `json:"us_per_op"`
+	Bytes  float64 `json:"bytes_per_op"`
+	Allocs float64 `json:"allocs_per_op"`
+}
+
+// benched is a line of go test -bench, of a benchmark by hosts.
+var benched = regexp.MustCompile(`^Benchmark(Decision|Change|List)/(\d+)hosts\S*\s+\d+\s+(\S+) ns/op\s+(\d+) B/op\s+(\d+) allocs/op`)
+
+// Run takes the benchmarks.
+func (c *slopesModuleCmd) Run(ctx context.Context, t *terminal) error {
+	var b bounds
+	b.sizes("sizes", c.Sizes, hostsMost)
+	b.number("count", float64(c.Count), 1, repeatMost)
+	b.span("time", c.Time, windowLeast)
+	if b.err != nil {
+		return b.err
+	}
+	m := measuring{Out: c.Out, Trial: c.Trial}
+	head := m.begin("module")
+	cmd := exec.CommandContext(ctx, "go", "test", "-run", "^$", "-bench", "^Benchmark(Decision|Change|List)$", "-count", strconv.Itoa(c.Count),
+		"-benchtime", c.Time.String(), "-benchmem", "./balance")
+	cmd.Dir = c.In
+	var fault bytes.Buffer
+	cmd.Stderr = &fault
+	text, err := cmd.Output()
+	if err != nil {
+		return fmt.Errorf("%s: %w: %s%s", cmd, err, text, fault.String())
+	}
+	head.Load = gauge.Load()
+	for line := range strings.Lines(string(text)) {
+		p, ok := benchedAt(line)
+		if !ok || !slices.Contains(c.Sizes, p.Hosts) {
+			continue
+		}
+		p.point = head
+		if err := m.write(t, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func benchedAt(line string) (p modulePoint, ok bool) {
+	found := benched.FindStringSubmatch(line)
+	if found == nil {
+		return p, false
+	}
+	p.Mode = strings.ToLower(found[1])
+	p.Hosts, _ = strconv.Atoi(found[2])
+	for i, to := range []*float64{&p.Micros, &p.Bytes, &p.Allocs} {
+		*to, _ = strconv.ParseFloat(found[3+i], 64)
+	}
+	p.Micros /= 1000
+	return p, true
+}
--- a/cmd/pinelab/slopes_requests.go
+++ b/cmd/pinelab/slopes_requests.go
@@ -15,7 +15,6 @@
 	measuring
 	Rates  []float64     `help:"Requests a second." default:"53,106,212,424"`
 	Window time.Duration `help:"Length of each measurement, and of the one without a sidecar before it." default:"10s"`
-	Repeat int           `help:"Measurements of each." default:"3"`
 }
 
 type requestsPoint struct {
@@ -25,7 +24,19 @@
 	gauge.Requested
 }
 
+// check names the first key whose number can't be.
+func (c *slopesRequestsCmd) check() error {
+	var b bounds
+	b.number("repeat", float64(c.Repeat), 1, repeatMost)
+	b.rates("rates", c.Rates, 0.1)
+	b.span("window", c.Window, time.Second)
+	return b.err
+}
+
 func (c *slopesRequestsCmd) Run(ctx context.Context, t *terminal) error {
+	if err := c.check(); err != nil {
+		return err
+	}
 	program, err := c.program()
 	if err != nil {
 		return err
--- /dev/null
+++ b/docs/capacity/measure.sh
@@ -0,0 +1,25 @@
+#!/usr/bin/env bash
+# Measures all slopes of docs/CAPACITY.md anew, in some 20 minutes on eight cores, and writes its tables. Lines are appended to files
+# in this directory: remove the old ones first, where only the new are to count. The list service's own are measured by pinelab hollow.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+out=docs/capacity
+sizes=12,106,212,425,850,1700
+
+bin/pinelab slopes settings --out $out/settings.jsonl
+bin/pinelab slopes control --hosts $sizes --out $out/control.jsonl
+bin/pinelab slopes control --hosts 106,425,1700 --changes 1,2.5,5,10 --repeat 2 --out $out/control.jsonl
+bin/pinelab slopes control --hosts 106,425,1700 --changes 0.061 --windows 3 --window 33s --repeat 1 --out $out/control.jsonl
+bin/pinelab slopes control --hosts 12 --processes 1,2,4 --mode beside --out $out/control.jsonl
+bin/pinelab slopes control --hosts 106 --instances 425,850,1700 --changes 0.2 --windows 3 --window 20s --settle 15s --repeat 2 \
+	--operator $out/spared.toml --mode spared-changes --out $out/control.jsonl
+bin/pinelab slopes control --hosts $sizes --instances 1700 --windows 3 --window 12s --settle 15s --repeat 2 \
+	--operator $out/spared.toml --mode spared --out $out/control.jsonl
+bin/pinelab slopes control --hosts $sizes --instances 1 --mode alone --repeat 2 --out $out/control.jsonl
+bin/pinelab slopes audit --out $out/audit.jsonl
+bin/pinelab slopes audit --sidecars 1 --stand-ins 212 --trail 2m --repeat 1 --out $out/trails.jsonl
+bin/pinelab slopes audit --sidecars 1 --stand-ins 212 --trail 4m --repeat 1 --out $out/trails.jsonl
+bin/pinelab slopes audit --sidecars 1 --stand-ins 212 --trail 8m --repeat 1 --out $out/trails.jsonl
+bin/pinelab slopes module --out $out/module.jsonl
+bin/pinelab slopes requests --out $out/requests.jsonl
+bin/pinelab slopes page
--- a/internal/lab/gauge/control.go
+++ b/internal/lab/gauge/control.go
@@ -1,6 +1,7 @@
 package gauge
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -18,6 +19,7 @@
 	Hosts     int     // on the list
 	Changes   float64 // of it a second
 	Processes int     // sidecars beside each other, each with a list service of its own
+	Instances int     // that each is told of; 0 is as many as hosts
 	Operator  string  // the operator's file
 	Settle    time.Duration
 	Windows   int           // of which the median is taken,
@@ -104,7 +106,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := Begin(Start{Program: c.Program, Dir: c.Dir, Name: name, Discovery: s.Addr, Operator: c.Operator, Classes: 3, Instances: max(1, c.Hosts), Known: c.Hosts})
+	p, err := Begin(Start{Program: c.Program, Dir: c.Dir, Name: name, Discovery: s.Addr, Operator: c.Operator, Classes: 3, Instances: cmp.Or(c.Instances, c.Hosts), Known: c.Hosts})
 	if err != nil {
 		s.Close()
 		return nil, err
--- a/internal/lab/gauge/settings.go
+++ b/internal/lab/gauge/settings.go
@@ -57,10 +57,13 @@
 		if err := p.Hup(); err != nil {
 			return Retuned{}, err
 		}
-		line, err := p.Await("configuration read again")
+		line, err := p.Await("configuration read again", "the new configuration is not taken")
 		if err != nil {
 			return Retuned{}, err
 		}
+		if fault := line.Text.Get("error").Str; fault != "" {
+			return Retuned{}, fmt.Errorf("gauge: settings are not taken: %s", fault)
+		}
 		late = append(late, float64(line.At.Sub(at))/float64(time.Millisecond))
 		if err := rest(ctx, retuneEach); err != nil {
 			return Retuned{}, err
