Add pinelab scale: hollow sidecars beside a counting list service

Need: the figures for 1,700 sidecars need sizes that no machine here holds as processes of the daemon.

Change: internal/lab/hollow has hollow sidecars (cluster.Watcher, pace and cluster.Table with version's digests, many to a process), a list service on real sockets that keeps its history and counts calls, bytes and connections, and plays: rest, ordinary, hundredfold, a stopped rack, restarting, cold, the service down with refused connects or 503. A change is in force when a sidecar's table has told the decisions a list of its revision with the digest that the service had. The service of lab/live was not reused: it answers one sidecar of a plan and keeps each call in a trace. All cases are checked before the first is played; a fault names its flag.

--- a/cmd/pinelab/main.go
+++ b/cmd/pinelab/main.go
@@ -34,6 +34,8 @@
 	Rehearse rehearseCmd `cmd:"" help:"Fit boxes and failures to sidecars' records and play them again."`
 	Diff     diffCmd     `cmd:"" help:"Compare two results."`
 	Asking   askingCmd   `cmd:"" help:"Play in virtual time how a fleet asks one list service, by several rules."`
+	Scale    scaleCmd    `cmd:"" help:"Measure what thousands of hollow sidecars cost a list service, and how soon a change is in force at all."`
+	Rack     rackCmd     `cmd:"" hidden:"" help:"A rack of hollow sidecars, as scale starts it."`
 }
 
 // terminal is where the program writes.
--- /dev/null
+++ b/cmd/pinelab/scale.go
@@ -0,0 +1,170 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"os/exec"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"pinelb.example/pinelb/internal/cluster"
+	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/lab/hollow"
+)
+
+// scaleCmd measures what hollow sidecars cost a list service, and how soon a change is in force at the last one.
+type scaleCmd struct {
+	Scenario     []string      `help:"What to play: rest, ordinary, hundredfold, stopped, restarting, cold, down-refused, down-503." default:"rest,ordinary,hundredfold"`
+	Sidecars     []int         `help:"Numbers of hollow sidecars." default:"100,200,400"`
+	Hosts        []int         `help:"Numbers of hosts that are listed." default:"12"`
+	Changes      *float64      `help:"Changes of the list a second, in place of the scenario's."`
+	Real         int           `help:"Processes of the daemon beside the hollow sidecars."`
+	Racks        int           `help:"Processes that the hollow sidecars share." default:"4"`
+	Seconds      int           `help:"Measured time of each play." default:"30"`
+	Spread       time.Duration `help:"Time over which the sidecars of a rack start." default:"0s"`
+	Within       time.Duration `help:"Time for which the last change may be waited for after the measured time." default:"30s"`
+	Down         time.Duration `help:"Time for which the service is away at first, in down-refused and down-503." default:"3s"`
+	ServiceCalls int           `help:"Calls that the service does at a time; 0: it has no bound." default:"0"`
+	ServiceCall  time.Duration `help:"Time that each takes." default:"20ms"`
+	ServiceLine  int           `help:"Calls that may wait; others get 503." default:"40"`
+	Config       string        `type:"path" help:"Operator's file of all sidecars, with [discovery]; without it the service is asked as an agent is."`
+	Pinelb       string        `type:"path" help:"The daemon's program, for --real; beside this one, or found by PATH, if left out."`
+	Out          string        `type:"path" help:"File to which each play's figures are added as a line of JSON."`
+	Seed         uint64        `help:"Seed of the sidecars' calls." default:"1"`
+}
+
+// Run plays each scenario with each number of hosts and of sidecars, in that order, and prints a line for each. All cases are checked
+// before the first is played.
+func (c *scaleCmd) Run(ctx context.Context, t *terminal) error {
+	cases, err := c.cases()
+	if err != nil {
+		return exit{faulty, err}
+	}
+	out := io.Discard
+	if c.Out != "" {
+		file, err := os.OpenFile(c.Out, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+		if err != nil {
+			return exit{faulty, fmt.Errorf("--out: %w", err)}
+		}
+		defer file.Close()
+		out = file
+	}
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(w, scaleHead)
+	defer w.Flush()
+	for _, one := range cases {
+		f, err := hollow.Play(ctx, one)
+		if errors.Is(err, context.Canceled) {
+			return exit{stopped, errors.New("stopped")}
+		}
+		if err != nil {
+			return err
+		}
+		fmt.Fprintln(w, scaleLine(f))
+		if err := json.NewEncoder(out).Encode(f); err != nil {
+			return fmt.Errorf("--out: %w", err)
+		}
+	}
+	return nil
+}
+
+// cases are all that is to be played, each checked. A fault names the flag.
+func (c *scaleCmd) cases() ([]hollow.Case, error) {
+	for key, given := range map[string]int{"scenario": len(c.Scenario), "hosts": len(c.Hosts), "sidecars": len(c.Sidecars)} {
+		if given == 0 {
+			return nil, fmt.Errorf("--%s: must have a value", key)
+		}
+	}
+	m, err := hollow.ThisMachine()
+	if err != nil {
+		return nil, err
+	}
+	base, section, err := c.base()
+	if err != nil {
+		return nil, err
+	}
+	var out []hollow.Case
+	for _, name := range c.Scenario {
+		for _, hosts := range c.Hosts {
+			for _, sidecars := range c.Sidecars {
+				one := base
+				one.Scenario, one.Hosts, one.Sidecars = name, hosts, sidecars
+				if one.Changes = hollow.Changes(name); c.Changes != nil {
+					one.Changes = *c.Changes
+				}
+				if section != nil {
+					one.Paced = &cluster.Paced{Fleet: section.Fleet(sidecars + c.Real), Whole: section.Whole.D()}
+				}
+				if err := one.Check(m); err != nil {
+					var key *hollow.KeyError
+					if errors.As(err, &key) {
+						return nil, fmt.Errorf("--%s: %s", key.Key, key.Why)
+					}
+					return nil, err
+				}
+				out = append(out, one)
+			}
+		}
+	}
+	return out, nil
+}
+
+// base is what all cases share, and the section [discovery] by which the service is asked; nil: there is none.
+func (c *scaleCmd) base() (hollow.Case, *config.Discovery, error) {
+	one := hollow.Case{Real: c.Real, Racks: c.Racks, Seconds: c.Seconds, Spread: c.Spread, Within: c.Within, Down: c.Down, Calls: c.ServiceCalls,
+		Call: c.ServiceCall, Line: c.ServiceLine, Seed: c.Seed, Operator: c.Config}
+	self, err := os.Executable()
+	if err != nil {
+		return one, nil, err
+	}
+	one.Rack = func() *exec.Cmd { return exec.Command(self, "rack") }
+	if c.Real > 0 {
+		if one.Program, err = (&playing{Pinelb: c.Pinelb}).program(); err != nil {
+			return one, nil, fmt.Errorf("--real: %w", err)
+		}
+	}
+	if c.Config == "" {
+		return one, nil, nil
+	}
+	op, err := config.LoadOperator(c.Config)
+	if err != nil {
+		return one, nil, fmt.Errorf("--config: %w", err)
+	}
+	if op.Discovery == nil {
+		return one, nil, fmt.Errorf("--config: %s has no section [discovery]", c.Config)
+	}
+	return one, op.Discovery, nil
+}
+
+const scaleHead = "scenario\tpaced\tsidecars\treal\thosts\tchanges/s\tcalls/s\tturned\tconns\tB/s each\tB/s worst 6 s\tin force p50\tp99\tlast ms\tnever\tfirst p50\tp99\tlast ms\tnever\t" +
+	"service cores\tCPU ms/s each\tKB each\twrong\tload\t"
+
+// scaleLine words figures.
+func scaleLine(f hollow.Figures) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s\t%g\t%d\t%d\t%d\t%.3g\t%.1f\t%d\t%d\t%.0f\t%.0f\t", f.Scenario, f.Rate, f.Sidecars, f.Real, f.Hosts, f.Asked, f.CallsPerS, f.Turned,
+		f.Connections, f.BytesEach, f.WorstBytes)
+	fmt.Fprintf(&b, "%s\t%s\t%s\t%d\t", ms(f.InForceP50), ms(f.InForceP99), ms(f.InForceLast), f.Never)
+	fmt.Fprintf(&b, "%s\t%s\t%s\t%d\t", ms(f.FirstP50), ms(f.FirstP99), ms(f.FirstLast), f.FirstNever)
+	fmt.Fprintf(&b, "%.2f\t%.2f\t%.0f\t%d\t%.1f\t", f.ServiceCores, f.HollowCPU, f.HollowMemory, f.Wrong, math.Max(f.Load, f.LoadAfter))
+	return b.String()
+}
+
+func ms(v float64) string {
+	if v == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.1f", v)
+}
+
+// rackCmd is a rack of hollow sidecars, as scale starts it.
+type rackCmd struct{}
+
+// Run serves the play that is at the other end of its input and output.
+func (c *rackCmd) Run() error { return hollow.ServeRack(os.Stdin, os.Stdout) }
--- /dev/null
+++ b/cmd/pinelab/scale_test.go
@@ -0,0 +1,62 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+// What the scale tests can't play is refused at once, before anything is started or written, with the key named.
+func TestScaleRefuses(t *testing.T) {
+	dir := t.TempDir()
+	write := func(name, text string) string {
+		path := filepath.Join(dir, name)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return path
+	}
+	out := filepath.Join(dir, "out.jsonl")
+	for _, c := range []struct{ arg, names string }{
+		{"--sidecars=0", "--sidecars"},
+		{"--sidecars=-5", "--sidecars"},
+		{"--sidecars=many", "--sidecars"},
+		{"--sidecars=100,,200", "--sidecars"},
+		{"--sidecars=100000000000000000000", "--sidecars"},
+		{"--sidecars=10000000", "--sidecars"},
+		{"--hosts=0", "--hosts"},
+		{"--hosts=12.5", "--hosts"},
+		{"--hosts=10000000", "--hosts"},
+		{"--changes=-1", "--changes"},
+		{"--changes=NaN", "--changes"},
+		{"--changes=1e9", "--changes"},
+		{"--changes=often", "--changes"},
+		{"--seconds=0", "--seconds"},
+		{"--seconds=1000000", "--seconds"},
+		{"--racks=0", "--racks"},
+		{"--racks=1000", "--racks"},
+		{"--real=-1", "--real"},
+		{"--real=100000", "--real"},
+		{"--scenario=storm", "--scenario"},
+		{"--down=-3s", "--down"},
+		{"--down=3", "--down"},
+		{"--service-calls=-1", "--service-calls"},
+		{"--config=" + filepath.Join(dir, "none.toml"), "--config"},
+		{"--config=" + write("empty.toml", ""), "--config"},
+		{"--config=" + write("zero.toml", "[discovery]\ncalls = 0\n"), "zero.toml:2: discovery.calls"},
+		{"--config=" + write("text.toml", "[discovery]\ncalls = \"many\"\n"), "discovery.calls"},
+		{"--out=" + filepath.Join(dir, "none", "out.jsonl"), "--out"},
+	} {
+		var told bytes.Buffer
+		status := run(context.Background(), []string{"scale", "--out=" + out, c.arg}, &terminal{out: &bytes.Buffer{}, err: &told})
+		if status != faulty || !strings.Contains(told.String(), c.names) {
+			t.Errorf("%s: status %d, %s", c.arg, status, told.String())
+		}
+	}
+	if _, err := os.Stat(out); err == nil {
+		t.Error("a refused run has written its output")
+	}
+}
--- /dev/null
+++ b/internal/lab/hollow/process.go
@@ -0,0 +1,155 @@
+package hollow
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// order is what a rack's process is told to do, one JSON value after the other on its standard input; its end ends the process.
+type order struct {
+	Do       string // make, start, restart, least, usage or lives
+	Told     Told   // make: the fleet's
+	First    int    // make: the number of the first sidecar
+	Sidecars int    // make, restart: so many
+}
+
+// reply is its answer to each, on its standard output.
+type reply struct {
+	Least int64  `json:",omitempty"`
+	Usage Usage  `json:",omitzero"`
+	Lives []Life `json:",omitempty"`
+}
+
+// Usage is what a process has taken.
+type Usage struct {
+	CPU    time.Duration // of user and system, so far
+	Memory int64         // bytes resident now
+}
+
+// usage is this process's.
+func usage() Usage {
+	var r unix.Rusage
+	_ = unix.Getrusage(unix.RUSAGE_SELF, &r) // it can't fail for oneself
+	return Usage{CPU: time.Duration(r.Utime.Nano() + r.Stime.Nano()), Memory: resident()}
+}
+
+// resident is this process's resident memory in bytes; 0 is unknown.
+func resident() int64 {
+	text, _ := os.ReadFile("/proc/self/statm")
+	fields := strings.Fields(string(text))
+	if len(fields) < 2 {
+		return 0
+	}
+	pages, _ := strconv.ParseInt(fields[1], 10, 64)
+	return pages * int64(os.Getpagesize())
+}
+
+// ServeRack is a rack's process: it does what orders say until they end.
+func ServeRack(in io.Reader, out io.Writer) error {
+	orders, replies := json.NewDecoder(in), json.NewEncoder(out)
+	var r *rack
+	defer func() {
+		if r != nil {
+			r.close()
+		}
+	}()
+	for {
+		var o order
+		if err := orders.Decode(&o); errors.Is(err, io.EOF) {
+			return nil
+		} else if err != nil {
+			return fmt.Errorf("hollow: orders: %w", err)
+		}
+		if (r == nil) != (o.Do == "make") {
+			return fmt.Errorf("hollow: order %q at the wrong time", o.Do)
+		}
+		var a reply
+		switch o.Do {
+		case "make":
+			r = newRack(o.Told, o.First, o.Sidecars)
+		case "start":
+			r.start()
+		case "restart":
+			r.restart(o.Sidecars)
+		case "least":
+			a.Least = r.least()
+		case "usage":
+			a.Usage = usage()
+		case "lives":
+			a.Lives = r.lives()
+		default:
+			return fmt.Errorf("hollow: order %q is unknown", o.Do)
+		}
+		if err := replies.Encode(a); err != nil {
+			return fmt.Errorf("hollow: replies: %w", err)
+		}
+	}
+}
+
+// process is a rack as the play sees it.
+type process struct {
+	cmd       *exec.Cmd
+	sidecars  int
+	restarted int // of them, so far
+	in        io.WriteCloser
+	orders    *json.Encoder
+	replies   *json.Decoder
+}
+
+// launch starts a rack's process and makes its sidecars, of which none runs yet.
+func launch(cmd *exec.Cmd, told Told, first, sidecars int) (*process, error) {
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		return nil, fmt.Errorf("hollow: rack: %w", err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		return nil, fmt.Errorf("hollow: rack: %w", err)
+	}
+	cmd.Stderr = os.Stderr
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL} // ^C is for the play, which then ends them
+	if err := cmd.Start(); err != nil {
+		return nil, fmt.Errorf("hollow: rack: %w", err)
+	}
+	p := &process{cmd: cmd, sidecars: sidecars, in: in, orders: json.NewEncoder(in), replies: json.NewDecoder(out)}
+	if _, err := p.do(order{Do: "make", Told: told, First: first, Sidecars: sidecars}); err != nil {
+		p.close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *process) do(o order) (reply, error) {
+	if err := p.orders.Encode(o); err != nil {
+		return reply{}, fmt.Errorf("hollow: rack: %s: %w", o.Do, err)
+	}
+	var a reply
+	if err := p.replies.Decode(&a); err != nil {
+		return reply{}, fmt.Errorf("hollow: rack: %s: %w", o.Do, err)
+	}
+	return a, nil
+}
+
+func (p *process) signal(s syscall.Signal) error {
+	if err := p.cmd.Process.Signal(s); err != nil {
+		return fmt.Errorf("hollow: rack: %w", err)
+	}
+	return nil
+}
+
+// close ends the process, stopped or not.
+func (p *process) close() {
+	_ = p.in.Close()
+	_ = p.cmd.Process.Kill() // it has nothing to finish
+	_ = p.cmd.Wait()
+}
--- /dev/null
+++ b/internal/lab/hollow/real.go
@@ -0,0 +1,102 @@
+package hollow
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/tidwall/gjson"
+)
+
+// settings are a real sidecar's, for a site of one class; the number of instances and the names of zones and kinds are added.
+const settings = `{"allowed":{"cancel":true,"conn_idle":30000000000,"connect_timeout":75000000,"max_retry_after":1500000000,"most_held":20000,
+ "retry_after":true,"second_copies":true,"send_cap":4},
+ "classes":[{"name":"status","aim":100000000,"deadline":1000000000,"idempotency":"read_like","worth":1}],"quantum":2000000,
+ "rules":{"answer_slack":8000000,"cold":9000000000,"cold_share":0.3,"fall":1000000000,"stop_sending_within":3000000000,"tip_multiple":2.5}}`
+
+// real is a sidecar as the daemon's process.
+type real struct {
+	cmd    *exec.Cmd
+	number int
+	begun  time.Duration // by clock
+	heard  sync.WaitGroup
+
+	mu    sync.Mutex
+	acted []Acted // by its log, so that no digest is known
+}
+
+// launchReal starts one. Its files are in dir; operator is its operator's file, and may be empty.
+func launchReal(program, operator, dir string, told Told, number, instances int) (*real, error) {
+	site := map[string]any{}
+	if err := json.Unmarshal([]byte(settings), &site); err != nil {
+		return nil, fmt.Errorf("hollow: settings: %w", err)
+	}
+	site["n_instances"], site["zones"], site["kinds"] = instances, zoneNames, kindNames
+	name := fmt.Sprintf("real-%d", number)
+	text, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "discovery": told.Discovery,
+		"seed": fmt.Sprintf("%x", told.Seed+uint64(number)), "limits": map[string]any{"sockets": 256}, "settings": site})
+	if err != nil {
+		return nil, fmt.Errorf("hollow: configuration: %w", err)
+	}
+	file := filepath.Join(dir, name+".json")
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		return nil, fmt.Errorf("hollow: configuration: %w", err)
+	}
+	r := &real{cmd: exec.Command(program), number: number}
+	if operator != "" {
+		r.cmd.Args = append(r.cmd.Args, "--config="+operator)
+	}
+	r.cmd.Env = append(os.Environ(), "LB_CONFIG="+file, "LB_NAME=", "LB_LISTEN=", "LB_DISCOVERY=", "LB_CONTROL=")
+	r.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
+	log, err := r.cmd.StderrPipe()
+	if err != nil {
+		return nil, fmt.Errorf("hollow: real sidecar: %w", err)
+	}
+	r.begun = clock()
+	if err := r.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("hollow: real sidecar: %w", err)
+	}
+	r.heard.Go(func() { r.hear(bufio.NewScanner(log)) })
+	return r, nil
+}
+
+// hear reads its log to the end. A line says that a list has been applied.
+func (r *real) hear(log *bufio.Scanner) {
+	for log.Scan() {
+		line := gjson.ParseBytes(log.Bytes())
+		if line.Get("message").Str != "cluster changed" {
+			continue
+		}
+		r.mu.Lock()
+		r.acted = append(r.acted, Acted{At: clock(), Revision: line.Get("revision").Int()})
+		r.mu.Unlock()
+	}
+}
+
+func (r *real) life() Life {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return Life{Number: r.number, Begun: r.begun, Acted: r.acted}
+}
+
+// least is the revision that it acts on; 0 is none.
+func (r *real) least() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.acted) == 0 {
+		return 0
+	}
+	return r.acted[len(r.acted)-1].Revision
+}
+
+func (r *real) close() {
+	_ = r.cmd.Process.Kill() // it has nothing to finish
+	r.heard.Wait()
+	_ = r.cmd.Wait()
+}
--- /dev/null
+++ b/internal/lab/hollow/service.go
@@ -0,0 +1,328 @@
+package hollow
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/cluster"
+	"pinelb.example/pinelb/internal/lab/model"
+	"pinelb.example/pinelb/internal/version"
+)
+
+const (
+	watchMost = time.Minute // that a call may wait
+	firstPort = 10_000      // of hosts, which nobody plays
+)
+
+// Service is a list service for thousands of sidecars, over HTTP/1.1 on real sockets, which counts what it is asked. It keeps the
+// history of its list, so that a watch gets what is newer than its revision.
+//
+// The service of package live belongs to a play: each answer is made for one sidecar of a plan, and each call is kept in the
+// trace. Here an answer is made once for all that ask for the same, or the stand-in would cost more than what it measures.
+type Service struct {
+	capacity *model.Listing // nil: there is no bound
+	asking   sync.Mutex     // of capacity
+
+	mu      sync.Mutex
+	hosts   []host
+	history []revision       // the first one at 0
+	answers map[int64][]byte // of the present revision, by the one that is asked for
+	news    chan struct{}    // closed, and made anew, with each change
+	treat   func(Call) Treatment
+}
+
+// host is one that is listed, and when it has changed last.
+type host struct {
+	cluster.Member
+	revision int64
+}
+
+// revision is a list that the service has had.
+type revision struct {
+	at     time.Duration // by clock
+	digest version.Digest
+}
+
+// Call is one that has come.
+type Call struct {
+	Front  string // where it came
+	Conn   int64  // number of its connection there, from 1
+	No     int64  // of the call there, from 1
+	Target string
+}
+
+// Treatment is what becomes of a call.
+type Treatment int
+
+// The treatments.
+const (
+	Answers Treatment = iota
+	Turns             // 503 at once
+	Breaks            // the connection ends without an answer
+	Silent            // nothing, until the caller leaves
+)
+
+// NewService makes a service with so many hosts, all ready. Capacity is its bound; nil is none.
+func NewService(hosts int, capacity *model.Listing) *Service {
+	s := &Service{capacity: capacity, answers: map[int64][]byte{}, news: make(chan struct{})}
+	for i := range hosts {
+		s.hosts = append(s.hosts, host{cluster.Member{ID: fmt.Sprintf("host-%05d", i), Addr: fmt.Sprintf("127.0.0.1:%d", firstPort+i), Zone: zoneNames[i%len(zoneNames)],
+			Kind: kindNames[0], State: balance.Ready, Weight: 1, UpSince: 1764633600 * time.Second}, 1})
+	}
+	s.note()
+	return s
+}
+
+// note enters the present list into the history. The lock is held, or nobody else has the service yet.
+func (s *Service) note() {
+	var all cluster.List
+	for _, h := range s.hosts {
+		all.Members = append(all.Members, h.Member)
+	}
+	s.history = append(s.history, revision{clock(), all.Digest()})
+}
+
+// Change has the next host in turn be told as restarted, and returns the revision at which it is.
+func (s *Service) Change() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := int64(len(s.history)) + 1
+	h := &s.hosts[int(now)%len(s.hosts)]
+	h.UpSince += time.Second
+	h.revision = now
+	s.note()
+	clear(s.answers)
+	close(s.news)
+	s.news = make(chan struct{})
+	return now
+}
+
+// Treat has calls be treated as f says from now on; nil: all are answered.
+func (s *Service) Treat(f func(Call) Treatment) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.treat = f
+}
+
+// Forget has it begin its history anew, as one does that has restarted.
+func (s *Service) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.hosts {
+		s.hosts[i].revision = 1
+	}
+	s.history = nil
+	s.note()
+	clear(s.answers)
+	close(s.news)
+	s.news = make(chan struct{})
+}
+
+// await returns the answer to who has a list of that revision, 0 being none: as soon as there is something newer, or once the wait
+// is over. It returns false if ctx ends before.
+func (s *Service) await(ctx context.Context, since int64, wait time.Duration) ([]byte, bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	late := wait == 0
+	for {
+		s.mu.Lock()
+		if now := int64(len(s.history)); late || since < 1 || since != now {
+			text := s.answer(since)
+			s.mu.Unlock()
+			return text, true
+		}
+		news := s.news
+		s.mu.Unlock()
+		select {
+		case <-news:
+		case <-timer.C:
+			late = true
+		case <-ctx.Done():
+			return nil, false
+		}
+	}
+}
+
+// answer is the whole list, or what is newer than a revision that there has been. The lock is held.
+func (s *Service) answer(since int64) []byte {
+	if text := s.answers[since]; text != nil {
+		return text
+	}
+	now := int64(len(s.history))
+	whole := since < 1 || since > now
+	b := fmt.Appendf(nil, `{"revision":%d,"complete":%t,"members":[`, now, whole)
+	for _, h := range s.hosts {
+		if whole || h.revision > since {
+			b = fmt.Appendf(b, `{"id":%q,"host_port":%q,"locality":%q,"flavor":%q,"cell":0,"phase":"Ready","size":1,"up_since_ms":%d},`,
+				h.ID, h.Addr, h.Zone, h.Kind, h.UpSince.Milliseconds())
+		}
+	}
+	b = append(bytes.TrimSuffix(b, []byte(",")), "]}"...)
+	s.answers[since] = b
+	return b
+}
+
+// Front is one address of the service, with counts of its own.
+type Front struct {
+	service *Service
+	name    string
+	addr    string
+	server  *http.Server // nil: it is down
+	serving sync.WaitGroup
+
+	calls, turned, conns, in, out atomic.Int64
+}
+
+// Counts are what a front has been asked so far. Bytes are those of HTTP, without TCP's own.
+type Counts struct{ Calls, Turned, Connections, In, Out int64 }
+
+// Open opens a front of that name on a free loopback address.
+func (s *Service) Open(name string) (*Front, error) {
+	f := &Front{service: s, name: name, addr: "127.0.0.1:0"}
+	return f, f.Up()
+}
+
+// Up has it listen where it listened before.
+func (f *Front) Up() error {
+	l, err := net.Listen("tcp", f.addr)
+	if err != nil {
+		return fmt.Errorf("hollow: list service: %w", err)
+	}
+	f.addr = l.Addr().String()
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /catalog/members", f.members)
+	f.server = &http.Server{Handler: mux, ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+		return context.WithValue(ctx, connKey{}, c.(*counted).no)
+	}}
+	server := f.server
+	f.serving.Go(func() { _ = server.Serve(&counting{l, f}) }) // it ends with the server
+	return nil
+}
+
+// Down ends its connections and refuses new ones.
+func (f *Front) Down() {
+	if f.server != nil {
+		_ = f.server.Close() // its connections are gone either way
+		f.server = nil
+	}
+	f.serving.Wait()
+}
+
+// Counts returns them.
+func (f *Front) Counts() Counts {
+	return Counts{f.calls.Load(), f.turned.Load(), f.conns.Load(), f.in.Load(), f.out.Load()}
+}
+
+type connKey struct{}
+
+func (f *Front) members(w http.ResponseWriter, req *http.Request) {
+	call := Call{Front: f.name, Conn: req.Context().Value(connKey{}).(int64), No: f.calls.Add(1), Target: req.RequestURI}
+	since, wait, ok := asked(req)
+	if !ok {
+		http.Error(w, "since and timeout_ms are whole numbers", http.StatusBadRequest)
+		return
+	}
+	f.service.mu.Lock()
+	treat := f.service.treat
+	f.service.mu.Unlock()
+	if treat != nil {
+		switch treat(call) {
+		case Turns:
+			f.turn(w)
+			return
+		case Breaks:
+			panic(http.ErrAbortHandler)
+		case Silent:
+			<-req.Context().Done()
+			panic(http.ErrAbortHandler)
+		}
+	}
+	if !f.service.admit(req.Context()) {
+		f.turn(w)
+		return
+	}
+	text, ok := f.service.await(req.Context(), since, wait)
+	if !ok {
+		panic(http.ErrAbortHandler) // nobody is there to take an answer
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Length", strconv.Itoa(len(text)))
+	_, _ = w.Write(text) // who has left asks again
+}
+
+func (f *Front) turn(w http.ResponseWriter) {
+	f.turned.Add(1)
+	http.Error(w, "the list service has no room", http.StatusServiceUnavailable)
+}
+
+// asked reads a call: since 0 asks for the whole list.
+func asked(req *http.Request) (since int64, wait time.Duration, ok bool) {
+	q := req.URL.Query()
+	if !q.Has("since") {
+		return 0, 0, true
+	}
+	since, err := strconv.ParseInt(q.Get("since"), 10, 64)
+	ms, wrong := strconv.ParseUint(q.Get("timeout_ms"), 10, 31)
+	return since, min(time.Duration(ms)*time.Millisecond, watchMost), err == nil && wrong == nil
+}
+
+// admit has a call wait for its part of the capacity; false if there is none for it.
+func (s *Service) admit(ctx context.Context) bool {
+	if s.capacity == nil {
+		return true
+	}
+	s.asking.Lock()
+	now := clock()
+	answered, room := s.capacity.Ask(now, 1)
+	s.asking.Unlock()
+	if !room {
+		return false
+	}
+	t := time.NewTimer(answered - now)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+// counting counts connections and their bytes.
+type counting struct {
+	net.Listener
+	front *Front
+}
+
+func (l *counting) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &counted{c, l.front, l.front.conns.Add(1)}, nil
+}
+
+type counted struct {
+	net.Conn
+	front *Front
+	no    int64
+}
+
+func (c *counted) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.front.in.Add(int64(n))
+	return n, err
+}
+
+func (c *counted) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.front.out.Add(int64(n))
+	return n, err
+}
