--- a/cmd/pinelab/scale.go
+++ b/cmd/pinelab/scale.go
@@ -67,6 +67,9 @@
 			return err
 		}
 		fmt.Fprintln(w, scaleLine(f))
+		if f.Real > 0 {
+			fmt.Fprintln(w, realLine(f))
+		}
 		if err := json.NewEncoder(out).Encode(f); err != nil {
 			return fmt.Errorf("--out: %w", err)
 		}
@@ -156,6 +159,13 @@
 	return b.String()
 }
 
+// realLine words those of the real sidecars of the same play, in the same columns.
+func realLine(f hollow.Figures) string {
+	return fmt.Sprintf("(real)\t%g\t-\t%d\t%d\t%.3g\t%.1f\t-\t%d\t%.0f\t-\t%s\t%s\t%s\t%d\t%s\t%s\t%s\t%d\t\t\t\t\t\t", f.Rate, f.Real, f.Hosts, f.Asked,
+		f.RealCallsEach*float64(f.Real), f.RealConnections, f.RealBytesEach, ms(f.RealInForceP50), ms(f.RealInForceP99), ms(f.RealInForceLast), f.RealNever,
+		ms(f.RealFirstP50), ms(f.RealFirstP99), ms(f.RealFirstLast), f.RealFirstNever)
+}
+
 func ms(v float64) string {
 	if v == 0 {
 		return "-"
--- a/internal/lab/hollow/figures.go
+++ b/internal/lab/hollow/figures.go
@@ -61,6 +61,10 @@
 	RealInForceP99  float64 `json:"real_in_force_p99_ms,omitempty"`
 	RealInForceLast float64 `json:"real_in_force_last_ms,omitempty"`
 	RealNever       int     `json:"real_never"`
+	RealFirstP50    float64 `json:"real_first_p50_ms,omitempty"`
+	RealFirstP99    float64 `json:"real_first_p99_ms,omitempty"`
+	RealFirstLast   float64 `json:"real_first_last_ms,omitempty"`
+	RealFirstNever  int     `json:"real_first_never"`
 
 	Load      float64 `json:"load_before"` // of the machine, over a minute
 	LoadAfter float64 `json:"load_after"`
@@ -91,7 +95,14 @@
 	took, never, wrong = p.inForce(changes, real)
 	f.RealInForceP50, f.RealInForceP99, f.RealInForceLast, f.RealNever = at(took, 50), at(took, 99), at(took, 100), never
 	f.Wrong += wrong
-	p.firsts(&f, hollow)
+	took, f.FirstNever = firsts(hollow)
+	f.Starts = len(hollow)
+	f.FirstP50, f.FirstP99, f.FirstLast = at(took, 50), at(took, 99), at(took, 100)
+	if p.back > 0 {
+		f.SinceBack = lastFirst(hollow, p.back)
+	}
+	took, f.RealFirstNever = firsts(real)
+	f.RealFirstP50, f.RealFirstP99, f.RealFirstLast = at(took, 50), at(took, 99), at(took, 100)
 	return f
 }
 
@@ -157,28 +168,33 @@
 	return took, never, wrong
 }
 
-// firsts sums up how long sidecars took from their start to a first list. Those that were started anew before they had one count as
-// neither.
-func (p *play) firsts(f *Figures, lives []Life) {
+// firsts is how long sidecars took from their start to a first list, in order, and how many never had one. Those that were started anew
+// before they had one count as neither.
+func firsts(lives []Life) (took []time.Duration, never int) {
 	last := map[int]time.Duration{} // when each was started last
 	for _, l := range lives {
 		last[l.Number] = max(last[l.Number], l.Begun)
 	}
-	var took []time.Duration
 	for _, l := range lives {
-		f.Starts++
 		switch {
 		case len(l.Acted) > 0:
 			took = append(took, l.Acted[0].At-l.Begun)
-			if p.back > 0 {
-				f.SinceBack = max(f.SinceBack, millis(l.Acted[0].At-p.back))
-			}
 		case l.Begun == last[l.Number]:
-			f.FirstNever++
+			never++
 		}
 	}
 	slices.Sort(took)
-	f.FirstP50, f.FirstP99, f.FirstLast = at(took, 50), at(took, 99), at(took, 100)
+	return took, never
+}
+
+// lastFirst is how long after that time the last sidecar had a first list, in ms.
+func lastFirst(lives []Life, since time.Duration) (last float64) {
+	for _, l := range lives {
+		if len(l.Acted) > 0 {
+			last = max(last, millis(l.Acted[0].At-since))
+		}
+	}
+	return last
 }
 
 // at is a percentile of what is in order, in ms; 0 of nothing.
--- a/internal/lab/hollow/figures_test.go
+++ b/internal/lab/hollow/figures_test.go
@@ -23,16 +23,16 @@
 }
 
 func TestFirsts(t *testing.T) {
-	p, f := &play{back: 2 * time.Millisecond}, Figures{}
 	ms := time.Millisecond
-	p.firsts(&f, []Life{
+	lives := []Life{
 		{Number: 0, Begun: ms, Acted: []Acted{{At: 4 * ms}, {At: 90 * ms}}},
 		{Number: 1, Begun: ms}, // started anew before it had one
 		{Number: 1, Begun: 5 * ms, Acted: []Acted{{At: 15 * ms}}},
 		{Number: 2, Begun: ms}, // never
-	})
-	if f.Starts != 4 || f.FirstNever != 1 || f.FirstP50 != 3 || f.FirstLast != 10 || f.SinceBack != 13 {
-		t.Errorf("%+v", f)
+	}
+	took, never := firsts(lives)
+	if want := []time.Duration{3 * ms, 10 * ms}; !slices.Equal(took, want) || never != 1 || lastFirst(lives, 2*ms) != 13 {
+		t.Errorf("%v, %d never, the last %g ms after", took, never, lastFirst(lives, 2*ms))
 	}
 }
 
