--- a/cmd/pinelb/main_test.go
+++ b/cmd/pinelb/main_test.go
@@ -30,6 +30,7 @@
 		plainProxy(to)
 		os.Exit(0)
 	}
+	part()
 	os.Exit(m.Run())
 }
 
