Look once an attempt for its client, and time a stream by one timer

Change: the look as a send begins stays; the one before the first byte is spared where the last is 2 ms old at most (StillWanted), so that an attempt begins 2 ms after the leave at the latest, and the time from one line to the next. One timer is both the next look and the watchdog. Connections lie in the order in which they became idle: the last that has rested is found by halving. What looks at sockets is one package, internal/peek, in place of two functions that did the same.

TestStillWanted has the 2 ms.

--- a/cmd/pinelb/leave_test.go
+++ b/cmd/pinelb/leave_test.go
@@ -203,6 +203,17 @@
 }
 
 func newLateBox(t *testing.T) *lateBox {
+	addr, room := newLateListener(t)
+	b := &box{addr: addr, visits: make(chan string, 1000), answer: serve("ok")}
+	return &lateBox{b, sync.OnceFunc(func() {
+		server := &http.Server{Handler: b}
+		go func() { _ = server.Serve(room()) }()
+		t.Cleanup(func() { _ = server.Close() })
+	})}
+}
+
+// newLateListener returns an address at which no connection comes up until there is room, which makes it a listener's.
+func newLateListener(t *testing.T) (addr string, room func() net.Listener) {
 	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 	if err != nil {
 		t.Fatal(err)
@@ -214,7 +225,7 @@
 		t.Fatal(err)
 	}
 	at, _ := syscall.Getsockname(fd)
-	addr := fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
+	addr = fmt.Sprintf("127.0.0.1:%d", at.(*syscall.SockaddrInet4).Port)
 	var fill []net.Conn
 	for { // until one does not come up
 		c, err := net.DialTimeout("tcp", addr, 100*time.Millisecond)
@@ -223,8 +234,7 @@
 		}
 		fill = append(fill, c)
 	}
-	b := &box{addr: addr, visits: make(chan string, 1000), answer: serve("ok")}
-	return &lateBox{b, sync.OnceFunc(func() {
+	return addr, func() net.Listener {
 		for _, c := range fill {
 			_ = c.Close()
 		}
@@ -234,10 +244,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		server := &http.Server{Handler: b}
-		go func() { _ = server.Serve(l) }()
-		t.Cleanup(func() { _ = server.Close() })
-	})}
+		return l
+	}
 }
 
 func osFile(fd int) *os.File {
--- /dev/null
+++ b/internal/peek/peek.go
@@ -0,0 +1,69 @@
+// Package peek looks at what the other side of a connection has done, and takes nothing from it.
+package peek
+
+import (
+	"net"
+	"syscall"
+
+	"golang.org/x/sys/unix"
+)
+
+// State is what there is to see of a connection's other side.
+type State uint8
+
+// The states.
+const (
+	Silent State = iota // nothing that is not read yet: it has neither said anything more nor closed
+	Unread              // bytes that are not read yet
+	Ended               // it has closed the connection, or its sending; or the connection was closed here
+	Unseen              // such a connection can't be looked at
+)
+
+// Look is one call to the kernel.
+func Look(conn net.Conn) State {
+	state := Ended
+	if !control(conn, func(fd uintptr) {
+		var one [1]byte
+		switch n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
+		case err == syscall.EAGAIN || err == syscall.EINTR:
+			state = Silent
+		case n > 0:
+			state = Unread
+		}
+	}) {
+		return Unseen
+	}
+	return state
+}
+
+// Left tells whether the other side has closed the connection, or its sending, also behind bytes that are not read yet.
+func Left(conn net.Conn) bool {
+	switch Look(conn) {
+	case Ended:
+		return true
+	case Unread: // another request, a stray byte or a body's beginning: the end may lie behind it
+		return hungUp(conn)
+	}
+	return false
+}
+
+func hungUp(conn net.Conn) (up bool) {
+	control(conn, func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		up = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return up
+}
+
+// control has do look at the connection's descriptor, unless it was closed here. It returns whether there can be one.
+func control(conn net.Conn, do func(fd uintptr)) bool {
+	sc, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	if raw, err := sc.SyscallConn(); err == nil {
+		_ = raw.Control(do) // an error says that it was closed here
+	}
+	return true
+}
--- a/internal/stream/left_test.go
+++ b/internal/stream/left_test.go
@@ -92,6 +92,35 @@
 	}
 }
 
+// Guards against the last look before an attempt's first byte being spared where its client may have left since the one before,
+// and against one where the client was there a moment ago: looks cost calls to the kernel.
+func TestStillWanted(t *testing.T) {
+	for _, c := range []struct {
+		waits time.Duration // of the attempt, for its connection
+		looks int64
+		want  bool
+	}{{0, 1, true}, {lookLasts, 1, true}, {lookLasts + time.Nanosecond, 2, false}, {time.Second, 2, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			var looks atomic.Int64
+			req := request(1, time.Minute)
+			req.Left = func() bool { return looks.Add(1) > 1 } // it leaves after the first
+			asked := make(chan struct{})
+			p := &Proxy{uses: map[string]use{}, Upstream: doFunc(func(_ context.Context, req *Request) (balance.Status, Response) {
+				defer close(asked)
+				time.Sleep(c.waits)
+				if got := req.StillWanted(); got != c.want || looks.Load() != c.looks {
+					t.Errorf("after %v it is wanted: %v after %d looks, want %v after %d", c.waits, got, looks.Load(), c.want, c.looks)
+				}
+				return balance.OK, Response{}
+			})}
+			sent := &mute{sends: make(chan engine.Send, 1), sent: true}
+			sent.sends <- engine.Send{}
+			p.live(t.Context(), sent, req, &unbound)
+			<-asked
+		})
+	}
+}
+
 type doFunc func(ctx context.Context, req *Request) (balance.Status, Response)
 
 func (f doFunc) Do(ctx context.Context, _ balance.EndpointID, _ time.Time, req *Request) (balance.Status, Response) {
--- a/internal/stream/stream.go
+++ b/internal/stream/stream.go
@@ -6,6 +6,7 @@
 	"context"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -39,16 +40,49 @@
 	// Any goroutine may call it, also after the stream. Nil: it can't be seen, or says nothing.
 	Left func() bool
 
-	over <-chan struct{} // ends with the stream
+	open *open // nil: it is no stream's
 }
 
-// Wanted tells whether anybody still waits for the answer: what has waited before it goes out is not sent for nobody.
+// open is what a stream and its attempts share while it lasts.
+type open struct {
+	over   chan struct{} // closed with the stream
+	since  time.Time
+	looked atomic.Int64 // ns after since: when its client was last seen to be there
+}
+
+// lookLasts is how long a client that was seen to be there is taken to be. An attempt begins so long after its client has left at
+// most, and the time from one line to the next.
+const lookLasts = 2 * time.Millisecond
+
+// Wanted tells whether anybody still waits for the answer, by a look at the client.
 func (r *Request) Wanted() bool {
+	if r.open == nil {
+		return r.Left == nil || !r.Left()
+	}
 	select {
-	case <-r.over:
+	case <-r.open.over:
 		return false
 	default:
-		return r.Left == nil || !r.Left()
+	}
+	at := time.Since(r.open.since) // before the look: what it does not see has not happened by then
+	if r.Left != nil && r.Left() {
+		return false
+	}
+	r.open.looked.Store(int64(at))
+	return true
+}
+
+// StillWanted is Wanted for what may have waited since the last look, which does where it is recent: the look before an
+// attempt's first byte.
+func (r *Request) StillWanted() bool {
+	if r.open == nil || time.Since(r.open.since)-time.Duration(r.open.looked.Load()) > lookLasts {
+		return r.Wanted()
+	}
+	select {
+	case <-r.open.over:
+		return false
+	default:
+		return true
 	}
 }
 
@@ -108,8 +142,8 @@
 // a stream by then, if they work at all.
 const watchdogLead = 2 * time.Millisecond
 
-// lookEvery is how often a client that waits is looked for: what its front doesn't notice is seen well within 0.3 s, after
-// which nothing is to be sent on for a client that has left.
+// lookEvery is how often a client that waits is looked for: what is held for one that has left, and its front doesn't notice,
+// takes up room and a host's time. Whether an attempt begins does not rest on it: a look comes before each.
 const lookEvery = 100 * time.Millisecond
 
 // Proxy serves streams.
@@ -193,16 +227,16 @@
 // of an upstream host ends it too, and so do the client's leaving and its deadline.
 func (p *Proxy) live(ctx context.Context, s decided, req *Request, a *budget.Account) Response {
 	defer s.Close()
-	answer, over := make(chan Response, 1), make(chan struct{}) // one answer at most: only one attempt can win
-	req.over = over
+	answer := make(chan Response, 1) // one answer at most: only one attempt can win
+	req.open = &open{over: make(chan struct{}), since: time.Now()}
 	defer func() {
-		close(over)
+		close(req.open.over)
 		unread(answer)
 	}()
-	watchdog := time.NewTimer(time.Until(req.Deadline) - watchdogLead)
-	defer watchdog.Stop()
-	looks := time.NewTicker(lookEvery)
-	defer looks.Stop()
+	ends := req.Deadline.Add(-watchdogLead)
+	next := func() time.Duration { return min(lookEvery, time.Until(ends)) }
+	alarm := time.NewTimer(next()) // to look for the client, and at last the watchdog
+	defer alarm.Stop()
 	left := ctx.Done()
 	first := uint32(0) // the number of the version under which the first attempt was decided
 	whole := req.Upload.passed()
@@ -222,29 +256,33 @@
 			if first == 0 {
 				first = send.Under
 			}
-			go p.attempt(s, send, send.Under != first, p.Budget.send(a, req, send.Worth), p.begin(req.Txn, send.Host), answer, over)
+			go p.attempt(s, send, send.Under != first, p.Budget.send(a, req, send.Worth), p.begin(req.Txn, send.Host), answer)
 		case v := <-s.Verdict():
 			return localReply(v, req)
 		case res := <-answer:
 			return res
 		case <-whole: // its time begins
 			whole, req.Deadline = nil, time.Now().Add(req.Upload.Left)
-			watchdog.Reset(req.Upload.Left - watchdogLead)
+			ends = req.Deadline.Add(-watchdogLead)
+			alarm.Reset(next())
 		case <-left:
 			if ended, _ := s.Abandon(); ended {
 				return Response{Outcome: Gone}
 			}
 			left = nil // its answer was first, and comes: the client may be there where all is to end
-		case <-looks.C:
-			if !req.Wanted() {
-				if ended, _ := s.Abandon(); ended {
-					return Response{Outcome: Gone}
-				}
+		case <-alarm.C:
+			early := time.Until(ends) > 0
+			if early && req.Wanted() {
+				alarm.Reset(next())
+				continue
 			}
-		case <-watchdog.C: // the decisions should have ended it by now
-			if ended, sent := s.Abandon(); ended && sent {
+			switch ended, sent := s.Abandon(); {
+			case !ended: // its answer was first, and comes
+			case early:
+				return Response{Outcome: Gone}
+			case sent: // the decisions should have ended it by now
 				return Response{Outcome: Expired}
-			} else if ended {
+			default:
 				return Response{Outcome: Refused}
 			}
 		}
@@ -262,7 +300,7 @@
 
 // attempt is one upstream request, the n-th of its stream. However it ends, its outcome is told once. It has crossed if the
 // version that is acted on has changed since the stream's first.
-func (p *Proxy) attempt(s decided, send engine.Send, crossed bool, req sent, n int, answer chan Response, over <-chan struct{}) {
+func (p *Proxy) attempt(s decided, send engine.Send, crossed bool, req sent, n int, answer chan Response) {
 	status, res := balance.Reset, Response{Outcome: Failed} // what a panic leaves: it may have run
 	effect, kept := p.Effects.Sent(time.Now(), req.Txn, send.Host)
 	if p.Trail != nil {
@@ -281,7 +319,7 @@
 			Answers: status == balance.OK || res.Outcome == Rejected || res.Outcome == Unanswered || res.Outcome == Broken}) {
 			answer <- res
 			select {
-			case <-over:
+			case <-req.open.over:
 				unread(answer)
 			default:
 			}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -12,11 +12,11 @@
 	"os"
 	"slices"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"pinelb.example/pinelb/balance"
 	"pinelb.example/pinelb/internal/budget"
+	"pinelb.example/pinelb/internal/peek"
 	"pinelb.example/pinelb/internal/stream"
 )
 
@@ -58,29 +58,7 @@
 
 // quiet tells whether the other side has neither closed an idle connection nor said anything on it.
 func (c *conn) quiet() bool {
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok || c.in != nil && c.in.Buffered() > 0 {
-		return false
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = raw.Control(func(fd uintptr) {
-		var one [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = err == syscall.EAGAIN
-	})
-	return err == nil && silent
-}
-
-// rest is how much longer an idle connection has to rest before it may carry another request.
-func (c *conn) rest(now time.Time) time.Duration {
-	if c.use.protocol != "" {
-		return 0
-	}
-	return restFor - now.Sub(c.idleSince)
+	return (c.in == nil || c.in.Buffered() == 0) && peek.Look(c.Conn) == peek.Silent
 }
 
 // interrupt makes what is under way on the connection return at once.
--- a/internal/upstream/line.go
+++ b/internal/upstream/line.go
@@ -76,7 +76,7 @@
 	if t.conn == nil {
 		return nil, t.err
 	}
-	rested := time.NewTimer(t.conn.rest(p.now()))
+	rested := time.NewTimer(t.conn.use.rest() - p.now().Sub(t.conn.idleSince))
 	defer rested.Stop()
 	select {
 	case <-rested.C:
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -9,6 +9,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"sort"
 	"strconv"
 	"sync"
 	"time"
@@ -64,6 +65,14 @@
 	oneway   bool // nothing is answered: when the host is done with a request can't be told
 }
 
+// rest is how long a connection rests before it may carry another request.
+func (u purpose) rest() time.Duration {
+	if u.protocol != "" {
+		return 0
+	}
+	return restFor
+}
+
 // host is one upstream host's address and its idle connections, the last used last.
 type host struct {
 	addr  string
@@ -241,10 +250,12 @@
 	return c, nil
 }
 
-// last takes the idle connection out that was used last for that purpose and has rested, if there is one.
+// last takes the idle connection out that was used last for that purpose and has rested, if there is one. They lie in the
+// order in which they became idle, so that those that still rest come last.
 func (h *host) last(use purpose, now time.Time) *conn {
-	for i := len(h.idle) - 1; i >= 0; i-- {
-		if c := h.idle[i]; c.use == use && c.rest(now) <= 0 {
+	rested := sort.Search(len(h.idle), func(i int) bool { return now.Sub(h.idle[i].idleSince) < use.rest() })
+	for i := rested - 1; i >= 0; i-- {
+		if c := h.idle[i]; c.use == use {
 			h.idle = slices.Delete(h.idle, i, i+1)
 			return c
 		}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -62,7 +62,7 @@
 	}
 	// The last look before the first byte: the attempt may have waited, and the world gone on.
 	held := p.Sends != nil && !p.Sends()
-	if err = ctx.Err(); err == nil && (held || !p.takes(c) || !req.Wanted()) {
+	if err = ctx.Err(); err == nil && (held || !p.takes(c) || !req.StillWanted()) {
 		err = errHeldBack
 	}
 	if err != nil {
