Bound first calls to discovery, and those after a failure, by 0.6 s

Need: a change counts as told 6 s after discovery had it and could be reached, whatever else is allowed after a failed call, and what a new agent has 4 s after SIGHUP. Four silences in a row of a watch took up to 5.85 s, with 0.15 s to spare. Two silent first calls of a new agent took 4.3 s: too late.

Cause: watch.go:153 gave a call that doesn't wait 2 s whatever had failed before (answerIn), and watch.go:156 asked again after a failure with the whole wait of a watch and 0.3 s (1.3 s), though what was missed is there already and an agent answers at once.

Change: a first call, and the first two after a failure, may take 0.6 s, each later one twice as long, up to 1.3 s for a watch and 2 s for the whole list as before: an agent that is only slow is still heard. What waits after a failure waits shorter by as much.

TestSilencesInARow now wants 5 s in place of 6 and fails without the change.

Not mended: a paced watch ([discovery], off on the platform) waits 2.5 s past its wait.

--- a/internal/cluster/crossings_test.go
+++ b/internal/cluster/crossings_test.go
@@ -67,8 +67,9 @@
 	_, _ = in.ReadByte() // until it is left
 }
 
-// Guards against news that comes later than 6 s after a watch fell silent, whatever its agent does at the next three
-// attempts, and against a watch that is not opened anew within 200 ms. In virtual time, with the longest waits.
+// Guards against news that comes later than 6 s after a watch fell silent, less a second for a machine that is busy, whatever its
+// agent does at the next three attempts, and against a watch that is not opened anew within 200 ms. In virtual time, with the
+// longest waits.
 func TestSilencesInARow(t *testing.T) {
 	for _, first := range silences[:6] { // the watch is connected already
 		for _, second := range silences {
@@ -127,7 +128,7 @@
 	took := time.Since(from)
 	end()
 	<-ended
-	if took > 6*time.Second {
+	if took > 5*time.Second {
 		return fmt.Errorf("the drain was learned of after %v", took)
 	}
 	return fault
--- a/internal/cluster/paced.go
+++ b/internal/cluster/paced.go
@@ -136,7 +136,7 @@
 	from := p.now()
 	dialled := p.conn == nil
 	limit := p.pacer.Within()
-	if q.wait > 0 {
+	if q.wait > 0 { // a service of many may be that slow, and is asked at its moments whatever this is: no bound on it keeps an agent's 2 s
 		limit = q.wait + limit/2
 	}
 	if p.doubted != nil {
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -24,7 +24,8 @@
 const (
 	watchWait  = 1000 * time.Millisecond // how long discovery may hold a call that waits, at most
 	watchGrace = 300 * time.Millisecond  // and how long beyond that it may be silent
-	answerIn   = 2 * time.Second         // the same of a call that doesn't wait
+	answerSoon = 600 * time.Millisecond  // how long a first call, and one after a failure, may take: an agent answers at once
+	answerIn   = 2 * time.Second         // and one after several failures: an agent may be slow, and not silent
 	redialMost = 100 * time.Millisecond  // after a failure: well within the 200 ms that keep a watch going
 	redialLast = 180 * time.Millisecond  // and after many in a row: an agent that is back counts what it has as told at once
 	turnedLast = 800 * time.Millisecond  // the same where it says that it has no room: it is not to be asked harder the worse it does
@@ -157,10 +158,13 @@
 		failures++
 	}
 	for ctx.Err() == nil {
-		target, within := "/catalog/members", answerIn
+		target, within := "/catalog/members", patience(failures)
 		due, waits := w.whole.due(), false
 		if w.have && due == 0 {
 			wait := w.spread(watchWait)
+			if failures > 0 { // what was missed is there already
+				wait = min(wait, within-watchGrace)
+			}
 			waits = true
 			target = fmt.Sprintf("/catalog/members?since=%d&timeout_ms=%d", w.revision, wait.Milliseconds())
 			within = wait + watchGrace
@@ -209,6 +213,13 @@
 // each time, up to redialLast.
 func redialAfter(failures int) time.Duration { return min(redialLast, redialMost<<min(failures, 8)) }
 
+// patience is how long a call that finds news there may take after so many failures in a row: twice as long each time from the
+// third on, up to answerIn. Several silences in a row so cost well under the 4 s after which what a new agent has counts as
+// told, and the 6 s of a watch that has fallen silent.
+func patience(failures int) time.Duration {
+	return min(answerIn, answerSoon<<min(max(0, failures-2), 8))
+}
+
 // spread is a random time between three quarters of most and most.
 func (w *watch) spread(most time.Duration) time.Duration {
 	return time.Duration((0.75 + 0.25*w.rand.Float64()) * float64(most))
