Keep a hand-over's line whole where the second of Ready ends in the middle of it

Cause: handover.go Ready reads with bufio's ReadSlice under a deadline of 1 s. At the deadline ReadSlice hands out what it has of a line and forgets it; Hear, which goes on with the same reader, took the rest for a line of its own. A word of the former process about requests or a cordon was lost with it. The former process's "yours", when it came after the second, was heard as a line. Ruled out: the other side's deadlines (write hangs up after half a line) and give's read, which has none by then.

Change: lines keeps what has come of a line over a deadline; hear leaves out the late word. give clears its read deadline alone: clearing both could take the one that a line told meanwhile had set (read, not forced).

--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -182,7 +182,7 @@
 
 // give hands all over to one that has come, and waits until it serves. It returns what is read from it then, or nil where
 // it doesn't.
-func (o *Owner) give(ctx context.Context, conn *net.UnixConn) *bufio.Reader {
+func (o *Owner) give(ctx context.Context, conn *net.UnixConn) *lines {
 	defer context.AfterFunc(ctx, func() { _ = conn.Close() })()
 	_ = conn.SetDeadline(time.Now().Add(within))
 	hello := make([]byte, len(greeting))
@@ -197,11 +197,11 @@
 		o.leave(conn)
 		return nil
 	}
-	_ = conn.SetDeadline(time.Time{})
+	_ = conn.SetReadDeadline(time.Time{}) // for writing, each line sets its own
 	// It brings itself up, which may take it a while; lines may come before.
-	in := bufio.NewReaderSize(conn, lineMost)
+	in := newLines(conn)
 	for {
-		line, err := in.ReadSlice('\n')
+		line, err := in.next()
 		if err != nil {
 			o.leave(conn)
 			o.Log.Warn().Msg("the successor is gone before it served")
@@ -239,15 +239,41 @@
 	}
 }
 
-// hear passes on lines until the connection ends.
-func hear(conn net.Conn, in *bufio.Reader, told func([]byte)) {
+// lines reads lines of a bounded length. A read that takes too long loses nothing of a line that has come in part.
+type lines struct {
+	in   *bufio.Reader
+	part []byte
+}
+
+func newLines(conn net.Conn) *lines { return &lines{in: bufio.NewReaderSize(conn, lineMost)} }
+
+// next returns the next line with its end, until the next call.
+func (l *lines) next() ([]byte, error) {
+	line, err := l.in.ReadSlice('\n')
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		l.part = append(l.part, line...)
+		return nil, err
+	}
+	if len(l.part) > 0 {
+		line, l.part = append(l.part, line...), nil
+	}
+	if len(line) > lineMost {
+		return nil, bufio.ErrBufferFull
+	}
+	return line, err
+}
+
+// hear passes on lines until the connection ends. The word that this process's Ready waited for may come among them.
+func hear(conn net.Conn, in *lines, told func([]byte)) {
 	_ = conn.SetReadDeadline(time.Time{})
 	for {
-		line, err := in.ReadSlice('\n')
+		line, err := in.next()
 		if err != nil {
 			return
 		}
-		told(line)
+		if string(line) != ackWord+"\n" {
+			told(line)
+		}
 	}
 }
 
@@ -325,7 +351,7 @@
 	Listeners map[string]net.Listener
 
 	conn net.Conn
-	in   *bufio.Reader
+	in   *lines
 	mu   sync.Mutex // of writing
 }
 
@@ -401,7 +427,7 @@
 	if m.Version != version || len(m.Listeners) != len(files) {
 		return nil, fmt.Errorf("handover: a message of version %d with %d listeners, and %d descriptors", m.Version, len(m.Listeners), len(files))
 	}
-	f := &Former{State: m.State, Listeners: map[string]net.Listener{}, conn: conn, in: bufio.NewReaderSize(conn, lineMost)}
+	f := &Former{State: m.State, Listeners: map[string]net.Listener{}, conn: conn, in: newLines(conn)}
 	for i, addr := range m.Listeners {
 		l, err := net.FileListener(files[i])
 		if err != nil {
@@ -445,12 +471,13 @@
 	return files, nil
 }
 
-// Ready says that this process serves. It returns when the former one has taken notice.
+// Ready says that this process serves. It returns when the former one has taken notice, or has not within a second: then Hear
+// goes on where it has stopped.
 func (f *Former) Ready(told func(line []byte)) error {
 	f.Tell([]byte(readyWord))
 	_ = f.conn.SetReadDeadline(time.Now().Add(within))
 	for {
-		line, err := f.in.ReadSlice('\n')
+		line, err := f.in.next()
 		if err != nil {
 			return fmt.Errorf("handover: ready: %w", err)
 		}
--- a/internal/handover/handover_test.go
+++ b/internal/handover/handover_test.go
@@ -4,12 +4,15 @@
 	"bytes"
 	"context"
 	"encoding/binary"
+	"errors"
 	"io"
 	"net"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -139,6 +142,33 @@
 	f.Close()
 }
 
+// Guards against a line of the former process that is lost, or heard as two, because Ready's time is over in the middle of it,
+// and against its word that comes after that being heard as a line.
+func TestLineCrossesReady(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		f := &Former{conn: near, in: newLines(near)}
+		go func() {
+			defer far.Close()
+			for _, s := range []string{"one\ntw", "o\n" + ackWord + "\nthree\n"} {
+				_, _ = io.ReadAtLeast(far, make([]byte, 99), 1) // that it serves, and later that the test goes on
+				_, _ = io.WriteString(far, s)
+			}
+		}()
+		var heard []string
+		told := func(line []byte) { heard = append(heard, string(line)) }
+		if err := f.Ready(told); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("Ready says %v", err)
+		}
+		f.Tell([]byte("go on"))
+		f.Hear(told)
+		f.Close()
+		if want := []string{"one\n", "two\n", "three\n"}; !slices.Equal(heard, want) {
+			t.Errorf("heard %q, want %q", heard, want)
+		}
+	})
+}
+
 // Guards against a process that takes the path over without having succeeded: whoever listens last has it.
 func TestAbandonedPath(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "s.sock")
