Have the later of two opposite cordon calls hold at both processes of an upgrade

Cause: succession.go called applied a call here and told it there; told applied whatever came. Of two opposite calls at once each process applied its own first and the other's last: they ended with each other's call. And mirror.go run told all lines of a batch that it had taken although stop had been called: a successor that comes right after one that died was told notes older than its copy, by which a request that is over would be under way until the former process ends. Ruled out: state's copy between two successors (TestEffectsBetweenTwoSuccessors passes on both builds), and the order of the copy and the lines told (hand holds the lock that Tell takes).

Change: a call carries the machine's monotonic clock, which all processes of a sidecar read; one that is not later than what is known of its host is not applied and not passed on; of two at one nanosecond the cordon holds. A mirror tells no line once stop has returned.

--- a/internal/daemon/mirror.go
+++ b/internal/daemon/mirror.go
@@ -20,7 +20,8 @@
 	tell func(line []byte)
 	log  zerolog.Logger
 	wake chan struct{}
-	once sync.Once // of start
+	once sync.Once  // of start
+	line sync.Mutex // held while a line is told
 
 	mu      sync.Mutex
 	wait    []effects.Note
@@ -59,12 +60,26 @@
 	})
 }
 
-// stop ends it.
+// stop ends it: no line is told once it has returned, for by then there may be another process in the first one's place.
 func (m *mirror) stop() {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	m.stopped, m.wait = true, nil
 	m.rouse()
+	m.mu.Unlock()
+	m.line.Lock() // until the one that is being told is over
+	defer m.line.Unlock()
+}
+
+// put tells a line, unless it has been stopped.
+func (m *mirror) put(line []byte) {
+	m.line.Lock()
+	defer m.line.Unlock()
+	m.mu.Lock()
+	stopped := m.stopped
+	m.mu.Unlock()
+	if !stopped {
+		m.tell(line)
+	}
 }
 
 func (m *mirror) run() {
@@ -82,7 +97,7 @@
 		for len(batch) > 0 {
 			var line []byte
 			line, batch = words(batch)
-			m.tell(line)
+			m.put(line)
 		}
 	}
 }
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -73,6 +73,7 @@
 type word struct {
 	Name  string
 	Out   bool
+	At    int64          `json:",omitempty"` // when the call was made: nanoseconds of the machine's clock
 	Takes bool           `json:",omitempty"`
 	Notes []effects.Note `json:",omitempty"`
 }
@@ -87,6 +88,7 @@
 	effects *effects.Table
 	audited *audited // nil: nobody audits
 	log     zerolog.Logger
+	calls   calls
 
 	mu     sync.Mutex
 	shares bool    // the former process shares effects
@@ -263,16 +265,21 @@
 func (s *succession) Uncordon(id string) bool { return s.called(word{Name: id}) }
 
 func (s *succession) called(w word) bool {
-	if !s.apply(w) {
-		return false
+	line, known := s.call(w)
+	if line != nil {
+		s.toNext(line)
+		s.toFormer(line)
 	}
-	line, err := json.Marshal(w)
-	if err != nil {
-		return true // it holds here
+	return known
+}
+
+// call has a call take effect here. It returns the line by which the others are told, and whether there is such a host.
+func (s *succession) call(w word) (line []byte, known bool) {
+	if w, known = s.calls.here(w, s.apply); !known {
+		return nil, false
 	}
-	s.toNext(line)
-	s.toFormer(line)
-	return true
+	line, _ = json.Marshal(w) // it holds here in any case
+	return line, true
 }
 
 func (s *succession) apply(w word) bool {
@@ -282,10 +289,14 @@
 	return s.table.Uncordon(w.Name)
 }
 
-// told takes a word of another process. An operator's is passed on to the one on the other side.
+// told takes a word of another process. An operator's that is news here is passed on to the one on the other side.
 func (s *succession) told(line []byte, from effects.Link) {
 	var w word
 	err := json.Unmarshal(line, &w)
+	news, known := false, false
+	if err == nil && !w.Takes && len(w.Notes) == 0 {
+		news, known = s.calls.there(w, s.apply)
+	}
 	switch {
 	case err == nil && w.Takes:
 		s.mu.Lock()
@@ -295,11 +306,11 @@
 		}
 	case err == nil && len(w.Notes) > 0:
 		s.effects.Heard(time.Now(), from, w.Notes)
-	case err != nil || !s.apply(w):
+	case err != nil || !known:
 		s.log.Warn().Err(err).Str("name", w.Name).Msg("a word of the other process changes nothing")
-	case from == effects.Former:
+	case news && from == effects.Former:
 		s.toNext(line)
-	default:
+	case news:
 		s.toFormer(line)
 	}
 }
--- a/internal/daemon/succession_test.go
+++ b/internal/daemon/succession_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"runtime"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
+	"go.uber.org/goleak"
 
 	"pinelb.example/pinelb/balance"
 	"pinelb.example/pinelb/internal/cluster"
@@ -17,23 +19,72 @@
 	"pinelb.example/pinelb/internal/handover"
 )
 
-// Guards against a cordon that is lost in an upgrade because the process remembers so many effects that its successor takes
-// nothing at all.
-func TestManyEffectsAreHandedOver(t *testing.T) {
+// process is a sidecar's process with one host.
+func process(t *testing.T) *succession {
+	t.Helper()
 	set, err := config.ParseSettings([]byte(settings))
 	if err != nil {
 		t.Fatal(err)
 	}
-	process := func() *succession {
-		eng, err := engine.New(set.Settings, 1, noHosts{}, zerolog.Nop())
-		if err != nil {
-			t.Fatal(err)
-		}
-		return &succession{classes: func() []string { return set.ClassNames }, table: cluster.NewTable(set.ZoneNames, set.KindNames, noHosts{}, eng),
-			eng: eng, effects: effects.New(20000), log: zerolog.Nop()}
+	eng, err := engine.New(set.Settings, 1, noHosts{}, zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &succession{classes: func() []string { return set.ClassNames }, table: cluster.NewTable(set.ZoneNames, set.KindNames, noHosts{}, eng),
+		eng: eng, effects: effects.New(20000), log: zerolog.Nop()}
+	s.table.Apply(balance.ListFull, cluster.List{Members: []cluster.Member{{ID: "s-1", Addr: "127.0.0.1:1", State: balance.Ready}}})
+	return s
+}
+
+// Guards against two processes of an upgrade that end with each other's call, where operators call one of them each at
+// the same time: the later call holds at both, and where neither is later, the one that takes the host out.
+func TestCallsCross(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		former, next int64 // the clock at each call
+		formerOut    bool  // the former process is called to take the host out, the next one to put it back; or the other way
+		holds        bool  // it is out in the end
+		twice        bool  // each is told once more, by a process between
+	}{
+		{"cordon, then uncordon", 10, 20, true, false, false},
+		{"uncordon, then cordon", 10, 20, false, true, true},
+		{"uncordon after cordon", 20, 10, false, false, true},
+		{"cordon after uncordon", 20, 10, true, true, false},
+		{"at once", 10, 10, true, true, true},
+		{"at once, the other way", 10, 10, false, true, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			former, next := process(t), process(t)
+			former.calls.clock = func() int64 { return c.former }
+			next.calls.clock = func() int64 { return c.next }
+			one, ok := former.call(word{Name: "s-1", Out: c.formerOut})
+			other, ok2 := next.call(word{Name: "s-1", Out: !c.formerOut})
+			if !ok || !ok2 {
+				t.Fatal("a call is not taken")
+			}
+			next.told(one, effects.Former)
+			former.told(other, effects.Next)
+			if c.twice {
+				former.told(other, effects.Next)
+				next.told(one, effects.Former)
+			}
+			for of, s := range map[string]*succession{"former": former, "next": next} {
+				if out := len(s.table.Held().Cordoned) == 1; out != c.holds {
+					t.Errorf("at the %s process the host is out: %v, want %v", of, out, c.holds)
+				}
+			}
+			former.told([]byte(`{"Name":"s-1","Out":false}`), effects.Next) // of a process that stamps none
+			if len(former.table.Held().Cordoned) > 0 {
+				t.Error("a call without a time changes nothing")
+			}
+		})
 	}
-	one, other := process(), process()
-	one.table.Apply(balance.ListFull, cluster.List{Members: []cluster.Member{{ID: "s-1", Addr: "127.0.0.1:1", State: balance.Ready}}})
+}
+
+// Guards against a cordon that is lost in an upgrade because the process remembers so many effects that its successor takes
+// nothing at all.
+func TestManyEffectsAreHandedOver(t *testing.T) {
+	one, other := process(t), process(t)
 	one.table.Cordon("s-1")
 	now := time.Now()
 	wide := strings.Repeat("x", 3200)
@@ -57,3 +108,67 @@
 		t.Errorf("of the last effect the successor knows %+v", first)
 	}
 }
+
+// Guards against a second successor that is told what the first one was still to be told: its own copy is younger, and by a note
+// from before that, a request would be under way at the former process for as long as that runs.
+func TestNotesCrossASuccessorsEnd(t *testing.T) {
+	told, goOn, ended := make(chan []byte, 9), make(chan struct{}), make(chan struct{})
+	m := newMirror(func(line []byte) {
+		told <- line
+		<-goOn
+	}, zerolog.Nop())
+	for _, txn := range []string{"a", "b", "c", "d", "e"} { // some to a line
+		m.note(effects.Note{ID: effects.ID{Txn: txn, Class: strings.Repeat("x", wordMost/2-200)}})
+	}
+	m.start()
+	<-told
+	go func() {
+		m.stop()
+		close(ended)
+	}()
+	for stopped := false; !stopped; runtime.Gosched() {
+		m.mu.Lock()
+		stopped = m.stopped
+		m.mu.Unlock()
+	}
+	select {
+	case <-ended:
+		t.Error("it has ended with a line under way")
+	default:
+	}
+	close(goOn)
+	<-ended
+	goleak.VerifyNone(t) // its goroutine has ended
+	if len(told) > 0 {
+		t.Errorf("%d lines are told after its end", len(told))
+	}
+}
+
+// Guards against a second successor that knows of the moments between the first one's copy and its own less than the first did.
+func TestEffectsBetweenTwoSuccessors(t *testing.T) {
+	s, now := process(t), time.Now()
+	begun := effects.ID{Txn: "begun", Class: "look", Keep: time.Minute}
+	over := effects.ID{Txn: "over", Class: "look", Keep: time.Minute}
+	s.effects.Open(now, over)
+	if _, err := s.state(); err != nil {
+		t.Fatal(err)
+	}
+	s.effects.Open(now, begun)
+	s.effects.Sent(now, begun.Txn, 1)
+	s.effects.Sent(now, over.Txn, 1)
+	s.effects.End(now, over.Txn)
+	s.left() // the first one is gone before it served
+	state, err := s.state()
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := process(t)
+	next.former = &handover.Former{State: state}
+	next.take()
+	if _, free := next.effects.Open(now, begun); free {
+		t.Error("a request that is under way is taken again")
+	}
+	if first, free := next.effects.Open(now, over); !free || !first.At.Equal(now) {
+		t.Errorf("of a request that may have run the second successor knows %+v, %v", first, free)
+	}
+}
