--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -342,8 +342,9 @@
 	if took := time.Since(from); took > 50*keptWithin {
 		t.Errorf("a hundred more waited for it: %v", took)
 	}
-	for i := range 10000 { // more than may wait
-		id := effects.ID{Txn: fmt.Sprint(i), Class: "c", Keep: time.Hour}
+	long := strings.Repeat("x", 600)
+	for i := range 10000 { // more than may wait, and than one file takes
+		id := effects.ID{Txn: fmt.Sprint(long, i), Class: "c", Keep: time.Hour}
 		table.Open(time.Now(), id)
 		table.Sent(time.Now(), id.Txn, 1)
 	}
@@ -353,11 +354,46 @@
 	}
 	j.Close()
 	left, _, _, _, err := Effects(m.after(0, false), Now())
-	if err != nil || !slices.ContainsFunc(left, func(n effects.Note) bool { return n.Txn == "9999" }) {
+	if err != nil || !slices.ContainsFunc(left, func(n effects.Note) bool { return n.Txn == fmt.Sprint(long, 9999) }) {
 		t.Errorf("the last of 10000 is not in the journal: %d lines, %v", len(left), err)
 	}
 }
 
+// Guards against a request that a killed process had sent, and that is in no file: a disk that is slow to sync takes writes all
+// the same, and the kernel keeps those.
+func TestKilledOnASlowDisk(t *testing.T) {
+	m := newMemory(-1)
+	table, j, _ := journaled(m)
+	j.Begin(nil)
+	block := make(chan struct{})
+	m.mu.Lock()
+	m.block = block
+	m.mu.Unlock()
+	for _, txn := range []string{"a", "b", "c"} {
+		id := effects.ID{Txn: txn, Class: "c", Keep: time.Hour}
+		table.Open(time.Now(), id)
+		table.Sent(time.Now(), txn, 1)
+		if j.Kept() {
+			t.Errorf("a disk that is blocked keeps a promise")
+		}
+		after, _ := reads(t, m.after(16, true), time.Now()) // it is killed as the request is sent
+		if first, _ := after.Open(time.Now(), id); first.At.IsZero() {
+			t.Errorf("%s is forgotten", txn)
+		}
+	}
+	close(block)
+	for !j.Kept() {
+		runtime.Gosched()
+	}
+	j.Close()
+	after, _ := reads(t, m.after(0, false), time.Now())
+	for _, txn := range []string{"a", "b", "c"} {
+		if first, _ := after.Open(time.Now(), effects.ID{Txn: txn, Class: "c", Keep: time.Hour}); first.At.IsZero() {
+			t.Errorf("%s is promised and forgotten", txn)
+		}
+	}
+}
+
 // Guards against a promise for what did not fit, given while the file that is to have it is not on the disk yet: the steps of
 // run are taken one by one.
 func TestNoPromiseBeforeTheNextFile(t *testing.T) {
--- a/internal/durable/journal.go
+++ b/internal/durable/journal.go
@@ -24,9 +24,9 @@
 	closeWithin = 200 * time.Millisecond // the last write may take
 )
 
-// Journal writes what a table of effects is told, so that it is on the disk before anything is sent. Writes that come while
-// the disk is at work go together in the next one. A disk that fails, is full or slow holds nothing up: what is not kept is
-// counted, and Fault is told.
+// Journal writes what a table of effects is told, so that it is on the disk before anything is sent. What comes while the disk
+// is at work is written behind it at once, which outlasts this process, and synced together with the next. A disk that fails, is
+// full or slow holds nothing up: what is not kept is counted, and Fault is told.
 type Journal struct {
 	Disk  Disk
 	Table *effects.Table
@@ -38,8 +38,13 @@
 
 	mu      sync.Mutex
 	wait    []byte
-	next    chan struct{} // closed once what waits is settled
-	writing chan struct{} // the same of what is being written; nil: nothing is
+	noted   int           // changes that have waited, ever
+	written int           // of those, that are in a file
+	write   chan struct{} // closed once more are; nil: nobody waits for that
+	stuck   bool          // somebody has waited too long for that
+	behind  bool          // some are in a file that is not synced yet, nor being synced
+	next    chan struct{} // closed once those and what waits are settled
+	writing chan struct{} // the same of what is being synced; nil: nothing is
 	slow    bool          // somebody has waited too long for it
 	failed  error
 	deaf    bool // nothing is to be written: the next file begins with all that is known
@@ -47,7 +52,7 @@
 	closed  bool
 	missed  int // promises that were not given
 
-	// Of run alone.
+	// Of run, and of follow while run waits for it.
 	file   File
 	name   string
 	unlock func()
@@ -156,7 +161,16 @@
 		j.deaf, j.overrun = true, true
 		return
 	}
-	if j.wait = appendNote(j.wait, n); len(j.wait) == 0 {
+	was := len(j.wait)
+	if j.wait = appendNote(j.wait, n); len(j.wait) > was {
+		j.noted++
+		j.rouse()
+	}
+}
+
+// rouse has run go on; the caller holds the lock.
+func (j *Journal) rouse() {
+	if j.closed {
 		return
 	}
 	select {
@@ -165,16 +179,20 @@
 	}
 }
 
-// Kept waits until all that the table has been told is on the disk. It returns false where that takes too long or can't be.
+// Kept waits until all that the table has been told is on the disk. It returns false where that takes too long or can't be; on
+// a disk that is slow, once it is written, so that it is lost with the machine at most.
 func (j *Journal) Kept() bool {
 	j.mu.Lock()
 	wait, ok := j.writing, j.failed == nil && !j.closed && !j.overrun
-	if len(j.wait) > 0 {
+	if len(j.wait) > 0 || j.behind {
 		wait = j.next
 	}
 	if !ok || wait != nil && j.slow {
 		j.missed++
 		j.mu.Unlock()
+		if ok {
+			j.awaitWrite()
+		}
 		return false
 	}
 	j.mu.Unlock()
@@ -200,6 +218,28 @@
 	}
 }
 
+// awaitWrite waits until all that the table has been told is in a file, but not for a disk that takes no writes either.
+func (j *Journal) awaitWrite() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	late := time.NewTimer(keptWithin)
+	defer late.Stop()
+	for upTo := j.noted; j.written < upTo && j.failed == nil && !j.stuck; {
+		if j.write == nil {
+			j.write = make(chan struct{})
+		}
+		write := j.write
+		j.mu.Unlock()
+		select {
+		case <-write:
+			j.mu.Lock()
+		case <-late.C:
+			j.mu.Lock()
+			j.stuck = true
+		}
+	}
+}
+
 // Missed is how many times Kept returned false since it was last asked.
 func (j *Journal) Missed() (n int) {
 	j.mu.Lock()
@@ -234,6 +274,11 @@
 			if j.set(j.flush()); j.failed == nil && j.full() {
 				j.set(j.begin())
 			}
+			j.mu.Lock()
+			if len(j.wait) > 0 || j.behind {
+				j.rouse() // follow has been roused in its place
+			}
+			j.mu.Unlock()
 		case <-again:
 			j.set(j.begin())
 		}
@@ -261,7 +306,8 @@
 		j.writing, j.slow = nil, false
 	}
 	if err != nil {
-		j.deaf, j.wait = true, nil
+		j.deaf, j.wait, j.behind = true, nil, false
+		j.wrote(j.noted)
 		close(j.next)
 		j.next = make(chan struct{})
 	}
@@ -271,27 +317,80 @@
 	}
 }
 
-// flush writes what waits.
+// flush writes what waits, and has the disk take all that is written.
 func (j *Journal) flush() error {
 	j.mu.Lock()
-	batch := j.wait
-	if j.failed != nil || len(batch) == 0 {
+	batch, upTo := j.wait, j.noted
+	if j.failed != nil || len(batch) == 0 && !j.behind {
 		defer j.mu.Unlock()
 		return j.failed
 	}
-	j.wait, j.next, j.writing = nil, make(chan struct{}), j.next
+	j.wait, j.behind, j.next, j.writing = nil, false, make(chan struct{}), j.next
 	j.mu.Unlock()
-	_, err := j.file.Write(batch)
-	if err == nil {
-		err = j.file.Sync()
+	if err := j.append(batch, upTo); err != nil {
+		return err
+	}
+	stop, followed := make(chan struct{}), make(chan error, 1)
+	go func() { followed <- j.follow(stop) }()
+	err := j.file.Sync()
+	close(stop)
+	if fault := <-followed; err == nil && fault != nil {
+		return fault
 	}
 	if err != nil {
 		return fmt.Errorf("durable: journal: %w", err)
 	}
+	return nil
+}
+
+// follow writes what comes, as far as there is room in the file, until stop is closed.
+func (j *Journal) follow(stop <-chan struct{}) error {
+	for {
+		select {
+		case _, open := <-j.wake:
+			if !open {
+				return nil
+			}
+		case <-stop:
+			return nil
+		}
+		j.mu.Lock()
+		batch, upTo := j.wait, j.noted
+		if len(batch) == 0 || j.size > journalMost {
+			j.mu.Unlock()
+			continue
+		}
+		j.wait, j.behind = nil, true
+		j.mu.Unlock()
+		if err := j.append(batch, upTo); err != nil {
+			return err
+		}
+	}
+}
+
+// append writes changes, up to that one, at the file's end.
+func (j *Journal) append(batch []byte, upTo int) error {
+	if len(batch) > 0 {
+		if _, err := j.file.Write(batch); err != nil {
+			return fmt.Errorf("durable: journal: %w", err)
+		}
+	}
+	j.mu.Lock()
+	defer j.mu.Unlock()
 	j.size += len(batch)
+	j.wrote(upTo)
 	return nil
 }
 
+// wrote notes that changes up to that one are in a file, and lets those go on that wait for it; the caller holds the lock.
+func (j *Journal) wrote(upTo int) {
+	j.written, j.stuck = upTo, false
+	if j.write != nil {
+		close(j.write)
+		j.write = nil
+	}
+}
+
 // Effects returns what the journals say that processes have left which are dead, oldest first, by this moment's clock; how
 // many lines of them could not be read; and the names of their files. Alive is how many others are in use. Whoever calls
 // keeps all others from calling at the same time: by the lock of the directory, or as the successor of whoever has that.
