Look at Thrift's methods at SIGHUP: ruled out, with a test

A call's method is looked up once (conn.go call), its class keeps its number for as long as the process runs (Settings.After), and Thrift.fits refuses settings that lack a method's class or change whether it takes a key, whole.

Seen while reading, over HTTP, and not mended, for it takes a field of engine.Call: a class that becomes keyed between a request's head and its opening.

--- a/internal/downstream/thrift/server_test.go
+++ b/internal/downstream/thrift/server_test.go
@@ -475,3 +475,41 @@
 	}
 	goleak.VerifyNone(t)
 }
+
+// Guards against a call that is counted to another class, or held to another time, because its method's class has changed at SIGHUP
+// as it came: calls keep what they began with, later ones have the new.
+func TestReclassAmongCalls(t *testing.T) {
+	f := start(t, section, 100, 1<<20)
+	defer f.stop()
+	c := f.dial()
+	form := forms[0]
+	_, _ = c.Write(message(form, thriftwire.Call, "look", 1))
+	before := <-f.streams
+	former := &config.Settings{Settings: balance.Settings{MaxHeld: 100, Instances: 3, Classes: []balance.Class{
+		{Effect: balance.Safe, Deadline: time.Minute}, {Effect: balance.Keyed, Deadline: time.Minute}}}, ClassNames: []string{"look", "order"}}
+	is := &config.Settings{Settings: balance.Settings{MaxHeld: 100, Instances: 3, Classes: []balance.Class{
+		{Effect: balance.Safe, Deadline: time.Hour}, {Effect: balance.Keyed, Deadline: time.Hour}, {Effect: balance.Safe, Deadline: time.Second}}},
+		ClassNames: []string{"new", "order", "look"}}
+	after, err := is.After(former)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.server.Reclass(&after)
+	_, _ = c.Write(message(form, thriftwire.Call, "look", 2))
+	later := <-f.streams
+	for _, s := range []served{before, later} {
+		if s.Class != 0 || s.ClassName != "look" {
+			t.Errorf("a call of %s has class %d", s.ClassName, s.Class)
+		}
+		s.answer <- stream.Response{Body: []byte{0}}
+	}
+	// The first by the section, the second by its class.
+	if before.Deadline.Sub(before.Arrived) != 5*time.Second || later.Deadline.Sub(later.Arrived) != time.Second {
+		t.Errorf("they have %v and %v", before.Deadline.Sub(before.Arrived), later.Deadline.Sub(later.Arrived))
+	}
+	for want := range int32(2) {
+		if m, ok := c.next(); !ok || m.Seq != want+1 {
+			t.Errorf("answer %d is %+v", want+1, m)
+		}
+	}
+}
