Call the bound on new connections at a host a handshake limit

Need: doors hid the field's term. No behaviour changes; keys of files and log lines stay as they are (the operator's file says handshakes already).

| old | new | | --- | --- | | pace.Doors | pace.HandshakeLimit | | pace.Door | pace.HandshakeLimiter | | doorSpan, doorLate | handshakeSpan, handshakeLate | | pace/doors.go, doors_test.go | pace/handshakes.go, handshakes_test.go | | TestDoorsOfAFleet, TestDoorAt | TestHandshakesOfAFleet, TestHandshakeLimiterAt | | TestDoorsCountTheSameUsers (balance) | TestHandshakeLimitCountsTheSameUsers | | upstream Pool.doors, host.door | limit, limit | | daemon doors | handshakeLimit |

In internal/upstream only the identifiers change. go test -race of pace, upstream and daemon passes.

--- a/balance/subset_test.go
+++ b/balance/subset_test.go
@@ -12,7 +12,7 @@
 )
 
 // Guards against a bound on handshakes that counts other users of a host than there are.
-func TestDoorsCountTheSameUsers(t *testing.T) {
+func TestHandshakeLimitCountsTheSameUsers(t *testing.T) {
 	if pace.UsedLeast != usedLeast || pace.UsersWanted != usersWanted {
 		t.Errorf("package pace counts by %d and %d, this one chooses by %d and %d", pace.UsedLeast, pace.UsersWanted, usedLeast, usersWanted)
 	}
--- a/internal/daemon/retune.go
+++ b/internal/daemon/retune.go
@@ -104,7 +104,7 @@
 	}
 	t.table.Retune(after.ZoneNames, after.KindNames)
 	t.pool.Retune(after.ConnectTimeout, after.ConnIdle)
-	t.pool.Guard(doors(t.op.Fleet, &after))
+	t.pool.Guard(handshakeLimit(t.op.Fleet, &after))
 	t.side.Retune(&after)
 	if t.budget != nil {
 		t.budget.Retune(aims(&after))
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -112,7 +112,7 @@
 
 	set := &cfg.Settings
 	pool := upstream.NewPool(set.ConnectTimeout, set.ConnIdle, sockets/2)
-	pool.Guard(doors(op.Fleet, set))
+	pool.Guard(handshakeLimit(op.Fleet, set))
 	eng, err := engine.New(set.Settings, cfg.Seed, pool, log)
 	if err != nil {
 		return err
@@ -276,12 +276,12 @@
 	return err
 }
 
-// doors is the bound on new connections at each upstream host; there is none where the operator's file states none.
-func doors(f *config.Fleet, set *config.Settings) pace.Doors {
+// handshakeLimit is the bound on new connections at each upstream host; there is none where the operator's file states none.
+func handshakeLimit(f *config.Fleet, set *config.Settings) pace.HandshakeLimit {
 	if f == nil {
-		return pace.Doors{}
+		return pace.HandshakeLimit{}
 	}
-	return pace.Doors{Handshakes: f.Handshakes, Instances: set.Instances, Numbered: f.Numbered}
+	return pace.HandshakeLimit{Handshakes: f.Handshakes, Instances: set.Instances, Numbered: f.Numbered}
 }
 
 // paced is how the list service is asked where the operator's file says that it is one for many. The random numbers are not
--- a/internal/pace/doors.go
+++ b/internal/pace/handshakes.go
@@ -5,10 +5,10 @@
 	"time"
 )
 
-// Tunables of doors.
+// Tunables of the handshake limit.
 const (
-	doorSpan = 100 * time.Millisecond // that the bound counts in
-	doorLate = 10 * time.Millisecond  // after its moment that an instance may open: more than a timer is late
+	handshakeSpan = 100 * time.Millisecond // that the bound counts in
+	handshakeLate = 10 * time.Millisecond  // after its moment that an instance may open: more than a timer is late
 )
 
 // By which an instance chooses its hosts: usedLeast and usersWanted of package balance, whose tests compare them.
@@ -17,14 +17,14 @@
 	UsersWanted = 6
 )
 
-// Doors is a bound on new connections at one upstream host, from all instances together.
+// HandshakeLimit is a bound on new connections at one upstream host, from all instances together.
 //
 // While no more instances use a host than it may be opened to in 100 ms, each has a whole number of them in any 100 ms: no
 // window has more than the bound, whatever the instances do. Beyond that each has one moment in each period of users /
 // (10 * Handshakes) s, drawn at random by each process for each host. Moments lapse unused. A token bucket does not do:
 // after a calm minute every instance's is full, and when a host resets its connections all redial at once, which is what the
 // bound is for. Moments by rank would be exact, and all at once where ranks are equal or clocks apart.
-type Doors struct {
+type HandshakeLimit struct {
 	Handshakes int  // new connections at one host in 100 ms; 0 is no bound
 	Instances  int  // of the tier, as they are told
 	Numbered   bool // ranks and Instances are right, so that hosts are used evenly
@@ -32,7 +32,7 @@
 
 // Users is how many instances open connections to one of so many hosts. Where hosts are chosen by names these may be equal or
 // hash unevenly, so that a host may have any number of them: all are counted.
-func (d Doors) Users(hosts int) float64 {
+func (d HandshakeLimit) Users(hosts int) float64 {
 	if !d.Numbered || hosts < 1 {
 		return float64(d.Instances)
 	}
@@ -47,26 +47,26 @@
 }
 
 // Share is what one instance may open to one of so many hosts. One that is alone is not bounded.
-func (d Doors) Share(hosts int) Share {
+func (d HandshakeLimit) Share(hosts int) Share {
 	if d.Handshakes <= 0 || d.Instances <= 1 {
 		return Share{}
 	}
 	users, most := d.Users(hosts), float64(d.Handshakes)
 	if users <= most {
-		return Share{AtOnce: int(most / max(1, users)), Every: doorSpan}
+		return Share{AtOnce: int(most / max(1, users)), Every: handshakeSpan}
 	}
-	return Share{AtOnce: 1, Every: time.Duration(math.Ceil(users / most * float64(doorSpan)))}
+	return Share{AtOnce: 1, Every: time.Duration(math.Ceil(users / most * float64(handshakeSpan)))}
 }
 
-// Door is one instance's at one host. Times are of a clock that never goes back.
-type Door struct {
+// HandshakeLimiter is one instance's at one host. Times are of a clock that never goes back.
+type HandshakeLimiter struct {
 	// Phase is where its moments are in a period, from 0 to 1, drawn at random.
 	Phase  float64
 	opened []time.Duration // the last ones, oldest first
 }
 
 // At is when the next connection may be opened: now, or no more than a period later, two where the share has changed.
-func (d *Door) At(s Share, now time.Duration) time.Duration {
+func (d *HandshakeLimiter) At(s Share, now time.Duration) time.Duration {
 	if s.AtOnce == 0 {
 		return now
 	}
@@ -74,22 +74,22 @@
 	if n := len(d.opened); n >= s.AtOnce {
 		from = max(now, d.opened[n-s.AtOnce]+s.Every)
 	}
-	if s.Every <= doorSpan {
+	if s.Every <= handshakeSpan {
 		return from
 	}
 	if n := len(d.opened); n > 0 { // a late one does not cost the next moment
-		from = max(now, d.opened[n-1]+s.Every-doorLate)
+		from = max(now, d.opened[n-1]+s.Every-handshakeLate)
 	}
 	first := time.Duration(d.Phase * float64(s.Every))
 	gone := ((from-first)%s.Every + s.Every) % s.Every // since the moment before
-	if gone <= doorLate && (len(d.opened) == 0 || from-gone > d.opened[len(d.opened)-1]) {
+	if gone <= handshakeLate && (len(d.opened) == 0 || from-gone > d.opened[len(d.opened)-1]) {
 		return from
 	}
 	return from - gone + s.Every
 }
 
 // Open tells whether a connection may be opened now, and notes that it is.
-func (d *Door) Open(s Share, now time.Duration) bool {
+func (d *HandshakeLimiter) Open(s Share, now time.Duration) bool {
 	if s.AtOnce == 0 {
 		return true
 	}
--- a/internal/pace/doors_test.go
+++ b/internal/pace/handshakes_test.go
@@ -15,7 +15,7 @@
 // moments no instance opens two within a period, less what it may be late, so that the mean does not, and the crest is
 // that of independent draws: a Poisson stream's, which exceeds the mean by five of its roots less than once in 1e4 windows. A
 // number told wrong by a factor of five is a bound wrong by that factor.
-func TestDoorsOfAFleet(t *testing.T) {
+func TestHandshakesOfAFleet(t *testing.T) {
 	for _, c := range []struct {
 		name                        string
 		up, told, hosts, handshakes int
@@ -31,21 +31,21 @@
 		{"told five times as many", 40, 200, 12, 10, false, 2},
 	} {
 		crest := c.most
-		share := Doors{Handshakes: c.handshakes, Instances: c.told, Numbered: c.numbered}.Share(c.hosts)
-		if share.Every > doorSpan {
+		share := HandshakeLimit{Handshakes: c.handshakes, Instances: c.told, Numbered: c.numbered}.Share(c.hosts)
+		if share.Every > handshakeSpan {
 			crest = 1.1*c.most + 5*math.Sqrt(1.1*c.most) // 100 ms and what a moment may be late
 		}
 		for seed := range uint64(3) {
 			r := rand.New(rand.NewPCG(seed, 1))
 			var all []time.Duration
 			for range c.up {
-				d, now := Door{Phase: r.Float64()}, time.Duration(r.Float64()*float64(time.Second))
+				d, now := HandshakeLimiter{Phase: r.Float64()}, time.Duration(r.Float64()*float64(time.Second))
 				var own []time.Duration
 				for now < 30*time.Second {
 					if at := d.At(share, now); at < now || at > now+share.Every {
 						t.Fatalf("%s: at %s the next is at %s, a period is %s", c.name, now, at, share.Every)
 					} else if r.IntN(3) > 0 { // it waits for that, and is a little late
-						now = at + time.Duration(r.Float64()*1.2*float64(doorLate))
+						now = at + time.Duration(r.Float64()*1.2*float64(handshakeLate))
 					}
 					if now > 5*time.Second && now < 6*time.Second {
 						now = 6 * time.Second // a reset: all want one at once, and again
@@ -58,7 +58,7 @@
 					}
 				}
 				for i := share.AtOnce; i < len(own); i++ {
-					if gap := own[i] - own[i-share.AtOnce]; gap < min(share.Every, max(doorSpan, share.Every-doorLate)) {
+					if gap := own[i] - own[i-share.AtOnce]; gap < min(share.Every, max(handshakeSpan, share.Every-handshakeLate)) {
 						t.Fatalf("%s: one instance opens %d more in %s", c.name, share.AtOnce, gap)
 					}
 				}
@@ -67,7 +67,7 @@
 			slices.Sort(all)
 			worst, from := 0, 0
 			for i, at := range all {
-				for at-all[from] >= doorSpan {
+				for at-all[from] >= handshakeSpan {
 					from++
 				}
 				worst = max(worst, i-from+1)
@@ -79,26 +79,26 @@
 	}
 }
 
-// A plain, slow oracle of a door: the first millisecond of the next ones in which its rule, as it is stated, lets one through.
+// A plain, slow oracle of a limiter: the first millisecond of the next ones in which its rule, as it is stated, lets one through.
 // It holds while the share changes with the list, too; and nobody waits longer than two periods.
-func TestDoorAt(t *testing.T) {
+func TestHandshakeLimiterAt(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		d := Door{Phase: rapid.Float64Range(0, 0.999).Draw(t, "phase")}
+		d := HandshakeLimiter{Phase: rapid.Float64Range(0, 0.999).Draw(t, "phase")}
 		now := span(t, "start", 0, time.Hour).Truncate(time.Millisecond)
 		var opened []time.Duration
 		for range rapid.IntRange(1, 30).Draw(t, "steps") {
-			s := Share{AtOnce: 1, Every: span(t, "every", 2*doorSpan, 3*time.Second).Truncate(time.Millisecond)}
+			s := Share{AtOnce: 1, Every: span(t, "every", 2*handshakeSpan, 3*time.Second).Truncate(time.Millisecond)}
 			if rapid.Bool().Draw(t, "whole") {
-				s = Share{AtOnce: rapid.IntRange(1, 5).Draw(t, "at once"), Every: doorSpan}
+				s = Share{AtOnce: rapid.IntRange(1, 5).Draw(t, "at once"), Every: handshakeSpan}
 			}
 			may := func(at time.Duration) bool {
 				n := len(opened)
-				if s.Every == doorSpan {
-					return n < s.AtOnce || at-opened[n-s.AtOnce] >= doorSpan
+				if s.Every == handshakeSpan {
+					return n < s.AtOnce || at-opened[n-s.AtOnce] >= handshakeSpan
 				}
 				moment := time.Duration(d.Phase * float64(s.Every))
 				moment += time.Duration(math.Floor(float64(at-moment)/float64(s.Every))) * s.Every
-				return at-moment <= doorLate && (n == 0 || opened[n-1] < moment && at-opened[n-1] >= s.Every-doorLate)
+				return at-moment <= handshakeLate && (n == 0 || opened[n-1] < moment && at-opened[n-1] >= s.Every-handshakeLate)
 			}
 			want := now
 			for !may(want) {
@@ -121,21 +121,21 @@
 // What an instance is told, and what is its part.
 func TestShares(t *testing.T) {
 	for _, c := range []struct {
-		doors Doors
+		limit HandshakeLimit
 		hosts int
 		want  Share
 	}{
-		{Doors{Instances: 300}, 12, Share{}},
-		{Doors{Handshakes: 10, Instances: 1}, 12, Share{}},
-		{Doors{Handshakes: 10, Instances: 3}, 12, Share{3, doorSpan}},
-		{Doors{Handshakes: 10, Instances: 10}, 12, Share{1, doorSpan}},
-		{Doors{Handshakes: 10, Instances: 200}, 48, Share{1, 2 * time.Second}},
-		{Doors{Handshakes: 10, Instances: 300, Numbered: true}, 48, Share{1, 500 * time.Millisecond}}, // eight of 48 hosts each
-		{Doors{Handshakes: 1, Instances: 10, Numbered: true}, 100, Share{1, 600 * time.Millisecond}},  // six each
-		{Doors{Handshakes: 10, Instances: 300, Numbered: true}, 0, Share{1, 3 * time.Second}},
+		{HandshakeLimit{Instances: 300}, 12, Share{}},
+		{HandshakeLimit{Handshakes: 10, Instances: 1}, 12, Share{}},
+		{HandshakeLimit{Handshakes: 10, Instances: 3}, 12, Share{3, handshakeSpan}},
+		{HandshakeLimit{Handshakes: 10, Instances: 10}, 12, Share{1, handshakeSpan}},
+		{HandshakeLimit{Handshakes: 10, Instances: 200}, 48, Share{1, 2 * time.Second}},
+		{HandshakeLimit{Handshakes: 10, Instances: 300, Numbered: true}, 48, Share{1, 500 * time.Millisecond}}, // eight of 48 hosts each
+		{HandshakeLimit{Handshakes: 1, Instances: 10, Numbered: true}, 100, Share{1, 600 * time.Millisecond}},  // six each
+		{HandshakeLimit{Handshakes: 10, Instances: 300, Numbered: true}, 0, Share{1, 3 * time.Second}},
 	} {
-		if got := c.doors.Share(c.hosts); got != c.want {
-			t.Errorf("%+v, %d hosts: %+v, want %+v", c.doors, c.hosts, got, c.want)
+		if got := c.limit.Share(c.hosts); got != c.want {
+			t.Errorf("%+v, %d hosts: %+v, want %+v", c.limit, c.hosts, got, c.want)
 		}
 	}
 }
--- a/internal/pace/pace.go
+++ b/internal/pace/pace.go
@@ -1,5 +1,5 @@
 // Package pace decides when one instance of a fleet asks the list service, and for how long it may be kept waiting there; and
-// when it opens a connection to an upstream host (Doors). It
+// when it opens a connection to an upstream host (HandshakeLimit). It
 // is pure: times and answers in, times out. No instance knows of another one: what a fleet may ask together follows from
 // what the settings tell each of them, and from the service's own answers.
 //
--- a/internal/upstream/line.go
+++ b/internal/upstream/line.go
@@ -30,10 +30,10 @@
 }
 
 // Guard bounds the new connections at each host from now on.
-func (p *Pool) Guard(d pace.Doors) {
+func (p *Pool) Guard(d pace.HandshakeLimit) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.doors = d
+	p.limit = d
 	for id, h := range p.hosts {
 		p.admit(id, h)
 	}
@@ -45,7 +45,7 @@
 	w := &waiter{use: use, told: make(chan turn, 1)}
 	h.line = append(h.line, w)
 	p.admit(id, h)
-	wait := h.patience(p.doors.Share(len(p.hosts)), p.now().Sub(p.began), p.connectTimeout)
+	wait := h.patience(p.limit.Share(len(p.hosts)), p.now().Sub(p.began), p.connectTimeout)
 	late := time.NewTimer(min(wait, time.Until(until)))
 	defer late.Stop()
 	p.mu.Unlock()
@@ -96,20 +96,20 @@
 // patience is how long the last in a line waits.
 func (h *host) patience(share pace.Share, now, timeout time.Duration) time.Duration {
 	before := time.Duration(max(0, len(h.line)-1) / max(1, share.AtOnce)) // periods
-	if h.door.At(share, now)+before*share.Every <= now+waitMost*timeout {
+	if h.limit.At(share, now)+before*share.Every <= now+waitMost*timeout {
 		return waitMost * timeout
 	}
 	return timeout
 }
 
-// admit has those in a host's line open connections as its door allows, in their order, and sees to it that the next is
+// admit has those in a host's line open connections as its limit allows, in their order, and sees to it that the next is
 // looked at in time. The caller holds the lock.
 func (p *Pool) admit(id balance.EndpointID, h *host) {
 	h.line = slices.DeleteFunc(h.line, func(w *waiter) bool { return w.told == nil && h.has(w.use) })
-	for share := p.doors.Share(len(p.hosts)); len(h.line) > 0; {
+	for share := p.limit.Share(len(p.hosts)); len(h.line) > 0; {
 		now := p.now().Sub(p.began)
-		if !h.door.Open(share, now) {
-			h.again.Reset(h.door.At(share, now) - now)
+		if !h.limit.Open(share, now) {
+			h.again.Reset(h.limit.At(share, now) - now)
 			return
 		}
 		w := h.line[0]
@@ -168,7 +168,7 @@
 func (p *Pool) newHost(id balance.EndpointID) *host {
 	sum := fnv.New64a()
 	_, _ = sum.Write(strconv.AppendInt(nil, int64(id), 10))
-	h := &host{door: pace.Door{Phase: rand.New(rand.NewPCG(p.secret, sum.Sum64())).Float64()}}
+	h := &host{limit: pace.HandshakeLimiter{Phase: rand.New(rand.NewPCG(p.secret, sum.Sum64())).Float64()}}
 	h.again = time.AfterFunc(time.Hour, func() {
 		p.mu.Lock()
 		defer p.mu.Unlock()
--- a/internal/upstream/line_test.go
+++ b/internal/upstream/line_test.go
@@ -14,12 +14,12 @@
 	p = poolFor(newScripted(t).addr, 10)
 	var clock time.Duration
 	p.now = func() time.Time { return p.began.Add(clock) }
-	p.Guard(pace.Doors{Handshakes: 1, Instances: 100})
-	p.hosts[1].door.Phase = 0.5
+	p.Guard(pace.HandshakeLimit{Handshakes: 1, Instances: 100})
+	p.hosts[1].limit.Phase = 0.5
 	return p, func() { // the next one comes
 		p.mu.Lock()
 		defer p.mu.Unlock()
-		share := p.doors.Share(1)
+		share := p.limit.Share(1)
 		clock = clock.Truncate(share.Every) + 3*share.Every/2
 		p.admit(1, p.hosts[1])
 	}
@@ -36,7 +36,7 @@
 		}
 		_, _ = c.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"))
 		at := <-host.arrivals
-		p.Guard(pace.Doors{Handshakes: 1, Instances: 1 << 20}) // no moment is near
+		p.Guard(pace.HandshakeLimit{Handshakes: 1, Instances: 1 << 20}) // no moment is near
 		next := begin(context.Background(), p, purpose{}, 1)
 		end.end(at.nc)
 		for c.quiet() { // until the kernel has brought it
@@ -145,7 +145,7 @@
 
 // Without a bound, and where an instance is alone, nothing waits.
 func TestNoLine(t *testing.T) {
-	for _, d := range []pace.Doors{{}, {Handshakes: 1, Instances: 1}} {
+	for _, d := range []pace.HandshakeLimit{{}, {Handshakes: 1, Instances: 1}} {
 		p, _ := guarded(t)
 		p.Guard(d)
 		for range 5 {
@@ -192,7 +192,7 @@
 		{pace.Share{AtOnce: 2, Every: 100 * time.Millisecond}, 9, 0, 400 * time.Millisecond},
 		{pace.Share{AtOnce: 2, Every: 100 * time.Millisecond}, 11, 0, 100 * time.Millisecond},
 	} {
-		h := &host{door: pace.Door{Phase: 0.5}, line: make([]*waiter, c.line)}
+		h := &host{limit: pace.HandshakeLimiter{Phase: 0.5}, line: make([]*waiter, c.line)}
 		if got := h.patience(c.share, c.now, 100*time.Millisecond); got != c.want {
 			t.Errorf("%+v, %d in line at %s: %s, want %s", c.share, c.line, c.now, got, c.want)
 		}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -45,13 +45,13 @@
 	most           int // connections in all, those being opened included
 
 	now    func() time.Time
-	began  time.Time // from when doors count
+	began  time.Time // from when handshakes are counted
 	secret uint64    // of the process: by which its moments at hosts are drawn
 	ahead  sync.WaitGroup
 
 	mu    sync.Mutex
-	doors pace.Doors // the zero value is no bound
-	ended bool       // nothing is opened ahead any more
+	limit pace.HandshakeLimit // the zero value is no bound
+	ended bool                // nothing is opened ahead any more
 	open  int
 	hosts map[balance.EndpointID]*host
 }
@@ -69,7 +69,7 @@
 	addr  string
 	shut  bool // nothing new is to go there
 	idle  []*conn
-	door  pace.Door
+	limit pace.HandshakeLimiter
 	line  []*waiter   // for a connection, the first first
 	again *time.Timer // when the line is looked at
 }
@@ -211,7 +211,7 @@
 		c.close()
 		p.open--
 	}
-	if p.doors.Handshakes > 0 {
+	if p.limit.Handshakes > 0 {
 		if c, err := p.queue(ctx, id, h, until, use); c != nil || err != nil {
 			return c, err
 		}
