Call it shedding where a quiet connection is closed for a new one

Need: giving way hid the field's term. No behaviour changes; no log line or key had the word. CHANGELOG's past entries stay as they are.

A record's file that "gives way" to the next is rotation, another concept, and stays. go test -race of downstream, thrift and control passes.

--- a/internal/control/audit.go
+++ b/internal/control/audit.go
@@ -43,7 +43,7 @@
 	default:
 		status, fault = c.order(r)
 	}
-	called(r.Context()) // with its body: one that stops half-way gives way
+	called(r.Context()) // with its body: one that stops half-way is shed
 	if fault != nil {
 		w.Header().Set("Content-Type", "text/plain")
 		w.WriteHeader(status)
--- a/internal/control/connections.go
+++ b/internal/control/connections.go
@@ -57,7 +57,7 @@
 	return 0
 }
 
-// Close is net/http's, at the end of a connection, or the second one of a connection that gave way.
+// Close is net/http's, at the end of a connection, or the second one of a connection that was shed.
 func (c *conn) Close() error {
 	c.l.mu.Lock()
 	if i := slices.Index(c.l.open, c); i >= 0 {
@@ -74,7 +74,7 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// called marks the connection of a call that has come whole: it gives way to no other.
+// called marks the connection of a call that has come whole: it is not shed.
 func called(ctx context.Context) {
 	if c, ok := ctx.Value(connKey{}).(*conn); ok {
 		c.l.mu.Lock()
--- a/internal/downstream/connections.go
+++ b/internal/downstream/connections.go
@@ -14,11 +14,11 @@
 	"golang.org/x/sys/unix"
 )
 
-// silentLeast is how long a new connection may be silent before it gives way ahead of one that has already
+// silentLeast is how long a new connection may be silent before it is shed ahead of one that has already
 // brought a request: whoever has one to bring has sent it by then.
 const silentLeast = 100 * time.Millisecond
 
-// stalledLeast is how long a message's head may stand still before its connection gives way like a silent one: clients
+// stalledLeast is how long a message's head may stand still before its connection is shed like a silent one: clients
 // that are slow write a head in pieces.
 const stalledLeast = 700 * time.Millisecond
 
@@ -27,7 +27,7 @@
 const lingerFor = cutBefore - endBefore
 
 // connections bounds how many callers' connections are open, so that they never take the descriptors of
-// the upstream side. When all are in use, one on which no request is under way gives way to a new one.
+// the upstream side. When all are in use, one on which no request is under way is shed for a new one.
 type connections struct {
 	mu      sync.Mutex
 	free    *sync.Cond
@@ -84,15 +84,15 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for c.open >= c.most {
-		c.giveWay()
+		c.shed()
 		c.free.Wait()
 	}
 	c.open++
 }
 
-// giveWay closes one quiet connection, if there is one; the caller holds the lock.
-func (c *connections) giveWay() bool {
-	conn := c.dispensable()
+// shed closes one quiet connection, if there is one; the caller holds the lock.
+func (c *connections) shed() bool {
+	conn := c.toShed()
 	if conn != nil {
 		retire(conn) // between requests, or before the first: the client takes another
 	}
@@ -117,7 +117,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.most = most
-	for over := c.open - most; over > 0 && c.giveWay(); over-- {
+	for over := c.open - most; over > 0 && c.shed(); over-- {
 	}
 	c.free.Broadcast()
 }
@@ -136,10 +136,10 @@
 	return none
 }
 
-// dispensable picks the quiet connection to give up: the oldest of those that have been silent from the start or whose
+// toShed picks the quiet connection that goes first: the oldest of those that have been silent from the start or whose
 // message stands still, then of the idle ones those that have brought one message, for a crowd asks once and stays,
 // then the others, the longest idle first, and last those whose message still comes. The caller holds the lock.
-func (c *connections) dispensable() net.Conn {
+func (c *connections) toShed() net.Conn {
 	now := c.now()
 	rank := func(conn net.Conn, q quiet) (int, time.Time) {
 		heard, asked, idle := int64(0), int64(0), q.state == http.StateIdle
@@ -272,7 +272,7 @@
 	return c.retired
 }
 
-// keep has a connection that was retired go on. Another may have to give way for it. The caller holds the lock.
+// keep has a connection that was retired go on. Another may have to be shed for it. The caller holds the lock.
 func (c *caller) keep() {
 	if c.retired {
 		c.retired = false
--- a/internal/downstream/crossing_test.go
+++ b/internal/downstream/crossing_test.go
@@ -166,14 +166,14 @@
 }
 
 // Guards against a request lost whose first bytes cross our own closing of its connection, which passes for quiet
-// until net/http has read a whole head: in a planned end, and where it gives way to another.
+// until net/http has read a whole head: in a planned end, and where it is shed for another.
 func TestRequestCrossesClose(t *testing.T) {
 	const half = 2
 	for at, name := range []string{"unread", "read", "half"} { // as the closing comes; each is one more stop passed than the one before
 		for _, kept := range []bool{false, true} {
 			for _, crowd := range []bool{false, true} {
 				if at == half && crowd {
-					continue // the half may give way
+					continue // the half may be shed
 				}
 				t.Run(fmt.Sprintf("%s,kept=%v,crowd=%v", name, kept, crowd), func(t *testing.T) {
 					most := 2
--- a/internal/downstream/server_test.go
+++ b/internal/downstream/server_test.go
@@ -446,9 +446,9 @@
 }
 
 // Guards against silent connections, and those that stop half-way, keeping out clients that have something to say: the
-// oldest of these gives way first, then what asked once and stayed, then clients that come again, then even a message that
+// oldest of these is shed first, then what asked once and stayed, then clients that come again, then even a message that
 // still comes; never one that has come.
-func TestWhoGivesWay(t *testing.T) {
+func TestWhichIsShed(t *testing.T) {
 	c := newConnections(0)
 	clock := time.Now()
 	c.now = func() time.Time { return clock }
@@ -478,9 +478,9 @@
 	add("fresh", false, fresh)
 	clock = clock.Add(-silentLeast)
 	for _, want := range []string{"stopped", "silent first", "silent last", "asked first", "asked last", "came again", "still comes", "fresh", ""} {
-		conn := c.dispensable()
+		conn := c.toShed()
 		if conns[conn] != want {
-			t.Errorf("%q gives way, want %q", conns[conn], want)
+			t.Errorf("%q is shed, want %q", conns[conn], want)
 		}
 		delete(c.quiet, conn)
 	}
@@ -573,7 +573,7 @@
 	}
 }
 
-// Guards against callers' connections taking all descriptors: an idle one gives way to a new one.
+// Guards against callers' connections taking all descriptors: an idle one is shed for a new one.
 func TestConnectionsAreBounded(t *testing.T) {
 	s := newServer(func(context.Context, *stream.Request) stream.Response { return stream.Response{} })
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/downstream/thrift/state.go
+++ b/internal/downstream/thrift/state.go
@@ -76,7 +76,7 @@
 	return c.begun
 }
 
-// mark tells the shared bounds whether the connection may give way to another; the caller holds the lock.
+// mark tells the shared bounds whether the connection may be shed; the caller holds the lock.
 func (c *conn) mark() {
 	if active := c.busy() || !c.begun.IsZero() || c.over; active != c.active {
 		c.active = active
