--- /dev/null
+++ b/internal/distribute/record.go
@@ -0,0 +1,282 @@
+package distribute
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"net/url"
+	"slices"
+	"strconv"
+
+	"pinelb.example/pinelb/internal/version"
+)
+
+// Bounds on what passes between distributors, in bytes but for the first.
+const (
+	includesMost = 16 // distributors that a record names as included; each has published under an epoch of its own
+	RecordMost   = 3*StateMost + 4<<10
+	NewsMost     = 1 << 20 // one page of news; the rest follows
+	pageMost     = NewsMost - RecordMost
+	lifeMost     = 32
+)
+
+// PeerPath is where distributors ask each other for news of all services.
+const PeerPath = "/settings"
+
+// Record is what a distributor holds of a service.
+type Record struct {
+	State // the newest
+	// Includes is by distributor the highest epoch under which it published what the newest was made after: such a state is a
+	// former one and was not overruled. Those of the lowest epochs are left out beyond includesMost.
+	Includes  map[string]uint64
+	Former    *State // the contents before the newest, as its publisher had them: what rolling back publishes; nil: none
+	Overruled *State // the newest state that lost to one whose publisher didn't know it; nil: none
+}
+
+// includes tells whether the newest is that edition, or was made after it.
+func (r *Record) includes(e version.Edition) bool {
+	return r.Edition == e || r.Includes[e.By] >= e.Epoch
+}
+
+// before orders states: of two under one edition, which only a fault can make, all distributors have to hold the same.
+func (s *State) before(o *State) bool {
+	c := s.Compare(o.Edition)
+	return c < 0 || c == 0 && s.Digest < o.Digest
+}
+
+// merge is what a distributor holds that has known both records; either may be nil. The order of merges is of no matter to the
+// newest. Of several that were overruled the newest is kept, so that with three sides apart one may be forgotten.
+func merge(a, b *Record) *Record {
+	if a == nil || b != nil && a.before(&b.State) {
+		a, b = b, a
+	}
+	if b == nil {
+		return a
+	}
+	out := *a
+	for _, s := range []*State{b.Overruled, &b.State} {
+		if s != nil && !a.includes(s.Edition) && (out.Overruled == nil || out.Overruled.before(s)) {
+			out.Overruled = s
+		}
+	}
+	return &out
+}
+
+// next is the record that a distributor publishes over what it holds, which may be nil.
+func (r *Record) next(s State) *Record {
+	out := &Record{State: s, Includes: map[string]uint64{}}
+	if r != nil {
+		maps.Copy(out.Includes, r.Includes)
+		out.include(r.Edition)
+		if out.Former = r.Former; r.Digest != s.Digest { // the same once more is nothing to go back to
+			former := r.State
+			out.Former = &former
+		}
+		if r.Overruled != nil {
+			out.include(r.Overruled.Edition)
+		}
+	}
+	out.include(s.Edition)
+	return out
+}
+
+// include notes that the newest was made after an edition.
+func (r *Record) include(e version.Edition) {
+	r.Includes[e.By] = max(r.Includes[e.By], e.Epoch)
+	if len(r.Includes) <= includesMost {
+		return
+	}
+	lowest := e.By
+	for by, epoch := range r.Includes {
+		if least := r.Includes[lowest]; epoch < least || epoch == least && by < lowest {
+			lowest = by
+		}
+	}
+	delete(r.Includes, lowest)
+}
+
+// EncodeRecord writes a record, for another distributor or for a file. Settings stand in it byte for byte.
+func EncodeRecord(r *Record) []byte {
+	text := append([]byte(`{"newest":`), Encode(r.State)...)
+	includes, err := json.Marshal(r.Includes)
+	if err != nil {
+		panic(err) // a map of texts and numbers can be written
+	}
+	text = append(append(text, `,"includes":`...), includes...)
+	if r.Former != nil {
+		text = append(append(text, `,"former":`...), Encode(*r.Former)...)
+	}
+	if r.Overruled != nil {
+		text = append(append(text, `,"overruled":`...), Encode(*r.Overruled)...)
+	}
+	return append(text, '}')
+}
+
+// wireRecord is a record as JSON.
+type wireRecord struct {
+	Newest    *wireState        `json:"newest"`
+	Includes  map[string]uint64 `json:"includes"`
+	Former    *wireState        `json:"former"`
+	Overruled *wireState        `json:"overruled"`
+}
+
+// ParseRecord reads a record, as strictly as Parse does.
+func ParseRecord(text []byte) (*Record, error) {
+	var w wireRecord
+	if err := decode(text, RecordMost, &w); err != nil {
+		return nil, err
+	}
+	return w.record()
+}
+
+func (w *wireRecord) record() (*Record, error) {
+	r := &Record{Includes: w.Includes}
+	newest, err := w.Newest.under("newest")
+	switch {
+	case err != nil:
+		return nil, err
+	case newest == nil:
+		return nil, FaultyKey{"newest", "is missing"}
+	case len(r.Includes) > includesMost:
+		return nil, FaultyKey{"includes", fmt.Sprintf("names %d distributors, %d at most", len(r.Includes), includesMost)}
+	}
+	r.State = *newest
+	for by, epoch := range r.Includes {
+		if err := checkEdition("includes", "includes", version.Edition{Epoch: epoch, By: by}); err != nil {
+			return nil, err
+		}
+		if epoch > r.Epoch {
+			return nil, FaultyKey{"includes", "has an epoch above the newest's"}
+		}
+	}
+	if r.Former, err = w.Former.under("former"); err != nil {
+		return nil, err
+	}
+	if r.Overruled, err = w.Overruled.under("overruled"); err != nil {
+		return nil, err
+	}
+	for key, s := range map[string]*State{"former": r.Former, "overruled": r.Overruled} {
+		if s != nil && s.Service != r.Service {
+			return nil, FaultyKey{key + ".service", "is another than the newest's"}
+		}
+	}
+	return r, nil
+}
+
+// under reads a state that stands under a key; nil is none.
+func (w *wireState) under(key string) (*State, error) {
+	if w == nil {
+		return nil, nil
+	}
+	s, err := w.state()
+	if faulty, ok := err.(FaultyKey); ok {
+		return nil, FaultyKey{key + "." + faulty.Key, faulty.Why}
+	}
+	return &s, err
+}
+
+// News is what a distributor tells another one.
+type News struct {
+	Life     string    // which process of the distributor it is: At counts within one
+	At       uint64    // of its changes the last that is in this page; what is asked for next time is what comes after it
+	Starting bool      // it has nobody yet of whom it could know what is newest
+	More     bool      // there is more behind At already
+	Records  []*Record // of the services that have changed
+}
+
+// Encode writes news.
+func (n *News) Encode() []byte {
+	text := fmt.Appendf(nil, `{"life":%q,"at":%d,"starting":%t,"more":%t,"records":[`, n.Life, n.At, n.Starting, n.More)
+	for i, r := range n.Records {
+		if i > 0 {
+			text = append(text, ',')
+		}
+		text = append(text, EncodeRecord(r)...)
+	}
+	return append(text, ']', '}')
+}
+
+// ParseNews reads news, as strictly as Parse does.
+func ParseNews(text []byte) (*News, error) {
+	var w struct {
+		Life     string        `json:"life"`
+		At       uint64        `json:"at"`
+		Starting bool          `json:"starting"`
+		More     bool          `json:"more"`
+		Records  []*wireRecord `json:"records"`
+	}
+	if err := decode(text, NewsMost, &w); err != nil {
+		return nil, err
+	}
+	if err := checkLife(w.Life); err != nil {
+		return nil, err
+	}
+	n := &News{Life: w.Life, At: w.At, Starting: w.Starting, More: w.More}
+	for i, one := range w.Records {
+		key := fmt.Sprintf("records[%d]", i)
+		if one == nil {
+			return nil, FaultyKey{key, "is missing"}
+		}
+		r, err := one.record()
+		if faulty, ok := err.(FaultyKey); ok {
+			return nil, FaultyKey{key + "." + faulty.Key, faulty.Why}
+		}
+		n.Records = append(n.Records, r)
+	}
+	return n, nil
+}
+
+func checkLife(life string) error {
+	if len(life) > lifeMost {
+		return FaultyKey{"life", fmt.Sprintf("must have %d bytes at most", lifeMost)}
+	}
+	return CheckName("life", life)
+}
+
+// PeerQuestion is what a distributor asks another one: for all that has changed there after Since. The answer is News, with
+// status 200: at once where there is some, where Life is not that of the process that answers, or where that one is starting;
+// or nothing, with status 204, after Wait.
+type PeerQuestion struct {
+	Life  string // as the last news had it; "": there was none
+	Since uint64
+	Name  string // of the distributor that asks
+	Wait  Millis
+}
+
+// Millis is a time in milliseconds.
+type Millis = version.Millis
+
+// Target is the question as the target of a GET request.
+func (q *PeerQuestion) Target() string {
+	v := url.Values{"since": {strconv.FormatUint(q.Since, 10)}, "timeout_ms": {strconv.FormatInt(int64(q.Wait), 10)}, "name": {q.Name}}
+	if q.Life != "" {
+		v.Set("life", q.Life)
+	}
+	return PeerPath + "?" + v.Encode()
+}
+
+// ParsePeerQuestion reads a distributor's question, strictly. Errors are of type FaultyKey and name the key.
+func ParsePeerQuestion(u *url.URL) (PeerQuestion, error) {
+	f, err := parseFields(u.RawQuery, "life", "since", "timeout_ms", "name")
+	if err != nil {
+		return PeerQuestion{}, err
+	}
+	q := PeerQuestion{Life: f["life"], Name: f["name"]}
+	if q.Since, err = f.number("since"); err != nil {
+		return PeerQuestion{}, err
+	}
+	wait, err := f.wait("timeout_ms")
+	if err != nil {
+		return PeerQuestion{}, err
+	}
+	q.Wait = Millis(wait.Milliseconds())
+	if q.Life != "" {
+		if err := checkLife(q.Life); err != nil {
+			return PeerQuestion{}, err
+		}
+	}
+	return q, CheckName("name", q.Name)
+}
+
+// sortedNames are a map's names in order.
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
