Have settings be checked as a start would, and a file replaced whole, from outside their packages

A distributor has to refuse settings that no sidecar would start with before anybody gets them, and keeps a file for each service. config.CheckSettings is what Load and Validate say of the settings alone; durable.Replace, Seal and Unseal are the inner parts of Save and Decode, whose files and messages stay as they are (the test that named the constant magic now spells the same text).

Each of the faults of TestFaultySettings is refused with the key by CheckSettings exactly where a start refuses it.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -76,8 +76,25 @@
 }
 
 // Validate names the first key, as it stands in the file, without which decisions cannot be made.
-func (c *Config) Validate() error {
-	err := c.Settings.Validate()
+func (c *Config) Validate() error { return c.Settings.validate() }
+
+// CheckSettings names the first key of settings, as they stand in the file, with which no sidecar would start.
+func CheckSettings(settings []byte) error {
+	if !gjson.ValidBytes(settings) {
+		return fmt.Errorf("config: LB_CONFIG.settings: is not valid JSON")
+	}
+	s, err := readSettings(&reader{at: "LB_CONFIG.settings", json: gjson.ParseBytes(settings)})
+	if err == nil {
+		err = s.check()
+	}
+	if err == nil {
+		err = s.validate()
+	}
+	return err
+}
+
+func (s *Settings) validate() error {
+	err := s.Validate()
 	if fault := new(balance.Fault); errors.As(err, &fault) {
 		return fmt.Errorf("config: LB_CONFIG.settings.%s: %w", keyOf(fault.Field), err)
 	}
@@ -186,7 +203,6 @@
 	if _, err := netip.ParseAddrPort(c.Control); err != nil && c.Control != "" {
 		return fmt.Errorf("config: LB_CONTROL: %w", err)
 	}
-	s := &c.Settings
 	switch {
 	case c.Limits.Cores <= 0:
 		return fmt.Errorf("config: LB_CONFIG.limits.cores must be above 0")
@@ -194,6 +210,13 @@
 		return fmt.Errorf("config: LB_CONFIG.limits.memory_mb must be %d or more", leastMemoryMB)
 	case c.Limits.Sockets < leastSockets:
 		return fmt.Errorf("config: LB_CONFIG.limits.sockets must be %d or more", leastSockets)
+	}
+	return c.Settings.check()
+}
+
+// check names the first key of the settings that a sidecar cannot run with, and fills in defaults.
+func (s *Settings) check() error {
+	switch {
 	case s.ConnectTimeout <= 0:
 		return fmt.Errorf("config: LB_CONFIG.settings.allowed.connect_timeout is missing")
 	case s.MaxHeld <= 0:
--- a/internal/config/faults_test.go
+++ b/internal/config/faults_test.go
@@ -97,7 +97,12 @@
 		for customer, settings := range customers {
 			for _, key := range each(t, settings, k.key) {
 				for _, value := range append([]string{"", missing}, k.faulty...) {
-					start, hup := sites[customer].replaced(t, with(t, settings, key, value))
+					faulty := with(t, settings, key, value)
+					start, hup := sites[customer].replaced(t, faulty)
+					published := CheckSettings([]byte(faulty))
+					if (published == nil) != (start == nil) {
+						t.Errorf("%s: with %s: %q a start ends with %v, publishing it with %v", customer, key, value, start, published)
+					}
 					if value == "" || value == missing {
 						if (start != nil) != k.needed {
 							t.Errorf("%s: start without %s (%q): %v", customer, key, value, start)
@@ -112,7 +117,7 @@
 					if strings.HasPrefix(value, "[") || key == "allowed" || key == "rules" { // a part of it may be named
 						name = strings.TrimSuffix(key, "s")
 					}
-					for _, err := range []error{start, hup} {
+					for _, err := range []error{start, hup, published} {
 						if err != nil && !strings.Contains(err.Error(), "settings."+name) {
 							t.Errorf("%s: %s: %q is turned down with %v", customer, key, value, err)
 						}
--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -208,7 +208,7 @@
 		"newer":                  {bytes.Replace(whole, []byte("snapshot 1"), []byte("snapshot 2"), 1), now, "here", time.Hour, "version 2"},
 		"empty":                  {nil, now, "here", time.Hour, "not a snapshot"},
 		"of another kind":        {[]byte("{}\n"), now, "here", time.Hour, "not a snapshot"},
-		"a head without its end": {[]byte(magic + " 1"), now, "here", time.Hour, "cut off"},
+		"a head without its end": {[]byte("pinelb " + kind + " 1"), now, "here", time.Hour, "cut off"},
 	} {
 		m := newMemory(-1)
 		m.files[snapshotName] = &[2][]byte{c.text, c.text}
--- a/internal/durable/snapshot.go
+++ b/internal/durable/snapshot.go
@@ -13,8 +13,8 @@
 
 const (
 	snapshotName = "snapshot"
-	freshName    = "snapshot.new"
-	magic        = "pinelb snapshot"
+	NewSuffix    = ".new" // of a file's name while Replace writes what is to be there
+	kind         = "snapshot"
 	version      = 1
 	snapshotMost = 8 << 20 // bytes
 	headMost     = 64
@@ -31,7 +31,7 @@
 // ErrNone says that there is no snapshot.
 var ErrNone = errors.New("durable: no snapshot")
 
-// encode is a snapshot's text: a line that says how long the rest is and what it hashes to, and the rest.
+// encode is a snapshot's text.
 func (s *Snapshot) encode() ([]byte, error) {
 	body, err := json.Marshal(s)
 	if err != nil {
@@ -40,23 +40,37 @@
 	if len(body) > snapshotMost-headMost {
 		return nil, fmt.Errorf("durable: a snapshot of %d bytes, %d at most", len(body), snapshotMost-headMost)
 	}
-	return append(fmt.Appendf(nil, "%s %d %d %016x\n", magic, version, len(body), xxhash.Sum64(body)), body...), nil
+	return Seal(kind, version, body), nil
 }
 
-// Decode reads a snapshot's text. What is cut off, changed, or of another version is an error that says so.
-func Decode(text []byte) (*Snapshot, error) {
-	head, body, found := bytes.Cut(text[:min(len(text), snapshotMost)], []byte{'\n'})
+// Seal is a file's text: a line that says what it is, of which version, how long the rest is and what it hashes to; and the rest.
+func Seal(kind string, version int, body []byte) []byte {
+	return append(fmt.Appendf(nil, "pinelb %s %d %d %016x\n", kind, version, len(body), xxhash.Sum64(body)), body...)
+}
+
+// Unseal is what a text was sealed over. What is cut off, changed, or of another version is an error that says so.
+func Unseal(kind string, version int, text []byte) (body []byte, err error) {
+	head, body, found := bytes.Cut(text, []byte{'\n'})
 	var v, size int
 	var sum uint64
-	if n, err := fmt.Sscanf(string(head[:min(len(head), headMost)]), magic+" %d %d %x", &v, &size, &sum); n < 1 || v < 1 {
-		return nil, fmt.Errorf("durable: not a snapshot: %w", err)
+	if n, err := fmt.Sscanf(string(head[:min(len(head), headMost)]), "pinelb "+kind+" %d %d %x", &v, &size, &sum); n < 1 || v < 1 {
+		return nil, fmt.Errorf("durable: not a %s: %w", kind, err)
 	} else if v != version {
-		return nil, fmt.Errorf("durable: a snapshot of version %d, %d is read", v, version)
+		return nil, fmt.Errorf("durable: a %s of version %d, %d is read", kind, v, version)
 	} else if n < 3 || !found || size != len(body) {
-		return nil, fmt.Errorf("durable: the snapshot is cut off: %d of %d bytes", len(body), size)
+		return nil, fmt.Errorf("durable: the %s is cut off: %d of %d bytes", kind, len(body), size)
 	}
 	if got := xxhash.Sum64(body); got != sum {
-		return nil, fmt.Errorf("durable: the snapshot has changed: its sum is %016x, not %016x", got, sum)
+		return nil, fmt.Errorf("durable: the %s has changed: its sum is %016x, not %016x", kind, got, sum)
+	}
+	return body, nil
+}
+
+// Decode reads a snapshot's text. What is cut off, changed, or of another version is an error that says so.
+func Decode(text []byte) (*Snapshot, error) {
+	body, err := Unseal(kind, version, text[:min(len(text), snapshotMost)])
+	if err != nil {
+		return nil, err
 	}
 	s := &Snapshot{}
 	if err := json.Unmarshal(body, s); err != nil {
@@ -71,16 +85,23 @@
 	if err != nil {
 		return 0, err
 	}
-	if err = create(d, freshName, text); err == nil {
-		err = d.Rename(freshName, snapshotName)
+	if err = Replace(d, snapshotName, text); err != nil {
+		return 0, fmt.Errorf("durable: snapshot: %w", err)
 	}
+	return len(text), nil
+}
+
+// Replace has a text take a file's place: whatever happens meanwhile, the former one or this is there whole. What it has not
+// finished stands under the name with NewSuffix, and may be overwritten.
+func Replace(d Disk, name string, text []byte) error {
+	err := create(d, name+NewSuffix, text)
 	if err == nil {
-		err = d.Sync()
+		err = d.Rename(name+NewSuffix, name)
 	}
-	if err != nil {
-		return 0, fmt.Errorf("durable: snapshot: %w", err)
+	if err == nil {
+		err = d.Sync()
 	}
-	return len(text), nil
+	return err
 }
 
 // create writes a file whole.
