Add the distributor: settings told to sidecars and peers, kept on the disk, merged after a split

A publish is on the disk before it is told, so that an edition is never given twice; settings that no sidecar would start with are refused with the key; without its states a distributor answers 503 until a peer has told it all.

--- a/internal/distribute/record.go
+++ b/internal/distribute/record.go
@@ -17,7 +17,6 @@
 	RecordMost   = 3*StateMost + 4<<10
 	NewsMost     = 1 << 20 // one page of news; the rest follows
 	pageMost     = NewsMost - RecordMost
-	lifeMost     = 32
 )
 
 // PeerPath is where distributors ask each other for news of all services.
@@ -177,6 +176,7 @@
 
 // News is what a distributor tells another one.
 type News struct {
+	Name     string    // of the distributor: no two may have one, for editions are told apart by it
 	Life     string    // which process of the distributor it is: At counts within one
 	At       uint64    // of its changes the last that is in this page; what is asked for next time is what comes after it
 	Starting bool      // it has nobody yet of whom it could know what is newest
@@ -186,7 +186,7 @@
 
 // Encode writes news.
 func (n *News) Encode() []byte {
-	text := fmt.Appendf(nil, `{"life":%q,"at":%d,"starting":%t,"more":%t,"records":[`, n.Life, n.At, n.Starting, n.More)
+	text := fmt.Appendf(nil, `{"name":%q,"life":%q,"at":%d,"starting":%t,"more":%t,"records":[`, n.Name, n.Life, n.At, n.Starting, n.More)
 	for i, r := range n.Records {
 		if i > 0 {
 			text = append(text, ',')
@@ -199,6 +199,7 @@
 // ParseNews reads news, as strictly as Parse does.
 func ParseNews(text []byte) (*News, error) {
 	var w struct {
+		Name     string        `json:"name"`
 		Life     string        `json:"life"`
 		At       uint64        `json:"at"`
 		Starting bool          `json:"starting"`
@@ -208,10 +209,13 @@
 	if err := decode(text, NewsMost, &w); err != nil {
 		return nil, err
 	}
-	if err := checkLife(w.Life); err != nil {
+	if err := CheckName("name", w.Name); err != nil {
 		return nil, err
 	}
-	n := &News{Life: w.Life, At: w.At, Starting: w.Starting, More: w.More}
+	if err := CheckName("life", w.Life); err != nil {
+		return nil, err
+	}
+	n := &News{Name: w.Name, Life: w.Life, At: w.At, Starting: w.Starting, More: w.More}
 	for i, one := range w.Records {
 		key := fmt.Sprintf("records[%d]", i)
 		if one == nil {
@@ -226,13 +230,6 @@
 	return n, nil
 }
 
-func checkLife(life string) error {
-	if len(life) > lifeMost {
-		return FaultyKey{"life", fmt.Sprintf("must have %d bytes at most", lifeMost)}
-	}
-	return CheckName("life", life)
-}
-
 // PeerQuestion is what a distributor asks another one: for all that has changed there after Since. The answer is News, with
 // status 200: at once where there is some, where Life is not that of the process that answers, or where that one is starting;
 // or nothing, with status 204, after Wait.
@@ -271,7 +268,7 @@
 	}
 	q.Wait = Millis(wait.Milliseconds())
 	if q.Life != "" {
-		if err := checkLife(q.Life); err != nil {
+		if err := CheckName("life", q.Life); err != nil {
 			return PeerQuestion{}, err
 		}
 	}
--- a/internal/distribute/status.go
+++ b/internal/distribute/status.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"pinelb.example/pinelb/internal/version"
 )
@@ -71,8 +72,8 @@
 }
 
 // StatusOf is what the store says of a service.
-func (s *Store) StatusOf(region, service string, now Millis) Status {
-	out := Status{Distributor: s.name, Region: region, Starting: s.starting, Service: service, Sidecars: s.Sidecars(now.D(), service)}
+func (s *Store) StatusOf(region, service string, now time.Duration) Status {
+	out := Status{Distributor: s.name, Region: region, Starting: s.starting, Service: service, Sidecars: s.Sidecars(now, service)}
 	if r := s.Record(service); r != nil {
 		out.Contents, out.Former, out.Overruled = *contents(&r.State), contents(r.Former), contents(r.Overruled)
 	}
--- a/internal/distribute/store.go
+++ b/internal/distribute/store.go
@@ -122,13 +122,13 @@
 	if err := CheckName("service", service); err != nil {
 		return nil, err
 	}
-	if err := CheckSettings(bytes.TrimSpace(settings)); err != nil {
-		return nil, err
-	}
 	var compact bytes.Buffer
 	if err := json.Compact(&compact, settings); err != nil {
 		return nil, FaultyKey{"settings", err.Error()}
 	}
+	if err := CheckSettings(compact.Bytes()); err != nil {
+		return nil, err
+	}
 	return s.next(service, compact.Bytes())
 }
 
@@ -189,7 +189,7 @@
 	h := &held{}
 	if former == nil {
 		h.Record = merge(nil, r)
-	} else if h.Record = merge(former.Record, r); h.same(former.Record) {
+	} else if h.Record = merge(former.Record, r); h.Same(former.Record) {
 		return nil, nil, nil
 	} else {
 		h.text = former.text
@@ -205,8 +205,8 @@
 	return h.Record, told, nil
 }
 
-// same tells whether two records of one service hold the same.
-func (r *Record) same(o *Record) bool {
+// Same tells whether two records of one service hold the same.
+func (r *Record) Same(o *Record) bool {
 	if r.Edition != o.Edition || r.Digest != o.Digest || (r.Overruled == nil) != (o.Overruled == nil) {
 		return false
 	}
@@ -314,7 +314,7 @@
 		}
 	}
 	slices.SortFunc(changed, func(a, b *held) int { return cmp.Compare(a.change, b.change) })
-	n := &News{Life: s.life, At: q.Since, Starting: s.starting}
+	n := &News{Name: s.name, Life: s.life, At: q.Since, Starting: s.starting}
 	size := 0
 	for _, h := range changed {
 		if size += h.size(); size > pageMost && len(n.Records) > 0 {
--- /dev/null
+++ b/internal/distributor/client.go
@@ -0,0 +1,124 @@
+package distributor
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"pinelb.example/pinelb/internal/distribute"
+)
+
+// statusMost is how many bytes a distributor's status may have: all sidecars that it knows, with the longest names and reasons.
+const statusMost = 32 << 20
+
+// Operator calls distributors as operators do, each call on a connection of its own.
+type Operator struct {
+	At     []string      // addresses where operators call
+	Within time.Duration // a call at most
+}
+
+// Refusal is a distributor's word that it does not do what it was called for.
+type Refusal struct {
+	At     string
+	Status int
+	Why    string
+}
+
+func (e Refusal) Error() string { return fmt.Sprintf("%s answers %d: %s", e.At, e.Status, e.Why) }
+
+// ErrNobody says that no distributor was reached, or all were starting.
+var ErrNobody = errors.New("distributor: nobody was reached")
+
+// Publish publishes settings at the first distributor that takes them. The next one is called only where one could not be reached
+// or is starting: the same settings published twice do no harm. Errors are ErrNobody and of type Refusal.
+func (o *Operator) Publish(ctx context.Context, service string, settings []byte) (Published, error) {
+	return o.first(ctx, settingsPath, service, settings)
+}
+
+// RollBack publishes the service's former settings anew, as Publish does. Where a call's answer is lost the next one is not
+// called: it would take the way back back.
+func (o *Operator) RollBack(ctx context.Context, service string) (Published, error) {
+	return o.first(ctx, rollBackPath, service, nil)
+}
+
+func (o *Operator) first(ctx context.Context, path, service string, body []byte) (out Published, err error) {
+	var faults []error
+	for _, at := range o.At {
+		text, err := o.call(ctx, http.MethodPost, at, path, service, body)
+		var refusal Refusal
+		var dial *net.OpError
+		refused := errors.As(err, &refusal)
+		switch {
+		case err == nil:
+			if err := json.Unmarshal(text, &out); err != nil {
+				return out, fmt.Errorf("distributor: %s: %w", at, err)
+			}
+			return out, nil
+		case refused && refusal.Status != http.StatusServiceUnavailable:
+			return out, refusal
+		case !refused && body == nil && !(errors.As(err, &dial) && dial.Op == "dial"):
+			return out, fmt.Errorf("distributor: %s was called and may have done it: %w", at, err)
+		}
+		faults = append(faults, err)
+	}
+	return out, fmt.Errorf("%w: %w", ErrNobody, errors.Join(faults...))
+}
+
+// Statuses asks all distributors at once what they say of a service. Faults are of those that did not answer.
+func (o *Operator) Statuses(ctx context.Context, service string) (statuses []distribute.Status, faults []error) {
+	all := make([]distribute.Status, len(o.At))
+	errs := make([]error, len(o.At))
+	var wait sync.WaitGroup
+	for i, at := range o.At {
+		wait.Go(func() {
+			text, err := o.call(ctx, http.MethodGet, at, settingsPath, service, nil)
+			if err == nil {
+				err = json.Unmarshal(text, &all[i])
+			}
+			errs[i] = err
+		})
+	}
+	wait.Wait()
+	for i, err := range errs {
+		if err != nil {
+			faults = append(faults, err)
+		} else {
+			statuses = append(statuses, all[i])
+		}
+	}
+	return statuses, faults
+}
+
+func (o *Operator) call(ctx context.Context, method, at, path, service string, body []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, o.Within)
+	defer cancel()
+	target := "http://" + at + path + "?" + url.Values{"service": {service}}.Encode()
+	req, err := http.NewRequestWithContext(ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("distributor: %w", err)
+	}
+	req.Close = true
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true},
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}
+	res, err := client.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("distributor: %w", err)
+	}
+	defer res.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(res.Body, statusMost))
+	if err != nil {
+		return nil, fmt.Errorf("distributor: %s: the answer is cut off: %w", at, err)
+	}
+	if res.StatusCode != http.StatusOK {
+		return nil, Refusal{at, res.StatusCode, string(bytes.TrimSpace(text[:min(len(text), whyMost)]))}
+	}
+	return text, nil
+}
--- /dev/null
+++ b/internal/distributor/config.go
@@ -0,0 +1,86 @@
+// Package distributor is the role that holds services' settings and tells them to sidecars and to other distributors: its sockets
+// and its disk. What it holds and whom it tells is decided by internal/distribute.
+package distributor
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"pinelb.example/pinelb/internal/distribute"
+	"pinelb.example/pinelb/internal/tomlfile"
+)
+
+// Config is a distributor's file.
+type Config struct {
+	Name    string   `toml:"name"`    // no other distributor's, now or ever
+	Region  string   `toml:"region"`  // for the status alone
+	Listen  string   `toml:"listen"`  // where sidecars and other distributors ask
+	Control string   `toml:"control"` // where operators call
+	Dir     string   `toml:"dir"`     // absolute, and this distributor's alone
+	Peers   []string `toml:"peers"`   // the other distributors' addresses
+}
+
+const fileMost = 1 << 20 // bytes
+
+// ReadConfig reads a distributor's file. The error names the file, the line and the key.
+func ReadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("distributor: %w", err)
+	}
+	return ParseConfig(path, text)
+}
+
+// ParseConfig reads a distributor's file's text; path is its name in errors.
+func ParseConfig(path string, text []byte) (*Config, error) {
+	if len(text) > fileMost {
+		return nil, fmt.Errorf("distributor: %s has over %d bytes", path, fileMost)
+	}
+	c := &Config{}
+	file, err := tomlfile.Decode(path, text, c)
+	if err != nil {
+		return nil, err
+	}
+	return c, c.check(file)
+}
+
+// check names the first key that can't be used.
+func (c *Config) check(file *tomlfile.File) error {
+	names := []struct{ key, name string }{{"name", c.Name}}
+	if c.Region != "" {
+		names = append(names, struct{ key, name string }{"region", c.Region})
+	}
+	for _, n := range names {
+		if faulty, ok := distribute.CheckName(n.key, n.name).(distribute.FaultyKey); ok {
+			return file.Fault(n.key, "%s", faulty.Why)
+		}
+	}
+	for _, a := range []struct{ key, addr string }{{"listen", c.Listen}, {"control", c.Control}} {
+		if _, err := netip.ParseAddrPort(a.addr); err != nil {
+			return file.Fault(a.key, "must be an address and port, not %q", a.addr)
+		}
+	}
+	switch {
+	case c.Control == c.Listen:
+		return file.Fault("control", "must be another address than listen")
+	case !filepath.IsAbs(c.Dir):
+		return file.Fault("dir", "must be the absolute path of a directory")
+	case len(c.Peers) >= distribute.PeersMost:
+		return file.Fault("peers", "names %d distributors, %d at most", len(c.Peers), distribute.PeersMost-1)
+	}
+	for i, addr := range c.Peers {
+		at, err := netip.ParseAddrPort(addr)
+		switch {
+		case err != nil || at.Port() == 0:
+			return file.Fault("peers", "[%d] must be an address and port, not %q", i, addr)
+		case addr == c.Listen:
+			return file.Fault("peers", "[%d] is this distributor's own address", i)
+		case slices.Contains(c.Peers[:i], addr):
+			return file.Fault("peers", "[%d] names %s twice", i, addr)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/distributor/keep.go
@@ -0,0 +1,163 @@
+package distributor
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"pinelb.example/pinelb/internal/distribute"
+	"pinelb.example/pinelb/internal/durable"
+)
+
+const (
+	fileKind    = "settings"
+	fileVersion = 1
+	fileSuffix  = ".settings"
+	fileHead    = 128 // bytes
+	keepAgain   = time.Second
+)
+
+// load reads the records that a disk holds. Faults are of files that can't be used.
+func load(disk durable.Disk) (records []*distribute.Record, faults []error, err error) {
+	names, err := disk.Names()
+	if err != nil {
+		return nil, nil, err
+	}
+	for _, name := range names {
+		service, ours := strings.CutSuffix(name, fileSuffix)
+		if !ours {
+			continue
+		}
+		r, err := read(disk, name)
+		if err == nil && r.Service != service {
+			err = fmt.Errorf("is of the service %s", r.Service)
+		}
+		if err != nil {
+			faults = append(faults, fmt.Errorf("%s: %w", name, err))
+			continue
+		}
+		records = append(records, r)
+	}
+	return records, faults, nil
+}
+
+func read(disk durable.Disk, name string) (*distribute.Record, error) {
+	text, err := disk.Read(name, distribute.RecordMost+fileHead)
+	if err != nil {
+		return nil, err
+	}
+	body, err := durable.Unseal(fileKind, fileVersion, text)
+	if err != nil {
+		return nil, err
+	}
+	return distribute.ParseRecord(body)
+}
+
+// write keeps a record. The caller holds writing.
+func (d *Distributor) write(r *distribute.Record) error {
+	return durable.Replace(d.disk, r.Service+fileSuffix, durable.Seal(fileKind, fileVersion, distribute.EncodeRecord(r)))
+}
+
+// hurry has what is dirty be kept.
+func (d *Distributor) hurry() {
+	select {
+	case d.keep <- struct{}{}:
+	default:
+	}
+}
+
+// keepAll keeps what others told, until ctx ends and once more then. Of a service that changes faster than the disk takes it the
+// newest is kept.
+func (d *Distributor) keepAll(ctx context.Context) {
+	failed := false
+	for {
+		err := d.keepDirty()
+		if (err != nil) != failed {
+			failed = err != nil
+			d.log.Error().Err(err).Bool("kept", !failed).Msg("settings on the disk")
+		}
+		again := time.NewTimer(keepAgain)
+		if !failed {
+			again.Stop()
+		}
+		select {
+		case <-again.C:
+		case <-d.keep:
+		case <-ctx.Done():
+			again.Stop()
+			if err := d.keepDirty(); err != nil {
+				d.log.Error().Err(err).Bool("kept", false).Msg("settings on the disk")
+			}
+			return
+		}
+		again.Stop()
+	}
+}
+
+// keepDirty keeps all that is dirty; what fails stays so.
+func (d *Distributor) keepDirty() (failed error) {
+	d.mu.Lock()
+	services := make([]string, 0, len(d.dirty))
+	for service := range d.dirty {
+		services = append(services, service)
+	}
+	d.mu.Unlock()
+	for _, service := range services {
+		if err := d.keepOne(service); err != nil {
+			failed = err
+		}
+	}
+	return failed
+}
+
+func (d *Distributor) keepOne(service string) error {
+	d.writing.Lock()
+	defer d.writing.Unlock()
+	d.mu.Lock()
+	r, dirty := d.store.Record(service), d.dirty[service]
+	delete(d.dirty, service)
+	d.mu.Unlock()
+	if !dirty {
+		return nil
+	}
+	err := d.write(r)
+	if err != nil {
+		d.mu.Lock()
+		d.dirty[service] = true
+		d.mu.Unlock()
+	}
+	return err
+}
+
+// publish has the record that next makes be kept, and then merged and told: an edition that was told is never given again. The
+// error is next's, or the disk's as a notKept.
+func (d *Distributor) publish(next func() (*distribute.Record, error)) (*distribute.Record, error) {
+	d.writing.Lock()
+	defer d.writing.Unlock()
+	d.mu.Lock()
+	r, err := next()
+	d.mu.Unlock()
+	if err != nil {
+		return nil, err
+	}
+	if err := d.write(r); err != nil {
+		return nil, notKept{err}
+	}
+	if err := d.merge(r); err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	if d.store.Record(r.Service).Same(r) { // else a peer's word came between, and both have to be kept
+		delete(d.dirty, r.Service)
+	}
+	d.mu.Unlock()
+	return r, nil
+}
+
+// notKept is a disk's refusal: nothing was published.
+type notKept struct{ error }
+
+func (e notKept) Error() string {
+	return "distributor: not published, for it can't be kept: " + e.error.Error()
+}
