--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -31,8 +31,12 @@
 			File string `arg:"" placeholder:"FILE" help:"A snapshot, or a journal of effects, in the directory that [state] names."`
 		} `cmd:"" help:"Show what a file holds, and how old each part is. The exit status is 2 where it can't be read."`
 	} `cmd:"" help:"What a process has left for the one after it."`
-	Audit   auditLine `cmd:"" help:"Ask a fleet of sidecars which version each acts on. The exit status is 0 where all are up to date, 1 where not, 2 where an argument or a file is faulty, and 3 where nobody was reached."`
-	Version struct{}  `cmd:"" help:"Print the version, and what it was built from and with."`
+	Audit      auditLine `cmd:"" help:"Ask a fleet of sidecars which version each acts on. The exit status is 0 where all are up to date, 1 where not, 2 where an argument or a file is faulty, and 3 where nobody was reached."`
+	Distribute struct {
+		File string `arg:"" placeholder:"FILE" help:"The distributor's file: TOML, with name, region, listen, control, dir and peers."`
+	} `cmd:"" help:"Be a distributor: hold services' settings, and tell them to sidecars and to other distributors."`
+	Settings settingsLine `cmd:"" help:"Publish settings at distributors, roll them back, or ask where they are in force. The exit status is 0 where it was done and, with status or --wait, all sidecars have the newest in force, 1 where not all have, 2 where an argument is faulty or a distributor refuses, and 3 where nobody was reached."`
+	Version  struct{}     `cmd:"" help:"Print the version, and what it was built from and with."`
 }
 
 func main() {
@@ -64,6 +68,10 @@
 		return check(line.Check.File, line.Check.Platform)
 	case "audit":
 		return runAudit(&line.Audit)
+	case "distribute":
+		return runDistributor(line.Distribute.File)
+	case "publish", "rollback", "status":
+		return runSettings(ctx.Selected().Name, &line.Settings)
 	case "version":
 		fmt.Println(built())
 		return 0
