--- a/internal/config/audit.go
+++ b/internal/config/audit.go
@@ -67,8 +67,9 @@
 	if err := read.Decode(&keys); err != nil {
 		return DigestOf([]byte(c.Site)) // it has been read as an object before
 	}
-	delete(keys, "rank")
-	delete(keys, "locality")
+	for _, key := range own {
+		delete(keys, key)
+	}
 	text, err := json.Marshal(keys) // in the order of their names
 	if err != nil {
 		return DigestOf([]byte(c.Site)) // what was read can be written
--- a/internal/config/operator.go
+++ b/internal/config/operator.go
@@ -16,13 +16,14 @@
 // Operator is the operator's file: what a site switches on beyond what the platform asks for. A section that
 // the file lacks is off.
 type Operator struct {
-	Record    *Record    `toml:"record"`
-	Discovery *Discovery `toml:"discovery"`
-	Fleet     *Fleet     `toml:"fleet"`
-	Thrift    *Thrift    `toml:"thrift"`
-	Budget    *Budget    `toml:"budget"`
-	State     *State     `toml:"state"`
-	Audit     *Audit     `toml:"audit"`
+	Record    *Record      `toml:"record"`
+	Discovery *Discovery   `toml:"discovery"`
+	Fleet     *Fleet       `toml:"fleet"`
+	Thrift    *Thrift      `toml:"thrift"`
+	Budget    *Budget      `toml:"budget"`
+	State     *State       `toml:"state"`
+	Audit     *Audit       `toml:"audit"`
+	Settings  *Distributed `toml:"settings"`
 }
 
 // State is the section [state]: what a process knows is kept on the disk, for the one that comes after it.
@@ -218,6 +219,9 @@
 		err = op.Audit.check(file)
 		op.Audit.File = DigestOf(data)
 	}
+	if err == nil && op.Settings != nil {
+		err = op.Settings.check(file)
+	}
 	if err != nil {
 		return nil, err // it begins with the file and the line
 	}
