--- a/internal/distribute/wire.go
+++ b/internal/distribute/wire.go
@@ -181,7 +181,7 @@
 	Service string
 	Since   version.Edition // in force; none: settings that no distributor gave
 	Refused version.Edition // the newest that was not taken; none where a newer one is in force
-	Why     string          // it was not taken; Target cuts it to WhyMost bytes
+	Why     string          // it was not taken; without one, why the last answer could not be used. Target cuts it to WhyMost bytes
 	Wait    time.Duration   // for news, in whole milliseconds; 0: the answer is to come at once
 	Name    string          // of the sidecar; "": whoever asks is not to be remembered
 }
@@ -206,6 +206,8 @@
 	if !q.Refused.None() {
 		v.Set("refused", strconv.FormatUint(q.Refused.Epoch, 10))
 		v.Set("refused_by", q.Refused.By)
+	}
+	if q.Why != "" {
 		v.Set("why", cut(q.Why, WhyMost))
 	}
 	return Path + url.PathEscape(q.Service) + "?" + v.Encode()
@@ -250,9 +252,6 @@
 	if q.Why, err = f.text("why", WhyMost); err != nil {
 		return Question{}, err
 	}
-	if q.Why != "" && q.Refused.None() {
-		return Question{}, FaultyKey{"why", "stands beside refused"}
-	}
 	return q, nil
 }
 
