Follow published settings from distributors, in the place of the file's

internal/follow makes the calls that distribute.Follower decides on: the time of a call is the connect's too, 80 KB of an answer are read at most, in all of its parts, and a kept connection that is lost is asked once more. In internal/daemon what is published takes effect by the path of SIGHUP, whole or not at all, the audit's digest with it; SIGHUP and an audit's floor don't bring the file's settings back, a floor has distributors be asked at once, a start waits for them for 0.3 s at most. retune's second half is adopt now, and daemon's function follow formerOf. cluster's advice is pace.Advice, with its fuzz test, for both read a Retry-After.

Tests: go test -race of follow, daemon, cluster, pace, config, distribute passes. TestFaultyAnswers has 18 answers that are cut, spoilt, endless, silent or slow byte by byte; with no bound on what is read the endless ones fail.

--- a/internal/cluster/paced_test.go
+++ b/internal/cluster/paced_test.go
@@ -190,22 +190,6 @@
 	}
 }
 
-// Whatever a service advises, the wait is a time that can be waited for.
-func FuzzAdvice(f *testing.F) {
-	for text, want := range map[string]time.Duration{"0.1": 100 * time.Millisecond, "2": 2 * time.Second, "": 0, "-1": 0, "NaN": 0, "Inf": 0, "1e300": 0,
-		"Wed, 21 Oct 2015 07:28:00 GMT": 0} {
-		if got := advice(text); got != want {
-			f.Errorf("%q: %s, want %s", text, got, want)
-		}
-		f.Add(text)
-	}
-	f.Fuzz(func(t *testing.T, text string) {
-		if d := advice(text); d < 0 || d > 24*time.Hour {
-			t.Errorf("%q: %s", text, d)
-		}
-	})
-}
-
 // Guards against a doubt that outlasts its time because the service can't even be reached: the call is over with the doubt.
 func TestDoubtBoundsTheCall(t *testing.T) {
 	a := newAgent(t)
--- a/internal/cluster/watch.go
+++ b/internal/cluster/watch.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"strconv"
 	"sync"
 	"time"
 
@@ -17,6 +16,7 @@
 	"github.com/tidwall/gjson"
 
 	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/pace"
 )
 
 // Tunables. A watch that has fallen silent looks like one without news until its wait is over, so that is how late a
@@ -260,7 +260,7 @@
 		defer w.hangUp()
 	}
 	if s := res.StatusCode; s == http.StatusServiceUnavailable || s == http.StatusTooManyRequests {
-		return List{}, &turnedAway{s, advice(res.Header.Get("Retry-After"))}
+		return List{}, &turnedAway{s, pace.Advice(res.Header.Get("Retry-After"))}
 	}
 	if res.StatusCode != http.StatusOK || nested(body, nestedMost) || !gjson.ValidBytes(body) {
 		return List{}, fmt.Errorf("cluster: answer %d of %d bytes is no list", res.StatusCode, len(body))
@@ -332,15 +332,6 @@
 	}
 }
 
-// advice reads a Retry-After in seconds, whole or decimal. Any other, and more than a day, is none.
-func advice(text string) time.Duration {
-	seconds, err := strconv.ParseFloat(text, 64)
-	if err != nil || !(seconds > 0 && seconds <= 86400) { // NaN is neither
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
-
 func (w *watch) hangUp() {
 	if w.conn != nil {
 		_ = w.conn.Close() // nothing is lost: all that it said has been read
--- a/internal/daemon/audit.go
+++ b/internal/daemon/audit.go
@@ -199,8 +199,8 @@
 	}, "start", apply)
 }
 
-// settings has other settings take effect.
-func (a *audited) settings(cfg *config.Config, apply func(under uint32)) {
+// settings has other settings take effect, from the file or a distributor.
+func (a *audited) settings(cfg *config.Config, from string, apply func(under uint32)) {
 	if a == nil {
 		apply(0)
 		return
@@ -209,7 +209,7 @@
 	defer a.mu.Unlock()
 	a.set = &cfg.Settings
 	a.actor.Retune(a.limits())
-	a.changed(func(v *version.Version) { v.Settings = cfg.Digest() }, "file", apply)
+	a.changed(func(v *version.Version) { v.Settings = cfg.Digest() }, from, apply)
 }
 
 // listens tells that the list service has answered what it was asked at that time, and that the answer has been taken over.
--- a/internal/daemon/audit_test.go
+++ b/internal/daemon/audit_test.go
@@ -207,7 +207,7 @@
 	changes.Go(func() {
 		for n := range lists / 2 {
 			cfg := &config.Config{Settings: *w.set, Site: fmt.Sprintf(`{"n":%d}`, n)}
-			w.settings(cfg, func(under uint32) { _ = w.eng.Retune(cfg.Settings.Settings, under) })
+			w.settings(cfg, "file", func(under uint32) { _ = w.eng.Retune(cfg.Settings.Settings, under) })
 		}
 	})
 	for i := range 4 {
--- a/internal/daemon/retune.go
+++ b/internal/daemon/retune.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"os"
 	"sync"
 	"time"
@@ -12,6 +13,7 @@
 	"pinelb.example/pinelb/internal/config"
 	"pinelb.example/pinelb/internal/downstream"
 	"pinelb.example/pinelb/internal/engine"
+	"pinelb.example/pinelb/internal/follow"
 	"pinelb.example/pinelb/internal/record"
 	"pinelb.example/pinelb/internal/stream"
 	"pinelb.example/pinelb/internal/upstream"
@@ -27,11 +29,13 @@
 	budget  *stream.Budget           // nil: none
 	rec     *record.Recorder         // nil: none
 	audited *audited                 // nil: nobody audits
+	watch   *follow.Watch            // of published settings; nil: none
 	reclass []func(*config.Settings) // the fronts
 	log     zerolog.Logger
 
-	mu  sync.Mutex
-	cfg *config.Config // in force, its classes by the numbers that they have here
+	mu        sync.Mutex
+	cfg       *config.Config  // in force, its classes by the numbers that they have here
+	published json.RawMessage // its settings, where they are a distributor's; nil: they are the file's
 }
 
 // classes are the names of the classes, by number.
@@ -59,6 +63,7 @@
 		select {
 		case <-hups:
 		case <-floor:
+			t.ask(false)
 			if !t.differs(os.Getenv) {
 				continue // it will be looked at again while the floor is in force
 			}
@@ -70,7 +75,8 @@
 			t.log.Error().Err(err).Msg("the new configuration is not taken")
 			continue
 		}
-		t.log.Info().Str("discovery", cfg.Discovery).Strs("classes", cfg.Settings.ClassNames).Int("attempts", cfg.Settings.MaxAttempts).
+		t.ask(true) // what was refused beside the former file may be right beside this one
+		t.log.Info().Str("discovery", cfg.Discovery).Bool("published", t.isPublished()).Strs("classes", cfg.Settings.ClassNames).Int("attempts", cfg.Settings.MaxAttempts).
 			Msg("configuration read again")
 		select {
 		case moves <- cfg.Discovery:
@@ -80,15 +86,23 @@
 	}
 }
 
-// retune reads the configuration and has its settings take effect, whole or not at all: the decisions first, for they
-// have to know a class before a request of it comes.
+// retune reads the configuration and has its settings take effect, whole or not at all. Published ones stay in force.
 func (t *tuning) retune(getenv func(string) string) (*config.Config, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	cfg, err := config.Reload(getenv, t.cfg)
+	if err == nil && t.published != nil {
+		cfg, err = cfg.With(t.published)
+	}
 	if err != nil {
 		return nil, err
 	}
+	return t.adopt(cfg, "file")
+}
+
+// adopt has settings take effect, whole or not at all, and returns the configuration with the classes as it has them: the decisions
+// go first, for they have to know a class before a request of it comes.
+func (t *tuning) adopt(cfg *config.Config, from string) (*config.Config, error) {
 	if err := t.op.Fits(cfg); err != nil {
 		return nil, err
 	}
@@ -98,8 +112,8 @@
 	}
 	after.Name = t.cfg.Settings.Name // by which hosts are chosen: the same for as long as the process runs
 	told := *cfg
-	if t.audited.settings(&told, func(under uint32) { err = t.eng.Retune(after.Settings, under) }); err != nil {
-		t.audited.settings(t.cfg, t.eng.Adopt)
+	if t.audited.settings(&told, from, func(under uint32) { err = t.eng.Retune(after.Settings, under) }); err != nil {
+		t.audited.settings(t.cfg, from, t.eng.Adopt)
 		return nil, err
 	}
 	t.table.Retune(after.ZoneNames, after.KindNames)
@@ -121,9 +135,13 @@
 }
 
 // differs tells whether the settings that are there to be read are not those in force; a file that can't be used is told of.
+// Published ones are not the file's to differ from.
 func (t *tuning) differs(getenv func(string) string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if t.published != nil {
+		return false
+	}
 	cfg, err := config.Reload(getenv, t.cfg)
 	return err != nil || cfg.Site != t.cfg.Site
 }
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -93,9 +93,9 @@
 	next   *mirror // of effects, to the successor that has come; nil: there is none
 }
 
-// follow looks for a process that already serves the configuration's clients. What can't be taken over from it is left,
+// formerOf looks for a process that already serves the configuration's clients. What can't be taken over from it is left,
 // for it serves on.
-func follow(cfg *config.Config, log zerolog.Logger) *handover.Former {
+func formerOf(cfg *config.Config, log zerolog.Logger) *handover.Former {
 	path := handover.Path(cfg.Listen)
 	if cfg.Control == "" || path == "" {
 		return nil
--- /dev/null
+++ b/internal/follow/conn.go
@@ -0,0 +1,173 @@
+package follow
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"pinelb.example/pinelb/internal/distribute"
+	"pinelb.example/pinelb/internal/pace"
+)
+
+// answerMost is how many bytes of an answer are read: a state, and its head with the marks of its chunks.
+const answerMost = distribute.StateMost + 16<<10
+
+// answer is what a distributor says. No state: there is nothing new.
+type answer struct {
+	state      *distribute.State
+	retryAfter time.Duration // 0: none
+}
+
+// turnedAway is an answer that is none: no room, or nothing to say yet.
+type turnedAway struct {
+	status     int
+	retryAfter time.Duration
+}
+
+func (e *turnedAway) Error() string { return fmt.Sprintf("follow: answered %d", e.status) }
+
+// unusable is an answer that began and can't be used.
+type unusable struct{ err error }
+
+func (e *unusable) Error() string {
+	return fmt.Sprintf("follow: an answer that can't be used: %v", e.err)
+}
+func (e *unusable) Unwrap() error { return e.err }
+
+var (
+	errDropped = errors.New("follow: a kept connection was lost")
+	errLong    = fmt.Errorf("over %d bytes", answerMost)
+)
+
+// conn is the connection to a distributor, kept from one call to the next.
+type conn struct {
+	addr string // empty: there is none
+	net.Conn
+	in   *bufio.Reader
+	room int   // bytes that may still be read of the answer
+	lost error // that reading it met; who parses what came before may make another one of it
+}
+
+// Read reads what there is room for: an answer without an end would fill the memory before its time was up.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.room <= 0 {
+		c.lost = errLong
+		return 0, errLong
+	}
+	n, err := c.Conn.Read(b[:min(len(b), c.room)])
+	c.room -= n
+	c.lost = err
+	return n, err
+}
+
+// call asks for a target on the kept connection or a new one, and hangs up unless the answer was whole. The time is the connect's
+// as well. It returns at once when ctx ends.
+func (c *conn) call(ctx context.Context, addr, target string, within time.Duration) (answer, error) {
+	end := time.Now().Add(within)
+	kept := c.addr == addr
+	if !kept {
+		c.hangUp()
+		if err := c.dial(ctx, addr, end); err != nil {
+			return answer{}, fmt.Errorf("follow: dial: %w", err)
+		}
+	}
+	release := c.closeWith(ctx)
+	a, again, err := c.exchange(target, end)
+	if !release() || !again || err != nil {
+		c.hangUp()
+	}
+	var late net.Error
+	if kept && errors.Is(err, errNothing) && !(errors.As(err, &late) && late.Timeout()) {
+		err = errDropped
+	}
+	return a, err
+}
+
+func (c *conn) dial(ctx context.Context, addr string, end time.Time) error {
+	ctx, over := context.WithDeadline(ctx, end)
+	defer over()
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	c.addr, c.Conn = addr, conn
+	if c.in == nil {
+		c.in = bufio.NewReader(c)
+	}
+	c.in.Reset(c)
+	return nil
+}
+
+// closeWith closes the connection when ctx ends, until release is called, which returns whether it is still open.
+func (c *conn) closeWith(ctx context.Context) (release func() bool) {
+	open := c.Conn
+	return context.AfterFunc(ctx, func() { _ = open.Close() }) // what is read of it then fails, which is looked at
+}
+
+// errNothing is wrapped by what failed before the answer began.
+var errNothing = errors.New("no answer")
+
+// exchange asks and reads the answer; again tells whether the connection can be used once more.
+func (c *conn) exchange(target string, end time.Time) (a answer, again bool, err error) {
+	c.room, c.lost = answerMost, nil
+	if err := c.SetDeadline(end); err != nil {
+		return a, false, fmt.Errorf("follow: %w: %w", errNothing, err)
+	}
+	if _, err := fmt.Fprintf(c.Conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", target, c.addr); err != nil {
+		return a, false, fmt.Errorf("follow: %w: %w", errNothing, err)
+	}
+	res, err := http.ReadResponse(c.in, nil)
+	if err != nil {
+		if c.room == answerMost {
+			return a, false, fmt.Errorf("follow: %w: %w", errNothing, err)
+		}
+		return a, false, c.spoilt(err)
+	}
+	defer res.Body.Close()
+	body, err := io.ReadAll(res.Body)
+	if err != nil {
+		return a, false, c.spoilt(err)
+	}
+	a, err = read(res, body)
+	return a, !res.Close && c.in.Buffered() == 0, err
+}
+
+// spoilt is an answer that broke off; one that was only not there in time may be a slow distributor's.
+func (c *conn) spoilt(err error) error {
+	var late net.Error
+	switch {
+	case errors.As(c.lost, &late) && late.Timeout():
+		return fmt.Errorf("follow: %w", c.lost)
+	case c.lost == errLong:
+		err = errLong
+	}
+	return &unusable{err}
+}
+
+// read is what a whole answer says.
+func read(res *http.Response, body []byte) (answer, error) {
+	retryAfter := pace.Advice(res.Header.Get("Retry-After"))
+	switch res.StatusCode {
+	case http.StatusNoContent:
+		return answer{retryAfter: retryAfter}, nil
+	case http.StatusOK:
+		s, err := distribute.Parse(body)
+		if err != nil {
+			return answer{}, &unusable{err}
+		}
+		return answer{state: &s}, nil
+	}
+	return answer{}, &turnedAway{res.StatusCode, retryAfter}
+}
+
+func (c *conn) hangUp() {
+	if c.addr != "" {
+		_ = c.Close() // nothing is lost: all that it said has been read
+		c.addr, c.Conn = "", nil
+	}
+}
