Prove with the real program that published settings take effect, and say so to operators

The log names a distributor's silence and its unusable answers apart, each once. follow.Watch has a seam for its dials, which the rig uses.

--- a/internal/follow/conn.go
+++ b/internal/follow/conn.go
@@ -46,6 +46,7 @@
 
 // conn is the connection to a distributor, kept from one call to the next.
 type conn struct {
+	open func(ctx context.Context, network, addr string) (net.Conn, error)
 	addr string // empty: there is none
 	net.Conn
 	in   *bufio.Reader
@@ -91,7 +92,7 @@
 func (c *conn) dial(ctx context.Context, addr string, end time.Time) error {
 	ctx, over := context.WithDeadline(ctx, end)
 	defer over()
-	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", addr)
+	conn, err := c.open(ctx, "tcp", addr)
 	if err != nil {
 		return err
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -22,14 +22,16 @@
 	From    []string // the distributors' addresses, one at least
 	Rand    *rand.Rand
 	Log     zerolog.Logger
+	// Dial opens connections, as net.Dialer.DialContext does, which it is where this is nil.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
 	// Take has settings take effect, whole, or not at all and says why.
 	Take func(distribute.State) error
 
 	begun time.Time
 	state *distribute.Follower
 	conn  conn
-	bad   []bool // by distributor: it is in the log that it does not answer
-	none  bool   // it is in the log that nothing is published
+	bad   map[fault]bool // what is in the log, and not yet that it is over
+	none  bool           // it is in the log that nothing is published
 
 	mu     sync.Mutex
 	hurry  bool // the next question is not to wait,
@@ -37,6 +39,17 @@
 	leaves context.CancelFunc
 }
 
+// fault is what is wrong with a distributor.
+type fault struct {
+	who     int
+	message string
+}
+
+const (
+	noAnswer  = "a distributor did not answer"
+	badAnswer = "a distributor's answer is not taken"
+)
+
 // Ask has the distributors be asked at once; what is waited for is broken off. Retry has what was refused be tried once more.
 func (w *Watch) Ask(retry bool) {
 	w.mu.Lock()
@@ -49,8 +62,11 @@
 
 // Run follows until ctx ends, and calls answered once the first answer has been dealt with.
 func (w *Watch) Run(ctx context.Context, answered func()) {
-	w.begun, w.bad = time.Now(), make([]bool, len(w.From))
+	w.begun, w.bad = time.Now(), map[fault]bool{}
 	w.state = distribute.NewFollower(w.Service, w.Name, w.From, w.Rand)
+	if w.conn.open = w.Dial; w.Dial == nil {
+		w.conn.open = (&net.Dialer{}).DialContext
+	}
 	defer w.conn.hangUp()
 	once := sync.OnceFunc(answered)
 	for ctx.Err() == nil {
@@ -82,7 +98,7 @@
 	}
 	if a.state != nil {
 		if err := w.state.Hear(w.now(), *a.state); err != nil {
-			w.told(c.To, err, "a distributor's answer is not taken")
+			w.told(c.To, err, badAnswer)
 			return false
 		}
 		w.take(*a.state)
@@ -93,8 +109,10 @@
 			w.Log.Info().Str("service", w.Service).Msg("no settings are published; the file's are in force")
 		}
 	}
-	if w.bad[c.To] {
-		w.bad[c.To] = false
+	no, bad := fault{c.To, noAnswer}, fault{c.To, badAnswer}
+	if w.bad[no] || w.bad[bad] {
+		delete(w.bad, no)
+		delete(w.bad, bad)
 		w.Log.Info().Str("distributor", w.From[c.To]).Msg("the distributor answers again")
 	}
 	return true
@@ -143,7 +161,7 @@
 	switch {
 	case errors.As(err, &unusable):
 		w.state.Reject(now, err)
-		w.told(who, err, "a distributor's answer is not taken")
+		w.told(who, err, badAnswer)
 		return
 	case errors.As(err, &away):
 		w.state.Fail(now, away.retryAfter)
@@ -158,15 +176,16 @@
 	default:
 		w.state.Fail(now, 0)
 	}
-	w.told(who, err, "a distributor did not answer")
+	w.told(who, err, noAnswer)
 }
 
 // told logs a distributor's fault: once, and not every time that it is gone back to.
 func (w *Watch) told(who int, err error, message string) {
-	if !w.bad[who] {
+	f := fault{who, message}
+	if !w.bad[f] {
 		w.Log.Warn().Str("distributor", w.From[who]).Err(err).Msg(message)
 	}
-	w.bad[who] = true
+	w.bad[f] = true
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- /dev/null
+++ b/internal/lab/distributed/process.go
@@ -0,0 +1,99 @@
+package distributed
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+)
+
+const clockTicks = 100 // a second, of the kernel's accounts of processes (USER_HZ)
+
+// process is one that the rig has started.
+type process struct {
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// launch starts a program and hands on each line of its log.
+func launch(program string, args, env []string, line func(text []byte)) (*process, error) {
+	p := &process{cmd: exec.Command(program, args...), ended: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), env...)
+	log, err := p.cmd.StderrPipe()
+	if err == nil {
+		err = p.cmd.Start()
+	}
+	if err != nil {
+		return nil, fmt.Errorf("distributed: %w", err)
+	}
+	go func() {
+		defer close(p.ended)
+		lines := bufio.NewScanner(log)
+		lines.Buffer(nil, 1<<20)
+		for lines.Scan() {
+			line(lines.Bytes())
+		}
+		_, _ = io.Copy(io.Discard, log)
+		_ = p.cmd.Wait() // it is killed
+	}()
+	return p, nil
+}
+
+// signal sends one; a process that has ended gets none.
+func (p *process) signal(s syscall.Signal) error {
+	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("distributed: %w", err)
+	}
+	return nil
+}
+
+func (p *process) kill() {
+	_ = p.signal(syscall.SIGKILL) // it may have ended
+	<-p.ended
+}
+
+// cpu is the time that a process has used; 0 where it has ended.
+func cpu(pid int) time.Duration {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return 0
+	}
+	_, after, _ := strings.Cut(string(text), ") ") // the name may have blanks
+	fields := strings.Fields(after)
+	if len(fields) < 13 {
+		return 0
+	}
+	user, _ := strconv.Atoi(fields[11])
+	system, _ := strconv.Atoi(fields[12])
+	return time.Duration(user+system) * time.Second / clockTicks
+}
+
+// resident is what a process has in memory, in MB; 0 where it has ended.
+func resident(pid int) float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0
+	}
+	for line := range strings.Lines(string(text)) {
+		if kb, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			n, _ := strconv.Atoi(strings.TrimSuffix(strings.TrimSpace(kb), " kB"))
+			return float64(n) / 1024
+		}
+	}
+	return 0
+}
+
+// load is the machine's load averages.
+func load() string {
+	text, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return "unknown"
+	}
+	return strings.Join(strings.Fields(string(text))[:3], " ")
+}
