Measure how settings reach a fleet: pinelab distribute

Five distributors as processes, hollow followers (internal/follow on real sockets, any number in one process) and real sidecars. Before: files written and SIGHUP sent, by one hand and by sixteen. A JSON line a case.

Faulty arguments name their key.

--- a/cmd/pinelab/main.go
+++ b/cmd/pinelab/main.go
@@ -26,14 +26,15 @@
 )
 
 type commands struct {
-	Demo     demoCmd     `cmd:"" default:"withargs" help:"Emulated boxes, one sidecar, ten seconds of load and a failure in the middle."`
-	Run      runCmd      `cmd:"" help:"Play a scenario and judge it."`
-	Sweep    sweepCmd    `cmd:"" help:"Play all combinations of some keys' values and print a table."`
-	Check    checkCmd    `cmd:"" help:"Check a scenario's file without playing it."`
-	List     listCmd     `cmd:"" help:"Name the scenarios that come with the program."`
-	Rehearse rehearseCmd `cmd:"" help:"Fit boxes and failures to sidecars' records and play them again."`
-	Diff     diffCmd     `cmd:"" help:"Compare two results."`
-	Asking   askingCmd   `cmd:"" help:"Play in virtual time how a fleet asks one list service, by several rules."`
+	Demo       demoCmd       `cmd:"" default:"withargs" help:"Emulated boxes, one sidecar, ten seconds of load and a failure in the middle."`
+	Run        runCmd        `cmd:"" help:"Play a scenario and judge it."`
+	Sweep      sweepCmd      `cmd:"" help:"Play all combinations of some keys' values and print a table."`
+	Check      checkCmd      `cmd:"" help:"Check a scenario's file without playing it."`
+	List       listCmd       `cmd:"" help:"Name the scenarios that come with the program."`
+	Rehearse   rehearseCmd   `cmd:"" help:"Fit boxes and failures to sidecars' records and play them again."`
+	Diff       diffCmd       `cmd:"" help:"Compare two results."`
+	Asking     askingCmd     `cmd:"" help:"Play in virtual time how a fleet asks one list service, by several rules."`
+	Distribute distributeCmd `cmd:"" help:"Measure how settings reach sidecars through five distributors: real ones, hollow followers and real sidecars."`
 }
 
 // terminal is where the program writes.
--- a/internal/lab/distributed/sidecars.go
+++ b/internal/lab/distributed/sidecars.go
@@ -78,9 +78,9 @@
 
 // startSidecars starts n; from are the distributors that they follow, none: they have their file alone.
 func startSidecars(c *Config, dir string, w *world, n int, from []string) (*sidecars, error) {
-	s := &sidecars{stamps: newStamps(n), c: c, dir: dir, world: w, addrs: make([]string, n)}
+	s := &sidecars{stamps: newStamps(n), c: c, dir: dir, world: w, addrs: make([]string, n), reread: make([]chan bool, n)}
 	for i := range n {
-		s.reread = append(s.reread, make(chan bool, 1))
+		s.reread[i] = make(chan bool, 1)
 		if err := s.write(i, settings(0, c.Bytes)); err != nil {
 			s.stop()
 			return nil, err
