Count what a lost state was made after as known to the next publisher

Cause: record.go next noted of an overruled state its edition alone, not what that one had been made after. With three sides apart a distributor that still held the older state then named it as overruled, though the newest had been made after it. Found by TestMergesConverge (rapid): '6 by d0 is said to have lost, 8 by d2 was made after it'. Ruled out: the winner, which was the same at all in that run too; the bound of 16, with three distributors.

Change: a record has beside Includes what its losers included (lost), joined at each merge and taken into Includes by the next publish.

--- a/internal/distribute/record.go
+++ b/internal/distribute/record.go
@@ -27,7 +27,10 @@
 	State // the newest
 	// Includes is by distributor the highest epoch under which it published what the newest was made after: such a state is a
 	// former one and was not overruled. Those of the lowest epochs are left out beyond includesMost.
-	Includes  map[string]uint64
+	Includes map[string]uint64
+	// Lost is the same of all that was overruled: whoever publishes next has known it, and what it was made after. What Includes
+	// has is left out; nil: nothing was.
+	Lost      map[string]uint64
 	Former    *State // the contents before the newest, as its publisher had them: what rolling back publishes; nil: none
 	Overruled *State // the newest state that lost to one whose publisher didn't know it; nil: none
 }
@@ -53,6 +56,14 @@
 		return a
 	}
 	out := *a
+	out.Lost = nil
+	for _, known := range []map[string]uint64{a.Lost, b.Lost, b.Includes, {b.By: b.Epoch}} {
+		for by, epoch := range known {
+			if !a.includes(version.Edition{Epoch: epoch, By: by}) {
+				out.Lost = include(out.Lost, version.Edition{Epoch: epoch, By: by})
+			}
+		}
+	}
 	for _, s := range []*State{b.Overruled, &b.State} {
 		if s != nil && !a.includes(s.Edition) && (out.Overruled == nil || out.Overruled.before(s)) {
 			out.Overruled = s
@@ -63,45 +74,48 @@
 
 // next is the record that a distributor publishes over what it holds, which may be nil.
 func (r *Record) next(s State) *Record {
-	out := &Record{State: s, Includes: map[string]uint64{}}
+	out := &Record{State: s}
 	if r != nil {
-		maps.Copy(out.Includes, r.Includes)
-		out.include(r.Edition)
+		out.Includes = maps.Clone(r.Includes)
+		for by, epoch := range r.Lost {
+			out.Includes = include(out.Includes, version.Edition{Epoch: epoch, By: by})
+		}
+		out.Includes = include(out.Includes, r.Edition)
 		if out.Former = r.Former; r.Digest != s.Digest { // the same once more is nothing to go back to
 			former := r.State
 			out.Former = &former
 		}
-		if r.Overruled != nil {
-			out.include(r.Overruled.Edition)
-		}
 	}
-	out.include(s.Edition)
+	out.Includes = include(out.Includes, s.Edition)
 	return out
 }
 
-// include notes that the newest was made after an edition.
-func (r *Record) include(e version.Edition) {
-	r.Includes[e.By] = max(r.Includes[e.By], e.Epoch)
-	if len(r.Includes) <= includesMost {
-		return
+// include notes an edition in what may be nil, and returns it.
+func include(known map[string]uint64, e version.Edition) map[string]uint64 {
+	if known == nil {
+		known = map[string]uint64{}
+	}
+	known[e.By] = max(known[e.By], e.Epoch)
+	if len(known) <= includesMost {
+		return known
 	}
 	lowest := e.By
-	for by, epoch := range r.Includes {
-		if least := r.Includes[lowest]; epoch < least || epoch == least && by < lowest {
+	for by, epoch := range known {
+		if least := known[lowest]; epoch < least || epoch == least && by < lowest {
 			lowest = by
 		}
 	}
-	delete(r.Includes, lowest)
+	delete(known, lowest)
+	return known
 }
 
 // EncodeRecord writes a record, for another distributor or for a file. Settings stand in it byte for byte.
 func EncodeRecord(r *Record) []byte {
 	text := append([]byte(`{"newest":`), Encode(r.State)...)
-	includes, err := json.Marshal(r.Includes)
-	if err != nil {
-		panic(err) // a map of texts and numbers can be written
+	text = append(append(text, `,"includes":`...), encodeKnown(r.Includes)...)
+	if r.Lost != nil {
+		text = append(append(text, `,"lost":`...), encodeKnown(r.Lost)...)
 	}
-	text = append(append(text, `,"includes":`...), includes...)
 	if r.Former != nil {
 		text = append(append(text, `,"former":`...), Encode(*r.Former)...)
 	}
@@ -111,10 +125,19 @@
 	return append(text, '}')
 }
 
+func encodeKnown(known map[string]uint64) []byte {
+	text, err := json.Marshal(known)
+	if err != nil {
+		panic(err) // a map of texts and numbers can be written
+	}
+	return text
+}
+
 // wireRecord is a record as JSON.
 type wireRecord struct {
 	Newest    *wireState        `json:"newest"`
 	Includes  map[string]uint64 `json:"includes"`
+	Lost      map[string]uint64 `json:"lost"`
 	Former    *wireState        `json:"former"`
 	Overruled *wireState        `json:"overruled"`
 }
@@ -129,23 +152,26 @@
 }
 
 func (w *wireRecord) record() (*Record, error) {
-	r := &Record{Includes: w.Includes}
+	r := &Record{Includes: w.Includes, Lost: w.Lost}
 	newest, err := w.Newest.under("newest")
 	switch {
 	case err != nil:
 		return nil, err
 	case newest == nil:
 		return nil, FaultyKey{"newest", "is missing"}
-	case len(r.Includes) > includesMost:
-		return nil, FaultyKey{"includes", fmt.Sprintf("names %d distributors, %d at most", len(r.Includes), includesMost)}
 	}
 	r.State = *newest
-	for by, epoch := range r.Includes {
-		if err := checkEdition("includes", "includes", version.Edition{Epoch: epoch, By: by}); err != nil {
-			return nil, err
+	for key, known := range map[string]map[string]uint64{"includes": r.Includes, "lost": r.Lost} {
+		if len(known) > includesMost {
+			return nil, FaultyKey{key, fmt.Sprintf("names %d distributors, %d at most", len(known), includesMost)}
 		}
-		if epoch > r.Epoch {
-			return nil, FaultyKey{"includes", "has an epoch above the newest's"}
+		for by, epoch := range known {
+			if err := checkEdition(key, key, version.Edition{Epoch: epoch, By: by}); err != nil {
+				return nil, err
+			}
+			if epoch > r.Epoch {
+				return nil, FaultyKey{key, "has an epoch above the newest's"}
+			}
 		}
 	}
 	if r.Former, err = w.Former.under("former"); err != nil {
--- a/internal/distribute/store.go
+++ b/internal/distribute/store.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -207,7 +208,7 @@
 
 // Same tells whether two records of one service hold the same.
 func (r *Record) Same(o *Record) bool {
-	if r.Edition != o.Edition || r.Digest != o.Digest || (r.Overruled == nil) != (o.Overruled == nil) {
+	if r.Edition != o.Edition || r.Digest != o.Digest || !maps.Equal(r.Lost, o.Lost) || (r.Overruled == nil) != (o.Overruled == nil) {
 		return false
 	}
 	return r.Overruled == nil || r.Overruled.Edition == o.Overruled.Edition && r.Overruled.Digest == o.Overruled.Digest
--- a/internal/distribute/store_test.go
+++ b/internal/distribute/store_test.go
@@ -530,3 +530,41 @@
 		}
 	})
 }
+
+// Guards against a state being named as overruled that the newest was made after, by way of one that was overruled itself: d2
+// publishes over a state of d1, made after d0's, that had lost to d2's own.
+func TestWhatLostWasMadeAfterIsIncluded(t *testing.T) {
+	var stores []*Store
+	for i := range 3 {
+		stores = append(stores, NewStore(fmt.Sprint("d", i), "l", nil, true))
+	}
+	publish := func(at int) *Record {
+		t.Helper()
+		r, err := stores[at].Next("s", fmt.Appendf(nil, `{"at":%d}`, at))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := stores[at].Merge(r); err != nil {
+			t.Fatal(err)
+		}
+		return r
+	}
+	tell := func(to int, r *Record) {
+		t.Helper()
+		if _, _, err := stores[to].Merge(r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first := publish(0)
+	tell(1, first)
+	after := publish(1) // was made after d0's first
+	publish(2)
+	publish(2)
+	publish(2)
+	tell(2, after) // loses there
+	last := publish(2)
+	tell(0, last)
+	if held := stores[0].Record("s"); held.Edition != last.Edition || held.Overruled != nil {
+		t.Errorf("%s is held and %+v named as overruled; %s was made after both others", held.Edition, held.Overruled, last.Edition)
+	}
+}
