Call what a sidecar keeps of its budget accounts

Need: books and ledgers hid the term. No behaviour changes; the operator's section [budget], the baggage and the log keep their words, and a pot stays what the baggage calls it. The trail's Book (internal/trail) is a log of another kind and is not touched.

| old | new | | --- | --- | | budget.Books, NewBooks | Accounts, NewAccounts | | budget.Ledger, NewLedger | SharedAccounts, NewSharedAccounts | | books.go, ledger.go | accounts.go, shared.go | | BenchmarkBooks | BenchmarkAccounts | | config Budget.Books | Budget.Accounts | | stream Budget.books | accounts | | lab: plan Sidecar.Books, forBooks, virtual closeBooks | Accounts, forBudget, closeAccount |

--- a/internal/budget/books.go
+++ b/internal/budget/accounts.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Settings are what one sidecar's books are kept by.
+// Settings are what one sidecar's accounts are kept by.
 type Settings struct {
 	Service   string // that this sidecar sends to
 	Edge      bool   // its callers are outside: nothing that they carry is believed
@@ -16,17 +16,17 @@
 	Reentry   int    // how often a request may have been at the service before
 }
 
-// Books are one sidecar's: its purse, and the pots that its callers brought. They are not safe for concurrent use.
-type Books struct {
+// Accounts are one sidecar's: its purse, and the pots that its callers brought. They are not safe for concurrent use.
+type Accounts struct {
 	set    Settings
 	purse  *Purse
-	ledger *Ledger
+	shared *SharedAccounts
 	rng    *rand.Rand
 }
 
-// NewBooks returns books that nothing has been entered in.
-func NewBooks(s Settings, seed uint64) *Books {
-	return &Books{s, NewPurse(s.Instances), NewLedger(), rand.New(rand.NewPCG(seed, 0xb0b0))}
+// NewAccounts returns accounts that nothing has been entered in.
+func NewAccounts(s Settings, seed uint64) *Accounts {
+	return &Accounts{s, NewPurse(s.Instances), NewSharedAccounts(), rand.New(rand.NewPCG(seed, 0xb0b0))}
 }
 
 // Account is one request's.
@@ -46,7 +46,7 @@
 
 // Open is a request's arrival, with the header "baggage" that it came with. Repeated is its client's own mark, and until
 // when its caller waits.
-func (b *Books) Open(now, until time.Duration, header string, repeated bool) *Account {
+func (b *Accounts) Open(now, until time.Duration, header string, repeated bool) *Account {
 	c, rest, ok := Split(header)
 	a := &Account{rest: rest, worth: 1, share: NewShare(0, true)}
 	switch {
@@ -56,7 +56,7 @@
 			return a
 		}
 		a.pot = max(1, c.Pot)
-		a.granted, a.most = b.ledger.Open(now, until, a.pot, c.Extra), 1
+		a.granted, a.most = b.shared.Open(now, until, a.pot, c.Extra), 1
 	case repeated:
 		a.repeat = true
 		if a.granted, ok = b.purse.Repeat(b.set.Attempts); !ok {
@@ -79,7 +79,7 @@
 
 // Send is the header "baggage" of the next attempt, and its number from 0 on; worth is what the decisions here make of the
 // request's worth.
-func (b *Books) Send(a *Account, worth float64) (header string, n int) {
+func (b *Accounts) Send(a *Account, worth float64) (header string, n int) {
 	extra, _ := a.share.Attempt() // one that was not foreseen takes nothing along
 	a.attempts++
 	c := Carried{Pot: b.rng.Uint64() | 1, Extra: extra, Worth: worth, Path: With(a.path, b.set.Service)}
@@ -87,16 +87,16 @@
 }
 
 // Ended is the end of an attempt, with what its answer says of what it took. After Close it changes nothing.
-func (b *Books) Ended(a *Account, n int, t Tried) { a.share.Ended(n, t) }
+func (b *Accounts) Ended(a *Account, n int, t Tried) { a.share.Ended(n, t) }
 
 // Close is a request's end. Good is an answer within its aim. It returns what the caller is to be told: nothing of a
 // failure without an attempt, for somebody else may have room.
-func (b *Books) Close(a *Account, good bool) Tried {
+func (b *Accounts) Close(a *Account, good bool) Tried {
 	t := Tried{good || a.attempts > 0 || a.Loop != nil, a.granted - a.share.Unused()}
 	switch {
 	case a.Loop != nil || a.most < 0:
 	case a.pot != 0:
-		b.ledger.Close(a.pot, a.share.Unused())
+		b.shared.Close(a.pot, a.share.Unused())
 	default:
 		b.purse.Ended(t.Extra, a.repeat, good)
 	}
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -9,7 +9,7 @@
 // stated share of the clients' first tries: Earned each, and what was out when the trouble began. A client's own repeat
 // is an attempt like any other, paid for before it goes.
 // The sidecars behind don't have a purse of their own: they share out what came with the request. Each attempt takes a
-// part of it along, and calls that one server makes for one request share one pot (Ledger).
+// part of it along, and calls that one server makes for one request share one pot (SharedAccounts).
 //
 // Why no request causes more than 1 + its grant at the bottom, whatever fails in whatever order: a grant is a number that is
 // only ever divided. An attempt that is repeated costs one of it, what an attempt takes along is taken off, and nothing
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -22,15 +22,15 @@
 // tree is a chain of tiers with a sidecar before each, whose servers call the next tier so many times for each request.
 // Everything fails at random, and whoever may try again does.
 type tree struct {
-	t       *rapid.T
-	calls   []int // by tier; the last has none
-	ledgers []*Ledger
-	fails   float64
-	now     time.Duration
-	pots    uint64
-	made    []int // attempts, by tier
-	again   int   // of them not the first of their request at that sidecar
-	held    int   // extra attempts that are in shares and pots
+	t      *rapid.T
+	calls  []int // by tier; the last has none
+	shared []*SharedAccounts
+	fails  float64
+	now    time.Duration
+	pots   uint64
+	made   []int // attempts, by tier
+	again  int   // of them not the first of their request at that sidecar
+	held   int   // extra attempts that are in shares and pots
 }
 
 // request is one at the sidecar before a tier, with so many extra attempts; it returns whether it was served and what it
@@ -63,7 +63,7 @@
 	carries := rapid.Bool().Draw(r.t, "carries")
 	for call := range r.calls[tier] {
 		r.now += time.Millisecond
-		l := r.ledgers[tier+1]
+		l := r.shared[tier+1]
 		got := l.Open(r.now, r.now+time.Second, pot, extra)
 		served, unused := r.request(tier+1, got)
 		if unused < 0 || unused > got {
@@ -92,7 +92,7 @@
 		r.made = make([]int, len(r.calls))
 		plain := 1
 		for _, n := range r.calls {
-			r.ledgers = append(r.ledgers, NewLedger())
+			r.shared = append(r.shared, NewSharedAccounts())
 			plain *= max(1, n)
 		}
 		extra := rapid.IntRange(0, Most).Draw(t, "extra")
@@ -178,7 +178,7 @@
 
 // What one call leaves over serves the next, side by side calls share, and a pot is not filled twice.
 func TestLedger(t *testing.T) {
-	l := NewLedger()
+	l := NewSharedAccounts()
 	if a, b, c := l.Open(0, time.Second, 7, 4), l.Open(0, time.Second, 7, 4), l.Open(0, time.Second, 7, 4); a != 3 || b != 1 || c != 0 {
 		t.Errorf("side by side they get %d, %d, %d", a, b, c)
 	}
@@ -267,7 +267,7 @@
 
 // Guards against a caller's word being taken at the edge, a loop passing, and a request that carries nothing being bound.
 func TestBooks(t *testing.T) {
-	edge := NewBooks(Settings{Service: "front", Edge: true, Instances: 1, Attempts: 3}, 1)
+	edge := NewAccounts(Settings{Service: "front", Edge: true, Instances: 1, Attempts: 3}, 1)
 	forged := Carried{Pot: 1, Extra: Most, Worth: 1, Path: []string{"front"}}
 	a := edge.Open(0, time.Second, forged.Join("user=7"), false)
 	if a.Loop != nil || a.Most() != 2 {
@@ -278,7 +278,7 @@
 	if !ok || c.Extra != 2 || c.Worth != 0.5 || rest != "user=7" || !slices.Equal(c.Path, []string{"front"}) {
 		t.Errorf("%q goes down", header)
 	}
-	back := NewBooks(Settings{Service: "back", Leaf: true, Instances: 1, Attempts: 3}, 2)
+	back := NewAccounts(Settings{Service: "back", Leaf: true, Instances: 1, Attempts: 3}, 2)
 	b := back.Open(0, time.Second, header, true)
 	if b.Most() != 3 || b.Worth() != 0.5 {
 		t.Errorf("behind it %d attempts at a worth of %v", b.Most(), b.Worth())
@@ -287,7 +287,7 @@
 	if again.Most() != 1 {
 		t.Errorf("a call beside it may make %d attempts", again.Most())
 	}
-	ring := NewBooks(Settings{Service: "front", Instances: 1, Attempts: 3}, 3)
+	ring := NewAccounts(Settings{Service: "front", Instances: 1, Attempts: 3}, 3)
 	from, _ := back.Send(b, 1)
 	if l := ring.Open(0, time.Second, from, false); !slices.Equal(l.Loop, []string{"front", "back", "front"}) {
 		t.Errorf("the loop is %v", l.Loop)
@@ -318,18 +318,18 @@
 	}
 }
 
-// BenchmarkBooks is a request's whole cost in the books of a sidecar behind the first tier: its header read, an attempt's
+// BenchmarkAccounts is a request's whole cost in the accounts of a sidecar behind the first tier: its header read, an attempt's
 // written, its end.
-func BenchmarkBooks(b *testing.B) {
-	books := NewBooks(Settings{Service: "order", Instances: 1, Attempts: 6}, 1)
+func BenchmarkAccounts(b *testing.B) {
+	accounts := NewAccounts(Settings{Service: "order", Instances: 1, Attempts: 6}, 1)
 	header := (&Carried{Pot: 1, Extra: 4, Worth: 1, Path: []string{"front"}}).Join("")
 	b.ReportAllocs()
 	for i := range b.N {
 		now := time.Duration(i) * time.Millisecond
-		a := books.Open(now, now+time.Second, header, false)
-		down, n := books.Send(a, 1)
-		books.Ended(a, n, Tried{Told: true})
-		books.Close(a, true)
+		a := accounts.Open(now, now+time.Second, header, false)
+		down, n := accounts.Send(a, 1)
+		accounts.Ended(a, n, Tried{Told: true})
+		accounts.Close(a, true)
 		if i == 0 {
 			b.ReportMetric(float64(len(down)), "bytes/attempt")
 		}
--- a/internal/budget/ledger.go
+++ b/internal/budget/shared.go
@@ -8,9 +8,9 @@
 // pots is how many are kept: one for each request that a server has in work at once, and more is somebody's forgery.
 const pots = 4096
 
-// Ledger holds the pots of a sidecar behind the first tier. Calls that a server makes for one request carry the same
+// SharedAccounts holds the pots of a sidecar behind the first tier. Calls that a server makes for one request carry the same
 // pot's number and share what is in it, one after another or side by side.
-type Ledger struct {
+type SharedAccounts struct {
 	pots  map[uint64]*list.Element
 	order *list.List // the first to lapse first, as they came
 }
@@ -22,12 +22,14 @@
 	until time.Duration
 }
 
-// NewLedger returns an empty one.
-func NewLedger() *Ledger { return &Ledger{map[uint64]*list.Element{}, list.New()} }
+// NewSharedAccounts returns an empty one.
+func NewSharedAccounts() *SharedAccounts {
+	return &SharedAccounts{map[uint64]*list.Element{}, list.New()}
+}
 
 // Open is a call that came with a pot's number and what was in the pot at first, at a time now and to be answered by
 // until. It takes what is left, but for one where there are more than two: another call may be made beside it.
-func (l *Ledger) Open(now, until time.Duration, id uint64, extra int) int {
+func (l *SharedAccounts) Open(now, until time.Duration, id uint64, extra int) int {
 	l.lapse(now)
 	e := l.pots[id]
 	if e == nil {
@@ -49,7 +51,7 @@
 }
 
 // Close is such a call's end, with what it has not used.
-func (l *Ledger) Close(id uint64, unused int) {
+func (l *SharedAccounts) Close(id uint64, unused int) {
 	if e := l.pots[id]; e != nil {
 		p := e.Value.(*pot)
 		p.open--
@@ -58,7 +60,7 @@
 }
 
 // lapse forgets pots whose time is over. One that is open is kept; it comes to the end of the line.
-func (l *Ledger) lapse(now time.Duration) {
+func (l *SharedAccounts) lapse(now time.Duration) {
 	for e := l.order.Front(); e != nil; e = l.order.Front() {
 		p := e.Value.(*pot)
 		switch {
--- a/internal/config/budget.go
+++ b/internal/config/budget.go
@@ -35,8 +35,8 @@
 	return nil
 }
 
-// Books are what the sidecar's books are kept by, beside the platform's settings.
-func (b *Budget) Books(s *Settings) budget.Settings {
+// Accounts are what the accounts of the sidecar are kept by, beside the platform's settings.
+func (b *Budget) Accounts(s *Settings) budget.Settings {
 	out := budget.Settings{Service: b.Service, Edge: s.Tier == 0, Leaf: s.Tier == s.Tiers-1, Instances: s.Instances,
 		Attempts: b.Attempts, Reentry: b.Reentry}
 	if b.Edge != nil {
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -126,7 +126,7 @@
 		streams.Effects = effects.New(int(memory / part / effectBytes))
 	}
 	if op.Budget != nil {
-		streams.Budget = stream.NewBudget(op.Budget.Books(set), cfg.Seed, aims(set), log)
+		streams.Budget = stream.NewBudget(op.Budget.Accounts(set), cfg.Seed, aims(set), log)
 	}
 	side := downstream.NewSide(set, memory/bodiesPart, sockets-sockets/2, log)
 	srv := downstream.New(set, side, streams, log)
--- a/internal/lab/live/sidecar_config.go
+++ b/internal/lab/live/sidecar_config.go
@@ -28,7 +28,7 @@
 
 func (s *sidecar) operatorText() string {
 	p := s.fleet.plan
-	text := p.Scenario.OperatorText(s.fleet.net.thrift(s.id), p.Scenario.Tier[s.plan.Tier].Name, s.plan.Books)
+	text := p.Scenario.OperatorText(s.fleet.net.thrift(s.id), p.Scenario.Tier[s.plan.Tier].Name, s.plan.Accounts)
 	return strings.NewReplacer("/{dir}", s.fleet.dir, "{name}", s.plan.Name).Replace(text)
 }
 
--- a/internal/lab/plan/plan.go
+++ b/internal/lab/plan/plan.go
@@ -31,7 +31,7 @@
 	forBoxSeed
 	forSidecarSeed
 	forHurry
-	forBooks
+	forBudget
 )
 
 // Request is what one client wants, over all its tries.
@@ -62,18 +62,18 @@
 
 // Sidecar is one instance of the fleet.
 type Sidecar struct {
-	Name   string
-	Tier   int // that it sends to
-	Rank   int
-	Told   int // instances, as its settings say
-	Box    int // whose calls it carries; -1 in the first tier
-	Build  int
-	Seed   uint64
-	Begin  time.Duration // when its process starts; negative is before the run
-	Weight float64       // part of the clients that the front gives it
-	Known  []Listed      // the list that it has at its start
-	Books  bool          // it gets the scenario's section of budgets
-	Full   bool          // the disk of its trail is full from the start
+	Name     string
+	Tier     int // that it sends to
+	Rank     int
+	Told     int // instances, as its settings say
+	Box      int // whose calls it carries; -1 in the first tier
+	Build    int
+	Seed     uint64
+	Begin    time.Duration // when its process starts; negative is before the run
+	Weight   float64       // part of the clients that the front gives it
+	Known    []Listed      // the list that it has at its start
+	Accounts bool          // it gets the scenario's section of budgets
+	Full     bool          // the disk of its trail is full from the start
 }
 
 // Listed is one entry of a list.
@@ -467,7 +467,7 @@
 		}
 		c.Known = p.known(c.Tier)
 		if f.Budget != nil {
-			c.Books = unit(p.hash(forBooks, uint64(i))) < f.Budget.Share
+			c.Accounts = unit(p.hash(forBudget, uint64(i))) < f.Budget.Share
 		}
 		p.Sidecars = append(p.Sidecars, c)
 	}
--- a/internal/lab/scenario/protocol.go
+++ b/internal/lab/scenario/protocol.go
@@ -33,10 +33,10 @@
 // OperatorText is the operator's file of a sidecar that sends to a service: the fleet's, and after it the section of
 // budgets, if the sidecar keeps any, and the one that tells it of the calls where the protocol is Thrift and it is to
 // listen at an address, host:port. "" is none.
-func (s *Scenario) OperatorText(listen, service string, books bool) string {
+func (s *Scenario) OperatorText(listen, service string, accounts bool) string {
 	var out strings.Builder
 	out.WriteString(s.Fleet.Operator)
-	if b := s.Fleet.Budget; b != nil && books {
+	if b := s.Fleet.Budget; b != nil && accounts {
 		tier := s.TierIndex(service)
 		fmt.Fprintf(&out, "\n[budget]\nservice = %q\nattempts = %d\nreentry = %d\nleaf = %v\n", service, b.Attempts, b.Reentry, s.Next(tier) < 0)
 	}
--- a/internal/lab/scenario/scenario.go
+++ b/internal/lab/scenario/scenario.go
@@ -151,7 +151,7 @@
 type Budgets struct {
 	Attempts int
 	Reentry  int
-	Share    float64 // of the sidecars that get it; the others keep no books
+	Share    float64 // of the sidecars that get it; the others keep no accounts
 }
 
 // Discovery is how the lists travel.
--- a/internal/lab/virtual/boxes.go
+++ b/internal/lab/virtual/boxes.go
@@ -313,7 +313,7 @@
 	t := &s.tries[i]
 	won := status == balance.OK && !t.decided
 	if t.account != nil {
-		s.sidecars[t.sidecar].books.Ended(t.account, a.number, a.tried)
+		s.sidecars[t.sidecar].accounts.Ended(t.account, a.number, a.tried)
 	}
 	if s.sidecars == nil {
 		s.plainOutcome(i, a.box, status)
--- a/internal/lab/virtual/clients.go
+++ b/internal/lab/virtual/clients.go
@@ -33,7 +33,7 @@
 	attempts int // how many, and the last of them
 	attempt  int
 	baggage  string          // that its caller passed on
-	account  *budget.Account // at its sidecar, while it keeps books
+	account  *budget.Account // at its sidecar, while it keeps accounts
 	tried    budget.Tried
 }
 
@@ -126,7 +126,7 @@
 		return
 	}
 	t.decided, t.at, t.result, t.code, t.advice, t.box = true, s.now, status, code, advice, box
-	s.closeBooks(i, status == trace.Served && s.now <= s.log.Tries[i].Sent+s.p.Scenario.Class[s.log.Tries[i].Class].Aim.D())
+	s.closeAccount(i, status == trace.Served && s.now <= s.log.Tries[i].Sent+s.p.Scenario.Class[s.log.Tries[i].Class].Aim.D())
 	s.at(s.now+s.delay, event{kind: evAnswer, a: int32(i)})
 }
 
--- a/internal/lab/virtual/sidecar.go
+++ b/internal/lab/virtual/sidecar.go
@@ -27,7 +27,7 @@
 	stopping time.Duration
 	paused   time.Duration // until then
 	held     int           // tries taken and not answered
-	books    *budget.Books
+	accounts *budget.Accounts
 	table    *cluster.Table
 	hosts    map[balance.EndpointID]int // to boxes
 	sim      *sim
@@ -79,9 +79,9 @@
 		return err
 	}
 	c.sim, c.b, c.life, c.able, c.stopping, c.paused, c.held = s, b, c.life+1, false, 0, 0, 0
-	c.books = nil
+	c.accounts = nil
 	if c.budget != nil {
-		c.books = budget.NewBooks(c.budget.Books(&c.set), s.p.Sidecars[i].Seed+uint64(c.life))
+		c.accounts = budget.NewAccounts(c.budget.Accounts(&c.set), s.p.Sidecars[i].Seed+uint64(c.life))
 	}
 	c.hosts, c.judged = map[balance.EndpointID]int{}, map[int]trace.Judged{}
 	c.table = cluster.NewTable(c.set.ZoneNames, c.set.KindNames, c, c)
@@ -275,8 +275,8 @@
 	r := &s.p.Requests[l.Request]
 	ev := balance.Event{Kind: balance.EventRequest, Request: balance.RequestID(i), Class: l.Class,
 		Left: l.Left, Repeated: l.No > 0 || r.Repeated && t.parent < 0}
-	if c.books != nil {
-		t.account = c.books.Open(s.now, t.deadline, t.baggage, ev.Repeated)
+	if c.accounts != nil {
+		t.account = c.accounts.Open(s.now, t.deadline, t.baggage, ev.Repeated)
 		if t.account.Loop != nil {
 			c.held--
 			s.reply(i, trace.Failed, http.StatusLoopDetected, 0, -1)
@@ -287,13 +287,13 @@
 	s.decide(l.Sidecar, &ev)
 }
 
-// closeBooks ends a try's account.
-func (s *sim) closeBooks(i int, good bool) {
+// closeAccount ends a try's account.
+func (s *sim) closeAccount(i int, good bool) {
 	t := &s.tries[i]
 	if a := t.account; a != nil {
 		t.account = nil
-		if c := &s.sidecars[t.sidecar]; c.life == t.life && c.books != nil {
-			t.tried = c.books.Close(a, good)
+		if c := &s.sidecars[t.sidecar]; c.life == t.life && c.accounts != nil {
+			t.tried = c.accounts.Close(a, good)
 		}
 	}
 }
@@ -327,7 +327,7 @@
 		return
 	}
 	t.decided, t.at, t.result = true, s.now, trace.Gone
-	s.closeBooks(i, false)
+	s.closeAccount(i, false)
 	if s.sidecars == nil {
 		for a := t.attempt; a >= 0; a = s.attempts[a].before {
 			s.cancel(a)
@@ -354,7 +354,7 @@
 	t.sent++
 	carried, number := "", 0
 	if t.account != nil {
-		carried, number = c.books.Send(t.account, a.Worth)
+		carried, number = c.accounts.Send(t.account, a.Worth)
 	}
 	s.startAttempt(i, box, until, carried, number)
 }
--- a/internal/lab/virtual/virtual.go
+++ b/internal/lab/virtual/virtual.go
@@ -179,7 +179,7 @@
 			set.Name = p.Sidecars[i].Name
 		}
 		op, err := config.ParseOperator("fleet.operator", []byte(p.Scenario.OperatorText("127.0.0.1:1",
-			p.Scenario.Tier[p.Sidecars[i].Tier].Name, p.Sidecars[i].Books)))
+			p.Scenario.Tier[p.Sidecars[i].Tier].Name, p.Sidecars[i].Accounts)))
 		if err != nil {
 			return nil, fmt.Errorf("virtual: %w", err)
 		}
--- a/internal/stream/budget.go
+++ b/internal/stream/budget.go
@@ -13,20 +13,20 @@
 // loopsTold is how many different loops are logged, each once.
 const loopsTold = 64
 
-// Budget keeps a sidecar's books in step with its streams. Nil keeps none: every stream may do as the settings say.
+// Budget keeps a sidecar's accounts in step with its streams. Nil keeps none: every stream may do as the settings say.
 type Budget struct {
 	Log zerolog.Logger
 
-	mu    sync.Mutex
-	aims  []time.Duration // of the classes: what is answered within them has ended well
-	books *budget.Books
-	start time.Time
-	loops map[string]bool
+	mu       sync.Mutex
+	aims     []time.Duration // of the classes: what is answered within them has ended well
+	accounts *budget.Accounts
+	start    time.Time
+	loops    map[string]bool
 }
 
-// NewBudget returns a budget whose books are kept by s.
+// NewBudget returns a budget whose accounts are kept by s.
 func NewBudget(s budget.Settings, seed uint64, aims []time.Duration, log zerolog.Logger) *Budget {
-	return &Budget{aims: aims, Log: log, books: budget.NewBooks(s, seed), start: time.Now(), loops: map[string]bool{}}
+	return &Budget{aims: aims, Log: log, accounts: budget.NewAccounts(s, seed), start: time.Now(), loops: map[string]bool{}}
 }
 
 // Retune takes over changed aims.
@@ -36,7 +36,7 @@
 	b.aims = aims
 }
 
-// unbound is the account of a stream of which no books are kept.
+// unbound is the account of a stream of which no accounts are kept.
 var unbound budget.Account
 
 func (b *Budget) open(req *Request) *budget.Account {
@@ -46,13 +46,13 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.books.Open(time.Since(b.start), req.Deadline.Sub(b.start), req.Baggage, req.Repeated)
+	return b.accounts.Open(time.Since(b.start), req.Deadline.Sub(b.start), req.Baggage, req.Repeated)
 }
 
 // sent is a stream's request as one attempt takes it along.
 type sent struct {
 	*Request
-	ended func(budget.Tried) // tells the books what the attempt's answer says
+	ended func(budget.Tried) // tells the accounts what the attempt's answer says
 }
 
 func (b *Budget) send(a *budget.Account, req *Request, worth float64) sent {
@@ -62,12 +62,12 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	with := *req
-	header, n := b.books.Send(a, worth)
+	header, n := b.accounts.Send(a, worth)
 	with.Baggage = header
 	return sent{&with, func(t budget.Tried) {
 		b.mu.Lock()
 		defer b.mu.Unlock()
-		b.books.Ended(a, n, t)
+		b.accounts.Ended(a, n, t)
 	}}
 }
 
@@ -80,7 +80,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	good := res.Outcome == Served && req.Class < len(b.aims) && time.Since(req.Arrived) <= b.aims[req.Class]
-	res.Tried = b.books.Close(a, good)
+	res.Tried = b.accounts.Close(a, good)
 }
 
 // looped is the answer to a request that has been here before. Each loop is logged once.
--- a/internal/stream/budget_test.go
+++ b/internal/stream/budget_test.go
@@ -28,7 +28,7 @@
 	return c.answer(len(c.carried))
 }
 
-// budgeted is a proxy that keeps books before a service.
+// budgeted is a proxy that keeps accounts before a service.
 func budgeted(t *testing.T, s budget.Settings, log *bytes.Buffer, answer func(n int) (balance.Status, Response)) (*Proxy, *carrier) {
 	p := newProxy(t, 8, nil)
 	c := &carrier{answer: answer}
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -28,7 +28,7 @@
 		return neverSent(ctx, err), stream.Response{Outcome: stream.Failed}
 	}
 	left := time.Until(until)
-	if req.Baggage != "" { // the next tier keeps books too, and has to know how long it really has
+	if req.Baggage != "" { // the next tier keeps accounts too, and has to know how long it really has
 		left = budget.Time(left, c.way)
 	}
 	buf := buffers.Get().(*[]byte)
