Call the first tier's purse a retry budget

Need: purse hid the field's term (Finagle's RetryBudget). No behaviour changes; no key or log line had the word.

go test -race of budget, daemon and stream passes.

--- a/internal/budget/accounts.go
+++ b/internal/budget/accounts.go
@@ -16,17 +16,17 @@
 	Reentry   int    // how often a request may have been at the service before
 }
 
-// Accounts are one sidecar's: its purse, and the pots that its callers brought. They are not safe for concurrent use.
+// Accounts are one sidecar's: its retry budget, and the pots that its callers brought. They are not safe for concurrent use.
 type Accounts struct {
-	set    Settings
-	purse  *Purse
-	shared *SharedAccounts
-	rng    *rand.Rand
+	set     Settings
+	retries *RetryBudget
+	shared  *SharedAccounts
+	rng     *rand.Rand
 }
 
 // NewAccounts returns accounts that nothing has been entered in.
 func NewAccounts(s Settings, seed uint64) *Accounts {
-	return &Accounts{s, NewPurse(s.Instances), NewSharedAccounts(), rand.New(rand.NewPCG(seed, 0xb0b0))}
+	return &Accounts{s, NewRetryBudget(s.Instances), NewSharedAccounts(), rand.New(rand.NewPCG(seed, 0xb0b0))}
 }
 
 // Account is one request's.
@@ -36,7 +36,7 @@
 	share    *Share
 	granted  int
 	most     int
-	pot      uint64 // that granted it; 0: the purse
+	pot      uint64 // that granted it; 0: the retry budget
 	worth    float64
 	repeat   bool
 	path     []string
@@ -59,12 +59,12 @@
 		a.granted, a.most = b.shared.Open(now, until, a.pot, c.Extra), 1
 	case repeated:
 		a.repeat = true
-		if a.granted, ok = b.purse.Repeat(b.set.Attempts); !ok {
+		if a.granted, ok = b.retries.Repeat(b.set.Attempts); !ok {
 			a.most = -1
 			return a
 		}
 	default:
-		a.granted = b.purse.First(b.set.Attempts)
+		a.granted = b.retries.First(b.set.Attempts)
 	}
 	a.share = NewShare(a.granted, b.set.Leaf)
 	a.most = Attempts(a.granted, b.set.Leaf)
@@ -98,7 +98,7 @@
 	case a.pot != 0:
 		b.shared.Close(a.pot, a.share.Unused())
 	default:
-		b.purse.Ended(t.Extra, a.repeat, good)
+		b.retries.Ended(t.Extra, a.repeat, good)
 	}
 	return t
 }
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -3,12 +3,12 @@
 // passes the time. Package balance still decides where a request goes, whether again and what is turned away: what comes
 // from here enters it as inputs.
 //
-// Attempts. The first tier's sidecar has a Purse. It grants each try of a client so many attempts beyond the plain chain of
+// Attempts. The first tier's sidecar has a RetryBudget. It grants each try of a client so many attempts beyond the plain chain of
 // one a tier, and those that were used are paid for when the try fails; what ends well pays nothing and earns. So
 // retries are plentiful while they help, wherever in the chain they are made, and while nothing below succeeds they are a
 // stated share of the clients' first tries: Earned each, and what was out when the trouble began. A client's own repeat
 // is an attempt like any other, paid for before it goes.
-// The sidecars behind don't have a purse of their own: they share out what came with the request. Each attempt takes a
+// The sidecars behind don't have a retry budget of their own: they share out what came with the request. Each attempt takes a
 // part of it along, and calls that one server makes for one request share one pot (SharedAccounts).
 //
 // Why no request causes more than 1 + its grant at the bottom, whatever fails in whatever order: a grant is a number that is
@@ -28,17 +28,17 @@
 	Most    = 8    // attempts beyond the first that a grant is read for; more is no grant of ours
 )
 
-// Purse is what an instance of the first tier may have tried again. See NewPurse.
-type Purse struct{ level, most float64 }
+// RetryBudget is what an instance of the first tier may have tried again. See NewRetryBudget.
+type RetryBudget struct{ level, most float64 }
 
-// NewPurse returns a full purse of one of so many instances.
-func NewPurse(instances int) *Purse {
+// NewRetryBudget returns a full retry budget of one of so many instances.
+func NewRetryBudget(instances int) *RetryBudget {
 	most := max(saved, burst/float64(max(1, instances)))
-	return &Purse{most, most}
+	return &RetryBudget{most, most}
 }
 
 // First is a client's first try. It earns, and may cause up to want extra attempts, if there is anything to pay with.
-func (p *Purse) First(want int) (extra int) {
+func (p *RetryBudget) First(want int) (extra int) {
 	p.earn(Earned)
 	if p.level < least {
 		return 0
@@ -49,7 +49,7 @@
 // Repeat is a try that its client has marked as repeated. It is paid for itself, and where that can't be, ok is false
 // and it may cause nothing at all: a repeat with nothing to go with it would fail as the first did, and eat up what
 // others could use.
-func (p *Purse) Repeat(want int) (extra int, ok bool) {
+func (p *RetryBudget) Repeat(want int) (extra int, ok bool) {
 	if p.level < least {
 		return 0, false
 	}
@@ -59,7 +59,7 @@
 
 // Ended is a try's end. Good is an answer in its aim: what a repeat paid comes back, and more is earned. What failed pays
 // for the extra attempts that may have been used.
-func (p *Purse) Ended(used int, repeat, good bool) {
+func (p *RetryBudget) Ended(used int, repeat, good bool) {
 	switch {
 	case !good:
 		p.level -= float64(used)
@@ -71,9 +71,9 @@
 }
 
 // Level is how many attempts can be paid for now; below 0 more were used than that.
-func (p *Purse) Level() float64 { return p.level }
+func (p *RetryBudget) Level() float64 { return p.level }
 
-func (p *Purse) earn(x float64) { p.level = min(p.most, p.level+x) }
+func (p *RetryBudget) earn(x float64) { p.level = min(p.most, p.level+x) }
 
 // Attempts is how many attempts a sidecar may make of a request that came with so many extra ones, if each of them takes
 // its part along.
@@ -128,7 +128,7 @@
 	}
 }
 
-// Unused is what no attempt has used, as far as is known. Once the request has ended it goes back to the pot or the purse.
+// Unused is what no attempt has used, as far as is known. Once the request has ended it goes back to the pot or the retry budget.
 func (s *Share) Unused() int { return s.left }
 
 // Path tells whether a request that has come through some services may go to one: reentry is how often it may have
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -132,7 +132,7 @@
 // whole is bounded by what was saved, what first tries earn, and what was out at any one time.
 func TestPurse(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		p := NewPurse(rapid.IntRange(1, 50).Draw(t, "instances"))
+		p := NewRetryBudget(rapid.IntRange(1, 50).Draw(t, "instances"))
 		const want = 3
 		type try struct {
 			extra  int
@@ -165,7 +165,7 @@
 			t.Errorf("%.1f attempts were made again for %.0f first tries that all failed; at most %.1f", used, firsts, bound)
 		}
 	})
-	p := NewPurse(1)
+	p := NewRetryBudget(1)
 	for i := range 1000 { // one in three fails for good, after three attempts
 		if extra := p.First(3); extra < 3 {
 			t.Fatalf("%d of 3 are granted while they help", extra)
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -134,7 +134,7 @@
 	var overThrift *stream.Proxy
 	if op.Thrift != nil {
 		overThrift = thriftProxy(op.Thrift, eng, pool, log)
-		overThrift.Budget = streams.Budget // one purse; a call carries nothing either way
+		overThrift.Budget = streams.Budget // one retry budget; a call carries nothing either way
 		overThrift.Effects = streams.Effects
 	}
 	if rec != nil {
