--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -127,7 +127,7 @@
 		streams.Effects = effects.New(int(memory / part / effectBytes))
 	}
 	if op.Budget != nil {
-		streams.Budget = stream.NewBudget(op.Budget.Books(set), cfg.Seed, aims(set), log)
+		streams.Budget = stream.NewBudget(op.Budget.Accounts(set), cfg.Seed, aims(set), log)
 	}
 	side := downstream.NewSide(set, memory/bodiesPart, sockets-sockets/2, log)
 	srv := downstream.New(set, side, streams, log)
@@ -135,7 +135,7 @@
 	var overThrift *stream.Proxy
 	if op.Thrift != nil {
 		overThrift = thriftProxy(op.Thrift, eng, pool, log)
-		overThrift.Budget = streams.Budget // one purse; a call carries nothing either way
+		overThrift.Budget = streams.Budget // one retry budget; a call carries nothing either way
 		overThrift.Effects = streams.Effects
 	}
 	if rec != nil {
