A distributor that is not reached is no word that all have the newest; two of five lost in a test

pinelb settings status ended with 0 where a distributor did not answer whose sidecars may have anything, as in a split. It is 1 now, as with audits.

More over loopback sockets: of five distributors two are lost, a change goes on among three and to a sidecar that was at one of the two, and both come back with old states without harm; in the burst a second distributor has the last state too.

--- a/cmd/pinelb/settings_test.go
+++ b/cmd/pinelb/settings_test.go
@@ -4,10 +4,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"syscall"
 	"testing"
@@ -51,6 +53,28 @@
 	return res.StatusCode, string(text)
 }
 
+// acknowledge asks as a sidecar does that waits for news, until the distributor has heard it.
+func acknowledge(t *testing.T, asked, called string, q distribute.Question) {
+	t.Helper()
+	c, err := net.Dial("tcp", asked)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = c.Close() })
+	fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", q.Target())
+	for {
+		var s distribute.Status
+		if _, text := get(t, called, "/admin/settings?service="+q.Service); json.Unmarshal([]byte(text), &s) != nil {
+			t.Fatalf("status: %s", text)
+		}
+		if slices.ContainsFunc(s.Sidecars, func(c distribute.Sidecar) bool {
+			return c.Name == q.Name && c.InForce == q.Since && c.Refused == q.Refused
+		}) {
+			return
+		}
+	}
+}
+
 // run runs a command as a process of its own.
 func run(t *testing.T, args ...string) (status int, out string) {
 	t.Helper()
@@ -82,8 +106,7 @@
 		if refused > 0 {
 			q.Refused.Epoch, q.Refused.By, q.Why = refused, "d1", "settings.aim\x1b is odd"
 		}
-		q.Wait = 0
-		get(t, asked, q.Target())
+		acknowledge(t, asked, called, q)
 	}
 	both := "127.0.0.1:1," + called
 	for _, c := range []struct {
@@ -97,7 +120,9 @@
 		{nil, "publish --at " + called + " " + faulty + "x", 2, "faultyx"},
 		{nil, "rollback --at " + called, 2, "no former settings"},
 		{nil, "publish --at " + both + " " + published, 0, "orders: published as edition 1 by d1\n"},
-		{func() { ask("n0", 1, 0) }, "status --at " + both, 0, "of 1 sidecars 1 in force"},
+		{func() { ask("n0", 1, 0) }, "status --at " + called, 0, "of 1 sidecars 1 in force"},
+		{nil, "status --at " + both, 1, "not reached"}, // who knows what its sidecars have
+		{nil, "status --at " + both, 1, "of 1 sidecars 1 in force"},
 		{func() { ask("n1", 0, 0) }, "status --at " + both, 1, "1 behind"},
 		{nil, "publish --json --at " + called + " " + published, 0, `"epoch":2`},
 		{func() { ask("n0", 2, 0); ask("n1", 1, 2) }, "status --at " + called, 1, "1 refused"},
--- a/internal/distributor/distributor_test.go
+++ b/internal/distributor/distributor_test.go
@@ -344,28 +344,87 @@
 	}
 }
 
-// Guards against a change that waits for a distributor that is dead or silent, and against one that comes back with less than the
-// others hold, or answers before it knows better.
-func TestOneDeadSlowAndWithoutItsDisk(t *testing.T) {
-	links := []*link{newLink(t), newLink(t), newLink(t)}
-	var all []*running
-	begin := func(i int, dir string) *running {
-		var peers []string
-		for other, l := range links {
-			if other != i {
-				peers = append(peers, l.addr())
-			}
+// mesh is some distributors that all ask all, each reached by the others over a link of its own.
+type mesh struct {
+	t     *testing.T
+	links []*link
+	all   []*running
+}
+
+// newMesh starts so many distributors, whose links are cut yet.
+func newMesh(t *testing.T, n int) *mesh {
+	m := &mesh{t: t}
+	for range n {
+		m.links = append(m.links, newLink(t))
+	}
+	m.set("cut")
+	for i := range m.links {
+		m.all = append(m.all, m.begin(i, t.TempDir()))
+	}
+	return m
+}
+
+// begin starts one, in a directory.
+func (m *mesh) begin(i int, dir string) *running {
+	m.t.Helper()
+	var peers []string
+	for other, l := range m.links {
+		if other != i {
+			peers = append(peers, l.addr())
 		}
-		r := start(t, fmt.Sprint("d", i), dir, nil, peers...)
-		links[i].leads(r.asked)
-		return r
 	}
-	for _, l := range links {
-		l.set("cut")
+	r := start(m.t, fmt.Sprint("d", i), dir, nil, peers...)
+	m.links[i].leads(r.asked)
+	return r
+}
+
+func (m *mesh) set(state string) {
+	for _, l := range m.links {
+		l.set(state)
 	}
-	for i := range links {
-		all = append(all, begin(i, t.TempDir()))
+}
+
+// Guards against a change that the loss of two of five distributors holds up, for sidecars that were at one of those too, and
+// against the two bringing back what they had.
+func TestTwoOfFiveLost(t *testing.T) {
+	m := newMesh(t, 5)
+	m.set("")
+	for _, r := range m.all {
+		r.begun()
 	}
+	first := m.all[0].operate("s", contents(0, 0))
+	sidecar := &reader{t: t, name: "n"}
+	sidecar.follow(m.all[3].asked, first)
+	for _, r := range m.all {
+		r.has(first)
+	}
+	for _, i := range []int{3, 4} {
+		m.links[i].set("cut")
+		m.all[i].end()
+	}
+	second := m.all[1].operate("s", contents(1, 0))
+	for _, r := range m.all[:3] {
+		r.has(second)
+	}
+	sidecar.follow(m.all[0].asked, second)
+	for _, i := range []int{3, 4} {
+		back := m.begin(i, m.all[i].dir)
+		if sidecar.ask(back.asked, 0) {
+			t.Errorf("back with its old state it tells a sidecar %s", sidecar.have.Edition)
+		}
+		m.links[i].set("")
+		back.has(second)
+	}
+	if last := m.all[2].operate("s", contents(2, 0)); last.Compare(second) <= 0 || m.all[0].until("has the last", func(held *distribute.Record) bool { return held.Edition == last }).Overruled != nil {
+		t.Errorf("%s after %s", last, second)
+	}
+}
+
+// Guards against a change that waits for a distributor that is dead or silent, and against one that comes back with less than the
+// others hold, or answers before it knows better.
+func TestOneDeadSlowAndWithoutItsDisk(t *testing.T) {
+	m := newMesh(t, 3)
+	links, all := m.links, m.all
 	// All are new, and wait for each other's word.
 	if status, _, text := call(t, "POST", all[0].called, settingsPath+"?service=s", contents(0, 0)); status != http.StatusServiceUnavailable {
 		t.Fatalf("publishing before anybody was reached: %d %s", status, text)
@@ -390,7 +449,7 @@
 	for _, l := range links {
 		l.set("cut")
 	}
-	lost := begin(2, t.TempDir())
+	lost := m.begin(2, t.TempDir())
 	reader := &reader{t: t, name: "n"}
 	q := distribute.Question{Service: "s", Wait: time.Second}
 	if status, head, _ := call(t, "GET", lost.asked, q.Target(), ""); status != http.StatusServiceUnavailable || head.Get("Retry-After") == "" {
@@ -430,10 +489,12 @@
 }
 
 // Guards against a queue: of 1,000 changes in a row readers see some, in order and the last one; who reads nothing meanwhile is
-// told one that it asked for and then the last, and none of this is held.
+// told one that it asked for and then the last, another distributor has the last one too, and none of this is held.
 func TestBurst(t *testing.T) {
 	const many, size, asking = 1000, 4 << 10, 3
 	a := start(t, "a", t.TempDir(), &quick{Disk: durable.Dir(t.TempDir())})
+	b := start(t, "b", t.TempDir(), &quick{Disk: durable.Dir(t.TempDir())}, a.asked)
+	b.begun()
 	a.operate("s", contents(0, size))
 	slow, err := net.Dial("tcp", a.asked)
 	if err != nil {
@@ -466,6 +527,7 @@
 		}
 	}
 	all.Wait()
+	b.has(last)
 	runtime.GC()
 	runtime.ReadMemStats(&after)
 	if grown := int64(after.HeapAlloc) - int64(before.HeapAlloc); grown > many*size/2 {
@@ -488,6 +550,8 @@
 			fmt.Fprintf(slow, "GET %s HTTP/1.1\r\nHost: x\r\n\r\n", q.Target())
 		}
 	}
+	b.end()
+	a.end()
 	if sidecars, peers := a.d.store.Watches(); sidecars != 0 || peers != 0 {
 		t.Errorf("%d and %d watches are left", sidecars, peers)
 	}
--- a/internal/distributor/table.go
+++ b/internal/distributor/table.go
@@ -34,12 +34,13 @@
 	return v
 }
 
-// Exit is the exit status that a view means. A service without settings has none in force.
+// Exit is the exit status that a view means. A service without settings has none in force; and what a distributor that was not
+// reached knows of sidecars may be that they have something else.
 func (v *View) Exit() int {
 	switch {
 	case len(v.Each) == 0:
 		return NobodyThere
-	case v.None() || v.Count(distribute.InForce) != len(v.Sidecars):
+	case v.None() || len(v.Faults) > 0 || v.Count(distribute.InForce) != len(v.Sidecars):
 		return NotAll
 	}
 	return AllInForce
