Hand published settings over in an upgrade

Cause: a successor that no distributor answered served by its file's settings, older than those in force before it, and the order that clients see went back. The former process hands them over as a distributor writes them; the successor takes them by the same checks, asks with their edition, and says so.

TestSuccessorFollows has an upgrade with a silent distributor and one after it; daemon, follow and the tests of cmd/pinelb that follow settings pass under -race.

--- a/cmd/pinelb/published_test.go
+++ b/cmd/pinelb/published_test.go
@@ -185,7 +185,7 @@
 	if err := p.cmd.Process.Signal(syscall.SIGHUP); err != nil {
 		t.Fatal(err)
 	}
-	if line := p.await(t, "configuration read again"); !line.Get("published").Bool() {
+	if line := p.await(t, "configuration read again"); line.Get("published").Str == "none" {
 		t.Errorf("the log says %s", line.Raw)
 	}
 	p.expect(t, "after SIGHUP", "/two/1", 200)
@@ -262,7 +262,7 @@
 	d.publish(1, with("one"), func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	p := launchOn(t, exec.Command(os.Args[0], "--config="+followsAt(t, "127.0.0.1:1", mute, half)), configFile(t, configFor("127.0.0.1:1", host("s-1", b.addr, "Ready"))))
 	p.addr = p.await(t, "listening").Get("addr").Str
-	p.await(t, "no distributor has answered; the file's settings are in force")
+	p.await(t, "no distributor has answered; what is in force stays")
 	p.ready(t)
 	p.expect(t, "with no distributor", "/order-status/1", 200)
 	p.expect(t, "with no distributor", "/one/1", 404)
@@ -300,7 +300,7 @@
 	given := false
 	for p.log.Scan() {
 		switch gjson.Get(p.log.Text(), "message").Str {
-		case "no distributor has answered; the file's settings are in force":
+		case "no distributor has answered; what is in force stays":
 			given = true
 		case taken:
 			if !given {
@@ -372,7 +372,7 @@
 	p.expect(t, "after a stop", "/three/1", 200)
 }
 
-// Guards against a successor that serves by the file's settings although others are in force.
+// Guards against a successor that serves by the file's settings although others are in force, also where no distributor answers it.
 func TestSuccessorFollows(t *testing.T) {
 	b := newBox(t, serve("ok"))
 	s, d, tmp := newSite(t, host("s-1", b.addr, "Ready")), newStandIn(t), t.TempDir()
@@ -383,15 +383,32 @@
 		p.addr = p.await(t, "listening").Get("addr").Str
 		return p
 	}
+	ends := func(p *program) {
+		t.Helper()
+		if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+			t.Fatal(err)
+		}
+		p.await(t, "drained")
+	}
 	p := begin()
 	p.await(t, taken)
 	p.ready(t)
+	d.publish(2, with("two"), func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })
 	q := begin()
-	q.await(t, taken)
-	q.ready(t)
-	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
+	if line := q.await(t, "the former process's settings are in force"); line.Get("in_force").Str != "1 by d1" {
+		t.Errorf("the log says %s", line.Raw)
 	}
-	p.await(t, "drained")
-	q.expect(t, "after an upgrade", "/one/1", 200)
+	q.await(t, "no distributor has answered; what is in force stays")
+	ends(p)
+	q.expect(t, "after an upgrade without distributors", "/one/1", 200)
+	q.expect(t, "after an upgrade without distributors", "/two/1", 404)
+	d.publish(2, with("two"), nil)
+	q.await(t, taken)
+	r := begin()
+	r.await(t, "the former process's settings are in force")
+	ends(q)
+	r.expect(t, "after another upgrade", "/two/1", 200)
+	d.publish(3, with("three"), nil)
+	r.await(t, taken)
+	r.expect(t, "after another upgrade", "/three/1", 200)
 }
--- a/internal/daemon/publish.go
+++ b/internal/daemon/publish.go
@@ -10,14 +10,16 @@
 	"pinelb.example/pinelb/internal/config"
 	"pinelb.example/pinelb/internal/distribute"
 	"pinelb.example/pinelb/internal/follow"
+	"pinelb.example/pinelb/internal/version"
 )
 
 // settleWithin is how long a start waits for distributors, after which the file's settings have to do until they answer.
 const settleWithin = 300 * time.Millisecond
 
-// watched starts to follow published settings until ctx ends, where the operator's file asks for that. What it returns is closed
-// as soon as distributors have been heard, or are no longer waited for.
-func (t *tuning) watched(ctx context.Context, from *config.Distributed) <-chan struct{} {
+// watched starts to follow published settings until ctx ends, where the operator's file asks for that. Those that the former process
+// has in force are until then: the order that clients see must not go back with an upgrade. What it returns is closed as soon as
+// distributors have been heard, or are no longer waited for.
+func (t *tuning) watched(ctx context.Context, from *config.Distributed, former []byte) <-chan struct{} {
 	settled := make(chan struct{})
 	done := sync.OnceFunc(func() { close(settled) })
 	if from == nil {
@@ -26,8 +28,11 @@
 	}
 	t.watch = &follow.Watch{Service: from.Service, Name: cmp.Or(t.cfg.Name, t.cfg.Listen), From: from.From, Log: t.log, Take: t.publish,
 		Rand: rand.New(rand.NewPCG(t.cfg.Seed^rand.Uint64(), settingsStream))}
+	if former != nil {
+		t.succeeds(former)
+	}
 	late := time.AfterFunc(settleWithin, func() {
-		t.log.Warn().Str("service", from.Service).Msg("no distributor has answered; the file's settings are in force")
+		t.log.Warn().Str("service", from.Service).Stringer("in_force", t.edition()).Msg("no distributor has answered; what is in force stays")
 		done()
 	})
 	go t.watch.Run(ctx, func() {
@@ -37,6 +42,23 @@
 	return settled
 }
 
+// succeeds has the settings be in force that the former process had, if they are of the same service and can be used here.
+func (t *tuning) succeeds(former []byte) {
+	s, err := distribute.Parse(former)
+	if err == nil && s.Service != t.watch.Service {
+		err = distribute.OtherService{Told: s.Service, Asked: t.watch.Service}
+	}
+	if err == nil {
+		err = t.publish(s)
+	}
+	if err != nil {
+		t.log.Error().Err(err).Msg("the former process's settings are not taken")
+		return
+	}
+	t.watch.Has = s.Edition
+	t.log.Info().Stringer("in_force", s.Edition).Msg("the former process's settings are in force")
+}
+
 // publish has settings of a distributor take the place of those in force, whole or not at all.
 func (t *tuning) publish(s distribute.State) error {
 	t.mu.Lock()
@@ -46,7 +68,7 @@
 		_, err = t.adopt(cfg, "distributor")
 	}
 	if err == nil {
-		t.published = s.Settings
+		t.published = &s
 	}
 	return err
 }
@@ -58,8 +80,22 @@
 	}
 }
 
-func (t *tuning) isPublished() bool {
+// edition is that of the published settings that are in force; none: they are the file's.
+func (t *tuning) edition() version.Edition {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.published != nil
+	if t.published == nil {
+		return version.Edition{}
+	}
+	return t.published.Edition
+}
+
+// handed are the published settings that are in force, for a successor; nil: there are none.
+func (t *tuning) handed() []byte {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.published == nil {
+		return nil
+	}
+	return distribute.Encode(*t.published)
 }
--- a/internal/daemon/retune.go
+++ b/internal/daemon/retune.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"os"
 	"sync"
 	"time"
@@ -11,6 +10,7 @@
 
 	"pinelb.example/pinelb/internal/cluster"
 	"pinelb.example/pinelb/internal/config"
+	"pinelb.example/pinelb/internal/distribute"
 	"pinelb.example/pinelb/internal/downstream"
 	"pinelb.example/pinelb/internal/engine"
 	"pinelb.example/pinelb/internal/follow"
@@ -34,8 +34,8 @@
 	log     zerolog.Logger
 
 	mu        sync.Mutex
-	cfg       *config.Config  // in force, its classes by the numbers that they have here
-	published json.RawMessage // its settings, where they are a distributor's; nil: they are the file's
+	cfg       *config.Config    // in force, its classes by the numbers that they have here
+	published *distribute.State // whose settings these are; nil: the file's
 }
 
 // classes are the names of the classes, by number.
@@ -76,7 +76,7 @@
 			continue
 		}
 		t.ask(true) // what was refused beside the former file may be right beside this one
-		t.log.Info().Str("discovery", cfg.Discovery).Bool("published", t.isPublished()).Strs("classes", cfg.Settings.ClassNames).Int("attempts", cfg.Settings.MaxAttempts).
+		t.log.Info().Str("discovery", cfg.Discovery).Stringer("published", t.edition()).Strs("classes", cfg.Settings.ClassNames).Int("attempts", cfg.Settings.MaxAttempts).
 			Msg("configuration read again")
 		select {
 		case moves <- cfg.Discovery:
@@ -92,7 +92,7 @@
 	defer t.mu.Unlock()
 	cfg, err := config.Reload(getenv, t.cfg)
 	if err == nil && t.published != nil {
-		cfg, err = cfg.With(t.published)
+		cfg, err = cfg.With(t.published.Settings)
 	}
 	if err != nil {
 		return nil, err
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -147,7 +147,7 @@
 	}
 	tuned := &tuning{cfg: cfg, op: op, eng: eng, pool: pool, side: side, table: table, budget: streams.Budget, rec: rec,
 		reclass: []func(*config.Settings){srv.Reclass}, log: log}
-	next := &succession{classes: tuned.classes, table: table, eng: eng, former: formerOf(cfg, log), effects: streams.Effects, log: log}
+	next := &succession{classes: tuned.classes, inForce: tuned.handed, table: table, eng: eng, former: formerOf(cfg, log), effects: streams.Effects, log: log}
 	shares := &bounds{memory: memory, sockets: sockets, pool: pool, side: side, eng: eng}
 	if next.former != nil {
 		shares.beside(1) // before what it hands over, which is its part already
@@ -227,7 +227,7 @@
 	next.wait(cfg, fronts, side, shares)
 	var served sync.WaitGroup
 	defer served.Wait()
-	settled := tuned.watched(life, op.Settings)
+	settled := tuned.watched(life, op.Settings, next.published())
 	ready := sync.OnceFunc(func() {
 		served.Go(func() {
 			<-settled // soon
--- a/internal/daemon/succession.go
+++ b/internal/daemon/succession.go
@@ -63,6 +63,8 @@
 	Engine  engine.State
 	Effects *known        // nil: the process is of a kind that shares none
 	Trail   []trail.Entry `json:",omitempty"` // of a process that is audited, to the one that succeeds it
+
+	Published []byte `json:",omitempty"` // a distributor's settings that are in force, as distribute.Encode writes them
 }
 
 // known is what a process knows of requests under way and of their effects.
@@ -80,6 +82,7 @@
 // succession is this process's place between the one before it and the one after it.
 type succession struct {
 	classes func() []string // by number
+	inForce func() []byte   // published settings that are, and nil where there are none; nil: no settings are published
 	table   *cluster.Table
 	eng     *engine.Engine
 	former  *handover.Former // nil: none
@@ -130,6 +133,15 @@
 	return h.Trail
 }
 
+// published are the settings of distributors that the former process has in force; nil: none.
+func (s *succession) published() []byte {
+	var h struct{ Published []byte }
+	if s.former == nil || json.Unmarshal(s.former.State, &h) != nil { // of a fault there take says what it is
+		return nil
+	}
+	return h.Published
+}
+
 // adopt takes over what a process knew that long ago, whose name is from. A list goes before the one that it had, where there
 // is one.
 func (s *succession) adopt(state []byte, from string, past time.Duration, list cluster.List) (h handed, err error) {
@@ -168,6 +180,9 @@
 	notes := s.effects.Watch(effects.Next, next.note)
 	h := s.held()
 	h.Effects = &known{Notes: latest(notes, notesMost)}
+	if s.inForce != nil {
+		h.Published = s.inForce()
+	}
 	if s.audited != nil {
 		h.Trail = s.audited.book.Past()
 	}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -13,6 +13,7 @@
 	"github.com/rs/zerolog"
 
 	"pinelb.example/pinelb/internal/distribute"
+	"pinelb.example/pinelb/internal/version"
 )
 
 // Watch follows one service's settings. Distributors that are dead, silent or talk nonsense cost nothing but their news.
@@ -20,6 +21,7 @@
 	Service string
 	Name    string   // by which distributors remember what is in force here
 	From    []string // the distributors' addresses, one at least
+	Has     version.Edition // in force from the start; none: settings that no distributor gave
 	Rand    *rand.Rand
 	Log     zerolog.Logger
 	// Dial opens connections, as net.Dialer.DialContext does, which it is where this is nil.
@@ -64,6 +66,7 @@
 func (w *Watch) Run(ctx context.Context, answered func()) {
 	w.begun, w.bad = time.Now(), map[fault]bool{}
 	w.state = distribute.NewFollower(w.Service, w.Name, w.From, w.Rand)
+	w.state.Take(w.Has)
 	if w.conn.open = w.Dial; w.Dial == nil {
 		w.conn.open = (&net.Dialer{}).DialContext
 	}
