Prove that an audit sees published settings, and that its floor has distributors be asked

TestAuditSeesPublishedSettings: the digest and the trail's from over a publish; a floor that wants the next edition is met by asking, one that wants the file's settings doesn't bring them back.

--- a/cmd/pinelb/published_test.go
+++ b/cmd/pinelb/published_test.go
@@ -13,7 +13,9 @@
 
 	"github.com/tidwall/gjson"
 
+	"pinelb.example/pinelb/internal/config"
 	"pinelb.example/pinelb/internal/distribute"
+	"pinelb.example/pinelb/internal/trail"
 	"pinelb.example/pinelb/internal/version"
 )
 
@@ -412,3 +414,65 @@
 	r.await(t, taken)
 	r.expect(t, "after another upgrade", "/three/1", 200)
 }
+
+// Guards against an audit that does not see published settings, or by whom they came, and against a floor that brings the file's back:
+// it has distributors be asked.
+func TestAuditSeesPublishedSettings(t *testing.T) {
+	b := newBox(t, serve("ok"))
+	s, d := newSite(t, host("s-1", b.addr, "Ready")), newStandIn(t)
+	op := operatorFile(t, fmt.Sprintf("[audit]\nshare = 0.5\n[settings]\nfrom = [%q]\nservice = %q\n", d.addr, service))
+	p := launchOn(t, exec.Command(os.Args[0], "--config="+op), configFile(t, configFor(s.addr)), "LB_CONTROL=127.0.0.1:0")
+	p.addr = p.await(t, "listening").Get("addr").Str
+	at := p.await(t, "listening for operators").Get("addr").Str
+	p.ready(t)
+	digest := func(settings string) version.Digest { return (&config.Config{Site: settings}).Digest() }
+	report := func() trail.Report {
+		t.Helper()
+		_, r, _ := asked(t, at, "/admin/audit?since=0", "")
+		return r
+	}
+	if r := report(); r.Version.Settings != digest(settings) {
+		t.Errorf("at first: %+v", r.Version)
+	}
+	d.publish(1, with("one"), nil)
+	p.await(t, taken)
+	r := report()
+	last := r.Entries[len(r.Entries)-1]
+	for _, e := range r.Entries {
+		if e.Kind == trail.Adopted {
+			last = e
+		}
+	}
+	if r.Version.Settings != digest(with("one")) || last.From != "distributor" || last.Version.Settings != r.Version.Settings {
+		t.Errorf("once they are published: %+v, %+v", r.Version, last)
+	}
+	floor := func(epoch int, settings string) {
+		t.Helper()
+		text, err := digest(settings).MarshalText()
+		if err != nil {
+			t.Fatal(err)
+		}
+		order := fmt.Sprintf(`{"floor":{"epoch":%d,"by":"a","site":%q,"settings":%q,"grace_ms":60000,"spread_ms":0,"for_ms":60000}}`, epoch, r.Site, text)
+		if status, _, text := asked(t, at, "/admin/floor", order); status != 200 {
+			t.Fatalf("a floor is answered %d %s", status, text)
+		}
+	}
+	// The watch tells nothing; who is asked without a wait knows.
+	d.publish(2, with("two"), func(w http.ResponseWriter, r *http.Request) {
+		q, err := distribute.ParseQuestion(r.URL)
+		if err != nil || q.Wait > 0 || q.Since.Epoch != 1 {
+			<-r.Context().Done()
+			return
+		}
+		_, _ = w.Write(distribute.Encode(distribute.NewState(service, version.Edition{Epoch: 2, By: "d1"}, []byte(with("two")))))
+	})
+	floor(1, with("two"))
+	p.await(t, taken)
+	p.expect(t, "under a floor", "/two/1", 200)
+	floor(2, settings) // the file's: nobody tells them, and they are not taken from there
+	d.publish(3, with("three"), nil)
+	p.await(t, taken)
+	if r := report(); r.Version.Settings != digest(with("three")) {
+		t.Errorf("under a floor that wants the file's: %+v", r.Version)
+	}
+}
