--- a/internal/lab/hollow/play.go
+++ b/internal/lab/hollow/play.go
@@ -16,7 +16,7 @@
 const (
 	lookEach    = 100 * time.Millisecond // counts are taken so often
 	readyWithin = 2 * time.Minute        // for all to have their first list, where that is not what is measured
-	settleFor   = 2 * time.Second        // after that, for who is late with it to have fallen into step
+	settleFor   = 2 * time.Second        // after that at least, for all to be in the midst of their watches
 	restartPart = 0.05                   // of a rack's sidecars, a second
 )
 
@@ -138,7 +138,7 @@
 		if err := p.await(ctx, 1, readyWithin); err != nil {
 			return Figures{}, err
 		}
-		if !wait(ctx, settleFor) {
+		if !wait(ctx, p.settle()) {
 			return Figures{}, ctx.Err()
 		}
 	}
@@ -175,6 +175,15 @@
 	return p.figures(changes, lives, before, after, load), nil
 }
 
+// settle is for how long nothing is measured after the first lists. Paced watches are so long that a measured time which begins with
+// them has too few calls.
+func (p *play) settle() time.Duration {
+	if p.Paced == nil {
+		return settleFor
+	}
+	return max(settleFor, p.Paced.Fleet.Longest())
+}
+
 // measure goes through the measured time and returns the revisions of the changes that were made.
 func (p *play) measure(ctx context.Context, s scenario, began time.Duration, back func() error) (changes []int64, err error) {
 	length := time.Duration(p.Seconds) * time.Second
