Tell the service's bound in results of pinelab scale, and no times of no change

Cause: plays against a bounded service or one that is away could not be told from others by their lines, and a play without changes had an in-force time of 0 ms, which a fit would take for one.

Change: service_calls_per_s and down_ms; in_force_* are left out where nothing came into force.

--- a/internal/lab/hollow/figures.go
+++ b/internal/lab/hollow/figures.go
@@ -22,8 +22,10 @@
 	Hosts    int     `json:"hosts"`
 	Racks    int     `json:"racks"`
 	Seconds  int     `json:"seconds"`
-	Asked    float64 `json:"changes_per_s"` // as the case has it
-	Changes  int     `json:"changes"`       // as they were made
+	Asked    float64 `json:"changes_per_s"`                 // as the case has it
+	Changes  int     `json:"changes"`                       // as they were made
+	Bound    float64 `json:"service_calls_per_s,omitempty"` // that the service does; 0 is no bound
+	Down     float64 `json:"down_ms,omitempty"`             // for which it was away at first
 
 	Calls        int64   `json:"calls"`
 	Turned       int64   `json:"turned"`
@@ -40,9 +42,9 @@
 	HollowCPU    float64 `json:"hollow_cpu_ms_per_s_sidecar"`
 	HollowMemory float64 `json:"hollow_memory_kb_sidecar"` // resident, its part of the rack's
 
-	InForceP50  float64 `json:"in_force_p50_ms"` // from a change until a sidecar acts on it, over all changes and sidecars
-	InForceP99  float64 `json:"in_force_p99_ms"`
-	InForceLast float64 `json:"in_force_last_ms"`
+	InForceP50  float64 `json:"in_force_p50_ms,omitempty"` // from a change until a sidecar acts on it, over all changes and sidecars
+	InForceP99  float64 `json:"in_force_p99_ms,omitempty"`
+	InForceLast float64 `json:"in_force_last_ms,omitempty"`
 	Never       int     `json:"never"` // changes and sidecars of which that was not so by the end
 
 	Starts     int     `json:"starts"`
@@ -77,6 +79,12 @@
 	if p.Paced != nil {
 		f.Rate = p.Paced.Fleet.Rate
 	}
+	if p.Calls > 0 {
+		f.Bound = float64(p.Calls) / p.Call.Seconds()
+	}
+	if p.back > 0 {
+		f.Down = millis(p.Down)
+	}
 	p.count(&f)
 	measured := (p.looks[len(p.looks)-1].at - p.looks[0].at).Seconds()
 	cpu, memory := time.Duration(0), int64(0)
