Count the changes of each case of pinelab distribute as it made them

Cause: a case with fewer changes than the argument said the argument's. TestEveryCase checks the number now.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -19,8 +19,8 @@
 // Watch follows one service's settings. Distributors that are dead, silent or talk nonsense cost nothing but their news.
 type Watch struct {
 	Service string
-	Name    string   // by which distributors remember what is in force here
-	From    []string // the distributors' addresses, one at least
+	Name    string          // by which distributors remember what is in force here
+	From    []string        // the distributors' addresses, one at least
 	Has     version.Edition // in force from the start; none: settings that no distributor gave
 	Rand    *rand.Rand
 	Log     zerolog.Logger
--- a/internal/lab/distributed/distributed.go
+++ b/internal/lab/distributed/distributed.go
@@ -184,11 +184,11 @@
 				return err
 			}
 		}
-		l := Line{Case: "before", Sidecars: timesOf(took, 0), Seconds: time.Since(began).Seconds()}
+		l := Line{Case: "before", Changes: r.Changes, Sidecars: timesOf(took, 0), Seconds: time.Since(began).Seconds()}
 		answer := s.answers(r.n)
 		l.Answer = &answer
 		each := l.Seconds / float64(r.Changes*r.Real)
-		l.Note = fmt.Sprintf("by %d hands; %.2f ms a sidecar, %.1f s for 1,700 (extrapolated; without the way to each machine)", at, 1000*each, 1700*each)
+		l.Note = fmt.Sprintf("hands: %d; %.2f ms a sidecar, %.1f s for 1,700 (extrapolated; without the way to each machine)", at, 1000*each, 1700*each)
 		if err := r.write(l); err != nil {
 			return err
 		}
@@ -198,7 +198,7 @@
 
 // write writes a case's line.
 func (r *rig) write(l Line) error {
-	l.Real, l.Changes, l.Bytes, l.Load = r.Real, max(l.Changes, r.Changes), r.Bytes, load()
+	l.Real, l.Bytes, l.Load = r.Real, r.Bytes, load()
 	if r.hollow != nil {
 		l.Followers, l.Conns = len(r.hollow.of), r.hollow.connections.Load()
 	}
@@ -328,6 +328,7 @@
 }
 
 func (t *tally) fill(r *rig, l *Line) {
+	l.Changes = r.Changes
 	l.Hollow, l.Sidecars = timesOf(t.hollow, t.hollowLate), timesOf(t.real, t.realLate)
 	answer := r.real.answers(r.n)
 	l.Answer = &answer
--- a/internal/lab/distributed/distributed_test.go
+++ b/internal/lab/distributed/distributed_test.go
@@ -65,6 +65,9 @@
 			if times != nil && (times.Late > 0 || times.N == 0) {
 				t.Errorf("not in force everywhere within %s: %s", limit, text)
 			}
+			if times != nil && times.N%l.Changes != 0 { // each at so many
+				t.Errorf("not each of the changes is counted at each: %s", text)
+			}
 		}
 		if l.Answer != nil && *l.Answer != c.Real {
 			t.Errorf("not all sidecars serve by the last change: %s", text)
