Give each role's cost at 1,700 endpoints, with what holds, what does not and by what factor

Need: docs/CAPACITY.md had trials and a ranking alone.

The tables are of measurements at sizes that double, each with its command, error and stretch; pinelab slopes page makes them, also from lines that don't name their command (row key by), such as pinelab scale's. Against each limit the page says holds, does not or not known.

--- a/internal/lab/slope/fit.go
+++ b/internal/lab/slope/fit.go
@@ -67,8 +67,8 @@
 			}
 			columns[i+1] = append(columns[i+1], v)
 		}
-		if !slices.Contains(f.Commands, l.words["command"]) {
-			f.Commands = append(f.Commands, l.words["command"])
+		if c := l.words["command"]; c != "" && !slices.Contains(f.Commands, c) {
+			f.Commands = append(f.Commands, c)
 		}
 		f.Trial = f.Trial || l.words["trial"] == "true"
 	}
--- a/internal/lab/slope/page_test.go
+++ b/internal/lab/slope/page_test.go
@@ -54,6 +54,14 @@
 			t.Errorf("taken: %q", page)
 		}
 	}
+	silent := map[string][]Line{"a.jsonl": parsed(t, strings.NewReplacer(`"command":"m 1",`, "", `"command":"m 2",`, "").Replace(results))}
+	if _, err := p.Fill(got, silent); err == nil || !strings.Contains(err.Error(), "by: is missing") {
+		t.Errorf("with no word of what measures it: %v", err)
+	}
+	p.Tables[0].Rows[0].By = "m 3"
+	if text, err := p.Fill(got, silent); err != nil || !strings.Contains(text, "\n    m 3\n") {
+		t.Errorf("with a word of what measures it: %v", err)
+	}
 	if _, err := p.Fill(got, nil); err == nil || !strings.Contains(err.Error(), "a.jsonl") {
 		t.Errorf("without results: %v", err)
 	}
@@ -128,3 +136,20 @@
 		t.Error("docs/CAPACITY.md is not what docs/capacity has: run pinelab slopes page")
 	}
 }
+
+// TestReadsScaleTests guards against lines of pinelab scale, which don't name their command and have words that are true or false,
+// being read otherwise than those of pinelab slopes.
+func TestReadsScaleTests(t *testing.T) {
+	const scaled = `{"scenario":"rest","paced":false,"sidecars":100,"hosts":12,"changes_per_s":0,"calls_per_s":100,"in_force_last_ms":0}
+{"scenario":"rest","paced":true,"sidecars":100,"hosts":12,"changes_per_s":0,"calls_per_s":8,"in_force_last_ms":0}
+{"scenario":"rest","paced":false,"sidecars":200,"hosts":12,"changes_per_s":0,"calls_per_s":200,"in_force_last_ms":0}
+{"scenario":"rest","paced":false,"sidecars":400,"hosts":12,"changes_per_s":0,"calls_per_s":400,"in_force_last_ms":0}
+`
+	f, err := Question{map[string]string{"scenario": "rest", "paced": "false", "hosts": "12"}, "calls_per_s", []string{"sidecars"}}.Fit(parsed(t, scaled))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if is, stretch := f.At(map[string]float64{"sidecars": 1700}); is < 1699.9 || is > 1700.1 || stretch != 4.25 || f.Points != 3 {
+		t.Errorf("%v stretched by %v: %+v", is, stretch, f)
+	}
+}
--- a/internal/lab/slope/table.go
+++ b/internal/lab/slope/table.go
@@ -32,6 +32,7 @@
 	At      map[string]float64 // where it is asked for
 	Times   float64            // of what one takes; a service's that so many ask; 0 is 1
 	Limit   float64            // in the unit; 0 is none
+	By      string             // the command that measures it again, of lines that don't name theirs
 	Assumed []string           // keys of At that nobody has measured: the answer is given at half and twice, too
 }
 
@@ -145,6 +146,12 @@
 	if err != nil {
 		return "", fit, err
 	}
+	if r.By != "" {
+		fit.Commands = append(fit.Commands, r.By)
+	}
+	if len(fit.Commands) == 0 {
+		return "", fit, fmt.Errorf("by: is missing, and no line names its command")
+	}
 	is, stretch := r.at(&fit, 1)
 	equation := figure(fit.Fixed)
 	var sizes, at []string
