--- a/cmd/pinelab/slopes.go
+++ b/cmd/pinelab/slopes.go
@@ -95,6 +95,7 @@
 	Processes []int         `help:"Sidecars beside each other, of which the sum is taken." default:"1"`
 	Instances []int         `help:"That a sidecar is told of; 0 is as many as hosts." default:"0"`
 	Operator  string        `help:"An operator's file." placeholder:"FILE"`
+	Operators bool          `help:"Operators can call the sidecars, as [audit] needs it."`
 	Mode      string        `help:"A word for the operator's file, in the results." default:"agent"`
 	Settle    time.Duration `help:"Before it is measured." default:"4s"`
 	Windows   int           `help:"Of which the median is taken." default:"5"`
@@ -175,7 +176,7 @@
 			return err
 		}
 		p.Load = gauge.Load()
-		p.Taken, err = gauge.Control{Program: program, Dir: own, Hosts: p.Hosts, Changes: p.Changes, Processes: p.Processes, Instances: p.Told, Operator: operator,
+		p.Taken, err = gauge.Control{Program: program, Dir: own, Hosts: p.Hosts, Changes: p.Changes, Processes: p.Processes, Instances: p.Told, Operator: operator, Operators: c.Operators,
 			Settle: c.Settle, Windows: c.Windows, Window: c.Window}.Measure(ctx)
 		return err
 	}, func(p *controlPoint) error { return c.write(t, p) })
--- a/docs/capacity/measure.sh
+++ b/docs/capacity/measure.sh
@@ -13,9 +13,14 @@
 bin/pinelab slopes control --hosts 12 --processes 1,2,4 --mode beside --out $out/control.jsonl
 bin/pinelab slopes control --hosts 106 --instances 425,850,1700 --changes 0.2 --windows 3 --window 20s --settle 15s --repeat 2 \
 	--operator $out/spared.toml --mode spared-changes --out $out/control.jsonl
+bin/pinelab slopes control --hosts 106 --instances 425,850,1700 --changes 2 --windows 3 --window 12s --settle 15s --repeat 2 \
+	--operator $out/spared.toml --mode spared-after --out $out/control.jsonl
 bin/pinelab slopes control --hosts $sizes --instances 1700 --windows 3 --window 12s --settle 15s --repeat 2 \
 	--operator $out/spared.toml --mode spared --out $out/control.jsonl
 bin/pinelab slopes control --hosts $sizes --instances 1 --mode alone --repeat 2 --out $out/control.jsonl
+bin/pinelab slopes control --hosts 106,212,425,850,1700 --repeat 2 --beside 5 --mode plain --out $out/control.jsonl &
+bin/pinelab slopes control --hosts 106,212,425,850,1700 --repeat 2 --beside 5 --operators --operator $out/audited.toml --mode audited --out $out/control.jsonl
+wait
 bin/pinelab slopes audit --out $out/audit.jsonl
 bin/pinelab slopes audit --sidecars 1 --stand-ins 212 --trail 2m --repeat 1 --out $out/trails.jsonl
 bin/pinelab slopes audit --sidecars 1 --stand-ins 212 --trail 4m --repeat 1 --out $out/trails.jsonl
--- a/internal/lab/gauge/control.go
+++ b/internal/lab/gauge/control.go
@@ -21,6 +21,7 @@
 	Processes int     // sidecars beside each other, each with a list service of its own
 	Instances int     // that each is told of; 0 is as many as hosts
 	Operator  string  // the operator's file
+	Operators bool    // can call it
 	Settle    time.Duration
 	Windows   int           // of which the median is taken,
 	Window    time.Duration // each so long
@@ -106,7 +107,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := Begin(Start{Program: c.Program, Dir: c.Dir, Name: name, Discovery: s.Addr, Operator: c.Operator, Classes: 3, Instances: cmp.Or(c.Instances, c.Hosts), Known: c.Hosts})
+	p, err := Begin(Start{Program: c.Program, Dir: c.Dir, Name: name, Discovery: s.Addr, Operator: c.Operator, Classes: 3, Instances: cmp.Or(c.Instances, c.Hosts), Known: c.Hosts, Control: c.Operators})
 	if err != nil {
 		s.Close()
 		return nil, err
--- a/internal/lab/gauge/gauge_test.go
+++ b/internal/lab/gauge/gauge_test.go
@@ -58,6 +58,9 @@
 		got.Changed == 0 || got.Half <= 0 || got.Worst < got.Half {
 		t.Errorf("%+v", got)
 	}
+	if _, err := (Control{Program: os.Args[0], Dir: t.TempDir(), Hosts: 1, Processes: 1, Windows: 1, Operators: true, Operator: "[audit]\n[state]\ndir = \"{dir}/state\"\n"}).Measure(t.Context()); err != nil {
+		t.Errorf("with an audit: %v", err)
+	}
 	stopped, stop := context.WithCancel(t.Context())
 	stop()
 	if _, err := (Control{Program: os.Args[0], Dir: t.TempDir(), Hosts: 1, Processes: 1, Settle: time.Hour}).Measure(stopped); !errors.Is(err, context.Canceled) {
--- a/internal/lab/gauge/process.go
+++ b/internal/lab/gauge/process.go
@@ -31,7 +31,7 @@
 	Dir       string // for its files
 	Name      string
 	Discovery string
-	Operator  string // the operator's file; "" is none
+	Operator  string // the operator's file, in which {dir} is a directory of the sidecar's own; "" is none
 	Known     int    // hosts that its configuration names
 	Classes   int    // of its settings
 	Instances int    // that it is told of
@@ -70,7 +70,7 @@
 	p.cmd = exec.Command(s.Program)
 	if s.Operator != "" {
 		path := filepath.Join(s.Dir, s.Name+".toml")
-		if err := os.WriteFile(path, []byte(s.Operator), filesMode); err != nil {
+		if err := os.WriteFile(path, []byte(strings.ReplaceAll(s.Operator, "{dir}", s.Dir)), filesMode); err != nil {
 			return nil, fmt.Errorf("gauge: %w", err)
 		}
 		p.cmd.Args = append(p.cmd.Args, "--config="+path)
