End a slope at a knee that the plan names, and not fit a line through it

Need: the list service's delays leave their line beyond 1,700 sidecars, and a fit through that says 18 s for 11.4 s measured.

A row's upto leaves out lines above a number, and its table says so.

--- a/internal/lab/slope/fit.go
+++ b/internal/lab/slope/fit.go
@@ -17,9 +17,10 @@
 
 // Question is what is to be fitted: cost = fixed + slope x key + slope x key + ...
 type Question struct {
-	Where map[string]string // words that lines must have
-	Cost  string            // the key of what is explained
-	Per   []string          // the keys of what explains it, and products of them: "hosts*changes_per_s" after both
+	Where map[string]string  // words that lines must have
+	Upto  map[string]float64 // numbers that lines must not be above, where a knee is: a line is not fitted through one
+	Cost  string             // the key of what is explained
+	Per   []string           // the keys of what explains it, and products of them: "hosts*changes_per_s" after both
 }
 
 // Fit is an answer. Residuals are measured less fitted, in the cost's unit; shares are of what was measured.
@@ -48,7 +49,7 @@
 		columns = append(columns, nil)
 	}
 	for _, l := range lines {
-		if !l.has(q.Where) {
+		if !l.has(q.Where) || l.beyond(q.Upto) {
 			continue
 		}
 		cost, err := l.number(q.Cost)
--- a/internal/lab/slope/fit_test.go
+++ b/internal/lab/slope/fit_test.go
@@ -72,7 +72,7 @@
 		for j, least := range []float64{0.5, 1, 2} { // each size has each rate of these at least
 			hosts, changes, ones, cost = append(hosts, first), append(changes, least), append(ones, 1), append(cost, float64(j))
 		}
-		f, err := Question{map[string]string{"what": "x"}, "cost", []string{"hosts", "changes"}}.Fit(lines(hosts, changes, cost))
+		f, err := Question{Where: map[string]string{"what": "x"}, Cost: "cost", Per: []string{"hosts", "changes"}}.Fit(lines(hosts, changes, cost))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -103,7 +103,7 @@
 			hosts, changes = append(hosts, first*math.Pow(2, float64(i))), append(changes, 0)
 			cost = append(cost, fixed+slope*hosts[i])
 		}
-		f, err := Question{nil, "cost", []string{"hosts"}}.Fit(lines(hosts, changes, cost))
+		f, err := Question{Cost: "cost", Per: []string{"hosts"}}.Fit(lines(hosts, changes, cost))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -124,7 +124,7 @@
 			hosts, changes, cost = append(hosts, h), append(changes, c), append(cost, 7+2*h+3*c+0.5*h*c)
 		}
 	}
-	f, err := Question{nil, "cost", []string{"hosts", "changes", "hosts*changes"}}.Fit(lines(hosts, changes, cost))
+	f, err := Question{Cost: "cost", Per: []string{"hosts", "changes", "hosts*changes"}}.Fit(lines(hosts, changes, cost))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -133,6 +133,19 @@
 	}
 }
 
+// TestFitEndsAtAKnee guards against a line that is fitted through a knee.
+func TestFitEndsAtAKnee(t *testing.T) {
+	hosts := []float64{10, 20, 40, 80}
+	q := Question{Upto: map[string]float64{"hosts": 40}, Cost: "cost", Per: []string{"hosts"}}
+	f, err := q.Fit(lines(hosts, make([]float64, 4), []float64{11, 21, 41, 1000}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if is, stretch := f.At(map[string]float64{"hosts": 80}); math.Abs(is-81) > 1e-6 || stretch != 2 || f.Points != 3 {
+		t.Errorf("%v stretched by %v: %+v", is, stretch, f)
+	}
+}
+
 // TestFitRefuses guards against slopes through too few sizes, sizes that do not double, and what is no number; each error names its key.
 func TestFitRefuses(t *testing.T) {
 	three, none := []float64{1, 2, 4, 4}, []float64{0, 0, 0, 0}
@@ -154,7 +167,7 @@
 		"in step":         {lines([]float64{1, 2, 4, 4}, []float64{2, 4, 8, 8}, three), []string{"hosts", "changes"}, "changes: grows in step"},
 		"as many points":  {lines(three[:3], []float64{4, 1, 2}, three[:3]), []string{"hosts", "changes"}, "leave nothing over"},
 	} {
-		_, err := Question{map[string]string{"what": "x"}, "cost", c.per}.Fit(c.lines)
+		_, err := Question{Where: map[string]string{"what": "x"}, Cost: "cost", Per: c.per}.Fit(c.lines)
 		if err == nil || !strings.Contains(err.Error(), c.says) {
 			t.Errorf("%s: %v, want %q", what, err, c.says)
 		}
--- a/internal/lab/slope/line.go
+++ b/internal/lab/slope/line.go
@@ -59,6 +59,16 @@
 	return true
 }
 
+// beyond tells whether one of a line's numbers is above its bound.
+func (l *Line) beyond(bounds map[string]float64) bool {
+	for key, most := range bounds {
+		if l.numbers[key] > most {
+			return true
+		}
+	}
+	return false
+}
+
 // number is what stands under a key, which can't be less than 0.
 func (l *Line) number(key string) (float64, error) {
 	v, ok := l.numbers[key]
--- a/internal/lab/slope/page_test.go
+++ b/internal/lab/slope/page_test.go
@@ -90,6 +90,7 @@
 		{`at = { hosts = 100 }`, `at = { hosts = 1, beds = 1 }`, "beds is not in per"},
 		{`per = ["hosts"]`, `per = ["hosts*hosts", "hosts"]`, "table[0].row[0].per: hosts*hosts needs hosts before"},
 		{`per = ["hosts"]`, `per = []`, "table[0].row[0].per"},
+		{`limit = 150`, `upto = { beds = 1 }`, "table[0].row[0].upto: beds is not in per"},
 		{`cost = "cost"`, ``, "table[0].row[0].cost"},
 		{`file = "a.jsonl"`, `file = "../a.jsonl"`, "table[0].row[0].file"},
 		{`assumed = ["hosts"]`, `assumed = ["beds"]`, "table[0].row[0].assumed"},
@@ -145,7 +146,7 @@
 {"scenario":"rest","paced":false,"sidecars":200,"hosts":12,"changes_per_s":0,"calls_per_s":200,"in_force_last_ms":0}
 {"scenario":"rest","paced":false,"sidecars":400,"hosts":12,"changes_per_s":0,"calls_per_s":400,"in_force_last_ms":0}
 `
-	f, err := Question{map[string]string{"scenario": "rest", "paced": "false", "hosts": "12"}, "calls_per_s", []string{"sidecars"}}.Fit(parsed(t, scaled))
+	f, err := Question{Where: map[string]string{"scenario": "rest", "paced": "false", "hosts": "12"}, Cost: "calls_per_s", Per: []string{"sidecars"}}.Fit(parsed(t, scaled))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/lab/slope/table.go
+++ b/internal/lab/slope/table.go
@@ -26,6 +26,7 @@
 	Role    string             // whose, and when
 	File    string             // of lines, beside the plan
 	Where   map[string]string  // words and numbers that lines must have
+	Upto    map[string]float64 // numbers that lines must not be above, for a knee
 	Cost    string             // the key of what is explained
 	Unit    string             // as the page words it
 	Per     []string           // the keys of what explains it, and products of them
@@ -85,6 +86,11 @@
 	case !(r.Times >= 0) || math.IsInf(r.Times, 0):
 		return "times", "must be 0 or more"
 	}
+	for key := range r.Upto {
+		if !slices.Contains(r.Per, key) {
+			return "upto", key + " is not in per"
+		}
+	}
 	for i, key := range r.Per {
 		for _, one := range factors(key) {
 			at, ok := r.At[one]
@@ -142,7 +148,7 @@
 	if !ok {
 		return "", Fit{}, fmt.Errorf("file: no results %s", r.File)
 	}
-	fit, err := Question{r.Where, r.Cost, r.Per}.Fit(lines)
+	fit, err := Question{Where: r.Where, Upto: r.Upto, Cost: r.Cost, Per: r.Per}.Fit(lines)
 	if err != nil {
 		return "", fit, err
 	}
@@ -162,7 +168,11 @@
 		}
 		equation += fmt.Sprintf(" %s %s x %s", sign, figure(math.Abs(fit.Slopes[i])), strings.Join(factors(key), " x "))
 		if !product(key) {
-			sizes = append(sizes, key+" "+join(fit.Sizes[i]))
+			measured := key + " " + join(fit.Sizes[i])
+			if _, knee := r.Upto[key]; knee {
+				measured += " (beyond is a knee)"
+			}
+			sizes = append(sizes, measured)
 			at = append(at, fmt.Sprintf("%s %s", key, figure(r.At[key])))
 		}
 	}
