Spare an idle upstream connection its reader, and a look its allocations

Change: an idle connection's reader (2 KiB) goes back to a pool, so that the one in use was used just now; a look keeps its buffer and closure (909 to 790 ns, 3 allocations to 1: BenchmarkLook); a message without a body has no deadline for reading taken off that net/http has taken off already; numbers of a request's head are appended without fmt.

--- a/internal/downstream/message.go
+++ b/internal/downstream/message.go
@@ -122,8 +122,10 @@
 		}
 		return res, nil
 	}
-	_ = http.NewResponseController(w).SetReadDeadline(time.Time{}) // a body that was read to its length has no end
-	late := time.Since(req.Arrived)                                // the client's time runs from the message's last byte
+	if r.ContentLength != 0 { // a body that was read to its length has no end
+		_ = http.NewResponseController(w).SetReadDeadline(time.Time{})
+	}
+	late := time.Since(req.Arrived) // the client's time runs from the message's last byte
 	req.Arrived, req.Deadline = req.Arrived.Add(late), req.Deadline.Add(late)
 	return s.serve(r, req), nil
 }
--- a/internal/peek/peek.go
+++ b/internal/peek/peek.go
@@ -3,6 +3,7 @@
 
 import (
 	"net"
+	"sync"
 	"syscall"
 
 	"golang.org/x/sys/unix"
@@ -21,19 +22,34 @@
 
 // Look is one call to the kernel.
 func Look(conn net.Conn) State {
-	state := Ended
-	if !control(conn, func(fd uintptr) {
-		var one [1]byte
-		switch n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
-		case err == syscall.EAGAIN || err == syscall.EINTR:
-			state = Silent
-		case n > 0:
-			state = Unread
-		}
-	}) {
+	l := lookers.Get().(*looker)
+	defer lookers.Put(l)
+	if l.state = Ended; !control(conn, l.look) {
 		return Unseen
 	}
-	return state
+	return l.state
+}
+
+// looker spares a look what it would allocate.
+type looker struct {
+	state State
+	one   [1]byte
+	look  func(fd uintptr)
+}
+
+var lookers = sync.Pool{New: func() any {
+	l := &looker{}
+	l.look = l.peek
+	return l
+}}
+
+func (l *looker) peek(fd uintptr) {
+	switch n, _, err := syscall.Recvfrom(int(fd), l.one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT); {
+	case err == syscall.EAGAIN || err == syscall.EINTR:
+		l.state = Silent
+	case n > 0:
+		l.state = Unread
+	}
 }
 
 // Left tells whether the other side has closed the connection, or its sending, also behind bytes that are not read yet.
--- a/internal/peek/peek_test.go
+++ b/internal/peek/peek_test.go
@@ -57,3 +57,23 @@
 		t.Error("one of which nothing can be seen shows something")
 	}
 }
+
+// BenchmarkLook is what a look costs: there are two in an attempt.
+func BenchmarkLook(b *testing.B) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer l.Close()
+	there, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer there.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		if Look(there) != Silent {
+			b.Fatal("it is not silent")
+		}
+	}
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -11,6 +11,8 @@
 	"net/http"
 	"os"
 	"slices"
+	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,7 +44,7 @@
 	way       time.Duration // there and back, as its opening took
 
 	limit *io.LimitedReader // HTTP: what may still come of the present heads
-	in    *bufio.Reader     // HTTP
+	in    *bufio.Reader     // HTTP, from a request's answer on; nil: nothing is read ahead
 	pace  pacing            // HTTP
 	seq   int32             // Thrift: of the last call
 }
@@ -51,11 +53,22 @@
 	c := &conn{Conn: nc, host: id, addr: addr, use: use}
 	if use.protocol == "" {
 		c.limit = &io.LimitedReader{R: (*paced)(c)}
-		c.in = bufio.NewReaderSize(c.limit, 2<<10)
 	}
 	return c
 }
 
+// readers are for connections that are in use: most are idle, and a reader that was used just now is in the processor's cache.
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 2<<10) }}
+
+// rests has a connection that becomes idle give its reader back, unless more has come than was asked for.
+func (c *conn) rests() {
+	if c.in != nil && c.in.Buffered() == 0 {
+		c.in.Reset(nil)
+		readers.Put(c.in)
+		c.in = nil
+	}
+}
+
 // quiet tells whether the other side has neither closed an idle connection nor said anything on it.
 func (c *conn) quiet() bool {
 	return (c.in == nil || c.in.Buffered() == 0) && peek.Look(c.Conn) == peek.Silent
@@ -113,6 +126,10 @@
 // answer has begun it waits for each piece of it so long and no longer, as one that stops half-way will not go on.
 // Answers are filled in and not passed up: each attempt has a goroutine of its own, whose stack would have to grow for them.
 func (c *conn) read(ctx context.Context, until time.Time, a *answer) error {
+	if c.in == nil {
+		c.in = readers.Get().(*bufio.Reader)
+		c.in.Reset(c.limit)
+	}
 	c.limit.N = headMost
 	c.pace.ctx, c.pace.until, c.pace.piece, c.pace.begun = ctx, until, pieceIn, false
 	for {
@@ -197,7 +214,7 @@
 	b = append(b, req.Authority...)
 	b = header(b, "X-Txn", req.Txn)
 	b = header(b, "X-Lane", req.ClassName)
-	b = fmt.Appendf(b, "\r\nX-Remaining-Ms: %d", max(1, left.Milliseconds()))
+	b = number(b, "X-Remaining-Ms", max(1, left.Milliseconds()))
 	b = header(b, "Idempotency-Key", req.Key)
 	b = header(b, "X-Org", req.Org)
 	b = header(b, "X-Labels", req.Labels)
@@ -212,9 +229,9 @@
 		b = append(b, "\r\n\r\n"...)
 		return chunk(b, req.Body)
 	case req.Upload != nil:
-		b = fmt.Appendf(b, "\r\nContent-Length: %d", req.Upload.Length)
+		b = number(b, "Content-Length", req.Upload.Length)
 	case len(req.Body) > 0 || req.Operation == http.MethodPost:
-		b = fmt.Appendf(b, "\r\nContent-Length: %d", len(req.Body))
+		b = number(b, "Content-Length", int64(len(req.Body)))
 	}
 	b = append(b, "\r\n\r\n"...)
 	return append(b, req.Body...)
@@ -239,3 +256,10 @@
 	b = append(b, ": "...)
 	return append(b, value...)
 }
+
+func number(b []byte, name string, value int64) []byte {
+	b = append(b, "\r\n"...)
+	b = append(b, name...)
+	b = append(b, ": "...)
+	return strconv.AppendInt(b, value, 10)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -286,6 +286,7 @@
 
 // put makes a connection idle, unless its host is gone or has moved meanwhile.
 func (p *Pool) put(c *conn) {
+	c.rests()
 	p.mu.Lock()
 	h := p.hosts[c.host]
 	if h == nil || h.addr != c.addr {
