Read figures of objects within a line of results, by dotted names

docs/capacity/distributed.jsonl has its times in objects (hollow.last_ms), which the reader of internal/lab/slope passed over, so that no table of CAPACITY could be made of it. An object's figures and words now go by both keys, at any depth; lists are left out as before. TestParseNested holds that; the tables that were there come out as they were (TestPageIsTrue).

--- a/internal/lab/slope/fit_test.go
+++ b/internal/lab/slope/fit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"math/big"
 	"strings"
@@ -189,3 +190,26 @@
 		t.Error("lines are not told apart by their words and numbers")
 	}
 }
+
+// TestParseNested guards against figures of an object within a line that are passed over, or taken for those of the line itself.
+func TestParseNested(t *testing.T) {
+	const text = `{"n":1,"hollow":{"n":2,"p50_ms":61.5,"why":"x","late":true,"of":{"n":3}},"sidecars":{"n":4,"p50_ms":7},"list":[{"n":5}],"none":null}`
+	got, err := Parse("a.jsonl", []byte(text))
+	if err != nil || len(got) != 1 {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	numbers := map[string]float64{"n": 1, "hollow.n": 2, "hollow.p50_ms": 61.5, "hollow.of.n": 3, "sidecars.n": 4, "sidecars.p50_ms": 7}
+	words := map[string]string{"hollow.why": "x", "hollow.late": "true"}
+	if !maps.Equal(got[0].numbers, numbers) || !maps.Equal(got[0].words, words) {
+		t.Errorf("%+v", got[0])
+	}
+	if v, err := got[0].number("hollow.p50_ms"); err != nil || v != 61.5 {
+		t.Errorf("%v, %v", v, err)
+	}
+	if _, err := got[0].number("hollow.p99_ms"); err == nil || !strings.Contains(err.Error(), "a.jsonl:1: hollow.p99_ms is missing") {
+		t.Errorf("of a figure that is not there: %v", err)
+	}
+	if !got[0].has(map[string]string{"hollow.n": "2"}) || got[0].has(map[string]string{"hollow.n": "1"}) {
+		t.Error("lines are not told apart by what is in their objects")
+	}
+}
--- a/internal/lab/slope/line.go
+++ b/internal/lab/slope/line.go
@@ -10,7 +10,7 @@
 	"math"
 )
 
-// Line is one measurement: a JSON object's numbers and words by key.
+// Line is one measurement: a JSON object's numbers and words by key. What an object within it has goes by both keys, "hollow.p50_ms".
 type Line struct {
 	at      string // its file and line, for errors
 	numbers map[string]float64
@@ -30,21 +30,28 @@
 			return nil, fmt.Errorf("slope: %s:%d: %w", name, i+1, err)
 		}
 		l := Line{at: fmt.Sprintf("%s:%d", name, i+1), numbers: map[string]float64{}, words: map[string]string{}}
-		for key, v := range all {
-			switch v := v.(type) {
-			case float64:
-				l.numbers[key] = v
-			case string:
-				l.words[key] = v
-			case bool:
-				l.words[key] = fmt.Sprint(v)
-			}
-		}
+		l.take("", all)
 		out = append(out, l)
 	}
 	return out, nil
 }
 
+// take notes what an object has, under its keys after the prefix.
+func (l *Line) take(prefix string, object map[string]any) {
+	for key, v := range object {
+		switch key = prefix + key; v := v.(type) {
+		case float64:
+			l.numbers[key] = v
+		case string:
+			l.words[key] = v
+		case bool:
+			l.words[key] = fmt.Sprint(v)
+		case map[string]any:
+			l.take(key+".", v)
+		}
+	}
+}
+
 // has tells whether a line has those words. Of a number it is the shortest form that counts.
 func (l *Line) has(words map[string]string) bool {
 	for key, want := range words {
