Bring CAPACITY up to date with settings through distributors, and what following costs

The page was written before settings were distributed: it said that nothing carries them. It now has a table fitted from docs/capacity/distributed.jsonl (pinelab distribute, 100 to 1,700 hollow followers), and three rows of processes that follow settings beside such that don't, measured for it; limits, failures, the five machines and a ranking for later are brought to that. The ranking that was written before building stays as it was.

--- a/docs/capacity/measure.sh
+++ b/docs/capacity/measure.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Measures all slopes of docs/CAPACITY.md anew, in some 20 minutes on eight cores, and writes its tables. Lines are appended to files
-# in this directory: remove the old ones first, where only the new are to count. The list service's own are measured by pinelab hollow.
+# Measures the slopes of docs/CAPACITY.md anew, in some 20 minutes on eight cores and 6 for distributors, and writes its tables. Lines
+# are appended to files in this directory (distributed.jsonl is written anew): remove the old ones first, where only the new are to
+# count. The list service's own are measured by pinelab scale, with the commands in slopes.toml.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 out=docs/capacity
@@ -21,6 +22,14 @@
 bin/pinelab slopes control --hosts 106,212,425,850,1700 --repeat 2 --beside 5 --mode plain --out $out/control.jsonl &
 bin/pinelab slopes control --hosts 106,212,425,850,1700 --repeat 2 --beside 5 --operators --operator $out/audited.toml --mode audited --out $out/control.jsonl
 wait
+bin/pinelb distribute $out/distributor.toml &
+distributor=$!
+trap 'kill "$distributor" || true' EXIT
+bin/pinelab slopes control --hosts 12 --processes 1,2,4 --repeat 2 --beside 3 --mode beside-plain --out $out/control.jsonl &
+plain=$!
+bin/pinelab slopes control --hosts 12 --processes 1,2,4 --repeat 2 --beside 3 --operator $out/followed.toml --mode beside-following --out $out/control.jsonl
+wait $plain
+bin/pinelab distribute --out $out/distributed.jsonl
 bin/pinelab slopes audit --out $out/audit.jsonl
 bin/pinelab slopes audit --sidecars 1 --stand-ins 212 --trail 2m --repeat 1 --out $out/trails.jsonl
 bin/pinelab slopes audit --sidecars 1 --stand-ins 212 --trail 4m --repeat 1 --out $out/trails.jsonl
