--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -46,6 +46,7 @@
 
 	discoveryStream = 2 // of the random numbers that the seed gives, the one that spreads calls to discovery
 	auditStream     = 3 // and the one that spreads what a floor wants
+	settingsStream  = 4 // and the one that spreads calls to distributors
 )
 
 // newLog is the sidecar's log, as JSON lines.
@@ -126,7 +127,7 @@
 		streams.Effects = effects.New(int(memory / part / effectBytes))
 	}
 	if op.Budget != nil {
-		streams.Budget = stream.NewBudget(op.Budget.Books(set), cfg.Seed, aims(set), log)
+		streams.Budget = stream.NewBudget(op.Budget.Accounts(set), cfg.Seed, aims(set), log)
 	}
 	side := downstream.NewSide(set, memory/bodiesPart, sockets-sockets/2, log)
 	srv := downstream.New(set, side, streams, log)
@@ -134,7 +135,7 @@
 	var overThrift *stream.Proxy
 	if op.Thrift != nil {
 		overThrift = thriftProxy(op.Thrift, eng, pool, log)
-		overThrift.Budget = streams.Budget // one purse; a call carries nothing either way
+		overThrift.Budget = streams.Budget // one retry budget; a call carries nothing either way
 		overThrift.Effects = streams.Effects
 	}
 	if rec != nil {
@@ -146,7 +147,7 @@
 	}
 	tuned := &tuning{cfg: cfg, op: op, eng: eng, pool: pool, side: side, table: table, budget: streams.Budget, rec: rec,
 		reclass: []func(*config.Settings){srv.Reclass}, log: log}
-	next := &succession{classes: tuned.classes, table: table, eng: eng, former: follow(cfg, log), effects: streams.Effects, log: log}
+	next := &succession{classes: tuned.classes, inForce: tuned.handed, table: table, eng: eng, former: formerOf(cfg, log), effects: streams.Effects, log: log}
 	shares := &bounds{memory: memory, sockets: sockets, pool: pool, side: side, eng: eng}
 	if next.former != nil {
 		shares.beside(1) // before what it hands over, which is its part already
@@ -226,8 +227,10 @@
 	next.wait(cfg, fronts, side, shares)
 	var served sync.WaitGroup
 	defer served.Wait()
+	settled := tuned.watched(life, op.Settings, next.published())
 	ready := sync.OnceFunc(func() {
 		served.Go(func() {
+			<-settled // soon
 			next.serves(life, func() {
 				close(up)
 				srv.Ready()
--- a/internal/lab/slope/table.go
+++ b/internal/lab/slope/table.go
@@ -26,12 +26,14 @@
 	Role    string             // whose, and when
 	File    string             // of lines, beside the plan
 	Where   map[string]string  // words and numbers that lines must have
+	Upto    map[string]float64 // numbers that lines must not be above, for a knee
 	Cost    string             // the key of what is explained
 	Unit    string             // as the page words it
 	Per     []string           // the keys of what explains it, and products of them
 	At      map[string]float64 // where it is asked for
 	Times   float64            // of what one takes; a service's that so many ask; 0 is 1
 	Limit   float64            // in the unit; 0 is none
+	By      string             // the command that measures it again, of lines that don't name theirs
 	Assumed []string           // keys of At that nobody has measured: the answer is given at half and twice, too
 }
 
@@ -84,6 +86,11 @@
 	case !(r.Times >= 0) || math.IsInf(r.Times, 0):
 		return "times", "must be 0 or more"
 	}
+	for key := range r.Upto {
+		if !slices.Contains(r.Per, key) {
+			return "upto", key + " is not in per"
+		}
+	}
 	for i, key := range r.Per {
 		for _, one := range factors(key) {
 			at, ok := r.At[one]
@@ -141,10 +148,16 @@
 	if !ok {
 		return "", Fit{}, fmt.Errorf("file: no results %s", r.File)
 	}
-	fit, err := Question{r.Where, r.Cost, r.Per}.Fit(lines)
+	fit, err := Question{Where: r.Where, Upto: r.Upto, Cost: r.Cost, Per: r.Per}.Fit(lines)
 	if err != nil {
 		return "", fit, err
 	}
+	if r.By != "" {
+		fit.Commands = append(fit.Commands, r.By)
+	}
+	if len(fit.Commands) == 0 {
+		return "", fit, fmt.Errorf("by: is missing, and no line names its command")
+	}
 	is, stretch := r.at(&fit, 1)
 	equation := figure(fit.Fixed)
 	var sizes, at []string
@@ -155,7 +168,11 @@
 		}
 		equation += fmt.Sprintf(" %s %s x %s", sign, figure(math.Abs(fit.Slopes[i])), strings.Join(factors(key), " x "))
 		if !product(key) {
-			sizes = append(sizes, key+" "+join(fit.Sizes[i]))
+			measured := key + " " + join(fit.Sizes[i])
+			if _, knee := r.Upto[key]; knee {
+				measured += " (beyond is a knee)"
+			}
+			sizes = append(sizes, measured)
 			at = append(at, fmt.Sprintf("%s %s", key, figure(r.At[key])))
 		}
 	}
