--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -50,6 +50,9 @@
 	if len(args) == 0 { // as the platform starts it: what the parser allocates is spared
 		return sidecar("", hups)
 	}
+	if args[0] == "router" {
+		return runRouter(args, hups)
+	}
 	var line commandLine
 	parser, err := kong.New(&line, kong.Name("pinelb"), kong.Description(
 		"A load-balancing sidecar. Without a command it serves; --config=FILE then names the operator's file."))
--- /dev/null
+++ b/internal/fleet/config/state.go
@@ -0,0 +1,127 @@
+package config
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"fmt"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// rememberedOrders is how many of the last orders' digests a state keeps, so that an order that is sent again is known.
+const rememberedOrders = 1024
+
+// Order is one change of the configuration, as the operator sent it.
+type Order struct {
+	Replace bool   `cbor:"1,keyasint"` // a whole configuration; else a change of named items
+	Base    int64  `cbor:"2,keyasint"` // the version that it builds on
+	Body    []byte `cbor:"3,keyasint"`
+}
+
+// OrderDigest identifies an order by its content.
+type OrderDigest [16]byte
+
+// Digest identifies the order.
+func (o *Order) Digest() OrderDigest {
+	hash := sha256.New()
+	var head [9]byte
+	if o.Replace {
+		head[0] = 1
+	}
+	binary.BigEndian.PutUint64(head[1:], uint64(o.Base))
+	hash.Write(head[:])
+	hash.Write(o.Body)
+	return OrderDigest(hash.Sum(nil)[:16])
+}
+
+// Encode writes the order as it is replicated.
+func (o *Order) Encode() ([]byte, error) {
+	text, err := cbor.Marshal(o)
+	if err != nil {
+		return nil, fmt.Errorf("config: order: %w", err)
+	}
+	return text, nil
+}
+
+// DecodeOrder reads what Encode wrote.
+func DecodeOrder(text []byte) (*Order, error) {
+	var o Order
+	if err := cbor.Unmarshal(text, &o); err != nil {
+		return nil, fmt.Errorf("config: order: %w", err)
+	}
+	return &o, nil
+}
+
+// State is what is replicated: the configuration and the last orders that made it. It is never changed.
+type State struct {
+	Document *Document
+	orders   []OrderDigest // the last one last
+}
+
+// EmptyState is what is replicated before the first order.
+func EmptyState() *State { return &State{Document: EmptyDocument()} }
+
+// Taken tells whether an order is among the last that were taken.
+func (s *State) Taken(digest OrderDigest) bool { return slices.Contains(s.orders, digest) }
+
+// Apply returns the state after an order. It does not check the order against the present version.
+func (s *State) Apply(o *Order) (*State, error) {
+	document, err := s.documentAfter(o)
+	if err != nil {
+		return nil, err
+	}
+	kept := s.orders[max(0, len(s.orders)-rememberedOrders+1):]
+	orders := make([]OrderDigest, 0, len(kept)+1)
+	orders = append(append(orders, kept...), o.Digest())
+	return &State{Document: document, orders: orders}, nil
+}
+
+func (s *State) documentAfter(o *Order) (*Document, error) {
+	if o.Replace {
+		return ParseDocument(o.Body)
+	}
+	patch, err := ParsePatch(o.Body)
+	if err != nil {
+		return nil, err
+	}
+	return s.Document.Apply(patch)
+}
+
+// encodedState is a state as it is replicated whole.
+type encodedState struct {
+	Document []byte `cbor:"1,keyasint"`
+	Orders   []byte `cbor:"2,keyasint"`
+}
+
+// Encode writes the state.
+func (s *State) Encode() ([]byte, error) {
+	e := encodedState{Document: s.Document.Encode()}
+	for _, digest := range s.orders {
+		e.Orders = append(e.Orders, digest[:]...)
+	}
+	text, err := cbor.Marshal(&e)
+	if err != nil {
+		return nil, fmt.Errorf("config: state: %w", err)
+	}
+	return text, nil
+}
+
+// DecodeState reads what Encode wrote.
+func DecodeState(text []byte) (*State, error) {
+	var e encodedState
+	if err := cbor.Unmarshal(text, &e); err != nil {
+		return nil, fmt.Errorf("config: state: %w", err)
+	}
+	document, err := ParseDocument(e.Document)
+	if err != nil {
+		return nil, err
+	}
+	s := &State{Document: document}
+	for digest := range slices.Chunk(e.Orders, len(OrderDigest{})) {
+		if len(digest) == len(OrderDigest{}) {
+			s.orders = append(s.orders, OrderDigest(digest))
+		}
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/fleet/dissemination/feed.go
@@ -0,0 +1,120 @@
+package dissemination
+
+import (
+	"fmt"
+	"time"
+
+	"pinelb.example/pinelb/internal/fleet/config"
+)
+
+// ordersKept is how many of the last orders a router holds, for others that are a little behind.
+const ordersKept = 64
+
+// Feed is the configuration that a router acts on, and until when it surely was the newest.
+type Feed struct {
+	Sequence uint64
+	Table    *config.Table // nil: none is held
+
+	fresh   bool
+	freshAt time.Duration
+	orders  [][]byte // the last ones, up to Sequence
+}
+
+// FreshAt is a moment at which no newer configuration had been acknowledged. ok is false where none is known.
+func (f *Feed) FreshAt() (at time.Duration, ok bool) { return f.freshAt, f.fresh && f.Table != nil }
+
+// Renew notes that the configuration of a sequence was the newest at a moment.
+func (f *Feed) Renew(sequence uint64, at time.Duration) {
+	if f.Table == nil || f.Sequence < sequence {
+		return
+	}
+	if !f.fresh || f.freshAt < at {
+		f.fresh, f.freshAt = true, at
+	}
+}
+
+// Set takes a configuration over whose table is known. order made it of the one before; nil: not known.
+func (f *Feed) Set(sequence uint64, table *config.Table, order []byte) {
+	if f.Table != nil && sequence <= f.Sequence {
+		return
+	}
+	if order != nil && sequence == f.Sequence+1 {
+		f.keep(order)
+	} else {
+		f.orders = nil
+	}
+	f.Sequence, f.Table = sequence, table
+}
+
+func (f *Feed) keep(order []byte) {
+	f.orders = append(f.orders, order)
+	if len(f.orders) > ordersKept {
+		f.orders = append([][]byte(nil), f.orders[len(f.orders)-ordersKept:]...)
+	}
+}
+
+// Apply takes over the configuration of a sequence by the order that made it of the one before. It returns false where
+// the one before is not held.
+func (f *Feed) Apply(sequence uint64, encoded []byte) (bool, error) {
+	if f.Table == nil || sequence != f.Sequence+1 {
+		return false, nil
+	}
+	order, err := config.DecodeOrder(encoded)
+	if err != nil {
+		return false, err
+	}
+	state, err := (&config.State{Document: f.Table.Document}).Apply(order)
+	if err != nil {
+		return false, err
+	}
+	table, err := config.NewTable(state.Document, f.Table)
+	if err != nil {
+		return false, err
+	}
+	f.Set(sequence, table, encoded)
+	return true, nil
+}
+
+// Fetch answers a router that holds the configuration of a sequence.
+func (f *Feed) Fetch(request FetchRequest) (FetchReply, error) {
+	if f.Table == nil {
+		return FetchReply{}, fmt.Errorf("dissemination: no configuration is held")
+	}
+	reply := FetchReply{Sequence: f.Sequence}
+	behind := int(f.Sequence - min(f.Sequence, request.After))
+	if request.After > 0 && behind <= len(f.orders) {
+		reply.Orders = f.orders[len(f.orders)-behind:]
+		return reply, nil
+	}
+	reply.Document = f.Table.Document.Encode()
+	return reply, nil
+}
+
+// Take takes over what another router answered. It returns false where nothing was new.
+func (f *Feed) Take(reply FetchReply) (bool, error) {
+	if f.Table != nil && reply.Sequence <= f.Sequence {
+		return false, nil
+	}
+	if reply.Document != nil {
+		document, err := config.ParseDocument(reply.Document)
+		if err != nil {
+			return false, err
+		}
+		table, err := config.NewTable(document, f.Table)
+		if err != nil {
+			return false, err
+		}
+		f.Set(reply.Sequence, table, nil)
+		return true, nil
+	}
+	first := reply.Sequence - uint64(len(reply.Orders)) + 1
+	changed := false
+	for i, order := range reply.Orders {
+		applied, err := f.Apply(first+uint64(i), order)
+		if err != nil {
+			return changed, err
+		}
+		changed = changed || applied
+	}
+	return changed, nil
+}
--- /dev/null
+++ b/internal/fleet/dissemination/node.go
@@ -0,0 +1,338 @@
+// Package dissemination spreads what all routers have to know: the configuration and how fresh it is, the endpoints, and
+// the routers themselves. What is new is pushed at once; what a push missed is found by comparing digests with one
+// router after another (epidemic algorithms: Demers et al., 1987). It is pure: no I/O, no clock.
+package dissemination
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pinelb.example/pinelb/internal/fleet/config"
+	"pinelb.example/pinelb/internal/fleet/membership"
+	"pinelb.example/pinelb/internal/fleet/registry"
+)
+
+const (
+	directMost   = 24  // routers up to which news go to all at once, and are not passed on
+	fanout       = 4   // routers that news go to in larger fleets
+	hopsMost     = 8   // how often news are passed on
+	itemsMost    = 7   // members or endpoints in one message
+	orderMost    = 900 // bytes of an order that is sent with the news of it
+	roundsKept   = 8   // questions that may still be answered
+	forgetAfter  = 60 * time.Second
+	silentBeats  = 4 // heartbeats after which an endpoint has lapsed
+	lapseEvery   = 500 * time.Millisecond
+	strangerOdds = 8 // one in so many pulls goes to a router that is thought dead, or a seed: partitions heal so
+)
+
+// PullEvery is the time between a router's pulls.
+const PullEvery = 500 * time.Millisecond
+
+// Outgoing is a message to be sent.
+type Outgoing struct {
+	To      string
+	Message any
+}
+
+// Output is what a step wants done.
+type Output struct {
+	Send  []Outgoing
+	Fetch string // the router to fetch the configuration from; empty: none
+}
+
+// Options are a node's surroundings.
+type Options struct {
+	Self           membership.Member
+	Seeds          []string // internal addresses
+	HeartbeatEvery time.Duration
+	Timing         membership.Timing
+	Random         *rand.Rand
+}
+
+// Node is one router's part. Its methods are not safe for concurrent use.
+type Node struct {
+	Members  *membership.List
+	Registry *registry.Table
+	Feed     Feed
+
+	options   Options
+	now       time.Duration
+	out       *Output
+	round     uint64
+	asked     map[uint64]question
+	nextPull  time.Duration
+	nextLapse time.Duration
+	view      uint64
+	primary   string
+	seeds     []string
+}
+
+// question is a pull that may still be answered.
+type question struct {
+	to string
+	at time.Duration
+}
+
+// New returns a node that knows itself and its seeds.
+func New(now time.Duration, options Options) *Node {
+	return &Node{
+		Members: membership.New(now, options.Self, options.Timing), Registry: registry.New(),
+		options: options, asked: map[uint64]question{}, seeds: options.Seeds,
+	}
+}
+
+// SetSeeds exchanges the seeds.
+func (n *Node) SetSeeds(seeds []string) { n.seeds = seeds }
+
+// Primary is the newest view that is known, and its primary's internal address.
+func (n *Node) Primary() (view uint64, address string) { return n.view, n.primary }
+
+// SetView notes a view.
+func (n *Node) SetView(view uint64, primary string) {
+	if view > n.view {
+		n.view, n.primary = view, primary
+	}
+}
+
+func (n *Node) step(now time.Duration) *Output {
+	n.now = now
+	n.out = &Output{}
+	return n.out
+}
+
+func (n *Node) send(to string, message any) {
+	n.out.Send = append(n.out.Send, Outgoing{To: to, Message: message})
+}
+
+// Tick lets time pass.
+func (n *Node) Tick(now time.Duration) *Output {
+	out := n.step(now)
+	beats, dead := n.Members.Tick(now)
+	for _, to := range beats {
+		n.send(to, Beat{})
+	}
+	n.spreadMembers(dead, 0)
+	if now >= n.nextPull {
+		n.nextPull = now + PullEvery*9/10 + time.Duration(n.options.Random.Int64N(int64(PullEvery/5)))
+		n.pull()
+	}
+	if now >= n.nextLapse {
+		n.nextLapse = now + lapseEvery
+		silence := silentBeats * n.options.HeartbeatEvery
+		n.spreadEndpoints(n.Registry.Lapse(now, n.options.Self.Address, silence, n.lives), 0)
+		n.Registry.Forget(now, forgetAfter)
+	}
+	return out
+}
+
+func (n *Node) lives(address string) bool {
+	m, known := n.Members.Lookup(address)
+	return known && m.Status == membership.Alive
+}
+
+// pull asks one router for news: in turn one of the core, where the configuration is freshest, and any.
+func (n *Node) pull() {
+	to := n.choosePeer()
+	if to == "" {
+		return
+	}
+	n.round++
+	n.asked[n.round] = question{to: to, at: n.now}
+	delete(n.asked, n.round-roundsKept)
+	n.send(to, Pull{
+		Self: n.Members.Self(), Round: n.round, Sequence: n.Feed.Sequence, Members: n.Members.Digest(),
+		Endpoints: n.Registry.Digests(),
+	})
+}
+
+func (n *Node) choosePeer() string {
+	live := n.Members.Live()
+	if len(live) == 0 || n.options.Random.IntN(strangerOdds) == 0 {
+		if stranger := n.pick(n.strangers()); stranger != "" {
+			return stranger
+		}
+	}
+	if n.round%2 == 0 {
+		cores := slices.DeleteFunc(n.Members.Cores(), func(a string) bool { return !n.lives(a) })
+		if core := n.pick(cores); core != "" {
+			return core
+		}
+	}
+	return n.pick(live)
+}
+
+// strangers are routers that may live though this one does not know it.
+func (n *Node) strangers() []string {
+	var all []string
+	for _, seed := range n.seeds {
+		if seed != n.options.Self.Address && !n.lives(seed) {
+			all = append(all, seed)
+		}
+	}
+	for _, m := range n.Members.All() {
+		if m.Status == membership.Dead {
+			all = append(all, m.Address)
+		}
+	}
+	return all
+}
+
+func (n *Node) pick(addresses []string) string {
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[n.options.Random.IntN(len(addresses))]
+}
+
+// Receive takes a message of another router.
+func (n *Node) Receive(now time.Duration, from string, message any) *Output {
+	out := n.step(now)
+	switch message := message.(type) {
+	case Beat:
+		n.Members.Heard(now, from)
+	case Pull:
+		n.onPull(from, message)
+	case Answer:
+		n.onAnswer(from, message)
+	case News:
+		n.onNews(from, message)
+	}
+	return out
+}
+
+func (n *Node) onPull(from string, message Pull) {
+	if message.Self.Address == from {
+		n.spreadMembers(n.Members.Merge(n.now, []membership.Member{message.Self}), 0)
+	}
+	answer := Answer{Round: message.Round, Sequence: n.Feed.Sequence, View: n.view, Primary: n.primary}
+	if at, fresh := n.Feed.FreshAt(); fresh {
+		answer.Fresh, answer.AgeMs = true, uint64((n.now-at+time.Millisecond-1)/time.Millisecond)
+	}
+	n.send(from, answer)
+	if message.Members != n.Members.Digest() {
+		n.sendMembers(from, n.Members.All(), hopsMost)
+	}
+	n.sendEndpoints(from, n.Registry.Differing(message.Endpoints), hopsMost)
+}
+
+// onAnswer renews the lease. Its age counts from when the question was sent, so that an answer that was held up on its
+// way never looks fresher than it is.
+func (n *Node) onAnswer(from string, message Answer) {
+	n.SetView(message.View, message.Primary)
+	asked, known := n.asked[message.Round]
+	if !known || asked.to != from {
+		return
+	}
+	delete(n.asked, message.Round)
+	if n.Feed.Table == nil || message.Sequence > n.Feed.Sequence {
+		n.out.Fetch = from
+	}
+	if message.Fresh {
+		n.Feed.Renew(message.Sequence, asked.at-time.Duration(message.AgeMs)*time.Millisecond)
+	}
+}
+
+func (n *Node) onNews(from string, message News) {
+	hops := message.Hops + 1
+	n.spreadMembers(n.Members.Merge(n.now, message.Members), hops)
+	n.spreadEndpoints(n.Registry.Merge(n.now, message.Endpoints), hops)
+	if message.Sequence <= n.Feed.Sequence {
+		return
+	}
+	if message.Order != nil {
+		if applied, err := n.Feed.Apply(message.Sequence, message.Order); err == nil && applied {
+			n.spreadOrder(message.Sequence, message.Order, hops)
+			return
+		}
+	}
+	n.out.Fetch = from
+}
+
+// Fetched takes over what a router answered to a fetch. It returns whether the configuration changed.
+func (n *Node) Fetched(now time.Duration, reply FetchReply) (*Output, bool, error) {
+	out := n.step(now)
+	changed, err := n.Feed.Take(reply)
+	if changed {
+		n.spreadOrder(n.Feed.Sequence, nil, 1)
+	}
+	return out, changed, err
+}
+
+// Commit takes over a configuration that this router, as the primary, has acknowledged.
+func (n *Node) Commit(now time.Duration, sequence uint64, table *config.Table, order []byte) *Output {
+	out := n.step(now)
+	if n.Feed.Table != nil && sequence <= n.Feed.Sequence {
+		return out
+	}
+	n.Feed.Set(sequence, table, order)
+	n.spreadOrder(sequence, order, 0)
+	return out
+}
+
+// Hear takes an endpoint's own word over; ok is false where it is older than what is known.
+func (n *Node) Hear(now time.Duration, said registry.Endpoint) (out *Output, ok bool) {
+	out = n.step(now)
+	news, ok := n.Registry.Hear(now, said)
+	n.spreadEndpoints(news, 0)
+	return out, ok
+}
+
+// Leave says that this router ends.
+func (n *Node) Leave(now time.Duration) *Output {
+	out := n.step(now)
+	n.spreadMembers([]membership.Member{n.Members.Leave()}, 0)
+	return out
+}
+
+// receivers are whom news go to that came over so many hops.
+func (n *Node) receivers(hops uint8) []string {
+	live := n.Members.Live()
+	switch {
+	case len(live) <= directMost && hops > 0, hops >= hopsMost:
+		return nil
+	case len(live) <= directMost:
+		return live
+	}
+	n.options.Random.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	return live[:fanout]
+}
+
+func (n *Node) spreadMembers(news []membership.Member, hops uint8) {
+	if len(news) == 0 {
+		return
+	}
+	for _, to := range n.receivers(hops) {
+		n.sendMembers(to, news, hops)
+	}
+}
+
+func (n *Node) sendMembers(to string, members []membership.Member, hops uint8) {
+	for part := range slices.Chunk(members, itemsMost) {
+		n.send(to, News{Members: part, Hops: hops})
+	}
+}
+
+func (n *Node) spreadEndpoints(news []registry.Endpoint, hops uint8) {
+	if len(news) == 0 {
+		return
+	}
+	for _, to := range n.receivers(hops) {
+		n.sendEndpoints(to, news, hops)
+	}
+}
+
+func (n *Node) sendEndpoints(to string, endpoints []registry.Endpoint, hops uint8) {
+	for part := range slices.Chunk(endpoints, itemsMost) {
+		n.send(to, News{Endpoints: part, Hops: hops})
+	}
+}
+
+func (n *Node) spreadOrder(sequence uint64, order []byte, hops uint8) {
+	if len(order) > orderMost {
+		order = nil
+	}
+	for _, to := range n.receivers(hops) {
+		n.send(to, News{Sequence: sequence, Order: order, Hops: hops})
+	}
+}
--- /dev/null
+++ b/internal/fleet/front/dispatcher.go
@@ -0,0 +1,137 @@
+package front
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"pinelb.example/pinelb/balance"
+	"pinelb.example/pinelb/internal/fleet/placement"
+	"pinelb.example/pinelb/internal/fleet/registry"
+	"pinelb.example/pinelb/internal/fleet/retry"
+	"pinelb.example/pinelb/internal/upstream"
+)
+
+const (
+	connectTimeout = 400 * time.Millisecond
+	connectionIdle = 60 * time.Second // that an endpoint's connection may rest where it states nothing itself
+)
+
+// Dispatcher chooses endpoints and holds the connections to them. Its methods may be called by any goroutine.
+type Dispatcher struct {
+	Pool *upstream.Pool
+
+	clock func() time.Duration
+
+	mu       sync.Mutex
+	placer   *placement.Placer
+	settings retry.Settings
+	routers  int
+	budgets  map[string]*retry.Budget
+}
+
+// NewDispatcher returns a dispatcher without endpoints that opens at most so many connections.
+func NewDispatcher(clock func() time.Duration, settings retry.Settings, connections int) *Dispatcher {
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Dispatcher{
+		Pool: upstream.NewPool(connectTimeout, connectionIdle, connections), clock: clock, placer: placement.New(random),
+		settings: settings, routers: 1, budgets: map[string]*retry.Budget{},
+	}
+}
+
+// SetEndpoints takes over which endpoints may be sent requests, and how many routers there are.
+func (d *Dispatcher) SetEndpoints(ready []registry.Endpoint, routers int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.routers = routers
+	added, removed := d.placer.SetReady(ready)
+	for _, e := range added {
+		d.Pool.Set(balance.EndpointID(e.Number), e.Address)
+	}
+	for _, e := range removed {
+		d.Pool.Remove(balance.EndpointID(e.Number))
+	}
+}
+
+// Ready is how many endpoints of a service may be sent requests.
+func (d *Dispatcher) Ready(service string) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.Ready(service)
+}
+
+// View shows the tables that calls are drawn from.
+func (d *Dispatcher) View() []placement.TableView {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.placer.View()
+}
+
+// first counts a request for a service.
+func (d *Dispatcher) first(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget(service).First()
+}
+
+// mayRepeat takes one repeat out of a service's budget.
+func (d *Dispatcher) mayRepeat(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.budget(service).Spend()
+}
+
+// unspent gives a repeat back that did not reach an endpoint.
+func (d *Dispatcher) unspent(service string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.budget(service).Return()
+}
+
+func (d *Dispatcher) budget(service string) *retry.Budget {
+	b := d.budgets[service]
+	if b == nil {
+		b = retry.New(d.settings, d.routers)
+		d.budgets[service] = b
+	}
+	return b
+}
+
+// pick draws a call's endpoint and notes that the call goes there.
+func (d *Dispatcher) pick(call placement.Call) *placement.Endpoint {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.clock()
+	e := d.placer.Pick(now, call)
+	if e != nil {
+		d.placer.Begin(now, e)
+	}
+	return e
+}
+
+func (d *Dispatcher) end(e *placement.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placer.End(e)
+}
+
+func (d *Dispatcher) firstToken(e *placement.Endpoint, delay time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placer.FirstToken(d.clock(), e, delay)
+}
+
+func (d *Dispatcher) refused(e *placement.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placer.Refused(d.clock(), e)
+}
+
+func (d *Dispatcher) failed(e *placement.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.placer.Failed(d.clock(), e)
+}
+
+// uniform draws from [0, 1).
+func (d *Dispatcher) uniform() float64 { return rand.Float64() }
--- /dev/null
+++ b/internal/fleet/front/server.go
@@ -0,0 +1,150 @@
+package front
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"pinelb.example/pinelb/internal/fleet/config"
+	"pinelb.example/pinelb/internal/fleet/placement"
+)
+
+// Core is what the front needs of the rest of the router.
+type Core interface {
+	// Table is the configuration in force; nil where none is held. fresh is until how long ago it surely was the newest.
+	Table() (table *config.Table, age time.Duration)
+	// Charge takes units out of a tenant's quota. Where it may not, wait is when the client may come back.
+	Charge(ctx context.Context, tenant *config.Tenant, units float64) (ok bool, wait time.Duration)
+	// Restore gives the units of a request back that never ran.
+	Restore(tenant *config.Tenant, units float64)
+}
+
+// Options are the front's bounds.
+type Options struct {
+	KeyLease time.Duration // age of the configuration beyond which keys may not be used; 0: no bound
+	Stale    time.Duration // age beyond which a request is not denied for want of a route or key, but told to come back
+}
+
+// Server answers clients.
+type Server struct {
+	core       Core
+	dispatcher *Dispatcher
+	options    Options
+
+	// Draining has each answer close its connection.
+	Draining atomic.Bool
+	// Counters of outcomes since the start.
+	Served, Refused, Failed, Broken atomic.Uint64
+}
+
+// NewServer returns a handler of clients' requests.
+func NewServer(core Core, dispatcher *Dispatcher, options Options) *Server {
+	return &Server{core: core, dispatcher: dispatcher, options: options}
+}
+
+// Times after which clients may come back.
+const (
+	comeBackSoon  = 100 * time.Millisecond // another endpoint or router will do
+	comeBackLater = 500 * time.Millisecond // something has to be repaired first
+)
+
+// ServeHTTP is a request's life.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.Draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	table, age := s.core.Table()
+	if table == nil || table.Version == 0 {
+		s.refuse(w, http.StatusServiceUnavailable, comeBackLater)
+		return
+	}
+	q, status := read(r, table.Limits)
+	if status != 0 {
+		s.deny(w, status)
+		return
+	}
+	if status := s.admit(q, table); status != 0 {
+		if age > s.options.Stale {
+			s.refuse(w, http.StatusServiceUnavailable, comeBackSoon)
+		} else {
+			s.deny(w, status)
+		}
+		return
+	}
+	q.setDeadline()
+	if !s.keysUsable(q) {
+		s.refuse(w, http.StatusServiceUnavailable, comeBackSoon)
+		return
+	}
+	if wait, ok := s.charge(q); !ok {
+		s.refuse(w, http.StatusTooManyRequests, wait)
+		return
+	}
+	s.dispatcher.first(q.service)
+	s.forward(w, q)
+}
+
+// admit finds a request's route, tenant and service. It returns the status of a denial, or 0.
+func (s *Server) admit(q *request, table *config.Table) int {
+	q.route = table.Route(hostOf(q.http), q.path)
+	if q.route == nil {
+		return http.StatusNotFound
+	}
+	if table.HasKeys && !q.route.Public {
+		if q.tenant = table.Tenant(q.http.Header.Get(headerKey)); q.tenant == nil {
+			return http.StatusUnauthorized
+		}
+	}
+	q.service = q.route.Pick(s.dispatcher.uniform())
+	q.prefix = sharedPrefix(q.http.Header.Get(headerPrefix))
+	return 0
+}
+
+// keysUsable tells whether the configuration is fresh enough to let the holder of a key in.
+func (s *Server) keysUsable(q *request) bool {
+	if q.tenant == nil || s.options.KeyLease == 0 {
+		return true
+	}
+	_, age := s.core.Table()
+	return age < s.options.KeyLease
+}
+
+func (s *Server) charge(q *request) (wait time.Duration, ok bool) {
+	if q.tenant == nil {
+		return 0, true
+	}
+	units := q.units(q.tenant)
+	ok, wait = s.core.Charge(q.http.Context(), q.tenant, units)
+	if ok {
+		q.charged = units
+	}
+	return wait, ok
+}
+
+// call is what the draw of the request's endpoint rests on.
+func (q *request) call(exclude []string) placement.Call {
+	return placement.Call{
+		Service: q.service, Target: q.route.Target(), Spent: q.spent + time.Since(q.arrived), Prefix: q.prefix, Exclude: exclude,
+	}
+}
+
+// refuse promises that the request has not run and never will, and says when the client may come back.
+func (s *Server) refuse(w http.ResponseWriter, status int, wait time.Duration) {
+	s.Refused.Add(1)
+	w.Header().Set(headerRetryAfter, strconv.FormatFloat(max(0.01, wait.Seconds()), 'f', 3, 64))
+	w.WriteHeader(status)
+}
+
+// deny says that the request is at fault.
+func (s *Server) deny(w http.ResponseWriter, status int) {
+	s.Refused.Add(1)
+	w.WriteHeader(status)
+}
+
+// fail says that the request may have run and has no answer.
+func (s *Server) fail(w http.ResponseWriter, status int) {
+	s.Failed.Add(1)
+	w.WriteHeader(status)
+}
--- /dev/null
+++ b/internal/fleet/membership/membership.go
@@ -0,0 +1,292 @@
+// Package membership knows the routers of a fleet: who there is, who watches whom, and who has been silent. Each router
+// sends heartbeats to the few that follow it on a ring of names' hashes; they declare it dead when it is silent, and a
+// router that hears so of itself refutes it (SWIM: Das, Gupta, Motivala, 2002). It is pure: no I/O, no clock.
+package membership
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Status is what is known of a member.
+type Status uint8
+
+// The states of a member; of two reports of one incarnation the later state in this list holds.
+const (
+	Alive Status = iota + 1
+	Dead         // silent, as a monitor says
+	Left         // it said that it ends
+)
+
+// Member is one router.
+type Member struct {
+	Address     string `cbor:"1,keyasint"` // internal
+	Control     string `cbor:"2,keyasint,omitempty"`
+	Zone        string `cbor:"3,keyasint"`
+	Region      string `cbor:"4,keyasint,omitempty"`
+	Core        bool   `cbor:"5,keyasint,omitempty"` // it counts for the quorum
+	Start       uint64 `cbor:"6,keyasint"`           // drawn at its start
+	Incarnation uint64 `cbor:"7,keyasint"`
+	Status      Status `cbor:"8,keyasint"`
+}
+
+// supersedes tells whether a report replaces another of the same member.
+func (m *Member) supersedes(other *Member) bool {
+	return cmp.Or(cmp.Compare(m.Incarnation, other.Incarnation), cmp.Compare(m.Status, other.Status)) > 0
+}
+
+// Timing are the intervals of the protocol.
+type Timing struct {
+	Heartbeat time.Duration // between a router's heartbeats
+	Silence   time.Duration // after which a monitor declares a router dead
+	Forget    time.Duration // after which one that is dead is forgotten
+}
+
+// DefaultTiming finds a silent router in some three seconds.
+func DefaultTiming() Timing {
+	return Timing{Heartbeat: time.Second, Silence: 3200 * time.Millisecond, Forget: 60 * time.Second}
+}
+
+// monitors is how many routers watch each.
+const monitors = 2
+
+// List is one router's knowledge of all.
+type List struct {
+	timing   Timing
+	self     Member
+	members  map[string]*entry
+	ring     []string // addresses of those that live, in the order of the ring
+	nextBeat time.Duration
+	lastTick time.Duration
+	watching map[string]bool // as of the last tick
+}
+
+type entry struct {
+	Member
+	heard time.Duration // last heartbeat, or when it was heard of first
+	ended time.Duration // when it was declared dead or left
+}
+
+// New returns the list of a router that knows only itself.
+func New(now time.Duration, self Member, timing Timing) *List {
+	self.Incarnation, self.Status = 1, Alive
+	l := &List{timing: timing, self: self, members: map[string]*entry{}, lastTick: now}
+	l.members[self.Address] = &entry{Member: self, heard: now}
+	l.order()
+	return l
+}
+
+// Self is this router as it describes itself.
+func (l *List) Self() Member { return l.self }
+
+// order rebuilds the ring.
+func (l *List) order() {
+	l.ring = l.ring[:0]
+	for address, e := range l.members {
+		if e.Status == Alive {
+			l.ring = append(l.ring, address)
+		}
+	}
+	slices.SortFunc(l.ring, func(a, b string) int {
+		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), strings.Compare(a, b))
+	})
+}
+
+// Merge takes reports of others over and returns those that were new, to be passed on. Where a report says that this
+// router is dead, or describes an earlier start of it, the answer to it is among them.
+func (l *List) Merge(now time.Duration, reports []Member) []Member {
+	var news []Member
+	for _, report := range reports {
+		if report.Address == l.self.Address {
+			if l.refute(&report) {
+				news = append(news, l.self)
+			}
+			continue
+		}
+		if l.take(now, report) {
+			news = append(news, report)
+		}
+	}
+	if len(news) > 0 {
+		l.order()
+	}
+	return news
+}
+
+func (l *List) take(now time.Duration, report Member) bool {
+	known := l.members[report.Address]
+	if known == nil {
+		if report.Status != Alive {
+			return false // it is forgotten already
+		}
+		l.members[report.Address] = &entry{Member: report, heard: now}
+		return true
+	}
+	if !report.supersedes(&known.Member) {
+		return false
+	}
+	if report.Status == Alive {
+		known.heard = now
+	} else {
+		known.ended = now
+	}
+	known.Member = report
+	return true
+}
+
+// refute raises this router's incarnation above a report that does not describe it as it is.
+func (l *List) refute(report *Member) bool {
+	same := report.Start == l.self.Start && report.Status == l.self.Status
+	if report.Incarnation < l.self.Incarnation || same && report.Incarnation == l.self.Incarnation {
+		return false
+	}
+	l.self.Incarnation = report.Incarnation + 1
+	l.members[l.self.Address].Member = l.self
+	return true
+}
+
+// Leave says that this router ends.
+func (l *List) Leave() Member {
+	l.self.Status = Left
+	l.members[l.self.Address].Member = l.self
+	l.order()
+	return l.self
+}
+
+// Heard notes a heartbeat of a router.
+func (l *List) Heard(now time.Duration, address string) {
+	if e := l.members[address]; e != nil {
+		e.heard = now
+	}
+}
+
+// Tick lets time pass. It returns who is to be sent a heartbeat, and members that were declared dead just now.
+func (l *List) Tick(now time.Duration) (beats []string, dead []Member) {
+	if now >= l.nextBeat {
+		l.nextBeat = now + l.timing.Heartbeat
+		beats = l.successors(l.self.Address)
+	}
+	l.renewWatch(now)
+	for address := range l.watching {
+		e := l.members[address]
+		if now-e.heard > l.timing.Silence {
+			e.Status, e.ended = Dead, now
+			dead = append(dead, e.Member)
+		}
+	}
+	forgotten := false
+	for address, e := range l.members {
+		if e.Status != Alive && address != l.self.Address && now-e.ended > l.timing.Forget {
+			delete(l.members, address)
+			forgotten = true
+		}
+	}
+	if len(dead) > 0 || forgotten {
+		l.order()
+	}
+	return beats, dead
+}
+
+// successors are the monitors of a member: those that follow it on the ring.
+func (l *List) successors(address string) []string {
+	at := slices.Index(l.ring, address)
+	if at < 0 {
+		return nil
+	}
+	var next []string
+	for i := 1; i <= min(monitors, len(l.ring)-1); i++ {
+		next = append(next, l.ring[(at+i)%len(l.ring)])
+	}
+	return next
+}
+
+// renewWatch gives time to members that this router did not watch until now, and to all after it stood still itself.
+func (l *List) renewWatch(now time.Duration) {
+	stoodStill := now-l.lastTick > l.timing.Silence/3
+	l.lastTick = now
+	watching := map[string]bool{}
+	for _, address := range l.watched() {
+		watching[address] = true
+		if stoodStill || !l.watching[address] {
+			l.members[address].heard = now
+		}
+	}
+	l.watching = watching
+}
+
+// watched are the members that this router monitors: those before it on the ring.
+func (l *List) watched() []string {
+	at := slices.Index(l.ring, l.self.Address)
+	if at < 0 {
+		return nil
+	}
+	var before []string
+	for i := 1; i <= min(monitors, len(l.ring)-1); i++ {
+		before = append(before, l.ring[(at-i+len(l.ring))%len(l.ring)])
+	}
+	return before
+}
+
+// Digest is a number that two routers share when they know the same.
+func (l *List) Digest() uint64 {
+	var sum uint64
+	for _, e := range l.members {
+		sum += e.digest()
+	}
+	return sum
+}
+
+func (m *Member) digest() uint64 {
+	h := xxhash.New()
+	_, _ = h.WriteString(m.Address) // a hash takes all
+	return h.Sum64() ^ (m.Incarnation<<8|uint64(m.Status))*0x9e3779b97f4a7c15
+}
+
+// All are the reports of all members, this router included.
+func (l *List) All() []Member {
+	all := make([]Member, 0, len(l.members))
+	for _, e := range l.members {
+		all = append(all, e.Member)
+	}
+	slices.SortFunc(all, func(a, b Member) int { return strings.Compare(a.Address, b.Address) })
+	return all
+}
+
+// Lookup returns what is known of the member at an address.
+func (l *List) Lookup(address string) (Member, bool) {
+	e := l.members[address]
+	if e == nil {
+		return Member{}, false
+	}
+	return e.Member, true
+}
+
+// Live are the addresses of the others that live.
+func (l *List) Live() []string {
+	others := make([]string, 0, len(l.ring))
+	for _, address := range l.ring {
+		if address != l.self.Address {
+			others = append(others, address)
+		}
+	}
+	return others
+}
+
+// Cores are the addresses of the others that count for the quorum, whatever their state.
+func (l *List) Cores() []string {
+	var cores []string
+	for address, e := range l.members {
+		if e.Core && e.Status != Left && address != l.self.Address {
+			cores = append(cores, address)
+		}
+	}
+	slices.Sort(cores)
+	return cores
+}
+
+// Count is how many members live, this router included.
+func (l *List) Count() int { return max(1, len(l.ring)) }
--- /dev/null
+++ b/internal/fleet/placement/model.go
@@ -0,0 +1,98 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// The model of an endpoint's time to first token against this router's own send rate: a line, fitted to the last calls.
+// Endpoints report late, so that the own rate is what is known at once.
+
+const (
+	memoryCalls  = 200.0            // calls after which an observation weighs 1/e
+	priorCalls   = 6.0              // calls that a prior weighs
+	priorDelay   = 0.15             // seconds, before anything was seen of any endpoint
+	priorSpread  = 0.1              // seconds, the same
+	rateMemory   = 4 * time.Second  // over which the send rate is averaged
+	failMemory   = 30.0             // outcomes after which one weighs 1/e
+	leastSpread  = 0.01             // seconds
+	delayRefresh = 10 * time.Second // between refreshes of what the rows are solved from
+)
+
+// delayModel is a weighted least-squares fit of delay (s) by send rate (1/s).
+type delayModel struct {
+	weight, sumRate, sumDelay, sumRateRate, sumRateDelay, sumDelayDelay float64
+}
+
+func (m *delayModel) observe(rate, delay float64) {
+	keep := 1 - 1/memoryCalls
+	m.weight = m.weight*keep + 1
+	m.sumRate = m.sumRate*keep + rate
+	m.sumDelay = m.sumDelay*keep + delay
+	m.sumRateRate = m.sumRateRate*keep + rate*rate
+	m.sumRateDelay = m.sumRateDelay*keep + rate*delay
+	m.sumDelayDelay = m.sumDelayDelay*keep + delay*delay
+}
+
+// add counts another model's observations too.
+func (m *delayModel) add(other *delayModel, share float64) {
+	m.weight += share * other.weight
+	m.sumRate += share * other.sumRate
+	m.sumDelay += share * other.sumDelay
+	m.sumRateRate += share * other.sumRateRate
+	m.sumRateDelay += share * other.sumRateDelay
+	m.sumDelayDelay += share * other.sumDelayDelay
+}
+
+// fit is a line with the spread of the calls around it.
+type fit struct{ base, slope, spread float64 }
+
+// fit returns the line; prior counts as priorCalls calls at its mean.
+func (m *delayModel) fit(prior fit) fit {
+	total := m.weight + priorCalls
+	meanRate := m.sumRate / total
+	meanDelay := (m.sumDelay + priorCalls*prior.base) / total
+	rateVariance := m.sumRateRate/total - meanRate*meanRate
+	covariance := m.sumRateDelay/total - meanRate*(m.sumDelay/total)
+	slope := 0.0
+	if rateVariance > 1e-6 {
+		slope = max(0, covariance/(rateVariance+1))
+	}
+	spread := priorSpread
+	if m.weight > 1 {
+		mean := m.sumDelay / m.weight
+		spread = math.Sqrt(max(0, m.sumDelayDelay/m.weight-mean*mean))
+	}
+	return fit{base: meanDelay - slope*meanRate, slope: slope, spread: max(leastSpread, spread)}
+}
+
+// within is the chance that a first token comes within a time, and how it changes with the rate. The delay is taken as
+// logistic.
+func (f fit) within(limit, rate float64) (chance, byRate float64) {
+	scale := f.spread * math.Sqrt(3) / math.Pi
+	chance = 1 / (1 + math.Exp(-(limit-f.base-f.slope*rate)/scale))
+	return chance, -chance * (1 - chance) * f.slope / scale
+}
+
+// rateMeter averages a rate over the last seconds.
+type rateMeter struct {
+	rate float64 // 1/s
+	at   time.Duration
+}
+
+func (r *rateMeter) decay(now time.Duration) {
+	if now > r.at {
+		r.rate *= math.Exp(-float64(now-r.at) / float64(rateMemory))
+		r.at = now
+	}
+}
+
+func (r *rateMeter) count(now time.Duration) {
+	r.decay(now)
+	r.rate += 1 / rateMemory.Seconds()
+}
+
+func (r *rateMeter) now(now time.Duration) float64 {
+	r.decay(now)
+	return r.rate
+}
--- /dev/null
+++ b/internal/fleet/placement/solve.go
@@ -0,0 +1,158 @@
+package placement
+
+import "slices"
+
+// The rows of E2E's table: for each bucket of the time that a call has spent already, the share of calls that each
+// endpoint gets, moved toward a higher expected payoff by projected gradient ascent.
+
+const (
+	solveSteps = 20
+	solveStep  = 0.05
+	leastShare = 0.02 // of an even share that each endpoint keeps, so that its model stays fresh
+)
+
+// bucketEdges are in shares of the target latency that are spent before the draw.
+var bucketEdges = [...]float64{0.1, 0.3, 0.6}
+
+// bucketCount is how many rows a table has.
+const bucketCount = len(bucketEdges) + 1
+
+// bucketOf is the row for a call that has spent a share of its target.
+func bucketOf(spentShare float64) int {
+	for i, edge := range bucketEdges {
+		if spentShare < edge {
+			return i
+		}
+	}
+	return bucketCount - 1
+}
+
+// spentMiddle is the share of the target that a bucket's calls have spent.
+func spentMiddle(bucket int) float64 {
+	low, high := 0.0, 1.0
+	if bucket > 0 {
+		low = bucketEdges[bucket-1]
+	}
+	if bucket < len(bucketEdges) {
+		high = bucketEdges[bucket]
+	}
+	return (low + high) / 2
+}
+
+// problem is what the rows are solved from.
+type problem struct {
+	target float64              // seconds
+	rates  [bucketCount]float64 // calls a second, by bucket
+	fits   []fit                // by endpoint
+	fails  []float64            // share of calls that fail, by endpoint
+	other  []float64            // calls a second that the endpoints get beside
+}
+
+// rows are shares by bucket and endpoint; each sums to one.
+type rows [bucketCount][]float64
+
+// evenRows splits all calls evenly.
+func evenRows(endpoints int) rows {
+	var r rows
+	for k := range r {
+		r[k] = make([]float64, endpoints)
+		for e := range r[k] {
+			r[k][e] = 1 / float64(endpoints)
+		}
+	}
+	return r
+}
+
+// endpointRates are the calls a second that each endpoint gets under the rows.
+func (p *problem) endpointRates(r rows) []float64 {
+	rates := slices.Clone(p.other)
+	for k := range r {
+		for e, share := range r[k] {
+			rates[e] += p.rates[k] * share
+		}
+	}
+	return rates
+}
+
+// limit is the time that is left to a bucket's calls.
+func (p *problem) limit(bucket int) float64 { return p.target * (1 - spentMiddle(bucket)) }
+
+// payoff is the share of all calls whose first token is expected in time.
+func (p *problem) payoff(r rows) float64 {
+	rates := p.endpointRates(r)
+	sum, total := 0.0, 0.0
+	for k := range r {
+		total += p.rates[k]
+		for e, share := range r[k] {
+			chance, _ := p.fits[e].within(p.limit(k), rates[e])
+			sum += p.rates[k] * share * chance * (1 - p.fails[e])
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return sum / total
+}
+
+// solve moves rows toward a higher payoff.
+func (p *problem) solve(r rows) rows {
+	for range solveSteps {
+		rates := p.endpointRates(r)
+		gradient := p.gradient(r, rates)
+		for k := range r {
+			for e := range r[k] {
+				r[k][e] += solveStep * gradient[k][e]
+			}
+			projectOnSimplex(r[k], leastShare/float64(len(r[k])))
+		}
+	}
+	return r
+}
+
+// gradient is the payoff's, for each row in units of a call.
+func (p *problem) gradient(r rows, rates []float64) rows {
+	var g rows
+	crowding := make([]float64, len(rates))
+	for k := range r {
+		g[k] = make([]float64, len(rates))
+		for e, share := range r[k] {
+			chance, byRate := p.fits[e].within(p.limit(k), rates[e])
+			g[k][e] = chance * (1 - p.fails[e])
+			crowding[e] += p.rates[k] * share * byRate * (1 - p.fails[e])
+		}
+	}
+	for k := range g {
+		for e := range g[k] {
+			g[k][e] += crowding[e]
+		}
+	}
+	return g
+}
+
+// projectOnSimplex moves a row to the nearest one that sums to one with no share under a least one (Duchi et al., 2008).
+func projectOnSimplex(row []float64, least float64) {
+	sorted := slices.Clone(row)
+	for i := range sorted {
+		sorted[i] -= least
+	}
+	slices.SortFunc(sorted, func(a, b float64) int {
+		switch {
+		case a > b:
+			return -1
+		case a < b:
+			return 1
+		}
+		return 0
+	})
+	budget := 1 - least*float64(len(row))
+	sum, shift := 0.0, 0.0
+	for i, value := range sorted {
+		sum += value
+		if candidate := (sum - budget) / float64(i+1); value > candidate {
+			shift = candidate
+		}
+	}
+	for i := range row {
+		row[i] = least + max(0, row[i]-least-shift)
+	}
+}
--- /dev/null
+++ b/internal/fleet/registry/registry.go
@@ -0,0 +1,227 @@
+// Package registry knows the endpoints of all services. Its state is soft: endpoints announce themselves again and
+// again, so that nothing of it is kept on a disk. It is pure: no I/O, no clock.
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// State is what an endpoint said of itself last, or what is known of its end.
+type State uint8
+
+// The states of an endpoint; of two reports with one sequence the later state in this list holds.
+const (
+	Ready State = iota + 1
+	Draining
+	Lapsed // silent, as its owner says
+	Gone   // it said that it ends, or its address has another endpoint
+)
+
+// Endpoint is one start of an endpoint.
+type Endpoint struct {
+	ID       string `cbor:"1,keyasint"`
+	Service  string `cbor:"2,keyasint"`
+	Address  string `cbor:"3,keyasint"`
+	Zone     string `cbor:"4,keyasint"`
+	Capacity int    `cbor:"5,keyasint"`
+	State    State  `cbor:"6,keyasint"`
+	Sequence uint64 `cbor:"7,keyasint"`           // of its last heartbeat
+	Owner    string `cbor:"8,keyasint,omitempty"` // the router that heard it
+	WarmupMs int64  `cbor:"9,keyasint,omitempty"` // how much longer it is slow, when it was heard
+}
+
+// supersedes tells whether a report replaces another of the same endpoint.
+func (e *Endpoint) supersedes(other *Endpoint) bool {
+	if other.State == Gone {
+		return false // an incarnation that has ended does not come back
+	}
+	return e.State == Gone || cmp.Or(cmp.Compare(e.Sequence, other.Sequence), cmp.Compare(e.State, other.State)) > 0
+}
+
+// differs tells whether two reports differ in more than their sequence.
+func (e *Endpoint) differs(other *Endpoint) bool {
+	return e.State != other.State || e.Owner != other.Owner || e.Address != other.Address || e.Service != other.Service ||
+		e.Capacity != other.Capacity
+}
+
+// Buckets is into how many parts the digests divide the endpoints.
+const Buckets = 16
+
+// Digests are one number a bucket, which two routers share when they know the same.
+type Digests [Buckets]uint32
+
+// Table is one router's knowledge of all endpoints.
+type Table struct {
+	entries map[string]*entry
+	at      map[string]string // the newest endpoint's id by address
+	version uint64            // rises with each change that requests can see
+}
+
+type entry struct {
+	Endpoint
+	heard time.Duration // last change, or last heartbeat where this router is the owner
+}
+
+// New returns a table without endpoints.
+func New() *Table { return &Table{entries: map[string]*entry{}, at: map[string]string{}} }
+
+// Version rises with each change of an endpoint's state, address or service.
+func (t *Table) Version() uint64 { return t.version }
+
+// Hear takes an endpoint's own word over. It returns the reports to be passed on; ok is false where the word is older
+// than what is known.
+func (t *Table) Hear(now time.Duration, said Endpoint) (news []Endpoint, ok bool) {
+	known := t.entries[said.ID]
+	if known != nil && (known.State == Gone || said.Sequence < known.Sequence && said.State != Gone) {
+		return nil, false
+	}
+	if said.State == Gone && known != nil {
+		said.Service, said.Address, said.Zone, said.Capacity = known.Service, known.Address, known.Zone, known.Capacity
+		said.Sequence = max(said.Sequence, known.Sequence)
+	}
+	changed := known == nil || said.differs(&known.Endpoint)
+	if known != nil && known.State == Draining && said.State == Ready {
+		said.State = Draining // it has said that it leaves, and that stays so
+		changed = said.differs(&known.Endpoint)
+	}
+	t.put(now, said)
+	if !changed {
+		return nil, true
+	}
+	return append(t.replace(now, &said), said), true
+}
+
+// replace marks the endpoint that had an address before as gone.
+func (t *Table) replace(now time.Duration, by *Endpoint) []Endpoint {
+	if by.State == Gone {
+		return nil
+	}
+	former := t.entries[t.at[by.Address]]
+	t.at[by.Address] = by.ID
+	if former == nil || former.ID == by.ID || former.State == Gone {
+		return nil
+	}
+	former.State, former.heard = Gone, now
+	return []Endpoint{former.Endpoint}
+}
+
+func (t *Table) put(now time.Duration, said Endpoint) {
+	known := t.entries[said.ID]
+	if known == nil {
+		t.entries[said.ID] = &entry{Endpoint: said, heard: now}
+		t.version++
+		return
+	}
+	if said.differs(&known.Endpoint) {
+		t.version++
+	}
+	known.Endpoint, known.heard = said, now
+}
+
+// Merge takes reports of other routers over and returns those that were new, to be passed on.
+func (t *Table) Merge(now time.Duration, reports []Endpoint) []Endpoint {
+	var news []Endpoint
+	for _, report := range reports {
+		known := t.entries[report.ID]
+		if known == nil && report.State >= Lapsed {
+			continue // it is forgotten already
+		}
+		if known != nil && !report.supersedes(&known.Endpoint) {
+			continue
+		}
+		changed := known == nil || report.differs(&known.Endpoint)
+		t.put(now, report)
+		if changed {
+			news = append(news, report)
+			if report.State < Lapsed && t.at[report.Address] == "" {
+				t.at[report.Address] = report.ID
+			}
+		}
+	}
+	return news
+}
+
+// Lapse marks the endpoints of an owner that were silent for too long. ownerLives tells whether another router still
+// hears its endpoints; the endpoints of a router that is gone lapse as this router's own, after twice the time.
+func (t *Table) Lapse(now time.Duration, self string, silence time.Duration, ownerLives func(string) bool) []Endpoint {
+	var news []Endpoint
+	for _, e := range t.entries {
+		if e.State >= Lapsed {
+			continue
+		}
+		own := e.Owner == self && now-e.heard > silence
+		orphaned := e.Owner != self && now-e.heard > 2*silence && !ownerLives(e.Owner)
+		if own || orphaned {
+			e.State, e.heard = Lapsed, now
+			t.version++
+			news = append(news, e.Endpoint)
+		}
+	}
+	return news
+}
+
+// Forget removes endpoints whose end lies some time back.
+func (t *Table) Forget(now time.Duration, after time.Duration) {
+	for id, e := range t.entries {
+		if e.State >= Lapsed && now-e.heard > after {
+			delete(t.entries, id)
+			if t.at[e.Address] == id {
+				delete(t.at, e.Address)
+			}
+		}
+	}
+}
+
+// Lookup returns what is known of an endpoint.
+func (t *Table) Lookup(id string) (Endpoint, bool) {
+	e := t.entries[id]
+	if e == nil {
+		return Endpoint{}, false
+	}
+	return e.Endpoint, true
+}
+
+// Ready are the endpoints that may be sent requests, ordered by id.
+func (t *Table) Ready() []Endpoint {
+	var all []Endpoint
+	for _, e := range t.entries {
+		if e.State == Ready {
+			all = append(all, e.Endpoint)
+		}
+	}
+	slices.SortFunc(all, func(a, b Endpoint) int { return strings.Compare(a.ID, b.ID) })
+	return all
+}
+
+// Digests summarise what is known. Sequences are left out: they change with each heartbeat.
+func (t *Table) Digests() Digests {
+	var d Digests
+	for id, e := range t.entries {
+		hash := xxhash.Sum64String(id)
+		own := hash ^ xxhash.Sum64String(e.Owner)*3 ^ uint64(e.State)*0x9e3779b97f4a7c15
+		d[bucket(hash)] += uint32(own ^ own>>32)
+	}
+	return d
+}
+
+func bucket(hash uint64) int { return int(hash>>59) % Buckets }
+
+// Differing are the endpoints in the buckets in which the digests of another router differ.
+func (t *Table) Differing(theirs Digests) []Endpoint {
+	ours := t.Digests()
+	if ours == theirs {
+		return nil
+	}
+	var all []Endpoint
+	for id, e := range t.entries {
+		if b := bucket(xxhash.Sum64String(id)); ours[b] != theirs[b] {
+			all = append(all, e.Endpoint)
+		}
+	}
+	return all
+}
--- /dev/null
+++ b/internal/fleet/replication/messages.go
@@ -0,0 +1,156 @@
+package replication
+
+// Message is what replicas send each other.
+type Message interface{ kind() Kind }
+
+// Kind tells messages apart on the wire.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	KindHeartbeat Kind = iota + 1
+	KindHeartbeatAck
+	KindJoin
+	KindNewer
+	KindPrepare
+	KindPromise
+	KindReject
+	KindFetch
+	KindFetched
+	KindInstall
+	KindInstalled
+	KindAccept
+	KindAccepted
+	KindStore
+	KindStored
+	KindMissing
+)
+
+// Heartbeat tells a view's witnesses that its primary lives. ConfirmedAgeMs is how long ago the primary sent the last
+// round that a majority of the witnesses answered; above a bound the primary counts as cut off.
+type Heartbeat struct {
+	View           View   `cbor:"1,keyasint"`
+	Round          uint64 `cbor:"2,keyasint"`
+	ConfirmedAgeMs uint64 `cbor:"3,keyasint"`
+}
+
+// HeartbeatAck answers a Heartbeat. Current is false where the witness has promised a later view.
+type HeartbeatAck struct {
+	Number  uint64 `cbor:"1,keyasint"`
+	Round   uint64 `cbor:"2,keyasint"`
+	Current bool   `cbor:"3,keyasint"`
+}
+
+// Join asks a primary to be taken in.
+type Join struct {
+	Number uint64 `cbor:"1,keyasint"` // of the newest view that the sender knows
+}
+
+// Newer tells of a decided view that the receiver does not know.
+type Newer struct {
+	View View `cbor:"1,keyasint"`
+}
+
+// Prepare asks a witness of View for its promise to decide the view after it under no lower ballot.
+type Prepare struct {
+	View   View   `cbor:"1,keyasint"`
+	Ballot Ballot `cbor:"2,keyasint"`
+}
+
+// Promise answers Prepare. Accepted is zero where nothing was accepted for the view.
+type Promise struct {
+	Number   uint64   `cbor:"1,keyasint"` // of the view to be decided
+	Ballot   Ballot   `cbor:"2,keyasint"`
+	Accepted Ballot   `cbor:"3,keyasint"`
+	Proposal View     `cbor:"4,keyasint"`
+	Position Position `cbor:"5,keyasint"`
+	Source   Ballot   `cbor:"6,keyasint"`
+}
+
+// Reject answers what came under too low a ballot.
+type Reject struct {
+	Number   uint64 `cbor:"1,keyasint"`
+	Promised Ballot `cbor:"2,keyasint"`
+}
+
+// Fetch asks a sealed member for its state.
+type Fetch struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Ballot Ballot `cbor:"2,keyasint"`
+}
+
+// Fetched answers Fetch.
+type Fetched struct {
+	Number   uint64   `cbor:"1,keyasint"`
+	Ballot   Ballot   `cbor:"2,keyasint"`
+	Position Position `cbor:"3,keyasint"`
+	Snapshot []byte   `cbor:"4,keyasint"`
+}
+
+// Install hands the state for a view that is to be decided to one of its members. Without a snapshot it is for a member
+// that holds From under FromSource already.
+type Install struct {
+	Number     uint64   `cbor:"1,keyasint"`
+	Ballot     Ballot   `cbor:"2,keyasint"`
+	Position   Position `cbor:"3,keyasint"`
+	From       Position `cbor:"4,keyasint"`
+	FromSource Ballot   `cbor:"5,keyasint"`
+	Snapshot   []byte   `cbor:"6,keyasint"`
+}
+
+// Installed answers Install.
+type Installed struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Ballot Ballot `cbor:"2,keyasint"`
+}
+
+// Accept asks a witness to accept a view.
+type Accept struct {
+	Ballot   Ballot `cbor:"1,keyasint"`
+	Proposal View   `cbor:"2,keyasint"`
+}
+
+// Accepted answers Accept.
+type Accepted struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Ballot Ballot `cbor:"2,keyasint"`
+}
+
+// Store hands a change, or with a snapshot the whole state, to a member of the primary's view. Without either it asks
+// whether the member holds Position.
+type Store struct {
+	View     View     `cbor:"1,keyasint"`
+	Source   Ballot   `cbor:"2,keyasint"`
+	Position Position `cbor:"3,keyasint"`
+	Entry    []byte   `cbor:"4,keyasint"`
+	Snapshot []byte   `cbor:"5,keyasint"`
+}
+
+// Stored answers Store: the member holds all up to Position, on its disk.
+type Stored struct {
+	Number   uint64   `cbor:"1,keyasint"`
+	Position Position `cbor:"2,keyasint"`
+}
+
+// Missing answers Install or Store where the sender's state is needed whole.
+type Missing struct {
+	Number uint64 `cbor:"1,keyasint"`
+	Ballot Ballot `cbor:"2,keyasint"` // of the Install; zero for a Store
+}
+
+func (Heartbeat) kind() Kind    { return KindHeartbeat }
+func (HeartbeatAck) kind() Kind { return KindHeartbeatAck }
+func (Join) kind() Kind         { return KindJoin }
+func (Newer) kind() Kind        { return KindNewer }
+func (Prepare) kind() Kind      { return KindPrepare }
+func (Promise) kind() Kind      { return KindPromise }
+func (Reject) kind() Kind       { return KindReject }
+func (Fetch) kind() Kind        { return KindFetch }
+func (Fetched) kind() Kind      { return KindFetched }
+func (Install) kind() Kind      { return KindInstall }
+func (Installed) kind() Kind    { return KindInstalled }
+func (Accept) kind() Kind       { return KindAccept }
+func (Accepted) kind() Kind     { return KindAccepted }
+func (Store) kind() Kind        { return KindStore }
+func (Stored) kind() Kind       { return KindStored }
+func (Missing) kind() Kind      { return KindMissing }
--- /dev/null
+++ b/internal/fleet/replication/primary.go
@@ -0,0 +1,238 @@
+package replication
+
+import "time"
+
+// roundsKept is how many of the last heartbeat rounds may still be answered.
+const roundsKept = 8
+
+// leadership is what a primary knows.
+type leadership struct {
+	began     time.Duration
+	holds     map[Replica]Position // what each member has on its disk
+	sentAt    map[Replica]time.Duration
+	pending   bool // a change waits for members
+	pendingAt time.Duration
+	committed Position
+	entry     []byte // the last change, for members that have not stored it
+
+	round     uint64
+	rounds    map[uint64]*round
+	nextRound time.Duration
+	confirmed time.Duration // when the last round was sent that a majority answered
+	isCurrent bool          // confirmed is set
+}
+
+// round is one heartbeat to all witnesses.
+type round struct {
+	sent time.Duration
+	acks map[Replica]bool
+}
+
+// activate makes this replica the primary of the view that it has just taken over.
+func (m *Machine) activate() {
+	m.status = Activating
+	m.lead = &leadership{
+		began: m.now, holds: map[Replica]Position{m.durable.Self: m.durable.Position},
+		sentAt: map[Replica]time.Duration{}, rounds: map[uint64]*round{},
+	}
+	m.sendStore()
+	m.countStored()
+}
+
+// Propose begins a change. It returns false where this replica is not the primary, or another change is under way.
+func (m *Machine) Propose(now time.Duration, entry []byte) (*Output, bool) {
+	out := m.step(now)
+	if m.status != Leading || m.lead.pending || !m.durable.Promised.isZero() {
+		return out, false
+	}
+	m.durable.Position.Sequence++
+	m.lead.holds[m.durable.Self] = m.durable.Position
+	m.lead.pending, m.lead.pendingAt, m.lead.entry = true, now, entry
+	m.persist().Entry = entry
+	m.sendStore()
+	m.countStored()
+	return out, true
+}
+
+// Committed is the position up to which all members hold the state; ok is false on others than a primary.
+func (m *Machine) Committed() (position Position, ok bool) {
+	if m.status != Leading {
+		return Position{}, false
+	}
+	return m.lead.committed, true
+}
+
+// Busy tells whether a change is under way.
+func (m *Machine) Busy() bool { return m.lead != nil && m.lead.pending }
+
+// Confirmed is when the primary sent the last round that a majority of the witnesses answered: at that moment no other
+// view was in force. ok is false on others than a primary.
+func (m *Machine) Confirmed() (at time.Duration, ok bool) {
+	if m.status != Leading || !m.lead.isCurrent {
+		return 0, false
+	}
+	return m.lead.confirmed, true
+}
+
+// Confirm has a round begin at once.
+func (m *Machine) Confirm(now time.Duration) *Output {
+	out := m.step(now)
+	if m.lead != nil {
+		m.sendRound()
+	}
+	return out
+}
+
+// sendStore brings what members lack to them. Messages that were just sent are not repeated.
+func (m *Machine) sendStore() {
+	target := m.durable.Position
+	for _, member := range m.durable.View.Members {
+		if m.lead.holds[member] == target {
+			continue
+		}
+		message := Store{View: m.durable.View, Source: m.durable.Source, Position: target}
+		if m.lead.pending {
+			message.Entry = m.lead.entry
+		}
+		m.lead.sentAt[member] = m.now
+		m.send(member, message)
+	}
+}
+
+func (m *Machine) onStored(from Replica, message Stored) {
+	if m.lead == nil || message.Number != m.durable.View.Number || !m.durable.View.HasMember(from) {
+		return
+	}
+	m.lead.holds[from] = message.Position
+	m.countStored()
+}
+
+// countStored commits what all members hold.
+func (m *Machine) countStored() {
+	for _, member := range m.durable.View.Members {
+		if m.lead.holds[member] != m.durable.Position {
+			return
+		}
+	}
+	m.lead.committed = m.durable.Position
+	m.lead.pending = false
+	if m.status == Activating {
+		m.status = Leading
+		m.sendRound()
+	}
+}
+
+func (m *Machine) sendRound() {
+	l := m.lead
+	l.round++
+	l.nextRound = m.now + m.options.Timing.Heartbeat
+	l.rounds[l.round] = &round{sent: m.now, acks: map[Replica]bool{m.durable.Self: true}}
+	delete(l.rounds, l.round-roundsKept)
+	age := m.now - l.began
+	if l.isCurrent {
+		age = m.now - l.confirmed
+	}
+	message := Heartbeat{View: m.durable.View, Round: l.round, ConfirmedAgeMs: uint64(age / time.Millisecond)}
+	for _, replica := range union(m.durable.View.Witnesses, m.applicants()) {
+		m.send(replica, message)
+	}
+	m.countRound(l.rounds[l.round])
+}
+
+func (m *Machine) onHeartbeatAck(from Replica, message HeartbeatAck) {
+	if m.lead == nil || message.Number != m.durable.View.Number {
+		return
+	}
+	r := m.lead.rounds[message.Round]
+	if r == nil || !message.Current || !m.durable.View.HasWitness(from) {
+		return
+	}
+	r.acks[from] = true
+	m.countRound(r)
+}
+
+func (m *Machine) countRound(r *round) {
+	if len(r.acks) < m.durable.View.quorum() || !m.durable.Promised.isZero() {
+		return
+	}
+	if !m.lead.isCurrent || m.lead.confirmed < r.sent {
+		m.lead.confirmed, m.lead.isCurrent = r.sent, true
+	}
+}
+
+func (m *Machine) tickLeadership() {
+	l := m.lead
+	if m.now >= l.nextRound {
+		m.sendRound()
+	}
+	if m.status == Activating || l.pending {
+		m.repeatStore()
+	}
+	if m.wantsNewView() {
+		m.startElection()
+	}
+}
+
+func (m *Machine) repeatStore() {
+	for _, member := range m.durable.View.Members {
+		if m.lead.holds[member] != m.durable.Position && m.now-m.lead.sentAt[member] > resendEvery {
+			m.sendStore()
+			return
+		}
+	}
+}
+
+// wantsNewView tells whether another composition of the view would be better: without a silent or slow member, where the
+// rest suffices, or with replicas that are able to join.
+func (m *Machine) wantsNewView() bool {
+	return m.lacksMember() || m.now-m.lead.began > m.options.Timing.Settle && m.status == Leading && m.couldGrow()
+}
+
+func (m *Machine) lacksMember() bool {
+	t := m.options.Timing
+	since := m.lead.began
+	if m.lead.pending {
+		since = m.lead.pendingAt
+	}
+	late := (m.lead.pending || m.status == Activating) && m.now-since > t.Store
+	silent := false
+	var rest []Replica
+	for _, member := range m.durable.View.Members {
+		switch {
+		case late && m.lead.holds[member] != m.durable.Position:
+			m.penalize(member)
+			silent = true
+		case m.now-m.lead.began > t.Member && !m.live(member, t.Member):
+			silent = true
+		default:
+			rest = append(rest, member)
+		}
+	}
+	return silent && m.enough(append(rest, m.spares()...))
+}
+
+// spares are live witnesses that are no members.
+func (m *Machine) spares() []Replica {
+	var all []Replica
+	for _, r := range m.durable.View.Witnesses {
+		if !m.durable.View.HasMember(r) && m.live(r, m.options.Timing.Member) && !m.penalized(r) {
+			all = append(all, r)
+		}
+	}
+	return all
+}
+
+func (m *Machine) couldGrow() bool {
+	if len(m.applicants()) > 0 {
+		next := m.nextWitnesses()
+		for _, r := range next {
+			if !m.durable.View.HasWitness(r) {
+				return true
+			}
+		}
+	}
+	if len(m.durable.View.Members) < m.membersMost() && len(m.spares()) > 0 {
+		return true
+	}
+	return len(m.nextWitnesses()) < len(m.durable.View.Witnesses)
+}
--- /dev/null
+++ b/internal/fleet/replication/types.go
@@ -0,0 +1,90 @@
+// Package replication keeps one state on several machines: a primary with backups, whose views are decided by
+// witnesses that store only epochs. It is pure: no I/O, no clock, no goroutines. docs/design/router.md explains it.
+//
+// A view is decided by single-decree Paxos among the witnesses of the view before (Vertical Paxos: Lamport, Malkhi,
+// Zhou, 2009; the roles are those of Viewstamped Replication Revisited: Liskov, Cowling, 2012). A replica's identity
+// belongs to its disk, so that one whose disk was lost is another replica and can't vote on what it has forgotten.
+package replication
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+)
+
+// Replica is one copy's identity: the machine's address, and a number drawn when its disk was empty. At the first start
+// of the whole system the number is 0, so that all machines can name the first witnesses.
+type Replica struct {
+	Address string `cbor:"1,keyasint"`
+	Nonce   uint64 `cbor:"2,keyasint"`
+}
+
+func compareReplicas(a, b Replica) int {
+	return cmp.Or(strings.Compare(a.Address, b.Address), cmp.Compare(a.Nonce, b.Nonce))
+}
+
+// View is an epoch of the replicated state. Members hold the state and acknowledge each change; witnesses decide which
+// view comes next.
+type View struct {
+	Number    uint64    `cbor:"1,keyasint"`
+	Primary   Replica   `cbor:"2,keyasint"`
+	Members   []Replica `cbor:"3,keyasint"`
+	Witnesses []Replica `cbor:"4,keyasint"`
+}
+
+// HasMember tells whether a replica holds the state in this view.
+func (v *View) HasMember(r Replica) bool { return slices.Contains(v.Members, r) }
+
+// HasWitness tells whether a replica votes on the view after this one.
+func (v *View) HasWitness(r Replica) bool { return slices.Contains(v.Witnesses, r) }
+
+// quorum is the least number of witnesses that are a majority.
+func (v *View) quorum() int { return len(v.Witnesses)/2 + 1 }
+
+// Ballot orders the attempts to decide one view.
+type Ballot struct {
+	Round    uint64  `cbor:"1,keyasint"`
+	Proposer Replica `cbor:"2,keyasint"`
+}
+
+func (b Ballot) isZero() bool { return b.Round == 0 }
+
+func (b Ballot) compare(other Ballot) int {
+	return cmp.Or(cmp.Compare(b.Round, other.Round), compareReplicas(b.Proposer, other.Proposer))
+}
+
+func (b Ballot) less(other Ballot) bool { return b.compare(other) < 0 }
+
+// Position names a content of the state: the view in which it was written and the number of changes so far.
+type Position struct {
+	View     uint64 `cbor:"1,keyasint"`
+	Sequence uint64 `cbor:"2,keyasint"`
+}
+
+// Less orders contents by age.
+func (p Position) Less(other Position) bool {
+	return cmp.Or(cmp.Compare(p.View, other.View), cmp.Compare(p.Sequence, other.Sequence)) < 0
+}
+
+// Durable is all that a replica has to find on its disk after a restart, beside the state itself.
+type Durable struct {
+	Self     Replica  `cbor:"1,keyasint"`
+	View     View     `cbor:"2,keyasint"` // the newest that is known to be decided
+	Promised Ballot   `cbor:"3,keyasint"` // for the view after; a member that has promised takes no more changes
+	Accepted Ballot   `cbor:"4,keyasint"` // for the view after
+	Proposal View     `cbor:"5,keyasint"` // what was accepted
+	Position Position `cbor:"6,keyasint"` // of the state that is held
+	Source   Ballot   `cbor:"7,keyasint"` // under which that state was installed
+}
+
+// FirstDurable is what a replica begins with. At the first start of the whole system founders are the addresses of the
+// first witnesses, the same on all machines, and nonce is 0; else founders is empty and nonce is drawn at random.
+func FirstDurable(address string, nonce uint64, founders []string) Durable {
+	d := Durable{Self: Replica{Address: address, Nonce: nonce}}
+	for _, founder := range founders {
+		r := Replica{Address: founder}
+		d.View.Members = append(d.View.Members, r)
+		d.View.Witnesses = append(d.View.Witnesses, r)
+	}
+	return d
+}
--- /dev/null
+++ b/internal/fleet/replication/witness.go
@@ -0,0 +1,160 @@
+package replication
+
+import "time"
+
+// What a replica does as a witness and as a member of another replica's view.
+
+// stickiness is how long after a sign of life of the primary a witness promises to nobody else.
+func (m *Machine) stickiness() time.Duration { return m.options.Timing.Election * 3 / 4 }
+
+func (m *Machine) onHeartbeat(from Replica, message Heartbeat) {
+	if !m.learn(message.View) {
+		m.send(from, Newer{View: m.durable.View})
+		return
+	}
+	if from != m.durable.View.Primary || from == m.durable.Self {
+		return
+	}
+	age := time.Duration(message.ConfirmedAgeMs) * time.Millisecond
+	if age < m.options.Timing.Election {
+		m.primarySeen = m.now
+	}
+	m.send(from, HeartbeatAck{Number: message.View.Number, Round: message.Round, Current: m.durable.Promised.isZero()})
+}
+
+func (m *Machine) onPrepare(from Replica, message Prepare) {
+	if !m.learn(message.View) {
+		m.send(from, Newer{View: m.durable.View})
+		return
+	}
+	if !m.durable.View.HasWitness(m.durable.Self) {
+		return
+	}
+	primary := m.durable.View.Primary
+	if from != primary && m.now-m.primarySeen < m.stickiness() && m.durable.Promised.isZero() && primary != (Replica{}) {
+		return // the primary lives: the sender's own links are at fault
+	}
+	if message.Ballot.less(m.durable.Promised) {
+		m.send(from, Reject{Number: m.durable.View.Number + 1, Promised: m.durable.Promised})
+		return
+	}
+	m.promise(message.Ballot)
+	m.send(from, m.ownPromise())
+}
+
+// promise binds this replica to a ballot for the next view; as a member it takes no more changes in this one.
+func (m *Machine) promise(ballot Ballot) {
+	m.highest = max(m.highest, ballot.Round)
+	if m.durable.Promised == ballot {
+		return
+	}
+	m.durable.Promised = ballot
+	if ballot.Proposer != m.durable.Self {
+		m.election, m.lead = nil, nil
+		m.status = Following
+		m.primarySeen = m.now
+	}
+	m.persist()
+}
+
+func (m *Machine) ownPromise() Promise {
+	return Promise{
+		Number: m.durable.View.Number + 1, Ballot: m.durable.Promised, Accepted: m.durable.Accepted,
+		Proposal: m.durable.Proposal, Position: m.durable.Position, Source: m.durable.Source,
+	}
+}
+
+func (m *Machine) onFetch(from Replica, message Fetch) {
+	if message.Number != m.durable.View.Number+1 || message.Ballot != m.durable.Promised {
+		return
+	}
+	m.sendState(from, Fetched{Number: message.Number, Ballot: message.Ballot, Position: m.durable.Position})
+}
+
+func (m *Machine) onInstall(from Replica, message Install) {
+	if message.Number <= m.durable.View.Number {
+		m.send(from, Newer{View: m.durable.View})
+		return
+	}
+	bound := m.durable.Source
+	if m.durable.Position.View < message.Number {
+		bound = Ballot{}
+	}
+	if message.Number == m.durable.View.Number+1 && bound.less(m.durable.Promised) {
+		bound = m.durable.Promised
+	}
+	if message.Ballot.less(bound) {
+		m.send(from, Reject{Number: message.Number, Promised: bound})
+		return
+	}
+	held := m.durable.Position == message.Position && m.durable.Source == message.Ballot
+	same := m.durable.Position == message.From && m.durable.Source == message.FromSource
+	if !held && !same && message.Snapshot == nil {
+		m.send(from, Missing{Number: message.Number, Ballot: message.Ballot})
+		return
+	}
+	if !held {
+		m.hold(message.Position, message.Ballot, message.Snapshot)
+	}
+	m.send(from, Installed{Number: message.Number, Ballot: message.Ballot})
+}
+
+// hold takes over a state; nil is the one that is held already, at another position.
+func (m *Machine) hold(position Position, source Ballot, snapshot []byte) {
+	m.durable.Position, m.durable.Source = position, source
+	write := m.persist()
+	if snapshot != nil {
+		write.Snapshot = snapshot
+	}
+}
+
+func (m *Machine) onAccept(from Replica, message Accept) {
+	number := message.Proposal.Number
+	if number <= m.durable.View.Number {
+		m.send(from, Newer{View: m.durable.View})
+		return
+	}
+	if number != m.durable.View.Number+1 || !m.durable.View.HasWitness(m.durable.Self) {
+		return
+	}
+	if message.Ballot.less(m.durable.Promised) {
+		m.send(from, Reject{Number: number, Promised: m.durable.Promised})
+		return
+	}
+	m.promise(message.Ballot)
+	m.accept(message.Ballot, message.Proposal)
+	m.send(from, Accepted{Number: number, Ballot: message.Ballot})
+}
+
+func (m *Machine) accept(ballot Ballot, proposal View) {
+	m.durable.Accepted, m.durable.Proposal = ballot, proposal
+	m.persist()
+}
+
+func (m *Machine) onStore(from Replica, message Store) {
+	if !m.learn(message.View) {
+		m.send(from, Newer{View: m.durable.View})
+		return
+	}
+	if from != m.durable.View.Primary || !m.durable.View.HasMember(m.durable.Self) {
+		return
+	}
+	if !m.durable.Promised.isZero() {
+		m.send(from, Reject{Number: m.durable.View.Number + 1, Promised: m.durable.Promised})
+		return
+	}
+	m.primarySeen = m.now
+	current := m.durable.Source == message.Source && m.durable.Position.View == message.Position.View
+	switch {
+	case current && m.durable.Position.Sequence >= message.Position.Sequence:
+	case current && message.Entry != nil && m.durable.Position.Sequence+1 == message.Position.Sequence:
+		m.durable.Position = message.Position
+		m.persist().Entry = message.Entry
+	case message.Snapshot != nil:
+		m.hold(message.Position, message.Source, message.Snapshot)
+	default:
+		m.send(from, Missing{Number: m.durable.View.Number})
+		return
+	}
+	m.send(from, Stored{Number: m.durable.View.Number, Position: m.durable.Position})
+}
--- /dev/null
+++ b/internal/fleet/router/core.go
@@ -0,0 +1,140 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinelb.example/pinelb/internal/fleet/config"
+	"pinelb.example/pinelb/internal/fleet/dissemination"
+	"pinelb.example/pinelb/internal/fleet/registry"
+	"pinelb.example/pinelb/internal/fleet/replica"
+)
+
+// neverFresh is the age of a configuration that nothing has confirmed.
+const neverFresh = time.Hour
+
+// Table is the configuration in force, and how long ago it surely was the newest.
+func (r *Router) Table() (*config.Table, time.Duration) {
+	held := r.config.Load()
+	if held == nil {
+		return nil, neverFresh
+	}
+	if !held.fresh {
+		return held.table, neverFresh
+	}
+	return held.table, r.clock() - held.freshAt
+}
+
+// Charge takes units out of a tenant's quota.
+func (r *Router) Charge(ctx context.Context, tenant *config.Tenant, units float64) (bool, time.Duration) {
+	return r.quota.charge(ctx, tenant, units)
+}
+
+// Restore gives units back.
+func (r *Router) Restore(tenant *config.Tenant, units float64) { r.quota.restore(tenant, units) }
+
+// Submit has an order taken.
+func (r *Router) Submit(ctx context.Context, order *config.Order) error {
+	if r.replica == nil {
+		return replica.ErrNotPrimary
+	}
+	return r.replica.Submit(ctx, order)
+}
+
+// Read returns the newest configuration.
+func (r *Router) Read(ctx context.Context) (*config.Document, error) {
+	if r.replica == nil {
+		return nil, replica.ErrNotPrimary
+	}
+	return r.replica.Read(ctx)
+}
+
+// PrimaryControl is the control address of the primary.
+func (r *Router) PrimaryControl() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, address := r.node.Primary()
+	m, known := r.node.Members.Lookup(address)
+	if !known || address == r.settings.Internal() {
+		return ""
+	}
+	return m.Control
+}
+
+// Hear takes an endpoint's word over.
+func (r *Router) Hear(endpoint registry.Endpoint) bool {
+	endpoint.Owner = r.settings.Internal()
+	taken := false
+	r.withNode(func(now time.Duration) *dissemination.Output {
+		out, ok := r.node.Hear(now, endpoint)
+		taken = ok
+		return out
+	})
+	return taken
+}
+
+// ServiceOf is the service of an endpoint.
+func (r *Router) ServiceOf(id string) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	e, _ := r.node.Registry.Lookup(id)
+	return e.Service
+}
+
+// answerReady tells the platform whether clients may be sent here.
+func (r *Router) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !r.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// isReady: a configuration is held that was confirmed since the start, keys may be used, and there are endpoints.
+func (r *Router) isReady() bool {
+	table, age := r.Table()
+	if r.ending.Load() || table == nil || table.Version == 0 || age >= neverFresh {
+		return false
+	}
+	if lease := frontOptions(r.settings).KeyLease; lease > 0 && age > lease {
+		return false
+	}
+	for _, service := range table.Services() {
+		if r.dispatcher.Ready(service) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	noticeTime   = 2500 * time.Millisecond // until the platform has noticed that this router is not ready
+	endingMargin = 500 * time.Millisecond  // before the platform ends the process
+)
+
+// drain ends the process in the planned way: clients are sent elsewhere, and what is under way is finished.
+func (r *Router) drain() {
+	began := time.Now()
+	r.ending.Store(true)
+	r.front.Draining.Store(true)
+	r.log.Info("draining")
+	noticed := time.After(noticeTime)
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for waiting := true; waiting; {
+		select {
+		case <-noticed:
+			waiting = false
+		case <-ticker.C:
+			r.tick()
+		}
+	}
+	r.withNode(r.node.Leave)
+	ctx, cancel := context.WithDeadline(context.Background(), began.Add(r.settings.Bounds.Grace-endingMargin))
+	defer cancel()
+	if len(r.servers) > 0 {
+		err := r.servers[len(r.servers)-1].Shutdown(ctx)
+		r.log.Info("drained", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/fleet/router/gossip.go
@@ -0,0 +1,222 @@
+package router
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+	"go.uber.org/zap"
+
+	"pinelb.example/pinelb/internal/fleet/config"
+	"pinelb.example/pinelb/internal/fleet/dissemination"
+	"pinelb.example/pinelb/internal/fleet/replica"
+	"pinelb.example/pinelb/internal/fleet/replication"
+	"pinelb.example/pinelb/internal/fleet/settings"
+	"pinelb.example/pinelb/internal/fleet/transport"
+)
+
+// Kinds of messages between routers.
+const (
+	kindReplication transport.Kind = iota + 1
+	kindBeat
+	kindPull
+	kindAnswer
+	kindNews
+	kindQuotaAsk
+	kindQuotaGrant
+)
+
+const (
+	fetchPath  = "/configuration"
+	statusPath = "/status"
+	fetchTime  = 1500 * time.Millisecond
+)
+
+// fleetID tells the messages of one fleet from another's: it is made of what all machines' settings share.
+func fleetID(s *settings.Settings) uint32 {
+	var zones []string
+	for zone, region := range s.Zones {
+		zones = append(zones, zone+"="+region)
+	}
+	slices.Sort(zones)
+	return uint32(xxhash.Sum64String(fmt.Sprint(zones, s.Ports)))
+}
+
+// receive takes a message of another router.
+func (r *Router) receive(p *transport.Packet) {
+	var err error
+	switch p.Kind {
+	case kindReplication:
+		err = r.receiveReplication(p)
+	case kindBeat:
+		err = receiveNode[dissemination.Beat](r, p)
+	case kindPull:
+		err = receiveNode[dissemination.Pull](r, p)
+	case kindAnswer:
+		err = receiveNode[dissemination.Answer](r, p)
+	case kindNews:
+		err = receiveNode[dissemination.News](r, p)
+	case kindQuotaAsk:
+		err = r.receiveQuotaAsk(p)
+	case kindQuotaGrant:
+		err = r.quota.receiveGrant(p)
+	}
+	if err != nil {
+		r.transport.Counters.Dropped.Add(1)
+	}
+}
+
+func (r *Router) receiveReplication(p *transport.Packet) error {
+	if r.replica == nil {
+		return nil
+	}
+	var encoded replication.Encoded
+	if err := cbor.Unmarshal(p.Body, &encoded); err != nil {
+		return err
+	}
+	return r.replica.Deliver(replication.Replica{Address: p.From, Nonce: p.Nonce}, encoded)
+}
+
+// receiveNode hands a message to the dissemination.
+func receiveNode[M any](r *Router, p *transport.Packet) error {
+	var message M
+	if err := cbor.Unmarshal(p.Body, &message); err != nil {
+		return err
+	}
+	r.withNode(func(now time.Duration) *dissemination.Output { return r.node.Receive(now, p.From, message) })
+	return nil
+}
+
+// withNode lets the dissemination take a step, carries out what it wants done, and takes over what requests look at.
+func (r *Router) withNode(step func(now time.Duration) *dissemination.Output) {
+	r.mu.Lock()
+	out := step(r.clock())
+	r.refresh()
+	fetch := out.Fetch
+	if fetch != "" && r.fetching {
+		fetch = ""
+	}
+	r.fetching = r.fetching || fetch != ""
+	r.mu.Unlock()
+	for _, outgoing := range out.Send {
+		r.transport.Send(outgoing.To, kindOf(outgoing.Message), 0, outgoing.Message)
+	}
+	if fetch != "" {
+		r.tasks.Go(func() { r.fetch(fetch) })
+	}
+}
+
+func kindOf(message any) transport.Kind {
+	switch message.(type) {
+	case dissemination.Beat:
+		return kindBeat
+	case dissemination.Pull:
+		return kindPull
+	case dissemination.Answer:
+		return kindAnswer
+	}
+	return kindNews
+}
+
+// refresh takes over what requests look at. The caller holds the lock.
+func (r *Router) refresh() {
+	feed := &r.node.Feed
+	at, fresh := feed.FreshAt()
+	held := r.config.Load()
+	if held == nil || held.table != feed.Table || held.freshAt != at || held.fresh != fresh {
+		if feed.Table != nil {
+			r.config.Store(&configInForce{table: feed.Table, freshAt: at, fresh: fresh})
+		}
+	}
+	version, routers := r.node.Registry.Version(), r.node.Members.Count()
+	if version != r.registryVersion || routers != r.routers {
+		r.registryVersion, r.routers = version, routers
+		r.dispatcher.SetEndpoints(r.node.Registry.Ready(), routers)
+	}
+}
+
+// tick lets time pass.
+func (r *Router) tick() {
+	if r.replica != nil {
+		if _, sequence, at, ok := r.replica.Freshness(); ok {
+			r.mu.Lock()
+			r.node.Feed.Renew(sequence, at)
+			r.mu.Unlock()
+		}
+	}
+	r.withNode(r.node.Tick)
+}
+
+// fetch asks a router for configurations that this one lacks.
+func (r *Router) fetch(from string) {
+	ctx, cancel := context.WithTimeout(r.transport.Context(), fetchTime)
+	defer cancel()
+	r.mu.Lock()
+	request := dissemination.FetchRequest{After: r.node.Feed.Sequence}
+	if r.node.Feed.Table == nil {
+		request.After = 0
+	}
+	r.mu.Unlock()
+	var reply dissemination.FetchReply
+	err := r.transport.Call(ctx, from, fetchPath, request, &reply)
+	r.mu.Lock()
+	r.fetching = false
+	r.mu.Unlock()
+	if err != nil {
+		return // the next pull finds it again
+	}
+	r.withNode(func(now time.Duration) *dissemination.Output {
+		out, _, err := r.node.Fetched(now, reply)
+		if err != nil {
+			r.log.Error("a configuration that was fetched can't be read", zap.Error(err))
+		}
+		return out
+	})
+}
+
+func (r *Router) answerFetch(body []byte) (any, error) {
+	var request dissemination.FetchRequest
+	if err := cbor.Unmarshal(body, &request); err != nil {
+		return nil, err
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.node.Feed.Fetch(request)
+}
+
+// committed takes over a configuration that this router's replica has acknowledged as the primary.
+func (r *Router) committed(c replica.Commit) {
+	var encoded []byte
+	if c.Order != nil {
+		encoded, _ = c.Order.Encode() // without it the others fetch the configuration
+	}
+	table := c.Table
+	if table.Version == 0 {
+		table = emptyTable()
+	}
+	r.withNode(func(now time.Duration) *dissemination.Output {
+		return r.node.Commit(now, c.Sequence, table, encoded)
+	})
+}
+
+func emptyTable() *config.Table {
+	table, err := config.NewTable(config.EmptyDocument(), nil)
+	if err != nil {
+		panic(err) // an empty configuration is valid
+	}
+	return table
+}
+
+// viewed takes over a view that this router's replica has learned.
+func (r *Router) viewed(view replication.View) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.node.SetView(view.Number, view.Primary.Address)
+	self := r.settings.Internal()
+	if view.Primary.Address == self {
+		r.ledger.Serve(view.Number, r.ledger.View()+1 == view.Number)
+	}
+}
--- /dev/null
+++ b/internal/fleet/router/quota.go
@@ -0,0 +1,197 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pinelb.example/pinelb/internal/fleet/config"
+	"pinelb.example/pinelb/internal/fleet/quota"
+	"pinelb.example/pinelb/internal/fleet/transport"
+)
+
+const (
+	askTimeout    = 40 * time.Millisecond // before a question to the ledger is sent again
+	askTries      = 3
+	ledgerConfirm = time.Second // age of the primary's confirmation beyond which its ledger does not act
+	floorComeBack = 500 * time.Millisecond
+	leastComeBack = 20 * time.Millisecond
+)
+
+// quotaAsk asks the ledger for credit.
+type quotaAsk struct {
+	Number uint64  `cbor:"1,keyasint"`
+	Tenant string  `cbor:"2,keyasint"`
+	Least  float64 `cbor:"3,keyasint"`
+	Want   float64 `cbor:"4,keyasint"`
+}
+
+// quotaGrant answers quotaAsk.
+type quotaGrant struct {
+	Number  uint64  `cbor:"1,keyasint"`
+	Granted float64 `cbor:"2,keyasint"`
+	WaitMs  uint64  `cbor:"3,keyasint"` // with nothing granted: when to ask again
+}
+
+// quotaClient is a router's side of the quotas.
+type quotaClient struct {
+	router *Router
+
+	mu       sync.Mutex
+	accounts *quota.Accounts
+	number   uint64
+	open     map[uint64]chan quotaGrant
+}
+
+func newQuotaClient(r *Router, s quota.Settings) *quotaClient {
+	return &quotaClient{router: r, accounts: quota.NewAccounts(s), open: map[uint64]chan quotaGrant{}}
+}
+
+// charge takes units out of a tenant's quota: out of credit, else of what the ledger grants, else, where the ledger can't
+// be reached, of the floor.
+func (c *quotaClient) charge(ctx context.Context, t *config.Tenant, units float64) (bool, time.Duration) {
+	if !quota.Limited(t) {
+		return true, 0
+	}
+	now := c.router.clock()
+	c.mu.Lock()
+	ok, ask := c.accounts.Take(now, t, units)
+	c.mu.Unlock()
+	if ok {
+		return true, 0
+	}
+	grant, answered := c.ask(ctx, t, units, ask)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !answered {
+		return c.accounts.TakeFloor(c.router.clock(), t, units, c.router.count()), floorComeBack
+	}
+	if grant.Granted < units {
+		return false, max(leastComeBack, time.Duration(grant.WaitMs)*time.Millisecond)
+	}
+	c.accounts.Add(c.router.clock(), now, t, grant.Granted-units)
+	return true, 0
+}
+
+func (c *quotaClient) restore(t *config.Tenant, units float64) {
+	if !quota.Limited(t) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.accounts.Restore(c.router.clock(), t, units)
+}
+
+// ask asks the ledger, again where no answer comes.
+func (c *quotaClient) ask(ctx context.Context, t *config.Tenant, least, want float64) (quotaGrant, bool) {
+	answers := make(chan quotaGrant, askTries)
+	for range askTries {
+		if grant, answered := c.router.grantHere(t.Name, least, want); answered {
+			return grant, true
+		}
+		primary := c.router.primary()
+		if primary == "" || primary == c.router.settings.Internal() {
+			return quotaGrant{}, false
+		}
+		number := c.register(answers)
+		c.router.transport.Send(primary, kindQuotaAsk, 0, quotaAsk{Number: number, Tenant: t.Name, Least: least, Want: want})
+		grant, answered := c.await(ctx, answers)
+		c.forget(number)
+		if answered || ctx.Err() != nil {
+			return grant, answered
+		}
+	}
+	return quotaGrant{}, false
+}
+
+func (c *quotaClient) await(ctx context.Context, answers <-chan quotaGrant) (quotaGrant, bool) {
+	late := time.NewTimer(askTimeout)
+	defer late.Stop()
+	select {
+	case grant := <-answers:
+		return grant, true
+	case <-late.C:
+	case <-ctx.Done():
+	}
+	return quotaGrant{}, false
+}
+
+func (c *quotaClient) register(answers chan quotaGrant) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.number++
+	c.open[c.number] = answers
+	return c.number
+}
+
+func (c *quotaClient) forget(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.open, number)
+}
+
+func (c *quotaClient) receiveGrant(p *transport.Packet) error {
+	var grant quotaGrant
+	if err := cbor.Unmarshal(p.Body, &grant); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if answers := c.open[grant.Number]; answers != nil {
+		delete(c.open, grant.Number)
+		answers <- grant
+	}
+	return nil
+}
+
+// receiveQuotaAsk answers a router's question, if this one keeps the ledger.
+func (r *Router) receiveQuotaAsk(p *transport.Packet) error {
+	var ask quotaAsk
+	if err := cbor.Unmarshal(p.Body, &ask); err != nil {
+		return err
+	}
+	if grant, acts := r.grantHere(ask.Tenant, ask.Least, ask.Want); acts {
+		grant.Number = ask.Number
+		r.transport.Send(p.From, kindQuotaGrant, 0, grant)
+	}
+	return nil
+}
+
+// grantHere has this router's ledger grant credit; false where it is not the primary, or not sure to be.
+func (r *Router) grantHere(name string, least, want float64) (quotaGrant, bool) {
+	if r.replica == nil {
+		return quotaGrant{}, false
+	}
+	now := r.clock()
+	_, _, confirmed, leading := r.replica.Freshness()
+	if !leading || now-confirmed > ledgerConfirm {
+		return quotaGrant{}, false
+	}
+	table, _ := r.Table()
+	if table == nil {
+		return quotaGrant{}, false
+	}
+	t := table.TenantNamed(name)
+	if t == nil {
+		return quotaGrant{}, false
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	granted, wait := r.ledger.Grant(now, t, least, want)
+	return quotaGrant{Granted: granted, WaitMs: uint64(wait / time.Millisecond)}, true
+}
+
+func (r *Router) primary() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, address := r.node.Primary()
+	return address
+}
+
+func (r *Router) count() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.node.Members.Count()
+}
--- /dev/null
+++ b/internal/fleet/router/router.go
@@ -0,0 +1,239 @@
+// Package router is the role that every machine of a fleet runs: it takes clients' requests, the operator's orders and
+// the endpoints' heartbeats, and keeps what they need in step with the other routers.
+package router
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinelb.example/pinelb/internal/fleet/config"
+	"pinelb.example/pinelb/internal/fleet/control"
+	"pinelb.example/pinelb/internal/fleet/dissemination"
+	"pinelb.example/pinelb/internal/fleet/front"
+	"pinelb.example/pinelb/internal/fleet/membership"
+	"pinelb.example/pinelb/internal/fleet/quota"
+	"pinelb.example/pinelb/internal/fleet/replica"
+	"pinelb.example/pinelb/internal/fleet/replication"
+	"pinelb.example/pinelb/internal/fleet/retry"
+	"pinelb.example/pinelb/internal/fleet/settings"
+	"pinelb.example/pinelb/internal/fleet/transport"
+)
+
+const (
+	tickEvery       = 100 * time.Millisecond
+	descriptorsKept = 300                    // for files, the other listeners and the runtime
+	leaseSlack      = 600 * time.Millisecond // of revokeMs: what may pass between the look at a lease and the send
+	headerTimeout   = 10 * time.Second
+	idleTimeout     = 60 * time.Second
+	headerBytesMost = 64 << 10
+)
+
+// Router is one machine's process.
+type Router struct {
+	settings *settings.Settings
+	log      *zap.Logger
+	began    time.Time
+
+	transport  *transport.Transport
+	replica    *replica.Replica // nil where this machine does not count for the quorum
+	dispatcher *front.Dispatcher
+	front      *front.Server
+	quota      *quotaClient
+	servers    []*http.Server
+	tasks      sync.WaitGroup
+
+	mu              sync.Mutex
+	node            *dissemination.Node
+	registryVersion uint64
+	routers         int
+	fetching        bool
+	ledger          *quota.Ledger
+
+	config atomic.Pointer[configInForce]
+	ending atomic.Bool
+}
+
+// configInForce is what requests look at.
+type configInForce struct {
+	table   *config.Table
+	freshAt time.Duration
+	fresh   bool
+}
+
+// New prepares a router; Run starts it.
+func New(s *settings.Settings, log *zap.Logger) *Router {
+	r := &Router{settings: s, log: log, began: time.Now()}
+	r.ledger = quota.NewLedger(quotaSettings(s))
+	r.quota = newQuotaClient(r, quotaSettings(s))
+	r.dispatcher = front.NewDispatcher(r.clock, retry.Settings{
+		Ratio: s.Bounds.BudgetRatio, Window: s.Bounds.BudgetWindow, Slack: s.Bounds.BudgetSlack,
+	}, max(64, (s.Limits.Descriptors-descriptorsKept)/2))
+	r.front = front.NewServer(r, r.dispatcher, frontOptions(s))
+	r.node = dissemination.New(r.clock(), dissemination.Options{
+		Self: membership.Member{
+			Address: s.Internal(), Control: s.Control, Zone: s.Zone, Region: s.Region, Core: s.CountsForQuorum,
+			Start: rand.Uint64(),
+		},
+		Seeds: s.SeedInternals(), HeartbeatEvery: s.HeartbeatEvery, Timing: membership.DefaultTiming(),
+		Random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	})
+	return r
+}
+
+func quotaSettings(s *settings.Settings) quota.Settings {
+	return quota.Settings{Window: s.Bounds.QuotaWindow, Over: s.Bounds.QuotaOver, Slack: s.Bounds.QuotaSlack}
+}
+
+func frontOptions(s *settings.Settings) front.Options {
+	o := front.Options{Stale: s.Bounds.ConfigApply * 3 / 4}
+	if s.Bounds.RevocationStrict {
+		o.KeyLease = max(s.Bounds.Revoke/2, s.Bounds.Revoke-leaseSlack)
+	}
+	return o
+}
+
+// clock is steady: it takes no notice of the time of day.
+func (r *Router) clock() time.Duration { return time.Since(r.began) }
+
+// Run serves until ctx ends, and then brings to an end what is under way.
+func (r *Router) Run(ctx context.Context) error {
+	if err := r.start(); err != nil {
+		return err
+	}
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			r.drain()
+			r.close()
+			return nil
+		case <-ticker.C:
+			r.tick()
+		}
+	}
+}
+
+func (r *Router) start() error {
+	var err error
+	r.transport, err = transport.Listen(r.settings.Internal(), fleetID(r.settings), r.receive)
+	if err != nil {
+		return err
+	}
+	r.transport.HandleCall(fetchPath, r.answerFetch)
+	r.transport.HandleStatus(statusPath, func() any { return r.Status() })
+	if err := r.startReplica(); err != nil {
+		return err
+	}
+	if err := r.transport.Serve(); err != nil {
+		return err
+	}
+	if r.settings.Control != "" {
+		err = r.listen(r.settings.Control, control.NewServer(r, r.settings.Control))
+	}
+	if err == nil && r.settings.Ready != "" {
+		err = r.listen(r.settings.Ready, http.HandlerFunc(r.answerReady))
+	}
+	if err == nil && r.settings.Front != "" {
+		err = r.listen(r.settings.Front, r.front)
+	}
+	r.tasks.Go(func() { r.dispatcher.Pool.Sweep(r.transport.Context()) })
+	return err
+}
+
+// listen serves HTTP at an address. The last server is the front's, where there is one.
+func (r *Router) listen(address string, handler http.Handler) error {
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		return fmt.Errorf("router: %w", err)
+	}
+	server := &http.Server{
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytesMost,
+		ErrorLog: zap.NewStdLog(r.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
+	}
+	r.servers = append(r.servers, server)
+	r.tasks.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			r.log.Error("a listener ended", zap.String("address", address), zap.Error(err))
+		}
+	})
+	return nil
+}
+
+// startReplica starts this machine's copy of the replicated configuration, where it counts for the quorum, or is one of
+// the seeds at the first start of the whole system.
+func (r *Router) startReplica() error {
+	s := r.settings
+	var founders []string
+	isFounder := false
+	if s.Bootstrap {
+		founders = s.SeedInternals()
+		for _, founder := range founders {
+			isFounder = isFounder || founder == s.Internal()
+		}
+	}
+	if !s.CountsForQuorum && !isFounder {
+		return nil
+	}
+	var err error
+	r.replica, err = replica.Start(replica.Options{
+		Address: s.Internal(), Directory: s.DataDir, Founders: founders, Joins: s.CountsForQuorum,
+		Tolerance: replication.Tolerance{
+			Machines: s.Tolerance.Machines, Zones: s.Tolerance.Zones, Regions: s.Tolerance.Regions,
+		},
+		Timing: replication.DefaultTiming(), PlaceOf: r.placeOf, Peers: r.corePeers,
+		Send: func(to string, nonce uint64, message replication.Encoded) {
+			r.transport.Send(to, kindReplication, nonce, message)
+		},
+		Committed: r.committed, Viewed: r.viewed, Clock: r.clock, Log: r.log,
+	})
+	return err
+}
+
+func (r *Router) placeOf(address string) replication.Place {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	m, known := r.node.Members.Lookup(address)
+	if !known {
+		return replication.Place{Zone: address, Region: ""}
+	}
+	return replication.Place{Zone: m.Zone, Region: m.Region}
+}
+
+// corePeers are machines that may know the primary.
+func (r *Router) corePeers() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if cores := r.node.Members.Cores(); len(cores) > 0 {
+		return cores
+	}
+	return r.settings.SeedInternals()
+}
+
+func (r *Router) close() {
+	for _, server := range r.servers {
+		_ = server.Close() // what was under way has ended or been given up
+	}
+	if r.replica != nil {
+		r.replica.Close()
+	}
+	r.transport.Close()
+	r.tasks.Wait()
+}
+
+// Reload takes over settings that have changed.
+func (r *Router) Reload(s *settings.Settings) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.node.SetSeeds(s.SeedInternals())
+	r.log.Info("settings read again", zap.Strings("seeds", s.Seeds))
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -41,6 +41,7 @@
 	addr      string // the host's, as discovery lists it
 	use       purpose
 	idleSince time.Time
+	idleMost  time.Duration // as the host states it; 0: it states none
 	way       time.Duration // there and back, as its opening took
 
 	limit *io.LimitedReader // HTTP: what may still come of the present heads
@@ -60,6 +61,12 @@
 // readers are for connections that are in use: most are idle, and a reader that was used just now is in the processor's cache.
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, 2<<10) }}
 
+func newReader(from io.Reader) *bufio.Reader {
+	r := readers.Get().(*bufio.Reader)
+	r.Reset(from)
+	return r
+}
+
 // rests has a connection that becomes idle give its reader back, unless more has come than was asked for.
 func (c *conn) rests() {
 	if c.in != nil && c.in.Buffered() == 0 {
@@ -127,8 +134,7 @@
 // Answers are filled in and not passed up: each attempt has a goroutine of its own, whose stack would have to grow for them.
 func (c *conn) read(ctx context.Context, until time.Time, a *answer) error {
 	if c.in == nil {
-		c.in = readers.Get().(*bufio.Reader)
-		c.in.Reset(c.limit)
+		c.in = newReader(c.limit)
 	}
 	c.limit.N = headMost
 	c.pace.ctx, c.pace.until, c.pace.piece, c.pace.begun = ctx, until, pieceIn, false
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -63,11 +63,12 @@
 	port     uint16 // 0: the one that discovery lists
 	protocol string
 	oneway   bool // nothing is answered: when the host is done with a request can't be told
+	named    bool // answers name their requests, so that one that comes late or twice is told from the next
 }
 
 // rest is how long a connection rests before it may carry another request.
 func (u purpose) rest() time.Duration {
-	if u.protocol != "" {
+	if u.protocol != "" || u.named {
 		return 0
 	}
 	return restFor
@@ -185,7 +186,11 @@
 
 // fit tells whether an idle connection may carry a request: not stood too long, still open, and silent.
 func (p *Pool) fit(c *conn, now time.Time) bool {
-	return now.Sub(c.idleSince) < p.idleMost && c.quiet()
+	most := p.idleMost
+	if c.idleMost > 0 {
+		most = min(most, c.idleMost)
+	}
+	return now.Sub(c.idleSince) < most && c.quiet()
 }
 
 // closeIdle closes the idle connections that unfit picks; the caller holds the lock.
