Mend quotas that wasted credit, recover quicker, rank requests by priority

Cause: credit asked ahead of sparse calls expired unused, and a new ledger's buckets began to fill with their first use, so that requests within a quota got 429; after a loss of power routers waited for pulls, a slow first election and the endpoints' next heartbeats. Change: credit ahead only where calls are dense; ledgers fill from their start; pulls each 60 ms until the configuration is confirmed; first election after 180 ms; machines with disks keep the endpoints as a hint; the Priority header by tenant, then route.

--- a/internal/fleet/dissemination/node.go
+++ b/internal/fleet/dissemination/node.go
@@ -26,9 +26,12 @@
 	strangerOdds = 8 // one in so many pulls goes to a router that is thought dead, or a seed: partitions heal so
 )
 
-// PullEvery is the time between a router's pulls.
+// PullEvery is the time between a router's pulls, once its configuration has been confirmed.
 const PullEvery = 500 * time.Millisecond
 
+// firstPullEvery is the time between a router's pulls until then.
+const firstPullEvery = 60 * time.Millisecond
+
 // Outgoing is a message to be sent.
 type Outgoing struct {
 	To      string
@@ -114,7 +117,7 @@
 	}
 	n.spreadMembers(dead, 0)
 	if now >= n.nextPull {
-		n.nextPull = now + PullEvery*9/10 + time.Duration(n.options.Random.Int64N(int64(PullEvery/5)))
+		n.nextPull = now + n.pullInterval()
 		n.pull()
 	}
 	if now >= n.nextLapse {
@@ -126,6 +129,13 @@
 	return out
 }
 
+func (n *Node) pullInterval() time.Duration {
+	if _, fresh := n.Feed.FreshAt(); !fresh {
+		return firstPullEvery
+	}
+	return PullEvery*9/10 + time.Duration(n.options.Random.Int64N(int64(PullEvery/5)))
+}
+
 func (n *Node) lives(address string) bool {
 	m, known := n.Members.Lookup(address)
 	return known && m.Status == membership.Alive
@@ -278,6 +288,13 @@
 	return out, ok
 }
 
+// Hint takes over endpoints that a router before this one knew, as reports that any word of their own replaces.
+func (n *Node) Hint(now time.Duration, endpoints []registry.Endpoint) *Output {
+	out := n.step(now)
+	n.spreadEndpoints(n.Registry.Hint(now, endpoints), 0)
+	return out
+}
+
 // Leave says that this router ends.
 func (n *Node) Leave(now time.Duration) *Output {
 	out := n.step(now)
--- a/internal/fleet/front/request.go
+++ b/internal/fleet/front/request.go
@@ -133,6 +133,21 @@
 	return sum
 }
 
+// Ranks of the Priority header.
+const (
+	ranksPerTenant = 3 // ranks of routes within one of tenants
+	lowestRank     = 9
+)
+
+// priority is the request's rank at an endpoint: its tenant's goes before its route's.
+func (q *request) priority() int {
+	rank := min(max(0, q.route.Priority), ranksPerTenant-1)
+	if q.tenant != nil && q.tenant.Priority != nil {
+		rank += ranksPerTenant * max(0, *q.tenant.Priority)
+	}
+	return min(rank, lowestRank)
+}
+
 // sharedPrefix is the hash of the prompt's parts without the last, which is the request's own.
 func sharedPrefix(header string) uint64 {
 	last := strings.LastIndexByte(header, ',')
@@ -150,7 +165,7 @@
 
 // ownHeaders are set by the router, whatever the client sent.
 var ownHeaders = map[string]bool{
-	headerKey: true, headerTenant: true, headerExpect: true, headerDeadline: true, "Content-Length": true, "Expect": true,
+	headerKey: true, headerTenant: true, headerExpect: true, headerDeadline: true, headerPriority: true, "Content-Length": true, "Expect": true,
 }
 
 // connectionTokens are the headers that a message's Connection header names.
@@ -190,6 +205,7 @@
 	}
 	out = appendHeader(out, headerDeadline, strconv.FormatInt(max(1, left.Milliseconds()), 10))
 	out = appendHeader(out, headerExpect, instance)
+	out = appendHeader(out, headerPriority, strconv.Itoa(q.priority()))
 	if q.tenant != nil {
 		out = appendHeader(out, headerTenant, q.tenant.Name)
 	}
--- a/internal/fleet/front/server.go
+++ b/internal/fleet/front/server.go
@@ -47,7 +47,7 @@
 // Times after which clients may come back.
 const (
 	comeBackSoon  = 100 * time.Millisecond // another endpoint or router will do
-	comeBackLater = 500 * time.Millisecond // something has to be repaired first
+	comeBackLater = 300 * time.Millisecond // something has to be repaired first
 )
 
 // ServeHTTP is a request's life.
@@ -55,7 +55,7 @@
 	if s.Draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	table, age := s.core.Table()
+	table, age := s.awaitTable(r.Context())
 	if table == nil || table.Version == 0 {
 		s.refuse(w, http.StatusServiceUnavailable, comeBackLater)
 		return
@@ -86,6 +86,21 @@
 	s.forward(w, q)
 }
 
+// startHold is how long a request is held for a router that has just started to learn what it needs.
+const startHold = 90 * time.Millisecond
+
+// awaitTable returns the configuration in force, and waits a little for one that may be used.
+func (s *Server) awaitTable(ctx context.Context) (*config.Table, time.Duration) {
+	for until := time.Now().Add(startHold); ; {
+		table, age := s.core.Table()
+		usable := table != nil && table.Version != 0 && (s.options.KeyLease == 0 || age < s.options.KeyLease)
+		if usable || time.Now().After(until) || ctx.Err() != nil {
+			return table, age
+		}
+		time.Sleep(startHold / 6)
+	}
+}
+
 // admit finds a request's route, tenant and service. It returns the status of a denial, or 0.
 func (s *Server) admit(q *request, table *config.Table) int {
 	q.route = table.Route(hostOf(q.http), q.path)
--- a/internal/fleet/quota/account.go
+++ b/internal/fleet/quota/account.go
@@ -13,6 +13,9 @@
 // aheadFor is for how long credit is asked ahead, where requests come often.
 const aheadFor = 150 * time.Millisecond
 
+// aheadLeast is how many calls have to be expected within aheadFor.
+const aheadLeast = 3
+
 // usageMemory is the time over which a tenant's use is averaged.
 const usageMemory = time.Second
 
@@ -26,6 +29,7 @@
 	credit float64
 	until  time.Duration
 	usage  float64 // units a second
+	calls  float64 // a second
 	at     time.Duration
 	floor  bucket
 }
@@ -50,6 +54,9 @@
 		c.credit -= units
 		return true, 0
 	}
+	if c.calls*aheadFor.Seconds() < aheadLeast {
+		return false, units // what is asked ahead would mostly expire
+	}
 	return false, units + c.usage*aheadFor.Seconds()
 }
 
@@ -99,4 +106,5 @@
 	passed := (now - c.at).Seconds() / usageMemory.Seconds()
 	c.at = now
 	c.usage = c.usage/(1+passed) + units/usageMemory.Seconds()
+	c.calls = c.calls/(1+passed) + 1/usageMemory.Seconds()
 }
--- a/internal/fleet/quota/ledger.go
+++ b/internal/fleet/quota/ledger.go
@@ -18,7 +18,7 @@
 
 // What of the allowed excess is used where.
 const (
-	ledgerShare = 0.45 // by the ledger's buckets, beyond a tenant's burst
+	ledgerShare = 0.7 // by the ledger's buckets, beyond a tenant's burst
 	takeOver    = 0.15 // that a ledger begins with: the one before may have handed out its burst just now
 	floorShare  = 0.25 // of an even share of the rate, by a router that can't reach the ledger
 )
@@ -32,6 +32,7 @@
 type Ledger struct {
 	settings Settings
 	view     uint64
+	since    time.Duration // when it began to act without a break
 	buckets  map[string]*bucket
 }
 
@@ -49,9 +50,10 @@
 func (l *Ledger) View() uint64 { return l.view }
 
 // Serve has the ledger act for a view. Buckets are kept where this router was the primary of the view before, too.
-func (l *Ledger) Serve(view uint64, keep bool) {
+func (l *Ledger) Serve(now time.Duration, view uint64, keep bool) {
 	if view != l.view && !keep {
 		l.buckets = map[string]*bucket{}
+		l.since = now
 	}
 	l.view = view
 }
@@ -81,7 +83,7 @@
 func (l *Ledger) bucket(now time.Duration, t *config.Tenant) *bucket {
 	b := l.buckets[t.Name]
 	if b == nil {
-		b = &bucket{level: takeOver * l.settings.excess(t), at: now}
+		b = &bucket{level: takeOver * l.settings.excess(t), at: min(l.since, now)}
 		l.buckets[t.Name] = b
 	}
 	if now > b.at {
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -146,6 +146,25 @@
 	return news
 }
 
+// hintLife is how long an endpoint may be used that has not been heard since all routers ended.
+const hintLife = 1500 * time.Millisecond
+
+// Hint takes over endpoints that were known before a restart, where nothing is known of them. They are used for a short
+// time: their next heartbeat replaces the hint.
+func (t *Table) Hint(now time.Duration, endpoints []Endpoint) []Endpoint {
+	var news []Endpoint
+	for _, e := range endpoints {
+		if t.entries[e.ID] != nil || t.at[e.Address] != "" || e.State != Ready {
+			continue
+		}
+		e.Owner, e.Sequence = "", 0
+		t.put(now, e)
+		t.at[e.Address] = e.ID
+		news = append(news, e)
+	}
+	return news
+}
+
 // Lapse marks the endpoints of an owner that were silent for too long. ownerLives tells whether another router still
 // hears its endpoints; the endpoints of a router that is gone lapse as this router's own, after twice the time.
 func (t *Table) Lapse(now time.Duration, self string, silence time.Duration, ownerLives func(string) bool) []Endpoint {
@@ -156,7 +175,8 @@
 		}
 		own := e.Owner == self && now-e.heard > silence
 		orphaned := e.Owner != self && now-e.heard > 2*silence && !ownerLives(e.Owner)
-		if own || orphaned {
+		unconfirmed := e.Owner == "" && now-e.heard > hintLife
+		if own || orphaned || unconfirmed {
 			e.State, e.heard = Lapsed, now
 			t.version++
 			news = append(news, e.Endpoint)
--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -26,6 +26,7 @@
 // Timing are the intervals of the protocol. None of them matters for safety.
 type Timing struct {
 	Heartbeat   time.Duration // between a primary's rounds
+	Start       time.Duration // the same, after this replica's own start
 	Election    time.Duration // without a primary, before the first member becomes a candidate
 	Stagger     time.Duration // more for each member after the first
 	Member      time.Duration // of silence after which a primary leaves a member out
@@ -40,7 +41,7 @@
 // DefaultTiming suits machines in one region.
 func DefaultTiming() Timing {
 	return Timing{
-		Heartbeat: 150 * time.Millisecond, Election: 700 * time.Millisecond, Stagger: 200 * time.Millisecond,
+		Heartbeat: 150 * time.Millisecond, Start: 180 * time.Millisecond, Election: 700 * time.Millisecond, Stagger: 200 * time.Millisecond,
 		Member: 700 * time.Millisecond, Store: 500 * time.Millisecond, Attempt: 400 * time.Millisecond,
 		Join: 250 * time.Millisecond, Settle: 500 * time.Millisecond, Penalty: 3 * time.Second,
 		WitnessGone: 1500 * time.Millisecond,
@@ -75,6 +76,7 @@
 	out     *Output
 
 	now         time.Duration
+	started     time.Duration
 	primarySeen time.Duration             // when the view's primary last showed that it is not cut off
 	heard       map[Replica]time.Duration // when each replica was last heard of
 	joining     map[Replica]time.Duration // when each last asked to be taken in
@@ -97,8 +99,8 @@
 func New(now time.Duration, durable Durable, options Options) *Machine {
 	return &Machine{
 		options: options, durable: durable, now: now,
-		primarySeen: now - options.Timing.Election + min(options.Timing.Election, 300*time.Millisecond),
-		heard:       map[Replica]time.Duration{}, joining: map[Replica]time.Duration{}, penalties: map[Replica]*penalty{},
+		primarySeen: now - options.Timing.Election + options.Timing.Start, started: now,
+		heard: map[Replica]time.Duration{}, joining: map[Replica]time.Duration{}, penalties: map[Replica]*penalty{},
 		highest: durable.Promised.Round,
 	}
 }
@@ -184,7 +186,11 @@
 		return
 	}
 	t := m.options.Timing
-	if m.now-m.primarySeen > t.Election+time.Duration(rank)*t.Stagger {
+	stagger := t.Stagger
+	if m.primarySeen <= m.started {
+		stagger /= 2 // nothing was heard yet: all may have just started
+	}
+	if m.now-m.primarySeen > t.Election+time.Duration(rank)*stagger {
 		m.startElection()
 	}
 }
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -148,6 +148,7 @@
 		}
 	}
 	r.withNode(r.node.Tick)
+	r.tickHints()
 }
 
 // fetch asks a router for configurations that this one lacks.
@@ -217,6 +218,6 @@
 	r.node.SetView(view.Number, view.Primary.Address)
 	self := r.settings.Internal()
 	if view.Primary.Address == self {
-		r.ledger.Serve(view.Number, r.ledger.View()+1 == view.Number)
+		r.ledger.Serve(r.clock(), view.Number, r.ledger.View()+1 == view.Number)
 	}
 }
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -29,7 +29,7 @@
 )
 
 const (
-	tickEvery       = 100 * time.Millisecond
+	tickEvery       = 50 * time.Millisecond
 	descriptorsKept = 300                    // for files, the other listeners and the runtime
 	leaseSlack      = 600 * time.Millisecond // of revokeMs: what may pass between the look at a lease and the send
 	headerTimeout   = 10 * time.Second
@@ -60,6 +60,7 @@
 
 	config atomic.Pointer[configInForce]
 	ending atomic.Bool
+	hints  *hintFile // nil: no disk
 }
 
 // configInForce is what requests look at.
@@ -134,6 +135,7 @@
 	if err := r.startReplica(); err != nil {
 		return err
 	}
+	r.startHints()
 	if err := r.transport.Serve(); err != nil {
 		return err
 	}
