Place calls by queues that all routers know, and keep shared parts where they are

Ruled out: the endpoints' reports (old on arrival, the same for all, priced as probes). Change: a fluid model of each endpoint's queue, fed by own sends and by announcements of other routers at a bounded rate; the draw keeps to the row while the first token is expected soon enough; shared parts kept elsewhere weigh 8 times their reading; a primary resigns when its machine ends, and drains while it goes on renewing; fetched configurations carry their age.

--- a/internal/fleet/dissemination/feed.go
+++ b/internal/fleet/dissemination/feed.go
@@ -75,12 +75,22 @@
 	return true, nil
 }
 
+// ageMs is how long ago the configuration surely was the newest, rounded up.
+func (f *Feed) ageMs(now time.Duration) (age uint64, fresh bool) {
+	at, fresh := f.FreshAt()
+	if !fresh {
+		return 0, false
+	}
+	return uint64((now - at + time.Millisecond - 1) / time.Millisecond), true
+}
+
 // Fetch answers a router that holds the configuration of a sequence.
-func (f *Feed) Fetch(request FetchRequest) (FetchReply, error) {
+func (f *Feed) Fetch(now time.Duration, request FetchRequest) (FetchReply, error) {
 	if f.Table == nil {
 		return FetchReply{}, fmt.Errorf("dissemination: no configuration is held")
 	}
 	reply := FetchReply{Sequence: f.Sequence}
+	reply.AgeMs, reply.Fresh = f.ageMs(now)
 	behind := int(f.Sequence - min(f.Sequence, request.After))
 	if request.After > 0 && behind <= len(f.orders) {
 		reply.Orders = f.orders[len(f.orders)-behind:]
--- a/internal/fleet/dissemination/messages.go
+++ b/internal/fleet/dissemination/messages.go
@@ -46,4 +46,6 @@
 	Sequence uint64   `cbor:"1,keyasint"` // after all orders, or of the document
 	Orders   [][]byte `cbor:"2,keyasint,omitempty"`
 	Document []byte   `cbor:"3,keyasint,omitempty"`
+	Fresh    bool     `cbor:"4,keyasint,omitempty"` // AgeMs is set
+	AgeMs    uint64   `cbor:"5,keyasint,omitempty"` // as in Answer, at the time of this answer
 }
--- a/internal/fleet/dissemination/node.go
+++ b/internal/fleet/dissemination/node.go
@@ -216,9 +216,7 @@
 		n.spreadMembers(n.Members.Merge(n.now, []membership.Member{message.Self}), 0)
 	}
 	answer := Answer{Round: message.Round, Sequence: n.Feed.Sequence, View: n.view, Primary: n.primary}
-	if at, fresh := n.Feed.FreshAt(); fresh {
-		answer.Fresh, answer.AgeMs = true, uint64((n.now-at+time.Millisecond-1)/time.Millisecond)
-	}
+	answer.AgeMs, answer.Fresh = n.Feed.ageMs(n.now)
 	n.send(from, answer)
 	if message.Members != n.Members.Digest() {
 		n.sendMembers(from, n.Members.All(), hopsMost)
@@ -259,10 +257,14 @@
 	n.out.Fetch = from
 }
 
-// Fetched takes over what a router answered to a fetch. It returns whether the configuration changed.
-func (n *Node) Fetched(now time.Duration, reply FetchReply) (*Output, bool, error) {
+// Fetched takes over what a router answered to a fetch that was asked at a moment. It returns whether the configuration
+// changed.
+func (n *Node) Fetched(now, asked time.Duration, reply FetchReply) (*Output, bool, error) {
 	out := n.step(now)
 	changed, err := n.Feed.Take(reply)
+	if reply.Fresh {
+		n.Feed.Renew(reply.Sequence, asked-time.Duration(reply.AgeMs)*time.Millisecond)
+	}
 	if changed {
 		n.spreadOrder(n.Feed.Sequence, nil, 1)
 	}
--- a/internal/fleet/front/dispatcher.go
+++ b/internal/fleet/front/dispatcher.go
@@ -20,14 +20,18 @@
 // Dispatcher chooses endpoints and holds the connections to them. Its methods may be called by any goroutine.
 type Dispatcher struct {
 	Pool *upstream.Pool
+	// Announce tells the other routers of a long prompt; nil: they are not told. It is set before requests come.
+	Announce func(Announcement)
 
 	clock func() time.Duration
 
-	mu       sync.Mutex
-	placer   *placement.Placer
-	settings retry.Settings
-	routers  int
-	budgets  map[string]*retry.Budget
+	mu        sync.Mutex
+	placer    *placement.Placer
+	settings  retry.Settings
+	routers   int
+	budgets   map[string]*retry.Budget
+	allowed   float64 // announcements
+	allowedAt time.Duration
 }
 
 // NewDispatcher returns a dispatcher without endpoints that opens at most so many connections.
@@ -97,28 +101,29 @@
 	return b
 }
 
-// pick draws a call's endpoint and notes that the call goes there.
-func (d *Dispatcher) pick(call placement.Call) *placement.Endpoint {
+// place draws a call's endpoint, notes that the call goes there, and tells the other routers where it is worth it.
+func (d *Dispatcher) place(call *placement.Call) *placement.Placed {
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	now := d.clock()
-	e := d.placer.Pick(now, call)
-	if e != nil {
-		d.placer.Begin(now, e)
+	placed := d.placer.Place(now, call)
+	tell := placed != nil && d.Announce != nil && placed.Units >= announceLeast && d.mayAnnounce(now)
+	d.mu.Unlock()
+	if tell {
+		d.Announce(announcement(placed, call))
 	}
-	return e
+	return placed
 }
 
-func (d *Dispatcher) end(e *placement.Endpoint) {
+func (d *Dispatcher) end(placed *placement.Placed) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.placer.End(e)
+	d.placer.End(placed)
 }
 
-func (d *Dispatcher) firstToken(e *placement.Endpoint, delay time.Duration) {
+func (d *Dispatcher) firstToken(placed *placement.Placed, delay time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.placer.FirstToken(d.clock(), e, delay)
+	d.placer.FirstToken(d.clock(), placed, delay)
 }
 
 func (d *Dispatcher) refused(e *placement.Endpoint) {
--- a/internal/fleet/front/forward.go
+++ b/internal/fleet/front/forward.go
@@ -45,16 +45,17 @@
 			s.giveUp(answer, arrived, ctx)
 			return
 		}
-		endpoint := s.dispatcher.pick(q.call(tried))
-		if endpoint == nil || ctx.Err() != nil || !s.keysUsable(q) {
-			if endpoint != nil {
-				s.dispatcher.end(endpoint)
-			}
+		if ctx.Err() != nil || !s.keysUsable(q) {
 			s.giveUp(answer, arrived, ctx)
 			return
 		}
-		tried = append(tried, endpoint.ID)
-		result := s.attempt(ctx, answer, endpoint)
+		placed := s.dispatcher.place(q.call(tried))
+		if placed == nil {
+			s.giveUp(answer, arrived, ctx)
+			return
+		}
+		tried = append(tried, placed.Endpoint.ID)
+		result := s.attempt(ctx, answer, placed)
 		switch result {
 		case passedOn:
 			s.Served.Add(1)
@@ -109,10 +110,10 @@
 }
 
 // attempt sends the request to one endpoint.
-func (s *Server) attempt(ctx context.Context, a *answer, endpoint *placement.Endpoint) outcome {
-	q := a.request
+func (s *Server) attempt(ctx context.Context, a *answer, placed *placement.Placed) outcome {
+	q, endpoint := a.request, placed.Endpoint
 	began := time.Now()
-	defer s.dispatcher.end(endpoint)
+	defer s.dispatcher.end(placed)
 	message := q.encode(make([]byte, 0, 1024+len(q.body)), endpoint.ID, a.lastID, time.Until(q.deadline))
 	reply, proof, err := s.dispatcher.Pool.Start(ctx, &upstream.Exchange{
 		Host: balance.EndpointID(endpoint.Number), ID: q.id, Method: q.http.Method, Until: q.deadline, Message: message,
@@ -140,7 +141,7 @@
 	if a.begun && !success(reply.Status) {
 		return mayHaveRun // the rest of the events was asked for
 	}
-	return a.pass(ctx, endpoint, reply, began)
+	return a.pass(ctx, placed, reply, began)
 }
 
 func success(status int) bool { return status >= 200 && status < 300 }
@@ -163,7 +164,7 @@
 }
 
 // pass passes an answer on as it comes.
-func (a *answer) pass(ctx context.Context, endpoint *placement.Endpoint, reply *upstream.Reply, began time.Time) outcome {
+func (a *answer) pass(ctx context.Context, placed *placement.Placed, reply *upstream.Reply, began time.Time) outcome {
 	resumable := a.request.route.Type == config.Streaming && a.request.route.StreamResume
 	if !a.begun {
 		a.head(reply, resumable)
@@ -177,7 +178,7 @@
 		if n > 0 && first {
 			first = false
 			if success(reply.Status) {
-				a.server.dispatcher.firstToken(endpoint, time.Since(began))
+				a.server.dispatcher.firstToken(placed, time.Since(began))
 			}
 		}
 		if n > 0 {
@@ -196,7 +197,7 @@
 			return passedOn
 		}
 		if ctx.Err() == nil {
-			a.server.dispatcher.failed(endpoint)
+			a.server.dispatcher.failed(placed.Endpoint)
 		}
 		if a.request.http.Context().Err() != nil {
 			return clientGone
--- a/internal/fleet/front/request.go
+++ b/internal/fleet/front/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"pinelb.example/pinelb/internal/fleet/config"
+	"pinelb.example/pinelb/internal/fleet/placement"
 )
 
 // Headers of the protocol.
@@ -43,7 +45,7 @@
 	service  string
 	deadline time.Time
 	spent    time.Duration // by the client, before it came here
-	prefix   uint64
+	prompt   placement.Prompt
 	charged  float64 // units of the tenant's quota
 }
 
@@ -148,13 +150,29 @@
 	return min(rank, lowestRank)
 }
 
-// sharedPrefix is the hash of the prompt's parts without the last, which is the request's own.
-func sharedPrefix(header string) uint64 {
-	last := strings.LastIndexByte(header, ',')
-	if last < 0 {
-		return 0
+// prefixesMost bounds how many shared beginnings of a prompt are told apart.
+const prefixesMost = 4
+
+// readPrefixes reads the parts of a prompt, "ID:TOKENS,ID:TOKENS,...": its tokens in all, and its shared beginnings from
+// the longest to the shortest. The last part is the request's own. What can't be read counts as no part.
+func readPrefixes(header string) (tokens float64, shared []placement.Prefix) {
+	for at := 0; at < len(header); {
+		end := strings.IndexByte(header[at:], ',')
+		last := end < 0
+		if last {
+			end = len(header) - at
+		}
+		_, text, _ := strings.Cut(header[at:at+end], ":")
+		if n, err := strconv.ParseFloat(text, 64); err == nil && n > 0 {
+			tokens += n
+		}
+		if !last {
+			shared = append(shared, placement.Prefix{Hash: xxhash.Sum64String(header[:at+end]), Units: tokens})
+		}
+		at += end + 1
 	}
-	return xxhash.Sum64String(header[:last]) | 1
+	slices.Reverse(shared)
+	return max(1, tokens), shared[:min(len(shared), prefixesMost)]
 }
 
 // hopHeaders concern a single connection only (RFC 9110, section 7.6.1).
--- a/internal/fleet/front/server.go
+++ b/internal/fleet/front/server.go
@@ -113,7 +113,10 @@
 		}
 	}
 	q.service = q.route.Pick(s.dispatcher.uniform())
-	q.prefix = sharedPrefix(q.http.Header.Get(headerPrefix))
+	q.prompt = placement.Prompt{Units: 1, Rank: q.priority()}
+	if text := q.http.Header.Get(headerPrefix); text != "" {
+		q.prompt.Units, q.prompt.Prefixes = readPrefixes(text)
+	}
 	return 0
 }
 
@@ -139,9 +142,9 @@
 }
 
 // call is what the draw of the request's endpoint rests on.
-func (q *request) call(exclude []string) placement.Call {
-	return placement.Call{
-		Service: q.service, Target: q.route.Target(), Spent: q.spent + time.Since(q.arrived), Prefix: q.prefix, Exclude: exclude,
+func (q *request) call(exclude []string) *placement.Call {
+	return &placement.Call{
+		Service: q.service, Target: q.route.Target(), Spent: q.spent + time.Since(q.arrived), Prompt: q.prompt, Exclude: exclude,
 	}
 }
 
--- a/internal/fleet/placement/placement.go
+++ b/internal/fleet/placement/placement.go
@@ -17,14 +17,12 @@
 )
 
 const (
-	solveGap    = 500 * time.Millisecond // least time between solves of a table
-	shiftFit    = 0.2                    // change of an expected delay, relative, that is significant
-	shiftFail   = 0.05                   // and of a share of failures
-	ejectFirst  = 400 * time.Millisecond // that an endpoint is left out after it refused a connection
-	ejectMost   = 6 * time.Second
-	ejectAfter  = 2   // other failures in a row that eject
-	crowdSlack  = 3.0 // calls under way beyond which an endpoint may be passed over for its share's excess
-	crowdFactor = 1.5 // times its share of all calls under way
+	solveGap   = 500 * time.Millisecond // least time between solves of a table
+	shiftFit   = 0.2                    // change of an expected delay, relative, that is significant
+	shiftFail  = 0.05                   // and of a share of failures
+	ejectFirst = 400 * time.Millisecond // that an endpoint is left out after it refused a connection
+	ejectMost  = 6 * time.Second
+	ejectAfter = 2 // other failures in a row that eject
 )
 
 // Endpoint is one endpoint as this router has experienced it.
@@ -32,6 +30,7 @@
 	registry.Endpoint
 	Number uint32 // this router's own
 
+	queue     queue
 	model     delayModel
 	rate      rateMeter
 	fails     float64 // share
@@ -47,10 +46,30 @@
 	Service string
 	Target  time.Duration
 	Spent   time.Duration
-	Prefix  uint64 // hash of the shared part of the prompt; 0: none
+	Prompt  Prompt
 	Exclude []string
 }
 
+// key is what the draw hashes: calls with the same one go to the same endpoint.
+func (c *Call) key(random *rand.Rand) uint64 {
+	if len(c.Prompt.Prefixes) > 0 {
+		return c.Prompt.Prefixes[0].Hash
+	}
+	return random.Uint64()
+}
+
+// Placed is a call on its way to an endpoint.
+type Placed struct {
+	Endpoint *Endpoint
+	Expected time.Duration // until the first token
+	Units    float64       // that the endpoint has to read for it
+
+	cost   time.Duration // Expected, and what reading shared parts again is worth avoiding
+	before float64       // units that are read first
+	rank   int
+	pushed [ranks]float64
+}
+
 // Placer holds the tables of all services. Its methods are not safe for concurrent use.
 type Placer struct {
 	random   *rand.Rand
@@ -63,6 +82,7 @@
 	endpoints []*Endpoint // ready ones, by id
 	tables    map[time.Duration]*table
 	underWay  int
+	speed     speedModel // of all endpoints
 }
 
 // table is the rows for one target.
@@ -162,8 +182,8 @@
 	return 0
 }
 
-// Pick draws a call's endpoint; nil where there is none. Begin has to follow where the call is sent.
-func (p *Placer) Pick(now time.Duration, call Call) *Endpoint {
+// Place draws a call's endpoint and notes that the call goes there; nil where there is none. End has to follow.
+func (p *Placer) Place(now time.Duration, call *Call) *Placed {
 	s := p.services[call.Service]
 	if s == nil || len(s.endpoints) == 0 {
 		return nil
@@ -175,11 +195,30 @@
 	}
 	t.calls[bucket].count(now)
 	s.resolve(now, call.Target, t)
-	key := call.Prefix
-	if key == 0 {
-		key = p.random.Uint64()
+	placed := s.draw(now, t.rows[bucket], call.key(p.random), call)
+	if placed != nil {
+		s.begin(now, placed, call)
 	}
-	return s.draw(now, t.rows[bucket], key, call.Exclude)
+	return placed
+}
+
+// begin notes that a call is sent.
+func (s *service) begin(now time.Duration, placed *Placed, call *Call) {
+	e := placed.Endpoint
+	e.rate.count(now)
+	e.underWay++
+	s.underWay++
+	e.queue.push(now, placed.rank, placed.Units, s.line(e).unitTime)
+	placed.pushed = e.queue.pushed
+	for _, prefix := range call.Prompt.Prefixes {
+		e.queue.remember(now, prefix.Hash)
+	}
+}
+
+// line is an endpoint's time to first token by the units that are read before it.
+func (s *service) line(e *Endpoint) line {
+	all := s.speed.fit(line{first: priorFirst, unitTime: priorUnitTime}, 1)
+	return e.queue.speed.fit(all, ownSpeedWeight)
 }
 
 func (s *service) table(target time.Duration) *table {
@@ -191,40 +230,70 @@
 	return t
 }
 
-// draw chooses the endpoint with the least weighted score. An endpoint that has more calls under way than its share
-// warrants is passed over, and so are ejected ones, unless there is no other.
-func (s *service) draw(now time.Duration, row []float64, key uint64, exclude []string) *Endpoint {
-	var best, crowded, ejected *Endpoint
-	bestScore, crowdedScore, ejectedScore := math.Inf(1), math.Inf(1), math.Inf(1)
+// Bounds within which the draw keeps to the row.
+const (
+	easyShare = 0.35                  // of the time that is left: an endpoint that is expected within it is as good as any
+	easyLeast = 30 * time.Millisecond // the same beyond the quickest endpoint
+	againCost = 8.0                   // times the reading of shared parts that are kept elsewhere, which it is worth to avoid
+)
+
+// draw chooses the endpoint with the least weighted score among those from which the first token is expected soon
+// enough: within an easy part of the time that is left, or hardly later than from the quickest one. Ejected endpoints are
+// passed over unless there is no other.
+func (s *service) draw(now time.Duration, row []float64, key uint64, call *Call) *Placed {
+	candidates, usable := s.candidates(now, row, call)
+	if len(candidates) == 0 {
+		return nil
+	}
+	quickest := candidates[0].cost
+	for _, c := range candidates {
+		quickest = min(quickest, c.cost)
+	}
+	left := max(0, call.Target-call.Spent)
+	bound := max(quickest+easyLeast, time.Duration(easyShare*float64(left)))
+	var best *Placed
+	bestScore := math.Inf(1)
+	for i := range candidates {
+		c := &candidates[i]
+		score := rendezvous(key, c.Endpoint.ID) / usable[i]
+		if c.cost <= bound && score < bestScore {
+			best, bestScore = c, score
+		}
+	}
+	chosen := *best
+	return &chosen
+}
+
+// candidates are the endpoints that a call may go to, with their shares.
+func (s *service) candidates(now time.Duration, row []float64, call *Call) ([]Placed, []float64) {
+	var able, ejected []Placed
+	var shares, ejectedShares []float64
 	for i, e := range s.endpoints {
-		if row[i] <= 0 || slices.Contains(exclude, e.ID) {
+		if row[i] <= 0 || slices.Contains(call.Exclude, e.ID) {
 			continue
 		}
-		score := rendezvous(key, e.ID) / row[i]
-		switch {
-		case now < e.ejected:
-			if score < ejectedScore {
-				ejected, ejectedScore = e, score
-			}
-		case s.isCrowded(e, row[i]):
-			if score < crowdedScore {
-				crowded, crowdedScore = e, score
-			}
-		case score < bestScore:
-			best, bestScore = e, score
+		if now < e.ejected {
+			ejected, ejectedShares = append(ejected, s.expect(now, e, call)), append(ejectedShares, row[i])
+			continue
 		}
+		able, shares = append(able, s.expect(now, e, call)), append(shares, row[i])
 	}
-	switch {
-	case best != nil:
-		return best
-	case crowded != nil:
-		return crowded
+	if len(able) == 0 {
+		return ejected, ejectedShares
 	}
-	return ejected
+	return able, shares
 }
 
-func (s *service) isCrowded(e *Endpoint, share float64) bool {
-	return float64(e.underWay) > crowdSlack+crowdFactor*share*float64(s.underWay)
+// expect works out when an endpoint's first token would come.
+func (s *service) expect(now time.Duration, e *Endpoint, call *Call) Placed {
+	l := s.line(e)
+	e.queue.drain(now, l.unitTime)
+	placed := Placed{Endpoint: e, rank: call.Prompt.Rank, before: e.queue.before(call.Prompt.Rank, l.unitTime)}
+	placed.Units = e.queue.uncached(now, &call.Prompt)
+	placed.Expected = time.Duration((l.first + (placed.before+placed.Units)*l.unitTime) * float64(time.Second))
+	again := againCost * (placed.Units - call.Prompt.own()) * l.unitTime
+	placed.cost = placed.Expected + time.Duration(again*float64(time.Second))
+	return placed
 }
 
 // rendezvous is exponentially distributed over keys, the same on all routers.
@@ -239,22 +308,30 @@
 	return -math.Log(uniform)
 }
 
-// Begin notes that a call is sent to an endpoint.
-func (p *Placer) Begin(now time.Duration, e *Endpoint) {
-	e.rate.count(now)
-	e.underWay++
-	p.service(e.Service).underWay++
+// Heard notes a call that another router has sent to an endpoint.
+func (p *Placer) Heard(now time.Duration, id string, rank int, units float64, prefixes []uint64) {
+	e := p.byID[id]
+	if e == nil {
+		return
+	}
+	e.queue.push(now, rank, units, p.service(e.Service).line(e).unitTime)
+	e.queue.remember(now, prefixes...)
 }
 
-// End notes that a call to an endpoint is over.
-func (p *Placer) End(e *Endpoint) {
-	e.underWay--
-	p.service(e.Service).underWay--
+// End notes that a call is over.
+func (p *Placer) End(placed *Placed) {
+	placed.Endpoint.underWay--
+	p.service(placed.Endpoint.Service).underWay--
 }
 
-// FirstToken notes how long an endpoint's first token, or answer, took.
-func (p *Placer) FirstToken(now time.Duration, e *Endpoint, delay time.Duration) {
+// FirstToken notes how long a call's first token, or answer, took.
+func (p *Placer) FirstToken(now time.Duration, placed *Placed, delay time.Duration) {
+	e := placed.Endpoint
 	e.model.observe(e.rate.now(now), delay.Seconds())
+	units := placed.before + placed.Units
+	e.queue.speed.observe(units, delay.Seconds())
+	p.service(e.Service).speed.observe(units, delay.Seconds())
+	e.queue.reached(placed.rank, &placed.pushed)
 	e.outcome(0)
 	e.failures, e.ejectSpan, e.ejected = 0, 0, 0
 }
--- a/internal/fleet/quota/ledger.go
+++ b/internal/fleet/quota/ledger.go
@@ -18,7 +18,7 @@
 
 // What of the allowed excess is used where.
 const (
-	ledgerShare = 0.7 // by the ledger's buckets, beyond a tenant's burst
+	ledgerShare = 0.7  // by the ledger's buckets, beyond a tenant's burst
 	takeOver    = 0.15 // that a ledger begins with: the one before may have handed out its burst just now
 	floorShare  = 0.25 // of an even share of the rate, by a router that can't reach the ledger
 )
--- a/internal/fleet/replica/orders.go
+++ b/internal/fleet/replica/orders.go
@@ -164,6 +164,11 @@
 	}
 }
 
+// Resign has another replica become primary, where this one is: its machine is about to end.
+func (r *Replica) Resign() {
+	r.do(func() { r.carryOut(r.machine.Resign(r.options.Clock())) })
+}
+
 // settle looks, after a step, at what has been decided.
 func (r *Replica) settle() {
 	view := r.machine.View()
--- a/internal/fleet/replication/codec.go
+++ b/internal/fleet/replication/codec.go
@@ -48,6 +48,7 @@
 	KindFetch: decoder[Fetch], KindFetched: decoder[Fetched], KindInstall: decoder[Install],
 	KindInstalled: decoder[Installed], KindAccept: decoder[Accept], KindAccepted: decoder[Accepted],
 	KindStore: decoder[Store], KindStored: decoder[Stored], KindMissing: decoder[Missing],
+	KindResign: decoder[Resign],
 }
 
 // WithState returns a message with a snapshot filled in.
--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -84,6 +84,8 @@
 	nextJoin    time.Duration
 	highest     uint64 // round of any ballot seen
 
+	leaving bool // this replica is about to end: it neither leads nor joins any more
+
 	election *election
 	lead     *leadership
 }
@@ -182,7 +184,7 @@
 			rank = i
 		}
 	}
-	if rank < 0 {
+	if rank < 0 || m.leaving {
 		return
 	}
 	t := m.options.Timing
@@ -197,7 +199,7 @@
 
 // askToJoin asks the primary, or whoever may know it, to take this replica in.
 func (m *Machine) askToJoin() {
-	if !m.options.Joins || m.durable.View.HasWitness(m.durable.Self) || m.now < m.nextJoin {
+	if !m.options.Joins || m.leaving || m.durable.View.HasWitness(m.durable.Self) || m.now < m.nextJoin {
 		return
 	}
 	m.nextJoin = m.now + m.options.Timing.Join
@@ -262,6 +264,8 @@
 		m.onStored(from, message)
 	case Missing:
 		m.onMissing(from, message)
+	case Resign:
+		m.onResign(from, message)
 	}
 	return out
 }
--- a/internal/fleet/replication/messages.go
+++ b/internal/fleet/replication/messages.go
@@ -24,6 +24,7 @@
 	KindStore
 	KindStored
 	KindMissing
+	KindResign
 )
 
 // Heartbeat tells a view's witnesses that its primary lives. ConfirmedAgeMs is how long ago the primary sent the last
@@ -138,6 +139,12 @@
 	Ballot Ballot `cbor:"2,keyasint"` // of the Install; zero for a Store
 }
 
+// Resign says that the primary of a view is about to end, so that another replica may take its place at once.
+type Resign struct {
+	Number uint64 `cbor:"1,keyasint"`
+}
+
+func (Resign) kind() Kind       { return KindResign }
 func (Heartbeat) kind() Kind    { return KindHeartbeat }
 func (HeartbeatAck) kind() Kind { return KindHeartbeatAck }
 func (Join) kind() Kind         { return KindJoin }
--- a/internal/fleet/router/core.go
+++ b/internal/fleet/router/core.go
@@ -113,28 +113,39 @@
 	endingMargin = 500 * time.Millisecond  // before the platform ends the process
 )
 
-// drain ends the process in the planned way: clients are sent elsewhere, and what is under way is finished.
-func (r *Router) drain() {
-	began := time.Now()
+// drain ends the process in the planned way: another router takes the primary's place, clients are sent elsewhere, and
+// what is under way is finished. All the while this router tells the others what it knows.
+func (r *Router) drain(ticks <-chan time.Time) {
+	end := time.Now().Add(r.settings.Bounds.Grace - endingMargin)
 	r.ending.Store(true)
 	r.front.Draining.Store(true)
 	r.log.Info("draining")
-	noticed := time.After(noticeTime)
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for waiting := true; waiting; {
-		select {
-		case <-noticed:
-			waiting = false
-		case <-ticker.C:
-			r.tick()
-		}
+	if r.replica != nil {
+		r.replica.Resign()
 	}
+	r.tickUntil(ticks, time.After(noticeTime))
 	r.withNode(r.node.Leave)
-	ctx, cancel := context.WithDeadline(context.Background(), began.Add(r.settings.Bounds.Grace-endingMargin))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
-	if len(r.servers) > 0 {
-		err := r.servers[len(r.servers)-1].Shutdown(ctx)
-		r.log.Info("drained", zap.Error(err))
+	finished := make(chan time.Time)
+	go func() {
+		defer close(finished)
+		if len(r.servers) > 0 {
+			err := r.servers[len(r.servers)-1].Shutdown(ctx)
+			r.log.Info("drained", zap.Error(err))
+		}
+	}()
+	r.tickUntil(ticks, finished)
+}
+
+// tickUntil lets time pass until something is done.
+func (r *Router) tickUntil(ticks, done <-chan time.Time) {
+	for {
+		select {
+		case <-done:
+			return
+		case <-ticks:
+			r.tick()
+		}
 	}
 }
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -12,6 +12,7 @@
 
 	"pinelb.example/pinelb/internal/fleet/config"
 	"pinelb.example/pinelb/internal/fleet/dissemination"
+	"pinelb.example/pinelb/internal/fleet/front"
 	"pinelb.example/pinelb/internal/fleet/replica"
 	"pinelb.example/pinelb/internal/fleet/replication"
 	"pinelb.example/pinelb/internal/fleet/settings"
@@ -27,6 +28,7 @@
 	kindNews
 	kindQuotaAsk
 	kindQuotaGrant
+	kindAnnounce
 )
 
 const (
@@ -59,6 +61,8 @@
 		err = receiveNode[dissemination.Answer](r, p)
 	case kindNews:
 		err = receiveNode[dissemination.News](r, p)
+	case kindAnnounce:
+		err = r.receiveAnnouncement(p)
 	case kindQuotaAsk:
 		err = r.receiveQuotaAsk(p)
 	case kindQuotaGrant:
@@ -69,6 +73,22 @@
 	}
 }
 
+// announce tells all live routers of a long prompt.
+func (r *Router) announce(a front.Announcement) {
+	for _, to := range *r.peers.Load() {
+		r.transport.Send(to, kindAnnounce, 0, a)
+	}
+}
+
+func (r *Router) receiveAnnouncement(p *transport.Packet) error {
+	var a front.Announcement
+	if err := cbor.Unmarshal(p.Body, &a); err != nil {
+		return err
+	}
+	r.dispatcher.Heard(a)
+	return nil
+}
+
 func (r *Router) receiveReplication(p *transport.Packet) error {
 	if r.replica == nil {
 		return nil
@@ -148,6 +168,10 @@
 		}
 	}
 	r.withNode(r.node.Tick)
+	r.mu.Lock()
+	live := r.node.Members.Live()
+	r.mu.Unlock()
+	r.peers.Store(&live)
 	r.tickHints()
 }
 
@@ -162,6 +186,7 @@
 	}
 	r.mu.Unlock()
 	var reply dissemination.FetchReply
+	asked := r.clock()
 	err := r.transport.Call(ctx, from, fetchPath, request, &reply)
 	r.mu.Lock()
 	r.fetching = false
@@ -170,7 +195,7 @@
 		return // the next pull finds it again
 	}
 	r.withNode(func(now time.Duration) *dissemination.Output {
-		out, _, err := r.node.Fetched(now, reply)
+		out, _, err := r.node.Fetched(now, asked, reply)
 		if err != nil {
 			r.log.Error("a configuration that was fetched can't be read", zap.Error(err))
 		}
@@ -185,7 +210,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.node.Feed.Fetch(request)
+	return r.node.Feed.Fetch(r.clock(), request)
 }
 
 // committed takes over a configuration that this router's replica has acknowledged as the primary.
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -59,6 +59,7 @@
 	ledger          *quota.Ledger
 
 	config atomic.Pointer[configInForce]
+	peers  atomic.Pointer[[]string] // live routers
 	ending atomic.Bool
 	hints  *hintFile // nil: no disk
 }
@@ -78,6 +79,8 @@
 	r.dispatcher = front.NewDispatcher(r.clock, retry.Settings{
 		Ratio: s.Bounds.BudgetRatio, Window: s.Bounds.BudgetWindow, Slack: s.Bounds.BudgetSlack,
 	}, max(64, (s.Limits.Descriptors-descriptorsKept)/2))
+	r.peers.Store(&[]string{})
+	r.dispatcher.Announce = r.announce
 	r.front = front.NewServer(r, r.dispatcher, frontOptions(s))
 	r.node = dissemination.New(r.clock(), dissemination.Options{
 		Self: membership.Member{
@@ -113,13 +116,13 @@
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
+		r.tick()
 		select {
 		case <-ctx.Done():
-			r.drain()
+			r.drain(ticker.C)
 			r.close()
 			return nil
 		case <-ticker.C:
-			r.tick()
 		}
 	}
 }
