--- /dev/null
+++ b/internal/fleet/replication/search_test.go
@@ -0,0 +1,157 @@
+package replication
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// limits bound one walk of the search.
+type limits struct{ elections, proposals, restarts, wipes, steps int }
+
+// walk takes random steps through one world, and says what went wrong and in how many states it has been.
+func walk(w *world, r *rand.Rand, l limits, seen map[uint64]bool) string {
+	for range l.steps {
+		w.step(r, &l)
+		seen[w.fingerprint()] = true
+		if fault := w.fault(); fault != "" {
+			return fault
+		}
+	}
+	return ""
+}
+
+// step does one thing at one replica. The shares are in percent.
+func (w *world) step(r *rand.Rand, l *limits) {
+	h := w.replicas[r.IntN(len(w.replicas))]
+	switch p := r.IntN(100); {
+	case p < 4:
+		if l.elections > 0 && h.mayStand() {
+			l.elections--
+			w.carryOut(h, h.machine.elect(w.now))
+		}
+	case p < 14:
+		if l.proposals > 0 && w.proposeAnywhere() {
+			l.proposals--
+		}
+	case p < 16:
+		if l.restarts > 0 {
+			l.restarts--
+			w.restart(h)
+		}
+	case p < 18:
+		if l.wipes > 0 && h.disk.Self.Nonce == 0 {
+			l.wipes--
+			w.wipe(h)
+		}
+	case p < 30:
+		w.letTimePass()
+	case p < 34:
+		w.askToJoin(h)
+	default:
+		w.deliverSome(r)
+	}
+}
+
+func (h *host) mayStand() bool {
+	view, status := h.machine.View(), h.machine.Status()
+	return view.HasMember(h.machine.Self()) && (status == Following || status == Leading || status == Accepting)
+}
+
+func (w *world) proposeAnywhere() bool {
+	for _, h := range w.replicas {
+		if w.propose(h) {
+			return true
+		}
+	}
+	return false
+}
+
+// letTimePass lets candidates go on with a majority of promises.
+func (w *world) letTimePass() {
+	w.now += time.Second
+	for _, h := range w.replicas {
+		if h.machine.Status() == Preparing {
+			w.carryOut(h, h.machine.Tick(w.now))
+		}
+	}
+}
+
+// askToJoin has a replica that is no witness ask all others to take it in.
+func (w *world) askToJoin(h *host) {
+	if view := h.machine.View(); view.HasWitness(h.machine.Self()) {
+		return
+	}
+	for _, other := range w.replicas {
+		w.send(envelope{from: h.machine.Self(), to: other.machine.Self().Address, message: Join{}})
+	}
+}
+
+// deliverSome delivers the next message mostly, loses it sometimes, and else delivers any that was ever sent, late or again.
+func (w *world) deliverSome(r *rand.Rand) {
+	if len(w.sent) == 0 {
+		return
+	}
+	switch p := r.IntN(100); {
+	case p < 80 && w.next < len(w.sent):
+		w.next++
+		w.deliver(w.sent[w.next-1])
+	case p < 84 && w.next < len(w.sent):
+		w.next++ // lost, or very late
+	default:
+		w.deliver(w.sent[r.IntN(len(w.sent))])
+	}
+}
+
+// elect makes the replica a candidate, as when its patience has run out.
+func (m *Machine) elect(now time.Duration) *Output {
+	out := m.step(now)
+	m.startElection()
+	return out
+}
+
+// search walks through many worlds. It returns the first fault, and how many states and acknowledgements it saw.
+func search(replicas, tolerance, walks int, m mistake, l limits) (fault string, states, acknowledged int) {
+	seen := map[uint64]bool{}
+	for seed := range walks {
+		w := newWorld(replicas, tolerance, m)
+		if fault := walk(w, rand.New(rand.NewPCG(uint64(seed), 7)), l, seen); fault != "" {
+			return fmt.Sprintf("walk %d: %s", seed, fault), len(seen), acknowledged
+		}
+		acknowledged += len(w.acked)
+	}
+	return "", len(seen), acknowledged
+}
+
+// Guards against any order of messages, losses, crashes and lost disks within the tolerance after which a view leads
+// without something that was acknowledged.
+func TestSearchFindsNoLostAcknowledgement(t *testing.T) {
+	for _, c := range []struct{ replicas, tolerance, walks int }{{3, 1, 900}, {4, 1, 700}, {6, 2, 250}} {
+		t.Run(fmt.Sprint(c.replicas, " replicas"), func(t *testing.T) {
+			t.Parallel()
+			l := limits{elections: 5, proposals: 3, restarts: 2, wipes: c.tolerance, steps: 90 * c.replicas}
+			fault, states, acknowledged := search(c.replicas, c.tolerance, c.walks, none, l)
+			t.Logf("%d states, %d acknowledgements", states, acknowledged)
+			if fault != "" {
+				t.Error(fault)
+			}
+			if acknowledged < c.walks/4 {
+				t.Errorf("only %d acknowledgements in %d walks: the search does not get far", acknowledged, c.walks)
+			}
+		})
+	}
+}
+
+// Guards against a search that would find nothing whatever is wrong.
+func TestSearchFindsPlantedMistakes(t *testing.T) {
+	for name, m := range map[string]mistake{"an amnesiac votes": amnesiac, "one copy acknowledges": oneCopyAcks} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			l := limits{elections: 5, proposals: 3, restarts: 2, wipes: 1, steps: 240}
+			if fault, states, _ := search(3, 1, 4000, m, l); fault == "" {
+				t.Errorf("not found in %d states", states)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fleet/replication/timing_test.go
@@ -0,0 +1,305 @@
+package replication
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// cluster is a world whose messages arrive at once, unless their way is cut, and whose clock ticks.
+type cluster struct {
+	*world
+	down map[string]bool            // machines without power
+	cut  func(from, to string) bool // nil: nothing is cut
+}
+
+const tick = 30 * time.Millisecond
+
+func newCluster(replicas, tolerance int) *cluster {
+	c := &cluster{world: newWorld(replicas, tolerance, none), down: map[string]bool{}}
+	for _, h := range c.replicas {
+		c.start(h, DefaultTiming())
+	}
+	return c
+}
+
+// run lets time pass.
+func (c *cluster) run(span time.Duration) {
+	for end := c.now + span; c.now < end; {
+		c.now += tick
+		for _, h := range c.replicas {
+			if !c.down[h.disk.Self.Address] {
+				c.carryOut(h, h.machine.Tick(c.now))
+				c.noteAcknowledged(h)
+			}
+		}
+		c.settle()
+	}
+}
+
+// settle delivers all that is on its way.
+func (c *cluster) settle() {
+	for len(c.sent) > 0 {
+		e := c.sent[0]
+		c.sent = c.sent[1:]
+		clear(c.known)
+		h := c.hostAt(e.to)
+		if h == nil || c.down[e.to] || c.down[e.from.Address] || c.cut != nil && c.cut(e.from.Address, e.to) {
+			continue
+		}
+		c.carryOut(h, h.machine.Receive(c.now, e.from, e.message))
+		c.noteAcknowledged(h)
+	}
+}
+
+func (c *cluster) leader() *host {
+	var newest *host
+	for _, h := range c.replicas {
+		if h.machine.Status() == Leading && !c.down[h.disk.Self.Address] {
+			if newest == nil || newest.machine.View().Number < h.machine.View().Number {
+				newest = h
+			}
+		}
+	}
+	return newest
+}
+
+// order has the primary take a change and returns whether it was acknowledged.
+func (c *cluster) order() bool {
+	h := c.leader()
+	if h == nil || !c.propose(h) {
+		return false
+	}
+	c.settle()
+	return slices.Equal(c.acked, h.state) && !h.machine.Busy()
+}
+
+func (c *cluster) powerOff(h *host) { c.down[h.disk.Self.Address] = true }
+
+func (c *cluster) powerOn(h *host) {
+	delete(c.down, h.disk.Self.Address)
+	c.start(h, DefaultTiming())
+}
+
+func TestFailover(t *testing.T) {
+	Convey("Three replicas of which one may be lost", t, func() {
+		c := newCluster(3, 1)
+		c.run(time.Second)
+		first := c.leader()
+		So(first, ShouldNotBeNil)
+		So(len(first.machine.durable.View.Members), ShouldEqual, 3)
+		So(c.order(), ShouldBeTrue)
+
+		Convey("elect another primary within two seconds when the primary loses power, and lose nothing", func() {
+			c.powerOff(first)
+			c.run(2 * time.Second)
+			So(c.leader(), ShouldNotBeNil)
+			So(c.leader(), ShouldNotEqual, first)
+			So(c.leader().state, ShouldResemble, c.acked)
+			So(c.order(), ShouldBeTrue)
+			Convey("and take the former primary in again", func() {
+				c.powerOn(first)
+				c.run(2 * time.Second)
+				So(len(c.leader().machine.durable.View.Members), ShouldEqual, 3)
+				So(first.state, ShouldResemble, c.acked)
+			})
+		})
+		Convey("never acknowledge with one copy", func() {
+			for _, h := range c.replicas {
+				if h != first {
+					c.powerOff(h)
+				}
+			}
+			c.run(3 * time.Second)
+			So(c.order(), ShouldBeFalse)
+		})
+		Convey("replace a replica whose disk was lost by a new one of the same machine", func() {
+			lost := c.replicas[2]
+			c.wipe(lost)
+			c.start(lost, DefaultTiming())
+			c.run(3 * time.Second)
+			view := c.leader().machine.View()
+			So(len(view.Witnesses), ShouldEqual, 3)
+			So(view.HasMember(lost.disk.Self), ShouldBeTrue)
+			So(lost.state, ShouldResemble, c.acked)
+		})
+		Convey("outlive the loss of the primary's disk while all others lose power", func() {
+			for _, h := range c.replicas {
+				c.powerOff(h)
+			}
+			c.wipe(first)
+			for _, h := range c.replicas {
+				c.powerOn(h)
+			}
+			c.run(3 * time.Second)
+			So(c.leader(), ShouldNotBeNil)
+			So(c.leader().state, ShouldResemble, c.acked)
+			So(c.order(), ShouldBeTrue)
+		})
+		Convey("are led again within half a second when all lost power at once", func() {
+			for _, h := range c.replicas {
+				c.powerOff(h)
+			}
+			for _, h := range c.replicas {
+				c.powerOn(h)
+			}
+			c.run(500 * time.Millisecond)
+			So(c.leader(), ShouldNotBeNil)
+			So(c.leader().state, ShouldResemble, c.acked)
+		})
+		Convey("are led by another at once when the primary resigns", func() {
+			c.carryOut(first, first.machine.Resign(c.now))
+			c.settle()
+			c.run(4 * tick)
+			So(c.leader(), ShouldNotBeNil)
+			So(c.leader(), ShouldNotEqual, first)
+			So(c.order(), ShouldBeTrue)
+		})
+	})
+}
+
+func TestCuts(t *testing.T) {
+	Convey("Three replicas", t, func() {
+		c := newCluster(3, 1)
+		c.run(time.Second)
+		first := c.leader()
+		So(c.order(), ShouldBeTrue)
+		isolated := first.disk.Self.Address
+
+		Convey("whose primary is cut off: it confirms nothing any more, and the others go on", func() {
+			c.cut = func(from, to string) bool { return from == isolated || to == isolated }
+			cutAt := c.now
+			c.run(3 * time.Second)
+			confirmed, _ := first.machine.Confirmed()
+			So(confirmed, ShouldBeLessThanOrEqualTo, cutAt)
+			So(c.leader(), ShouldNotEqual, first)
+			So(c.order(), ShouldBeTrue)
+			Convey("and it follows them when it is joined again", func() {
+				c.cut = nil
+				c.run(2 * time.Second)
+				So(first.machine.Status(), ShouldEqual, Following)
+				So(first.state, ShouldResemble, c.acked)
+			})
+		})
+		Convey("whose primary can send but hears nothing: another takes over", func() {
+			c.cut = func(_, to string) bool { return to == isolated }
+			c.run(4 * time.Second)
+			So(c.leader(), ShouldNotBeNil)
+			So(c.leader(), ShouldNotEqual, first)
+			So(c.order(), ShouldBeTrue)
+		})
+		Convey("of which a backup hears nothing of the primary: it does not unseat the primary", func() {
+			var backup *host
+			for _, h := range c.replicas {
+				if h != first {
+					backup = h
+				}
+			}
+			deaf := backup.disk.Self.Address
+			c.cut = func(from, to string) bool {
+				return from == isolated && to == deaf || from == deaf && to == isolated
+			}
+			c.run(3 * time.Second)
+			So(c.leader(), ShouldEqual, first)
+			So(c.order(), ShouldBeTrue)
+		})
+	})
+}
+
+func TestComposition(t *testing.T) {
+	Convey("A core of three, at its first start", t, func() {
+		c := newCluster(3, 1)
+		c.run(time.Second)
+		So(c.order(), ShouldBeTrue)
+
+		Convey("takes machines in one after another while all former ones are lost", func() {
+			for i := range 3 {
+				c.nonces++
+				added := &host{disk: FirstDurable(address(10+i), c.nonces, nil)}
+				c.replicas = append(c.replicas, added)
+				c.start(added, DefaultTiming())
+				added.machine.options.JoinTargets = func() []string {
+					return []string{address(0), address(1), address(2), address(10), address(11)}
+				}
+				c.run(3 * time.Second)
+				c.powerOff(c.replicas[i])
+				c.run(4 * time.Second)
+				So(c.leader(), ShouldNotBeNil)
+				So(c.order(), ShouldBeTrue)
+			}
+			view := c.leader().machine.View()
+			So(len(view.Witnesses), ShouldEqual, 3)
+			So(c.leader().state, ShouldResemble, c.acked)
+			Convey("and those that come back decide nothing among themselves", func() {
+				for i := range 3 {
+					c.powerOn(c.replicas[i])
+				}
+				c.run(4 * time.Second)
+				So(c.leader().state, ShouldResemble, c.acked)
+				So(c.order(), ShouldBeTrue)
+			})
+		})
+		Convey("leaves a member out whose disk hangs, and acknowledges without it", func() {
+			slow := c.replicas[2]
+			if slow == c.leader() {
+				slow = c.replicas[1]
+			}
+			c.down[slow.disk.Self.Address] = true // its loop waits for the disk: it says nothing
+			So(c.order(), ShouldBeFalse)
+			c.run(1500 * time.Millisecond)
+			So(c.leader().state, ShouldResemble, c.acked)
+			So(len(c.acked), ShouldEqual, 2)
+		})
+	})
+	Convey("Six replicas of which two may be lost acknowledge after two disks are lost at once", t, func() {
+		c := newCluster(6, 2)
+		c.run(1500 * time.Millisecond)
+		So(c.order(), ShouldBeTrue)
+		first := c.leader()
+		c.wipe(first)
+		c.start(first, DefaultTiming())
+		other := c.replicas[5]
+		if other == first {
+			other = c.replicas[4]
+		}
+		c.wipe(other)
+		c.start(other, DefaultTiming())
+		c.run(4 * time.Second)
+		So(c.leader(), ShouldNotBeNil)
+		So(c.leader().state, ShouldResemble, c.acked)
+		So(c.order(), ShouldBeTrue)
+	})
+}
+
+// Guards against messages that one side writes and the other can't read.
+func TestCodecKeepsMessages(t *testing.T) {
+	Convey("Every kind of message is read as it was written", t, func() {
+		view := View{Number: 3, Primary: Replica{Address: "a:1", Nonce: 4}, Members: []Replica{{Address: "a:1", Nonce: 4}},
+			Witnesses: []Replica{{Address: "b:1"}}}
+		ballot := Ballot{Round: 5, Proposer: Replica{Address: "b:1"}}
+		for _, message := range []Message{
+			Heartbeat{View: view, Round: 2, ConfirmedAgeMs: 7}, HeartbeatAck{Number: 3, Round: 2, Current: true}, Join{Number: 1},
+			Newer{View: view}, Prepare{View: view, Ballot: ballot}, Promise{Number: 4, Ballot: ballot, Proposal: view},
+			Reject{Number: 4, Promised: ballot}, Fetch{Number: 4, Ballot: ballot}, Fetched{Number: 4, Snapshot: []byte("s")},
+			Install{Number: 4, Snapshot: []byte("s")}, Installed{Number: 4}, Accept{Ballot: ballot, Proposal: view},
+			Accepted{Number: 4}, Store{View: view, Entry: []byte("e")}, Stored{Number: 3}, Missing{Number: 3}, Resign{Number: 3},
+		} {
+			encoded, err := Encode(message)
+			So(err, ShouldBeNil)
+			decoded, err := Decode(encoded)
+			So(err, ShouldBeNil)
+			So(decoded.kind(), ShouldEqual, message.kind())
+			again, err := Encode(decoded)
+			So(err, ShouldBeNil)
+			So(again, ShouldResemble, encoded)
+		}
+	})
+	Convey("An unknown kind and a cut body are errors", t, func() {
+		_, err := Decode(Encoded{Kind: 200})
+		So(err, ShouldNotBeNil)
+		_, err = Decode(Encoded{Kind: KindPrepare, Body: []byte{0xa2, 0x01}})
+		So(err, ShouldNotBeNil)
+	})
+}
--- /dev/null
+++ b/internal/fleet/replication/world_test.go
@@ -0,0 +1,210 @@
+package replication
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// world is a set of replicas with scripted links and a fake clock. Messages that were sent stay on their way: each may be
+// delivered at any time, often or never.
+type world struct {
+	now       time.Duration
+	tolerance Tolerance
+	replicas  []*host
+	sent      []envelope
+	next      int             // the first of them that has not had its turn
+	known     map[uint64]bool // fingerprints of messages that were sent
+	acked     []byte          // entries, in their order
+	mistake   mistake
+	nonces    uint64
+	proposed  byte
+}
+
+// mistake is one that is planted, to show that the search finds it.
+type mistake int
+
+const (
+	none        mistake = iota
+	amnesiac            // a replica whose disk was lost votes under its former identity
+	oneCopyAcks         // a change counts as acknowledged once the primary itself has it
+)
+
+type envelope struct {
+	from    Replica
+	to      string
+	message Message
+}
+
+// host is one machine: its replica, and the disk.
+type host struct {
+	machine *Machine
+	disk    Durable
+	state   []byte // on the disk: the entries held
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i+1) }
+
+// searchTiming has no waits that depend on a real clock: the search itself decides what comes late.
+func searchTiming() Timing {
+	return Timing{
+		Heartbeat: time.Hour, Election: 0, Member: time.Hour, Store: time.Hour, Attempt: time.Hour,
+		Join: time.Hour, Settle: 0, Penalty: time.Hour, WitnessGone: time.Hour,
+	}
+}
+
+func newWorld(replicas int, tolerance int, m mistake) *world {
+	w := &world{tolerance: Tolerance{Machines: tolerance}, known: map[uint64]bool{}, mistake: m}
+	var founders []string
+	for i := range replicas {
+		founders = append(founders, address(i))
+	}
+	for i := range replicas {
+		h := &host{disk: FirstDurable(address(i), 0, founders)}
+		w.replicas = append(w.replicas, h)
+		w.start(h, searchTiming())
+	}
+	return w
+}
+
+func (w *world) start(h *host, timing Timing) {
+	h.machine = New(w.now, h.disk, Options{
+		Timing: timing, Tolerance: w.tolerance, Random: rand.New(rand.NewPCG(1, 2)), Joins: true,
+		PlaceOf:     func(address string) Place { return Place{Zone: address} },
+		JoinTargets: func() []string { return nil },
+	})
+}
+
+// carryOut does what a step wants done, as package replica does it.
+func (w *world) carryOut(h *host, out *Output) {
+	if out.Write != nil {
+		if out.Write.Snapshot != nil {
+			h.state = slices.Clone(out.Write.Snapshot[1:])
+		}
+		h.state = append(slices.Clone(h.state), out.Write.Entry...)
+		h.disk = out.Write.Durable
+	}
+	for _, o := range out.Send {
+		message := o.Message
+		if o.AttachState {
+			message = WithState(message, append([]byte{0}, h.state...)) // never nil
+		}
+		w.send(envelope{from: h.machine.Self(), to: o.To, message: message})
+	}
+}
+
+func (w *world) send(e envelope) {
+	if print := e.fingerprint(); !w.known[print] {
+		w.known[print] = true
+		w.sent = append(w.sent, e)
+	}
+}
+
+func (e *envelope) fingerprint() uint64 {
+	text, err := cbor.Marshal([]any{e.from, e.to, e.message.kind(), e.message})
+	if err != nil {
+		panic(err)
+	}
+	return xxhash.Sum64(text)
+}
+
+func (w *world) hostAt(address string) *host {
+	for _, h := range w.replicas {
+		if h.machine.Self().Address == address {
+			return h
+		}
+	}
+	return nil
+}
+
+func (w *world) deliver(e envelope) {
+	h := w.hostAt(e.to)
+	if h == nil {
+		return
+	}
+	w.now += 100 * time.Millisecond
+	w.carryOut(h, h.machine.Receive(w.now, e.from, e.message))
+	w.noteAcknowledged(h)
+}
+
+// propose has a primary begin a change, if it can.
+func (w *world) propose(h *host) bool {
+	out, begun := h.machine.Propose(w.now, []byte{w.proposed + 1})
+	if !begun {
+		return false
+	}
+	w.proposed++
+	w.carryOut(h, out)
+	w.noteAcknowledged(h)
+	return true
+}
+
+// noteAcknowledged takes note of what a primary acknowledges: the operator has been told of it.
+func (w *world) noteAcknowledged(h *host) {
+	_, leading := h.machine.Committed()
+	if leading && (!h.machine.Busy() || w.mistake == oneCopyAcks) && len(h.state) > len(w.acked) {
+		w.acked = slices.Clone(h.state)
+	}
+}
+
+// restart ends a replica and starts it with what its disk holds.
+func (w *world) restart(h *host) { w.start(h, searchTiming()) }
+
+// wipe takes a replica's disk away.
+func (w *world) wipe(h *host) {
+	w.nonces++
+	former := h.disk
+	h.state = nil
+	h.disk = FirstDurable(former.Self.Address, w.nonces, nil)
+	if w.mistake == amnesiac {
+		h.disk = FirstDurable(former.Self.Address, former.Self.Nonce, nil)
+		h.disk.View = former.View
+	}
+	w.start(h, searchTiming())
+}
+
+// fault says what is wrong; empty: nothing.
+func (w *world) fault() string {
+	for _, h := range w.replicas {
+		if _, leading := h.machine.Committed(); !leading || h.machine.Busy() {
+			continue
+		}
+		if len(h.state) < len(w.acked) && w.isNewest(h) {
+			return fmt.Sprintf("view %d leads with %v, acknowledged was %v", h.machine.View().Number, h.state, w.acked)
+		}
+		if common := min(len(h.state), len(w.acked)); !slices.Equal(h.state[:common], w.acked[:common]) {
+			return fmt.Sprintf("view %d holds %v, acknowledged was %v", h.machine.View().Number, h.state, w.acked)
+		}
+	}
+	return ""
+}
+
+// isNewest: a primary that was cut off may go on believing in its view, but can't acknowledge or confirm anything.
+func (w *world) isNewest(h *host) bool {
+	for _, other := range w.replicas {
+		if other.machine.View().Number > h.machine.View().Number {
+			return false
+		}
+	}
+	return true
+}
+
+// fingerprint identifies the whole state, the clock apart.
+func (w *world) fingerprint() uint64 {
+	hash := xxhash.New()
+	for _, h := range w.replicas {
+		text, err := cbor.Marshal([]any{h.disk, h.machine.status, h.state})
+		if err != nil {
+			panic(err)
+		}
+		_, _ = hash.Write(text)
+	}
+	_ = binary.Write(hash, binary.BigEndian, uint64(len(w.sent)))
+	_, _ = hash.Write(w.acked)
+	return hash.Sum64()
+}
--- /dev/null
+++ b/internal/fleet/storage/storage_test.go
@@ -0,0 +1,103 @@
+package storage
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pinelb.example/pinelb/internal/fleet/replication"
+)
+
+func durable(round uint64) replication.Durable {
+	return replication.Durable{
+		Self: replication.Replica{Address: "10.0.0.1:1", Nonce: 7}, Promised: replication.Ballot{Round: round},
+	}
+}
+
+// segment is the only file of the newest generation.
+func segment(directory string) string {
+	files, _ := filepath.Glob(filepath.Join(directory, generationPrefix+"*", segmentName))
+	return files[len(files)-1]
+}
+
+func TestLog(t *testing.T) {
+	Convey("A log with two records", t, func() {
+		directory := t.TempDir()
+		log, records, err := Open(directory)
+		So(err, ShouldBeNil)
+		So(records, ShouldBeEmpty)
+		So(log.Grown(), ShouldBeTrue)
+		So(log.Begin(durable(1), []byte("state")), ShouldBeNil)
+		So(log.Append(Record{Durable: durable(2), Entry: []byte("change")}), ShouldBeNil)
+
+		Convey("is read again as it was written", func() {
+			log.Close()
+			_, records, err := Open(directory)
+			So(err, ShouldBeNil)
+			So(len(records), ShouldEqual, 2)
+			So(string(records[0].Snapshot), ShouldEqual, "state")
+			So(string(records[1].Entry), ShouldEqual, "change")
+			So(records[1].Durable, ShouldResemble, durable(2))
+		})
+		Convey("loses what was torn at its end, at any byte, and nothing before", func() {
+			log.Close()
+			path := segment(directory)
+			whole, err := os.ReadFile(path)
+			So(err, ShouldBeNil)
+			_, firstOnly, err := Open(directory)
+			So(err, ShouldBeNil)
+			So(len(firstOnly), ShouldEqual, 2)
+			for cut := len(whole) - 1; cut > len(whole)-20; cut-- {
+				So(os.WriteFile(path, whole[:cut], 0o600), ShouldBeNil)
+				_, records, err := Open(directory)
+				So(err, ShouldBeNil)
+				So(len(records), ShouldEqual, 1)
+			}
+			spoilt := append([]byte(nil), whole...)
+			spoilt[len(spoilt)-2] ^= 0x40
+			So(os.WriteFile(path, spoilt, 0o600), ShouldBeNil)
+			_, records, err := Open(directory)
+			So(err, ShouldBeNil)
+			So(len(records), ShouldEqual, 1)
+		})
+		Convey("is followed by a new generation that holds all, and the former one goes", func() {
+			So(log.Begin(durable(3), []byte("later")), ShouldBeNil)
+			log.Close()
+			generations, err := filepath.Glob(filepath.Join(directory, generationPrefix+"*"))
+			So(err, ShouldBeNil)
+			So(len(generations), ShouldEqual, 1)
+			_, records, err := Open(directory)
+			So(err, ShouldBeNil)
+			So(len(records), ShouldEqual, 1)
+			So(string(records[0].Snapshot), ShouldEqual, "later")
+		})
+		Convey("is found again where a new generation was begun and never synced", func() {
+			log.Close()
+			empty := filepath.Join(directory, generationPrefix+"00000000000000000009")
+			So(os.MkdirAll(empty, 0o750), ShouldBeNil)
+			So(os.WriteFile(filepath.Join(empty, segmentName), []byte{0xff, 0x01}, 0o600), ShouldBeNil)
+			next, records, err := Open(directory)
+			So(err, ShouldBeNil)
+			So(len(records), ShouldEqual, 2)
+			So(next.Begin(durable(4), []byte("on")), ShouldBeNil)
+			next.Close()
+			_, records, err = Open(directory)
+			So(err, ShouldBeNil)
+			So(string(records[0].Snapshot), ShouldEqual, "on")
+		})
+		Convey("that could not be written takes nothing until a new generation is begun", func() {
+			So(log.log.Close(), ShouldBeNil)
+			So(log.Append(Record{Durable: durable(5)}), ShouldNotBeNil)
+			So(log.Append(Record{Durable: durable(5)}), ShouldNotBeNil)
+			So(log.Grown(), ShouldBeTrue)
+			So(log.Begin(durable(5), []byte("again")), ShouldBeNil)
+		})
+		Convey("grows only so far", func() {
+			big := make([]byte, logLeast)
+			So(log.Append(Record{Durable: durable(6), Entry: big}), ShouldBeNil)
+			So(log.Grown(), ShouldBeTrue)
+		})
+	})
+}
