Weigh endpoints that keep a prompt's shared part in the draw

Cause: rows differ a little from router to router, so that a prefix had several homes and was read again. Change: such an endpoint counts 30 times its share in the weighted draw. Ruled out: overflow as the main cause (it is bounded by againCost).

--- a/internal/fleet/placement/placement.go
+++ b/internal/fleet/placement/placement.go
@@ -233,9 +233,10 @@
 
 // Bounds within which the draw keeps to the row.
 const (
-	easyShare = 0.35                  // of the time that is left: an endpoint that is expected within it is as good as any
-	easyLeast = 30 * time.Millisecond // the same beyond the quickest endpoint
-	againCost = 8.0                   // times the reading of shared parts that are kept elsewhere, which it is worth to avoid
+	easyShare  = 0.35                  // of the time that is left: an endpoint that is expected within it is as good as any
+	easyLeast  = 30 * time.Millisecond // the same beyond the quickest endpoint
+	keptWeight = 30.0                  // times its share counts an endpoint that keeps the longest shared part
+	againCost  = 8.0                   // times the reading of shared parts that are kept elsewhere, which it is worth to avoid
 )
 
 // candidate is an endpoint that a call may go to.
@@ -246,6 +247,7 @@
 	cost     float64 // the same, and what reading shared parts again is worth avoiding
 	before   float64 // units that are read first
 	units    float64 // that have to be read for the call
+	kept     bool    // the endpoint keeps the longest shared part
 }
 
 // draw chooses the endpoint with the least weighted score among those from which the first token is expected soon
@@ -268,7 +270,11 @@
 		if c.cost > bound {
 			continue
 		}
-		if score := rendezvous(key, c.endpoint.hash) / c.share; score < bestScore {
+		weight := c.share
+		if c.kept {
+			weight *= keptWeight
+		}
+		if score := rendezvous(key, c.endpoint.hash) / weight; score < bestScore {
 			best, bestScore = i, score
 		}
 	}
@@ -302,6 +308,7 @@
 	e.queue.drain(now, l.unitTime)
 	c := candidate{endpoint: e, share: share, before: e.queue.before(call.Prompt.Rank, l.unitTime)}
 	c.units = e.queue.uncached(now, &call.Prompt)
+	c.kept = len(call.Prompt.Prefixes) > 0 && c.units <= call.Prompt.own()
 	c.expected = l.first + (c.before+c.units)*l.unitTime
 	c.cost = c.expected + againCost*(c.units-call.Prompt.own())*l.unitTime
 	return c
