Tell prompts through the core in large fleets, so that all queues are known

Cause: with 90 routers each could tell of 1.2 prompts a second of 11, so that queues were unknown and prompts met behind others (history-review waited 4 s at one endpoint while others were idle). Change: above 24 others a router tells one of the core, which gathers for 30 ms and tells all; announcements are short (numbers in place of names); long prompts go before short ones within the bound. Ruled out: direct messages to all (1,000 a second in and out a machine of 0.1 of a core), polled reports (priced, and old).

--- a/internal/fleet/front/announce.go
+++ b/internal/fleet/front/announce.go
@@ -6,47 +6,60 @@
 	"pinelb.example/pinelb/internal/fleet/placement"
 )
 
-// Routers tell each other of the long prompts that they send, so that each knows of all endpoints' queues. The rate is
-// bounded, whatever the fleet's size.
+// Routers tell each other of the prompts that they send, so that each knows of all endpoints' queues. How many a second
+// is bounded, whatever the fleet's size; where not all can be told, the long ones are.
 
 const (
-	announceLeast   = 400     // units of a prompt that is worth a message
-	announcedMost   = 200.0   // messages a second that a router gets at most, in a small fleet
-	announcedBytes  = 10000.0 // the same times the number of routers, in a large one
-	announcedAtOnce = 4.0     // messages
+	announceLeast   = 400.0    // units of a prompt that is worth telling
+	announceSurely  = 6000.0   // units of one that is told before all others
+	announcedMost   = 1500.0   // a second, of all routers, in a small fleet
+	announcedLarge  = 100000.0 // the same times the number of routers, in a large one
+	announcedAtOnce = 6.0      // by one router
 )
 
-// Announcement is a long prompt that a router has just sent to an endpoint.
+// Announcement is a prompt that a router has just sent to an endpoint.
 type Announcement struct {
-	Endpoint string   `cbor:"1,keyasint"`
-	Rank     int      `cbor:"2,keyasint,omitempty"`
-	Units    float64  `cbor:"3,keyasint"`
-	Prefixes []uint64 `cbor:"4,keyasint,omitempty"`
+	_        struct{} `cbor:",toarray"`
+	Origin   uint32   // the router that sent the prompt
+	Endpoint uint32   // placement.Endpoint.Name
+	Rank     uint8
+	Units    uint32
+	Prefixes []uint32
 }
 
-func announcement(placed *placement.Placed, call *placement.Call) Announcement {
-	a := Announcement{Endpoint: placed.Endpoint.ID, Rank: call.Prompt.Rank, Units: placed.Units}
+func announcement(origin uint32, placed *placement.Placed, call *placement.Call) Announcement {
+	a := Announcement{Origin: origin, Endpoint: placed.Endpoint.Name(), Rank: uint8(call.Prompt.Rank), Units: uint32(placed.Units)}
 	for _, prefix := range call.Prompt.Prefixes {
 		a.Prefixes = append(a.Prefixes, prefix.Hash)
 	}
 	return a
 }
 
-// mayAnnounce takes one message out of what this router may send. The caller holds the lock.
-func (d *Dispatcher) mayAnnounce(now time.Duration) bool {
-	rate := min(announcedMost, announcedBytes/float64(d.routers)) / float64(d.routers)
-	d.allowed = min(d.allowed+rate*(now-d.allowedAt).Seconds(), max(announcedAtOnce, rate))
+// mayAnnounce takes one announcement out of what this router may send; short prompts leave some to long ones. The caller
+// holds the lock.
+func (d *Dispatcher) mayAnnounce(now time.Duration, units float64) bool {
+	rate := min(announcedMost, announcedLarge/float64(d.routers)) / float64(d.routers)
+	most := max(announcedAtOnce, rate)
+	d.allowed = min(d.allowed+rate*(now-d.allowedAt).Seconds(), most)
 	d.allowedAt = now
-	if d.allowed < 1 {
+	kept := 0.5 * most * max(0, 1-units/announceSurely)
+	if d.allowed < 1+kept {
 		return false
 	}
 	d.allowed--
 	return true
 }
 
-// Heard takes another router's announcement over.
-func (d *Dispatcher) Heard(a Announcement) {
+// Heard takes other routers' announcements over. Its own may be among them, and are known.
+func (d *Dispatcher) Heard(announcements []Announcement) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.placer.Heard(d.clock(), a.Endpoint, a.Rank, a.Units, a.Prefixes)
+	now := d.clock()
+	for i := range announcements {
+		a := &announcements[i]
+		if a.Origin == d.origin {
+			continue
+		}
+		d.placer.Heard(now, a.Endpoint, int(a.Rank), float64(a.Units), a.Prefixes)
+	}
 }
--- a/internal/fleet/front/dispatcher.go
+++ b/internal/fleet/front/dispatcher.go
@@ -23,7 +23,8 @@
 	// Announce tells the other routers of a long prompt; nil: they are not told. It is set before requests come.
 	Announce func(Announcement)
 
-	clock func() time.Duration
+	clock  func() time.Duration
+	origin uint32 // names this router in announcements
 
 	mu        sync.Mutex
 	placer    *placement.Placer
@@ -38,7 +39,7 @@
 func NewDispatcher(clock func() time.Duration, settings retry.Settings, connections int) *Dispatcher {
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Dispatcher{
-		Pool: upstream.NewPool(connectTimeout, connectionIdle, connections), clock: clock, placer: placement.New(random),
+		Pool: upstream.NewPool(connectTimeout, connectionIdle, connections), clock: clock, origin: rand.Uint32(), placer: placement.New(random),
 		settings: settings, routers: 1, budgets: map[string]*retry.Budget{},
 	}
 }
@@ -106,10 +107,10 @@
 	d.mu.Lock()
 	now := d.clock()
 	placed := d.placer.Place(now, call)
-	tell := placed != nil && d.Announce != nil && placed.Units >= announceLeast && d.mayAnnounce(now)
+	tell := placed != nil && d.Announce != nil && placed.Units >= announceLeast && d.mayAnnounce(now, placed.Units)
 	d.mu.Unlock()
 	if tell {
-		d.Announce(announcement(placed, call))
+		d.Announce(announcement(d.origin, placed, call))
 	}
 	return placed
 }
--- a/internal/fleet/front/request.go
+++ b/internal/fleet/front/request.go
@@ -170,7 +170,7 @@
 			tokens += n
 		}
 		if !last {
-			shared = append(shared, placement.Prefix{Hash: xxhash.Sum64String(header[:at+end]), Units: tokens})
+			shared = append(shared, placement.Prefix{Hash: uint32(xxhash.Sum64String(header[:at+end])), Units: tokens})
 		}
 		at += end + 1
 	}
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -288,5 +288,16 @@
 	return cores
 }
 
+// LiveCores are the addresses of the others that live and count for the quorum.
+func (l *List) LiveCores() []string {
+	var cores []string
+	for _, address := range l.ring {
+		if l.members[address].Core && address != l.self.Address {
+			cores = append(cores, address)
+		}
+	}
+	return cores
+}
+
 // Count is how many members live, this router included.
 func (l *List) Count() int { return max(1, len(l.ring)) }
--- a/internal/fleet/placement/placement.go
+++ b/internal/fleet/placement/placement.go
@@ -54,7 +54,7 @@
 // key is what the draw hashes: calls with the same one go to the same endpoint.
 func (c *Call) key(random *rand.Rand) uint64 {
 	if len(c.Prompt.Prefixes) > 0 {
-		return c.Prompt.Prefixes[0].Hash
+		return uint64(c.Prompt.Prefixes[0].Hash) * 0x9e3779b97f4a7c15
 	}
 	return random.Uint64()
 }
@@ -75,6 +75,7 @@
 	random   *rand.Rand
 	services map[string]*service
 	byID     map[string]*Endpoint
+	byName   map[uint32]*Endpoint
 	numbers  uint32
 }
 
@@ -99,7 +100,7 @@
 
 // New returns a placer without endpoints.
 func New(random *rand.Rand) *Placer {
-	return &Placer{random: random, services: map[string]*service{}, byID: map[string]*Endpoint{}}
+	return &Placer{random: random, services: map[string]*service{}, byID: map[string]*Endpoint{}, byName: map[uint32]*Endpoint{}}
 }
 
 // SetReady takes over which endpoints may be sent requests. It returns those that are new and those that no longer may.
@@ -111,7 +112,7 @@
 		if e == nil || e.Address != reported.Address {
 			p.numbers++
 			e = &Endpoint{Number: p.numbers, hash: xxhash.Sum64String(reported.ID)}
-			p.byID[reported.ID] = e
+			p.byID[reported.ID], p.byName[e.Name()] = e, e
 			added = append(added, e)
 		}
 		e.Endpoint = reported
@@ -123,6 +124,7 @@
 			e.gone = true
 			removed = append(removed, e)
 			delete(p.byID, id)
+			delete(p.byName, e.Name())
 		}
 	}
 	for name, s := range p.services {
@@ -326,9 +328,12 @@
 	return -math.Log(uniform)
 }
 
+// Name is short for the endpoint's id, the same on all routers.
+func (e *Endpoint) Name() uint32 { return uint32(e.hash) }
+
 // Heard notes a call that another router has sent to an endpoint.
-func (p *Placer) Heard(now time.Duration, id string, rank int, units float64, prefixes []uint64) {
-	e := p.byID[id]
+func (p *Placer) Heard(now time.Duration, name uint32, rank int, units float64, prefixes []uint32) {
+	e := p.byName[name]
 	if e == nil {
 		return
 	}
--- a/internal/fleet/placement/placement_test.go
+++ b/internal/fleet/placement/placement_test.go
@@ -29,7 +29,7 @@
 	return p
 }
 
-func call(prefix uint64, units float64) *Call {
+func call(prefix uint32, units float64) *Call {
 	c := &Call{Service: "llm", Target: target, Prompt: Prompt{Units: units}}
 	if prefix != 0 {
 		c.Prompt.Prefixes = []Prefix{{Hash: prefix, Units: units / 2}}
@@ -99,7 +99,7 @@
 		p := placer(9)
 		Convey("get even shares of prefixes", func() {
 			counts := map[string]int{}
-			for prefix := uint64(1); prefix <= 1800; prefix++ {
+			for prefix := uint32(1); prefix <= 1800; prefix++ {
 				placed := p.Place(time.Duration(prefix)*time.Second, call(prefix*7919, 100))
 				counts[placed.Endpoint.ID]++
 				p.End(placed)
@@ -110,15 +110,15 @@
 			}
 		})
 		Convey("keep a prefix while they are not crowded, and most prefixes when one of them goes", func() {
-			homes := map[uint64]string{}
-			for prefix := uint64(1); prefix <= 200; prefix++ {
+			homes := map[uint32]string{}
+			for prefix := uint32(1); prefix <= 200; prefix++ {
 				placed := p.Place(time.Duration(prefix)*time.Second, call(prefix*7919, 100))
 				homes[prefix] = placed.Endpoint.ID
 				p.End(placed)
 			}
 			p.SetReady(endpoints(8))
 			moved := 0
-			for prefix := uint64(1); prefix <= 200; prefix++ {
+			for prefix := uint32(1); prefix <= 200; prefix++ {
 				placed := p.Place(time.Duration(400+prefix)*time.Second, call(prefix*7919, 100))
 				if placed.Endpoint.ID != homes[prefix] && homes[prefix] != "e08" {
 					moved++
@@ -128,18 +128,18 @@
 			So(moved, ShouldBeLessThan, 10)
 		})
 		Convey("pass a call on whose endpoint has a long queue, also where other routers filled it", func() {
-			home := p.Place(0, call(42, 1000)).Endpoint.ID
+			home := p.Place(0, call(42, 1000)).Endpoint
 			for range 40 {
-				p.Heard(time.Second, home, 0, 20000, nil)
+				p.Heard(time.Second, home.Name(), 0, 20000, nil)
 			}
 			placed := p.Place(time.Second, call(42, 1000))
-			So(placed.Endpoint.ID, ShouldNotEqual, home)
+			So(placed.Endpoint, ShouldNotEqual, home)
 			So(placed.Expected, ShouldBeLessThan, target)
 		})
 		Convey("keep a long shared part where it is, for a somewhat longer wait", func() {
 			first := p.Place(0, call(42, 20000))
 			p.End(first)
-			p.Heard(time.Second, first.Endpoint.ID, 0, 30000, nil)
+			p.Heard(time.Second, first.Endpoint.Name(), 0, 30000, nil)
 			So(p.Place(time.Second, call(42, 20000)).Endpoint, ShouldEqual, first.Endpoint)
 		})
 		Convey("get no call that is to go elsewhere", func() {
@@ -219,7 +219,7 @@
 		q.remember(time.Second, 1)
 		So(q.uncached(time.Second, prompt), ShouldEqual, 20)
 		So(q.uncached(2*prefixLife, prompt), ShouldEqual, 100)
-		for hash := range uint64(2 * prefixesMost) {
+		for hash := range uint32(2 * prefixesMost) {
 			q.remember(2*time.Second, hash+10)
 		}
 		So(len(q.prefixes), ShouldBeLessThanOrEqualTo, prefixesMost)
@@ -232,7 +232,7 @@
 		b.Run(fmt.Sprint(n, " endpoints"), func(b *testing.B) {
 			p := placer(n)
 			for i := range b.N {
-				placed := p.Place(time.Duration(i)*time.Millisecond, call(uint64(i%2000)*7919+1, 5000))
+				placed := p.Place(time.Duration(i)*time.Millisecond, call(uint32(i%2000)*7919+1, 5000))
 				p.End(placed)
 			}
 		})
--- a/internal/fleet/placement/work.go
+++ b/internal/fleet/placement/work.go
@@ -40,7 +40,7 @@
 
 // Prefix is a shared beginning of prompts.
 type Prefix struct {
-	Hash  uint64
+	Hash  uint32
 	Units float64 // from the prompt's beginning
 }
 
@@ -50,7 +50,7 @@
 	pushed   [ranks]float64 // units since the beginning
 	at       time.Duration
 	speed    speedModel
-	prefixes map[uint64]time.Duration // last use
+	prefixes map[uint32]time.Duration // last use
 }
 
 // speedModel is a weighted fit of the time to first token by the units that had to be read before it.
@@ -144,9 +144,9 @@
 }
 
 // remember notes that a prompt's shared parts are kept here from now on.
-func (q *queue) remember(now time.Duration, prefixes ...uint64) {
+func (q *queue) remember(now time.Duration, prefixes ...uint32) {
 	if q.prefixes == nil {
-		q.prefixes = map[uint64]time.Duration{}
+		q.prefixes = map[uint32]time.Duration{}
 	}
 	for _, hash := range prefixes {
 		q.prefixes[hash] = now
@@ -157,7 +157,7 @@
 }
 
 func (q *queue) forgetOldest() {
-	oldest, at := uint64(0), time.Duration(math.MaxInt64)
+	oldest, at := uint32(0), time.Duration(math.MaxInt64)
 	for hash, used := range q.prefixes {
 		if used < at {
 			oldest, at = hash, used
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -12,7 +12,6 @@
 
 	"pinelb.example/pinelb/internal/fleet/config"
 	"pinelb.example/pinelb/internal/fleet/dissemination"
-	"pinelb.example/pinelb/internal/fleet/front"
 	"pinelb.example/pinelb/internal/fleet/replica"
 	"pinelb.example/pinelb/internal/fleet/replication"
 	"pinelb.example/pinelb/internal/fleet/settings"
@@ -28,7 +27,8 @@
 	kindNews
 	kindQuotaAsk
 	kindQuotaGrant
-	kindAnnounce
+	kindAnnounce // to all routers
+	kindRelay    // to one router, which tells all
 )
 
 const (
@@ -62,7 +62,9 @@
 	case kindNews:
 		err = receiveNode[dissemination.News](r, p)
 	case kindAnnounce:
-		err = r.receiveAnnouncement(p)
+		err = r.receiveAnnouncements(p, false)
+	case kindRelay:
+		err = r.receiveAnnouncements(p, true)
 	case kindQuotaAsk:
 		err = r.receiveQuotaAsk(p)
 	case kindQuotaGrant:
@@ -73,22 +75,6 @@
 	}
 }
 
-// announce tells all live routers of a long prompt.
-func (r *Router) announce(a front.Announcement) {
-	for _, to := range *r.peers.Load() {
-		r.transport.Send(to, kindAnnounce, 0, a)
-	}
-}
-
-func (r *Router) receiveAnnouncement(p *transport.Packet) error {
-	var a front.Announcement
-	if err := cbor.Unmarshal(p.Body, &a); err != nil {
-		return err
-	}
-	r.dispatcher.Heard(a)
-	return nil
-}
-
 func (r *Router) receiveReplication(p *transport.Packet) error {
 	if r.replica == nil {
 		return nil
@@ -170,8 +156,9 @@
 	r.withNode(r.node.Tick)
 	r.mu.Lock()
 	live := r.node.Members.Live()
+	cores := r.node.Members.LiveCores()
 	r.mu.Unlock()
-	r.peers.Store(&live)
+	r.relay.setPeers(live, cores)
 	r.tickHints()
 }
 
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -48,6 +48,7 @@
 	dispatcher *front.Dispatcher
 	front      *front.Server
 	quota      *quotaClient
+	relay      *relay
 	servers    []*http.Server
 	clients    *http.Server // one of them; nil: clients are not served
 	tasks      sync.WaitGroup
@@ -60,7 +61,6 @@
 	ledger          *quota.Ledger
 
 	config atomic.Pointer[configInForce]
-	peers  atomic.Pointer[[]string] // live routers
 	ending atomic.Bool
 	hints  *hintFile // nil: no disk
 }
@@ -80,8 +80,8 @@
 	r.dispatcher = front.NewDispatcher(r.clock, retry.Settings{
 		Ratio: s.Bounds.BudgetRatio, Window: s.Bounds.BudgetWindow, Slack: s.Bounds.BudgetSlack,
 	}, max(64, (s.Limits.Descriptors-descriptorsKept)/2))
-	r.peers.Store(&[]string{})
-	r.dispatcher.Announce = r.announce
+	r.relay = newRelay(s.Internal(), s.CountsForQuorum, r.sendAnnouncements)
+	r.dispatcher.Announce = r.relay.announce
 	r.front = front.NewServer(r, r.dispatcher, frontOptions(s))
 	r.node = dissemination.New(r.clock(), dissemination.Options{
 		Self: membership.Member{
@@ -153,6 +153,7 @@
 		r.clients, err = r.listen(r.settings.Front, r.front)
 	}
 	r.tasks.Go(func() { r.dispatcher.Pool.Sweep(r.transport.Context()) })
+	r.tasks.Go(func() { r.relay.run(r.transport.Context()) })
 	return err
 }
 
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -180,6 +180,10 @@
 
 // Send sends a message, once and without a word of whether it came.
 func (t *Transport) Send(to string, kind Kind, nonce uint64, message any) {
+	t.sendText(to, t.encode(kind, nonce, message))
+}
+
+func (t *Transport) encode(kind Kind, nonce uint64, message any) []byte {
 	body, err := cbor.Marshal(message)
 	if err != nil {
 		panic(fmt.Sprintf("transport: a message of kind %d can't be encoded: %v", kind, err))
@@ -188,6 +192,10 @@
 	if err != nil {
 		panic(fmt.Sprintf("transport: a packet can't be encoded: %v", err))
 	}
+	return text
+}
+
+func (t *Transport) sendText(to string, text []byte) {
 	if len(text) <= datagramMost {
 		t.sendDatagram(to, text)
 		return
@@ -195,6 +203,14 @@
 	t.sendLarge(to, text)
 }
 
+// SendAll sends a message to several routers, once and without a word of whether it came.
+func (t *Transport) SendAll(to []string, kind Kind, message any) {
+	text := t.encode(kind, 0, message)
+	for _, address := range to {
+		t.sendText(address, text)
+	}
+}
+
 func (t *Transport) sendDatagram(to string, text []byte) {
 	t.mu.Lock()
 	at, known := t.peers[to]
