Add a rig of many routers in one process on real sockets

Change: pinelab routers plays 30 to some hundreds of routers with their own addresses, packets and disks, gives them a configuration of 690 tenants and 28 services, and measures rest and changes. Ruled out: a second scale rig's own protocol; the routers are package router's.

--- /dev/null
+++ b/cmd/pinelab/routers.go
@@ -0,0 +1,57 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+	"time"
+
+	"pinelb.example/pinelb/internal/lab/routers"
+)
+
+// routersCmd measures a fleet of routers.
+type routersCmd struct {
+	Sizes     []int         `help:"Numbers of routers, played one after the other." default:"30,100,380"`
+	Core      int           `help:"Of them, with disks." default:"9"`
+	Endpoints float64       `help:"Endpoints a router that send heartbeats." default:"3.7"`
+	Tenants   int           `help:"Tenants with keys." default:"690"`
+	Models    int           `help:"Services." default:"28"`
+	Changes   int           `help:"Changes of the configuration." default:"10"`
+	Rest      time.Duration `help:"Time for which the fleet is measured at rest." default:"5s"`
+	Within    time.Duration `help:"Time that a change may take." default:"30s"`
+	Out       string        `help:"File to which each play's figures are added as a line of JSON." placeholder:"FILE"`
+}
+
+// Run plays each size and prints a line for it.
+func (c *routersCmd) Run(ctx context.Context, t *terminal) error {
+	out := io.Discard
+	if c.Out != "" {
+		file, err := os.OpenFile(c.Out, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
+		if err != nil {
+			return exit{faulty, fmt.Errorf("--out: %w", err)}
+		}
+		defer file.Close()
+		out = file
+	}
+	w := tabwriter.NewWriter(t.out, 0, 0, 2, ' ', tabwriter.AlignRight)
+	defer w.Flush()
+	fmt.Fprintln(w, "routers\tendpoints\tCPU ms/s\tbytes/s\tdatagrams/s\tMB\tack ms\tp50 ms\tp99 ms\tlast ms\tfailed\t")
+	for _, size := range c.Sizes {
+		result, err := routers.Play(ctx, routers.Config{
+			Routers: size, Core: min(c.Core, size), Endpoints: int(c.Endpoints * float64(size)), Tenants: c.Tenants, Models: c.Models,
+			Changes: c.Changes, Rest: c.Rest, Within: c.Within,
+		})
+		if err != nil {
+			return exit{rigFault, err}
+		}
+		fmt.Fprintf(w, "%d\t%d\t%.2f\t%.0f\t%.1f\t%.2f\t%d\t%d\t%d\t%d\t%d\t\n", result.Routers, result.Endpoints, result.RestCPU, result.RestBytes,
+			result.RestDatagrams, result.MemoryMB, result.AcknowledgeMs, result.ChangeP50Ms, result.ChangeP99Ms, result.ChangeLastMs, result.Failed)
+		if err := json.NewEncoder(out).Encode(result); err != nil {
+			return exit{rigFault, err}
+		}
+	}
+	return nil
+}
--- a/internal/fleet/router/status.go
+++ b/internal/fleet/router/status.go
@@ -61,3 +61,11 @@
 	s.Sequence, s.Routers, s.Endpoints = r.node.Feed.Sequence, r.node.Members.Count(), r.node.Registry.Ready()
 	return s
 }
+
+// Sent is what the router has sent to others since its start, in bytes of messages and in datagrams.
+func (r *Router) Sent() (bytes, datagrams uint64) {
+	if r.transport == nil {
+		return 0, 0
+	}
+	return r.transport.Counters.SentBytes.Load(), r.transport.Counters.SentDatagrams.Load()
+}
