--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -49,13 +49,19 @@
 			routers[i] = NewAccounts(settings)
 		}
 		var uses []use
-		failover := time.Duration(5+r.IntN(10)) * time.Second
+		// Demand comes in spells, so that buckets fill in between and bursts are granted whole. The primary changes right
+		// after a burst: the new one knows nothing of what the former has handed out.
+		spell := time.Duration(4+r.IntN(6)) * time.Second
+		burst := time.Duration(100+r.IntN(1500)) * time.Millisecond
 		for now := time.Duration(0); now < 40*time.Second; now += 2 * time.Millisecond {
-			if now >= failover { // the new primary knows nothing of what the former has handed out
-				failover = now + 8*time.Second + time.Duration(r.IntN(8))*time.Second
+			if now >= spell+burst {
+				spell = now + time.Duration(r.IntN(12000))*time.Millisecond
 				ledger = NewLedger(settings)
 				ledger.Serve(now, uint64(now), false)
 			}
+			if idle := now < spell && r.IntN(10) > 0; idle {
+				continue
+			}
 			a := routers[r.IntN(len(routers))]
 			units := float64(500 + r.IntN(20000))
 			ok, ask := a.Take(now, t, units)
--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -190,7 +190,7 @@
 	t := m.options.Timing
 	stagger := t.Stagger
 	if m.primarySeen <= m.started {
-		stagger /= 2 // nothing was heard yet: all may have just started
+		stagger /= 4 // nothing was heard yet: all may have just started
 	}
 	if m.now-m.primarySeen > t.Election+time.Duration(rank)*stagger {
 		m.startElection()
