--- a/cmd/pinelab/main.go
+++ b/cmd/pinelab/main.go
@@ -38,6 +38,7 @@
 	Scale      scaleCmd      `cmd:"" help:"Measure what thousands of hollow sidecars cost a list service, and how soon a change is in force at all."`
 	Rack       rackCmd       `cmd:"" hidden:"" help:"A rack of hollow sidecars, as scale starts it."`
 	Distribute distributeCmd `cmd:"" help:"Measure how settings reach sidecars through five distributors: real ones, hollow followers and real sidecars."`
+	Variants   variantsCmd   `cmd:"" help:"Make site files of deployments that nobody has out of one of the bench's."`
 	Routers    routersCmd    `cmd:"" help:"Measure what control costs a fleet of routers, and how soon a configuration is in force at all."`
 }
 
--- /dev/null
+++ b/cmd/pinelab/variants.go
@@ -0,0 +1,26 @@
+package main
+
+import (
+	"context"
+	"fmt"
+
+	"pinelb.example/pinelb/internal/lab/variants"
+)
+
+// variantsCmd makes sites that nobody has.
+type variantsCmd struct {
+	Site string `arg:"" placeholder:"FILE" help:"A site file of the bench, with wire.json beside it."`
+	Into string `arg:"" placeholder:"FOLDER" help:"Where the variants go: outside the repository."`
+}
+
+// Run writes the variants and names them.
+func (c *variantsCmd) Run(_ context.Context, t *terminal) error {
+	paths, err := variants.Write(c.Site, c.Into)
+	if err != nil {
+		return exit{faulty, err}
+	}
+	for _, path := range paths {
+		fmt.Fprintln(t.out, path)
+	}
+	return nil
+}
--- a/internal/fleet/replication/composition.go
+++ b/internal/fleet/replication/composition.go
@@ -55,6 +55,7 @@
 			next = append(next, applicant)
 		}
 	}
+	next = m.withoutOutsiders(next)
 	least := 2*m.options.Tolerance.Machines + 1
 	for i := 0; i < len(next) && len(next) > least; {
 		if gone(next[i]) {
@@ -66,6 +67,19 @@
 	return next
 }
 
+// withoutOutsiders drops witnesses that do not count for the quorum, as soon as there are enough that do. At the first
+// start the seeds are witnesses whatever they are; one without a disk would be lost with its process.
+func (m *Machine) withoutOutsiders(replicas []Replica) []Replica {
+	counting := slices.DeleteFunc(slices.Clone(replicas), func(r Replica) bool {
+		place := m.options.PlaceOf(r.Address)
+		return place.Known && !place.Counts
+	})
+	if !m.enough(counting) || len(counting) < 2*m.options.Tolerance.Machines+1 {
+		return replicas
+	}
+	return counting
+}
+
 // promisedNow tells whether a replica has answered the candidate in this attempt.
 func (m *Machine) promisedNow(r Replica) bool {
 	if m.election == nil {
--- a/internal/fleet/replication/election.go
+++ b/internal/fleet/replication/election.go
@@ -202,7 +202,7 @@
 		return
 	}
 	number := m.durable.View.Number + 1
-	e.proposal = View{Number: number, Primary: m.durable.Self, Members: members, Witnesses: witnesses}
+	e.proposal = View{Number: number, Primary: m.nextPrimary(members), Members: members, Witnesses: witnesses}
 	e.installed = map[Replica]bool{m.durable.Self: true}
 	m.hold(Position{View: number, Sequence: e.from.Sequence}, e.ballot, snapshot)
 	m.enter(Installing)
@@ -210,6 +210,14 @@
 	m.countInstalled()
 }
 
+// nextPrimary is this replica, unless it is no member any more.
+func (m *Machine) nextPrimary(members []Replica) Replica {
+	if slices.Contains(members, m.durable.Self) {
+		return m.durable.Self
+	}
+	return members[0]
+}
+
 func (m *Machine) sendInstall() {
 	e := m.election
 	for _, member := range e.proposal.Members {
--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -51,8 +51,12 @@
 // Tolerance is what may be lost at once.
 type Tolerance struct{ Machines, Zones, Regions int }
 
-// Place is where a machine stands.
-type Place struct{ Zone, Region string }
+// Place is where a machine stands, and whether it counts for the quorum. Of a machine that is not known nothing is said.
+type Place struct {
+	Zone, Region string
+	Known        bool
+	Counts       bool
+}
 
 // Options are a machine's surroundings.
 type Options struct {
--- a/internal/fleet/replication/timing_test.go
+++ b/internal/fleet/replication/timing_test.go
@@ -253,6 +253,39 @@
 			So(len(c.acked), ShouldEqual, 2)
 		})
 	})
+	Convey("Seeds of which only one counts for the quorum leave all to it, so that it goes on alone after all were restarted", t, func() {
+		c := newCluster(3, 0)
+		counts := c.replicas[1]
+		for _, h := range c.replicas {
+			h.machine.options.PlaceOf = func(a string) Place {
+				return Place{Zone: a, Known: true, Counts: a == counts.disk.Self.Address}
+			}
+		}
+		c.run(3 * time.Second)
+		So(c.leader(), ShouldEqual, counts)
+		So(len(counts.machine.durable.View.Witnesses), ShouldEqual, 1)
+		So(c.order(), ShouldBeTrue)
+		for _, h := range c.replicas {
+			if h != counts {
+				c.powerOff(h)
+			}
+		}
+		c.powerOff(counts)
+		c.powerOn(counts)
+		c.run(2 * time.Second)
+		So(c.leader(), ShouldEqual, counts)
+		So(c.leader().state, ShouldResemble, c.acked)
+		So(c.order(), ShouldBeTrue)
+	})
+	Convey("Two that count keep a third witness where one may be lost", t, func() {
+		c := newCluster(3, 1)
+		outsider := c.replicas[0].disk.Self.Address
+		for _, h := range c.replicas {
+			h.machine.options.PlaceOf = func(a string) Place { return Place{Zone: a, Known: true, Counts: a != outsider} }
+		}
+		c.run(3 * time.Second)
+		So(len(c.leader().machine.durable.View.Witnesses), ShouldEqual, 3)
+	})
 	Convey("Six replicas of which two may be lost acknowledge after two disks are lost at once", t, func() {
 		c := newCluster(6, 2)
 		c.run(1500 * time.Millisecond)
--- a/internal/fleet/router/quota.go
+++ b/internal/fleet/router/quota.go
@@ -13,7 +13,10 @@
 )
 
 const (
-	askTimeout    = 40 * time.Millisecond // before a question to the ledger is sent again
+	askLeast      = 40 * time.Millisecond  // before a question to the ledger is sent again
+	askFirst      = 120 * time.Millisecond // the same, before an answer has come
+	askFactor     = 3                      // times the usual answer's time
+	answerMemory  = 8                      // answers after which one weighs 1/e
 	askTries      = 3
 	ledgerConfirm = time.Second // age of the primary's confirmation beyond which its ledger does not act
 	floorComeBack = 500 * time.Millisecond
@@ -43,6 +46,7 @@
 	accounts *quota.Accounts
 	number   uint64
 	open     map[uint64]chan quotaGrant
+	usual    time.Duration // that an answer takes; 0: none has come
 }
 
 func newQuotaClient(r *Router, s quota.Settings) *quotaClient {
@@ -97,8 +101,12 @@
 		}
 		number := c.register(answers)
 		c.router.transport.Send(primary, kindQuotaAsk, 0, quotaAsk{Number: number, Tenant: t.Name, Least: least, Want: want})
+		asked := time.Now()
 		grant, answered := c.await(ctx, answers)
 		c.forget(number)
+		if answered {
+			c.observe(time.Since(asked))
+		}
 		if answered || ctx.Err() != nil {
 			return grant, answered
 		}
@@ -107,7 +115,7 @@
 }
 
 func (c *quotaClient) await(ctx context.Context, answers <-chan quotaGrant) (quotaGrant, bool) {
-	late := time.NewTimer(askTimeout)
+	late := time.NewTimer(c.patience())
 	defer late.Stop()
 	select {
 	case grant := <-answers:
@@ -118,6 +126,26 @@
 	return quotaGrant{}, false
 }
 
+// observe learns how long answers take: the primary may be in another region.
+func (c *quotaClient) observe(took time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.usual == 0 {
+		c.usual = took
+	}
+	c.usual += (took - c.usual) / answerMemory
+}
+
+// patience is how long an answer is waited for.
+func (c *quotaClient) patience() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.usual == 0 {
+		return askFirst
+	}
+	return max(askLeast, askFactor*c.usual)
+}
+
 func (c *quotaClient) register(answers chan quotaGrant) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/fleet/router/relay_test.go
+++ b/internal/fleet/router/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -84,3 +85,18 @@
 		})
 	})
 }
+
+func TestPatience(t *testing.T) {
+	Convey("The ledger's answer is waited for as long as answers usually take, and a little at least", t, func() {
+		c := &quotaClient{}
+		So(c.patience(), ShouldEqual, askFirst)
+		for range 50 {
+			c.observe(time.Millisecond)
+		}
+		So(c.patience(), ShouldEqual, askLeast)
+		for range 50 {
+			c.observe(45 * time.Millisecond) // another region
+		}
+		So(c.patience(), ShouldBeGreaterThan, 100*time.Millisecond)
+	})
+}
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -211,9 +211,9 @@
 	defer r.mu.Unlock()
 	m, known := r.node.Members.Lookup(address)
 	if !known {
-		return replication.Place{Zone: address, Region: ""}
+		return replication.Place{Zone: address}
 	}
-	return replication.Place{Zone: m.Zone, Region: m.Region}
+	return replication.Place{Zone: m.Zone, Region: m.Region, Known: true, Counts: m.Core}
 }
 
 // corePeers are machines that may know the primary.
--- /dev/null
+++ b/internal/lab/variants/variants.go
@@ -0,0 +1,228 @@
+// Package variants makes site files of deployments that nobody has out of one of the bench's: other zones, regions, disks,
+// cores and bounds. The files go beside the bench's, never into the repository.
+package variants
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"path/filepath"
+	"slices"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// site is a site file, of which only a few keys are touched.
+type site map[string]any
+
+// variant changes a site. zones are the names of its zones.
+type variant func(s site, zones []string)
+
+// All are the variants by name.
+var All = map[string]variant{
+	"six-disks":   sixDisks,
+	"no-disk":     noDisk,
+	"four-cores":  fourCores,
+	"two-regions": twoRegions,
+	"one-disk":    oneDisk,
+	"one-zone":    oneZone,
+}
+
+// machine is one row of a site's machines.
+type machine struct {
+	share  float64
+	cores  int
+	fds    int
+	memory int
+	zone   string
+	count  int
+	disk   bool
+	counts bool
+}
+
+func (m machine) row() map[string]any {
+	row := map[string]any{
+		"class": "front", "cpu_share": m.share, "cores": max(1, m.cores), "memory_mb": m.memory, "fds": m.fds,
+		"link_mbps": 1000.0, "zone": m.zone, "count": m.count, "spare": 1,
+	}
+	if m.counts {
+		row["counted"] = true
+	}
+	if m.disk {
+		row["disk"] = map[string]any{"mb": 64, "sync_ms": 1, "mb_per_s": 120}
+	}
+	return row
+}
+
+// usual are a core machine with a disk and three others.
+func usual(zone string) []machine {
+	return []machine{
+		{share: 0.72, fds: 4100, memory: 284, zone: zone, count: 1, disk: true, counts: true},
+		{share: 0.4, fds: 4100, memory: 284, zone: zone, count: 3},
+	}
+}
+
+func (s site) setMachines(machines []machine) {
+	var rows []any
+	for _, m := range machines {
+		rows = append(rows, m.row())
+	}
+	s["machines"] = rows
+}
+
+func (s site) set(table, key string, value any) {
+	if t, is := s[table].(map[string]any); is {
+		t[key] = value
+	}
+}
+
+func sixDisks(s site, zones []string) {
+	var machines []machine
+	for _, zone := range zones {
+		rows := usual(zone)
+		rows[0].count, rows[1].count = 2, 2
+		machines = append(machines, rows...)
+	}
+	s.setMachines(machines)
+	s.set("tolerate", "machines", 2)
+}
+
+func noDisk(s site, zones []string) {
+	var machines []machine
+	for _, zone := range zones {
+		rows := usual(zone)
+		rows[0].disk = false
+		machines = append(machines, rows...)
+	}
+	s.setMachines(machines)
+}
+
+func fourCores(s site, zones []string) {
+	var machines []machine
+	for _, zone := range zones {
+		rows := usual(zone)
+		rows[0].cores, rows[0].fds = 4, 900
+		rows[1].cores, rows[1].fds, rows[1].memory, rows[1].share = 2, 900, 160, 0.3
+		machines = append(machines, rows...)
+	}
+	s.setMachines(machines)
+	s.set("bounds", "closed", false)
+}
+
+func twoRegions(s site, zones []string) {
+	if rows, is := s["zones"].([]any); is {
+		if last, is := rows[len(rows)-1].(map[string]any); is {
+			last["region"] = "elsewhere"
+		}
+	}
+	var machines []machine
+	for _, zone := range zones {
+		machines = append(machines, usual(zone)...)
+	}
+	s.setMachines(machines)
+}
+
+func oneDisk(s site, zones []string) {
+	machines := []machine{{share: 0.9, fds: 4100, memory: 284, zone: zones[0], count: 1, disk: true, counts: true}}
+	for _, zone := range zones {
+		machines = append(machines, machine{share: 0.6, fds: 4100, memory: 284, zone: zone, count: 2})
+	}
+	s.setMachines(machines)
+	s.set("tolerate", "machines", 0)
+}
+
+func oneZone(s site, zones []string) {
+	first := zones[0]
+	s["zones"] = s["zones"].([]any)[:1]
+	s.setMachines([]machine{
+		{share: 0.72, fds: 4100, memory: 284, zone: first, count: 3, disk: true, counts: true},
+		{share: 0.4, fds: 4100, memory: 284, zone: first, count: 9},
+	})
+	for _, service := range s.tables("services") {
+		total := int64(0)
+		for _, servers := range site(service).tables("servers") {
+			total += servers["count"].(int64)
+		}
+		service["servers"] = []any{map[string]any{"zone": first, "count": total}}
+	}
+	s.moveTraffic(first)
+	for _, day := range s.tables("day") {
+		site(day).moveTraffic(first)
+	}
+}
+
+// moveTraffic has all clients come from one zone.
+func (s site) moveTraffic(zone string) {
+	for _, traffic := range s.tables("traffic") {
+		traffic["zone"] = zone
+	}
+}
+
+// tables are the tables of a list.
+func (s site) tables(key string) []map[string]any {
+	rows, _ := s[key].([]any)
+	var tables []map[string]any
+	for _, row := range rows {
+		if table, is := row.(map[string]any); is {
+			tables = append(tables, table)
+		}
+	}
+	return tables
+}
+
+// Write reads a site file and writes all its variants, with the wire file that lies beside it, into a folder. It returns
+// their paths.
+func Write(path, folder string) ([]string, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("variants: %w", err)
+	}
+	wire, err := os.ReadFile(filepath.Join(filepath.Dir(path), "wire.json"))
+	if err != nil {
+		return nil, fmt.Errorf("variants: %w", err)
+	}
+	if err := os.WriteFile(filepath.Join(folder, "wire.json"), wire, 0o644); err != nil {
+		return nil, fmt.Errorf("variants: %w", err)
+	}
+	var paths []string
+	for _, name := range slices.Sorted(maps.Keys(All)) {
+		made, err := Make(text, name)
+		if err != nil {
+			return nil, err
+		}
+		paths = append(paths, filepath.Join(folder, name+".toml"))
+		if err := os.WriteFile(paths[len(paths)-1], made, 0o644); err != nil {
+			return nil, fmt.Errorf("variants: %w", err)
+		}
+	}
+	return paths, nil
+}
+
+// Make returns a site file's variant of that name.
+func Make(text []byte, name string) ([]byte, error) {
+	change := All[name]
+	if change == nil {
+		return nil, fmt.Errorf("variants: there is no %s", name)
+	}
+	var s site
+	if err := toml.Unmarshal(text, &s); err != nil {
+		return nil, fmt.Errorf("variants: %w", err)
+	}
+	var zones []string
+	for _, zone := range s.tables("zones") {
+		if n, is := zone["name"].(string); is {
+			zones = append(zones, n)
+		}
+	}
+	if len(zones) == 0 {
+		return nil, errors.New("variants: the site has no zones")
+	}
+	s["name"] = name
+	change(s, zones)
+	made, err := toml.Marshal(map[string]any(s))
+	if err != nil {
+		return nil, fmt.Errorf("variants: %w", err)
+	}
+	return made, nil
+}
