--- a/internal/fleet/config/document.go
+++ b/internal/fleet/config/document.go
@@ -7,6 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+
+	"github.com/ansel1/merry/v2"
 )
 
 // Names of a document's fields that the package reads; others are kept as they came.
@@ -106,7 +108,7 @@
 		Name string `json:"name"`
 	}
 	if err := json.Unmarshal(item, &named); err != nil {
-		return "", fmt.Errorf("config: item: %w", err)
+		return "", merry.Prepend(err, "config: item")
 	}
 	if named.Name == "" {
 		return "", errUnnamed
--- a/internal/fleet/config/state.go
+++ b/internal/fleet/config/state.go
@@ -3,9 +3,9 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
-	"fmt"
 	"slices"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -39,7 +39,7 @@
 func (o *Order) Encode() ([]byte, error) {
 	text, err := cbor.Marshal(o)
 	if err != nil {
-		return nil, fmt.Errorf("config: order: %w", err)
+		return nil, merry.Prepend(err, "config: order")
 	}
 	return text, nil
 }
@@ -48,7 +48,7 @@
 func DecodeOrder(text []byte) (*Order, error) {
 	var o Order
 	if err := cbor.Unmarshal(text, &o); err != nil {
-		return nil, fmt.Errorf("config: order: %w", err)
+		return nil, merry.Prepend(err, "config: order")
 	}
 	return &o, nil
 }
@@ -102,7 +102,7 @@
 	}
 	text, err := cbor.Marshal(&e)
 	if err != nil {
-		return nil, fmt.Errorf("config: state: %w", err)
+		return nil, merry.Prepend(err, "config: state")
 	}
 	return text, nil
 }
@@ -111,7 +111,7 @@
 func DecodeState(text []byte) (*State, error) {
 	var e encodedState
 	if err := cbor.Unmarshal(text, &e); err != nil {
-		return nil, fmt.Errorf("config: state: %w", err)
+		return nil, merry.Prepend(err, "config: state")
 	}
 	document, err := ParseDocument(e.Document)
 	if err != nil {
--- a/internal/fleet/replication/codec.go
+++ b/internal/fleet/replication/codec.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -16,7 +17,7 @@
 func Encode(message Message) (Encoded, error) {
 	body, err := cbor.Marshal(message)
 	if err != nil {
-		return Encoded{}, fmt.Errorf("replication: encode: %w", err)
+		return Encoded{}, merry.Prepend(err, "replication: encode")
 	}
 	return Encoded{Kind: message.kind(), Body: body}, nil
 }
@@ -29,7 +30,7 @@
 	}
 	message, err := read(e.Body)
 	if err != nil {
-		return nil, fmt.Errorf("replication: decode: %w", err)
+		return nil, merry.Prepend(err, "replication: decode")
 	}
 	return message, nil
 }
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -13,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
 
 	"pinelb.example/pinelb/internal/fleet/config"
@@ -161,7 +161,7 @@
 func (r *Router) listen(address string, handler http.Handler) (*http.Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
-		return nil, fmt.Errorf("router: %w", err)
+		return nil, merry.Prepend(err, "router")
 	}
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: headerBytesMost,
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/magiconair/properties"
 )
 
@@ -92,7 +93,7 @@
 func Load(path string) (*Settings, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+		return nil, merry.Prepend(err, "settings")
 	}
 	s, err := Parse(text)
 	if err != nil {
--- a/internal/fleet/storage/read.go
+++ b/internal/fleet/storage/read.go
@@ -3,11 +3,11 @@
 import (
 	"encoding/binary"
 	"errors"
-	"fmt"
 	"hash/crc32"
 	"os"
 	"path/filepath"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 )
 
@@ -42,7 +42,7 @@
 		return nil, nil
 	}
 	if err != nil {
-		return nil, fmt.Errorf("storage: %w", err)
+		return nil, merry.Prepend(err, "storage")
 	}
 	var records []Record
 	for len(text) > 0 {
--- a/internal/fleet/storage/storage.go
+++ b/internal/fleet/storage/storage.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/tidwall/wal"
 
@@ -47,7 +48,7 @@
 // Open reads what a directory holds, in the order in which it was written. No records: the disk is empty.
 func Open(directory string) (*Log, []Record, error) {
 	if err := os.MkdirAll(directory, 0o750); err != nil {
-		return nil, nil, fmt.Errorf("storage: %w", err)
+		return nil, nil, merry.Prepend(err, "storage")
 	}
 	l := &Log{directory: directory}
 	generations, err := l.generations()
@@ -71,7 +72,7 @@
 func (l *Log) generations() ([]uint64, error) {
 	entries, err := os.ReadDir(l.directory)
 	if err != nil {
-		return nil, fmt.Errorf("storage: %w", err)
+		return nil, merry.Prepend(err, "storage")
 	}
 	var numbers []uint64
 	for _, entry := range entries {
@@ -97,7 +98,7 @@
 	path := l.path(l.generation)
 	log, err := wal.Open(path, &wal.Options{SegmentSize: 1 << 30, NoCopy: true})
 	if err != nil {
-		return fmt.Errorf("storage: %w", err)
+		return merry.Prepend(err, "storage")
 	}
 	l.log, l.index, l.size = log, 0, 0
 	if err := l.append(Record{Durable: durable, Snapshot: snapshot}); err != nil {
@@ -144,11 +145,11 @@
 func (l *Log) append(record Record) error {
 	payload, err := cbor.Marshal(&record)
 	if err != nil {
-		return fmt.Errorf("storage: %w", err)
+		return merry.Prepend(err, "storage")
 	}
 	sealed := seal(payload)
 	if err := l.log.Write(l.index+1, sealed); err != nil {
-		return fmt.Errorf("storage: %w", err)
+		return merry.Prepend(err, "storage")
 	}
 	l.index++
 	l.size += len(sealed)
@@ -169,14 +170,14 @@
 func syncDirectory(path string) error {
 	folder, err := os.Open(path)
 	if err != nil {
-		return fmt.Errorf("storage: %w", err)
+		return merry.Prepend(err, "storage")
 	}
 	err = folder.Sync()
 	if closing := folder.Close(); err == nil {
 		err = closing
 	}
 	if err != nil {
-		return fmt.Errorf("storage: %w", err)
+		return merry.Prepend(err, "storage")
 	}
 	return nil
 }
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/ansel1/merry/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/gorilla/mux"
 )
@@ -71,11 +72,11 @@
 func Listen(address string, fleet uint32, handle func(*Packet)) (*Transport, error) {
 	at, err := net.ResolveUDPAddr("udp4", address)
 	if err != nil {
-		return nil, fmt.Errorf("transport: %w", err)
+		return nil, merry.Prepend(err, "transport")
 	}
 	udp, err := net.ListenUDP("udp4", at)
 	if err != nil {
-		return nil, fmt.Errorf("transport: %w", err)
+		return nil, merry.Prepend(err, "transport")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Transport{
@@ -130,7 +131,7 @@
 func (t *Transport) Serve() error {
 	listener, err := net.Listen("tcp4", t.address)
 	if err != nil {
-		return fmt.Errorf("transport: %w", err)
+		return merry.Prepend(err, "transport")
 	}
 	t.tasks.Go(func() { _ = t.server.Serve(listener) }) // ends with Close
 	t.tasks.Go(t.receiveDatagrams)
@@ -257,14 +258,14 @@
 func (t *Transport) Call(ctx context.Context, to, path string, request, reply any) error {
 	body, err := cbor.Marshal(request)
 	if err != nil {
-		return fmt.Errorf("transport: %w", err)
+		return merry.Prepend(err, "transport")
 	}
 	text, err := t.post(ctx, to, path, body)
 	if err != nil {
 		return err
 	}
 	if err := cbor.Unmarshal(text, reply); err != nil {
-		return fmt.Errorf("transport: answer: %w", err)
+		return merry.Prepend(err, "transport: answer")
 	}
 	return nil
 }
@@ -272,16 +273,16 @@
 func (t *Transport) post(ctx context.Context, to, path string, body []byte) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+path, bytes.NewReader(body))
 	if err != nil {
-		return nil, fmt.Errorf("transport: %w", err)
+		return nil, merry.Prepend(err, "transport")
 	}
 	response, err := t.client.Do(request)
 	if err != nil {
-		return nil, fmt.Errorf("transport: %w", err)
+		return nil, merry.Prepend(err, "transport")
 	}
 	defer response.Body.Close()
 	text, err := io.ReadAll(io.LimitReader(response.Body, bodyMost))
 	if err != nil {
-		return nil, fmt.Errorf("transport: %w", err)
+		return nil, merry.Prepend(err, "transport")
 	}
 	if response.StatusCode != http.StatusOK {
 		return nil, fmt.Errorf("transport: %s answered %d: %s", to, response.StatusCode, text)
