Bear many endpoints and routers that come at once

Cause: with 380 routers and 1,400 endpoints in one process each news of an endpoint had every router sort and rebuild its whole list, sort its ring, and send all members on any mismatch: 5.6 of 8 cores, and no change was taken within 30 s. Ruled out: the replicas' protocol, which was idle in the profile.

--- a/internal/fleet/dissemination/messages.go
+++ b/internal/fleet/dissemination/messages.go
@@ -10,11 +10,11 @@
 
 // Pull asks a router for what the sender lacks.
 type Pull struct {
-	Self      membership.Member `cbor:"1,keyasint"`
-	Round     uint64            `cbor:"2,keyasint"` // names the question
-	Sequence  uint64            `cbor:"3,keyasint"` // of the configuration that the sender holds
-	Members   uint64            `cbor:"4,keyasint"` // digest
-	Endpoints registry.Digests  `cbor:"5,keyasint"`
+	Self      membership.Member  `cbor:"1,keyasint"`
+	Round     uint64             `cbor:"2,keyasint"` // names the question
+	Sequence  uint64             `cbor:"3,keyasint"` // of the configuration that the sender holds
+	Members   membership.Digests `cbor:"4,keyasint"`
+	Endpoints registry.Digests   `cbor:"5,keyasint"`
 }
 
 // Answer tells a puller how fresh the answerer's configuration is. What the puller lacks beside follows as News.
--- a/internal/fleet/dissemination/node.go
+++ b/internal/fleet/dissemination/node.go
@@ -69,6 +69,7 @@
 	view      uint64
 	primary   string
 	seeds     []string
+	queued    [hopsMost + 1][]registry.Endpoint // news for the next tick, by how often they were passed on
 }
 
 // question is a pull that may still be answered.
@@ -126,6 +127,7 @@
 		n.spreadEndpoints(n.Registry.Lapse(now, n.options.Self.Address, silence, n.lives), 0)
 		n.Registry.Forget(now, forgetAfter)
 	}
+	n.flushQueued()
 	return out
 }
 
@@ -151,7 +153,7 @@
 	n.asked[n.round] = question{to: to, at: n.now}
 	delete(n.asked, n.round-roundsKept)
 	n.send(to, Pull{
-		Self: n.Members.Self(), Round: n.round, Sequence: n.Feed.Sequence, Members: n.Members.Digest(),
+		Self: n.Members.Self(), Round: n.round, Sequence: n.Feed.Sequence, Members: n.Members.Digests(),
 		Endpoints: n.Registry.Digests(),
 	})
 }
@@ -218,9 +220,7 @@
 	answer := Answer{Round: message.Round, Sequence: n.Feed.Sequence, View: n.view, Primary: n.primary}
 	answer.AgeMs, answer.Fresh = n.Feed.ageMs(n.now)
 	n.send(from, answer)
-	if message.Members != n.Members.Digest() {
-		n.sendMembers(from, n.Members.All(), hopsMost)
-	}
+	n.sendMembers(from, n.Members.Differing(message.Members), hopsMost)
 	n.sendEndpoints(from, n.Registry.Differing(message.Endpoints), hopsMost)
 }
 
@@ -332,10 +332,30 @@
 	}
 }
 
+// spreadEndpoints passes news on: in a small fleet at once, in a larger one with the next tick, so that news that come in a
+// rush share messages.
 func (n *Node) spreadEndpoints(news []registry.Endpoint, hops uint8) {
-	if len(news) == 0 {
+	if len(news) == 0 || hops > hopsMost {
 		return
 	}
+	if n.Members.Count() > directMost {
+		n.queued[hops] = append(n.queued[hops], news...)
+		return
+	}
+	n.pushEndpoints(news, hops)
+}
+
+// flushQueued passes on what has gathered since the last tick.
+func (n *Node) flushQueued() {
+	for hops, news := range n.queued {
+		if len(news) > 0 {
+			n.queued[hops] = nil
+			n.pushEndpoints(news, uint8(hops))
+		}
+	}
+}
+
+func (n *Node) pushEndpoints(news []registry.Endpoint, hops uint8) {
 	for _, to := range n.receivers(hops) {
 		n.sendEndpoints(to, news, hops)
 	}
--- a/internal/fleet/front/dispatcher.go
+++ b/internal/fleet/front/dispatcher.go
@@ -44,11 +44,26 @@
 	}
 }
 
-// SetEndpoints takes over which endpoints may be sent requests, and how many routers there are.
-func (d *Dispatcher) SetEndpoints(ready []registry.Endpoint, routers int) {
+// SetRouters takes over how many routers there are.
+func (d *Dispatcher) SetRouters(routers int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.routers = routers
+}
+
+// Drop has endpoints get no more requests from this moment on, also none that wait for a connection.
+func (d *Dispatcher) Drop(ids []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.placer.Drop(ids) {
+		d.Pool.Remove(balance.EndpointID(e.Number))
+	}
+}
+
+// SetEndpoints takes over which endpoints may be sent requests.
+func (d *Dispatcher) SetEndpoints(ready []registry.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	added, removed := d.placer.SetReady(ready)
 	for _, e := range added {
 		d.Pool.Set(balance.EndpointID(e.Number), e.Address)
--- a/internal/fleet/front/standin_test.go
+++ b/internal/fleet/front/standin_test.go
@@ -164,7 +164,7 @@
 	for _, e := range endpoints {
 		ready = append(ready, registry.Endpoint{ID: e.id, Service: "s", Address: e.listener.Addr().String()})
 	}
-	d.SetEndpoints(ready, 1)
+	d.SetEndpoints(ready)
 	r := &rig{core: &core{table: table}}
 	r.front = NewServer(r.core, d, Options{KeyLease: 4 * time.Second, Stale: time.Second})
 	server := httptest.NewServer(r.front)
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -67,33 +67,35 @@
 
 type entry struct {
 	Member
-	heard time.Duration // last heartbeat, or when it was heard of first
-	ended time.Duration // when it was declared dead or left
+	position uint64        // on the ring
+	heard    time.Duration // last heartbeat, or when it was heard of first
+	ended    time.Duration // when it was declared dead or left
 }
 
 // New returns the list of a router that knows only itself.
 func New(now time.Duration, self Member, timing Timing) *List {
 	self.Incarnation, self.Status = 1, Alive
 	l := &List{timing: timing, self: self, members: map[string]*entry{}, lastTick: now}
-	l.members[self.Address] = &entry{Member: self, heard: now}
-	l.order()
+	own := &entry{Member: self, position: xxhash.Sum64String(self.Address), heard: now}
+	l.members[self.Address] = own
+	l.place(own)
 	return l
 }
 
 // Self is this router as it describes itself.
 func (l *List) Self() Member { return l.self }
 
-// order rebuilds the ring.
-func (l *List) order() {
-	l.ring = l.ring[:0]
-	for address, e := range l.members {
-		if e.Status == Alive {
-			l.ring = append(l.ring, address)
-		}
-	}
-	slices.SortFunc(l.ring, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), strings.Compare(a, b))
+// place moves a member into the ring or out of it, after its status has changed.
+func (l *List) place(e *entry) {
+	at, found := slices.BinarySearchFunc(l.ring, e, func(address string, e *entry) int {
+		return cmp.Or(cmp.Compare(l.members[address].position, e.position), strings.Compare(address, e.Address))
 	})
+	switch alive := e.Status == Alive; {
+	case alive && !found:
+		l.ring = slices.Insert(l.ring, at, e.Address)
+	case !alive && found:
+		l.ring = slices.Delete(l.ring, at, at+1)
+	}
 }
 
 // Merge takes reports of others over and returns those that were new, to be passed on. Where a report says that this
@@ -111,9 +113,6 @@
 			news = append(news, report)
 		}
 	}
-	if len(news) > 0 {
-		l.order()
-	}
 	return news
 }
 
@@ -123,7 +122,9 @@
 		if report.Status != Alive {
 			return false // it is forgotten already
 		}
-		l.members[report.Address] = &entry{Member: report, heard: now}
+		added := &entry{Member: report, position: xxhash.Sum64String(report.Address), heard: now}
+		l.members[report.Address] = added
+		l.place(added)
 		return true
 	}
 	if !report.supersedes(&known.Member) {
@@ -135,6 +136,7 @@
 		known.ended = now
 	}
 	known.Member = report
+	l.place(known)
 	return true
 }
 
@@ -152,8 +154,9 @@
 // Leave says that this router ends.
 func (l *List) Leave() Member {
 	l.self.Status = Left
-	l.members[l.self.Address].Member = l.self
-	l.order()
+	own := l.members[l.self.Address]
+	own.Member = l.self
+	l.place(own)
 	return l.self
 }
 
@@ -175,19 +178,15 @@
 		e := l.members[address]
 		if now-e.heard > l.timing.Silence {
 			e.Status, e.ended = Dead, now
+			l.place(e)
 			dead = append(dead, e.Member)
 		}
 	}
-	forgotten := false
 	for address, e := range l.members {
 		if e.Status != Alive && address != l.self.Address && now-e.ended > l.timing.Forget {
 			delete(l.members, address)
-			forgotten = true
 		}
 	}
-	if len(dead) > 0 || forgotten {
-		l.order()
-	}
 	return beats, dead
 }
 
@@ -231,19 +230,37 @@
 	return before
 }
 
-// Digest is a number that two routers share when they know the same.
-func (l *List) Digest() uint64 {
-	var sum uint64
+// Buckets is into how many parts the digests divide the members.
+const Buckets = 16
+
+// Digests are one number a bucket, which two routers share when they know the same.
+type Digests [Buckets]uint32
+
+// Digests summarise what is known.
+func (l *List) Digests() Digests {
+	var d Digests
 	for _, e := range l.members {
-		sum += e.digest()
+		own := e.position ^ (e.Incarnation<<8|uint64(e.Status))*0x9e3779b97f4a7c15
+		d[e.bucket()] += uint32(own ^ own>>32)
 	}
-	return sum
+	return d
 }
 
-func (m *Member) digest() uint64 {
-	h := xxhash.New()
-	_, _ = h.WriteString(m.Address) // a hash takes all
-	return h.Sum64() ^ (m.Incarnation<<8|uint64(m.Status))*0x9e3779b97f4a7c15
+func (e *entry) bucket() int { return int(e.position>>32) % Buckets }
+
+// Differing are the members in the buckets in which the digests of another router differ.
+func (l *List) Differing(theirs Digests) []Member {
+	ours := l.Digests()
+	if ours == theirs {
+		return nil
+	}
+	var all []Member
+	for _, e := range l.members {
+		if b := e.bucket(); ours[b] != theirs[b] {
+			all = append(all, e.Member)
+		}
+	}
+	return all
 }
 
 // All are the reports of all members, this router included.
--- a/internal/fleet/membership/membership_test.go
+++ b/internal/fleet/membership/membership_test.go
@@ -69,9 +69,9 @@
 		f.run(10 * time.Second)
 		any := f.lists[member(3).Address]
 		So(any.Count(), ShouldEqual, 12)
-		digest := any.Digest()
+		digest := any.Digests()
 		for _, l := range f.lists {
-			So(l.Digest(), ShouldEqual, digest)
+			So(l.Digests(), ShouldEqual, digest)
 		}
 		Convey("find a silent one within five seconds, and all know", func() {
 			f.silent[member(5).Address] = true
--- a/internal/fleet/placement/placement.go
+++ b/internal/fleet/placement/placement.go
@@ -109,7 +109,7 @@
 	present := map[string]bool{}
 	for _, reported := range ready {
 		e := p.byID[reported.ID]
-		if e == nil || e.Address != reported.Address {
+		if e == nil || e.gone || e.Address != reported.Address {
 			p.numbers++
 			e = &Endpoint{Number: p.numbers, hash: xxhash.Sum64String(reported.ID)}
 			p.byID[reported.ID], p.byName[e.Name()] = e, e
@@ -177,6 +177,18 @@
 	t.solved = false
 }
 
+// Drop has endpoints get no more calls, before the next list says so. It returns those that were known.
+func (p *Placer) Drop(ids []string) []*Endpoint {
+	var dropped []*Endpoint
+	for _, id := range ids {
+		if e := p.byID[id]; e != nil {
+			e.gone = true
+			dropped = append(dropped, e)
+		}
+	}
+	return dropped
+}
+
 // Ready is how many endpoints of a service may be sent requests.
 func (p *Placer) Ready(name string) int {
 	if s := p.services[name]; s != nil {
@@ -293,7 +305,7 @@
 	all := s.speed.fit(line{first: priorFirst, unitTime: priorUnitTime}, 1)
 	for _, useEjected := range []bool{false, true} {
 		for i, e := range s.endpoints {
-			if row[i] > 0 && (now < e.ejected) == useEjected && !slices.Contains(call.Exclude, e.ID) {
+			if !e.gone && row[i] > 0 && (now < e.ejected) == useEjected && !slices.Contains(call.Exclude, e.ID) {
 				s.scratch = append(s.scratch, e.expect(now, row[i], call, all))
 			}
 		}
--- a/internal/fleet/placement/placement_test.go
+++ b/internal/fleet/placement/placement_test.go
@@ -158,6 +158,17 @@
 			So(p.Place(time.Millisecond, call(42, 100)).Endpoint, ShouldNotEqual, home)
 			So(p.Place(ejectFirst+time.Second, call(42, 100)).Endpoint, ShouldEqual, home)
 		})
+		Convey("get no call from the moment on at which they are dropped", func() {
+			home := p.Place(0, call(42, 100)).Endpoint
+			p.Drop([]string{home.ID, "unknown"})
+			for range 50 {
+				So(p.Place(0, call(42, 100)).Endpoint, ShouldNotEqual, home)
+			}
+			Convey("and again when a list has them", func() {
+				p.SetReady(endpoints(9))
+				So(p.Place(time.Hour, call(42, 100)).Endpoint.ID, ShouldEqual, home.ID)
+			})
+		})
 		Convey("are used even if all are ejected", func() {
 			for _, e := range p.services["llm"].endpoints {
 				p.Refused(0, e)
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -60,6 +60,7 @@
 	entries map[string]*entry
 	at      map[string]string // the newest endpoint's id by address
 	version uint64            // rises with each change that requests can see
+	ended   []string          // ids that were ready until lately
 }
 
 type entry struct {
@@ -73,6 +74,23 @@
 // Version rises with each change of an endpoint's state, address or service.
 func (t *Table) Version() uint64 { return t.version }
 
+// TakeEnded returns the endpoints that have stopped being ready since the last call.
+func (t *Table) TakeEnded() []string {
+	ended := t.ended
+	t.ended = nil
+	return ended
+}
+
+// end changes the state of an endpoint to one in which it gets no requests. It is the only place that does so, beside
+// words of the endpoint itself.
+func (t *Table) end(now time.Duration, e *entry, state State) {
+	if e.State == Ready {
+		t.ended = append(t.ended, e.ID)
+	}
+	e.State, e.heard = state, now
+	t.version++
+}
+
 // Hear takes an endpoint's own word over. It returns the reports to be passed on; ok is false where the word is older
 // than what is known.
 func (t *Table) Hear(now time.Duration, said Endpoint) (news []Endpoint, ok bool) {
@@ -106,7 +124,7 @@
 	if former == nil || former.ID == by.ID || former.State == Gone {
 		return nil
 	}
-	former.State, former.heard = Gone, now
+	t.end(now, former, Gone)
 	return []Endpoint{former.Endpoint}
 }
 
@@ -120,6 +138,9 @@
 	if said.differs(&known.Endpoint) {
 		t.version++
 	}
+	if known.State == Ready && (said.State != Ready || said.Address != known.Address) {
+		t.ended = append(t.ended, said.ID)
+	}
 	known.Endpoint, known.heard = said, now
 }
 
@@ -177,8 +198,7 @@
 		orphaned := e.Owner != self && now-e.heard > 2*silence && !ownerLives(e.Owner)
 		unconfirmed := e.Owner == "" && now-e.heard > hintLife
 		if own || orphaned || unconfirmed {
-			e.State, e.heard = Lapsed, now
-			t.version++
+			t.end(now, e, Lapsed)
 			news = append(news, e.Endpoint)
 		}
 	}
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -36,8 +36,11 @@
 			So(len(table.Ready()), ShouldEqual, 1)
 		})
 		Convey("sends nothing more to one that drains, and one that drains stays so", func() {
+			So(table.TakeEnded(), ShouldBeEmpty)
 			table.Hear(time.Second, endpoint("a", "x:1", 5, Draining))
 			So(table.Ready(), ShouldBeEmpty)
+			So(table.TakeEnded(), ShouldResemble, []string{"a"})
+			So(table.TakeEnded(), ShouldBeEmpty)
 			table.Hear(2*time.Second, endpoint("a", "x:1", 6, Ready))
 			So(table.Ready(), ShouldBeEmpty)
 		})
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -35,6 +35,10 @@
 	fetchPath  = "/configuration"
 	statusPath = "/status"
 	fetchTime  = 1500 * time.Millisecond
+
+	// endpointsRest times what it took to take a list of endpoints over, until the next: a twentieth of the processor at most
+	// goes there, however many come at once.
+	endpointsRest = 20
 )
 
 // fleetID tells the messages of one fleet from another's: it is made of what all machines' settings share.
@@ -137,11 +141,21 @@
 			r.config.Store(&configInForce{table: feed.Table, freshAt: at, fresh: fresh})
 		}
 	}
-	version, routers := r.node.Registry.Version(), r.node.Members.Count()
-	if version != r.registryVersion || routers != r.routers {
-		r.registryVersion, r.routers = version, routers
-		r.dispatcher.SetEndpoints(r.node.Registry.Ready(), routers)
+	if ended := r.node.Registry.TakeEnded(); len(ended) > 0 {
+		r.dispatcher.Drop(ended)
+	}
+}
+
+// refreshEndpoints takes over endpoints that are new. It is done once a tick: where many come at once, each list costs as
+// much as all of them. The caller holds the lock.
+func (r *Router) refreshEndpoints() {
+	version, began := r.node.Registry.Version(), r.clock()
+	if version == r.registryVersion || began < r.nextEndpoints {
+		return
 	}
+	r.registryVersion = version
+	r.dispatcher.SetEndpoints(r.node.Registry.Ready())
+	r.nextEndpoints = began + endpointsRest*(r.clock()-began)
 }
 
 // tick lets time pass.
@@ -155,6 +169,8 @@
 	}
 	r.withNode(r.node.Tick)
 	r.mu.Lock()
+	r.refreshEndpoints()
+	r.dispatcher.SetRouters(r.node.Members.Count())
 	live := r.node.Members.Live()
 	cores := r.node.Members.LiveCores()
 	r.mu.Unlock()
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -55,8 +55,8 @@
 
 	mu              sync.Mutex
 	node            *dissemination.Node
-	registryVersion uint64
-	routers         int
+	registryVersion uint64        // of the endpoints that requests know
+	nextEndpoints   time.Duration // when they are looked at again
 	fetching        bool
 	ledger          *quota.Ledger
 
--- a/internal/lab/routers/routers.go
+++ b/internal/lab/routers/routers.go
@@ -29,6 +29,7 @@
 	regions, zonesPerRegion = 2, 3
 	pollEvery               = 2 * time.Millisecond
 	beatEvery               = 1200 * time.Millisecond
+	settleEach              = 30 * time.Millisecond
 )
 
 // Config is what a play is made with.
@@ -267,7 +268,7 @@
 }
 
 func (f *fleet) measureRest(ctx context.Context, result *Result) {
-	settle(ctx, 3*beatEvery)
+	settle(ctx, 3*beatEvery+time.Duration(f.config.Routers)*settleEach) // what is new has spread by then
 	before, began := f.usage(), time.Now()
 	settle(ctx, f.config.Rest)
 	after, each := f.usage(), time.Since(began).Seconds()*float64(f.config.Routers)
