--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,6 +1,6 @@
-// The interface of this package (settings, events, actions, New) is in api.go. Here an event is handed to the
-// decisions: admission, routing, sending, outcomes, upkeep, delays, health, members and solve. Their tunables are
-// in tunables.go.
+// The interface of this package (settings, events, actions, New) is in api.go. Here an event is handed
+// to the decisions: admission, routing, sending, outcomes, upkeep, delays, health, members and solve.
+// Their tunables are in tunables.go.
 
 package balance
 
