Draw ports of test programs from below the range of outgoing connections

The rig closed its listener and told the program the port, an ephemeral one, which any outgoing connection of the packages tested beside it may take before the program listens. Inferred: the message did not say why; it does now (the program's last log line, at once when it has ended). Ruled out: a slow start alone (15 s, and the two cases before it took 0.02 s each).

--- a/internal/lab/distributed/distributors.go
+++ b/internal/lab/distributed/distributors.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -16,6 +17,7 @@
 
 	"pinelb.example/pinelb/internal/distribute"
 	"pinelb.example/pinelb/internal/distributor"
+	"pinelb.example/pinelb/internal/lab/ports"
 	"pinelb.example/pinelb/internal/version"
 )
 
@@ -82,14 +84,13 @@
 	return f, nil
 }
 
-// freeAddress is one of this machine that nobody listens at now.
+// freeAddress is one of this machine that nobody listens at now, and that no outgoing connection takes.
 func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	port, err := ports.Free()
 	if err != nil {
 		return "", fmt.Errorf("distributed: %w", err)
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return net.JoinHostPort("127.0.0.1", strconv.Itoa(port)), nil
 }
 
 // start starts one, with what its directory holds.
@@ -104,7 +105,7 @@
 	if err := os.WriteFile(file, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("distributed: %w", err)
 	}
-	f.running[i], err = launch(f.program, []string{"distribute", file}, f.env, func([]byte) {})
+	f.running[i], err = launch(f.program, []string{"distribute", file}, f.env, nil)
 	return err
 }
 
@@ -112,6 +113,9 @@
 func (f *five) ready(i int) error {
 	client := &http.Client{Timeout: callWithin, Transport: &http.Transport{DisableKeepAlives: true}}
 	for end := time.Now().Add(readyWithin); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if f.running[i].hasEnded() {
+			return fmt.Errorf("distributed: distributor %d has ended before it was ready: %s", i, f.running[i].lastLine())
+		}
 		res, err := client.Get("http://" + f.control[i] + "/admin/health")
 		if err != nil {
 			continue
--- a/internal/lab/distributed/process.go
+++ b/internal/lab/distributed/process.go
@@ -9,6 +9,7 @@
 	"os/exec"
 	"strconv"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -19,9 +20,12 @@
 type process struct {
 	cmd   *exec.Cmd
 	ended chan struct{}
+
+	mu   sync.Mutex
+	last string // line of its log
 }
 
-// launch starts a program and hands on each line of its log.
+// launch starts a program and hands on each line of its log, to nobody if line is nil.
 func launch(program string, args, env []string, line func(text []byte)) (*process, error) {
 	p := &process{cmd: exec.Command(program, args...), ended: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), env...)
@@ -37,7 +41,10 @@
 		lines := bufio.NewScanner(log)
 		lines.Buffer(nil, 1<<20)
 		for lines.Scan() {
-			line(lines.Bytes())
+			p.keep(lines.Text())
+			if line != nil {
+				line(lines.Bytes())
+			}
 		}
 		_, _ = io.Copy(io.Discard, log)
 		_ = p.cmd.Wait() // it is killed
@@ -45,6 +52,30 @@
 	return p, nil
 }
 
+// keep keeps the last line of the log.
+func (p *process) keep(line string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.last = line
+}
+
+// lastLine is the last line of its log.
+func (p *process) lastLine() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.last
+}
+
+// hasEnded says whether the process has ended, and its log is read.
+func (p *process) hasEnded() bool {
+	select {
+	case <-p.ended:
+		return true
+	default:
+		return false
+	}
+}
+
 // signal sends one; a process that has ended gets none.
 func (p *process) signal(s syscall.Signal) error {
 	if err := p.cmd.Process.Signal(s); err != nil && !errors.Is(err, os.ErrProcessDone) {
