Draw endpoints by what a call is expected to lose there

Change: a candidate's loss is its lateness (logistic in the expected delay) times the prompt's size, plus the shared units that are read again; rows that came out worse are not taken.

--- /dev/null
+++ b/internal/fleet/placement/draw_test.go
@@ -0,0 +1,72 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// prompt is a call whose shared part ends at a number of units.
+func prompt(units, shared float64) *Call {
+	c := call(0, units)
+	c.Prompt.Prefixes = []Prefix{{Hash: 7, Units: shared}}
+	return c
+}
+
+// busy has one endpoint keep the shared part, and a queue that takes it a time.
+func busy(p *Placer, shared float64, queue time.Duration) *Endpoint {
+	placed := p.Place(0, prompt(shared+1, shared))
+	p.End(placed)
+	e := placed.Endpoint
+	e.queue.left = [ranks]float64{}
+	p.Heard(0, e.Name(), 0, queue.Seconds()/priorUnitTime, nil)
+	return e
+}
+
+func TestDrawByLoss(t *testing.T) {
+	Convey("A long shared part keeps its calls while they are in time there", t, func() {
+		p := placer(4)
+		kept := busy(p, 8000, 150*time.Millisecond)
+		So(p.Place(0, prompt(8500, 8000)).Endpoint, ShouldEqual, kept)
+	})
+	Convey("A short one does not keep a call that would be late there", t, func() {
+		p := placer(4)
+		kept := busy(p, 500, 700*time.Millisecond)
+		So(p.Place(0, prompt(1000, 500)).Endpoint, ShouldNotEqual, kept)
+	})
+	Convey("The longest prompts are in time before shared parts are spared", t, func() {
+		p := placer(4)
+		kept := busy(p, 4000, 250*time.Millisecond)
+		for range 50 {
+			p.service("llm").countSize(&Prompt{Units: 2000})
+		}
+		long := prompt(24000, 4000)
+		So(p.Place(0, long).Endpoint, ShouldNotEqual, kept)
+	})
+	Convey("An answer that is expected much too late anyway goes where it is read least", t, func() {
+		p := placer(4)
+		for _, e := range p.service("llm").endpoints {
+			p.Heard(0, e.Name(), 0, 6/priorUnitTime, nil)
+		}
+		kept := p.service("llm").endpoints[2]
+		kept.queue.remember(0, 7)
+		So(p.Place(0, prompt(8500, 8000)).Endpoint, ShouldEqual, kept)
+	})
+	Convey("Lateness grows with what is expected, from nearly none to nearly all", t, func() {
+		So(lateness(0.1, 0.5), ShouldBeLessThan, 0.01)
+		So(lateness(0.5, 0.5), ShouldAlmostEqual, 0.5)
+		So(lateness(1, 0.5), ShouldBeGreaterThan, 0.9)
+		So(lateness(0.1, 0), ShouldBeGreaterThan, 0.9)
+	})
+	Convey("A prompt counts by its size within its rank, within bounds", t, func() {
+		s := placer(1).service("llm")
+		So(s.size(call(0, 1000)), ShouldEqual, 1)
+		for range 200 {
+			s.countSize(&Prompt{Units: 1000})
+		}
+		So(s.size(call(0, 1000)), ShouldAlmostEqual, 1)
+		So(s.size(call(0, 1)), ShouldAlmostEqual, sizeLeast, 0.01)
+		So(s.size(call(0, 1e6)), ShouldEqual, sizeMost)
+	})
+}
--- a/internal/fleet/placement/placement.go
+++ b/internal/fleet/placement/placement.go
@@ -6,7 +6,6 @@
 package placement
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -85,6 +84,7 @@
 	underWay  int
 	speed     speedModel // of all endpoints
 	scratch   []candidate
+	meanUnits [ranks]float64 // of the calls of a rank
 }
 
 // table is the rows for one target.
@@ -223,6 +223,7 @@
 	e.rate.count(now)
 	e.underWay++
 	s.underWay++
+	s.countSize(&call.Prompt)
 	e.queue.push(now, placed.rank, placed.Units, s.line(e).unitTime)
 	placed.pushed = e.queue.pushed
 	for _, prefix := range call.Prompt.Prefixes {
@@ -245,101 +246,6 @@
 	return t
 }
 
-// Bounds within which the draw keeps to the row.
-const (
-	easyShare  = 0.35                  // of the time that is left: an endpoint that is expected within it is as good as any
-	easyLeast  = 30 * time.Millisecond // the same beyond the quickest endpoint
-	keptWeight = 30.0                  // times its share counts an endpoint that keeps the longest shared part
-	againCost  = 8.0                   // times the reading of shared parts that are kept elsewhere, which it is worth to avoid
-)
-
-// candidate is an endpoint that a call may go to.
-type candidate struct {
-	endpoint *Endpoint
-	share    float64 // of the row
-	expected float64 // seconds until the first token
-	cost     float64 // the same, and what reading shared parts again is worth avoiding
-	before   float64 // units that are read first
-	units    float64 // that have to be read for the call
-	kept     bool    // the endpoint keeps the longest shared part
-}
-
-// draw chooses the endpoint with the least weighted score among those from which the first token is expected soon
-// enough: within an easy part of the time that is left, or hardly later than from the quickest one. Ejected endpoints are
-// passed over unless there is no other.
-func (s *service) draw(now time.Duration, row []float64, key uint64, call *Call) *Placed {
-	candidates := s.candidates(now, row, call)
-	if len(candidates) == 0 {
-		return nil
-	}
-	quickest := candidates[0].cost
-	for _, c := range candidates {
-		quickest = min(quickest, c.cost)
-	}
-	left := max(0, call.Target-call.Spent).Seconds()
-	bound := max(quickest+easyLeast.Seconds(), easyShare*left)
-	best, bestScore := -1, math.Inf(1)
-	for i := range candidates {
-		c := &candidates[i]
-		if c.cost > bound {
-			continue
-		}
-		weight := c.share
-		if c.kept {
-			weight *= keptWeight
-		}
-		if score := rendezvous(key, c.endpoint.hash) / weight; score < bestScore {
-			best, bestScore = i, score
-		}
-	}
-	chosen := &candidates[best]
-	return &Placed{
-		Endpoint: chosen.endpoint, Expected: time.Duration(chosen.expected * float64(time.Second)), Units: chosen.units,
-		before: chosen.before, rank: call.Prompt.Rank,
-	}
-}
-
-// candidates are the endpoints that a call may go to. They hold until the next call.
-func (s *service) candidates(now time.Duration, row []float64, call *Call) []candidate {
-	s.scratch = s.scratch[:0]
-	all := s.speed.fit(line{first: priorFirst, unitTime: priorUnitTime}, 1)
-	for _, useEjected := range []bool{false, true} {
-		for i, e := range s.endpoints {
-			if !e.gone && row[i] > 0 && (now < e.ejected) == useEjected && !slices.Contains(call.Exclude, e.ID) {
-				s.scratch = append(s.scratch, e.expect(now, row[i], call, all))
-			}
-		}
-		if len(s.scratch) > 0 {
-			break
-		}
-	}
-	return s.scratch
-}
-
-// expect works out when the endpoint's first token would come; all is the line of all endpoints.
-func (e *Endpoint) expect(now time.Duration, share float64, call *Call, all line) candidate {
-	l := e.queue.speed.fit(all, ownSpeedWeight)
-	e.queue.drain(now, l.unitTime)
-	c := candidate{endpoint: e, share: share, before: e.queue.before(call.Prompt.Rank, l.unitTime)}
-	c.units = e.queue.uncached(now, &call.Prompt)
-	c.kept = len(call.Prompt.Prefixes) > 0 && c.units <= call.Prompt.own()
-	c.expected = l.first + (c.before+c.units)*l.unitTime
-	c.cost = c.expected + againCost*(c.units-call.Prompt.own())*l.unitTime
-	return c
-}
-
-// rendezvous is exponentially distributed over keys, the same on all routers.
-func rendezvous(key, endpoint uint64) float64 {
-	mixed := key ^ endpoint
-	mixed ^= mixed >> 33
-	mixed *= 0xff51afd7ed558ccd
-	mixed ^= mixed >> 33
-	mixed *= 0xc4ceb9fe1a85ec53
-	mixed ^= mixed >> 33
-	uniform := (float64(mixed>>11) + 0.5) / (1 << 53)
-	return -math.Log(uniform)
-}
-
 // Name is short for the endpoint's id, the same on all routers.
 func (e *Endpoint) Name() uint32 { return uint32(e.hash) }
 
--- a/internal/fleet/placement/placement_test.go
+++ b/internal/fleet/placement/placement_test.go
@@ -54,7 +54,7 @@
 		}
 		even := evenRows(n)
 		before := p.payoff(even)
-		solved := p.solve(evenRows(n))
+		solved := p.solve(evenRows(n)).rows
 		for _, row := range solved {
 			sum := 0.0
 			for _, share := range row {
@@ -67,20 +67,36 @@
 				rt.Fatalf("a row sums to %v", sum)
 			}
 		}
-		if after := p.payoff(solved); after < before-0.02 {
+		if after := p.payoff(solved); after < before-1e-12 {
 			rt.Fatalf("payoff %v became %v", before, after)
 		}
 	})
 }
 
 func TestRows(t *testing.T) {
+	Convey("Rows that came out worse are not taken", t, func() {
+		p := problem{target: 0.5, rates: [bucketCount]float64{20, 20, 20, 20}, other: make([]float64, 12)}
+		for i := range p.other {
+			p.fits = append(p.fits, fit{base: 0.3 + 0.7*float64(i%2), slope: 0.05, spread: 0.02})
+			p.fails = append(p.fails, 0.5)
+		}
+		r := evenRows(len(p.other))
+		for range 20 {
+			before := p.payoff(r)
+			solved := p.solve(r)
+			So(solved.before, ShouldAlmostEqual, before)
+			So(solved.after, ShouldBeGreaterThanOrEqualTo, before)
+			So(p.payoff(solved.rows), ShouldAlmostEqual, solved.after)
+			r = solved.rows
+		}
+	})
 	Convey("A row leaves an endpoint that is late or fails for the others", t, func() {
 		p := problem{target: 0.5, other: make([]float64, 3), fails: []float64{0, 0, 0.5}}
 		p.rates = [bucketCount]float64{10, 1, 1, 1}
 		p.fits = []fit{{base: 0.1, spread: 0.05}, {base: 0.9, spread: 0.05}, {base: 0.1, spread: 0.05}}
 		rows := evenRows(3)
 		for range 10 {
-			rows = p.solve(rows)
+			rows = p.solve(rows).rows
 		}
 		So(rows[0][0], ShouldBeGreaterThan, 0.8)
 		So(rows[0][1], ShouldBeLessThan, 0.1)
--- a/internal/fleet/placement/resolve.go
+++ b/internal/fleet/placement/resolve.go
@@ -16,9 +16,8 @@
 		t.solvedAt = now - solveGap/2 // looked at again soon
 		return
 	}
-	t.before = p.payoff(t.rows)
-	t.rows = p.solve(t.rows)
-	t.after = p.payoff(t.rows)
+	solved := p.solve(t.rows)
+	t.rows, t.before, t.after = solved.rows, solved.before, solved.after
 	t.from, t.solved, t.solvedAt = p, true, now
 }
 
--- a/internal/fleet/placement/solve.go
+++ b/internal/fleet/placement/solve.go
@@ -63,6 +63,13 @@
 	return r
 }
 
+func (r rows) clone() rows {
+	for k := range r {
+		r[k] = slices.Clone(r[k])
+	}
+	return r
+}
+
 // endpointRates are the calls a second that each endpoint gets under the rows.
 func (p *problem) endpointRates(r rows) []float64 {
 	rates := slices.Clone(p.other)
@@ -94,19 +101,35 @@
 	return sum / total
 }
 
-// solve moves rows toward a higher payoff.
-func (p *problem) solve(r rows) rows {
+// solution is rows, and the payoff before and with them.
+type solution struct {
+	rows          rows
+	before, after float64
+}
+
+// solve moves rows toward a higher payoff. The steps are of one length, so that they may overshoot where delays grow
+// steeply with the rate; rows that came out worse are not taken.
+func (p *problem) solve(start rows) solution {
+	moved := start.clone()
 	for range solveSteps {
-		rates := p.endpointRates(r)
-		gradient := p.gradient(r, rates)
-		for k := range r {
-			for e := range r[k] {
-				r[k][e] += solveStep * gradient[k][e]
-			}
-			projectOnSimplex(r[k], leastShare/float64(len(r[k])))
+		p.step(moved)
+	}
+	before, after := p.payoff(start), p.payoff(moved)
+	if after < before {
+		return solution{rows: start, before: before, after: before}
+	}
+	return solution{rows: moved, before: before, after: after}
+}
+
+// step moves rows along the gradient.
+func (p *problem) step(r rows) {
+	gradient := p.gradient(r, p.endpointRates(r))
+	for k := range r {
+		for e := range r[k] {
+			r[k][e] += solveStep * gradient[k][e]
 		}
+		projectOnSimplex(r[k], leastShare/float64(len(r[k])))
 	}
-	return r
 }
 
 // gradient is the payoff's, for each row in units of a call.
