Tell all routers of failures at endpoints, and pull rows toward even ones

An endpoint whose share of a row had gone to the floor also stayed there for good while all payoffs were equal. Change: failures, and first tokens overdue by three times what was expected (600 ms at least), go to all routers with the announcements of prompts, bounded to 20 a second a router and 2,000 of all. Each estimates the share of failing calls (memory 1.5 to 6 s, longer for endpoints that fail again), which counts in the rows and in the draw. The rows' objective gives up 0.02 for an even row.

--- a/internal/fleet/front/announce.go
+++ b/internal/fleet/front/announce.go
@@ -15,9 +15,13 @@
 	announcedMost   = 1500.0   // a second, of all routers, in a small fleet
 	announcedLarge  = 100000.0 // the same times the number of routers, in a large one
 	announcedAtOnce = 6.0      // by one router
+
+	failuresMost   = 20.0   // failures a second that one router tells of, in a small fleet
+	failuresLarge  = 2000.0 // the same of all routers, in a large one
+	failuresAtOnce = 20.0   // by one router
 )
 
-// Announcement is a prompt that a router has just sent to an endpoint.
+// Announcement is what a router has just met at an endpoint: a prompt that it sent there, or failures.
 type Announcement struct {
 	_        struct{} `cbor:",toarray"`
 	Origin   uint32   // the router that sent the prompt
@@ -25,6 +29,7 @@
 	Rank     uint8
 	Units    uint32
 	Prefixes []uint32
+	Failures uint8 // 0: a prompt was sent
 }
 
 func announcement(origin uint32, placed *placement.Placed, call *placement.Call) Announcement {
@@ -50,6 +55,18 @@
 	return true
 }
 
+// mayTellFailure takes one failure out of what this router may tell of. The caller holds the lock.
+func (d *Dispatcher) mayTellFailure(now time.Duration) bool {
+	rate := min(failuresMost, failuresLarge/float64(d.routers))
+	d.failures = min(d.failures+rate*(now-d.failuresAt).Seconds(), failuresAtOnce)
+	d.failuresAt = now
+	if d.failures < 1 {
+		return false
+	}
+	d.failures--
+	return true
+}
+
 // Heard takes other routers' announcements over. Its own may be among them, and are known.
 func (d *Dispatcher) Heard(announcements []Announcement) {
 	d.mu.Lock()
@@ -60,6 +77,10 @@
 		if a.Origin == d.origin {
 			continue
 		}
+		if a.Failures > 0 {
+			d.placer.HeardFailures(now, a.Endpoint, int(a.Failures))
+			continue
+		}
 		d.placer.Heard(now, a.Endpoint, int(a.Rank), float64(a.Units), a.Prefixes)
 	}
 }
--- a/internal/fleet/front/dispatcher.go
+++ b/internal/fleet/front/dispatcher.go
@@ -33,6 +33,9 @@
 	budgets   map[string]*retry.Budget
 	allowed   float64 // announcements
 	allowedAt time.Duration
+
+	failures   float64 // that may be told of
+	failuresAt time.Duration
 }
 
 // NewDispatcher returns a dispatcher without endpoints that opens at most so many connections.
@@ -40,7 +43,7 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	return &Dispatcher{
 		Pool: upstream.NewPool(connectTimeout, connectionIdle, connections), clock: clock, origin: rand.Uint32(), placer: placement.New(random),
-		settings: settings, routers: 1, budgets: map[string]*retry.Budget{},
+		settings: settings, routers: 1, budgets: map[string]*retry.Budget{}, failures: failuresAtOnce,
 	}
 }
 
@@ -49,6 +52,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.routers = routers
+	d.placer.SetRouters(routers)
 }
 
 // Drop has endpoints get no more requests from this moment on, also none that wait for a connection.
@@ -142,16 +146,22 @@
 	d.placer.FirstToken(d.clock(), placed, delay)
 }
 
-func (d *Dispatcher) refused(e *placement.Endpoint) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.placer.Refused(d.clock(), e)
-}
+func (d *Dispatcher) refused(e *placement.Endpoint) { d.meet(e, (*placement.Placer).Refused) }
+
+func (d *Dispatcher) failed(e *placement.Endpoint) { d.meet(e, (*placement.Placer).Failed) }
+
+func (d *Dispatcher) overdue(e *placement.Endpoint) { d.meet(e, (*placement.Placer).Overdue) }
 
-func (d *Dispatcher) failed(e *placement.Endpoint) {
+// meet notes a failure that this router has met at an endpoint, and tells the other routers of it.
+func (d *Dispatcher) meet(e *placement.Endpoint, note func(*placement.Placer, time.Duration, *placement.Endpoint)) {
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.placer.Failed(d.clock(), e)
+	now := d.clock()
+	note(d.placer, now, e)
+	tell := d.Announce != nil && d.mayTellFailure(now)
+	d.mu.Unlock()
+	if tell {
+		d.Announce(Announcement{Origin: d.origin, Endpoint: e.Name(), Failures: 1})
+	}
 }
 
 // uniform draws from [0, 1).
--- /dev/null
+++ b/internal/fleet/front/evidence_test.go
@@ -0,0 +1,79 @@
+package front
+
+import (
+	"net"
+	"net/http"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestFailuresAreTold(t *testing.T) {
+	Convey("An answer that is overdue is told of, and passed on when it comes", t, func() {
+		release := make(chan struct{})
+		answer := whole("late")
+		e := newStandIn(t, "e1", func(c net.Conn, r *http.Request) {
+			<-release
+			answer(c, r)
+		})
+		r := newRig(t, e)
+		told := make(chan Announcement, 10)
+		r.front.dispatcher.Announce = func(a Announcement) { told <- a }
+		type result struct {
+			status int
+			body   string
+			err    error
+		}
+		results := make(chan result, 1)
+		go func() {
+			response, body, err := r.do("POST", "/u/x", "b")
+			status := 0
+			if err == nil {
+				status = response.StatusCode
+			}
+			results <- result{status, body, err}
+		}()
+		So((<-told).Failures, ShouldEqual, 1)
+		close(release)
+		So(<-results, ShouldResemble, result{200, "late", nil})
+	})
+	Convey("A failure is told of at once, and no more than a bounded number of them", t, func() {
+		oops := text("HTTP/1.1 500 Oops\nX-Response-Signature: s\nContent-Length: 0\n\n")
+		e := newStandIn(t, "e1", oops, oops, oops)
+		r := newRig(t, e)
+		count := 0
+		r.front.dispatcher.Announce = func(a Announcement) { count += int(a.Failures) }
+		for range 3 {
+			response, _, err := r.do("POST", "/u/x", "b")
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, 500)
+		}
+		So(count, ShouldEqual, 3)
+		d := r.front.dispatcher
+		d.SetRouters(100000)
+		told := 0
+		for range 100 {
+			if d.mayTellFailure(0) {
+				told++
+			}
+		}
+		So(told, ShouldBeLessThanOrEqualTo, int(failuresAtOnce))
+	})
+	Convey("What another router tells turns calls away", t, func() {
+		first, second := newStandIn(t, "e1", whole("1")), newStandIn(t, "e2", whole("2"))
+		r := newRig(t, first, second)
+		response, body, err := r.do("POST", "/u/x", "b", headerPrefix, "a:100,b:5")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		var name uint32
+		for _, e := range r.front.dispatcher.placer.Endpoints("s") {
+			if e.ID == "e"+body {
+				name = e.Name()
+			}
+		}
+		r.front.dispatcher.Heard([]Announcement{{Origin: 1, Endpoint: name, Failures: 200}})
+		_, other, err := r.do("POST", "/u/x", "b", headerPrefix, "a:100,b:5")
+		So(err, ShouldBeNil)
+		So(other, ShouldNotEqual, body)
+	})
+}
--- a/internal/fleet/front/forward.go
+++ b/internal/fleet/front/forward.go
@@ -115,6 +115,8 @@
 	q, endpoint := a.request, placed.Endpoint
 	began := time.Now()
 	defer s.dispatcher.end(placed)
+	overdue := time.AfterFunc(overdueAfter(placed), func() { s.dispatcher.overdue(endpoint) })
+	defer overdue.Stop()
 	message := q.encode(make([]byte, 0, 1024+len(q.body)), endpoint.ID, a.lastID, time.Until(q.deadline))
 	reply, proof, err := s.dispatcher.Pool.Start(ctx, &upstream.Exchange{
 		Host: balance.EndpointID(endpoint.Number), ID: q.id, Method: q.http.Method, Until: q.deadline, Message: message,
@@ -142,7 +144,23 @@
 	if a.begun && !success(reply.Status) {
 		return mayHaveRun // the rest of the events was asked for
 	}
-	return a.pass(ctx, placed, reply, began)
+	return a.pass(ctx, placed, reply, &firstToken{began: began, overdue: overdue})
+}
+
+// firstToken is what is waited for at an endpoint.
+type firstToken struct {
+	began   time.Time
+	overdue *time.Timer
+}
+
+// Bounds of the time after which a first token that was expected earlier is overdue.
+const (
+	overdueLeast = 600 * time.Millisecond
+	overdueTimes = 3 // what was expected
+)
+
+func overdueAfter(placed *placement.Placed) time.Duration {
+	return max(overdueLeast, overdueTimes*placed.Expected)
 }
 
 func success(status int) bool { return status >= 200 && status < 300 }
@@ -165,7 +183,7 @@
 }
 
 // pass passes an answer on as it comes.
-func (a *answer) pass(ctx context.Context, placed *placement.Placed, reply *upstream.Reply, began time.Time) outcome {
+func (a *answer) pass(ctx context.Context, placed *placement.Placed, reply *upstream.Reply, awaited *firstToken) outcome {
 	resumable := a.request.route.Type == config.Streaming && a.request.route.StreamResume
 	if !a.begun {
 		a.head(reply, resumable)
@@ -178,8 +196,9 @@
 		n, err := reply.Body.Read(buffer)
 		if n > 0 && first {
 			first = false
+			awaited.overdue.Stop()
 			if success(reply.Status) {
-				a.server.dispatcher.firstToken(placed, time.Since(began))
+				a.server.dispatcher.firstToken(placed, time.Since(awaited.began))
 			}
 		}
 		if n > 0 {
--- /dev/null
+++ b/internal/fleet/placement/evidence_test.go
@@ -0,0 +1,105 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestEvidence(t *testing.T) {
+	const rate = 10.0 // calls a second
+	Convey("Single failures are chance", t, func() {
+		v := evidence{}
+		for now := time.Second; now < time.Minute; now += 10 * time.Second {
+			v.failed(now, 1, rate)
+			So(v.share(now, rate), ShouldEqual, 0)
+		}
+	})
+	Convey("Half of an endpoint's calls failing is told within a second, and forgotten within seconds", t, func() {
+		v := evidence{}
+		now := 40 * time.Second
+		for range 5 {
+			now += 200 * time.Millisecond
+			v.failed(now, 1, rate)
+		}
+		So(v.share(now, rate), ShouldBeBetween, 0.1, 0.5)
+		So(v.share(now+8*time.Second, rate), ShouldBeLessThan, 0.02)
+	})
+	Convey("All calls failing is told as such", t, func() {
+		v := evidence{}
+		for now := time.Second; now <= 3*time.Second; now += 100 * time.Millisecond {
+			v.failed(now, 1, rate)
+		}
+		So(v.share(3*time.Second, rate), ShouldBeGreaterThan, 0.6)
+	})
+	Convey("An endpoint that fails again and again is trusted more slowly each time, until it has been well for long", t, func() {
+		v := evidence{}
+		now := time.Minute
+		spell := func() (untilWell time.Duration) {
+			for range 20 {
+				now += 50 * time.Millisecond
+				v.failed(now, 1, rate)
+			}
+			began := now
+			for v.share(now, rate) > relapseEnd {
+				now += 50 * time.Millisecond
+			}
+			return now - began
+		}
+		first := spell()
+		second := spell()
+		third := spell()
+		So(second, ShouldBeGreaterThan, 3*first/2)
+		So(third, ShouldBeGreaterThan, 3*second/2)
+		now += relapseForgiven + time.Second
+		So(spell(), ShouldBeBetween, first/2, 3*first/2)
+	})
+	Convey("Few calls are remembered longer, within bounds", t, func() {
+		So(memoryFor(1000), ShouldEqual, evidenceLeast)
+		So(memoryFor(2), ShouldEqual, 4*time.Second)
+		So(memoryFor(0), ShouldEqual, evidenceMost)
+	})
+}
+
+func TestSharedEvidence(t *testing.T) {
+	Convey("Failures that other routers tell of turn calls away, also such whose prompt is kept there", t, func() {
+		p := placer(6)
+		p.SetRouters(30)
+		home := p.Place(0, call(42, 1000)).Endpoint
+		for at := range 10 {
+			p.HeardFailures(time.Duration(at)*100*time.Millisecond, home.Name(), 1)
+		}
+		So(p.Place(time.Second, call(42, 1000)).Endpoint, ShouldNotEqual, home)
+		for now := time.Minute; now < 10*time.Minute; now += delayRefresh {
+			p.End(p.Place(now, call(7, 1)))
+		}
+		So(p.Place(10*time.Minute, call(42, 1000)).Endpoint, ShouldEqual, home)
+	})
+	Convey("Where all endpoints fail alike none is left out", t, func() {
+		p := placer(3)
+		for _, e := range p.service("llm").endpoints {
+			p.HeardFailures(0, e.Name(), 40)
+		}
+		used := map[string]bool{}
+		for i := range 300 {
+			placed := p.Place(time.Millisecond, call(uint32(i)*7919+1, 10))
+			used[placed.Endpoint.ID] = true
+			p.End(placed)
+		}
+		So(len(used), ShouldEqual, 3)
+	})
+	Convey("Failures at an endpoint that is not known are passed over", t, func() {
+		placer(1).HeardFailures(0, 77, 3)
+	})
+	Convey("An overdue first token counts, and its call goes on", t, func() {
+		p := placer(2)
+		placed := p.Place(0, call(42, 1000))
+		for range 5 {
+			p.Overdue(time.Second, placed.Endpoint)
+		}
+		So(p.Place(time.Second, call(42, 1000)).Endpoint, ShouldNotEqual, placed.Endpoint)
+		p.FirstToken(2*time.Second, placed, 2*time.Second)
+		p.End(placed)
+	})
+}
--- a/internal/fleet/placement/placement.go
+++ b/internal/fleet/placement/placement.go
@@ -33,7 +33,8 @@
 	queue     queue
 	model     delayModel
 	rate      rateMeter
-	fails     float64 // share
+	fails     float64 // share, of this router's calls
+	evidence  evidence
 	underWay  int
 	failures  int // in a row
 	ejected   time.Duration
@@ -76,6 +77,7 @@
 	byID     map[string]*Endpoint
 	byName   map[uint32]*Endpoint
 	numbers  uint32
+	routers  int // that share the endpoints, this one included
 }
 
 type service struct {
@@ -84,6 +86,8 @@
 	underWay  int
 	speed     speedModel // of all endpoints
 	scratch   []candidate
+	calls     rateMeter      // of this router
+	callRate  float64        // calls a second that one endpoint gets from all routers, if they are spread evenly
 	meanUnits [ranks]float64 // of the calls of a rank
 }
 
@@ -100,9 +104,12 @@
 
 // New returns a placer without endpoints.
 func New(random *rand.Rand) *Placer {
-	return &Placer{random: random, services: map[string]*service{}, byID: map[string]*Endpoint{}, byName: map[uint32]*Endpoint{}}
+	return &Placer{random: random, services: map[string]*service{}, byID: map[string]*Endpoint{}, byName: map[uint32]*Endpoint{}, routers: 1}
 }
 
+// SetRouters takes over how many routers share the endpoints.
+func (p *Placer) SetRouters(routers int) { p.routers = max(1, routers) }
+
 // SetReady takes over which endpoints may be sent requests. It returns those that are new and those that no longer may.
 func (p *Placer) SetReady(ready []registry.Endpoint) (added, removed []*Endpoint) {
 	lists := map[string][]*Endpoint{}
@@ -190,11 +197,14 @@
 }
 
 // Ready is how many endpoints of a service may be sent requests.
-func (p *Placer) Ready(name string) int {
+func (p *Placer) Ready(name string) int { return len(p.Endpoints(name)) }
+
+// Endpoints are those of a service that may be sent requests. They stay the placer's own.
+func (p *Placer) Endpoints(name string) []*Endpoint {
 	if s := p.services[name]; s != nil {
-		return len(s.endpoints)
+		return s.endpoints
 	}
-	return 0
+	return nil
 }
 
 // Place draws a call's endpoint and notes that the call goes there; nil where there is none. End has to follow.
@@ -209,6 +219,8 @@
 		bucket = bucketOf(float64(call.Spent) / float64(call.Target))
 	}
 	t.calls[bucket].count(now)
+	s.calls.count(now)
+	s.callRate = p.callRate(now, s)
 	s.resolve(now, call.Target, t)
 	placed := s.draw(now, t.rows[bucket], call.key(p.random), call)
 	if placed != nil {
@@ -217,6 +229,11 @@
 	return placed
 }
 
+// callRate estimates the calls a second that an endpoint gets, from this router's own: clients are spread over routers.
+func (p *Placer) callRate(now time.Duration, s *service) float64 {
+	return s.calls.now(now) * float64(p.routers) / float64(max(1, len(s.endpoints)))
+}
+
 // begin notes that a call is sent.
 func (s *service) begin(now time.Duration, placed *Placed, call *Call) {
 	e := placed.Endpoint
@@ -282,17 +299,33 @@
 // Refused notes that a connection to an endpoint did not come up.
 func (p *Placer) Refused(now time.Duration, e *Endpoint) {
 	e.outcome(1)
+	p.noteFailures(now, e, 1)
 	e.eject(now)
 }
 
 // Failed notes a refusal, an error, a reset or a time-out of an endpoint.
 func (p *Placer) Failed(now time.Duration, e *Endpoint) {
 	e.outcome(1)
+	p.noteFailures(now, e, 1)
 	if e.failures++; e.failures >= ejectAfter {
 		e.eject(now)
 	}
 }
 
+// Overdue notes that a call's first token has not come long after it was expected. The call goes on.
+func (p *Placer) Overdue(now time.Duration, e *Endpoint) { p.noteFailures(now, e, 1) }
+
+// HeardFailures notes failures that another router has met at an endpoint.
+func (p *Placer) HeardFailures(now time.Duration, name uint32, count int) {
+	if e := p.byName[name]; e != nil {
+		p.noteFailures(now, e, float64(count))
+	}
+}
+
+func (p *Placer) noteFailures(now time.Duration, e *Endpoint, count float64) {
+	e.evidence.failed(now, count, p.callRate(now, p.service(e.Service)))
+}
+
 // eject leaves an endpoint out, twice as long as the time before.
 func (e *Endpoint) eject(now time.Duration) {
 	if now < e.ejected {
--- a/internal/fleet/placement/resolve.go
+++ b/internal/fleet/placement/resolve.go
@@ -37,7 +37,7 @@
 	total := 0.0
 	for _, e := range s.endpoints {
 		p.fits = append(p.fits, e.model.fit(fit{base: prior.base, spread: prior.spread}))
-		p.fails = append(p.fails, e.fails)
+		p.fails = append(p.fails, max(e.fails, e.evidence.share(now, s.callRate)))
 		total += e.rate.now(now)
 	}
 	for _, e := range s.endpoints {
--- a/internal/fleet/placement/solve.go
+++ b/internal/fleet/placement/solve.go
@@ -9,6 +9,7 @@
 	solveSteps = 20
 	solveStep  = 0.05
 	leastShare = 0.02 // of an even share that each endpoint keeps, so that its model stays fresh
+	evenPull   = 0.02 // payoff that a call gives up for an even row: what failed once comes back when it is well
 )
 
 // bucketEdges are in shares of the target latency that are spent before the draw.
@@ -115,12 +116,28 @@
 		p.step(moved)
 	}
 	before, after := p.payoff(start), p.payoff(moved)
-	if after < before {
+	if after-p.unevenness(moved) < before-p.unevenness(start) {
 		return solution{rows: start, before: before, after: before}
 	}
 	return solution{rows: moved, before: before, after: after}
 }
 
+// unevenness is what the rows lose by not being even, in payoff.
+func (p *problem) unevenness(r rows) float64 {
+	sum, total := 0.0, 0.0
+	for k := range r {
+		total += p.rates[k]
+		even := 1 / float64(len(r[k]))
+		for _, share := range r[k] {
+			sum += p.rates[k] * evenPull / 2 / even * (share - even) * (share - even)
+		}
+	}
+	if total == 0 {
+		return 0
+	}
+	return sum / total
+}
+
 // step moves rows along the gradient.
 func (p *problem) step(r rows) {
 	gradient := p.gradient(r, p.endpointRates(r))
@@ -145,8 +162,9 @@
 		}
 	}
 	for k := range g {
+		even := 1 / float64(len(rates))
 		for e := range g[k] {
-			g[k][e] += crowding[e]
+			g[k][e] += crowding[e] - evenPull/even*(r[k][e]-even)
 		}
 	}
 	return g
