Never go on with a plain body at another endpoint

Ruled out: events that are joined (their ids decide); the connection pool (the answers were told apart). Change: a head goes to the client with the first piece of its body; only event streams with ids are gone on with, and only by event streams; everything else that breaks off midway is cut. A pull's answer holds 70 members and endpoints at most, and first pulls are rarer in large fleets.

--- a/internal/fleet/dissemination/node.go
+++ b/internal/fleet/dissemination/node.go
@@ -18,6 +18,7 @@
 	fanout       = 4   // routers that news go to in larger fleets
 	hopsMost     = 8   // how often news are passed on
 	itemsMost    = 7   // members or endpoints in one message
+	answerMost   = 70  // members, and endpoints, with which a pull is answered: the next pulls find the others
 	orderMost    = 900 // bytes of an order that is sent with the news of it
 	roundsKept   = 8   // questions that may still be answered
 	forgetAfter  = 60 * time.Second
@@ -29,7 +30,8 @@
 // PullEvery is the time between a router's pulls, once its configuration has been confirmed.
 const PullEvery = 500 * time.Millisecond
 
-// firstPullEvery is the time between a router's pulls until then.
+// firstPullEvery is the time between a router's pulls until then, in a small fleet. In a larger one it grows with the
+// fleet up to PullEvery, so that the core can answer all of a fleet that starts at once.
 const firstPullEvery = 60 * time.Millisecond
 
 // Outgoing is a message to be sent.
@@ -133,7 +135,7 @@
 
 func (n *Node) pullInterval() time.Duration {
 	if _, fresh := n.Feed.FreshAt(); !fresh {
-		return firstPullEvery
+		return min(PullEvery, firstPullEvery*time.Duration(max(1, n.Members.Count()/directMost)))
 	}
 	return PullEvery*9/10 + time.Duration(n.options.Random.Int64N(int64(PullEvery/5)))
 }
@@ -220,8 +222,17 @@
 	answer := Answer{Round: message.Round, Sequence: n.Feed.Sequence, View: n.view, Primary: n.primary}
 	answer.AgeMs, answer.Fresh = n.Feed.ageMs(n.now)
 	n.send(from, answer)
-	n.sendMembers(from, n.Members.Differing(message.Members), hopsMost)
-	n.sendEndpoints(from, n.Registry.Differing(message.Endpoints), hopsMost)
+	n.sendMembers(from, portion(n.options.Random, n.Members.Differing(message.Members)), hopsMost)
+	n.sendEndpoints(from, portion(n.options.Random, n.Registry.Differing(message.Endpoints)), hopsMost)
+}
+
+// portion is what one answer holds of a list: all of it, or a part that begins anywhere.
+func portion[T any](random *rand.Rand, list []T) []T {
+	if len(list) <= answerMost {
+		return list
+	}
+	from := random.IntN(len(list))
+	return slices.Concat(list[from:], list[:from])[:answerMost]
 }
 
 // onAnswer renews the lease. Its age counts from when the question was sent, so that an answer that was held up on its
--- a/internal/fleet/front/forward.go
+++ b/internal/fleet/front/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -22,7 +23,8 @@
 	neverSent                  // the endpoint was not reached: the request did not run there
 	notExecuted                // the endpoint said that it did not run the request
 	mayHaveRun                 // sent, and no usable answer came
-	broken                     // the answer broke off when part of it had been passed on
+	broken                     // the answer broke off, and another endpoint may begin it or go on with it
+	cutOff                     // the answer broke off when a part had been passed on with which nothing can go on
 	clientGone                 // nobody waits any more
 )
 
@@ -63,6 +65,9 @@
 			return
 		case clientGone:
 			return
+		case cutOff:
+			s.giveUp(answer, arrived, ctx)
+			return
 		case neverSent:
 			if repeat {
 				s.dispatcher.unspent(q.service)
@@ -141,7 +146,7 @@
 			return mayHaveRun
 		}
 	}
-	if a.begun && !success(reply.Status) {
+	if a.begun && !(success(reply.Status) && isEventStream(reply.Header)) {
 		return mayHaveRun // the rest of the events was asked for
 	}
 	return a.pass(ctx, placed, reply, &firstToken{began: began, overdue: overdue})
@@ -182,14 +187,12 @@
 	return mayHaveRun
 }
 
-// pass passes an answer on as it comes.
+// pass passes an answer on as it comes. Its head goes with the first piece of its body: an answer that breaks off before
+// has shown the client nothing, and another endpoint's may take its place.
 func (a *answer) pass(ctx context.Context, placed *placement.Placed, reply *upstream.Reply, awaited *firstToken) outcome {
-	resumable := a.request.route.Type == config.Streaming && a.request.route.StreamResume
-	if !a.begun {
-		a.head(reply, resumable)
-	}
-	a.events.reset()
 	streams := a.request.route.Type == config.Streaming && success(reply.Status)
+	resumable := streams && a.request.route.StreamResume && isEventStream(reply.Header)
+	a.events.reset()
 	buffer := make([]byte, 4<<10)
 	first := true
 	for {
@@ -201,34 +204,47 @@
 				a.server.dispatcher.firstToken(placed, time.Since(awaited.began))
 			}
 		}
-		if n > 0 {
-			piece := buffer[:n]
-			if resumable {
-				piece = a.events.whole(piece, &a.lastID)
-			}
-			if !a.write(piece, streams) {
-				return clientGone
-			}
-		}
-		if err == nil {
-			continue
-		}
-		if err == io.EOF && (!resumable || a.events.empty()) {
-			return passedOn
+		piece := buffer[:n]
+		if resumable {
+			piece = a.events.whole(piece, &a.lastID)
 		}
-		if ctx.Err() == nil {
-			a.server.dispatcher.failed(placed.Endpoint)
+		whole := err == io.EOF && (!resumable || a.events.empty())
+		if !a.begun && (len(piece) > 0 || whole) {
+			a.head(reply, resumable)
 		}
-		if a.request.http.Context().Err() != nil {
+		if !a.write(piece, streams) {
 			return clientGone
 		}
-		if !resumable {
-			a.begun = true
+		switch {
+		case err == nil:
+		case whole:
+			return passedOn
+		default:
+			return a.brokeOff(ctx, placed, resumable)
 		}
-		return broken
 	}
 }
 
+// brokeOff judges an answer that ended early.
+func (a *answer) brokeOff(ctx context.Context, placed *placement.Placed, resumable bool) outcome {
+	if ctx.Err() == nil {
+		a.server.dispatcher.failed(placed.Endpoint)
+	}
+	if a.request.http.Context().Err() != nil {
+		return clientGone
+	}
+	if a.begun && !(resumable && a.lastID != "") {
+		return cutOff
+	}
+	return broken
+}
+
+// isEventStream tells whether an answer's body is events, which can be told apart.
+func isEventStream(header http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(header.Get("Content-Type"))
+	return err == nil && mediaType == "text/event-stream"
+}
+
 func (a *answer) write(piece []byte, flush bool) bool {
 	if len(piece) == 0 {
 		return true
--- a/internal/fleet/front/standin_test.go
+++ b/internal/fleet/front/standin_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -94,6 +95,20 @@
 	return func(c net.Conn, _ *http.Request) { _, _ = io.WriteString(c, strings.ReplaceAll(format, "\n", "\r\n")) }
 }
 
+// cut writes text and closes the connection.
+func cut(format string) func(net.Conn, *http.Request) {
+	return func(c net.Conn, r *http.Request) {
+		text(format)(c, r)
+		_ = c.Close()
+	}
+}
+
+// inTurn takes the next of some steps for each request, whichever endpoint it reaches.
+func inTurn(steps ...func(net.Conn, *http.Request)) func(net.Conn, *http.Request) {
+	var next atomic.Int32
+	return func(c net.Conn, r *http.Request) { steps[int(next.Add(1)-1)%len(steps)](c, r) }
+}
+
 func closes(c net.Conn, _ *http.Request) { _ = c.Close() }
 
 const notExecutedText = "HTTP/1.1 503 Service Unavailable\nX-Not-Executed: 1\nContent-Length: 0\n\n"
