--- a/internal/fleet/dissemination/messages.go
+++ b/internal/fleet/dissemination/messages.go
@@ -5,8 +5,10 @@
 	"pinelb.example/pinelb/internal/fleet/registry"
 )
 
-// Beat is a router's heartbeat to its monitors.
-type Beat struct{}
+// Beat is a router's heartbeat to its monitors, and the answer to one that asks.
+type Beat struct {
+	Ask bool `cbor:"1,keyasint,omitempty"` // the sender has heard nothing for long, and wants one back
+}
 
 // Pull asks a router for what the sender lacks.
 type Pull struct {
--- a/internal/fleet/dissemination/node.go
+++ b/internal/fleet/dissemination/node.go
@@ -71,7 +71,13 @@
 	view      uint64
 	primary   string
 	seeds     []string
-	queued    [hopsMost + 1][]registry.Endpoint // news for the next tick, by how often they were passed on
+	queued    [hopsMost + 1]queue // news for the next tick, by how often they were passed on
+}
+
+// queue is news that wait for the next tick.
+type queue struct {
+	members   []membership.Member
+	endpoints []registry.Endpoint
 }
 
 // question is a pull that may still be answered.
@@ -114,11 +120,14 @@
 // Tick lets time pass.
 func (n *Node) Tick(now time.Duration) *Output {
 	out := n.step(now)
-	beats, dead := n.Members.Tick(now)
-	for _, to := range beats {
+	step := n.Members.Tick(now)
+	for _, to := range step.Beats {
 		n.send(to, Beat{})
 	}
-	n.spreadMembers(dead, 0)
+	for _, to := range step.Probes {
+		n.send(to, Beat{Ask: true})
+	}
+	n.spreadMembers(step.Dead, 0)
 	if now >= n.nextPull {
 		n.nextPull = now + n.pullInterval()
 		n.pull()
@@ -126,7 +135,7 @@
 	if now >= n.nextLapse {
 		n.nextLapse = now + lapseEvery
 		silence := silentBeats * n.options.HeartbeatEvery
-		n.spreadEndpoints(n.Registry.Lapse(now, n.options.Self.Address, silence, n.lives), 0)
+		n.spreadEndpoints(n.Registry.Lapse(now, n.options.Self.Address, silence, n.mayHear(silence)), 0)
 		n.Registry.Forget(now, forgetAfter)
 	}
 	n.flushQueued()
@@ -145,6 +154,15 @@
 	return known && m.Status == membership.Alive
 }
 
+// mayHear tells of a router whether it may still hear its endpoints: it lives, or ended less than a silence ago, so that
+// they have had no time to find another one.
+func (n *Node) mayHear(silence time.Duration) func(address string) bool {
+	return func(address string) bool {
+		ended, known := n.Members.EndedAt(address)
+		return n.lives(address) || known && n.now-ended < silence
+	}
+}
+
 // pull asks one router for news: in turn one of the core, where the configuration is freshest, and any.
 func (n *Node) pull() {
 	to := n.choosePeer()
@@ -156,7 +174,7 @@
 	delete(n.asked, n.round-roundsKept)
 	n.send(to, Pull{
 		Self: n.Members.Self(), Round: n.round, Sequence: n.Feed.Sequence, Members: n.Members.Digests(),
-		Endpoints: n.Registry.Digests(),
+		Endpoints: n.Registry.Digests(n.round),
 	})
 }
 
@@ -202,9 +220,12 @@
 // Receive takes a message of another router.
 func (n *Node) Receive(now time.Duration, from string, message any) *Output {
 	out := n.step(now)
+	n.Members.Heard(now, from)
 	switch message := message.(type) {
 	case Beat:
-		n.Members.Heard(now, from)
+		if message.Ask {
+			n.send(from, Beat{})
+		}
 	case Pull:
 		n.onPull(from, message)
 	case Answer:
@@ -255,7 +276,9 @@
 func (n *Node) onNews(from string, message News) {
 	hops := message.Hops + 1
 	n.spreadMembers(n.Members.Merge(n.now, message.Members), hops)
-	n.spreadEndpoints(n.Registry.Merge(n.now, message.Endpoints), hops)
+	news, asserted := n.Registry.Merge(n.now, n.options.Self.Address, message.Endpoints)
+	n.spreadEndpoints(news, hops)
+	n.spreadEndpoints(asserted, 0)
 	if message.Sequence <= n.Feed.Sequence {
 		return
 	}
@@ -311,7 +334,7 @@
 // Leave says that this router ends.
 func (n *Node) Leave(now time.Duration) *Output {
 	out := n.step(now)
-	n.spreadMembers([]membership.Member{n.Members.Leave()}, 0)
+	n.pushMembers([]membership.Member{n.Members.Leave()}, 0)
 	return out
 }
 
@@ -328,10 +351,19 @@
 	return live[:fanout]
 }
 
+// spreadMembers passes news on: in a small fleet at once, in a larger one with the next tick, so that news that come in a
+// rush share messages.
 func (n *Node) spreadMembers(news []membership.Member, hops uint8) {
-	if len(news) == 0 {
-		return
+	switch {
+	case len(news) == 0 || hops > hopsMost:
+	case n.Members.Count() > directMost:
+		n.queued[hops].members = append(n.queued[hops].members, news...)
+	default:
+		n.pushMembers(news, hops)
 	}
+}
+
+func (n *Node) pushMembers(news []membership.Member, hops uint8) {
 	for _, to := range n.receivers(hops) {
 		n.sendMembers(to, news, hops)
 	}
@@ -343,25 +375,27 @@
 	}
 }
 
-// spreadEndpoints passes news on: in a small fleet at once, in a larger one with the next tick, so that news that come in a
-// rush share messages.
+// spreadEndpoints passes news on as spreadMembers does.
 func (n *Node) spreadEndpoints(news []registry.Endpoint, hops uint8) {
-	if len(news) == 0 || hops > hopsMost {
-		return
-	}
-	if n.Members.Count() > directMost {
-		n.queued[hops] = append(n.queued[hops], news...)
-		return
+	switch {
+	case len(news) == 0 || hops > hopsMost:
+	case n.Members.Count() > directMost:
+		n.queued[hops].endpoints = append(n.queued[hops].endpoints, news...)
+	default:
+		n.pushEndpoints(news, hops)
 	}
-	n.pushEndpoints(news, hops)
 }
 
 // flushQueued passes on what has gathered since the last tick.
 func (n *Node) flushQueued() {
-	for hops, news := range n.queued {
-		if len(news) > 0 {
-			n.queued[hops] = nil
-			n.pushEndpoints(news, uint8(hops))
+	for hops := range n.queued {
+		waiting := n.queued[hops]
+		n.queued[hops] = queue{}
+		if len(waiting.members) > 0 {
+			n.pushMembers(waiting.members, uint8(hops))
+		}
+		if len(waiting.endpoints) > 0 {
+			n.pushEndpoints(waiting.endpoints, uint8(hops))
 		}
 	}
 }
--- /dev/null
+++ b/internal/fleet/dissemination/rest_test.go
@@ -0,0 +1,116 @@
+package dissemination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pinelb.example/pinelb/internal/fleet/membership"
+	"pinelb.example/pinelb/internal/fleet/registry"
+)
+
+// hear has endpoints say a word at routers, and again after each heartbeat's time.
+func (f *fleet) hear(endpoints int, sequence uint64) {
+	for e := range endpoints {
+		owner := address(e % len(f.order))
+		said := registry.Endpoint{
+			ID: fmt.Sprint("e", e), Service: "s", Address: fmt.Sprintf("10.1.%d.%d:1", e/250, e%250), State: registry.Ready, Sequence: sequence,
+			Owner: owner,
+		}
+		out, _ := f.nodes[owner].Hear(f.now, said)
+		f.carryOut(owner, out)
+	}
+}
+
+// perRouter is how many messages a router sends in a second, from now on.
+func (f *fleet) perRouter(span time.Duration, beat func()) float64 {
+	before := f.sent
+	for began := f.now; f.now-began < span; f.run(1200 * time.Millisecond) {
+		beat()
+	}
+	return float64(f.sent-before) / span.Seconds() / float64(len(f.order))
+}
+
+// Guards against a fleet that exchanges lists without end, each of its routers taking what another one has just dropped.
+func TestLargeFleetComesToRest(t *testing.T) {
+	Convey("Sixty routers that start at once, with many endpoints", t, func() {
+		const endpoints = 300
+		f := newFleet(60, 3)
+		f.lose = 2
+		sequence := uint64(0)
+		f.run(time.Second)
+		f.commit(1)
+		beat := func() {
+			f.nodes[address(0)].Feed.Renew(1, f.now)
+			sequence++
+			f.hear(endpoints, sequence)
+		}
+		f.perRouter(12*time.Second, beat)
+		Convey("agree, and send little", func() {
+			So(f.perRouter(6*time.Second, beat), ShouldBeLessThan, 12)
+			for _, n := range f.nodes {
+				So(n.Members.Count(), ShouldEqual, 60)
+				So(len(n.Registry.Ready()), ShouldEqual, endpoints)
+			}
+		})
+		Convey("come to rest again after some of them were called dead and their endpoints silent", func() {
+			liar := f.nodes[address(30)]
+			var dead []membership.Member
+			var silent []registry.Endpoint
+			for i := 40; i < 50; i++ {
+				m, _ := liar.Members.Lookup(address(i))
+				m.Status = membership.Dead
+				dead = append(dead, m)
+				e, _ := liar.Registry.Lookup(fmt.Sprint("e", i))
+				e.State = registry.Lapsed
+				silent = append(silent, e)
+			}
+			f.carryOut(address(30), liar.Receive(f.now, address(31), News{Members: dead, Endpoints: silent}))
+			f.perRouter(12*time.Second, beat)
+			So(f.perRouter(6*time.Second, beat), ShouldBeLessThan, 12)
+			for _, n := range f.nodes {
+				So(n.Members.Count(), ShouldEqual, 60)
+				So(len(n.Registry.Ready()), ShouldEqual, endpoints)
+			}
+		})
+	})
+}
+
+func TestAnswersAreBounded(t *testing.T) {
+	Convey("However much a router lacks, one answer holds a part of it", t, func() {
+		f := newFleet(1, 1)
+		n := f.nodes[address(0)]
+		for e := range 2000 {
+			n.Hear(0, registry.Endpoint{ID: fmt.Sprint("e", e), Address: fmt.Sprint("x:", e), Service: "s", State: registry.Ready, Sequence: 1})
+		}
+		out := n.Receive(0, address(1), Pull{Self: membership.Member{Address: address(1)}, Round: 1})
+		items := 0
+		for _, o := range out.Send {
+			if news, is := o.Message.(News); is {
+				items += len(news.Members) + len(news.Endpoints)
+			}
+		}
+		So(items, ShouldBeBetweenOrEqual, 1, 2*answerMost)
+	})
+	Convey("A router that is asked whether it lives says so", t, func() {
+		f := newFleet(2, 1)
+		out := f.nodes[address(0)].Receive(0, address(1), Beat{Ask: true})
+		So(out.Send, ShouldResemble, []Outgoing{{To: address(1), Message: Beat{}}})
+		So(f.nodes[address(0)].Receive(0, address(1), Beat{}).Send, ShouldBeEmpty)
+	})
+	Convey("A router that was called dead a moment ago may still hear its endpoints", t, func() {
+		f := newFleet(3, 1)
+		f.run(5 * time.Second)
+		n := f.nodes[address(0)]
+		m, known := n.Members.Lookup(address(1))
+		So(known, ShouldBeTrue)
+		m.Status = membership.Dead
+		n.Receive(f.now, address(2), News{Members: []membership.Member{m}})
+		So(n.mayHear(time.Second)(address(1)), ShouldBeTrue)
+		n.now += 2 * time.Second
+		So(n.mayHear(time.Second)(address(1)), ShouldBeFalse)
+		So(n.mayHear(time.Second)("unknown"), ShouldBeFalse)
+	})
+}
--- a/internal/fleet/membership/membership.go
+++ b/internal/fleet/membership/membership.go
@@ -54,6 +54,13 @@
 // monitors is how many routers watch each.
 const monitors = 2
 
+// A member that has been silent for so long before it would be declared dead is asked whether it lives, again and again.
+// Routers whose views of the ring differ would otherwise wait for heartbeats that are sent to others.
+const (
+	probeBefore = 1200 * time.Millisecond
+	probeEvery  = 300 * time.Millisecond
+)
+
 // List is one router's knowledge of all.
 type List struct {
 	timing   Timing
@@ -68,7 +75,8 @@
 type entry struct {
 	Member
 	position uint64        // on the ring
-	heard    time.Duration // last heartbeat, or when it was heard of first
+	heard    time.Duration // last message, or when it was heard of first
+	probed   time.Duration // when it was asked last whether it lives
 	ended    time.Duration // when it was declared dead or left
 }
 
@@ -160,34 +168,51 @@
 	return l.self
 }
 
-// Heard notes a heartbeat of a router.
+// Heard notes a message of a router.
 func (l *List) Heard(now time.Duration, address string) {
 	if e := l.members[address]; e != nil {
 		e.heard = now
 	}
 }
 
-// Tick lets time pass. It returns who is to be sent a heartbeat, and members that were declared dead just now.
-func (l *List) Tick(now time.Duration) (beats []string, dead []Member) {
+// Step is what is to be done as time passes.
+type Step struct {
+	Beats  []string // who is to be sent a heartbeat
+	Probes []string // who is to be asked whether it lives
+	Dead   []Member // who was declared dead just now
+}
+
+// Tick lets time pass.
+func (l *List) Tick(now time.Duration) Step {
+	var step Step
 	if now >= l.nextBeat {
 		l.nextBeat = now + l.timing.Heartbeat
-		beats = l.successors(l.self.Address)
+		step.Beats = l.successors(l.self.Address)
 	}
 	l.renewWatch(now)
 	for address := range l.watching {
-		e := l.members[address]
-		if now-e.heard > l.timing.Silence {
-			e.Status, e.ended = Dead, now
-			l.place(e)
-			dead = append(dead, e.Member)
-		}
+		l.watch(now, l.members[address], &step)
 	}
 	for address, e := range l.members {
 		if e.Status != Alive && address != l.self.Address && now-e.ended > l.timing.Forget {
 			delete(l.members, address)
 		}
 	}
-	return beats, dead
+	return step
+}
+
+// watch judges a member's silence.
+func (l *List) watch(now time.Duration, e *entry, step *Step) {
+	silence := now - e.heard
+	switch {
+	case silence > l.timing.Silence:
+		e.Status, e.ended = Dead, now
+		l.place(e)
+		step.Dead = append(step.Dead, e.Member)
+	case silence > l.timing.Silence-probeBefore && now-e.probed >= probeEvery:
+		e.probed = now
+		step.Probes = append(step.Probes, e.Address)
+	}
 }
 
 // successors are the monitors of a member: those that follow it on the ring.
@@ -282,6 +307,15 @@
 	return e.Member, true
 }
 
+// EndedAt is when a member was declared dead or left; ok is false of one that lives or is not known.
+func (l *List) EndedAt(address string) (at time.Duration, ok bool) {
+	e := l.members[address]
+	if e == nil || e.Status == Alive {
+		return 0, false
+	}
+	return e.ended, true
+}
+
 // Live are the addresses of the others that live.
 func (l *List) Live() []string {
 	others := make([]string, 0, len(l.ring))
--- a/internal/fleet/membership/membership_test.go
+++ b/internal/fleet/membership/membership_test.go
@@ -17,10 +17,11 @@
 	now    time.Duration
 	lists  map[string]*List
 	silent map[string]bool
+	deaf   map[string]bool // heartbeats to them are lost
 }
 
 func newFleet(size int) *fleet {
-	f := &fleet{lists: map[string]*List{}, silent: map[string]bool{}}
+	f := &fleet{lists: map[string]*List{}, silent: map[string]bool{}, deaf: map[string]bool{}}
 	for i := range size {
 		f.lists[member(i).Address] = New(0, member(i), DefaultTiming())
 	}
@@ -52,13 +53,18 @@
 			if f.silent[address] {
 				continue
 			}
-			beats, dead := l.Tick(f.now)
-			for _, to := range beats {
-				if !f.silent[to] {
+			step := l.Tick(f.now)
+			for _, to := range step.Beats {
+				if !f.silent[to] && !f.deaf[to] {
 					f.lists[to].Heard(f.now, address)
 				}
 			}
-			f.spread(dead)
+			for _, to := range step.Probes {
+				if !f.silent[to] {
+					l.Heard(f.now, to)
+				}
+			}
+			f.spread(step.Dead)
 		}
 	}
 }
@@ -101,8 +107,31 @@
 			f.run(2 * time.Second)
 			f.now += 10 * time.Second
 			f.silent[frozen] = false
-			_, dead := f.lists[frozen].Tick(f.now)
-			So(dead, ShouldBeEmpty)
+			So(f.lists[frozen].Tick(f.now).Dead, ShouldBeEmpty)
+		})
+		Convey("call nobody dead whose heartbeats go to others, as long as it answers", func() {
+			f.deaf[member(4).Address] = true
+			f.run(20 * time.Second)
+			So(any.Count(), ShouldEqual, 12)
+		})
+		Convey("ask a silent one a few times, not at each tick", func() {
+			f.silent[member(5).Address] = true
+			probes := 0
+			for range 60 {
+				f.now += 50 * time.Millisecond
+				for address, l := range f.lists {
+					if f.silent[address] {
+						continue
+					}
+					for other := range f.lists {
+						if !f.silent[other] {
+							l.Heard(f.now, other)
+						}
+					}
+					probes += len(l.Tick(f.now).Probes)
+				}
+			}
+			So(probes, ShouldBeBetweenOrEqual, 2, 2*4)
 		})
 		Convey("forget one that is gone for long", func() {
 			f.silent[member(5).Address] = true
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -49,11 +49,23 @@
 		e.Capacity != other.Capacity
 }
 
-// Buckets is into how many parts the digests divide the endpoints.
+// Buckets is into how many buckets a digest divides its part of the endpoints.
 const Buckets = 16
 
-// Digests are one number a bucket, which two routers share when they know the same.
-type Digests [Buckets]uint32
+// partSize is how many endpoints a digest covers, about: with more of them, digests take turns over parts of them, so
+// that a bucket in which two routers differ stays small.
+const (
+	partSize  = 128
+	partsMost = 64
+)
+
+// Digests are one number a bucket, which two routers share when they know the same of a part of the endpoints.
+type Digests struct {
+	_     struct{} `cbor:",toarray"`
+	Part  uint8
+	Parts uint8 // a power of two
+	Sums  [Buckets]uint32
+}
 
 // Table is one router's knowledge of all endpoints.
 type Table struct {
@@ -65,9 +77,27 @@
 
 type entry struct {
 	Endpoint
-	heard time.Duration // last change, or last heartbeat where this router is the owner
+	heard    time.Duration // last change, or last heartbeat where this router is the owner
+	asserted time.Duration // when others were told last that this router hears it
+	hash     uint64        // of the id
+	sum      uint32        // what it adds to a digest; 0: it is in none
+}
+
+// summarise works out what an endpoint adds to digests, after each change. Sequences are left out: they change with each
+// heartbeat. So are endpoints that have ended, which one router may have forgotten or never known.
+func (e *entry) summarise() {
+	e.sum = 0
+	if e.State < Lapsed {
+		own := e.hash ^ xxhash.Sum64String(e.Owner)*3 ^ uint64(e.State)*0x9e3779b97f4a7c15
+		e.sum = uint32(own ^ own>>32)
+	}
 }
 
+func (e *entry) bucket() int { return int(e.hash>>59) % Buckets }
+
+// in tells whether a digest's part covers the endpoint.
+func (e *entry) in(d *Digests) bool { return uint8(e.hash>>50)%max(1, d.Parts) == d.Part }
+
 // New returns a table without endpoints.
 func New() *Table { return &Table{entries: map[string]*entry{}, at: map[string]string{}} }
 
@@ -88,6 +118,7 @@
 		t.ended = append(t.ended, e.ID)
 	}
 	e.State, e.heard = state, now
+	e.summarise()
 	t.version++
 }
 
@@ -131,7 +162,9 @@
 func (t *Table) put(now time.Duration, said Endpoint) {
 	known := t.entries[said.ID]
 	if known == nil {
-		t.entries[said.ID] = &entry{Endpoint: said, heard: now}
+		known = &entry{Endpoint: said, heard: now, hash: xxhash.Sum64String(said.ID)}
+		known.summarise()
+		t.entries[said.ID] = known
 		t.version++
 		return
 	}
@@ -142,29 +175,44 @@
 		t.ended = append(t.ended, said.ID)
 	}
 	known.Endpoint, known.heard = said, now
+	known.summarise()
 }
 
-// Merge takes reports of other routers over and returns those that were new, to be passed on.
-func (t *Table) Merge(now time.Duration, reports []Endpoint) []Endpoint {
-	var news []Endpoint
+// assertEvery is the least time between two assertions of one endpoint.
+const assertEvery = time.Second
+
+// Merge takes reports of other routers over and returns those that were new, to be passed on, also where only their
+// sequence is: others may hold something else of a sequence in between. Where one says that an
+// endpoint is silent that this router, self, hears, what this router knows is returned as asserted, to be told to all.
+func (t *Table) Merge(now time.Duration, self string, reports []Endpoint) (news, asserted []Endpoint) {
 	for _, report := range reports {
 		known := t.entries[report.ID]
 		if known == nil && report.State >= Lapsed {
 			continue // it is forgotten already
 		}
 		if known != nil && !report.supersedes(&known.Endpoint) {
+			if report.State == Lapsed && known.assert(now, self) {
+				asserted = append(asserted, known.Endpoint)
+			}
 			continue
 		}
 		changed := known == nil || report.differs(&known.Endpoint)
 		t.put(now, report)
-		if changed {
-			news = append(news, report)
-			if report.State < Lapsed && t.at[report.Address] == "" {
-				t.at[report.Address] = report.ID
-			}
+		news = append(news, report)
+		if changed && report.State < Lapsed && t.at[report.Address] == "" {
+			t.at[report.Address] = report.ID
 		}
 	}
-	return news
+	return news, asserted
+}
+
+// assert tells whether others are to be told that this router hears the endpoint.
+func (e *entry) assert(now time.Duration, self string) bool {
+	if e.Owner != self || e.State >= Lapsed || e.asserted != 0 && now-e.asserted < assertEvery {
+		return false
+	}
+	e.asserted = now
+	return true
 }
 
 // hintLife is how long an endpoint may be used that has not been heard since all routers ended.
@@ -186,16 +234,16 @@
 	return news
 }
 
-// Lapse marks the endpoints of an owner that were silent for too long. ownerLives tells whether another router still
-// hears its endpoints; the endpoints of a router that is gone lapse as this router's own, after twice the time.
-func (t *Table) Lapse(now time.Duration, self string, silence time.Duration, ownerLives func(string) bool) []Endpoint {
+// Lapse marks the endpoints of an owner that were silent for too long. ownerHears tells whether another router may still
+// hear its endpoints; the endpoints of a router that is gone lapse as this router's own, after twice the time.
+func (t *Table) Lapse(now time.Duration, self string, silence time.Duration, ownerHears func(string) bool) []Endpoint {
 	var news []Endpoint
 	for _, e := range t.entries {
 		if e.State >= Lapsed {
 			continue
 		}
 		own := e.Owner == self && now-e.heard > silence
-		orphaned := e.Owner != self && now-e.heard > 2*silence && !ownerLives(e.Owner)
+		orphaned := e.Owner != self && now-e.heard > 2*silence && !ownerHears(e.Owner)
 		unconfirmed := e.Owner == "" && now-e.heard > hintLife
 		if own || orphaned || unconfirmed {
 			t.end(now, e, Lapsed)
@@ -238,32 +286,34 @@
 	return all
 }
 
-// Digests summarise what is known. Sequences are left out: they change with each heartbeat. So are endpoints that have
-// ended, which one router may have forgotten or never known.
-func (t *Table) Digests() Digests {
-	var d Digests
-	for id, e := range t.entries {
-		if e.State >= Lapsed {
-			continue
+// Digests summarise what is known of a part of the endpoints; rounds take turns over the parts.
+func (t *Table) Digests(round uint64) Digests {
+	parts := uint64(1)
+	for parts < partsMost && uint64(len(t.entries)) > parts*partSize {
+		parts *= 2
+	}
+	return t.digests(uint8(round%parts), uint8(parts))
+}
+
+func (t *Table) digests(part, parts uint8) Digests {
+	d := Digests{Part: part, Parts: parts}
+	for _, e := range t.entries {
+		if e.in(&d) {
+			d.Sums[e.bucket()] += e.sum
 		}
-		hash := xxhash.Sum64String(id)
-		own := hash ^ xxhash.Sum64String(e.Owner)*3 ^ uint64(e.State)*0x9e3779b97f4a7c15
-		d[bucket(hash)] += uint32(own ^ own>>32)
 	}
 	return d
 }
 
-func bucket(hash uint64) int { return int(hash>>59) % Buckets }
-
 // Differing are the endpoints in the buckets in which the digests of another router differ.
 func (t *Table) Differing(theirs Digests) []Endpoint {
-	ours := t.Digests()
+	ours := t.digests(theirs.Part, theirs.Parts)
 	if ours == theirs {
 		return nil
 	}
 	var all []Endpoint
-	for id, e := range t.entries {
-		if b := bucket(xxhash.Sum64String(id)); ours[b] != theirs[b] {
+	for _, e := range t.entries {
+		if b := e.bucket(); e.in(&theirs) && ours.Sums[b] != theirs.Sums[b] {
 			all = append(all, e.Endpoint)
 		}
 	}
--- a/internal/fleet/registry/registry_test.go
+++ b/internal/fleet/registry/registry_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -53,7 +54,8 @@
 		})
 		Convey("never brings one back that said that it ends", func() {
 			table.Hear(time.Second, Endpoint{ID: "a", State: Gone})
-			So(table.Merge(time.Second, []Endpoint{endpoint("a", "x:1", 99, Ready)}), ShouldBeEmpty)
+			news, _ := table.Merge(time.Second, "r1", []Endpoint{endpoint("a", "x:1", 99, Ready)})
+			So(news, ShouldBeEmpty)
 			So(table.Ready(), ShouldBeEmpty)
 		})
 		Convey("lets its own endpoint lapse after silence, and takes it again when it speaks", func() {
@@ -71,7 +73,8 @@
 		Convey("forgets the dead after a while, and does not learn of them again", func() {
 			table.Hear(0, Endpoint{ID: "a", State: Gone})
 			table.Forget(61*time.Second, 60*time.Second)
-			So(table.Merge(62*time.Second, []Endpoint{endpoint("a", "x:1", 9, Gone)}), ShouldBeEmpty)
+			news, _ := table.Merge(62*time.Second, "r1", []Endpoint{endpoint("a", "x:1", 9, Gone)})
+			So(news, ShouldBeEmpty)
 			_, known := table.Lookup("a")
 			So(known, ShouldBeFalse)
 		})
@@ -106,14 +109,67 @@
 			heard.Hear(time.Duration(i), said)
 		}
 		for range 3 {
-			b.Merge(time.Second, a.Differing(b.Digests()))
-			a.Merge(time.Second, b.Differing(a.Digests()))
+			b.Merge(time.Second, "rb", a.Differing(b.Digests(0)))
+			a.Merge(time.Second, "ra", b.Differing(a.Digests(0)))
 		}
-		if a.Digests() != b.Digests() {
+		if a.Digests(0) != b.Digests(0) {
 			rt.Fatalf("%v and %v", a.Ready(), b.Ready())
 		}
-		if len(a.Differing(b.Digests())) != 0 {
+		if len(a.Differing(b.Digests(0))) != 0 {
 			rt.Fatal("equal tables differ")
 		}
 	})
 }
+
+func TestDigestsOfManyEndpoints(t *testing.T) {
+	a, b := New(), New()
+	for i := range 2000 {
+		a.Hear(0, endpoint(fmt.Sprint("e", i), fmt.Sprint("x:", i), 1, Ready))
+	}
+	Convey("Many endpoints are compared part after part, and found in as many rounds", t, func() {
+		moved := 0
+		for round := range uint64(64) {
+			differing := a.Differing(a.Digests(round))
+			So(differing, ShouldBeEmpty)
+			digest := a.Digests(round)
+			theirs := b.digests(digest.Part, digest.Parts)
+			found := a.Differing(theirs)
+			moved += len(found)
+			b.Merge(0, "rb", found)
+		}
+		So(moved, ShouldEqual, 2000)
+		So(len(b.Ready()), ShouldEqual, 2000)
+	})
+	Convey("One that differs costs few others", t, func() {
+		a.Hear(1, endpoint("e77", "x:77", 2, Draining))
+		moved := 0
+		for round := range uint64(16) {
+			moved += len(a.Differing(b.Digests(round)))
+		}
+		So(moved, ShouldBeBetween, 0, 40)
+	})
+	Convey("A digest of a part that can't be is answered all the same", t, func() {
+		for _, d := range []Digests{{}, {Part: 9, Parts: 3}, {Part: 255, Parts: 255}} {
+			So(len(a.Differing(d)), ShouldBeLessThanOrEqualTo, 2000)
+		}
+	})
+}
+
+func TestAssertion(t *testing.T) {
+	Convey("A router that hears an endpoint says so when others call it silent, once a second", t, func() {
+		table := New()
+		heard := endpoint("a", "x:1", 9, Ready)
+		heard.Owner = "r1"
+		table.Hear(0, heard)
+		stale := endpoint("a", "x:1", 5, Lapsed)
+		asserts := func(now time.Duration, self string) []Endpoint {
+			news, asserted := table.Merge(now, self, []Endpoint{stale})
+			So(news, ShouldBeEmpty)
+			return asserted
+		}
+		So(asserts(time.Second, "r1"), ShouldResemble, []Endpoint{heard})
+		So(asserts(time.Second, "r1"), ShouldBeEmpty)
+		So(asserts(3*time.Second, "r1"), ShouldResemble, []Endpoint{heard})
+		So(asserts(6*time.Second, "r2"), ShouldBeEmpty)
+	})
+}
