--- a/cmd/pinelab/routers.go
+++ b/cmd/pinelab/routers.go
@@ -22,11 +22,21 @@
 	Changes   int           `help:"Changes of the configuration." default:"10"`
 	Rest      time.Duration `help:"Time for which the fleet is measured at rest." default:"5s"`
 	Within    time.Duration `help:"Time that a change may take." default:"30s"`
+	Losses    []string      `help:"Losses to play at the end, one after the other: \"zone\", or a number of core routers." placeholder:"LOSS"`
+	LossTime  time.Duration `help:"Time for which a change is tried while routers are gone." default:"8s"`
 	Out       string        `help:"File to which each play's figures are added as a line of JSON." placeholder:"FILE"`
 }
 
 // Run plays each size and prints a line for it.
 func (c *routersCmd) Run(ctx context.Context, t *terminal) error {
+	var losses []routers.Loss
+	for _, text := range c.Losses {
+		loss, err := routers.ParseLoss(text)
+		if err != nil {
+			return exit{faulty, err}
+		}
+		losses = append(losses, loss)
+	}
 	out := io.Discard
 	if c.Out != "" {
 		file, err := os.OpenFile(c.Out, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o644)
@@ -42,13 +52,16 @@
 	for _, size := range c.Sizes {
 		result, err := routers.Play(ctx, routers.Config{
 			Routers: size, Core: min(c.Core, size), Endpoints: int(c.Endpoints * float64(size)), Tenants: c.Tenants, Models: c.Models,
-			Changes: c.Changes, Rest: c.Rest, Within: c.Within,
+			Changes: c.Changes, Rest: c.Rest, Within: c.Within, Losses: losses, LossTime: c.LossTime,
 		})
 		if err != nil {
 			return exit{rigFault, err}
 		}
 		fmt.Fprintf(w, "%d\t%d\t%.2f\t%.0f\t%.1f\t%.2f\t%d\t%d\t%d\t%d\t%d\t\n", result.Routers, result.Endpoints, result.RestCPU, result.RestBytes,
 			result.RestDatagrams, result.MemoryMB, result.AcknowledgeMs, result.ChangeP50Ms, result.ChangeP99Ms, result.ChangeLastMs, result.Failed)
+		for _, l := range result.Losses {
+			fmt.Fprintf(w, "loss %s\t%d lost\ttaken %d ms\tin force %d ms\tback %d ms\t\n", l.Loss, l.Lost, l.TakenMs, l.ForceMs, l.BackMs)
+		}
 		if err := json.NewEncoder(out).Encode(result); err != nil {
 			return exit{rigFault, err}
 		}
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -62,7 +62,8 @@
 
 	config atomic.Pointer[configInForce]
 	ending atomic.Bool
-	hints  *hintFile // nil: no disk
+	abort  chan struct{} // closed: the router ends without a word
+	hints  *hintFile     // nil: no disk
 }
 
 // configInForce is what requests look at.
@@ -74,7 +75,7 @@
 
 // New prepares a router; Run starts it.
 func New(s *settings.Settings, log *zap.Logger) *Router {
-	r := &Router{settings: s, log: log, began: time.Now()}
+	r := &Router{settings: s, log: log, began: time.Now(), abort: make(chan struct{})}
 	r.ledger = quota.NewLedger(quotaSettings(s))
 	r.quota = newQuotaClient(r, quotaSettings(s))
 	r.dispatcher = front.NewDispatcher(r.clock, retry.Settings{
@@ -123,11 +124,17 @@
 			r.drain(ticker.C)
 			r.close()
 			return nil
+		case <-r.abort:
+			r.close()
+			return nil
 		case <-ticker.C:
 		}
 	}
 }
 
+// Abort has Run end at once and tell nobody, as a crash would. It is called once, by rigs that play losses.
+func (r *Router) Abort() { close(r.abort) }
+
 func (r *Router) start() error {
 	var err error
 	r.transport, err = transport.Listen(r.settings.Internal(), fleetID(r.settings), r.receive)
--- a/internal/lab/routers/routers.go
+++ b/internal/lab/routers/routers.go
@@ -42,6 +42,8 @@
 	Changes   int
 	Rest      time.Duration // for which the fleet is measured at rest
 	Within    time.Duration // that a start or a change may take
+	Losses    []Loss        // played one after the other, at the end
+	LossTime  time.Duration // that a change is tried while routers are gone
 }
 
 // Check names the setting that can't be used.
@@ -70,14 +72,16 @@
 	ChangeLastMs       int64
 	AcknowledgeMs      int64 // the median, of the operator's calls
 	Failed             int   // changes that were not in force at all in time
+	Losses             []LossResult
 }
 
 // fleet is a play under way.
 type fleet struct {
 	config  Config
 	folder  string
-	routers []*router.Router
+	routers []*router.Router // nil: lost
 	cancels []context.CancelFunc
+	ended   []chan struct{} // closed when a router has ended
 	tasks   sync.WaitGroup
 	client  *http.Client
 	version int64
@@ -115,31 +119,48 @@
 	defer stop()
 	f.beat(beating)
 	f.measureRest(ctx, result)
-	return f.measureChanges(ctx, result)
+	if err := f.measureChanges(ctx, result); err != nil {
+		return err
+	}
+	return f.playLosses(ctx, result)
 }
 
 func (f *fleet) start() error {
-	for i := range f.config.Routers {
-		s, err := settings.Parse([]byte(f.settingsOf(i)))
-		if err != nil {
+	n := f.config.Routers
+	f.routers, f.cancels, f.ended = make([]*router.Router, n), make([]context.CancelFunc, n), make([]chan struct{}, n)
+	for i := range n {
+		if err := f.startRouter(i, true); err != nil {
 			return err
 		}
-		r := router.New(s, zap.NewNop())
-		ctx, cancel := context.WithCancel(context.Background())
-		f.routers, f.cancels = append(f.routers, r), append(f.cancels, cancel)
-		f.tasks.Go(func() { _ = r.Run(ctx) }) // one that can't start shows as one that never holds the configuration
 	}
 	return nil
 }
 
+// startRouter starts one with the disk that it has; first says that the whole fleet starts for the first time.
+func (f *fleet) startRouter(i int, first bool) error {
+	s, err := settings.Parse([]byte(f.settingsOf(i, first)))
+	if err != nil {
+		return err
+	}
+	r := router.New(s, zap.NewNop())
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	f.routers[i], f.cancels[i], f.ended[i] = r, cancel, ended
+	f.tasks.Go(func() {
+		defer close(ended)
+		_ = r.Run(ctx) // one that can't start shows as one that never holds the configuration
+	})
+	return nil
+}
+
 func (f *fleet) ip(i int) string { return fmt.Sprintf("127.9.%d.%d", 1+i/250, 1+i%250) }
 
-func (f *fleet) settingsOf(i int) string {
+func (f *fleet) settingsOf(i int, first bool) string {
 	zone := i % (regions * zonesPerRegion)
 	var b strings.Builder
 	ip := f.ip(i)
-	fmt.Fprintf(&b, "nodeName=r%d\nip=%s\nzone=z%d\nregion=r%d\nbootstrap=true\ncountsForQuorum=%v\n", i, ip, zone, zone/zonesPerRegion,
-		i < f.config.Core)
+	fmt.Fprintf(&b, "nodeName=r%d\nip=%s\nzone=z%d\nregion=r%d\nbootstrap=%v\ncountsForQuorum=%v\n", i, ip, zone, zone/zonesPerRegion,
+		first, i < f.config.Core)
 	for z := range regions * zonesPerRegion {
 		fmt.Fprintf(&b, "zones.z%d=r%d\n", z, z/zonesPerRegion)
 	}
@@ -214,7 +235,7 @@
 
 // spread waits until all routers hold the version, and returns how long each took from a moment on.
 func (f *fleet) spread(ctx context.Context, from time.Time) (took []time.Duration, late int) {
-	waiting := slices.Clone(f.routers)
+	waiting := slices.DeleteFunc(slices.Clone(f.routers), func(r *router.Router) bool { return r == nil })
 	for end := time.Now().Add(f.config.Within); len(waiting) > 0 && time.Now().Before(end) && ctx.Err() == nil; time.Sleep(pollEvery) {
 		waiting = slices.DeleteFunc(waiting, func(r *router.Router) bool {
 			table, _ := r.Table()
@@ -259,7 +280,7 @@
 	var r syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &r) // it can't fail with this argument
 	u := usage{cpu: time.Duration(r.Utime.Nano() + r.Stime.Nano())}
-	for _, one := range f.routers {
+	for _, one := range f.routers { // none is lost yet
 		sent, datagrams := one.Sent()
 		u.bytes += sent
 		u.datagrams += datagrams
--- a/internal/lab/routers/routers_test.go
+++ b/internal/lab/routers/routers_test.go
@@ -11,13 +11,20 @@
 func TestPlay(t *testing.T) {
 	result, err := Play(context.Background(), Config{
 		Routers: 12, Core: 3, Endpoints: 12, Tenants: 20, Models: 3, Changes: 3, Rest: 500 * time.Millisecond, Within: time.Minute,
+		Losses: []Loss{{Core: 1}, {Core: 2}}, LossTime: 5 * time.Second,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
-	if result.Failed > 0 || result.RestBytes <= 0 {
+	if result.Failed > 0 || result.RestBytes <= 0 || len(result.Losses) != 2 {
 		t.Errorf("%+v", result)
 	}
+	if one := result.Losses[0]; one.Lost != 1 || one.TakenMs < 0 || one.ForceMs < one.TakenMs || one.BackMs <= 0 {
+		t.Errorf("one of three: %+v", one)
+	}
+	if two := result.Losses[1]; two.Lost != 2 || two.TakenMs >= 0 || two.BackMs <= 0 {
+		t.Errorf("a change was taken by one of three: %+v", two)
+	}
 }
 
 func TestCheck(t *testing.T) {
@@ -27,3 +34,16 @@
 		}
 	}
 }
+
+func TestParseLoss(t *testing.T) {
+	for text, want := range map[string]Loss{"zone": {Zone: true}, "4": {Core: 4}} {
+		if got, err := ParseLoss(text); err != nil || got != want || got.String() != text {
+			t.Errorf("%s: %+v, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{"", "0", "-1", "rack"} {
+		if _, err := ParseLoss(text); err == nil {
+			t.Errorf("%q is taken", text)
+		}
+	}
+}
