--- a/internal/fleet/replica/replica_test.go
+++ b/internal/fleet/replica/replica_test.go
@@ -103,6 +103,25 @@
 			So(one, ShouldBeNil)
 			So(other, ShouldEqual, ErrConflict)
 		})
+		Convey("knows when it was surely the primary, also while its own view is changing", func() {
+			at, ok := r.Confirmed()
+			So(ok, ShouldBeTrue)
+			var held time.Duration
+			var leading bool
+			done := make(chan struct{})
+			r.do(func() { // nothing else is done meanwhile
+				defer close(done)
+				r.mu.Lock()
+				r.seen.leading, r.seen.current = false, false
+				r.mu.Unlock()
+				held, ok = r.Confirmed()
+				_, _, _, leading = r.Freshness()
+			})
+			<-done
+			So(ok, ShouldBeTrue)
+			So(held, ShouldBeGreaterThanOrEqualTo, at)
+			So(leading, ShouldBeFalse)
+		})
 		Convey("knows all after a restart, and the orders too", func() {
 			end()
 			again, _ := startAlone(directory, false)
