--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -23,6 +23,20 @@
 	units float64
 }
 
+// charge takes a request's units out of a router's credit, or of what a ledger grants; nil: it can't be reached.
+func charge(now time.Duration, a *Accounts, ledger *Ledger, t *config.Tenant, units float64) bool {
+	ok, ask := a.Take(now, t, units)
+	if ok || ledger == nil {
+		return ok
+	}
+	granted, _ := ledger.Grant(now, t, units, ask)
+	if granted < units {
+		return false
+	}
+	a.Add(now, now, t, granted-units)
+	return true
+}
+
 // mostInWindow is the largest sum over any span of the window.
 func mostInWindow(uses []use, window time.Duration) float64 {
 	most, sum, from := 0.0, 0.0, 0
@@ -64,14 +78,7 @@
 			}
 			a := routers[r.IntN(len(routers))]
 			units := float64(500 + r.IntN(20000))
-			ok, ask := a.Take(now, t, units)
-			if !ok {
-				if granted, _ := ledger.Grant(now, t, units, ask); granted >= units {
-					a.Add(now, now, t, granted-units)
-					ok = true
-				}
-			}
-			if ok {
+			if charge(now, a, ledger, t, units) {
 				uses = append(uses, use{now, units})
 			}
 		}
@@ -207,18 +214,11 @@
 			if now < busy && r.IntN(30) > 0 {
 				continue
 			}
-			ok, ask := a.Take(now, t, units)
-			switch {
-			case ok:
-			case now >= lost && now < back:
-				ok = a.TakeFloor(now, t, units, len(routers), now-lost, r.Float64())
-			default:
-				if granted, _ := ledger.Grant(now, t, units, ask); granted >= units {
-					a.Add(now, now, t, granted-units)
-					ok = true
-				}
+			reached := ledger
+			if now >= lost && now < back {
+				reached = nil
 			}
-			if ok {
+			if charge(now, a, reached, t, units) || reached == nil && a.TakeFloor(now, t, units, len(routers), now-lost, r.Float64()) {
 				uses = append(uses, use{now, units})
 			}
 		}
@@ -248,18 +248,11 @@
 				continue
 			}
 			i, units := r.IntN(len(routers)), float64(500+r.IntN(24000))
-			ok, ask := routers[i].Take(now, t, units)
-			switch {
-			case ok:
-			case i < 9 && now >= cut && now < cut+5*time.Second:
-				ok = routers[i].TakeFloor(now, t, units, len(routers), now-cut, r.Float64())
-			default:
-				if granted, _ := ledger.Grant(now, t, units, ask); granted >= units {
-					routers[i].Add(now, now, t, granted-units)
-					ok = true
-				}
+			a, reached := routers[i], ledger
+			if i < 9 && now >= cut && now < cut+5*time.Second {
+				reached = nil
 			}
-			if ok {
+			if charge(now, a, reached, t, units) || reached == nil && a.TakeFloor(now, t, units, len(routers), now-cut, r.Float64()) {
 				uses = append(uses, use{now, units})
 			}
 		}
