--- a/internal/trail/file.go
+++ b/internal/trail/file.go
@@ -31,7 +31,7 @@
 type File struct {
 	Disk durable.Disk
 	Book *Book
-	// Fault is told when the trail can't be written, and with nil when it can again.
+	// Fault is told when the trail can't be written, again when it can't for another cause, and with nil when it can again.
 	Fault func(err error)
 
 	stop, ended chan struct{}
@@ -88,13 +88,24 @@
 	}
 }
 
+// set notes how the last write went, and tells of it where that is news.
 func (f *File) set(err error) {
 	was := f.failed
-	if f.failed = err; (err == nil) != (was == nil) {
+	f.failed = err
+	if cause(err) != cause(was) {
 		f.Fault(err)
 	}
 }
 
+// cause is an error's text, without those of failures that followed from it; empty: there is none.
+func cause(err error) string {
+	if err == nil {
+		return ""
+	}
+	first, _, _ := strings.Cut(err.Error(), "\n") // errors.Join puts each on a line of its own
+	return first
+}
+
 // write writes what is in no file yet, to a new one if it has to be renewed.
 func (f *File) write(renew bool) error {
 	for {
--- /dev/null
+++ b/internal/trail/full_disk_test.go
@@ -0,0 +1,47 @@
+package trail
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"pinelb.example/pinelb/internal/durable"
+)
+
+// fullDisk is a directory in which a trail's next file is a device that is always full. All such directories share the
+// device, and with it the lock on the file that is begun.
+func fullDisk(t *testing.T) durable.Disk {
+	t.Helper()
+	path := t.TempDir()
+	if err := os.Symlink("/dev/full", filepath.Join(path, freshName)); err != nil {
+		t.Fatal(err)
+	}
+	return durable.Dir(path)
+}
+
+// Guards against a disk that is full and never said to be: the first attempt fails for another reason, the second one for
+// want of space, and an operator has to read of both.
+func TestEachCauseIsTold(t *testing.T) {
+	unlock, err := fullDisk(t).Lock(freshName)
+	if err != nil || unlock == nil {
+		t.Fatal("the lock is not to be had", err)
+	}
+	b := book("a", nil)
+	list(b, 1)
+	var told []string
+	f := &File{Disk: fullDisk(t), Book: b, Fault: func(err error) { told = append(told, err.Error()) }}
+	f.set(f.write(true))
+	if len(told) != 1 || !strings.Contains(told[0], "another process") {
+		t.Fatalf("with the lock held elsewhere: %q", told)
+	}
+	unlock()
+	f.set(f.write(true))
+	if len(told) != 2 || !strings.Contains(told[1], "no space left") {
+		t.Fatalf("on a full disk: %q", told)
+	}
+	f.set(f.failed)
+	if len(told) != 2 {
+		t.Errorf("the same cause is told again: %q", told)
+	}
+}
