--- a/internal/fleet/replica/orders.go
+++ b/internal/fleet/replica/orders.go
@@ -164,11 +164,15 @@
 	}
 }
 
-// Resign has another replica become primary, where this one is: its machine is about to end.
+// Resign says that this replica's machine is about to end, so that others take its part over.
 func (r *Replica) Resign() {
 	r.do(func() { r.carryOut(r.machine.Resign(r.options.Clock())) })
 }
 
+// Released tells whether a replica that has resigned may end: its copy and its vote are where they have to be, as far as
+// waiting helps.
+func (r *Replica) Released() bool { return r.look().released }
+
 // settle looks, after a step, at what has been decided.
 func (r *Replica) settle() {
 	view := r.machine.View()
@@ -189,7 +193,7 @@
 	confirmed, current := r.machine.Confirmed()
 	r.settleConfirmations(confirmed, current)
 	r.mu.Lock()
-	r.seen.leading, r.seen.view = leading && r.table != nil, view
+	r.seen.leading, r.seen.view, r.seen.released = leading && r.table != nil, view, r.machine.Released()
 	r.seen.confirmed, r.seen.current = confirmed, current
 	if current {
 		r.seen.lastConfirmed, r.seen.hasConfirmed = confirmed, true
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -79,6 +79,7 @@
 	sequence  uint64
 	confirmed time.Duration
 	current   bool
+	released  bool // it has resigned, and may end
 	// The last confirmation, kept while this replica changes the composition of its own view.
 	lastConfirmed time.Duration
 	hasConfirmed  bool
--- a/internal/fleet/replication/codec.go
+++ b/internal/fleet/replication/codec.go
@@ -49,7 +49,7 @@
 	KindFetch: decoder[Fetch], KindFetched: decoder[Fetched], KindInstall: decoder[Install],
 	KindInstalled: decoder[Installed], KindAccept: decoder[Accept], KindAccepted: decoder[Accepted],
 	KindStore: decoder[Store], KindStored: decoder[Stored], KindMissing: decoder[Missing],
-	KindResign: decoder[Resign],
+	KindResign: decoder[Resign], KindReleased: decoder[Released],
 }
 
 // WithState returns a message with a snapshot filled in.
--- a/internal/fleet/replication/composition.go
+++ b/internal/fleet/replication/composition.go
@@ -7,9 +7,20 @@
 )
 
 // Who is in the next view.
+//
+// The witnesses are an odd number, twice what may be lost and one more: an even set outlives no more losses than the odd
+// one below it, and one that grows by a newcomer before the replica that it is to replace has gone outlives fewer. A
+// newcomer therefore waits until it can take the place of a witness that is leaving, silent or lost, and both change in
+// one view.
 
-// witnessesMost bounds the witnesses, so that a majority stays quick to ask.
-const witnessesMost = 9
+// witnessTarget is how many witnesses outlive what may be lost at once.
+func (m *Machine) witnessTarget() int {
+	t := m.options.Tolerance
+	return 2*max(t.Machines, t.Zones, t.Regions) + 1
+}
+
+// membersMost bounds the copies: each of them has to store a change before it is acknowledged.
+func (m *Machine) membersMost() int { return m.witnessTarget() }
 
 // live tells whether a replica was heard of within a time.
 func (m *Machine) live(r Replica, within time.Duration) bool {
@@ -38,46 +49,171 @@
 	return all
 }
 
-// nextWitnesses takes applicants in: each for a lost replica of the same machine, else for a silent witness, else as one
-// more. Beyond what has to outlive the losses, silent witnesses go.
-func (m *Machine) nextWitnesses() []Replica {
+// admissible are the applicants that may become witnesses now. A primary that changes the composition of its own view
+// takes only those in that hold its state already, so that the change takes no longer than a few messages.
+func (m *Machine) admissible(prepared bool) []Replica {
+	return slices.DeleteFunc(m.applicants(), func(r Replica) bool {
+		return m.penalized(r) || m.isSkipped(r) || prepared && !m.isPrepared(r)
+	})
+}
+
+// fitness says how well a witness does its part.
+type fitness uint8
+
+// The fitness of a witness, from the best to the worst.
+const (
+	fit      fitness = iota
+	outsider         // it does not count for the quorum
+	leaver           // it has said that it ends
+	silent           // it was not heard of for some time
+)
+
+func (m *Machine) fitnessOf(r Replica) fitness {
+	place := m.options.PlaceOf(r.Address)
+	switch {
+	case !m.live(r, m.options.Timing.WitnessGone) && !m.promisedNow(r):
+		return silent
+	case m.isLeaving(r):
+		return leaver
+	case place.Known && !place.Counts:
+		return outsider
+	}
+	return fit
+}
+
+// nextWitnesses has applicants take the places of lost replicas of the same machine, then of unfit witnesses, then free
+// places. prepared: only applicants that hold the state already.
+func (m *Machine) nextWitnesses(prepared bool) []Replica {
 	next := slices.Clone(m.durable.View.Witnesses)
-	gone := func(r Replica) bool { return !m.live(r, m.options.Timing.WitnessGone) && !m.promisedNow(r) }
-	for _, applicant := range m.applicants() {
-		same := slices.IndexFunc(next, func(r Replica) bool { return r.Address == applicant.Address })
-		if same < 0 {
-			same = slices.IndexFunc(next, gone)
+	newcomers := slices.DeleteFunc(m.admissible(prepared), func(r Replica) bool { return m.replaceFormer(next, r) })
+	for len(newcomers) > 0 {
+		beside := next
+		if worst := m.leastFit(next); worst >= 0 && m.fitnessOf(next[worst]) > fit {
+			beside = slices.Delete(slices.Clone(next), worst, worst+1)
+		} else if len(next) >= m.witnessTarget() {
+			break
 		}
-		switch {
-		case same >= 0:
-			next[same] = applicant
-		case len(next) < witnessesMost:
-			next = append(next, applicant)
+		with := append(slices.Clone(beside), m.takeNewcomer(&newcomers, beside))
+		if m.outlivesPlaces(with) || !m.outlivesPlaces(next) {
+			next = with
 		}
 	}
-	next = m.withoutOutsiders(next)
-	least := 2*m.options.Tolerance.Machines + 1
-	for i := 0; i < len(next) && len(next) > least; {
-		if gone(next[i]) {
-			next = slices.Delete(next, i, i+1)
-		} else {
-			i++
+	return m.trim(next)
+}
+
+// outlivesPlaces tells whether a majority of witnesses is left when a zone or a region is lost, as far as one may be.
+func (m *Machine) outlivesPlaces(witnesses []Replica) bool {
+	t := m.options.Tolerance
+	if t.Zones == 0 && t.Regions == 0 {
+		return true
+	}
+	return !slices.ContainsFunc(witnesses, func(r Replica) bool { return 2*m.crowd(r, witnesses) >= len(witnesses) })
+}
+
+// replaceFormer puts an applicant in the place of a witness of the same machine, whose disk was lost.
+func (m *Machine) replaceFormer(witnesses []Replica, applicant Replica) bool {
+	at := slices.IndexFunc(witnesses, func(r Replica) bool { return r.Address == applicant.Address })
+	if at >= 0 {
+		witnesses[at] = applicant
+	}
+	return at >= 0
+}
+
+// takeNewcomer removes the newcomer from a list that is to stand beside others: where zones or regions may be lost, one of
+// the zone that has the fewest of them.
+func (m *Machine) takeNewcomer(newcomers *[]Replica, beside []Replica) Replica {
+	best := 0
+	if t := m.options.Tolerance; t.Zones > 0 || t.Regions > 0 {
+		for i, r := range *newcomers {
+			if m.crowd(r, beside) < m.crowd((*newcomers)[best], beside) {
+				best = i
+			}
+		}
+	}
+	taken := (*newcomers)[best]
+	*newcomers = slices.Delete(*newcomers, best, best+1)
+	return taken
+}
+
+// crowd is how many of a list stand in a replica's zone or region.
+func (m *Machine) crowd(r Replica, among []Replica) int {
+	place, count := m.options.PlaceOf(r.Address), 0
+	for _, other := range among {
+		at := m.options.PlaceOf(other.Address)
+		same := at.Zone == place.Zone
+		if m.options.Tolerance.Regions > 0 {
+			same = at.Region == place.Region
+		}
+		if same {
+			count++
+		}
+	}
+	return count
+}
+
+// leastFit is the index of the witness that is to go first; -1: there is none. Of equals, one that is no member and stands
+// in the most crowded zone goes first, and never this replica.
+func (m *Machine) leastFit(witnesses []Replica) int {
+	worst := -1
+	for i, r := range witnesses {
+		if worst < 0 || m.goesBefore(r, witnesses[worst], witnesses) {
+			worst = i
 		}
 	}
-	return next
+	return worst
+}
+
+func (m *Machine) goesBefore(r, other Replica, among []Replica) bool {
+	if a, b := m.fitnessOf(r), m.fitnessOf(other); a != b {
+		return a > b
+	}
+	if a, b := r == m.durable.Self, other == m.durable.Self; a != b {
+		return b
+	}
+	if t := m.options.Tolerance; t.Zones > 0 || t.Regions > 0 {
+		if a, b := m.crowd(r, among), m.crowd(other, among); a != b {
+			return a > b
+		}
+	}
+	if a, b := m.durable.View.HasMember(r), m.durable.View.HasMember(other); a != b {
+		return b
+	}
+	return compareReplicas(r, other) > 0
 }
 
-// withoutOutsiders drops witnesses that do not count for the quorum, as soon as there are enough that do. At the first
-// start the seeds are witnesses whatever they are; one without a disk would be lost with its process.
-func (m *Machine) withoutOutsiders(replicas []Replica) []Replica {
-	counting := slices.DeleteFunc(slices.Clone(replicas), func(r Replica) bool {
+// trim takes witnesses out beyond the target, and one more where an even number would be left, as long as the others may
+// hold copies enough.
+func (m *Machine) trim(witnesses []Replica) []Replica {
+	if slices.ContainsFunc(witnesses, m.isUnplaced) {
+		return witnesses // one that counts could go, and one that doesn't could stay
+	}
+	for len(witnesses) > 1 && (len(witnesses) > m.witnessTarget() || len(witnesses)%2 == 0) {
+		at := m.leastFit(witnesses)
+		rest := slices.Delete(slices.Clone(witnesses), at, at+1)
+		if !m.enough(rest) || !m.countsEnough(witnesses, rest) {
+			return witnesses
+		}
+		witnesses = rest
+	}
+	return witnesses
+}
+
+// isUnplaced tells whether nothing is known yet of where a live replica stands.
+func (m *Machine) isUnplaced(r Replica) bool {
+	return !m.options.PlaceOf(r.Address).Known && m.fitnessOf(r) != silent
+}
+
+// countsEnough tells whether the rest still has copies enough that count for the quorum, where the whole has.
+func (m *Machine) countsEnough(whole, rest []Replica) bool {
+	return m.enough(m.counting(rest)) || !m.enough(m.counting(whole))
+}
+
+// counting are the replicas that count for the quorum, or of which it is not known.
+func (m *Machine) counting(replicas []Replica) []Replica {
+	return slices.DeleteFunc(slices.Clone(replicas), func(r Replica) bool {
 		place := m.options.PlaceOf(r.Address)
 		return place.Known && !place.Counts
 	})
-	if !m.enough(counting) || len(counting) < 2*m.options.Tolerance.Machines+1 {
-		return replicas
-	}
-	return counting
 }
 
 // promisedNow tells whether a replica has answered the candidate in this attempt.
@@ -89,13 +225,28 @@
 	return promised
 }
 
-// nextMembers chooses who holds the state: this replica, then present members, then others, all of them live, of as many
-// zones as can be had. Replicas that were slow are taken where the others don't suffice.
-func (m *Machine) nextMembers(witnesses []Replica) []Replica {
+// isSkipped tells whether the present attempt goes on without a replica.
+func (m *Machine) isSkipped(r Replica) bool {
+	return m.election != nil && m.election.skipped[r] && !m.election.installed[r]
+}
+
+// answers tells a candidate whether a replica can take the state: it has promised, or asks to be taken in.
+func (m *Machine) answers(r Replica) bool {
+	return (m.promisedNow(r) || m.asksToJoin(r)) && !m.isSkipped(r)
+}
+
+// keepsUp tells a primary whether a replica can take the state: it is heard of, and holds the state where it is no member.
+func (m *Machine) keepsUp(r Replica) bool {
+	return m.live(r, m.options.Timing.Member) && (m.durable.View.HasMember(r) || m.isPrepared(r))
+}
+
+// nextMembers chooses who holds the state: this replica, then present members, then others, all of them able, of as many
+// zones as can be had. Replicas that were slow are taken where the others don't suffice, and those that leave are not.
+func (m *Machine) nextMembers(witnesses []Replica, isAble func(Replica) bool) []Replica {
 	var able, slow []Replica
-	for _, r := range witnesses {
+	for _, r := range m.staying(witnesses) {
 		switch {
-		case r != m.durable.Self && !m.promisedNow(r) && !m.asksToJoin(r):
+		case r != m.durable.Self && !isAble(r):
 		case r != m.durable.Self && m.penalized(r):
 			slow = append(slow, r)
 		default:
@@ -105,6 +256,9 @@
 	if !m.enough(able) {
 		able = append(able, slow...)
 	}
+	if counting := m.counting(able); m.enough(counting) {
+		able = counting // the others have no disk
+	}
 	slices.SortStableFunc(able, func(a, b Replica) int {
 		return cmp.Or(-compareBool(a == m.durable.Self, b == m.durable.Self),
 			-compareBool(m.durable.View.HasMember(a), m.durable.View.HasMember(b)))
@@ -131,12 +285,6 @@
 	return append(first, rest...)
 }
 
-// membersMost bounds the copies: each of them has to store a change before it is acknowledged.
-func (m *Machine) membersMost() int {
-	t := m.options.Tolerance
-	return max(2*t.Machines+1, 2*t.Zones+1, 2*t.Regions+1)
-}
-
 func compareBool(a, b bool) int {
 	switch {
 	case a == b:
@@ -147,12 +295,21 @@
 	return -1
 }
 
+// sameReplicas tells whether two lists hold the same replicas, in whatever order.
+func sameReplicas(a, b []Replica) bool { return slices.Equal(union(a, nil), union(b, nil)) }
+
+// penalty keeps a replica out of the members, and out of the witnesses that are taken in, for a while.
+type penalty struct {
+	until time.Duration
+	span  time.Duration
+}
+
 func (m *Machine) penalized(r Replica) bool {
 	p := m.penalties[r]
 	return p != nil && m.now < p.until
 }
 
-// penalize keeps a slow member out, twice as long as the time before.
+// penalize keeps a slow replica out, twice as long as the time before.
 func (m *Machine) penalize(r Replica) {
 	if m.penalized(r) {
 		return
--- a/internal/fleet/replication/election.go
+++ b/internal/fleet/replication/election.go
@@ -18,6 +18,9 @@
 	proposal  View
 	installed map[Replica]bool
 	accepted  map[Replica]bool
+	asking    map[Replica]time.Duration // when replicas last said that they lack the state
+	skipped   map[Replica]bool          // that this attempt goes on without
+	prepared  map[Replica]bool          // beside members, the replicas that hold the state already; nil: not known
 }
 
 // gather is how long a candidate waits for promises beyond a majority, so that all live replicas are taken in.
@@ -30,8 +33,9 @@
 func (m *Machine) startElection() {
 	m.highest = max(m.highest, m.durable.Promised.Round) + 1
 	ballot := Ballot{Round: m.highest, Proposer: m.durable.Self}
+	prepared := m.preparedNow()
 	m.lead = nil
-	m.election = &election{ballot: ballot, promises: map[Replica]Promise{}}
+	m.election = &election{ballot: ballot, promises: map[Replica]Promise{}, prepared: prepared, asking: map[Replica]time.Duration{}, skipped: map[Replica]bool{}}
 	m.enter(Preparing)
 	m.promise(ballot)
 	if m.durable.View.HasWitness(m.durable.Self) {
@@ -41,6 +45,18 @@
 	m.countPromises()
 }
 
+// preparedNow are the replicas beside members that hold this primary's state; nil where this replica is no primary.
+func (m *Machine) preparedNow() map[Replica]bool {
+	if m.status != Leading {
+		return nil
+	}
+	prepared := map[Replica]bool{}
+	for r, position := range m.lead.holds {
+		prepared[r] = position == m.durable.Position
+	}
+	return prepared
+}
+
 // enter begins a step of a view change.
 func (m *Machine) enter(status Status) {
 	m.status = status
@@ -60,9 +76,8 @@
 	e := m.election
 	if m.now-e.began > m.options.Timing.Attempt {
 		m.stepTimedOut()
-		return
 	}
-	if m.status == Preparing {
+	if m.election == e && m.status == Preparing {
 		m.countPromises()
 	}
 	if m.election == e && m.now >= e.resend {
@@ -71,19 +86,51 @@
 	}
 }
 
-// stepTimedOut goes on without the members that did not take the state, where the others suffice; else it gives up.
+// stepTimedOut waits on for a state that is on its way, goes on without the replicas that did not take theirs, where the
+// others suffice, or gives up.
 func (m *Machine) stepTimedOut() {
-	e := m.election
-	if m.status != Installing {
+	switch m.status {
+	case Fetching:
+		if !m.live(m.election.holder, m.options.Timing.Attempt) || m.transferOverdue() {
+			m.abandon()
+		}
+	case Installing:
+		m.installTimedOut()
+	default:
 		m.abandon()
+	}
+}
+
+func (m *Machine) transferOverdue() bool { return m.now-m.election.began > m.options.Timing.Transfer }
+
+// isAsking tells whether a replica has said lately that it lacks the state: it may be on its way.
+func (m *Machine) isAsking(r Replica) bool {
+	at, asks := m.election.asking[r]
+	return asks && m.now-at < m.options.Timing.Attempt
+}
+
+// installTimedOut leaves out those that have not installed the state. One that is heard of is waited for where the others
+// don't suffice: the whole state may be on its way to it.
+func (m *Machine) installTimedOut() {
+	e := m.election
+	missing := slices.DeleteFunc(m.installers(), func(r Replica) bool { return e.installed[r] })
+	for _, r := range missing {
+		e.skipped[r] = true
+		if !m.isAsking(r) {
+			m.penalize(r)
+		}
+	}
+	witnesses := m.nextWitnesses(e.prepared != nil)
+	members := slices.DeleteFunc(m.nextMembers(witnesses, m.answers), func(r Replica) bool { return !e.installed[r] })
+	isNew := func(r Replica) bool { return !m.durable.View.HasWitness(r) && !e.installed[r] }
+	if m.enough(members) && !slices.ContainsFunc(witnesses, isNew) {
+		e.proposal.Witnesses, e.proposal.Members, e.proposal.Primary = witnesses, members, m.nextPrimary(members)
+		m.beginAccepting()
 		return
 	}
-	e.proposal.Members = slices.DeleteFunc(e.proposal.Members, func(r Replica) bool { return !e.installed[r] })
-	if !m.enough(e.proposal.Members) {
+	if !slices.ContainsFunc(missing, m.isAsking) || m.transferOverdue() {
 		m.abandon()
-		return
 	}
-	m.beginAccepting()
 }
 
 func (m *Machine) repeatStep() {
@@ -91,8 +138,12 @@
 	case Preparing:
 		m.sendPrepare()
 	case Fetching:
-		m.sendFetch()
+		m.showLife()
+		if m.transfers.mayBegin(m.election.holder, m.now) {
+			m.sendFetch()
+		}
 	case Installing:
+		m.showLife()
 		m.sendInstall()
 	case Accepting:
 		m.sendAccept()
@@ -100,6 +151,14 @@
 	}
 }
 
+// showLife tells the witnesses, while the state is on its way, that they need not stand for election themselves. Those that
+// hear it answer, so that the candidate knows which of them live.
+func (m *Machine) showLife() {
+	for _, witness := range m.durable.View.Witnesses {
+		m.send(witness, Prepare{View: m.durable.View, Ballot: m.election.ballot})
+	}
+}
+
 func (m *Machine) sendPrepare() {
 	for _, witness := range m.durable.View.Witnesses {
 		if _, done := m.election.promises[witness]; !done {
@@ -109,6 +168,7 @@
 }
 
 func (m *Machine) onPromise(from Replica, message Promise) {
+	m.noteLeaving(from, message.Leaving)
 	e := m.election
 	if e == nil || m.status != Preparing || message.Ballot != e.ballot || message.Number != m.durable.View.Number+1 {
 		return
@@ -174,6 +234,8 @@
 		return
 	}
 	m.enter(Fetching)
+	m.transfers.done(e.holder)
+	m.transfers.mayBegin(e.holder, m.now)
 	m.sendFetch()
 }
 
@@ -189,14 +251,15 @@
 	if message.Snapshot == nil || message.Position != e.from {
 		return
 	}
+	m.transfers.done(e.holder)
 	m.beginInstalling(message.Snapshot)
 }
 
 // beginInstalling hands the state to the members of the next view; nil is the state that this replica holds.
 func (m *Machine) beginInstalling(snapshot []byte) {
 	e := m.election
-	witnesses := m.nextWitnesses()
-	members := m.nextMembers(witnesses)
+	witnesses := m.nextWitnesses(e.prepared != nil)
+	members := m.nextMembers(witnesses, m.answers)
 	if !m.enough(members) {
 		m.abandon()
 		return
@@ -218,11 +281,19 @@
 	return members[0]
 }
 
+// installers are the replicas that have to hold the state before the view is proposed: its members, and witnesses that are
+// new, which shows that they live and store what they are sent.
+func (m *Machine) installers() []Replica {
+	proposal := &m.election.proposal
+	newcomers := slices.DeleteFunc(slices.Clone(proposal.Witnesses), m.durable.View.HasWitness)
+	return union(proposal.Members, newcomers)
+}
+
 func (m *Machine) sendInstall() {
 	e := m.election
-	for _, member := range e.proposal.Members {
-		if !e.installed[member] {
-			m.send(member, Install{Number: e.proposal.Number, Ballot: e.ballot, Position: m.durable.Position,
+	for _, replica := range m.installers() {
+		if !e.installed[replica] {
+			m.send(replica, Install{Number: e.proposal.Number, Ballot: e.ballot, Position: m.durable.Position,
 				From: e.from, FromSource: e.source})
 		}
 	}
@@ -234,12 +305,13 @@
 		return
 	}
 	e.installed[from] = true
+	m.transfers.done(from)
 	m.countInstalled()
 }
 
 func (m *Machine) countInstalled() {
-	for _, member := range m.election.proposal.Members {
-		if !m.election.installed[member] {
+	for _, replica := range m.installers() {
+		if !m.election.installed[replica] {
 			return
 		}
 	}
@@ -294,11 +366,14 @@
 func (m *Machine) onMissing(from Replica, message Missing) {
 	e := m.election
 	if e != nil && m.status == Installing && message.Ballot == e.ballot && message.Number == e.proposal.Number {
-		m.sendState(from, Install{Number: e.proposal.Number, Ballot: e.ballot, Position: m.durable.Position})
+		e.asking[from] = m.now
+		if m.transfers.mayBegin(from, m.now) {
+			m.sendState(from, Install{Number: e.proposal.Number, Ballot: e.ballot, Position: m.durable.Position})
+		}
 		return
 	}
 	if m.lead != nil && message.Number == m.durable.View.Number && message.Ballot.isZero() {
-		m.sendState(from, Store{View: m.durable.View, Source: m.durable.Source, Position: m.durable.Position})
+		m.sendMissing(from, message.Position, message.Source)
 	}
 }
 
--- a/internal/fleet/replication/leaving.go
+++ b/internal/fleet/replication/leaving.go
@@ -1,38 +1,149 @@
 package replication
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// resignedFor is how long a replica that has said that it ends is not taken in as a member.
-const resignedFor = 15 * time.Second
+// A replica whose machine ends in a planned way says so, whatever its part in the view is, and goes on as a witness and a
+// member until the primary releases it: by then its copy and its vote are where they have to be, as far as waiting helps.
 
-// Resign says that this replica is about to end. Where it is the primary, another member takes its place; it goes on as a
-// witness, and as the primary until the other has.
+// newcomerRemembered is how long a leaver hopes for a newcomer that it does not hear of any more.
+const newcomerRemembered = 15 * time.Second
+
+// releaseHolds is how long the primary's word that a replica may end holds: it is asked again, since much may happen until
+// the process has brought its requests to an end.
+const releaseHolds = 4 * resendEvery
+
+// Resign says that this replica is about to end. Where it is the primary, another member takes its place; it goes on as the
+// primary until the other has.
 func (m *Machine) Resign(now time.Duration) *Output {
 	out := m.step(now)
 	m.leaving = true
-	if m.lead == nil || len(m.durable.View.Members) < 2 {
-		return out
+	m.sayLeaving()
+	return out
+}
+
+// Released tells whether a replica that has resigned may end: nobody needs its copy or its vote, or there is nobody who
+// could take them over.
+func (m *Machine) Released() bool {
+	return m.leaving && m.released > 0 && m.now-m.released < releaseHolds
+}
+
+// sayLeaving tells the others of the view, again and again. The primary answers itself.
+func (m *Machine) sayLeaving() {
+	if !m.leaving || m.now < m.nextResign {
+		return
+	}
+	m.nextResign = m.now + resendEvery
+	if m.mayRelease(m.durable.Self) {
+		m.released = m.now
+		return
 	}
 	for _, replica := range union(m.durable.View.Witnesses, m.durable.View.Members) {
 		m.send(replica, Resign{Number: m.durable.View.Number})
 	}
-	return out
 }
 
 func (m *Machine) onResign(from Replica, message Resign) {
-	if message.Number != m.durable.View.Number || from != m.durable.View.Primary {
+	if message.Number < m.durable.View.Number {
+		m.send(from, Newer{View: m.durable.View})
+	}
+	if message.Number > m.durable.View.Number {
 		return
 	}
-	m.penalties[from] = &penalty{until: m.now + resignedFor, span: m.options.Timing.Penalty / 2}
-	m.primarySeen = m.now - m.stickiness() // nobody has to wait for it any more
+	m.noteLeaving(from, true)
+	if m.mayRelease(from) {
+		m.send(from, Released{Number: m.durable.View.Number})
+		return
+	}
+	if message.Number == m.durable.View.Number && from == m.durable.View.Primary {
+		m.succeed()
+	}
+}
+
+// succeed has nobody wait for a primary that leaves, and the first member that stays take its place.
+func (m *Machine) succeed() {
+	if m.status != Following || !m.durable.Promised.isZero() {
+		return // a view change is under way
+	}
+	m.primarySeen = min(m.primarySeen, m.now-m.stickiness())
 	if m.successor() == m.durable.Self {
 		m.startElection()
 	}
 }
 
-// successor is the first member beside the primary.
+func (m *Machine) onReleased(message Released) {
+	if m.leaving && message.Number >= m.durable.View.Number {
+		m.released = m.now
+	}
+}
+
+// mayRelease tells a primary whether a replica that leaves may end: it has no part in the view, or the next view would give
+// it the same part, because nobody can take it over.
+func (m *Machine) mayRelease(r Replica) bool {
+	if m.status != Leading || m.lead.pending {
+		return false
+	}
+	witnesses := m.nextWitnesses(false)
+	members := m.nextMembers(witnesses, func(r Replica) bool {
+		return m.live(r, m.options.Timing.Member) && (m.durable.View.HasMember(r) || !m.penalized(r))
+	})
+	votes := m.durable.View.HasWitness(r) && (!slices.Contains(witnesses, r) || m.remembersNewcomer())
+	holds := m.durable.View.HasMember(r) && (m.enough(members) || m.knowsOthers())
+	return !votes && !holds
+}
+
+// remembersNewcomer tells whether a replica of another machine was heard of lately that may come back, or be reached again,
+// and be taken in.
+func (m *Machine) remembersNewcomer() bool {
+	for _, known := range []map[Replica]time.Duration{m.heard, m.replaced} {
+		for r, at := range known {
+			if m.now-at < newcomerRemembered && m.couldCome(r) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// couldCome tells whether a replica is of a machine that counts and has no part in the view.
+func (m *Machine) couldCome(r Replica) bool {
+	isSameMachine := func(w Replica) bool { return w.Address == r.Address }
+	place := m.options.PlaceOf(r.Address)
+	return !slices.ContainsFunc(m.durable.View.Witnesses, isSameMachine) && (!place.Known || place.Counts)
+}
+
+// knowsOthers tells whether there is a replica that may come back, or may be reached again, and take a copy.
+func (m *Machine) knowsOthers() bool {
+	others := slices.DeleteFunc(m.staying(m.durable.View.Witnesses), func(r Replica) bool { return r == m.durable.Self })
+	return len(others) > 0 || m.remembersNewcomer()
+}
+
+// noteLeaving notes what a replica says of its own end.
+func (m *Machine) noteLeaving(r Replica, leaving bool) {
+	if leaving {
+		m.leavers[r] = true
+	} else {
+		delete(m.leavers, r)
+	}
+}
+
+func (m *Machine) isLeaving(r Replica) bool {
+	if r == m.durable.Self {
+		return m.leaving
+	}
+	return m.leavers[r]
+}
+
+// staying are the replicas of a list that have not said that they end. Only their copies count.
+func (m *Machine) staying(replicas []Replica) []Replica {
+	return slices.DeleteFunc(slices.Clone(replicas), m.isLeaving)
+}
+
+// successor is the first member beside the primary that stays.
 func (m *Machine) successor() Replica {
-	for _, member := range m.durable.View.Members {
+	for _, member := range m.staying(m.durable.View.Members) {
 		if member != m.durable.View.Primary {
 			return member
 		}
--- /dev/null
+++ b/internal/fleet/replication/leaving_test.go
@@ -0,0 +1,229 @@
+package replication
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// resign has a replica say that it ends.
+func (c *cluster) resign(h *host) {
+	c.carryOut(h, h.machine.Resign(c.now))
+	c.settle()
+}
+
+// view is the leader's.
+func (c *cluster) view() *View {
+	view := c.leader().machine.View()
+	return &view
+}
+
+// backups are the replicas beside the leader.
+func (c *cluster) backups() []*host {
+	var all []*host
+	for _, h := range c.replicas {
+		if h != c.leader() {
+			all = append(all, h)
+		}
+	}
+	return all
+}
+
+// Guards against a leaver whose copy or vote is counted on when it has gone.
+func TestLeaving(t *testing.T) {
+	Convey("Three replicas of which one may be lost", t, func() {
+		c := newCluster(3, 1)
+		c.run(time.Second)
+		So(c.order(), ShouldBeTrue)
+		backups := c.backups()
+
+		Convey("release one that only starts again, as soon as it is no member", func() {
+			c.resign(backups[0])
+			c.run(500 * time.Millisecond)
+			So(backups[0].machine.Released(), ShouldBeTrue)
+			So(len(c.view().Witnesses), ShouldEqual, 3)
+			So(c.view().HasMember(backups[0].disk.Self), ShouldBeFalse)
+			So(c.order(), ShouldBeTrue)
+			Convey("and take it in again when it is back", func() {
+				c.powerOff(backups[0])
+				c.run(500 * time.Millisecond)
+				c.powerOn(backups[0])
+				c.run(2 * time.Second)
+				So(c.view().HasMember(backups[0].disk.Self), ShouldBeTrue)
+			})
+		})
+		Convey("exchange it for one that waits to be taken in, in one view", func() {
+			added := c.join(address(3))
+			c.run(time.Second)
+			So(len(c.view().Witnesses), ShouldEqual, 3)
+			So(c.view().HasWitness(added.disk.Self), ShouldBeFalse)
+			c.resign(backups[0])
+			c.run(time.Second)
+			view := c.leader().machine.View()
+			So(len(view.Witnesses), ShouldEqual, 3)
+			So(view.HasWitness(added.disk.Self), ShouldBeTrue)
+			So(view.HasWitness(backups[0].disk.Self), ShouldBeFalse)
+			So(backups[0].machine.Released(), ShouldBeTrue)
+			So(added.state, ShouldResemble, c.acked)
+		})
+		Convey("do not release it while one that could take its place can't be reached", func() {
+			added := c.join(address(3))
+			c.run(time.Second)
+			c.powerOff(added)
+			c.resign(backups[0])
+			c.run(3 * time.Second)
+			So(backups[0].machine.Released(), ShouldBeFalse)
+		})
+		Convey("acknowledge nothing on the copy of one that leaves", func() {
+			c.powerOff(backups[1])
+			c.run(2 * time.Second)
+			So(c.order(), ShouldBeTrue) // the leader and the first backup hold it
+			c.resign(backups[0])
+			c.run(300 * time.Millisecond)
+			So(c.order(), ShouldBeFalse)
+			So(backups[0].machine.Released(), ShouldBeFalse)
+			Convey("and go on when another copy is back", func() {
+				c.powerOn(backups[1])
+				c.run(2 * time.Second)
+				So(c.order(), ShouldBeTrue)
+				So(backups[0].machine.Released(), ShouldBeTrue)
+			})
+		})
+		Convey("release all that end at once", func() {
+			for _, h := range c.replicas {
+				c.resign(h)
+			}
+			c.run(time.Second)
+			So(c.leader().machine.Released(), ShouldBeTrue)
+		})
+	})
+	Convey("A core of one hands all over to the machine that replaces it", t, func() {
+		c := newCluster(1, 0)
+		c.run(time.Second)
+		So(c.order(), ShouldBeTrue)
+		former := c.replicas[0]
+		added := c.join(address(1))
+		c.run(time.Second)
+		c.resign(former)
+		c.run(time.Second)
+		So(former.machine.Released(), ShouldBeTrue)
+		c.powerOff(former)
+		c.run(time.Second)
+		So(c.leader(), ShouldEqual, added)
+		So(added.state, ShouldResemble, c.acked)
+		So(c.order(), ShouldBeTrue)
+	})
+}
+
+// Guards against a witness that was replaced while it was away and never learns of it.
+func TestReplacedWitnessComesBack(t *testing.T) {
+	Convey("A backup is away for so long that another machine takes its place", t, func() {
+		c := newCluster(3, 1)
+		c.run(time.Second)
+		away := c.backups()[0]
+		c.powerOff(away)
+		c.run(time.Second) // it is no member any more
+		added := c.join(address(3))
+		c.run(3 * time.Second)
+		So(c.view().HasWitness(added.disk.Self), ShouldBeTrue)
+		So(c.view().HasWitness(away.disk.Self), ShouldBeFalse)
+		c.powerOn(away)
+		away.machine.options.JoinTargets = c.addresses
+		c.run(4 * time.Second)
+		Convey("it learns the present view, and can take the place of the next one", func() {
+			So(away.machine.View().Number, ShouldEqual, c.leader().machine.View().Number)
+			c.powerOff(added)
+			c.run(4 * time.Second)
+			So(c.view().HasWitness(away.disk.Self), ShouldBeTrue)
+			So(c.order(), ShouldBeTrue)
+		})
+	})
+}
+
+// Guards against a newcomer that is counted on though it never stored anything, and against one that holds up all.
+func TestNewcomerThatStoresNothing(t *testing.T) {
+	Convey("A newcomer asks to be taken in and answers nothing else, while a witness is lost for good", t, func() {
+		c := newCluster(3, 1)
+		c.run(time.Second)
+		So(c.order(), ShouldBeTrue)
+		mute := c.join(address(3))
+		c.drop = func(e envelope) bool {
+			_, asks := e.message.(Join)
+			return e.from == mute.disk.Self && !asks
+		}
+		c.powerOff(c.leader())
+		c.run(4 * time.Second)
+		So(c.leader(), ShouldNotBeNil)
+		So(c.view().HasWitness(mute.disk.Self), ShouldBeFalse)
+		So(c.order(), ShouldBeTrue)
+		Convey("it is taken in when it answers", func() {
+			c.drop = nil
+			c.run(5 * time.Second)
+			So(c.view().HasWitness(mute.disk.Self), ShouldBeTrue)
+			So(mute.state, ShouldResemble, c.acked)
+		})
+	})
+}
+
+// Guards against a state that never arrives because it takes longer than a step of a view change.
+func TestSlowTransfer(t *testing.T) {
+	const long = 3 * time.Second
+	Convey("Three replicas whose whole state takes three seconds to send", t, func() {
+		c := newCluster(3, 1)
+		c.transfer = long
+		c.run(time.Second)
+		So(c.order(), ShouldBeTrue)
+		first := c.leader()
+
+		Convey("bring a replaced disk up to date while changes go on", func() {
+			lost := c.backups()[0]
+			c.loseDisk(lost)
+			for range 16 {
+				c.run(500 * time.Millisecond)
+				c.order()
+			}
+			So(len(c.acked), ShouldBeGreaterThan, 12)
+			So(c.view().HasMember(lost.disk.Self), ShouldBeTrue)
+			So(lost.state, ShouldResemble, c.acked)
+		})
+		Convey("go on when all but one copy has to be made anew", func() {
+			c.powerOff(c.backups()[0])
+			c.run(2 * time.Second)
+			So(c.order(), ShouldBeTrue) // on two copies
+			away := machineThatIsDown(c, first)
+			c.loseDisk(first)
+			c.powerOn(away)
+			c.run(12 * time.Second)
+			So(c.leader(), ShouldNotBeNil)
+			So(c.leader().state, ShouldResemble, c.acked)
+			So(c.order(), ShouldBeTrue)
+		})
+	})
+}
+
+// machineThatIsDown is the machine that is down.
+func machineThatIsDown(c *cluster, besides *host) *host {
+	for _, h := range c.replicas {
+		if h != besides && c.down[h.disk.Self.Address] {
+			return h
+		}
+	}
+	return nil
+}
+
+// Guards against a witness that forgets its promise at a restart, so that two candidates decide one view.
+func TestPromiseOutlivesARestart(t *testing.T) {
+	Convey("A witness that has promised a ballot and starts again accepts no lower one", t, func() {
+		c := newCluster(3, 1)
+		view := c.replicas[0].machine.View()
+		witness, low, high := c.replicas[0], Ballot{Round: 3, Proposer: c.replicas[1].disk.Self}, Ballot{Round: 4, Proposer: c.replicas[2].disk.Self}
+		c.carryOut(witness, witness.machine.Receive(c.now, high.Proposer, Prepare{View: view, Ballot: high}))
+		c.powerOn(witness)
+		out := witness.machine.Receive(c.now, low.Proposer, Accept{Ballot: low, Proposal: View{Number: 1, Members: view.Members, Witnesses: view.Witnesses}})
+		So(out.Write, ShouldBeNil)
+		So(len(out.Send), ShouldEqual, 1)
+		_, rejected := out.Send[0].Message.(Reject)
+		So(rejected, ShouldBeTrue)
+	})
+}
--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -32,6 +33,7 @@
 	Member      time.Duration // of silence after which a primary leaves a member out
 	Store       time.Duration // that a member may take to store a change
 	Attempt     time.Duration // that each step of a view change may take
+	Transfer    time.Duration // the same, where a member that the others can't do without is sent the whole state
 	Join        time.Duration // between requests to be taken in
 	Settle      time.Duration // least time between view changes that only take replicas in
 	Penalty     time.Duration // before a member that was left out for being slow is taken in again; doubles each time
@@ -43,7 +45,8 @@
 	return Timing{
 		Heartbeat: 150 * time.Millisecond, Start: 180 * time.Millisecond, Election: 700 * time.Millisecond, Stagger: 200 * time.Millisecond,
 		Member: 700 * time.Millisecond, Store: 500 * time.Millisecond, Attempt: 400 * time.Millisecond,
-		Join: 250 * time.Millisecond, Settle: 500 * time.Millisecond, Penalty: 3 * time.Second,
+		Transfer: 12 * time.Second,
+		Join:     250 * time.Millisecond, Settle: 500 * time.Millisecond, Penalty: 3 * time.Second,
 		WitnessGone: 1500 * time.Millisecond,
 	}
 }
@@ -87,19 +90,18 @@
 	penalties   map[Replica]*penalty
 	nextJoin    time.Duration
 	highest     uint64 // round of any ballot seen
+	transfers   transfers
 
-	leaving bool // this replica is about to end: it neither leads nor joins any more
+	leaving    bool          // this replica is about to end: it does not ask to be taken in any more
+	released   time.Duration // when the primary said last that it may end; 0: it did not
+	nextResign time.Duration
+	leavers    map[Replica]bool          // the others that have said so
+	replaced   map[Replica]time.Duration // when each former witness went out of the view
 
 	election *election
 	lead     *leadership
 }
 
-// penalty keeps a replica out of the members for a while.
-type penalty struct {
-	until time.Duration
-	span  time.Duration
-}
-
 // New returns a replica as it is after a start, with what its disk holds. A replica that was primary does not go on as
 // primary: what it had sent before its own disk had it can't be told, so that it needs a new view.
 func New(now time.Duration, durable Durable, options Options) *Machine {
@@ -107,7 +109,7 @@
 		options: options, durable: durable, now: now,
 		primarySeen: now - options.Timing.Election + options.Timing.Start, started: now,
 		heard: map[Replica]time.Duration{}, joining: map[Replica]time.Duration{}, penalties: map[Replica]*penalty{},
-		highest: durable.Promised.Round,
+		highest: durable.Promised.Round, transfers: transfers{}, leavers: map[Replica]bool{}, replaced: map[Replica]time.Duration{},
 	}
 }
 
@@ -176,21 +178,23 @@
 		m.tickLeadership()
 	}
 	m.askToJoin()
+	m.sayLeaving()
 	return out
 }
 
+// forgottenAfter is how long a witness hears of no primary before it asks whether there is a newer view.
+const forgottenAfter = 2 * time.Second
+
 // watchPrimary makes a member a candidate where the primary is silent. Members wait the longer the later they stand in
-// the view, so that the first live one acts.
+// the view, so that the first live one acts, and those that leave wait longest: theirs may be the only copy left.
 func (m *Machine) watchPrimary() {
-	rank := -1
-	for i, member := range m.durable.View.Members {
-		if member == m.durable.Self {
-			rank = i
-		}
-	}
-	if rank < 0 || m.leaving {
+	rank := slices.Index(m.durable.View.Members, m.durable.Self)
+	if rank < 0 {
 		return
 	}
+	if m.leaving {
+		rank += len(m.durable.View.Members)
+	}
 	t := m.options.Timing
 	stagger := t.Stagger
 	if m.primarySeen <= m.started {
@@ -201,9 +205,11 @@
 	}
 }
 
-// askToJoin asks the primary, or whoever may know it, to take this replica in.
+// askToJoin asks the primary, or whoever may know it, to take this replica in. A witness that has heard of no primary for
+// long asks too: it may have been replaced while it was away, and whoever knows the newer view answers with it.
 func (m *Machine) askToJoin() {
-	if !m.options.Joins || m.leaving || m.durable.View.HasWitness(m.durable.Self) || m.now < m.nextJoin {
+	isIn := m.durable.View.HasWitness(m.durable.Self) && (m.lead != nil || m.now-m.primarySeen < forgottenAfter)
+	if !m.options.Joins || m.leaving || isIn || m.now < m.nextJoin {
 		return
 	}
 	m.nextJoin = m.now + m.options.Timing.Join
@@ -220,11 +226,17 @@
 
 // follow takes over a decided view. It is the only place where the view changes.
 func (m *Machine) follow(view View) {
+	for _, r := range m.durable.View.Witnesses {
+		if !view.HasWitness(r) {
+			m.replaced[r] = m.now
+		}
+	}
 	m.durable.View = view
 	m.durable.Promised, m.durable.Accepted, m.durable.Proposal = Ballot{}, Ballot{}, View{}
 	m.election, m.lead = nil, nil
 	m.status = Following
 	m.primarySeen = m.now
+	m.released = 0 // the primary of this view has to say so again
 	m.persist()
 	if view.Primary == m.durable.Self {
 		m.activate()
@@ -270,6 +282,8 @@
 		m.onMissing(from, message)
 	case Resign:
 		m.onResign(from, message)
+	case Released:
+		m.onReleased(message)
 	}
 	return out
 }
@@ -284,6 +298,9 @@
 
 func (m *Machine) onJoin(from Replica, message Join) {
 	m.joining[from] = m.now
+	if !m.durable.View.HasWitness(from) {
+		m.released = 0 // there is somebody who may take this replica's part over
+	}
 	if message.Number < m.durable.View.Number {
 		m.send(from, Newer{View: m.durable.View})
 	}
--- a/internal/fleet/replication/messages.go
+++ b/internal/fleet/replication/messages.go
@@ -25,6 +25,7 @@
 	KindStored
 	KindMissing
 	KindResign
+	KindReleased
 )
 
 // Heartbeat tells a view's witnesses that its primary lives. ConfirmedAgeMs is how long ago the primary sent the last
@@ -40,6 +41,7 @@
 	Number  uint64 `cbor:"1,keyasint"`
 	Round   uint64 `cbor:"2,keyasint"`
 	Current bool   `cbor:"3,keyasint"`
+	Leaving bool   `cbor:"4,keyasint,omitempty"` // the witness is about to end
 }
 
 // Join asks a primary to be taken in.
@@ -66,6 +68,7 @@
 	Proposal View     `cbor:"4,keyasint"`
 	Position Position `cbor:"5,keyasint"`
 	Source   Ballot   `cbor:"6,keyasint"`
+	Leaving  bool     `cbor:"7,keyasint,omitempty"` // the witness is about to end
 }
 
 // Reject answers what came under too low a ballot.
@@ -133,17 +136,25 @@
 	Position Position `cbor:"2,keyasint"`
 }
 
-// Missing answers Install or Store where the sender's state is needed whole.
+// Missing answers Install or Store where the sender's state is needed, and says which one is held.
 type Missing struct {
-	Number uint64 `cbor:"1,keyasint"`
-	Ballot Ballot `cbor:"2,keyasint"` // of the Install; zero for a Store
+	Number   uint64   `cbor:"1,keyasint"`
+	Ballot   Ballot   `cbor:"2,keyasint"` // of the Install; zero for a Store
+	Position Position `cbor:"3,keyasint"`
+	Source   Ballot   `cbor:"4,keyasint"`
 }
 
-// Resign says that the primary of a view is about to end, so that another replica may take its place at once.
+// Resign says that a replica is about to end, so that another one may take its place at once.
 type Resign struct {
+	Number uint64 `cbor:"1,keyasint"` // of the newest view that the sender knows
+}
+
+// Released answers Resign: the replica may end.
+type Released struct {
 	Number uint64 `cbor:"1,keyasint"`
 }
 
+func (Released) kind() Kind     { return KindReleased }
 func (Resign) kind() Kind       { return KindResign }
 func (Heartbeat) kind() Kind    { return KindHeartbeat }
 func (HeartbeatAck) kind() Kind { return KindHeartbeatAck }
--- a/internal/fleet/replication/primary.go
+++ b/internal/fleet/replication/primary.go
@@ -1,6 +1,9 @@
 package replication
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // roundsKept is how many of the last heartbeat rounds may still be answered.
 const roundsKept = 8
@@ -15,6 +18,10 @@
 	committed Position
 	entry     []byte // the last change, for members that have not stored it
 
+	learners   []Replica   // that are brought up to the state
+	entries    []keptEntry // the last changes, for them
+	entryBytes int
+
 	round     uint64
 	rounds    map[uint64]*round
 	nextRound time.Duration
@@ -45,9 +52,13 @@
 	if m.status != Leading || m.lead.pending || !m.durable.Promised.isZero() {
 		return out, false
 	}
+	if !m.enough(m.staying(m.durable.View.Members)) {
+		return out, false
+	}
 	m.durable.Position.Sequence++
 	m.lead.holds[m.durable.Self] = m.durable.Position
 	m.lead.pending, m.lead.pendingAt, m.lead.entry = true, now, entry
+	m.lead.keepEntry(m.durable.Position.Sequence, entry)
 	m.persist().Entry = entry
 	m.sendStore()
 	m.countStored()
@@ -83,10 +94,10 @@
 	return out
 }
 
-// sendStore brings what members lack to them. Messages that were just sent are not repeated.
+// sendStore brings what members, and learners, lack to them. Messages that were just sent are not repeated.
 func (m *Machine) sendStore() {
 	target := m.durable.Position
-	for _, member := range m.durable.View.Members {
+	for _, member := range union(m.durable.View.Members, m.lead.learners) {
 		if m.lead.holds[member] == target {
 			continue
 		}
@@ -100,15 +111,19 @@
 }
 
 func (m *Machine) onStored(from Replica, message Stored) {
-	if m.lead == nil || message.Number != m.durable.View.Number || !m.durable.View.HasMember(from) {
+	if m.lead == nil || message.Number != m.durable.View.Number {
 		return
 	}
 	m.lead.holds[from] = message.Position
+	m.transfers.done(from)
 	m.countStored()
 }
 
-// countStored commits what all members hold.
+// countStored commits what all members hold, where enough of them stay.
 func (m *Machine) countStored() {
+	if !m.enough(m.staying(m.durable.View.Members)) {
+		return
+	}
 	for _, member := range m.durable.View.Members {
 		if m.lead.holds[member] != m.durable.Position {
 			return
@@ -140,6 +155,7 @@
 }
 
 func (m *Machine) onHeartbeatAck(from Replica, message HeartbeatAck) {
+	m.noteLeaving(from, message.Leaving)
 	if m.lead == nil || message.Number != m.durable.View.Number {
 		return
 	}
@@ -166,7 +182,10 @@
 		m.sendRound()
 	}
 	if m.status == Activating || l.pending {
+		m.countStored() // a member may have said since that it stays
 		m.repeatStore()
+	} else {
+		m.teach()
 	}
 	if m.wantsNewView() {
 		m.startElection()
@@ -182,10 +201,16 @@
 	}
 }
 
-// wantsNewView tells whether another composition of the view would be better: without a silent or slow member, where the
-// rest suffices, or with replicas that are able to join.
+// wantsNewView tells whether another composition of the view would be better: without a silent, slow or leaving member,
+// where the rest suffices, or with replicas that hold the state already.
 func (m *Machine) wantsNewView() bool {
-	return m.lacksMember() || m.now-m.lead.began > m.options.Timing.Settle && m.status == Leading && m.couldGrow()
+	if m.lacksMember() {
+		return true
+	}
+	if m.status != Leading || m.lead.pending {
+		return false
+	}
+	return m.mayLoseLeaver() || m.now-m.lead.began > m.options.Timing.Settle && m.couldImprove()
 }
 
 func (m *Machine) lacksMember() bool {
@@ -208,7 +233,7 @@
 			rest = append(rest, member)
 		}
 	}
-	return silent && m.enough(append(rest, m.spares()...))
+	return silent && m.enough(m.staying(append(rest, m.spares()...)))
 }
 
 // spares are live witnesses that are no members.
@@ -222,17 +247,21 @@
 	return all
 }
 
-func (m *Machine) couldGrow() bool {
-	if len(m.applicants()) > 0 {
-		next := m.nextWitnesses()
-		for _, r := range next {
-			if !m.durable.View.HasWitness(r) {
-				return true
-			}
-		}
-	}
-	if len(m.durable.View.Members) < m.membersMost() && len(m.spares()) > 0 {
-		return true
+// mayLoseLeaver tells whether a member that leaves can be done without at once.
+func (m *Machine) mayLoseLeaver() bool {
+	isMember := slices.ContainsFunc(m.durable.View.Members, m.isLeaving)
+	return isMember && m.enough(m.nextMembers(m.nextWitnesses(true), m.keepsUp))
+}
+
+// couldImprove tells whether a view change would change the composition, and could: all that it would take in hold the
+// state.
+func (m *Machine) couldImprove() bool {
+	view := &m.durable.View
+	witnesses := m.nextWitnesses(true)
+	members := m.nextMembers(witnesses, m.keepsUp)
+	if !m.enough(members) {
+		return false
 	}
-	return len(m.nextWitnesses()) < len(m.durable.View.Witnesses)
+	better := len(members) > len(view.Members) || slices.ContainsFunc(members, func(r Replica) bool { return !view.HasMember(r) })
+	return better || !sameReplicas(witnesses, view.Witnesses)
 }
--- /dev/null
+++ b/internal/fleet/replication/second_loss_test.go
@@ -0,0 +1,78 @@
+package replication
+
+import (
+	"fmt"
+	"testing"
+	"time"
+)
+
+// noticed is how long a process goes on at least after it was told to end.
+const noticed = 2500 * time.Millisecond
+
+// join adds a machine with an empty disk that asks the others to be taken in.
+func (c *cluster) join(at string) *host {
+	c.nonces++
+	added := &host{disk: FirstDurable(at, c.nonces, nil)}
+	c.replicas = append(c.replicas, added)
+	c.start(added, DefaultTiming())
+	added.machine.options.JoinTargets = c.addresses
+	return added
+}
+
+func (c *cluster) addresses() []string {
+	var all []string
+	for _, h := range c.replicas {
+		all = append(all, h.disk.Self.Address)
+	}
+	return all
+}
+
+// loseDisk ends a machine that comes back at once with an empty disk.
+func (c *cluster) loseDisk(h *host) {
+	c.wipe(h)
+	c.start(h, DefaultTiming())
+	h.machine.options.JoinTargets = c.addresses
+}
+
+// Guards against a planned replacement after which a second loss leaves no majority: three replicas of which one may be
+// lost, a fourth comes, one of the three ends 2.5 s after it was told to, and another one loses its disk then or later.
+func TestSecondLossAfterReplacement(t *testing.T) {
+	gaps := []time.Duration{0, 300 * time.Millisecond, 800 * time.Millisecond, 1200 * time.Millisecond, 1600 * time.Millisecond,
+		2400 * time.Millisecond, 4 * time.Second}
+	for leaver := range 3 {
+		for wiped := range 4 {
+			if wiped == leaver {
+				continue
+			}
+			for _, gap := range gaps {
+				t.Run(fmt.Sprintf("%d leaves, %d is wiped %v later", leaver, wiped, gap), func(t *testing.T) {
+					playSecondLoss(t, leaver, wiped, gap)
+				})
+			}
+		}
+	}
+}
+
+func playSecondLoss(t *testing.T, leaver, wiped int, gap time.Duration) {
+	c := newCluster(3, 1)
+	c.run(time.Second)
+	c.join(address(3))
+	c.run(time.Second)
+	if !c.order() {
+		t.Fatal("no change is taken before the replacement")
+	}
+	leaves := c.replicas[leaver]
+	c.carryOut(leaves, leaves.machine.Resign(c.now))
+	c.settle()
+	c.run(noticed)
+	c.powerOff(leaves)
+	c.run(gap)
+	c.loseDisk(c.replicas[wiped])
+	for waited := time.Duration(0); waited < 12*time.Second; waited += tick {
+		c.run(tick)
+		if leader := c.leader(); leader != nil && len(leader.state) >= len(c.acked) && c.order() {
+			return
+		}
+	}
+	t.Error("no change is taken 12 s later")
+}
--- a/internal/fleet/replication/timing_test.go
+++ b/internal/fleet/replication/timing_test.go
@@ -13,12 +13,23 @@
 	*world
 	down map[string]bool            // machines without power
 	cut  func(from, to string) bool // nil: nothing is cut
+	drop func(envelope) bool        // nil: nothing is lost
+
+	transfer time.Duration // that a message with a whole state takes
+	slow     []slowMessage
+}
+
+// slowMessage is one with a whole state.
+type slowMessage struct {
+	at time.Duration
+	envelope
 }
 
 const tick = 30 * time.Millisecond
 
 func newCluster(replicas, tolerance int) *cluster {
 	c := &cluster{world: newWorld(replicas, tolerance, none), down: map[string]bool{}}
+	c.intercept = c.sendSlowly
 	for _, h := range c.replicas {
 		c.start(h, DefaultTiming())
 	}
@@ -35,16 +46,55 @@
 				c.noteAcknowledged(h)
 			}
 		}
+		c.releaseSlow()
 		c.settle()
 	}
 }
 
+// releaseSlow has messages arrive whose time has come.
+func (c *cluster) releaseSlow() {
+	waiting := c.slow
+	c.slow = nil
+	for _, m := range waiting {
+		if m.at <= c.now {
+			c.sent = append(c.sent, m.envelope)
+		} else {
+			c.slow = append(c.slow, m)
+		}
+	}
+}
+
+// holdsState tells whether a message carries a whole state.
+func (e *envelope) holdsState() bool {
+	switch message := e.message.(type) {
+	case Install:
+		return message.Snapshot != nil
+	case Store:
+		return message.Snapshot != nil
+	case Fetched:
+		return message.Snapshot != nil
+	}
+	return false
+}
+
+// sendSlowly holds a message up that carries a whole state; false: it carries none.
+func (c *cluster) sendSlowly(e envelope) bool {
+	if c.transfer == 0 || !e.holdsState() {
+		return false
+	}
+	c.slow = append(c.slow, slowMessage{at: c.now + c.transfer, envelope: e})
+	return true
+}
+
 // settle delivers all that is on its way.
 func (c *cluster) settle() {
 	for len(c.sent) > 0 {
 		e := c.sent[0]
 		c.sent = c.sent[1:]
 		clear(c.known)
+		if c.drop != nil && c.drop(e) {
+			continue
+		}
 		h := c.hostAt(e.to)
 		if h == nil || c.down[e.to] || c.down[e.from.Address] || c.cut != nil && c.cut(e.from.Address, e.to) {
 			continue
--- a/internal/fleet/replication/witness.go
+++ b/internal/fleet/replication/witness.go
@@ -19,7 +19,8 @@
 	if age < m.options.Timing.Election {
 		m.primarySeen = m.now
 	}
-	m.send(from, HeartbeatAck{Number: message.View.Number, Round: message.Round, Current: m.durable.Promised.isZero()})
+	m.send(from, HeartbeatAck{Number: message.View.Number, Round: message.Round, Current: m.durable.Promised.isZero(),
+		Leaving: m.leaving})
 }
 
 func (m *Machine) onPrepare(from Replica, message Prepare) {
@@ -39,6 +40,7 @@
 		return
 	}
 	m.promise(message.Ballot)
+	m.primarySeen = m.now // the candidate is at work, which may wait for the state to come
 	m.send(from, m.ownPromise())
 }
 
@@ -60,7 +62,7 @@
 func (m *Machine) ownPromise() Promise {
 	return Promise{
 		Number: m.durable.View.Number + 1, Ballot: m.durable.Promised, Accepted: m.durable.Accepted,
-		Proposal: m.durable.Proposal, Position: m.durable.Position, Source: m.durable.Source,
+		Proposal: m.durable.Proposal, Position: m.durable.Position, Source: m.durable.Source, Leaving: m.leaving,
 	}
 }
 
@@ -90,7 +92,7 @@
 	held := m.durable.Position == message.Position && m.durable.Source == message.Ballot
 	same := m.durable.Position == message.From && m.durable.Source == message.FromSource
 	if !held && !same && message.Snapshot == nil {
-		m.send(from, Missing{Number: message.Number, Ballot: message.Ballot})
+		m.sendMissingTo(from, message.Number, message.Ballot)
 		return
 	}
 	if !held {
@@ -99,6 +101,11 @@
 	m.send(from, Installed{Number: message.Number, Ballot: message.Ballot})
 }
 
+// sendMissingTo says which state is held, to one that offers another one.
+func (m *Machine) sendMissingTo(to Replica, number uint64, ballot Ballot) {
+	m.send(to, Missing{Number: number, Ballot: ballot, Position: m.durable.Position, Source: m.durable.Source})
+}
+
 // hold takes over a state; nil is the one that is held already, at another position.
 func (m *Machine) hold(position Position, source Ballot, snapshot []byte) {
 	m.durable.Position, m.durable.Source = position, source
@@ -131,12 +138,13 @@
 	m.persist()
 }
 
+// onStore takes a change over, as a member or as a learner that is to become one.
 func (m *Machine) onStore(from Replica, message Store) {
 	if !m.learn(message.View) {
 		m.send(from, Newer{View: m.durable.View})
 		return
 	}
-	if from != m.durable.View.Primary || !m.durable.View.HasMember(m.durable.Self) {
+	if from != m.durable.View.Primary || from == m.durable.Self {
 		return
 	}
 	if !m.durable.Promised.isZero() {
@@ -153,7 +161,7 @@
 	case message.Snapshot != nil:
 		m.hold(message.Position, message.Source, message.Snapshot)
 	default:
-		m.send(from, Missing{Number: m.durable.View.Number})
+		m.sendMissingTo(from, m.durable.View.Number, Ballot{})
 		return
 	}
 	m.send(from, Stored{Number: m.durable.View.Number, Position: m.durable.Position})
--- a/internal/fleet/replication/world_test.go
+++ b/internal/fleet/replication/world_test.go
@@ -24,6 +24,7 @@
 	mistake   mistake
 	nonces    uint64
 	proposed  byte
+	intercept func(envelope) bool // takes a message that is sent; nil: all are sent
 }
 
 // mistake is one that is planted, to show that the search finds it.
@@ -75,7 +76,7 @@
 func (w *world) start(h *host, timing Timing) {
 	h.machine = New(w.now, h.disk, Options{
 		Timing: timing, Tolerance: w.tolerance, Random: rand.New(rand.NewPCG(1, 2)), Joins: true,
-		PlaceOf:     func(address string) Place { return Place{Zone: address} },
+		PlaceOf:     func(address string) Place { return Place{Zone: address, Known: true, Counts: true} },
 		JoinTargets: func() []string { return nil },
 	})
 }
@@ -99,6 +100,9 @@
 }
 
 func (w *world) send(e envelope) {
+	if w.intercept != nil && w.intercept(e) {
+		return
+	}
 	if print := e.fingerprint(); !w.known[print] {
 		w.known[print] = true
 		w.sent = append(w.sent, e)
--- a/internal/fleet/router/core.go
+++ b/internal/fleet/router/core.go
@@ -138,6 +138,15 @@
 		}
 	}()
 	r.tickUntil(ticks, finished)
+	r.awaitRelease(ticks, end)
+}
+
+// awaitRelease lets time pass until this router's replica may end, or the platform ends the process.
+func (r *Router) awaitRelease(ticks <-chan time.Time, end time.Time) {
+	for r.replica != nil && !r.replica.Released() && time.Now().Before(end) {
+		<-ticks
+		r.tick()
+	}
 }
 
 // tickUntil lets time pass until something is done.
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -34,7 +35,8 @@
 const (
 	fetchPath  = "/configuration"
 	statusPath = "/status"
-	fetchTime  = 1500 * time.Millisecond
+	fetchLeast = 1500 * time.Millisecond // that a fetch may take at first
+	fetchMost  = 12 * time.Second        // the same, after others have taken too long
 
 	// endpointsRest times what it took to take a list of endpoints over, until the next: a twentieth of the processor at most
 	// goes there, however many come at once.
@@ -180,9 +182,9 @@
 
 // fetch asks a router for configurations that this one lacks.
 func (r *Router) fetch(from string) {
-	ctx, cancel := context.WithTimeout(r.transport.Context(), fetchTime)
-	defer cancel()
 	r.mu.Lock()
+	ctx, cancel := context.WithTimeout(r.transport.Context(), r.fetchTime)
+	defer cancel()
 	request := dissemination.FetchRequest{After: r.node.Feed.Sequence}
 	if r.node.Feed.Table == nil {
 		request.After = 0
@@ -193,6 +195,7 @@
 	err := r.transport.Call(ctx, from, fetchPath, request, &reply)
 	r.mu.Lock()
 	r.fetching = false
+	r.fetchTime = nextFetchTime(r.fetchTime, r.clock()-asked, err)
 	r.mu.Unlock()
 	if err != nil {
 		return // the next pull finds it again
@@ -206,6 +209,18 @@
 	})
 }
 
+// nextFetchTime is how long the next fetch may take: longer where one has taken too long, since a large configuration may
+// need more on a slow link, and little where one has come, since the next router that is asked may be cut off.
+func nextFetchTime(allowed, took time.Duration, err error) time.Duration {
+	switch {
+	case err == nil:
+		return min(max(fetchLeast, 2*took), fetchMost)
+	case errors.Is(err, context.DeadlineExceeded):
+		return min(2*allowed, fetchMost)
+	}
+	return allowed
+}
+
 func (r *Router) answerFetch(body []byte) (any, error) {
 	var request dissemination.FetchRequest
 	if err := cbor.Unmarshal(body, &request); err != nil {
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -58,6 +58,7 @@
 	registryVersion uint64        // of the endpoints that requests know
 	nextEndpoints   time.Duration // when they are looked at again
 	fetching        bool
+	fetchTime       time.Duration // that the next fetch may take
 	ledger          *quota.Ledger
 	granted         grantedAnswers
 
@@ -76,7 +77,7 @@
 
 // New prepares a router; Run starts it.
 func New(s *settings.Settings, log *zap.Logger) *Router {
-	r := &Router{settings: s, log: log, began: time.Now(), abort: make(chan struct{})}
+	r := &Router{settings: s, log: log, began: time.Now(), abort: make(chan struct{}), fetchTime: fetchLeast}
 	r.ledger = quota.NewLedger(quotaSettings(s))
 	r.quota = newQuotaClient(r, quotaSettings(s))
 	r.dispatcher = front.NewDispatcher(r.clock, retry.Settings{
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -26,7 +26,9 @@
 	bodyMost     = 32 << 20 // bytes of a message over TCP
 	queueMost    = 16       // large messages on their way to one router
 	dialTimeout  = 500 * time.Millisecond
-	callTimeout  = 2 * time.Second
+	callTimeout  = 2 * time.Second // that a short message or call may take
+	readTimeout  = time.Minute     // that the longest one may take to come
+	slowestLink  = 100_000         // bytes a second that a message over TCP is given time for, beyond callTimeout
 	idleTimeout  = 10 * time.Second
 	messagePath  = "/message"
 )
@@ -83,12 +85,12 @@
 		fleet: fleet, address: address, handle: handle, udp: udp, router: mux.NewRouter(),
 		ctx: ctx, cancel: cancel, queue: map[string]int{}, peers: map[string]netip.AddrPort{},
 	}
-	t.client = &http.Client{Timeout: callTimeout, Transport: &http.Transport{
+	t.client = &http.Client{Transport: &http.Transport{
 		DialContext:     (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
 		IdleConnTimeout: idleTimeout, MaxIdleConnsPerHost: 1, DisableCompression: true,
 	}}
 	t.router.HandleFunc(messagePath, t.receiveLarge).Methods(http.MethodPost)
-	t.server = &http.Server{Handler: t.router, ReadTimeout: callTimeout, IdleTimeout: 2 * idleTimeout}
+	t.server = &http.Server{Handler: t.router, ReadHeaderTimeout: callTimeout, ReadTimeout: readTimeout, IdleTimeout: 2 * idleTimeout}
 	return t, nil
 }
 
@@ -245,7 +247,9 @@
 	t.Counters.SentLarge.Add(1)
 	t.Counters.SentBytes.Add(uint64(len(text)))
 	t.tasks.Go(func() {
-		_, _ = t.post(t.ctx, to, messagePath, text) // messages may be lost; the protocols repeat them
+		ctx, cancel := context.WithTimeout(t.ctx, timeToSend(len(text)))
+		_, _ = t.post(ctx, to, messagePath, text) // messages may be lost; the protocols repeat them
+		cancel()
 		t.mu.Lock()
 		if t.queue[to]--; t.queue[to] == 0 {
 			delete(t.queue, to)
@@ -254,7 +258,12 @@
 	})
 }
 
-// Call sends a request to a router and reads the answer into reply.
+// timeToSend is how long a message of a size may take, also on a slow link.
+func timeToSend(size int) time.Duration {
+	return callTimeout + time.Duration(size)*time.Second/slowestLink
+}
+
+// Call sends a request to a router and reads the answer into reply, which may take until ctx ends.
 func (t *Transport) Call(ctx context.Context, to, path string, request, reply any) error {
 	body, err := cbor.Marshal(request)
 	if err != nil {
