Acknowledge an endpoint's leave only once the core has it, and tell a damaged log from a torn one

Change: a leave is handed to the primary by a call, which tells all and has a majority of witnesses confirm it; without that the endpoint gets 503 and tells another router (router/leaves.go). A log that holds whole records after one that can't be read is damaged: the replica says so and starts as a new one (storage/read.go). A view that can be none is not taken over.

--- a/internal/fleet/control/control.go
+++ b/internal/fleet/control/control.go
@@ -35,8 +35,9 @@
 	Read(ctx context.Context) (*config.Document, error)
 	// PrimaryControl is the control address of the router that takes orders; empty where it is not known.
 	PrimaryControl() string
-	// Hear takes an endpoint's word over; false: it is older than what is known.
-	Hear(endpoint registry.Endpoint) bool
+	// Hear takes an endpoint's word over. An error says that its leave can't be acknowledged: it is not sure that the other
+	// routers learn of it.
+	Hear(ctx context.Context, endpoint registry.Endpoint) error
 	// ServiceOf is the service that an endpoint with that id has named; empty where it is not known.
 	ServiceOf(id string) string
 }
@@ -90,18 +91,31 @@
 		s.reject(w, http.StatusBadRequest, "the endpoint belongs to another service")
 		return
 	}
-	s.core.Hear(registry.Endpoint{
+	err := s.core.Hear(r.Context(), registry.Endpoint{
 		ID: id, Service: beat.Service, Address: beat.Address, Zone: beat.Zone, Capacity: beat.Capacity, State: state,
 		Sequence: beat.Sequence, WarmupMs: beat.WarmupMs,
 	})
+	if err != nil {
+		s.notHeard(w, err)
+		return
+	}
 	writeJSON(w, map[string]string{"heartbeatUrl": "http://" + s.address + "/instances/" + id + "/heartbeat"})
 }
 
 func (s *Server) deregister(w http.ResponseWriter, r *http.Request) {
-	s.core.Hear(registry.Endpoint{ID: mux.Vars(r)["id"], State: registry.Gone})
+	err := s.core.Hear(r.Context(), registry.Endpoint{ID: mux.Vars(r)["id"], State: registry.Gone})
+	if err != nil {
+		s.notHeard(w, err)
+		return
+	}
 	writeJSON(w, struct{}{})
 }
 
+// notHeard has an endpoint tell another router of its leave.
+func (s *Server) notHeard(w http.ResponseWriter, err error) {
+	http.Error(w, "the leave can't be acknowledged: "+err.Error(), http.StatusServiceUnavailable)
+}
+
 func (s *Server) order(replace bool) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		base, err := strconv.ParseInt(r.Header.Get(headerBase), 10, 64)
--- a/internal/fleet/control/control_test.go
+++ b/internal/fleet/control/control_test.go
@@ -21,6 +21,7 @@
 	orders  []*config.Order
 	primary string
 	heard   []registry.Endpoint
+	deaf    error // to leaves
 	service string
 }
 
@@ -30,8 +31,14 @@
 }
 func (c *core) Read(context.Context) (*config.Document, error) { return config.EmptyDocument(), c.err }
 func (c *core) PrimaryControl() string                         { return c.primary }
-func (c *core) Hear(e registry.Endpoint) bool                  { c.heard = append(c.heard, e); return true }
-func (c *core) ServiceOf(string) string                        { return c.service }
+func (c *core) Hear(_ context.Context, e registry.Endpoint) error {
+	c.heard = append(c.heard, e)
+	if e.State == registry.Ready {
+		return nil
+	}
+	return c.deaf
+}
+func (c *core) ServiceOf(string) string { return c.service }
 
 const own = "10.0.0.1:9"
 
@@ -101,6 +108,16 @@
 		So(core.call("POST", "/instances/i-1/deregister", "").Code, ShouldEqual, http.StatusOK)
 		So(core.heard[0].State, ShouldEqual, registry.Gone)
 	})
+	Convey("A leave that the others may not learn of is not acknowledged, so that another router is told", t, func() {
+		core := &core{deaf: replica.ErrNotPrimary}
+		So(core.call("POST", "/instances/i-1/heartbeat", beat).Code, ShouldEqual, http.StatusServiceUnavailable)
+		So(core.call("POST", "/instances/i-1/deregister", "").Code, ShouldEqual, http.StatusServiceUnavailable)
+		So(len(core.heard), ShouldEqual, 2) // this router sends it nothing any more all the same
+		Convey("while one that serves on is heard", func() {
+			ready := strings.Replace(beat, "draining", "ready", 1)
+			So(core.call("POST", "/instances/i-1/heartbeat", ready).Code, ShouldEqual, http.StatusOK)
+		})
+	})
 	Convey("A heartbeat that is none is at fault, and nothing is heard", t, func() {
 		for _, odd := range []string{
 			"", "{", `{"service":"s"}`, strings.Replace(beat, "draining", "odd", 1), strings.Replace(beat, "10.0.0.9:1", "nowhere", 1),
--- a/internal/fleet/dissemination/node.go
+++ b/internal/fleet/dissemination/node.go
@@ -344,6 +344,20 @@
 	return out, ok
 }
 
+// TakeLeave takes over from another router that an endpoint leaves, and tells all, also where it was known here: those who
+// were told before may have missed it.
+func (n *Node) TakeLeave(now time.Duration, endpoint registry.Endpoint) *Output {
+	out := n.step(now)
+	news, _ := n.Registry.Merge(now, n.options.Self.Address, []registry.Endpoint{endpoint})
+	if len(news) == 0 {
+		if known, ok := n.Registry.Lookup(endpoint.ID); ok && known.State != registry.Ready {
+			news = []registry.Endpoint{known}
+		}
+	}
+	n.spreadEndpoints(news, 0)
+	return out
+}
+
 // Hint takes over endpoints that a router before this one knew, as reports that any word of their own replaces.
 func (n *Node) Hint(now time.Duration, endpoints []registry.Endpoint) *Output {
 	out := n.step(now)
--- a/internal/fleet/replica/orders.go
+++ b/internal/fleet/replica/orders.go
@@ -135,6 +135,15 @@
 	return seen.state.Document, nil
 }
 
+// Confirm returns nil once a majority of the witnesses has answered a round that began after the call: no other replica was
+// the primary meanwhile.
+func (r *Replica) Confirm(ctx context.Context) error {
+	if !r.look().leading {
+		return ErrNotPrimary
+	}
+	return r.confirm(ctx)
+}
+
 // confirm waits until a majority of the witnesses has answered a round that began after the call.
 func (r *Replica) confirm(ctx context.Context) error {
 	c := &confirmation{done: make(chan error, 1)}
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"path/filepath"
 	"sync"
@@ -103,13 +104,13 @@
 // Start reads the disk and begins.
 func Start(options Options) (*Replica, error) {
 	r := &Replica{options: options, inbox: make(chan func(), inboxSize), ended: make(chan struct{})}
+	if options.Log == nil {
+		r.options.Log = zap.NewNop()
+	}
 	durable, err := r.restore()
 	if err != nil {
 		return nil, err
 	}
-	if options.Log == nil {
-		r.options.Log = zap.NewNop()
-	}
 	r.durable = durable
 	r.build(durable)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -130,6 +131,12 @@
 		return durable, nil
 	}
 	log, records, err := storage.Open(filepath.Join(r.options.Directory, logFolder))
+	var damaged *storage.DamagedError
+	if errors.As(err, &damaged) {
+		r.options.Log.Error("the log is damaged: this replica starts without what it held, as a new one", zap.Error(err))
+		r.log = log
+		return replication.FirstDurable(r.options.Address, rand.Uint64()|1, nil), nil
+	}
 	if err != nil {
 		return durable, err
 	}
--- /dev/null
+++ b/internal/fleet/replication/fuzz_test.go
@@ -0,0 +1,51 @@
+package replication
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// FuzzReceive: whatever comes under whatever kind ends no process, and changes nothing that was stored before unless it is a
+// message that can be read.
+func FuzzReceive(f *testing.F) {
+	view := View{Number: 1, Primary: Replica{Address: address(1)}, Members: []Replica{{Address: address(1)}}, Witnesses: []Replica{{Address: address(0)}}}
+	ballot := Ballot{Round: 2, Proposer: Replica{Address: address(1)}}
+	for _, message := range []Message{
+		Heartbeat{View: view, Round: 1}, HeartbeatAck{Number: 1, Round: 1}, Join{Number: 3}, Newer{View: view},
+		Prepare{View: view, Ballot: ballot}, Promise{Number: 1, Ballot: ballot}, Reject{Number: 1, Promised: ballot},
+		Fetch{Number: 1, Ballot: ballot}, Fetched{Number: 1, Snapshot: []byte{0}}, Install{Number: 1, Ballot: ballot, Snapshot: []byte{0}},
+		Installed{Number: 1}, Accept{Ballot: ballot, Proposal: view}, Accepted{Number: 1}, Store{View: view, Entry: []byte{1, 2}},
+		Stored{Number: 1}, Missing{Number: 1}, Resign{Number: 0}, Released{Number: 9},
+	} {
+		encoded, err := Encode(message)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(uint8(encoded.Kind), []byte(encoded.Body), true)
+		f.Add(uint8(encoded.Kind), []byte(encoded.Body)[:len(encoded.Body)/2], false)
+	}
+	f.Fuzz(func(t *testing.T, kind uint8, body []byte, known bool) {
+		c := newCluster(3, 1)
+		c.run(500 * time.Millisecond)
+		c.order()
+		target, from := c.replicas[0], Replica{Address: "10.9.9.9:1", Nonce: 5}
+		if known {
+			from = c.replicas[1].disk.Self
+		}
+		before := target.disk
+		message, err := Decode(Encoded{Kind: Kind(kind), Body: cbor.RawMessage(body)})
+		if err != nil {
+			return
+		}
+		c.carryOut(target, target.machine.Receive(c.now, from, message))
+		if !known && message.kind() != KindNewer && message.kind() != KindHeartbeat && message.kind() != KindStore &&
+			message.kind() != KindPrepare && message.kind() != KindInstall && message.kind() != KindAccept {
+			if target.disk.View.Number != before.View.Number || target.disk.Position != before.Position {
+				t.Errorf("a stranger's %T changes what is stored", message)
+			}
+		}
+		c.run(200 * time.Millisecond)
+	})
+}
--- a/internal/fleet/replication/machine.go
+++ b/internal/fleet/replication/machine.go
@@ -290,7 +290,7 @@
 
 // learn takes over a view that is newer than the one known. It returns false where the sender's is the older one.
 func (m *Machine) learn(view View) bool {
-	if view.Number > m.durable.View.Number {
+	if view.Number > m.durable.View.Number && view.isComplete() {
 		m.follow(view)
 	}
 	return view.Number >= m.durable.View.Number
--- a/internal/fleet/replication/types.go
+++ b/internal/fleet/replication/types.go
@@ -38,6 +38,11 @@
 // HasWitness tells whether a replica votes on the view after this one.
 func (v *View) HasWitness(r Replica) bool { return slices.Contains(v.Witnesses, r) }
 
+// isComplete tells whether a view that is said to be decided can be one.
+func (v *View) isComplete() bool {
+	return v.Number > 0 && len(v.Members) > 0 && len(v.Witnesses) > 0 && v.HasMember(v.Primary)
+}
+
 // quorum is the least number of witnesses that are a majority.
 func (v *View) quorum() int { return len(v.Witnesses)/2 + 1 }
 
--- a/internal/fleet/router/core.go
+++ b/internal/fleet/router/core.go
@@ -8,8 +8,6 @@
 	"go.uber.org/zap"
 
 	"pinelb.example/pinelb/internal/fleet/config"
-	"pinelb.example/pinelb/internal/fleet/dissemination"
-	"pinelb.example/pinelb/internal/fleet/registry"
 	"pinelb.example/pinelb/internal/fleet/replica"
 )
 
@@ -64,18 +62,6 @@
 	return m.Control
 }
 
-// Hear takes an endpoint's word over.
-func (r *Router) Hear(endpoint registry.Endpoint) bool {
-	endpoint.Owner = r.settings.Internal()
-	taken := false
-	r.withNode(func(now time.Duration) *dissemination.Output {
-		out, ok := r.node.Hear(now, endpoint)
-		taken = ok
-		return out
-	})
-	return taken
-}
-
 // ServiceOf is the service of an endpoint.
 func (r *Router) ServiceOf(id string) string {
 	r.mu.Lock()
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -144,6 +144,7 @@
 		return err
 	}
 	r.transport.HandleCall(fetchPath, r.answerFetch)
+	r.transport.HandleCall(leavePath, r.answerLeave)
 	r.transport.HandleStatus(statusPath, func() any { return r.Status() })
 	if err := r.startReplica(); err != nil {
 		return err
--- a/internal/fleet/storage/read.go
+++ b/internal/fleet/storage/read.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"hash/crc32"
 	"os"
 	"path/filepath"
@@ -34,10 +35,23 @@
 	return payload, binary.BigEndian.Uint32(sealed) == crc32.Checksum(payload, checksums)
 }
 
+// DamagedError says that a log holds whole records after one that is not: it was synced, and has changed since. What it
+// holds is of no use to the replica that wrote it: it may have promised or stored more than can be read.
+type DamagedError struct {
+	Path   string
+	Offset int // of the first record that can't be read
+}
+
+func (e *DamagedError) Error() string {
+	return fmt.Sprintf("storage: %s is damaged at byte %d, and goes on after it", e.Path, e.Offset)
+}
+
 // readGeneration reads the records of a generation up to the first that is torn: what follows was never synced. The log's
-// own reader refuses such a file, so that its entries (a length as a varint, then the bytes) are read here.
+// own reader refuses such a file, so that its entries (a length as a varint, then the bytes) are read here. Each record was
+// synced before the next one was begun, so that only the last one can be torn: a whole record after it is damage.
 func readGeneration(path string) ([]Record, error) {
-	text, err := os.ReadFile(filepath.Join(path, segmentName))
+	path = filepath.Join(path, segmentName)
+	text, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil, nil
 	}
@@ -45,18 +59,56 @@
 		return nil, merry.Prepend(err, "storage")
 	}
 	var records []Record
-	for len(text) > 0 {
-		length, n := binary.Uvarint(text)
-		if n <= 0 || uint64(len(text)-n) < length {
-			break
-		}
-		payload, whole := open(text[n : n+int(length)])
-		var record Record
-		if !whole || cbor.Unmarshal(payload, &record) != nil {
+	for at := 0; at < len(text); {
+		record, size, ok := readRecord(text[at:])
+		if !ok {
+			if holdsRecord(text[at+1:]) {
+				return nil, &DamagedError{Path: path, Offset: at}
+			}
 			break
 		}
 		records = append(records, record)
-		text = text[n+int(length):]
+		at += size
 	}
 	return records, nil
 }
+
+// readRecord reads the record that a text begins with, and how many bytes it takes; ok is false where there is none.
+func readRecord(text []byte) (record Record, size int, ok bool) {
+	length, n := binary.Uvarint(text)
+	if n <= 0 || length < checksumSize || uint64(len(text)-n) < length {
+		return Record{}, 0, false
+	}
+	payload, whole := open(text[n : n+int(length)])
+	if !whole || cbor.Unmarshal(payload, &record) != nil {
+		return Record{}, 0, false
+	}
+	return record, n + int(length), true
+}
+
+// holdsRecord tells whether a whole record begins anywhere in a text.
+func holdsRecord(text []byte) bool {
+	for at := range text {
+		if !looksLikeRecord(text[at:]) {
+			continue // most places: a checksum of what follows would cost much
+		}
+		if _, _, ok := readRecord(text[at:]); ok {
+			return true
+		}
+	}
+	return false
+}
+
+// A record is encoded as a map of one to three pairs, of which the first has the key 1 (RFC 8949, section 3.1).
+const (
+	mapMask   = 0xfc
+	mapHeader = 0xa0
+	firstKey  = 0x01
+)
+
+// looksLikeRecord tells whether a text may begin with a record, by its length and the head of its payload.
+func looksLikeRecord(text []byte) bool {
+	_, n := binary.Uvarint(text)
+	head := n + checksumSize
+	return n > 0 && len(text) > head+1 && text[head]&mapMask == mapHeader && text[head+1] == firstKey
+}
--- a/internal/fleet/storage/storage.go
+++ b/internal/fleet/storage/storage.go
@@ -45,7 +45,8 @@
 	first      int // size of the first record
 }
 
-// Open reads what a directory holds, in the order in which it was written. No records: the disk is empty.
+// Open reads what a directory holds, in the order in which it was written. No records: the disk is empty. With a
+// DamagedError the log may be begun anew, but not as the replica that wrote it.
 func Open(directory string) (*Log, []Record, error) {
 	if err := os.MkdirAll(directory, 0o750); err != nil {
 		return nil, nil, merry.Prepend(err, "storage")
@@ -58,6 +59,10 @@
 	for _, generation := range slices.Backward(generations) {
 		l.generation = max(l.generation, generation)
 		records, err := readGeneration(l.path(generation))
+		var damaged *DamagedError
+		if errors.As(err, &damaged) {
+			return l, nil, err
+		}
 		if err != nil {
 			return nil, nil, err
 		}
