Test every way by which a request could run twice or an answer reach another caller

Change: once_test.go plays kept connections that die after the write or while idle, resets before and within an answer, second answers that come late under each id, early rejections whose body is read later, and clients that leave. An answer that names no request is taken only where its connection's answers have named none before: after one that did, it may be the second answer to a request before.

--- a/deploy/sites/cores.sh
+++ b/deploy/sites/cores.sh
@@ -49,7 +49,7 @@
 	install -m 644 "$(dirname "$site")/wire.json" "$out/wire.json"
 	[ ! -f "$(dirname "$site")/CUT" ] || install -m 644 "$(dirname "$site")/CUT" "$out/CUT"
 	disks 1 "$site" | tolerate 0 0 0 | rename "$name-one" >"$out/$name-one.toml"
-	disks 2 "$site" | tolerate 1 0 0 | rename "$name-two" >"$out/$name-two.toml"
+	disks 2 "$site" | tolerate 0 0 0 | rename "$name-two" >"$out/$name-two.toml"
 	more_disks 1 "$site" | tolerate 1 0 0 | rename "$name-four" >"$out/$name-four.toml"
 	more_disks 2 "$site" | tolerate 2 0 0 | rename "$name-five" >"$out/$name-five.toml"
 	one_zone "$site" | tolerate 1 0 0 | rename "$name-zone" >"$out/$name-zone.toml"
--- /dev/null
+++ b/internal/fleet/front/once_test.go
@@ -0,0 +1,233 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// The ways by which a request could run twice, or an answer reach another caller: docs/design/control-state.md, point 5.
+
+// thenCloses answers and closes the connection a moment later, while it is idle.
+func thenCloses(after time.Duration) func(net.Conn, *http.Request) {
+	return func(c net.Conn, r *http.Request) {
+		whole("one")(c, r)
+		time.AfterFunc(after, func() { _ = c.Close() })
+	}
+}
+
+// resets breaks a connection off with a reset, with nothing or a part of an answer before it.
+func resets(part string) func(net.Conn, *http.Request) {
+	return func(c net.Conn, _ *http.Request) {
+		_, _ = io.WriteString(c, strings.ReplaceAll(part, "\n", "\r\n"))
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	}
+}
+
+// sent is how many requests came to endpoints.
+func sent(endpoints ...*standIn) int {
+	n := 0
+	for _, e := range endpoints {
+		n += len(e.requests())
+	}
+	return n
+}
+
+func TestKeptConnections(t *testing.T) {
+	Convey("On a kept connection that dies after the request was written", t, func() {
+		a := newStandIn(t, "e1", whole("one"), closes, whole("three"))
+		r := newRig(t, a)
+		_, _, err := r.do("POST", "/u/", "")
+		So(err, ShouldBeNil)
+		Convey("an unsafe request is not sent again, and its client is told that it may have run", func() {
+			response, _, err := r.do("POST", "/u/", "", "X-Request-Id", "id-2")
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, http.StatusBadGateway)
+			So(sent(a), ShouldEqual, 2)
+		})
+		Convey("neither is a stream that may not be resumed", func() {
+			response, _, err := r.do("POST", "/st/", "", "X-Request-Id", "id-2")
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldEqual, http.StatusBadGateway)
+			So(sent(a), ShouldEqual, 2)
+		})
+	})
+	Convey("A kept connection that the endpoint has closed carries nothing: the request goes out once, on a new one", t, func() {
+		a := newStandIn(t, "e1", thenCloses(0))
+		r := newRig(t, a)
+		_, _, err := r.do("POST", "/u/", "")
+		So(err, ShouldBeNil)
+		for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); {
+			response, _, err := r.do("POST", "/u/", "", "X-Request-Id", "id-2")
+			So(err, ShouldBeNil)
+			if response.StatusCode == http.StatusOK {
+				break // the close may cross the first
+			}
+		}
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		So(a.accepts, ShouldEqual, 2)
+	})
+	Convey("A reset before or within an answer proves nothing", t, func() {
+		for _, part := range []string{"", "HTTP/1.1 200 OK\n", "HTTP/1.1 200 OK\nX-Response-Signature: s\nContent-Length: 9\n\nabc"} {
+			a, b := newStandIn(t, "e1", resets(part)), newStandIn(t, "e2", resets(part))
+			response, body, err := newRig(t, a, b).do("POST", "/u/", "")
+			if err == nil {
+				So(response.StatusCode, ShouldEqual, http.StatusBadGateway)
+				So(body, ShouldEqual, "")
+			}
+			So(sent(a, b), ShouldEqual, 1)
+		}
+	})
+}
+
+func TestWhoseAnswer(t *testing.T) {
+	// late answers the request before once more, where the answer to this one is due.
+	late := func(id string) func(net.Conn, *http.Request) {
+		return func(c net.Conn, r *http.Request) {
+			former := r.Clone(context.Background())
+			former.Header.Set("X-Request-Id", id)
+			whole("two")(c, former)
+			whole("right")(c, r)
+		}
+	}
+	Convey("A second answer that comes late, where the next one is due, reaches nobody", t, func() {
+		for _, id := range []string{"id-1", "id-0", ""} { // of the request before, of an older one, of none
+			a := newStandIn(t, "e1", whole("one"), late(id))
+			r := newRig(t, a)
+			_, body, err := r.do("POST", "/u/", "")
+			So(err, ShouldBeNil)
+			So(body, ShouldEqual, "one")
+			response, body, err := r.do("POST", "/u/", "", "X-Request-Id", "id-2")
+			So(err, ShouldBeNil)
+			if response.StatusCode == http.StatusOK {
+				So(body, ShouldEqual, "right")
+			}
+			So(body, ShouldNotEqual, "two")
+			So(sent(a), ShouldBeLessThanOrEqualTo, 2)
+		}
+	})
+	Convey("Answers that come together on one connection each reach their own caller", t, func() {
+		echo := func(c net.Conn, r *http.Request) { whole(r.Header.Get("X-Request-Id"))(c, r) }
+		var script []func(net.Conn, *http.Request)
+		for range 200 {
+			script = append(script, echo)
+		}
+		a := newStandIn(t, "e1", script...)
+		r := newRig(t, a)
+		failures := make(chan string, 200)
+		done := make(chan struct{})
+		for worker := range 8 {
+			go func() {
+				defer func() { done <- struct{}{} }()
+				for i := range 20 {
+					id := fmt.Sprintf("id-%d-%d", worker, i)
+					_, body, err := r.do("POST", "/u/", "", "X-Request-Id", id)
+					if err == nil && body != id {
+						failures <- id + " got " + body
+					}
+				}
+			}()
+		}
+		for range 8 {
+			<-done
+		}
+		So(len(failures), ShouldEqual, 0)
+	})
+}
+
+func TestEarlyAnswer(t *testing.T) {
+	Convey("An endpoint that rejects a request before it has read its body gets no other request's bytes as the rest of it", t, func() {
+		e := &earlyStandIn{}
+		e.listen(t)
+		a := &standIn{listener: e.listener, id: "e1"}
+		r := newRig(t, a)
+		body := strings.Repeat("x", 40)
+		for i := range 3 {
+			_, _, err := r.do("POST", "/u/", body, "X-Request-Id", fmt.Sprint("id-", i))
+			So(err, ShouldBeNil)
+		}
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		So(e.faults, ShouldBeEmpty)
+	})
+}
+
+// earlyStandIn answers as soon as it has a request's head, and reads the body a moment later.
+type earlyStandIn struct {
+	standIn
+	faults []string
+}
+
+func (e *earlyStandIn) listen(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	So(err, ShouldBeNil)
+	t.Cleanup(func() { _ = listener.Close() })
+	e.listener = listener
+	go func() {
+		for {
+			c, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go e.answerEarly(c)
+		}
+	}()
+}
+
+func (e *earlyStandIn) answerEarly(c net.Conn) {
+	defer c.Close()
+	var head [1]byte
+	for {
+		text := ""
+		for !strings.HasSuffix(text, "\r\n\r\n") {
+			if _, err := c.Read(head[:]); err != nil {
+				return
+			}
+			text += string(head[:])
+		}
+		_, _ = io.WriteString(c, strings.ReplaceAll(notExecutedText, "\n", "\r\n"))
+		rest := make([]byte, 40)
+		if _, err := io.ReadFull(c, rest); err != nil {
+			return
+		}
+		if string(rest) != strings.Repeat("x", 40) {
+			e.mu.Lock()
+			e.faults = append(e.faults, string(rest))
+			e.mu.Unlock()
+		}
+	}
+}
+
+func TestClientGone(t *testing.T) {
+	Convey("A request whose client has left while its endpoint is silent goes to no other endpoint", t, func() {
+		came := make(chan struct{}, 4)
+		silent := func(c net.Conn, _ *http.Request) {
+			came <- struct{}{}
+			_, _ = c.Read(make([]byte, 1)) // until the router lets go
+		}
+		a, b := newStandIn(t, "e1", silent, silent), newStandIn(t, "e2", silent, silent)
+		r := newRig(t, a, b)
+		ctx, leave := context.WithCancel(context.Background())
+		request, err := http.NewRequestWithContext(ctx, "POST", r.url+"/safe/", nil)
+		So(err, ShouldBeNil)
+		request.Host = "h"
+		request.Header.Set("Api-Key", "k")
+		go func() {
+			<-came
+			leave()
+		}()
+		_, err = (&http.Transport{}).RoundTrip(request)
+		So(err, ShouldNotBeNil)
+		r.server.Close() // waits for the request's end
+		So(sent(a, b), ShouldEqual, 1)
+	})
+}
--- a/internal/fleet/front/standin_test.go
+++ b/internal/fleet/front/standin_test.go
@@ -161,6 +161,8 @@
 	core  *core
 	front *Server
 	url   string
+
+	server *httptest.Server
 }
 
 func newRig(t *testing.T, endpoints ...*standIn) *rig {
@@ -184,7 +186,7 @@
 	r.front = NewServer(r.core, d, Options{KeyLease: 4 * time.Second, Stale: time.Second})
 	server := httptest.NewServer(r.front)
 	t.Cleanup(server.Close)
-	r.url = server.URL
+	r.url, r.server = server.URL, server
 	return r
 }
 
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -45,6 +45,7 @@
 	way       time.Duration // there and back, as its opening took
 
 	limit *io.LimitedReader // HTTP: what may still come of the present heads
+	names bool              // HTTP: the host's answers name their requests
 	in    *bufio.Reader     // HTTP, from a request's answer on; nil: nothing is read ahead
 	pace  pacing            // HTTP
 	seq   int32             // Thrift: of the last call
--- a/internal/upstream/exchange.go
+++ b/internal/upstream/exchange.go
@@ -79,7 +79,8 @@
 	return &Reply{Status: response.StatusCode, Header: response.Header, Length: response.ContentLength, Body: body, Reused: reused}, MayHaveRun, nil
 }
 
-// head reads answers' heads up to the one that belongs to the request.
+// head reads answers' heads up to the one that belongs to the request. One that names no request belongs to it only where
+// the host has named none on this connection before.
 func (c *conn) head(ctx context.Context, e *Exchange) (*http.Response, error) {
 	if c.in == nil {
 		c.in = newReader(c.limit)
@@ -96,7 +97,8 @@
 		named := response.Header.Get(idHeader)
 		switch {
 		case response.StatusCode < 200:
-		case e.ID == "" || named == "" || named == e.ID:
+		case e.ID == "" || named == e.ID || named == "" && !c.names:
+			c.names = c.names || named != ""
 			return response, nil
 		default:
 			if _, err := io.Copy(io.Discard, response.Body); err != nil {
