--- a/internal/fleet/control/points_test.go
+++ b/internal/fleet/control/points_test.go
@@ -212,12 +212,12 @@
 func (s *stack) replace(address string) {
 	m := s.running(address)
 	s.note("%s is told to end", address)
-	m.replica.Resign()
+	m.current().Resign()
 	time.Sleep(2500 * time.Millisecond)
-	for until := time.Now().Add(5 * time.Second); !m.replica.Released() && time.Now().Before(until); {
+	for until := time.Now().Add(5 * time.Second); !m.current().Released() && time.Now().Before(until); {
 		time.Sleep(50 * time.Millisecond)
 	}
-	s.note("%s ends for good, released %v", address, m.replica.Released())
+	s.note("%s ends for good, released %v", address, m.current().Released())
 	m.end()
 	s.mu.Lock()
 	s.order = slices.DeleteFunc(s.order, func(a string) bool { return a == address })
@@ -281,7 +281,7 @@
 		if held == nil || held.Version != version {
 			o.stack.fail("%s does not act on version %d at the end", address, version)
 		}
-		view := m.replica.View()
+		view := m.current().View()
 		if len(view.Members) != 3 {
 			o.stack.fail("%s knows of %d members at the end", address, len(view.Members))
 		}
--- a/internal/fleet/control/stack_test.go
+++ b/internal/fleet/control/stack_test.go
@@ -53,7 +53,7 @@
 	node    *dissemination.Node
 	server  *control.Server
 	stop    chan struct{}
-	started time.Time
+	clock   func() time.Duration
 }
 
 func newStack(root string, seed uint64, machines, tolerance int) *stack {
@@ -158,26 +158,30 @@
 
 // start begins the machine's process with what its disk holds.
 func (m *machine) start(founders []string) {
-	m.started = time.Now()
-	m.stop = make(chan struct{})
-	m.node = dissemination.New(0, dissemination.Options{
-		Self:  membership.Member{Address: m.address, Control: m.address, Zone: m.address, Core: true, Start: m.stack.random.Uint64()},
+	started := time.Now()
+	clock := func() time.Duration { return time.Since(started) }
+	stop := make(chan struct{})
+	node := dissemination.New(0, dissemination.Options{
+		Self:  membership.Member{Address: m.address, Control: m.address, Zone: m.address, Core: true, Start: uint64(m.stack.number(1 << 60))},
 		Seeds: []string{addressOf(0), addressOf(1), addressOf(2)}, HeartbeatEvery: 1200 * time.Millisecond,
 		Timing: membership.DefaultTiming(), Random: rand.New(rand.NewPCG(uint64(m.stack.number(1<<30)), 1)),
 	})
+	m.mu.Lock()
+	m.clock, m.stop, m.node = clock, stop, node
+	m.mu.Unlock()
 	r, err := replica.Start(replica.Options{
 		Address: m.address, Directory: m.disk, Founders: founders, Joins: true, Log: zap.NewNop(),
 		Tolerance: replication.Tolerance{Machines: m.stack.tolerance}, Timing: replication.DefaultTiming(),
 		PlaceOf: func(a string) replication.Place { return replication.Place{Zone: a, Known: true, Counts: true} },
-		Peers:   m.stack.peers, Clock: m.clock, Send: m.sendReplication,
+		Peers:   m.stack.peers, Clock: clock, Send: m.sendReplication,
 		Committed: m.committed,
 		Viewed: func(view replication.View) {
 			m.step(func(now time.Duration) *dissemination.Output {
 				if view.Primary.Address != m.address {
-					m.node.SetView(view.Number, view.Primary.Address)
+					node.SetView(view.Number, view.Primary.Address)
 					return &dissemination.Output{}
 				}
-				return m.node.Lead(now, view.Number)
+				return node.Lead(now, view.Number)
 			})
 		},
 	})
@@ -189,7 +193,7 @@
 	m.replica, m.up = r, true
 	m.server = control.NewServer(&core{machine: m, replica: r}, m.address)
 	m.mu.Unlock()
-	go m.tick(m.stop)
+	go m.tick(stop, r)
 }
 
 func (s *stack) peers() []string {
@@ -198,8 +202,6 @@
 	return append([]string(nil), s.order...)
 }
 
-func (m *machine) clock() time.Duration { return time.Since(m.started) }
-
 // end ends the process at once.
 func (m *machine) end() {
 	m.mu.Lock()
@@ -221,7 +223,7 @@
 	}
 }
 
-func (m *machine) tick(stop chan struct{}) {
+func (m *machine) tick(stop chan struct{}, r *replica.Replica) {
 	ticker := time.NewTicker(50 * time.Millisecond)
 	defer ticker.Stop()
 	for {
@@ -229,12 +231,12 @@
 		case <-stop:
 			return
 		case <-ticker.C:
-			if _, sequence, at, ok := m.replica.Freshness(); ok {
-				m.mu.Lock()
-				m.node.Feed.Renew(sequence, at)
-				m.mu.Unlock()
-			}
-			m.step(m.node.Tick)
+			m.step(func(now time.Duration) *dissemination.Output {
+				if _, sequence, at, ok := r.Freshness(); ok {
+					m.node.Feed.Renew(sequence, at)
+				}
+				return m.node.Tick(now)
+			})
 		}
 	}
 }
@@ -284,12 +286,19 @@
 func (m *machine) sendReplication(to string, nonce uint64, message replication.Encoded) {
 	from := replication.Replica{Address: m.address, Nonce: nonce}
 	m.stack.deliver(m.address, to, func(at *machine) {
-		if err := at.replica.Deliver(from, message); err != nil {
+		if err := at.current().Deliver(from, message); err != nil {
 			m.stack.fail("%s can't read a message: %v", to, err)
 		}
 	})
 }
 
+// current is the replica of the present process.
+func (m *machine) current() *replica.Replica {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.replica
+}
+
 func (m *machine) committed(c replica.Commit) {
 	var encoded []byte
 	if c.Order != nil {
@@ -332,6 +341,9 @@
 		time.Sleep(time.Second)
 		return answer{}
 	}
+	m.mu.Lock()
+	server := m.server
+	m.mu.Unlock()
 	got := make(chan answer, 1)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -341,7 +353,7 @@
 			request.Header.Set("X-Base-Version", base)
 		}
 		recorder := httptest.NewRecorder()
-		m.server.ServeHTTP(recorder, request)
+		server.ServeHTTP(recorder, request)
 		location := strings.TrimPrefix(recorder.Header().Get("Location"), "http://")
 		got <- answer{recorder.Code, strings.TrimSuffix(location, path), recorder.Body.String()}
 	}()
--- a/internal/fleet/front/standin_test.go
+++ b/internal/fleet/front/standin_test.go
@@ -132,19 +132,27 @@
 
 // core is a front's surroundings.
 type core struct {
-	table    *config.Table
-	age      time.Duration
+	table  *config.Table
+	age    time.Duration
+	refuse bool
+
+	mu       sync.Mutex
 	charged  float64
-	refuse   bool
 	restored float64
 }
 
 func (c *core) Table() (*config.Table, time.Duration) { return c.table, c.age }
 func (c *core) Charge(_ context.Context, _ *config.Tenant, units float64) (bool, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.charged += units
 	return !c.refuse, 1500 * time.Millisecond
 }
-func (c *core) Restore(_ *config.Tenant, units float64) { c.restored += units }
+func (c *core) Restore(_ *config.Tenant, units float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.restored += units
+}
 
 const configuration = `{"version":1,"routes":[
 	{"name":"u","host":"h","pathPrefix":"/u/","type":"unsafe","timeoutMs":2000,"service":"s","maxAttempts":2},
