Lease routers shares of each tenant's rate for the time without a ledger

Change: the ledger leases each router a share of each tenant's rate, by its use, for 4.5 s, renewed each 250 ms in small fleets; what may have been used since a renewal is taken for used until the router tells (quota/share.go, lease.go, router/shares.go). A new ledger takes leases over as they are announced, and holds back the rest for the life of a lease unless all that may hold some have announced. A ledger that follows another one soon begins with less.

Ruled out: reserves by question, as part of the credit: what quiet routers may have used would have taken most of a burst.

Four planted mistakes are found.

--- a/internal/fleet/quota/account.go
+++ b/internal/fleet/quota/account.go
@@ -37,6 +37,7 @@
 type Accounts struct {
 	settings Settings
 	accounts map[string]*account
+	lease    lease
 }
 
 type account struct {
@@ -47,6 +48,9 @@
 	steady float64 // units a second over quietMemory; at first as if the tenant were at its rate
 	at     time.Duration
 	floor  bucket
+
+	share float64 // of the rate, by the lease
+	spent float64 // units used of it, that no renewal which was answered has told of
 }
 
 // NewAccounts returns accounts without credit.
--- a/internal/fleet/quota/ledger.go
+++ b/internal/fleet/quota/ledger.go
@@ -32,27 +32,39 @@
 	settings Settings
 	view     uint64
 	since    time.Duration // when it began to act without a break
+	first    float64       // of the allowed excess, that buckets begin with
 	buckets  map[string]*bucket
+
+	announced map[string]bool // routers that have told what they hold of a former ledger's leases
+	complete  bool            // all that may hold some have
 }
 
 type bucket struct {
-	level float64
-	at    time.Duration
+	level   float64
+	at      time.Duration
+	holders map[string]*holder // by router
 }
 
+// firstView is the number of the first view that a primary leads: no ledger was before it.
+const firstView = 1
+
 // NewLedger returns a ledger that serves no view.
 func NewLedger(settings Settings) *Ledger {
-	return &Ledger{settings: settings, buckets: map[string]*bucket{}}
+	return &Ledger{settings: settings, buckets: map[string]*bucket{}, announced: map[string]bool{}}
 }
 
 // View is the view that the ledger acts for.
 func (l *Ledger) View() uint64 { return l.view }
 
-// Serve has the ledger act for a view. Buckets are kept where this router was the primary of the view before, too.
-func (l *Ledger) Serve(now time.Duration, view uint64, keep bool) {
+// Serve has the ledger act for a view. Buckets are kept where this router was the primary of the view before, too. calm is how
+// long the ledger before this one has acted: of one that follows others soon the buckets begin with less, so that ledgers
+// which follow one another within a window begin with little more than one does.
+func (l *Ledger) Serve(now time.Duration, view uint64, keep bool, calm time.Duration) {
 	if view != l.view && !keep {
 		l.buckets = map[string]*bucket{}
+		l.announced, l.complete = map[string]bool{}, view <= firstView
 		l.since = now
+		l.first = takeOver * min(1, calm.Seconds()/l.settings.Window.Seconds())
 	}
 	l.view = view
 }
@@ -60,35 +72,31 @@
 // Grant hands out up to want units, and nothing where least can't be had. wait is when least may be asked for again.
 func (l *Ledger) Grant(now time.Duration, t *config.Tenant, least, want float64) (granted float64, wait time.Duration) {
 	b := l.bucket(now, t)
-	if b.level < least {
+	available := b.level - b.outstanding(now, t) - l.unannounced(now, t, b)
+	if available < least {
 		if t.RatePerS <= 0 {
 			return 0, time.Second
 		}
-		return 0, time.Duration((least - b.level) / t.RatePerS * float64(time.Second))
+		return 0, time.Duration((least - available) / t.RatePerS * float64(time.Second))
 	}
-	granted = min(b.level, max(least, want))
+	granted = min(available, max(least, want))
 	b.level -= granted
 	return granted, 0
 }
 
-// Return takes back what was not used.
-func (l *Ledger) Return(now time.Duration, t *config.Tenant, units float64) {
-	b := l.bucket(now, t)
-	b.level = min(b.level+units, l.most(t))
-}
-
 func (l *Ledger) most(t *config.Tenant) float64 { return t.Burst + ledgerShare*l.settings.excess(t) }
 
 func (l *Ledger) bucket(now time.Duration, t *config.Tenant) *bucket {
 	b := l.buckets[t.Name]
 	if b == nil {
-		b = &bucket{level: takeOver * l.settings.excess(t), at: min(l.since, now)}
+		b = &bucket{level: l.first * l.settings.excess(t), at: min(l.since, now), holders: map[string]*holder{}}
 		l.buckets[t.Name] = b
 	}
 	if now > b.at {
-		b.level = min(b.level+t.RatePerS*(now-b.at).Seconds(), l.most(t))
+		b.level += t.RatePerS * (now - b.at).Seconds()
 		b.at = now
 	}
-	b.level = min(b.level, l.most(t))
+	b.bound(l.most(t))
+	b.expire(now, t)
 	return b
 }
--- /dev/null
+++ b/internal/fleet/quota/planted_test.go
@@ -0,0 +1,30 @@
+package quota
+
+import (
+	"testing"
+
+	"pinelb.example/pinelb/internal/lab/mutant"
+)
+
+// plantedMistakes each let more through than the bound.
+var plantedMistakes = map[string]mutant.Mistake{
+	"shares that are out are granted too": {File: "ledger.go", Edits: []mutant.Edit{
+		{Right: "b.level - b.outstanding(now, t) - l", Wrong: "b.level - l"}}},
+	"a new ledger knows of no leases of the former one": {File: "share.go", Edits: []mutant.Edit{
+		{Right: "if l.complete || now-l.since > LeaseLife {", Wrong: "if true {"},
+		{Right: "h.begin(max(l.since, now-LeaseLife), min(use.Share, max(0, 1-b.leased(h))))", Wrong: "h.begin(now, 0)"}}},
+	"a lease that ended unheard counts as unused": {File: "share.go", Edits: []mutant.Edit{
+		{Right: "h.lapsed, h.written = true, h.mostSpent(now, t)", Wrong: "h.lapsed, h.written = true, 0"}}},
+	"what was used of a share is not told": {File: "share.go", Edits: []mutant.Edit{
+		{Right: "h.told = told\n\th.counted += added\n\treturn added", Wrong: "h.told = told\n\th.counted += added\n\treturn 0"}}},
+}
+
+// Guards against a test of the bound that would find nothing whatever is wrong.
+func TestBoundFindsPlantedMistakes(t *testing.T) {
+	for name, mistake := range plantedMistakes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			mutant.ExpectFound(t, mistake, "^TestLeasesStayWithinTheBound$", "in a window", "-lease-seeds", "200")
+		})
+	}
+}
--- a/internal/fleet/quota/quota_test.go
+++ b/internal/fleet/quota/quota_test.go
@@ -57,7 +57,7 @@
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 3))
 		t := tenant()
 		ledger := NewLedger(settings)
-		ledger.Serve(0, 1, false)
+		ledger.Serve(0, 1, false, settings.Window)
 		routers := make([]*Accounts, 12)
 		for i := range routers {
 			routers[i] = NewAccounts(settings)
@@ -71,7 +71,7 @@
 			if now >= spell+burst {
 				spell = now + time.Duration(r.IntN(12000))*time.Millisecond
 				ledger = NewLedger(settings)
-				ledger.Serve(now, uint64(now), false)
+				ledger.Serve(now, uint64(now), false, settings.Window)
 			}
 			if idle := now < spell && r.IntN(10) > 0; idle {
 				continue
@@ -93,7 +93,7 @@
 	Convey("A ledger", t, func() {
 		t := tenant()
 		ledger := NewLedger(settings)
-		ledger.Serve(0, 1, false)
+		ledger.Serve(0, 1, false, settings.Window)
 		Convey("grants a tenant its rate in the long run", func() {
 			granted := 0.0
 			for now := time.Duration(0); now < 20*time.Second; now += 10 * time.Millisecond {
@@ -127,7 +127,7 @@
 			for granted := 1.0; granted > 0; {
 				granted, _ = ledger.Grant(time.Second, t, 10000, 10000)
 			}
-			ledger.Serve(time.Second, 2, true)
+			ledger.Serve(time.Second, 2, true, settings.Window)
 			granted, _ := ledger.Grant(time.Second, t, 10000, 10000)
 			So(granted, ShouldEqual, 0)
 		})
@@ -206,7 +206,7 @@
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 5))
 		t := &config.Tenant{Name: "t", RatePerS: 600000, Burst: 600000, Unit: config.UnitTokens}
 		ledger := NewLedger(settings)
-		ledger.Serve(0, 1, false)
+		ledger.Serve(0, 1, false, settings.Window)
 		routers := make([]*Accounts, 91)
 		for i := range routers {
 			routers[i] = NewAccounts(settings)
@@ -219,7 +219,7 @@
 		for now := time.Duration(0); now < 24*time.Second; now += 5 * time.Millisecond {
 			if now >= back && ledger.View() == 1 {
 				ledger = NewLedger(settings)
-				ledger.Serve(now, 2, false)
+				ledger.Serve(now, 2, false, settings.Window)
 			}
 			a, units := routers[r.IntN(len(routers))], float64(500+r.IntN(24000)) // four times the rate
 			if now < busy && r.IntN(30) > 0 {
@@ -246,7 +246,7 @@
 		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 6))
 		t := &config.Tenant{Name: "t", RatePerS: 600000, Burst: 600000, Unit: config.UnitTokens}
 		ledger := NewLedger(settings)
-		ledger.Serve(0, 1, false)
+		ledger.Serve(0, 1, false, settings.Window)
 		routers := make([]*Accounts, 91)
 		for i := range routers {
 			routers[i] = NewAccounts(settings)
--- /dev/null
+++ b/internal/fleet/quota/share_test.go
@@ -0,0 +1,222 @@
+package quota
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pinelb.example/pinelb/internal/fleet/config"
+)
+
+// leasedFleet is a ledger and routers that renew their leases with it, over ways that are cut at times.
+type leasedFleet struct {
+	now     time.Duration
+	view    uint64
+	began   time.Duration // the ledger
+	ledger  *Ledger       // nil: there is none
+	routers []*Accounts
+	next    []time.Duration // when each renews
+	cut     []time.Duration // until when each reaches no ledger
+	deaf    []time.Duration // until when the answers to each are lost
+	random  *rand.Rand
+}
+
+func newLeasedFleet(routers int, seed uint64) *leasedFleet {
+	f := &leasedFleet{
+		view: 1, random: rand.New(rand.NewPCG(seed, 8)), next: make([]time.Duration, routers),
+		cut: make([]time.Duration, routers), deaf: make([]time.Duration, routers),
+	}
+	for i := range routers {
+		a := NewAccounts(settings)
+		a.SetContact(uint64(i+1) << 32)
+		f.routers = append(f.routers, a)
+	}
+	f.ledger = NewLedger(settings)
+	f.ledger.Serve(0, 1, false, settings.Window)
+	return f
+}
+
+func (f *leasedFleet) name(i int) string { return fmt.Sprint("router-", i) }
+
+// renew has routers renew whose time has come.
+func (f *leasedFleet) renew(t *config.Tenant) {
+	for i, a := range f.routers {
+		if f.now < f.next[i] {
+			continue
+		}
+		f.next[i] = f.now + RenewEvery(len(f.routers))
+		r := a.Renew(f.now)
+		if f.ledger == nil || f.now < f.cut[i] {
+			continue
+		}
+		shares := map[string]float64{}
+		if use, told := r.Uses[t.Name]; told {
+			shares[t.Name] = f.ledger.Renew(f.now, t, f.name(i), r.Contact, len(f.routers), use)
+		}
+		f.ledger.Announced(f.name(i))
+		if f.now >= f.deaf[i] {
+			a.Renewed(r, shares)
+		}
+	}
+}
+
+// use has a request come to a router, and tells whether it may run.
+func (f *leasedFleet) use(i int, t *config.Tenant, units float64) bool {
+	a := f.routers[i]
+	reached := f.ledger
+	if f.now < f.cut[i] || f.now < f.deaf[i] {
+		reached = nil
+	}
+	if charge(f.now, a, reached, t, units) {
+		return true
+	}
+	if reached != nil {
+		return false
+	}
+	if ok, wait := a.TakeShare(f.now, t, units); ok || wait > 0 {
+		return ok
+	}
+	return a.TakeFloorAfterLease(f.now, t, units, len(f.routers), f.random.Float64())
+}
+
+// lose ends the ledger; another one begins later.
+func (f *leasedFleet) lose() { f.ledger = nil }
+
+func (f *leasedFleet) begin() {
+	f.view++
+	f.ledger = NewLedger(settings)
+	f.ledger.Serve(f.now, f.view, false, f.now-f.began)
+	f.began = f.now
+}
+
+// leaseSeeds is how many seeds of each size TestLeasesStayWithinTheBound plays.
+var leaseSeeds = flag.Int("lease-seeds", 60, "seeds of each size that TestLeasesStayWithinTheBound plays")
+
+// Guards against use beyond the rule's bound over leases, whoever is cut off, whatever answers are lost, and however often the
+// ledger is lost.
+func TestLeasesStayWithinTheBound(t *testing.T) {
+	for _, routers := range []int{3, 12, 90} {
+		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
+			t.Parallel()
+			for seed := range *leaseSeeds {
+				f, t1 := newLeasedFleet(routers, uint64(seed)), tenant()
+				t1.RatePerS, t1.Burst = 400000, 400000
+				bound := (t1.RatePerS*8+t1.Burst)*(1+settings.Over) + settings.Slack
+				if most := mostInWindow(f.play(t1, 40*time.Second), settings.Window); most > bound {
+					t.Fatalf("seed %d: %.0f in a window, %.0f are allowed", seed, most, bound)
+				}
+			}
+		})
+	}
+}
+
+// play has up to five times the rate come, unevenly over the routers, in the midst of disturbances.
+func (f *leasedFleet) play(t *config.Tenant, span time.Duration) []use {
+	var uses []use
+	event, back, busy := time.Duration(0), time.Duration(0), time.Duration(0)
+	for f.now < span {
+		f.now += 5 * time.Millisecond
+		if f.now >= event {
+			event = f.now + time.Duration(f.random.IntN(4000))*time.Millisecond
+			f.disturb(&back, &busy)
+		}
+		if f.ledger == nil && f.now >= back {
+			f.begin()
+		}
+		f.renew(t)
+		if f.now < busy && f.random.IntN(10) > 0 {
+			continue
+		}
+		for range 3 {
+			i := min(f.random.IntN(len(f.routers)), f.random.IntN(len(f.routers)))
+			if units := float64(500 + f.random.IntN(6000)); f.use(i, t, units) {
+				uses = append(uses, use{f.now, units})
+			}
+		}
+	}
+	return uses
+}
+
+// disturb cuts routers off, loses answers, ends the ledger, or has the tenant rest.
+func (f *leasedFleet) disturb(back, busy *time.Duration) {
+	span := time.Duration(f.random.IntN(9000)) * time.Millisecond
+	switch f.random.IntN(5) {
+	case 0:
+		f.lose()
+		*back = f.now + time.Duration(200+f.random.IntN(4000))*time.Millisecond
+	case 1, 2:
+		for i := range f.routers {
+			if f.random.IntN(3) == 0 {
+				f.cut[i] = f.now + span
+			}
+		}
+	case 3:
+		for i := range f.routers {
+			if f.random.IntN(3) == 0 {
+				f.deaf[i] = f.now + span
+			}
+		}
+	case 4:
+		*busy = f.now + span/2
+	}
+}
+
+// served is the share of what comes that is let through over a time, with a tenant at three quarters of its rate.
+func (f *leasedFleet) served(t *config.Tenant, span time.Duration) float64 {
+	came, passed := 0.0, 0.0
+	for end := f.now + span; f.now < end; {
+		f.now += 10 * time.Millisecond
+		f.renew(t)
+		units := 0.75 * t.RatePerS / 100
+		came += units
+		if f.use(f.random.IntN(len(f.routers)), t, units) {
+			passed += units
+		}
+	}
+	return passed / came
+}
+
+func TestLeases(t *testing.T) {
+	Convey("Twelve routers of a tenant at three quarters of its rate", t, func() {
+		f, t := newLeasedFleet(12, 5), tenant()
+		So(f.served(t, 10*time.Second), ShouldBeGreaterThan, 0.97) // it begins with a small part of the burst
+		Convey("are let through for as long as leases last without a ledger", func() {
+			f.lose()
+			So(f.served(t, 4*time.Second), ShouldBeGreaterThan, 0.85)
+			Convey("and by the next one, which they announce their leases to", func() {
+				f.begin()
+				f.served(t, 500*time.Millisecond)
+				So(f.served(t, 5*time.Second), ShouldBeGreaterThan, 0.9)
+			})
+		})
+		Convey("are not let through without a ledger when leases have ended", func() {
+			f.lose()
+			f.served(t, LeaseLife)
+			So(f.served(t, time.Second), ShouldBeLessThan, 0.4) // the floor, and what it allows at once
+		})
+		Convey("serve on where four are cut off, within their leases", func() {
+			for i := range 4 {
+				f.cut[i] = f.now + time.Hour
+			}
+			So(f.served(t, 4*time.Second), ShouldBeGreaterThan, 0.85)
+		})
+		Convey("have a new ledger grant at once when all have started again and hold nothing", func() {
+			f.begin()
+			for i := range f.routers {
+				f.routers[i] = NewAccounts(settings)
+				f.routers[i].SetContact(uint64(i+100) << 32)
+				f.ledger.Announced(f.name(i))
+			}
+			var all []string
+			for i := range f.routers {
+				all = append(all, f.name(i))
+			}
+			f.ledger.Expect(all)
+			So(f.served(t, 5*time.Second), ShouldBeGreaterThan, 0.9)
+		})
+	})
+}
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -30,6 +30,8 @@
 	kindQuotaGrant
 	kindAnnounce // to all routers
 	kindRelay    // to one router, which tells all
+	kindQuotaRenew
+	kindQuotaRenewed
 )
 
 const (
@@ -75,6 +77,10 @@
 		err = r.receiveQuotaAsk(p)
 	case kindQuotaGrant:
 		err = r.quota.receiveGrant(p)
+	case kindQuotaRenew:
+		err = r.receiveQuotaRenew(p)
+	case kindQuotaRenewed:
+		err = r.quota.receiveRenewed(p)
 	}
 	if err != nil {
 		r.transport.Counters.Dropped.Add(1)
@@ -175,7 +181,10 @@
 	r.dispatcher.SetRouters(r.node.Members.Count())
 	live := r.node.Members.Live()
 	cores := r.node.Members.LiveCores()
+	view, primary := r.node.Primary()
+	routers := r.node.Members.Count()
 	r.mu.Unlock()
+	r.quota.tick(r.clock(), view, primary, routers)
 	r.relay.setPeers(live, cores)
 	r.tickHints()
 }
@@ -260,10 +269,12 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.node.SetView(view.Number, view.Primary.Address)
+		r.ledgerChanged(view.Primary.Address)
 		return
 	}
 	r.withNode(func(now time.Duration) *dissemination.Output {
-		r.ledger.Serve(now, view.Number, r.ledger.View()+1 == view.Number)
+		calm := r.ledgerChanged(view.Primary.Address)
+		r.ledger.Serve(now, view.Number, r.ledger.View()+1 == view.Number, calm)
 		return r.node.Lead(now, view.Number)
 	})
 }
--- a/internal/fleet/router/quota.go
+++ b/internal/fleet/router/quota.go
@@ -21,7 +21,7 @@
 	askTries     = 3
 	// ledgerConfirm is the age of the primary's confirmation beyond which its ledger does not act: less than the silence
 	// after which witnesses take part in the election of another primary, so that two ledgers never act at once.
-	ledgerConfirm = 600 * time.Millisecond
+	ledgerConfirm = 500 * time.Millisecond
 	floorComeBack = 500 * time.Millisecond
 	leastComeBack = 20 * time.Millisecond
 )
@@ -53,14 +53,21 @@
 
 	isWithout bool          // the ledger did not answer the last question
 	without   time.Duration // since when
+
+	renewal   quota.Renewal // the last one that was sent
+	renewed   uint64        // its number
+	nextRenew time.Duration
+	view      uint64 // of the primary that it was sent to
 }
 
 func newQuotaClient(r *Router, s quota.Settings) *quotaClient {
-	return &quotaClient{router: r, accounts: quota.NewAccounts(s), open: map[uint64]chan quotaGrant{}, number: rand.Uint64()}
+	c := &quotaClient{router: r, accounts: quota.NewAccounts(s), open: map[uint64]chan quotaGrant{}, number: rand.Uint64()}
+	c.accounts.SetContact(rand.Uint64() >> 1)
+	return c
 }
 
 // charge takes units out of a tenant's quota: out of credit, else of what the ledger grants, else, where the ledger can't
-// be reached, of the floor.
+// be reached, of the leased share, else of the floor.
 func (c *quotaClient) charge(ctx context.Context, t *config.Tenant, units float64) (bool, time.Duration) {
 	if !quota.Limited(t) {
 		return true, 0
@@ -68,6 +75,9 @@
 	now := c.router.clock()
 	c.mu.Lock()
 	ok, ask := c.accounts.Take(now, t, units)
+	if !ok && c.isWithout {
+		ok, _ = c.accounts.TakeShare(now, t, units)
+	}
 	c.mu.Unlock()
 	if ok {
 		return true, 0
@@ -76,10 +86,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !answered {
-		if !c.isWithout {
-			c.isWithout, c.without = true, now
-		}
-		return c.accounts.TakeFloor(c.router.clock(), t, units, c.router.count(), now-c.without, rand.Float64()), floorComeBack
+		return c.chargeWithout(now, t, units)
 	}
 	c.isWithout = false
 	if grant.Granted < units {
@@ -89,6 +96,21 @@
 	return true, 0
 }
 
+// chargeWithout takes units out of a quota where the ledger did not answer. The caller holds the lock.
+func (c *quotaClient) chargeWithout(asked time.Duration, t *config.Tenant, units float64) (bool, time.Duration) {
+	if !c.isWithout {
+		c.isWithout, c.without = true, asked
+	}
+	now := c.router.clock()
+	if ok, wait := c.accounts.TakeShare(now, t, units); ok || wait > 0 {
+		return ok, wait
+	}
+	if c.accounts.HasLease() {
+		return c.accounts.TakeFloorAfterLease(now, t, units, c.router.count(), rand.Float64()), floorComeBack
+	}
+	return c.accounts.TakeFloor(now, t, units, c.router.count(), asked-c.without, rand.Float64()), floorComeBack
+}
+
 func (c *quotaClient) restore(t *config.Tenant, units float64) {
 	if !quota.Limited(t) {
 		return
@@ -206,19 +228,11 @@
 
 // grantHere has this router's ledger grant credit; false where it is not the primary, or not sure to be.
 func (r *Router) grantHere(name string, least, want float64) (quotaGrant, bool) {
-	if r.replica == nil || r.ending.Load() { // one that ends has resigned
-		return quotaGrant{}, false
-	}
-	now := r.clock()
-	confirmed, leading := r.replica.Confirmed()
-	if !leading || now-confirmed > ledgerConfirm {
-		return quotaGrant{}, false
-	}
-	table, _ := r.Table()
+	table := r.ledgerTable()
 	if table == nil {
 		return quotaGrant{}, false
 	}
-	t := table.TenantNamed(name)
+	now, t := r.clock(), table.TenantNamed(name)
 	if t == nil {
 		return quotaGrant{}, false
 	}
@@ -228,6 +242,19 @@
 	return quotaGrant{Granted: granted, WaitMs: uint64(wait / time.Millisecond)}, true
 }
 
+// ledgerTable is the configuration by which this router's ledger acts; nil: it does not act.
+func (r *Router) ledgerTable() *config.Table {
+	if r.replica == nil || r.ending.Load() { // one that ends has resigned
+		return nil
+	}
+	confirmed, leading := r.replica.Confirmed()
+	if !leading || r.clock()-confirmed > ledgerConfirm {
+		return nil
+	}
+	table, _ := r.Table()
+	return table
+}
+
 func (r *Router) primary() string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -61,6 +61,8 @@
 	fetchTime       time.Duration // that the next fetch may take
 	ledger          *quota.Ledger
 	granted         grantedAnswers
+	ledgerOf        string        // the router whose ledger acts
+	ledgerSince     time.Duration // when it began to
 
 	config atomic.Pointer[configInForce]
 	ending atomic.Bool
--- /dev/null
+++ b/internal/fleet/router/shares.go
@@ -0,0 +1,144 @@
+package router
+
+import (
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pinelb.example/pinelb/internal/fleet/config"
+	"pinelb.example/pinelb/internal/fleet/membership"
+	"pinelb.example/pinelb/internal/fleet/quota"
+	"pinelb.example/pinelb/internal/fleet/transport"
+)
+
+// quotaUse is a quota.Use as it travels.
+type quotaUse struct {
+	PerS  float64 `cbor:"1,keyasint,omitempty"`
+	Share float64 `cbor:"2,keyasint,omitempty"`
+	Spent float64 `cbor:"3,keyasint,omitempty"`
+}
+
+// quotaRenew renews a router's lease of shares, of all tenants that it has had requests of lately.
+type quotaRenew struct {
+	Number  uint64              `cbor:"1,keyasint"`
+	Contact uint64              `cbor:"2,keyasint"`
+	Uses    map[string]quotaUse `cbor:"3,keyasint,omitempty"`
+}
+
+// quotaRenewed answers quotaRenew.
+type quotaRenewed struct {
+	Number uint64             `cbor:"1,keyasint"`
+	Shares map[string]float64 `cbor:"2,keyasint,omitempty"`
+}
+
+// tick renews the lease where it is time to, and at once with a new primary, which does not know it.
+func (c *quotaClient) tick(now time.Duration, view uint64, primary string, routers int) {
+	c.mu.Lock()
+	if primary == "" || now < c.nextRenew && view == c.view {
+		c.mu.Unlock()
+		return
+	}
+	c.nextRenew, c.view = now+quota.RenewEvery(routers), view
+	c.renewal = c.accounts.Renew(now)
+	c.renewed++
+	message := quotaRenew{Number: c.renewed, Contact: c.renewal.Contact, Uses: map[string]quotaUse{}}
+	for name, use := range c.renewal.Uses {
+		message.Uses[name] = quotaUse(use)
+	}
+	c.mu.Unlock()
+	if primary != c.router.settings.Internal() {
+		c.router.transport.Send(primary, kindQuotaRenew, 0, message)
+		return
+	}
+	if answer, acts := c.router.renewHere(primary, &message); acts {
+		c.takeRenewed(answer)
+	}
+}
+
+// receiveRenewed takes the primary's answer over.
+func (c *quotaClient) receiveRenewed(p *transport.Packet) error {
+	var answer quotaRenewed
+	if err := cbor.Unmarshal(p.Body, &answer); err != nil {
+		return err
+	}
+	c.takeRenewed(answer)
+	return nil
+}
+
+func (c *quotaClient) takeRenewed(answer quotaRenewed) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if answer.Number != c.renewed {
+		return // of an earlier renewal, or of a process before this one
+	}
+	c.accounts.Renewed(c.renewal, answer.Shares)
+	c.isWithout = false
+}
+
+// receiveQuotaRenew answers a router's renewal, if this one keeps the ledger.
+func (r *Router) receiveQuotaRenew(p *transport.Packet) error {
+	var renew quotaRenew
+	if err := cbor.Unmarshal(p.Body, &renew); err != nil {
+		return err
+	}
+	if answer, acts := r.renewHere(p.From, &renew); acts {
+		r.transport.Send(p.From, kindQuotaRenewed, 0, answer)
+	}
+	return nil
+}
+
+// renewHere has this router's ledger renew a lease; false where it does not act.
+func (r *Router) renewHere(from string, renew *quotaRenew) (quotaRenewed, bool) {
+	table := r.ledgerTable()
+	if table == nil {
+		return quotaRenewed{}, false
+	}
+	answer := quotaRenewed{Number: renew.Number, Shares: map[string]float64{}}
+	now := r.clock()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	routers := r.node.Members.Count()
+	for name, use := range renew.Uses {
+		if t := limitedTenant(table, name); t != nil {
+			answer.Shares[name] = r.ledger.Renew(now, t, from, renew.Contact, routers, quota.Use(use))
+		}
+	}
+	r.ledger.Announced(from)
+	r.ledger.Expect(r.mayHoldShares())
+	return answer, true
+}
+
+// ledgerChanged notes whose ledger acts from now on, and returns how long the one before has. The caller holds the lock.
+func (r *Router) ledgerChanged(primary string) (calm time.Duration) {
+	if primary == r.ledgerOf {
+		return 0
+	}
+	now := r.clock()
+	calm = quotaSettings(r.settings).Window // of the first one that this process knows
+	if r.ledgerOf != "" {
+		calm = now - r.ledgerSince
+	}
+	r.ledgerOf, r.ledgerSince = primary, now
+	return calm
+}
+
+func limitedTenant(table *config.Table, name string) *config.Tenant {
+	if t := table.TenantNamed(name); t != nil && quota.Limited(t) {
+		return t
+	}
+	return nil
+}
+
+// mayHoldShares are the routers that may hold shares of a former ledger: those that live, and those that were lost so lately
+// that they may be cut off instead. The caller holds the lock.
+func (r *Router) mayHoldShares() []string {
+	recently := quota.LeaseLife + membership.DefaultTiming().Silence
+	var all []string
+	for _, m := range r.node.Members.All() {
+		ended, isOver := r.node.Members.EndedAt(m.Address)
+		if !isOver || r.clock()-ended < recently {
+			all = append(all, m.Address)
+		}
+	}
+	return all
+}
