--- a/internal/fleet/quota/planted_test.go
+++ b/internal/fleet/quota/planted_test.go
@@ -11,8 +11,9 @@
 	"shares that are out are granted too": {File: "ledger.go", Edits: []mutant.Edit{
 		{Right: "b.level - b.outstanding(now, t) - l", Wrong: "b.level - l"}}},
 	"a new ledger knows of no leases of the former one": {File: "share.go", Edits: []mutant.Edit{
-		{Right: "if l.complete || now-l.since > LeaseLife {", Wrong: "if true {"},
-		{Right: "h.begin(max(l.since, now-LeaseLife), min(use.Share, max(0, 1-b.leased(h))))", Wrong: "h.begin(now, 0)"}}},
+		{Right: "return !l.complete && now-l.since <= LeaseLife", Wrong: "return false"}}},
+	"what is given back may flow over": {File: "share.go", Edits: []mutant.Edit{
+		{Right: "kept := max(0, h.written-max(0, over))", Wrong: "kept := h.written"}}},
 	"a lease that ended unheard counts as unused": {File: "share.go", Edits: []mutant.Edit{
 		{Right: "h.lapsed, h.written = true, h.mostSpent(now, t)", Wrong: "h.lapsed, h.written = true, 0"}}},
 	"what was used of a share is not told": {File: "share.go", Edits: []mutant.Edit{
