Give a client that ends its sending no success, and no answer that looks whole

Cause: net/http ends a request's context when the client closes its connection or only its sending; the front then returned without a word, and net/http wrote '200 OK' with an empty body, or the end of a chunked answer that had broken off.

Change: such a request is answered 502 where nothing was passed on, and its connection is cut where something was.

Before: TestHalfClosedClient got 200, and a cut stream that read as whole. After: 502, and an error.

--- a/internal/fleet/front/forward.go
+++ b/internal/fleet/front/forward.go
@@ -64,6 +64,7 @@
 			s.durations.observe(q.route.Name, time.Since(q.arrived))
 			return
 		case clientGone:
+			s.leave(answer)
 			return
 		case cutOff:
 			s.giveUp(answer, arrived, ctx)
@@ -83,6 +84,15 @@
 	}
 }
 
+// leave ends a request whose client has closed its connection, or its sending. It may still read: what it gets is no success
+// and does not look whole.
+func (s *Server) leave(a *answer) {
+	if a.begun {
+		panic(http.ErrAbortHandler)
+	}
+	s.fail(a.writer, http.StatusBadGateway)
+}
+
 // giveUp answers a request for which nothing more can be done.
 func (s *Server) giveUp(a *answer, arrived int, ctx context.Context) {
 	q := a.request
