--- /dev/null
+++ b/internal/fleet/dissemination/pull.go
@@ -0,0 +1,142 @@
+package dissemination
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"pinelb.example/pinelb/internal/fleet/membership"
+)
+
+// How what a push missed is found: by comparing digests with one router after another.
+
+// PullEvery is the time between a router's pulls, once its configuration has been confirmed.
+const PullEvery = 500 * time.Millisecond
+
+// firstPullEvery is the time between a router's pulls until then, in a small fleet. In a larger one it grows with the
+// fleet up to PullEvery, so that the core can answer all of a fleet that starts at once.
+const firstPullEvery = 60 * time.Millisecond
+
+const (
+	answerMost   = 70 // members, and endpoints, with which a pull is answered: the next pulls find the others
+	roundsKept   = 8  // questions that may still be answered
+	strangerOdds = 8  // one in so many pulls goes to a router that is thought dead, or a seed: partitions heal so
+)
+
+// question is a pull that may still be answered.
+type question struct {
+	to string
+	at time.Duration
+}
+
+func (n *Node) pullInterval() time.Duration {
+	if _, fresh := n.Feed.FreshAt(); !fresh {
+		return min(PullEvery, firstPullEvery*time.Duration(max(1, n.Members.Count()/directMost)))
+	}
+	return PullEvery*9/10 + time.Duration(n.options.Random.Int64N(int64(PullEvery/5)))
+}
+
+func (n *Node) lives(address string) bool {
+	m, known := n.Members.Lookup(address)
+	return known && m.Status == membership.Alive
+}
+
+// mayHear tells of a router whether it may still hear its endpoints: it lives, or ended less than a silence ago, so that
+// they have had no time to find another one.
+func (n *Node) mayHear(silence time.Duration) func(address string) bool {
+	return func(address string) bool {
+		ended, known := n.Members.EndedAt(address)
+		return n.lives(address) || known && n.now-ended < silence
+	}
+}
+
+// pull asks one router for news: in turn one of the core, where the configuration is freshest, and any.
+func (n *Node) pull() {
+	to := n.choosePeer()
+	if to == "" {
+		return
+	}
+	n.round++
+	n.asked[n.round] = question{to: to, at: n.now}
+	delete(n.asked, n.round-roundsKept)
+	n.send(to, Pull{
+		Self: n.Members.Self(), Round: n.round, Sequence: n.Feed.Sequence, Members: n.Members.Digests(),
+		Endpoints: n.Registry.Digests(n.round),
+	})
+}
+
+func (n *Node) choosePeer() string {
+	live := n.Members.Live()
+	if len(live) == 0 || n.options.Random.IntN(strangerOdds) == 0 {
+		if stranger := n.pick(n.strangers()); stranger != "" {
+			return stranger
+		}
+	}
+	if n.round%2 == 0 {
+		cores := slices.DeleteFunc(n.Members.Cores(), func(a string) bool { return !n.lives(a) })
+		if core := n.pick(cores); core != "" {
+			return core
+		}
+	}
+	return n.pick(live)
+}
+
+// strangers are routers that may live though this one does not know it.
+func (n *Node) strangers() []string {
+	var all []string
+	for _, seed := range n.seeds {
+		if seed != n.options.Self.Address && !n.lives(seed) {
+			all = append(all, seed)
+		}
+	}
+	for _, m := range n.Members.All() {
+		if m.Status == membership.Dead {
+			all = append(all, m.Address)
+		}
+	}
+	return all
+}
+
+func (n *Node) pick(addresses []string) string {
+	if len(addresses) == 0 {
+		return ""
+	}
+	return addresses[n.options.Random.IntN(len(addresses))]
+}
+
+func (n *Node) onPull(from string, message Pull) {
+	if message.Self.Address == from {
+		n.spreadMembers(n.Members.Merge(n.now, []membership.Member{message.Self}), 0)
+	}
+	answer := Answer{Round: message.Round, Sequence: n.Feed.Sequence, View: n.view, Primary: n.primary}
+	answer.AgeMs, answer.Fresh = n.Feed.ageMs(n.now)
+	n.send(from, answer)
+	n.sendMembers(from, portion(n.options.Random, n.Members.Differing(message.Members)), hopsMost)
+	n.sendEndpoints(from, portion(n.options.Random, n.Registry.Differing(message.Endpoints)), hopsMost)
+}
+
+// portion is what one answer holds of a list: all of it, or a part that begins anywhere.
+func portion[T any](random *rand.Rand, list []T) []T {
+	if len(list) <= answerMost {
+		return list
+	}
+	from := random.IntN(len(list))
+	return slices.Concat(list[from:], list[:from])[:answerMost]
+}
+
+// onAnswer renews the lease. Its age counts from when the question was sent, so that an answer that was held up on its
+// way never looks fresher than it is.
+func (n *Node) onAnswer(from string, message Answer) {
+	n.SetView(message.View, message.Primary)
+	asked, known := n.asked[message.Round]
+	if !known || asked.to != from {
+		return
+	}
+	delete(n.asked, message.Round)
+	if n.Feed.Table == nil || message.Sequence > n.Feed.Sequence {
+		n.out.Fetch = from
+	}
+	if message.Fresh {
+		n.Feed.Renew(message.Sequence, asked.at-time.Duration(message.AgeMs)*time.Millisecond)
+	}
+}
