--- a/internal/lab/variants/variants.go
+++ b/internal/lab/variants/variants.go
@@ -26,6 +26,11 @@
 	"four-cores":  fourCores,
 	"two-regions": twoRegions,
 	"one-disk":    oneDisk,
+	"two-disks":   twoDisks,
+	"four-disks":  fourDisks,
+	"five-disks":  fiveDisks,
+	"zone-lost":   zoneLost,
+	"region-lost": regionLost,
 	"one-zone":    oneZone,
 }
 
@@ -77,6 +82,41 @@
 	}
 }
 
+// setDisks has so many machines with disks, spread evenly over the zones, of which so many may be lost.
+func (s site) setDisks(zones []string, disks, tolerated int) {
+	var machines []machine
+	for i, zone := range zones {
+		rows := usual(zone)
+		rows[0].count = (disks + len(zones) - 1 - i) / len(zones)
+		rows[1].count = 4 - rows[0].count
+		if rows[0].count == 0 {
+			rows = rows[1:]
+		}
+		machines = append(machines, rows...)
+	}
+	s.setMachines(machines)
+	s.set("tolerate", "machines", tolerated)
+}
+
+func twoDisks(s site, zones []string)  { s.setDisks(zones, 2, 0) }
+func fourDisks(s site, zones []string) { s.setDisks(zones, 4, 1) }
+func fiveDisks(s site, zones []string) { s.setDisks(zones, 5, 2) }
+
+// zoneLost: any one zone may be lost, and no machine beside.
+func zoneLost(s site, zones []string) {
+	s.setDisks(zones, len(zones), 0)
+	s.set("tolerate", "zones", 1)
+}
+
+// regionLost: each zone is a region of its own, of which any one may be lost.
+func regionLost(s site, zones []string) {
+	s.setDisks(zones, len(zones), 0)
+	s.set("tolerate", "regions", 1)
+	for _, zone := range s.tables("zones") {
+		zone["region"] = fmt.Sprint("region-", zone["name"])
+	}
+}
+
 func sixDisks(s site, zones []string) {
 	var machines []machine
 	for _, zone := range zones {
