Reach the ledger by way of another router, and begin a full restart's ledger with its part

Change: questions to the ledger and renewals go by way of another router where the way to the primary is silent (one hop). The first ledger that a process hears of counts as long ago. A witness promises to nobody else for 0.63 s after a sign of the primary (0.525 before): longer than the 0.6 s for which a ledger acts after its last confirmation.

--- a/internal/fleet/quota/lease.go
+++ b/internal/fleet/quota/lease.go
@@ -63,6 +63,9 @@
 	}
 }
 
+// Answered tells whether the last renewal was answered.
+func (a *Accounts) Answered() bool { return a.lease.answered }
+
 // HasLease tells whether a renewal was ever answered.
 func (a *Accounts) HasLease() bool { return a.lease.until > 0 }
 
--- a/internal/fleet/quota/ledger.go
+++ b/internal/fleet/quota/ledger.go
@@ -18,8 +18,8 @@
 
 // What of the allowed excess is used where.
 const (
-	ledgerShare = 0.7  // by the ledger's buckets, beyond a tenant's burst
-	takeOver    = 0.15 // that a ledger begins with: the one before may have handed out its burst just now
+	ledgerShare = 0.65 // by the ledger's buckets, beyond a tenant's burst
+	takeOver    = 0.25 // that a ledger begins with: the one before may have handed out its burst just now
 )
 
 // excess is what a tenant may use in a window beyond its rate and burst.
--- a/internal/fleet/replication/witness.go
+++ b/internal/fleet/replication/witness.go
@@ -5,7 +5,7 @@
 // What a replica does as a witness and as a member of another replica's view.
 
 // stickiness is how long after a sign of life of the primary a witness promises to nobody else.
-func (m *Machine) stickiness() time.Duration { return m.options.Timing.Election * 3 / 4 }
+func (m *Machine) stickiness() time.Duration { return m.options.Timing.Election * 9 / 10 }
 
 func (m *Machine) onHeartbeat(from Replica, message Heartbeat) {
 	if !m.learn(message.View) {
--- a/internal/fleet/router/quota.go
+++ b/internal/fleet/router/quota.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -21,7 +22,7 @@
 	askTries     = 3
 	// ledgerConfirm is the age of the primary's confirmation beyond which its ledger does not act: less than the silence
 	// after which witnesses take part in the election of another primary, so that two ledgers never act at once.
-	ledgerConfirm = 500 * time.Millisecond
+	ledgerConfirm = 600 * time.Millisecond
 	floorComeBack = 500 * time.Millisecond
 	leastComeBack = 20 * time.Millisecond
 )
@@ -32,13 +33,15 @@
 	Tenant string  `cbor:"2,keyasint"`
 	Least  float64 `cbor:"3,keyasint"`
 	Want   float64 `cbor:"4,keyasint"`
+	Origin string  `cbor:"5,keyasint,omitempty"` // the router that asks, where another one is to hand the question on
 }
 
 // quotaGrant answers quotaAsk.
 type quotaGrant struct {
 	Number  uint64  `cbor:"1,keyasint"`
 	Granted float64 `cbor:"2,keyasint"`
-	WaitMs  uint64  `cbor:"3,keyasint"` // with nothing granted: when to ask again
+	WaitMs  uint64  `cbor:"3,keyasint"`           // with nothing granted: when to ask again
+	Origin  string  `cbor:"4,keyasint,omitempty"` // the router that asked, where another one is to hand the answer on
 }
 
 // quotaClient is a router's side of the quotas.
@@ -51,6 +54,7 @@
 	open     map[uint64]chan quotaGrant
 	usual    time.Duration // that an answer takes; 0: none has come
 
+	viaPeer   bool          // the last answer came by another router: the way to the primary may be cut
 	isWithout bool          // the ledger did not answer the last question
 	without   time.Duration // since when
 
@@ -125,15 +129,20 @@
 	answers := make(chan quotaGrant, askTries)
 	number := c.register(answers)
 	defer c.forget(number)
-	for range askTries {
+	message := quotaAsk{Number: number, Tenant: t.Name, Least: least, Want: want}
+	for try := range askTries {
 		if grant, answered := c.router.grantHere(t.Name, least, want); answered {
 			return grant, true
 		}
-		primary := c.router.primary()
-		if primary == "" || primary == c.router.settings.Internal() {
+		to := c.router.primary()
+		if to == "" || to == c.router.settings.Internal() {
 			return quotaGrant{}, false
 		}
-		c.router.transport.Send(primary, kindQuotaAsk, 0, quotaAsk{Number: number, Tenant: t.Name, Least: least, Want: want})
+		message.Origin = ""
+		if peer := c.router.relayPeer(); peer != "" && c.asksPeer(try) {
+			to, message.Origin = peer, c.router.settings.Internal()
+		}
+		c.router.transport.Send(to, kindQuotaAsk, 0, message)
 		asked := time.Now()
 		grant, answered := c.await(ctx, answers)
 		if answered {
@@ -146,6 +155,17 @@
 	return quotaGrant{}, false
 }
 
+// asksPeer tells whether a try of a question goes by another router: the last one, or where the last answer came so, all but
+// the second.
+func (c *quotaClient) asksPeer(try int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.viaPeer {
+		return try != 1
+	}
+	return try == askTries-1
+}
+
 func (c *quotaClient) await(ctx context.Context, answers <-chan quotaGrant) (quotaGrant, bool) {
 	late := time.NewTimer(c.patience())
 	defer late.Stop()
@@ -197,8 +217,13 @@
 	if err := cbor.Unmarshal(p.Body, &grant); err != nil {
 		return err
 	}
+	if grant.Origin != "" && grant.Origin != c.router.settings.Internal() {
+		c.router.transport.Send(grant.Origin, kindQuotaGrant, 0, grant)
+		return nil
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.viaPeer = grant.Origin != ""
 	if answers := c.open[grant.Number]; answers != nil {
 		delete(c.open, grant.Number)
 		answers <- grant
@@ -212,20 +237,48 @@
 	if err := cbor.Unmarshal(p.Body, &ask); err != nil {
 		return err
 	}
-	key := askKey{from: p.From, number: ask.Number}
+	key := askKey{from: origin(p, ask.Origin), number: ask.Number}
 	grant, repeated := r.granted.find(r.clock(), key)
 	if !repeated {
 		var acts bool
 		if grant, acts = r.grantHere(ask.Tenant, ask.Least, ask.Want); !acts {
+			r.handOn(p, ask.Origin, kindQuotaAsk, ask)
 			return nil
 		}
-		grant.Number = ask.Number
+		grant.Number, grant.Origin = ask.Number, ask.Origin
 		r.granted.keep(r.clock(), key, grant)
 	}
 	r.transport.Send(p.From, kindQuotaGrant, 0, grant)
 	return nil
 }
 
+// origin is the router that asked: the sender, or the one that it hands a question on for.
+func origin(p *transport.Packet, named string) string {
+	if named != "" {
+		return named
+	}
+	return p.From
+}
+
+// handOn hands a router's question on to the primary, which that router does not reach. What was handed on before is not.
+func (r *Router) handOn(p *transport.Packet, origin string, kind transport.Kind, message any) {
+	if primary := r.primary(); origin == p.From && primary != "" && primary != r.settings.Internal() {
+		r.transport.Send(primary, kind, 0, message)
+	}
+}
+
+// relayPeer is a router that may reach the primary where this one does not; empty: none is known.
+func (r *Router) relayPeer() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, primary := r.node.Primary()
+	live := slices.DeleteFunc(r.node.Members.Live(), func(a string) bool { return a == primary })
+	if len(live) == 0 {
+		return ""
+	}
+	return live[rand.IntN(len(live))]
+}
+
 // grantHere has this router's ledger grant credit; false where it is not the primary, or not sure to be.
 func (r *Router) grantHere(name string, least, want float64) (quotaGrant, bool) {
 	table := r.ledgerTable()
--- a/internal/fleet/router/shares.go
+++ b/internal/fleet/router/shares.go
@@ -23,12 +23,14 @@
 	Number  uint64              `cbor:"1,keyasint"`
 	Contact uint64              `cbor:"2,keyasint"`
 	Uses    map[string]quotaUse `cbor:"3,keyasint,omitempty"`
+	Origin  string              `cbor:"4,keyasint,omitempty"` // as in quotaAsk
 }
 
 // quotaRenewed answers quotaRenew.
 type quotaRenewed struct {
 	Number uint64             `cbor:"1,keyasint"`
 	Shares map[string]float64 `cbor:"2,keyasint,omitempty"`
+	Origin string             `cbor:"3,keyasint,omitempty"` // as in quotaGrant
 }
 
 // tick renews the lease where it is time to, and at once with a new primary, which does not know it.
@@ -39,6 +41,7 @@
 		return
 	}
 	c.nextRenew, c.view = now+quota.RenewEvery(routers), view
+	wasAnswered := c.accounts.Answered()
 	c.renewal = c.accounts.Renew(now)
 	c.renewed++
 	message := quotaRenew{Number: c.renewed, Contact: c.renewal.Contact, Uses: map[string]quotaUse{}}
@@ -48,6 +51,10 @@
 	c.mu.Unlock()
 	if primary != c.router.settings.Internal() {
 		c.router.transport.Send(primary, kindQuotaRenew, 0, message)
+		if peer := c.router.relayPeer(); peer != "" && !wasAnswered {
+			message.Origin = c.router.settings.Internal() // the way to the primary may be cut
+			c.router.transport.Send(peer, kindQuotaRenew, 0, message)
+		}
 		return
 	}
 	if answer, acts := c.router.renewHere(primary, &message); acts {
@@ -61,6 +68,10 @@
 	if err := cbor.Unmarshal(p.Body, &answer); err != nil {
 		return err
 	}
+	if answer.Origin != "" && answer.Origin != c.router.settings.Internal() {
+		c.router.transport.Send(answer.Origin, kindQuotaRenewed, 0, answer)
+		return nil
+	}
 	c.takeRenewed(answer)
 	return nil
 }
@@ -81,9 +92,13 @@
 	if err := cbor.Unmarshal(p.Body, &renew); err != nil {
 		return err
 	}
-	if answer, acts := r.renewHere(p.From, &renew); acts {
-		r.transport.Send(p.From, kindQuotaRenewed, 0, answer)
+	answer, acts := r.renewHere(origin(p, renew.Origin), &renew)
+	if !acts {
+		r.handOn(p, renew.Origin, kindQuotaRenew, renew)
+		return nil
 	}
+	answer.Origin = renew.Origin
+	r.transport.Send(p.From, kindQuotaRenewed, 0, answer)
 	return nil
 }
 
@@ -108,17 +123,17 @@
 	return answer, true
 }
 
-// ledgerChanged notes whose ledger acts from now on, and returns how long the one before has. The caller holds the lock.
+// ledgerChanged notes whose ledger acts from now on, and returns how long the one before has. Of the first one that a process
+// hears of, which may be the one that its disk names, it is not known: it counts as long ago. The caller holds the lock.
 func (r *Router) ledgerChanged(primary string) (calm time.Duration) {
-	if primary == r.ledgerOf {
-		return 0
-	}
 	now := r.clock()
-	calm = quotaSettings(r.settings).Window // of the first one that this process knows
-	if r.ledgerOf != "" {
-		calm = now - r.ledgerSince
+	if r.ledgerOf == "" {
+		r.ledgerOf, r.ledgerSince = primary, now-quotaSettings(r.settings).Window
+	}
+	calm = now - r.ledgerSince
+	if primary != r.ledgerOf {
+		r.ledgerOf, r.ledgerSince = primary, now
 	}
-	r.ledgerOf, r.ledgerSince = primary, now
 	return calm
 }
 
