--- a/internal/fleet/quota/ledger.go
+++ b/internal/fleet/quota/ledger.go
@@ -37,6 +37,8 @@
 
 	announced map[string]bool // routers that have told what they hold of a former ledger's leases
 	complete  bool            // all that may hold some have
+
+	formerMost float64 // of a rate, that a former ledger may have leased
 }
 
 type bucket struct {
@@ -63,6 +65,7 @@
 	if view != l.view && !keep {
 		l.buckets = map[string]*bucket{}
 		l.announced, l.complete = map[string]bool{}, view <= firstView
+		l.formerMost = 1
 		l.since = now
 		l.first = takeOver * min(1, calm.Seconds()/l.settings.Window.Seconds())
 	}
--- a/internal/fleet/quota/share.go
+++ b/internal/fleet/quota/share.go
@@ -25,6 +25,8 @@
 	ledgerBehind = 300 * time.Millisecond // of the rate, that may be leased and used without the ledger's knowledge, while all renew
 	lapsedKept   = time.Minute            // that a lease which ended is remembered, for a router that comes back
 
+	fleetSizeSlack = 1.25 // by which a former ledger may have leased more, since it knew of fewer routers
+
 	contactsApart = 1 << 20 // contacts of one process: others are another one's
 )
 
@@ -33,8 +35,15 @@
 	return max(renewLeast, time.Duration(routers)*renewEach)
 }
 
+// LeasesMost is in how large a fleet shares are leased. In larger ones a lease would be renewed so seldom, that what is
+// withheld for it costs more than it brings.
+const LeasesMost = 24
+
 // leasedMost is how much of a rate is leased in a fleet of so many routers.
 func leasedMost(routers int) float64 {
+	if routers > LeasesMost {
+		return 0
+	}
 	return min(1, ledgerBehind.Seconds()/RenewEvery(routers).Seconds())
 }
 
@@ -127,6 +136,11 @@
 	b.level -= h.counted
 }
 
+// SetRouters says how many routers there are. A former ledger leased as much as they allow, and a little more.
+func (l *Ledger) SetRouters(routers int) {
+	l.formerMost = min(1, fleetSizeSlack*leasedMost(routers))
+}
+
 // Announced notes that a router has renewed all that it holds.
 func (l *Ledger) Announced(from string) { l.announced[from] = true }
 
@@ -170,7 +184,7 @@
 	if !l.isNew(now) {
 		return 0
 	}
-	return max(0, 1-b.leased(nil)) * t.RatePerS * (now - l.since).Seconds()
+	return max(0, l.formerMost-b.leased(nil)) * t.RatePerS * (now - l.since).Seconds()
 }
 
 // bound keeps the level within the bucket, together with what was taken for used of leases that ended and may be given back:
--- a/internal/fleet/router/fetch_test.go
+++ b/internal/fleet/router/fetch_test.go
@@ -24,3 +24,17 @@
 		})
 	})
 }
+
+// Guards against a router that acts on an old configuration because one fetch, from a router that is cut off, takes its time.
+func TestFetchesBesideASlowOne(t *testing.T) {
+	Convey("A fetch that takes long keeps no other from being begun a moment later, within bounds", t, func() {
+		var f fetches
+		So(f.begin(0), ShouldBeTrue)
+		So(f.begin(fetchAgain/2), ShouldBeFalse)
+		So(f.begin(fetchAgain), ShouldBeTrue)
+		So(f.begin(2*fetchAgain), ShouldBeTrue)
+		So(f.begin(3*fetchAgain), ShouldBeFalse)
+		f.end()
+		So(f.begin(3*fetchAgain), ShouldBeTrue)
+	})
+}
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -39,6 +39,8 @@
 	statusPath = "/status"
 	fetchLeast = 1500 * time.Millisecond // that a fetch may take at first
 	fetchMost  = 12 * time.Second        // the same, after others have taken too long
+	fetchAgain = 500 * time.Millisecond  // after which another router is asked beside the one that has not answered
+	fetchesAt  = 3                       // fetches at a time
 
 	// endpointsRest times what it took to take a list of endpoints over, until the next: a twentieth of the processor at most
 	// goes there, however many come at once.
@@ -114,10 +116,9 @@
 	out := step(r.clock())
 	r.refresh()
 	fetch := out.Fetch
-	if fetch != "" && r.fetching {
+	if fetch != "" && !r.fetches.begin(r.clock()) {
 		fetch = ""
 	}
-	r.fetching = r.fetching || fetch != ""
 	r.mu.Unlock()
 	for _, outgoing := range out.Send {
 		r.transport.Send(outgoing.To, kindOf(outgoing.Message), 0, outgoing.Message)
@@ -183,6 +184,7 @@
 	cores := r.node.Members.LiveCores()
 	view, primary := r.node.Primary()
 	routers := r.node.Members.Count()
+	r.ledger.SetRouters(routers)
 	r.mu.Unlock()
 	r.quota.tick(r.clock(), view, primary, routers)
 	r.relay.setPeers(live, cores)
@@ -203,7 +205,7 @@
 	asked := r.clock()
 	err := r.transport.Call(ctx, from, fetchPath, request, &reply)
 	r.mu.Lock()
-	r.fetching = false
+	r.fetches.end()
 	r.fetchTime = nextFetchTime(r.fetchTime, r.clock()-asked, err)
 	r.mu.Unlock()
 	if err != nil {
@@ -218,6 +220,25 @@
 	})
 }
 
+// fetches are those under way. One that takes long, because its router is cut off or its link is slow, does not keep others
+// from another router.
+type fetches struct {
+	count int
+	last  time.Duration // when the last one began
+}
+
+// begin tells whether a fetch may begin now, and notes that it does.
+func (f *fetches) begin(now time.Duration) bool {
+	if f.count >= fetchesAt || f.count > 0 && now-f.last < fetchAgain {
+		return false
+	}
+	f.count++
+	f.last = now
+	return true
+}
+
+func (f *fetches) end() { f.count-- }
+
 // nextFetchTime is how long the next fetch may take: longer where one has taken too long, since a large configuration may
 // need more on a slow link, and little where one has come, since the next router that is asked may be cut off.
 func nextFetchTime(allowed, took time.Duration, err error) time.Duration {
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -57,7 +57,7 @@
 	node            *dissemination.Node
 	registryVersion uint64        // of the endpoints that requests know
 	nextEndpoints   time.Duration // when they are looked at again
-	fetching        bool
+	fetches         fetches
 	fetchTime       time.Duration // that the next fetch may take
 	ledger          *quota.Ledger
 	granted         grantedAnswers
--- a/internal/fleet/router/shares.go
+++ b/internal/fleet/router/shares.go
@@ -36,7 +36,7 @@
 // tick renews the lease where it is time to, and at once with a new primary, which does not know it.
 func (c *quotaClient) tick(now time.Duration, view uint64, primary string, routers int) {
 	c.mu.Lock()
-	if primary == "" || now < c.nextRenew && view == c.view {
+	if primary == "" || routers > quota.LeasesMost || now < c.nextRenew && view == c.view {
 		c.mu.Unlock()
 		return
 	}
