--- a/internal/fleet/control/planted_test.go
+++ b/internal/fleet/control/planted_test.go
@@ -22,10 +22,5 @@
 
 // Guards against runs that would find nothing whatever is wrong.
 func TestPointsFindPlantedMistakes(t *testing.T) {
-	for name, mistake := range plantedMistakes {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			mutant.ExpectFound(t, mistake, "^TestPoints$", "seed ", "-stacks", "12")
-		})
-	}
+	mutant.ExpectAllFound(t, plantedMistakes, "^TestPoints$", "seed ", "-stacks", "12")
 }
--- a/internal/fleet/front/planted_test.go
+++ b/internal/fleet/front/planted_test.go
@@ -24,10 +24,5 @@
 // Guards against tests of requests that would find nothing whatever is wrong.
 func TestRequestsFindPlantedMistakes(t *testing.T) {
 	const tests = "^(TestKeptConnections|TestWhoseAnswer|TestClientGone|TestRepeats|TestAnswers|TestStreams|TestBrokenAnswers)$"
-	for name, mistake := range plantedMistakes {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			mutant.ExpectFound(t, mistake, tests, "--- FAIL")
-		})
-	}
+	mutant.ExpectAllFound(t, plantedMistakes, tests, "--- FAIL")
 }
--- a/internal/fleet/quota/planted_test.go
+++ b/internal/fleet/quota/planted_test.go
@@ -22,10 +22,5 @@
 
 // Guards against a test of the bound that would find nothing whatever is wrong.
 func TestBoundFindsPlantedMistakes(t *testing.T) {
-	for name, mistake := range plantedMistakes {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			mutant.ExpectFound(t, mistake, "^TestLeasesStayWithinTheBound$", "in a window", "-lease-seeds", "200")
-		})
-	}
+	mutant.ExpectAllFound(t, plantedMistakes, "^TestLeasesStayWithinTheBound$", "in a window", "-lease-seeds", "200")
 }
--- a/internal/fleet/replication/planted_test.go
+++ b/internal/fleet/replication/planted_test.go
@@ -28,10 +28,5 @@
 
 // Guards against a simulation that would find nothing whatever is wrong.
 func TestSimulationFindsPlantedMistakes(t *testing.T) {
-	for name, mistake := range plantedMistakes {
-		t.Run(name, func(t *testing.T) {
-			t.Parallel()
-			mutant.ExpectFound(t, mistake, "^TestSimulation$", "seed ", "-simulations", "80")
-		})
-	}
+	mutant.ExpectAllFound(t, plantedMistakes, "^TestSimulation$", "seed ", "-simulations", "80")
 }
--- a/internal/lab/mutant/mutant.go
+++ b/internal/lab/mutant/mutant.go
@@ -21,6 +21,16 @@
 // Edit replaces a text that the file holds once.
 type Edit struct{ Right, Wrong string }
 
+// ExpectAllFound expects each of the mistakes to be found, beside the others, as ExpectFound does.
+func ExpectAllFound(t *testing.T, mistakes map[string]Mistake, run, sign string, args ...string) {
+	for name, mistake := range mistakes {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			ExpectFound(t, mistake, run, sign, args...)
+		})
+	}
+}
+
 // ExpectFound runs the tests of the package in the current folder whose names match run, with the mistake planted, and fails
 // t unless one of them fails. sign is a text that a test prints with a fault it found, which tells a fault from a package
 // that does not build; args are further arguments of the test program.
