Withhold what cut off routers may use of leases that a new ledger can't know

Cause: a new ledger withheld what a former one's leases may still allow until all routers that its primary knew had announced theirs. A primary whose process had just started knows few, at first itself alone, so that it granted the whole rate beside the shares of routers that are cut off from it. Two faults came to light as the simulation of leases was given that step (it never took it): when leases had ended, what had been withheld for routers that never announced was granted again at once, though they may have used it; and a tenant that rested while there was no ledger could use four seconds of its shares at once, beside what the next ledger granted. Ruled out: a fault of early completion alone. With the write-off in place it stays within the bound. What is withheld is a part of what has come into the bucket, and is written off at the end. Shares add up to a bucket at most. Routers start again in the simulation.

--- a/internal/fleet/quota/account.go
+++ b/internal/fleet/quota/account.go
@@ -51,6 +51,8 @@
 
 	share float64 // of the rate, by the lease
 	spent float64 // units used of it, that no renewal which was answered has told of
+
+	forgone float64 // units of it that were not used in time, since the last renewal that was answered
 }
 
 // NewAccounts returns accounts without credit.
--- a/internal/fleet/quota/lease.go
+++ b/internal/fleet/quota/lease.go
@@ -59,6 +59,7 @@
 	a.lease.from, a.lease.until = max(a.lease.from, r.sent), r.sent+LeaseLife
 	for name, c := range a.accounts {
 		c.spent = max(0, c.spent-r.Uses[name].Spent)
+		c.forgone = 0
 		c.share = shares[name]
 	}
 }
@@ -85,7 +86,7 @@
 	if rate <= 0 || now > a.lease.until {
 		return false, 0
 	}
-	lacking := units - (rate*(now-a.lease.from).Seconds() - c.spent)
+	lacking := units - c.shareCredit(rate*(now-a.lease.from).Seconds(), c.share*a.settings.bucket(t))
 	if lacking <= 0 {
 		c.spent += units
 		return true, 0
@@ -96,3 +97,14 @@
 	}
 	return false, wait
 }
+
+// shareCredit is what is left of what a share has come to since the lease's last renewal. It is bounded by a bucket, as the
+// ledger's is: what a quiet tenant has not used would else be used at once, beside what the next ledger grants.
+func (c *account) shareCredit(accrued, most float64) float64 {
+	credit := accrued - c.spent - c.forgone
+	if credit > most {
+		c.forgone += credit - most
+		credit = most
+	}
+	return credit
+}
--- a/internal/fleet/quota/ledger.go
+++ b/internal/fleet/quota/ledger.go
@@ -27,6 +27,9 @@
 	return s.Over*(t.RatePerS*s.Window.Seconds()+t.Burst) + s.Slack
 }
 
+// bucket is what a tenant's bucket holds at most, in units.
+func (s Settings) bucket(t *config.Tenant) float64 { return t.Burst + ledgerShare*s.excess(t) }
+
 // Ledger hands out credit of all tenants' quotas.
 type Ledger struct {
 	settings Settings
@@ -45,6 +48,7 @@
 	level   float64
 	at      time.Duration
 	holders map[string]*holder // by router
+	gained  float64            // since the ledger began, while leases of a former one may be out that it does not know
 }
 
 // firstView is the number of the first view that a primary leads: no ledger was before it.
@@ -75,7 +79,7 @@
 // Grant hands out up to want units, and nothing where least can't be had. wait is when least may be asked for again.
 func (l *Ledger) Grant(now time.Duration, t *config.Tenant, least, want float64) (granted float64, wait time.Duration) {
 	b := l.bucket(now, t)
-	available := b.level - b.outstanding(now, t) - l.unannounced(now, t, b)
+	available := b.level - b.outstanding(now, t) - l.unannounced(now, b)
 	if available < least {
 		if t.RatePerS <= 0 {
 			return 0, time.Second
@@ -87,7 +91,7 @@
 	return granted, 0
 }
 
-func (l *Ledger) most(t *config.Tenant) float64 { return t.Burst + ledgerShare*l.settings.excess(t) }
+func (l *Ledger) most(t *config.Tenant) float64 { return l.settings.bucket(t) }
 
 func (l *Ledger) bucket(now time.Duration, t *config.Tenant) *bucket {
 	b := l.buckets[t.Name]
@@ -95,11 +99,25 @@
 		b = &bucket{level: l.first * l.settings.excess(t), at: min(l.since, now), holders: map[string]*holder{}}
 		l.buckets[t.Name] = b
 	}
-	if now > b.at {
-		b.level += t.RatePerS * (now - b.at).Seconds()
-		b.at = now
+	if end := l.since + LeaseLife; !l.complete && b.at <= end && now > end {
+		l.accrue(end, t, b)
+		b.level -= l.unannounced(end, b) // routers that are cut off may have used it
 	}
-	b.bound(l.most(t))
+	l.accrue(now, t, b)
 	b.expire(now, t)
 	return b
 }
+
+// accrue lets a tenant's rate flow into its bucket until a moment.
+func (l *Ledger) accrue(until time.Duration, t *config.Tenant, b *bucket) {
+	if until <= b.at {
+		return
+	}
+	before := b.level
+	b.level += t.RatePerS * (until - b.at).Seconds()
+	b.at = until
+	b.bound(l.most(t))
+	if l.isNew(until) {
+		b.gained += max(0, b.level-before)
+	}
+}
--- a/internal/fleet/quota/planted_test.go
+++ b/internal/fleet/quota/planted_test.go
@@ -12,6 +12,12 @@
 		{Right: "b.level - b.outstanding(now, t) - l", Wrong: "b.level - l"}}},
 	"a new ledger knows of no leases of the former one": {File: "share.go", Edits: []mutant.Edit{
 		{Right: "return !l.complete && now-l.since <= LeaseLife", Wrong: "return false"}}},
+	"the first announcement counts for all": {File: "share.go", Edits: []mutant.Edit{
+		{Right: "if !l.announced[r] {\n\t\t\treturn", Wrong: "if !l.announced[r] {\n\t\t\tcontinue"}}},
+	"what routers that did not announce may have used is granted again": {File: "ledger.go", Edits: []mutant.Edit{
+		{Right: "b.level -= l.unannounced(end, b)", Wrong: "_ = end"}}},
+	"a share that is not used is kept without bound": {File: "lease.go", Edits: []mutant.Edit{
+		{Right: "if credit > most {", Wrong: "if credit > 1e18 {"}}},
 	"what is given back may flow over": {File: "share.go", Edits: []mutant.Edit{
 		{Right: "kept := max(0, h.written-max(0, over))", Wrong: "kept := h.written"}}},
 	"a lease that ended unheard counts as unused": {File: "share.go", Edits: []mutant.Edit{
@@ -22,5 +28,5 @@
 
 // Guards against a test of the bound that would find nothing whatever is wrong.
 func TestBoundFindsPlantedMistakes(t *testing.T) {
-	mutant.ExpectAllFound(t, plantedMistakes, "^TestLeasesStayWithinTheBound$", "in a window", "-lease-seeds", "200")
+	mutant.ExpectAllFound(t, plantedMistakes, "^(TestLeasesStayWithinTheBound|TestBurstBetweenLedgersStaysWithinTheBound)$", "in a window", "-lease-seeds", "200")
 }
--- a/internal/fleet/quota/share.go
+++ b/internal/fleet/quota/share.go
@@ -179,12 +179,16 @@
 // isNew tells whether leases of a former ledger may be out that this one does not know.
 func (l *Ledger) isNew(now time.Duration) bool { return !l.complete && now-l.since <= LeaseLife }
 
-// unannounced is what routers may have used of a former ledger's leases that nobody has announced.
-func (l *Ledger) unannounced(now time.Duration, t *config.Tenant, b *bucket) float64 {
+// AwaitsAnnouncements tells whether the ledger withholds what routers may hold of a former one's leases.
+func (l *Ledger) AwaitsAnnouncements(now time.Duration) bool { return l.isNew(now) }
+
+// unannounced is what routers may have used of a former ledger's leases that nobody has announced: their part of what has
+// come into the bucket meanwhile. When the leases have ended it is taken for used up.
+func (l *Ledger) unannounced(now time.Duration, b *bucket) float64 {
 	if !l.isNew(now) {
 		return 0
 	}
-	return max(0, l.formerMost-b.leased(nil)) * t.RatePerS * (now - l.since).Seconds()
+	return max(0, l.formerMost-b.leased(nil)) * b.gained
 }
 
 // bound keeps the level within the bucket, together with what was taken for used of leases that ended and may be given back:
--- a/internal/fleet/quota/share_test.go
+++ b/internal/fleet/quota/share_test.go
@@ -42,6 +42,15 @@
 
 func (f *leasedFleet) name(i int) string { return fmt.Sprint("router-", i) }
 
+// names are those of all routers.
+func (f *leasedFleet) names() []string {
+	var all []string
+	for i := range f.routers {
+		all = append(all, f.name(i))
+	}
+	return all
+}
+
 // renew has routers renew whose time has come.
 func (f *leasedFleet) renew(t *config.Tenant) {
 	for i, a := range f.routers {
@@ -58,6 +67,7 @@
 			shares[t.Name] = f.ledger.Renew(f.now, t, f.name(i), r.Contact, len(f.routers), use)
 		}
 		f.ledger.Announced(f.name(i))
+		f.ledger.Expect(f.names())
 		if f.now >= f.deaf[i] {
 			a.Renewed(r, shares)
 		}
@@ -115,6 +125,40 @@
 	}
 }
 
+// press has as much come as is let through and more, over a time, evenly.
+func (f *leasedFleet) press(t *config.Tenant, span time.Duration) []use {
+	var uses []use
+	for end := f.now + span; f.now < end; {
+		f.now += 5 * time.Millisecond
+		f.renew(t)
+		for i := range f.routers {
+			if units := t.RatePerS / 50; f.use(i, t, units) {
+				uses = append(uses, use{f.now, units})
+			}
+		}
+	}
+	return uses
+}
+
+// Guards against a tenant that rests while there is no ledger, uses all of its shares at once, and goes on with the next one.
+func TestBurstBetweenLedgersStaysWithinTheBound(t *testing.T) {
+	const rest = 4 * time.Second
+	f, t1 := newLeasedFleet(12, 1), tenant()
+	t1.RatePerS, t1.Burst = 400000, 400000
+	f.press(t1, 6*time.Second)
+	f.lose()
+	for end := f.now + rest; f.now < end; f.now += 5 * time.Millisecond {
+		f.renew(t1)
+	}
+	uses := f.press(t1, 100*time.Millisecond)
+	f.begin()
+	uses = append(uses, f.press(t1, settings.Window)...)
+	bound := (t1.RatePerS*settings.Window.Seconds()+t1.Burst)*(1+settings.Over) + settings.Slack
+	if most := mostInWindow(uses, settings.Window); most > bound {
+		t.Errorf("%.0f in a window, %.0f are allowed", most, bound)
+	}
+}
+
 // play has up to five times the rate come, unevenly over the routers, in the midst of disturbances.
 func (f *leasedFleet) play(t *config.Tenant, span time.Duration) []use {
 	var uses []use
@@ -142,10 +186,16 @@
 	return uses
 }
 
-// disturb cuts routers off, loses answers, ends the ledger, or has the tenant rest.
+// restart has another process, which knows nothing, take a router's place.
+func (f *leasedFleet) restart(i int) {
+	f.routers[i] = NewAccounts(settings)
+	f.routers[i].SetContact(f.random.Uint64() >> 1)
+}
+
+// disturb cuts routers off, loses answers, ends the ledger, starts routers again, or has the tenant rest.
 func (f *leasedFleet) disturb(back, busy *time.Duration) {
 	span := time.Duration(f.random.IntN(9000)) * time.Millisecond
-	switch f.random.IntN(5) {
+	switch f.random.IntN(6) {
 	case 0:
 		f.lose()
 		*back = f.now + time.Duration(200+f.random.IntN(4000))*time.Millisecond
@@ -163,6 +213,12 @@
 		}
 	case 4:
 		*busy = f.now + span/2
+	case 5:
+		for i := range f.routers {
+			if f.random.IntN(4) == 0 {
+				f.restart(i)
+			}
+		}
 	}
 }
 
@@ -208,15 +264,10 @@
 		Convey("have a new ledger grant at once when all have started again and hold nothing", func() {
 			f.begin()
 			for i := range f.routers {
-				f.routers[i] = NewAccounts(settings)
-				f.routers[i].SetContact(uint64(i+100) << 32)
+				f.restart(i)
 				f.ledger.Announced(f.name(i))
 			}
-			var all []string
-			for i := range f.routers {
-				all = append(all, f.name(i))
-			}
-			f.ledger.Expect(all)
+			f.ledger.Expect(f.names())
 			So(f.served(t, 5*time.Second), ShouldBeGreaterThan, 0.9)
 		})
 	})
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -189,6 +189,7 @@
 	r.quota.tick(r.clock(), view, primary, routers)
 	r.relay.setPeers(live, cores)
 	r.tickHints()
+	r.tickLeaseholders()
 }
 
 // fetch asks a router for configurations that this one lacks.
--- /dev/null
+++ b/internal/fleet/router/leaseholders.go
@@ -0,0 +1,84 @@
+package router
+
+import (
+	"slices"
+	"time"
+
+	"pinelb.example/pinelb/internal/fleet/membership"
+	"pinelb.example/pinelb/internal/fleet/quota"
+)
+
+// A new ledger withholds what routers may use of shares that a former one leased, until all that may hold some have
+// announced theirs, or the life of a lease has passed. Who they are a process that has just started does not know: after a
+// loss of power in the core it may know the core alone, while all others use their shares. Machines of the core therefore
+// keep the routers' addresses on the disk, for the process after this one. Where there is no such list, a process that has
+// not run for long takes no number of announcements for all of them.
+
+const (
+	leaseholdersName  = "routers"
+	leaseholdersEvery = 500 * time.Millisecond // between looks at whether the list has changed
+)
+
+// leaseholderList is what a process knows of routers from the one before it, and leaves to the next.
+type leaseholderList struct {
+	file    *listFile // nil: no disk
+	former  []string  // that the process before this one knew
+	known   bool      // former is a list of them all
+	written []string
+	next    time.Duration // when the list is looked at again
+}
+
+// startLeaseholders reads what the process before this one has left.
+func (r *Router) startLeaseholders() {
+	l := &r.leaseholders
+	l.known = r.settings.Bootstrap // nobody was before
+	if r.settings.DataDir == "" || !r.settings.CountsForQuorum {
+		return
+	}
+	l.file = newListFile(r.settings.DataDir, leaseholdersName, r.log)
+	if l.file.read(&l.former) {
+		l.known = true
+	}
+	l.written = l.former
+}
+
+// tickLeaseholders writes the list where it has changed.
+func (r *Router) tickLeaseholders() {
+	l, now := &r.leaseholders, r.clock()
+	if l.file == nil || now < l.next || !l.file.isDue(now) {
+		return
+	}
+	l.next = now + leaseholdersEvery
+	r.mu.Lock()
+	all, complete := r.mayHoldShares()
+	r.mu.Unlock()
+	if !complete || slices.Equal(all, l.written) {
+		return
+	}
+	l.written = all
+	l.file.write(now, all, r.tasks.Go)
+}
+
+// mayHoldShares are the routers that may hold shares of a former ledger, in order: those that live, those that were lost so
+// lately that they may be cut off instead, and those that the process before this one knew and this one has not heard of.
+// complete is false where there may be others. The caller holds the lock.
+func (r *Router) mayHoldShares() (all []string, complete bool) {
+	now, timing := r.clock(), membership.DefaultTiming()
+	recently := quota.LeaseLife + timing.Silence
+	for _, m := range r.node.Members.All() {
+		ended, isOver := r.node.Members.EndedAt(m.Address)
+		if !isOver || now-ended < recently {
+			all = append(all, m.Address)
+		}
+	}
+	if now > timing.Forget {
+		return all, true // whoever was there has been heard of, or forgotten by all
+	}
+	for _, address := range r.leaseholders.former {
+		if _, heard := r.node.Members.Lookup(address); !heard {
+			all = append(all, address)
+		}
+	}
+	slices.Sort(all)
+	return all, r.leaseholders.known
+}
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -66,8 +66,10 @@
 
 	config atomic.Pointer[configInForce]
 	ending atomic.Bool
-	abort  chan struct{} // closed: the router ends without a word
-	hints  *hintFile     // nil: no disk
+	abort  chan struct{}  // closed: the router ends without a word
+	hints  *endpointHints // nil: no disk
+
+	leaseholders leaseholderList
 }
 
 // configInForce is what requests look at.
@@ -152,6 +154,7 @@
 		return err
 	}
 	r.startHints()
+	r.startLeaseholders()
 	if err := r.transport.Serve(); err != nil {
 		return err
 	}
--- a/internal/fleet/router/shares.go
+++ b/internal/fleet/router/shares.go
@@ -6,7 +6,6 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"pinelb.example/pinelb/internal/fleet/config"
-	"pinelb.example/pinelb/internal/fleet/membership"
 	"pinelb.example/pinelb/internal/fleet/quota"
 	"pinelb.example/pinelb/internal/fleet/transport"
 )
@@ -118,11 +117,21 @@
 			answer.Shares[name] = r.ledger.Renew(now, t, from, renew.Contact, routers, quota.Use(use))
 		}
 	}
-	r.ledger.Announced(from)
-	r.ledger.Expect(r.mayHoldShares())
+	r.noteAnnounced(from)
 	return answer, true
 }
 
+// noteAnnounced notes that a router has renewed all that it holds. The caller holds the lock.
+func (r *Router) noteAnnounced(from string) {
+	if !r.ledger.AwaitsAnnouncements(r.clock()) {
+		return
+	}
+	r.ledger.Announced(from)
+	if all, complete := r.mayHoldShares(); complete {
+		r.ledger.Expect(all)
+	}
+}
+
 // ledgerChanged notes whose ledger acts from now on, and returns how long the one before has. Of the first one that a process
 // hears of, which may be the one that its disk names, it is not known: it counts as long ago. The caller holds the lock.
 func (r *Router) ledgerChanged(primary string) (calm time.Duration) {
@@ -143,17 +152,3 @@
 	}
 	return nil
 }
-
-// mayHoldShares are the routers that may hold shares of a former ledger: those that live, and those that were lost so lately
-// that they may be cut off instead. The caller holds the lock.
-func (r *Router) mayHoldShares() []string {
-	recently := quota.LeaseLife + membership.DefaultTiming().Silence
-	var all []string
-	for _, m := range r.node.Members.All() {
-		ended, isOver := r.node.Members.EndedAt(m.Address)
-		if !isOver || r.clock()-ended < recently {
-			all = append(all, m.Address)
-		}
-	}
-	return all
-}
