Play the crossings of leases and ledgers that random events seldom come to

Ruled out: weights of the events (restarts once in eleven: 2 of 8 still not found). After: all eight planted mistakes are found, 1,800 seeds stay within the bound.

--- a/internal/fleet/quota/planted_test.go
+++ b/internal/fleet/quota/planted_test.go
@@ -28,5 +28,5 @@
 
 // Guards against a test of the bound that would find nothing whatever is wrong.
 func TestBoundFindsPlantedMistakes(t *testing.T) {
-	mutant.ExpectAllFound(t, plantedMistakes, "^(TestLeasesStayWithinTheBound|TestBurstBetweenLedgersStaysWithinTheBound)$", "in a window", "-lease-seeds", "200")
+	mutant.ExpectAllFound(t, plantedMistakes, "^(TestLeasesStayWithinTheBound|TestCrossingsStayWithinTheBound)$", "in a window", "-lease-seeds", "200")
 }
--- a/internal/fleet/quota/share_test.go
+++ b/internal/fleet/quota/share_test.go
@@ -23,6 +23,9 @@
 	cut     []time.Duration // until when each reaches no ledger
 	deaf    []time.Duration // until when the answers to each are lost
 	random  *rand.Rand
+	tenant  *config.Tenant
+
+	restarts bool // routers start again, too
 }
 
 func newLeasedFleet(routers int, seed uint64) *leasedFleet {
@@ -37,6 +40,8 @@
 	}
 	f.ledger = NewLedger(settings)
 	f.ledger.Serve(0, 1, false, settings.Window)
+	f.tenant = tenant()
+	f.tenant.RatePerS, f.tenant.Burst = 400000, 400000
 	return f
 }
 
@@ -114,8 +119,9 @@
 		t.Run(fmt.Sprint(routers, " routers"), func(t *testing.T) {
 			t.Parallel()
 			for seed := range *leaseSeeds {
-				f, t1 := newLeasedFleet(routers, uint64(seed)), tenant()
-				t1.RatePerS, t1.Burst = 400000, 400000
+				f := newLeasedFleet(routers, uint64(seed))
+				t1 := f.tenant
+				f.restarts = seed%2 == 1
 				bound := (t1.RatePerS*8+t1.Burst)*(1+settings.Over) + settings.Slack
 				if most := mostInWindow(f.play(t1, 40*time.Second), settings.Window); most > bound {
 					t.Fatalf("seed %d: %.0f in a window, %.0f are allowed", seed, most, bound)
@@ -125,14 +131,15 @@
 	}
 }
 
-// press has as much come as is let through and more, over a time, evenly.
-func (f *leasedFleet) press(t *config.Tenant, span time.Duration) []use {
+// press has forty times the rate come over a time, evenly, and returns what is let through.
+func (f *leasedFleet) press(span time.Duration) []use {
+	t := f.tenant
 	var uses []use
 	for end := f.now + span; f.now < end; {
 		f.now += 5 * time.Millisecond
 		f.renew(t)
 		for i := range f.routers {
-			if units := t.RatePerS / 50; f.use(i, t, units) {
+			if units := t.RatePerS / 5 / float64(len(f.routers)); f.use(i, t, units) {
 				uses = append(uses, use{f.now, units})
 			}
 		}
@@ -140,22 +147,49 @@
 	return uses
 }
 
-// Guards against a tenant that rests while there is no ledger, uses all of its shares at once, and goes on with the next one.
-func TestBurstBetweenLedgersStaysWithinTheBound(t *testing.T) {
-	const rest = 4 * time.Second
-	f, t1 := newLeasedFleet(12, 1), tenant()
-	t1.RatePerS, t1.Burst = 400000, 400000
-	f.press(t1, 6*time.Second)
-	f.lose()
-	for end := f.now + rest; f.now < end; f.now += 5 * time.Millisecond {
-		f.renew(t1)
+// rest lets a tenant send nothing for a time.
+func (f *leasedFleet) rest(span time.Duration) {
+	for end := f.now + span; f.now < end; f.now += 5 * time.Millisecond {
+		f.renew(f.tenant)
 	}
-	uses := f.press(t1, 100*time.Millisecond)
-	f.begin()
-	uses = append(uses, f.press(t1, settings.Window)...)
-	bound := (t1.RatePerS*settings.Window.Seconds()+t1.Burst)*(1+settings.Over) + settings.Slack
-	if most := mostInWindow(uses, settings.Window); most > bound {
-		t.Errorf("%.0f in a window, %.0f are allowed", most, bound)
+}
+
+// crossings are courses of events that random ones seldom come to. Each begins with a fleet whose tenant has been at its rate for
+// some time, and returns what it used.
+var crossings = map[string]func(f *leasedFleet) []use{
+	"a tenant rests while there is no ledger, uses its shares at once, and goes on with the next ledger": func(f *leasedFleet) []use {
+		f.lose()
+		f.rest(4 * time.Second)
+		uses := f.press(100 * time.Millisecond)
+		f.begin()
+		return append(uses, f.press(8*time.Second)...)
+	},
+	"a new ledger follows a burst, and does not hear of a router that uses its share": func(f *leasedFleet) []use {
+		f.rest(3 * time.Second)
+		uses := f.press(200 * time.Millisecond)
+		f.lose()
+		f.cut[0] = f.now + time.Hour
+		f.begin()
+		return append(uses, f.press(settings.Window)...)
+	},
+	"a router comes back that has not used its share, after the others had the time to use all that is there": func(f *leasedFleet) []use {
+		f.cut[0] = f.now + 10*time.Second
+		f.rest(9 * time.Second)
+		return f.press(settings.Window)
+	},
+}
+
+// Guards against use beyond the bound in courses of events that random ones seldom come to.
+func TestCrossingsStayWithinTheBound(t *testing.T) {
+	for name, play := range crossings {
+		t.Run(name, func(t *testing.T) {
+			f := newLeasedFleet(3, 1)
+			f.press(6 * time.Second)
+			bound := (f.tenant.RatePerS*settings.Window.Seconds()+f.tenant.Burst)*(1+settings.Over) + settings.Slack
+			if most := mostInWindow(play(f), settings.Window); most > bound {
+				t.Errorf("%.0f in a window, %.0f are allowed", most, bound)
+			}
+		})
 	}
 }
 
@@ -195,7 +229,11 @@
 // disturb cuts routers off, loses answers, ends the ledger, starts routers again, or has the tenant rest.
 func (f *leasedFleet) disturb(back, busy *time.Duration) {
 	span := time.Duration(f.random.IntN(9000)) * time.Millisecond
-	switch f.random.IntN(6) {
+	kinds := 5
+	if f.restarts {
+		kinds = 6
+	}
+	switch f.random.IntN(kinds) {
 	case 0:
 		f.lose()
 		*back = f.now + time.Duration(200+f.random.IntN(4000))*time.Millisecond
