Send a caller on to another primary only by way of a newer view

Cause: two routers that each take the other for the primary, one of them by an older view, sent an operator to and fro; the second 307 in a row counts as a failure, after which the operator pauses longer each time. Ruled out: that both may believe so by one view (a view has one primary), so that an order of views ends every chain. Change: the address that a 307 names carries the view by which it is named. A router that knows no newer one answers 503 and a time. Before: TestRedirects (a caller sent by view 4 to a router at view 3) got 307; after: 503.

--- a/internal/fleet/control/control.go
+++ b/internal/fleet/control/control.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -33,8 +34,9 @@
 	Submit(ctx context.Context, order *config.Order) error
 	// Read returns the newest configuration.
 	Read(ctx context.Context) (*config.Document, error)
-	// PrimaryControl is the control address of the router that takes orders; empty where it is not known.
-	PrimaryControl() string
+	// PrimaryControl is the newest view that is known, and the control address of its primary, which takes orders; empty where
+	// that is not known.
+	PrimaryControl() (view uint64, address string)
 	// Hear takes an endpoint's word over. An error says that its leave can't be acknowledged: it is not sure that the other
 	// routers learn of it.
 	Hear(ctx context.Context, endpoint registry.Endpoint) error
@@ -152,15 +154,31 @@
 	}
 }
 
-// elsewhere sends a caller to the primary, or tells it to come back.
+// viewParameter names the view in whose primary's direction a caller was sent.
+const viewParameter = "view"
+
+// elsewhere sends a caller to the primary, or tells it to come back. A caller that was sent here is sent on only by way of a
+// newer view: two routers that take each other for the primary, one of them by an older view, would send it to and fro.
 func (s *Server) elsewhere(w http.ResponseWriter, r *http.Request) {
-	if primary := s.core.PrimaryControl(); primary != "" && primary != s.address {
-		w.Header().Set("Location", "http://"+primary+r.URL.RequestURI())
-		w.WriteHeader(http.StatusTemporaryRedirect)
+	view, primary := s.core.PrimaryControl()
+	if primary == "" || primary == s.address || view <= sentBy(r) {
+		w.Header().Set("Retry-After", "0.2")
+		http.Error(w, "no primary is known at present", http.StatusServiceUnavailable)
 		return
 	}
-	w.Header().Set("Retry-After", "0.2")
-	http.Error(w, "no primary is known at present", http.StatusServiceUnavailable)
+	target := *r.URL
+	target.RawQuery = url.Values{viewParameter: {strconv.FormatUint(view, 10)}}.Encode()
+	w.Header().Set("Location", "http://"+primary+target.RequestURI())
+	w.WriteHeader(http.StatusTemporaryRedirect)
+}
+
+// sentBy is the view by which another router has sent a caller here; 0: none has.
+func sentBy(r *http.Request) uint64 {
+	view, err := strconv.ParseUint(r.URL.Query().Get(viewParameter), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return view
 }
 
 func (s *Server) read(w http.ResponseWriter, r *http.Request) {
--- a/internal/fleet/control/control_test.go
+++ b/internal/fleet/control/control_test.go
@@ -20,6 +20,7 @@
 	err     error
 	orders  []*config.Order
 	primary string
+	view    uint64
 	heard   []registry.Endpoint
 	deaf    error // to leaves
 	service string
@@ -30,7 +31,7 @@
 	return c.err
 }
 func (c *core) Read(context.Context) (*config.Document, error) { return config.EmptyDocument(), c.err }
-func (c *core) PrimaryControl() string                         { return c.primary }
+func (c *core) PrimaryControl() (uint64, string)               { return c.view, c.primary }
 func (c *core) Hear(_ context.Context, e registry.Endpoint) error {
 	c.heard = append(c.heard, e)
 	if e.State == registry.Ready {
@@ -67,11 +68,11 @@
 			{replica.ErrUnavailable, own, http.StatusServiceUnavailable},
 			{errors.New("odd"), "", http.StatusServiceUnavailable},
 		} {
-			core := &core{err: c.err, primary: c.primary}
+			core := &core{err: c.err, primary: c.primary, view: 3}
 			answer := core.call("POST", "/config/modify", `{"version":2}`, "X-Base-Version", "1")
 			So(answer.Code, ShouldEqual, c.status)
 			if c.status == http.StatusTemporaryRedirect {
-				So(answer.Header().Get("Location"), ShouldEqual, "http://10.0.0.2:9/config/modify")
+				So(answer.Header().Get("Location"), ShouldEqual, "http://10.0.0.2:9/config/modify?view=3")
 			}
 			if c.status == http.StatusBadRequest {
 				So(answer.Body.String(), ShouldContainSubstring, "route x")
@@ -89,7 +90,7 @@
 		answer := (&core{}).call("GET", "/config/read", "")
 		So(answer.Code, ShouldEqual, http.StatusOK)
 		So(answer.Body.String(), ShouldEqual, `{"version":0}`)
-		So((&core{err: replica.ErrNotPrimary, primary: "a:1"}).call("GET", "/config/read", "").Code, ShouldEqual, 307)
+		So((&core{err: replica.ErrNotPrimary, primary: "a:1", view: 3}).call("GET", "/config/read", "").Code, ShouldEqual, 307)
 	})
 }
 
@@ -132,3 +133,32 @@
 		So(core.heard, ShouldBeEmpty)
 	})
 }
+
+// Guards against two routers that each take the other for the primary and send an operator to and fro.
+func TestRedirects(t *testing.T) {
+	Convey("A caller that another router has sent", t, func() {
+		behind := &core{err: replica.ErrNotPrimary, primary: "10.0.0.2:9", view: 3}
+		send := func(path string) *httptest.ResponseRecorder {
+			return behind.call("POST", path, `{"version":2}`, "X-Base-Version", "1")
+		}
+		Convey("by a newer view is not sent to the primary of an older one", func() {
+			answer := send("/config/modify?view=4")
+			So(answer.Code, ShouldEqual, http.StatusServiceUnavailable)
+			So(answer.Header().Get("Retry-After"), ShouldNotBeEmpty)
+		})
+		Convey("by this view is not sent on", func() {
+			So(send("/config/modify?view=3").Code, ShouldEqual, http.StatusServiceUnavailable)
+		})
+		Convey("by an older one is sent on, and told by which", func() {
+			answer := send("/config/modify?view=2")
+			So(answer.Code, ShouldEqual, http.StatusTemporaryRedirect)
+			So(answer.Header().Get("Location"), ShouldEqual, "http://10.0.0.2:9/config/modify?view=3")
+		})
+		Convey("by what is no view is sent on", func() {
+			So(send("/config/modify?view=x").Code, ShouldEqual, http.StatusTemporaryRedirect)
+		})
+		Convey("reads follow the same rule", func() {
+			So(behind.call("GET", "/config/read?view=4", "").Code, ShouldEqual, http.StatusServiceUnavailable)
+		})
+	})
+}
--- a/internal/fleet/control/stack_test.go
+++ b/internal/fleet/control/stack_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
+	"net/url"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -317,11 +318,10 @@
 func (c *core) Read(ctx context.Context) (*config.Document, error) {
 	return c.replica.Read(ctx)
 }
-func (c *core) PrimaryControl() string {
+func (c *core) PrimaryControl() (view uint64, address string) {
 	c.machine.mu.Lock()
 	defer c.machine.mu.Unlock()
-	_, address := c.machine.node.Primary()
-	return address
+	return c.machine.node.Primary()
 }
 func (c *core) Hear(context.Context, registry.Endpoint) error { return nil }
 func (c *core) ServiceOf(string) string                       { return "" }
@@ -354,8 +354,7 @@
 		}
 		recorder := httptest.NewRecorder()
 		server.ServeHTTP(recorder, request)
-		location := strings.TrimPrefix(recorder.Header().Get("Location"), "http://")
-		got <- answer{recorder.Code, strings.TrimSuffix(location, path), recorder.Body.String()}
+		got <- answer{recorder.Code, recorder.Header().Get("Location"), recorder.Body.String()}
 	}()
 	select {
 	case a := <-got:
@@ -376,7 +375,12 @@
 		if a.status != http.StatusTemporaryRedirect {
 			return a
 		}
-		address = a.location
+		target, err := url.Parse(a.location)
+		if err != nil {
+			s.fail("%s names %s as the primary: %v", address, a.location, err)
+			return answer{}
+		}
+		address, path = target.Host, target.RequestURI()
 	}
 	return answer{}
 }
--- a/internal/fleet/router/core.go
+++ b/internal/fleet/router/core.go
@@ -50,16 +50,16 @@
 	return r.replica.Read(ctx)
 }
 
-// PrimaryControl is the control address of the primary.
-func (r *Router) PrimaryControl() string {
+// PrimaryControl is the newest view that is known, and the control address of its primary; empty: not known, or this router.
+func (r *Router) PrimaryControl() (view uint64, control string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, address := r.node.Primary()
+	view, address := r.node.Primary()
 	m, known := r.node.Members.Lookup(address)
 	if !known || address == r.settings.Internal() {
-		return ""
+		return view, ""
 	}
-	return m.Control
+	return view, m.Control
 }
 
 // ServiceOf is the service of an endpoint.
