Widen the search: replicas that come, leave and are cut off, steps cut short, and a primary from every state

Cause: the search of package replication knew neither comings nor leavings, cuts, crashes within a step, reads, nor liveness; the seeded simulation has them on the protocol's times, which keep apart what only odd times bring together. A lower ballot that is accepted is still not found by walks and has a script. Change: TestWideSearch, 1 to 6 replicas, tolerance 0 to 2: nothing acknowledged is lost, no view is decided twice, no read is older than an acknowledgement before it, and from whatever the disks hold in the end a primary comes within 12 s and takes a change. TestPromiseBinds scripts what a promise binds to.

--- a/internal/fleet/replication/planted_test.go
+++ b/internal/fleet/replication/planted_test.go
@@ -1,6 +1,7 @@
 package replication
 
 import (
+	"maps"
 	"testing"
 
 	"pinelb.example/pinelb/internal/lab/mutant"
@@ -30,3 +31,51 @@
 func TestSimulationFindsPlantedMistakes(t *testing.T) {
 	mutant.ExpectAllFound(t, plantedMistakes, "^TestSimulation$", "seed ", "-simulations", "80")
 }
+
+// plantedInElections are mistakes in what a promise binds to.
+var plantedInElections = map[string]mutant.Mistake{
+	"a lower ballot is promised": {File: "witness.go", Edits: []mutant.Edit{{
+		Right: "if message.Ballot.less(m.durable.Promised) {\n\t\tm.send(from, Reject{Number: m.durable.View.Number + 1",
+		Wrong: "if false {\n\t\tm.send(from, Reject{Number: m.durable.View.Number + 1"}}},
+	"a lower ballot is accepted": {File: "witness.go", Edits: []mutant.Edit{{
+		Right: "if message.Ballot.less(m.durable.Promised) {\n\t\tm.send(from, Reject{Number: number",
+		Wrong: "if false {\n\t\tm.send(from, Reject{Number: number"}}},
+	"a state is installed under a lower ballot": {File: "witness.go", Edits: []mutant.Edit{{
+		Right: "if message.Ballot.less(bound) {", Wrong: "if false {"}}},
+	"a member that has promised stores on": {File: "witness.go", Edits: []mutant.Edit{{
+		Right: "if !m.durable.Promised.isZero() {\n\t\tm.send", Wrong: "if false {\n\t\tm.send"}}},
+	"a witness that has promised confirms the primary": {File: "primary.go", Edits: []mutant.Edit{{
+		Right: "if r == nil || !message.Current || !m", Wrong: "if r == nil || !m"}}},
+	"any replica's promise counts": {File: "election.go", Edits: []mutant.Edit{{
+		Right: "if !m.durable.View.HasWitness(from) {\n\t\treturn\n\t}\n\te.promises", Wrong: "e.promises"}}},
+}
+
+// Guards against scripts of promises that would find nothing whatever is wrong.
+func TestScriptsFindPlantedMistakes(t *testing.T) {
+	mutant.ExpectAllFound(t, plantedInElections, "^TestPromiseBinds$", "--- FAIL")
+}
+
+// plantedInWalks are mistakes that the wide search finds, beside an amnesiac that votes (TestSearchFindsPlantedMistakes).
+var plantedInWalks = map[string]mutant.Mistake{
+	"a state is installed by some of the members only": {File: "election.go", Edits: []mutant.Edit{{
+		Right: "if !m.election.installed[replica] {\n\t\t\treturn\n\t\t}\n", Wrong: "_ = replica\n"}}},
+	"a snapshot that is not fenced by its view": {File: "witness.go", Edits: []mutant.Edit{
+		{Right: "if from != m.durable.View.Primary || from == m.durable.Self {\n\t\treturn\n\t}\n\tif !m.durable.Promised", Wrong: "if !m.durable.Promised"},
+		{Right: "if !m.learn(message.View) {\n\t\tm.send(from, Newer{View: m.durable.View})\n\t\treturn\n\t}\n\tif !m.durable.Promised", Wrong: "if !m.durable.Promised"}}},
+	"a newcomer that was never heard of becomes a witness": {File: "election.go", Edits: []mutant.Edit{{
+		Right: "return union(proposal.Members, newcomers)", Wrong: "_ = newcomers\n\treturn proposal.Members"}}},
+	"half of the witnesses decide": {File: "types.go", Edits: []mutant.Edit{{
+		Right: "return len(v.Witnesses)/2 + 1", Wrong: "return max(1, len(v.Witnesses)/2)"}}},
+	"a lower ballot is promised": plantedInElections["a lower ballot is promised"],
+}
+
+// Guards against a search that would find nothing whatever is wrong.
+func TestWideSearchFindsPlantedMistakes(t *testing.T) {
+	all := maps.Clone(plantedInWalks)
+	for _, name := range []string{
+		"an acknowledgement by one copy", "a read without a round", "a candidate that overlooks what was accepted",
+	} {
+		all[name] = plantedMistakes[name]
+	}
+	mutant.ExpectAllFound(t, all, "^TestWideSearch$/^[35]_replicas", "walk ", "-wide-walks", "450")
+}
--- /dev/null
+++ b/internal/fleet/replication/promise_test.go
@@ -0,0 +1,80 @@
+package replication
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// answer has a replica receive a message, and returns its only answer; changed says whether its disk is to hold anything new.
+func (c *cluster) answer(h *host, from Replica, message Message) (answer Message, changed bool) {
+	out := h.machine.Receive(c.now, from, message)
+	So(len(out.Send), ShouldEqual, 1)
+	return out.Send[0].Message, out.Write != nil
+}
+
+// Guards against a witness that goes back on its promise: two candidates could both have a majority, and a primary that was
+// replaced could go on acknowledging.
+func TestPromiseBinds(t *testing.T) {
+	Convey("A member that has promised a ballot for the next view", t, func() {
+		c := newCluster(3, 1)
+		c.run(time.Second)
+		So(c.order(), ShouldBeTrue)
+		primary, member, candidate := c.leader(), c.backups()[0], c.backups()[1]
+		view := primary.machine.View()
+		low, high := Ballot{Round: 90, Proposer: primary.disk.Self}, Ballot{Round: 91, Proposer: candidate.disk.Self}
+		c.now += time.Second // the primary is silent
+		_, changed := c.answer(member, candidate.disk.Self, Prepare{View: view, Ballot: high})
+		So(changed, ShouldBeTrue)
+		next := View{Number: view.Number + 1, Primary: primary.disk.Self, Members: view.Members, Witnesses: view.Witnesses}
+		rejects := func(from Replica, message Message) {
+			answer, changed := c.answer(member, from, message)
+			So(answer, ShouldHaveSameTypeAs, Reject{})
+			So(answer.(Reject).Promised, ShouldResemble, high)
+			So(changed, ShouldBeFalse)
+		}
+		Convey("promises no lower one", func() { rejects(low.Proposer, Prepare{View: view, Ballot: low}) })
+		Convey("accepts nothing under a lower one", func() { rejects(low.Proposer, Accept{Ballot: low, Proposal: next}) })
+		Convey("installs nothing under a lower one", func() {
+			rejects(low.Proposer, Install{Number: next.Number, Ballot: low, Position: Position{View: next.Number}, Snapshot: []byte{0}})
+		})
+		Convey("stores no more changes of the present primary", func() {
+			position := member.disk.Position
+			position.Sequence++
+			rejects(primary.disk.Self, Store{View: view, Source: member.disk.Source, Position: position, Entry: []byte{9}})
+		})
+		Convey("does not confirm the present primary", func() {
+			answer, _ := c.answer(member, primary.disk.Self, Heartbeat{View: view, Round: 1000})
+			So(answer, ShouldResemble, HeartbeatAck{Number: view.Number, Round: 1000, Current: false})
+		})
+	})
+	Convey("A primary is not confirmed by witnesses that have promised, nor by others than its witnesses", t, func() {
+		c := newCluster(3, 1)
+		c.run(time.Second)
+		primary := c.leader()
+		c.now += time.Second
+		c.carryOut(primary, primary.machine.Confirm(c.now))
+		number, round := primary.machine.View().Number, primary.machine.lead.round
+		for _, backup := range c.backups() {
+			primary.machine.Receive(c.now, backup.disk.Self, HeartbeatAck{Number: number, Round: round})
+		}
+		for nonce := range uint64(3) {
+			primary.machine.Receive(c.now, Replica{Address: "10.0.9.9:1", Nonce: nonce}, HeartbeatAck{Number: number, Round: round, Current: true})
+		}
+		confirmed, _ := primary.machine.Confirmed()
+		So(confirmed, ShouldBeLessThan, c.now)
+	})
+	Convey("A candidate counts promises of the view's witnesses only", t, func() {
+		c := newCluster(3, 1)
+		c.run(time.Second)
+		candidate := c.backups()[0]
+		candidate.machine.elect(c.now)
+		view, ballot := candidate.machine.View(), candidate.machine.election.ballot
+		for nonce := range uint64(3) {
+			promise := Promise{Number: view.Number + 1, Ballot: ballot, Position: candidate.disk.Position}
+			candidate.machine.Receive(c.now+gather, Replica{Address: "10.0.9.9:1", Nonce: nonce}, promise)
+		}
+		So(candidate.machine.Status(), ShouldEqual, Preparing)
+	})
+}
--- /dev/null
+++ b/internal/fleet/replication/search_wide_test.go
@@ -0,0 +1,272 @@
+package replication
+
+import (
+	"cmp"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// wideWalks is how many walks TestWideSearch takes with each core; more by a command:
+//
+//	go test ./internal/fleet/replication -run 'TestWideSearch$' -wide-walks 5000
+var wideWalks = flag.Int("wide-walks", 120, "walks of TestWideSearch with each core")
+
+// firstWalk is the first of them: with -wide-walks 1, one walk again.
+var firstWalk = flag.Uint64("first-walk", 0, "the first walk of TestWideSearch")
+
+const (
+	wideSteps     = 250 // of a walk, for each replica at the start
+	wideHop       = 4 * time.Millisecond
+	newcomersMost = 2
+	reordered     = 10 // messages of which any may overtake the others
+	burstMost     = 12 // messages that are delivered in one step
+)
+
+// wideWalk is a random walk through orders of messages, as search has it, in which replicas also come, leave, are replaced at
+// another address, and are cut off, disks are lost in the middle of all that, and a step may be cut off before its write or
+// between its write and its messages. After it all return that may, and a primary has to come from whatever their disks hold.
+type wideWalk struct {
+	*world
+	random    *rand.Rand
+	wipes     int // that are left: the disks that may be lost in all
+	newcomers int
+	leaving   map[*host]bool
+	pending   []wideRead
+	reads     int
+	trail     []string
+	decided   map[uint64]View // by number
+	weights   []int           // of wideEvents, in this walk
+	waiting   []envelope      // that were sent and not delivered
+	held      []envelope      // that are held up on their way
+}
+
+// wideRead is a read that waits for a round of the witnesses.
+type wideRead struct {
+	at     *host
+	since  time.Duration
+	length int // of what was acknowledged when it came
+}
+
+func newWideWalk(replicas, tolerance int, seed uint64) *wideWalk {
+	w := &wideWalk{
+		world: newWorld(replicas, tolerance, none), random: rand.New(rand.NewPCG(seed, 11)), wipes: tolerance, leaving: map[*host]bool{},
+		decided: map[uint64]View{},
+	}
+	w.hop, w.timing = wideHop, w.drawTiming()
+	w.drawWeights()
+	for _, h := range w.replicas {
+		w.restart(h)
+	}
+	w.intercept = w.keep
+	return w
+}
+
+// keep has a message wait until it is delivered or lost.
+func (w *wideWalk) keep(e envelope) bool {
+	w.waiting = append(w.waiting, e)
+	w.sent = append(w.sent, e)
+	return true
+}
+
+// drawTiming has some walks in which candidates follow one another without a pause, or never give up: what the usual times
+// keep apart comes together there.
+func (w *wideWalk) drawTiming() Timing {
+	t := DefaultTiming()
+	if w.random.IntN(3) == 0 {
+		t.Election, t.Stagger = 0, 400*time.Millisecond
+	}
+	if w.random.IntN(2) == 0 {
+		t.Attempt, t.Store, t.Member = time.Minute, time.Minute, time.Minute
+	}
+	return t
+}
+
+// drawWeights has each walk favour some events and leave others out nearly (swarm testing: Groce and others, 2012).
+func (w *wideWalk) drawWeights() {
+	for i, e := range wideEvents {
+		weight := e.weight * 4
+		if i > 0 {
+			weight = e.weight * []int{1, 4, 4, 16}[w.random.IntN(4)]
+		}
+		w.weights = append(w.weights, weight)
+	}
+}
+
+func (w *wideWalk) note(format string, values ...any) {
+	w.trail = append(w.trail, fmt.Sprintf("%8.3f  ", w.now.Seconds())+fmt.Sprintf(format, values...))
+}
+
+// wideEvents are what may happen, with the weight of each.
+var wideEvents = []struct {
+	weight int
+	do     func(w *wideWalk, h *host)
+}{
+	{700, (*wideWalk).deliverNext},
+	{20, (*wideWalk).deliverAny},
+	{4, (*wideWalk).loseNext},
+	{5, (*wideWalk).hold},
+	{6, (*wideWalk).letGo},
+	{60, (*wideWalk).tickOne},
+	{160, (*wideWalk).tickAll},
+	{100, (*wideWalk).order},
+	{60, (*wideWalk).read},
+	{3, (*wideWalk).stand},
+	{2, (*wideWalk).startAgain},
+	{1, (*wideWalk).losePower},
+	{2, (*wideWalk).loseDisk},
+	{2, (*wideWalk).come},
+	{2, (*wideWalk).leave},
+	{20, (*wideWalk).end},
+	{3, (*wideWalk).cutInTwo},
+	{6, (*wideWalk).cutLeader},
+	{6, (*wideWalk).joinAll},
+	{4, (*wideWalk).duel},
+	{4, (*wideWalk).join},
+	{2, (*wideWalk).breakStep},
+}
+
+// step has one thing happen.
+func (w *wideWalk) step() {
+	live := w.live()
+	h := live[w.random.IntN(len(live))]
+	total := 0
+	for _, weight := range w.weights {
+		total += weight
+	}
+	at := w.random.IntN(total)
+	for i, e := range wideEvents {
+		if at -= w.weights[i]; at < 0 {
+			e.do(w, h)
+			return
+		}
+	}
+}
+
+func (w *wideWalk) live() []*host {
+	return slices.DeleteFunc(slices.Clone(w.replicas), func(h *host) bool { return h.gone })
+}
+
+// checkReads answers reads for which a round was confirmed that began after them.
+func (w *wideWalk) checkReads() string {
+	fault := ""
+	w.pending = slices.DeleteFunc(w.pending, func(r wideRead) bool {
+		confirmed, ok := r.at.machine.Confirmed()
+		if r.at.gone || !ok {
+			return r.at.gone || r.at.machine.Status() != Leading
+		}
+		if confirmed <= r.since {
+			return false
+		}
+		w.reads++
+		if len(r.at.state) < r.length && !r.at.machine.Busy() {
+			fault = fmt.Sprintf("%s answers a read with %d entries, %d were acknowledged before it", r.at.disk.Self.Address, len(r.at.state), r.length)
+		}
+		return true
+	})
+	return fault
+}
+
+// checkViews has all replicas agree on what was decided.
+func (w *wideWalk) checkViews() string {
+	for _, h := range w.replicas {
+		view := h.machine.View()
+		known, was := w.decided[view.Number]
+		if was && !sameView(known, view) {
+			return fmt.Sprintf("view %d was decided twice: %v and %v", view.Number, known, view)
+		}
+		w.decided[view.Number] = view
+	}
+	return ""
+}
+
+func sameView(a, b View) bool {
+	return a.Number == 0 || a.Primary == b.Primary && slices.Equal(a.Members, b.Members) && slices.Equal(a.Witnesses, b.Witnesses)
+}
+
+// recover has all return that may, on the real times of the protocol, and expects a primary that holds all that was
+// acknowledged and takes orders.
+func (w *wideWalk) recover() string {
+	clear(w.cut)
+	w.note("all return")
+	w.replicas = w.live()
+	c := &cluster{world: w.world, down: map[string]bool{}}
+	w.sent, w.waiting, w.held = nil, nil, nil
+	w.known = map[uint64]bool{}
+	c.intercept = c.sendSlowly
+	for _, h := range w.replicas {
+		c.start(h, DefaultTiming())
+		h.machine.options.JoinTargets = c.addresses
+	}
+	before := len(w.acked)
+	for range 24 {
+		c.run(500 * time.Millisecond)
+		if fault := w.fault(); fault != "" {
+			return fault
+		}
+		if leader := c.leader(); leader != nil && c.order() && len(w.acked) > before {
+			return ""
+		}
+	}
+	return "nobody leads 12 s after all have returned"
+}
+
+// play takes a walk and returns its first fault.
+func (w *wideWalk) play(steps int, seen map[uint64]bool) string {
+	for range steps {
+		w.step()
+		seen[w.fingerprint()] = true
+		if fault := w.fault(); fault != "" {
+			return fault
+		}
+		if fault := cmp.Or(w.checkReads(), w.checkViews()); fault != "" {
+			return fault
+		}
+	}
+	return w.recover()
+}
+
+// wideCores are how many replicas there are at the start, and how many may be lost.
+var wideCores = []struct{ replicas, tolerance int }{{1, 0}, {2, 0}, {3, 1}, {4, 1}, {5, 2}, {6, 2}}
+
+// Guards against any order of messages, losses, crashes, comings and leavings after which something acknowledged is gone, a read
+// is older than an acknowledgement before it, or nobody ever leads again.
+func TestWideSearch(t *testing.T) {
+	for _, core := range wideCores {
+		t.Run(fmt.Sprintf("%d replicas, %d may be lost", core.replicas, core.tolerance), func(t *testing.T) {
+			t.Parallel()
+			seen := map[uint64]bool{}
+			acknowledged, reads := 0, 0
+			for seed := *firstWalk; seed < *firstWalk+uint64(*wideWalks); seed++ {
+				w := newWideWalk(core.replicas, core.tolerance, seed)
+				if fault := w.play(wideSteps*core.replicas, seen); fault != "" {
+					t.Fatalf("walk %d: %s\n%s", seed, fault, w.text())
+				}
+				acknowledged += len(w.acked)
+				reads += w.reads
+			}
+			t.Logf("%d walks, %d states, %d changes acknowledged, %d reads answered", *wideWalks, len(seen), acknowledged, reads)
+			if acknowledged < *wideWalks || reads < *wideWalks/4 {
+				t.Errorf("only %d changes and %d reads: the search does not get far", acknowledged, reads)
+			}
+		})
+	}
+}
+
+// text is the course of the walk, and what the disks hold in the end.
+func (w *wideWalk) text() string {
+	text := ""
+	for _, line := range w.trail {
+		text += line + "\n"
+	}
+	for _, h := range w.replicas {
+		d := &h.disk
+		text += fmt.Sprintf("%s/%d %s, gone %v: view %d, primary %v, members %v, witnesses %v, promised %v, accepted %v, position %v, %d entries\n",
+			d.Self.Address, d.Self.Nonce, h.machine.Status(), h.gone, d.View.Number, d.View.Primary, d.View.Members, d.View.Witnesses,
+			d.Promised, d.Accepted, d.Position, len(h.state))
+	}
+	return text
+}
--- a/internal/fleet/replication/world_test.go
+++ b/internal/fleet/replication/world_test.go
@@ -25,6 +25,9 @@
 	nonces    uint64
 	proposed  byte
 	intercept func(envelope) bool // takes a message that is sent; nil: all are sent
+	hop       time.Duration       // that a delivery takes
+	timing    Timing
+	cut       map[[2]string]bool // from, to: nothing passes
 }
 
 // mistake is one that is planted, to show that the search finds it.
@@ -47,6 +50,7 @@
 	machine *Machine
 	disk    Durable
 	state   []byte // on the disk: the entries held
+	gone    bool   // for good
 }
 
 func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i+1) }
@@ -60,7 +64,10 @@
 }
 
 func newWorld(replicas int, tolerance int, m mistake) *world {
-	w := &world{tolerance: Tolerance{Machines: tolerance}, known: map[uint64]bool{}, mistake: m}
+	w := &world{
+		tolerance: Tolerance{Machines: tolerance}, known: map[uint64]bool{}, mistake: m, hop: 100 * time.Millisecond, timing: searchTiming(),
+		cut: map[[2]string]bool{},
+	}
 	var founders []string
 	for i := range replicas {
 		founders = append(founders, address(i))
@@ -128,10 +135,10 @@
 
 func (w *world) deliver(e envelope) {
 	h := w.hostAt(e.to)
-	if h == nil {
+	if h == nil || h.gone || w.cut[[2]string{e.from.Address, e.to}] {
 		return
 	}
-	w.now += 100 * time.Millisecond
+	w.now += w.hop
 	w.carryOut(h, h.machine.Receive(w.now, e.from, e.message))
 	w.noteAcknowledged(h)
 }
@@ -157,7 +164,7 @@
 }
 
 // restart ends a replica and starts it with what its disk holds.
-func (w *world) restart(h *host) { w.start(h, searchTiming()) }
+func (w *world) restart(h *host) { w.start(h, w.timing) }
 
 // wipe takes a replica's disk away.
 func (w *world) wipe(h *host) {
@@ -169,13 +176,13 @@
 		h.disk = FirstDurable(former.Self.Address, former.Self.Nonce, nil)
 		h.disk.View = former.View
 	}
-	w.start(h, searchTiming())
+	w.start(h, w.timing)
 }
 
 // fault says what is wrong; empty: nothing.
 func (w *world) fault() string {
 	for _, h := range w.replicas {
-		if _, leading := h.machine.Committed(); !leading || h.machine.Busy() {
+		if _, leading := h.machine.Committed(); !leading || h.machine.Busy() || h.gone {
 			continue
 		}
 		if len(h.state) < len(w.acked) && w.isNewest(h) {
