--- a/internal/fleet/config/config_test.go
+++ b/internal/fleet/config/config_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"testing"
 
@@ -97,6 +98,27 @@
 	return CheckSchema(d, EmptyDocument())
 }
 
+// Guards against shares that are off their weights, whatever the weights add up to.
+func TestShares(t *testing.T) {
+	const draws = 10000
+	for _, weights := range [][]float64{{90, 10}, {1, 1, 1}, {0, 5, 0.5}, {0.25, 0.75}, {0, 7}, {3, 0}} {
+		route, sum := &Route{}, 0.0
+		for i, weight := range weights {
+			route.Backends = append(route.Backends, Backend{Service: fmt.Sprint("s", i), Weight: weight})
+			sum += weight
+		}
+		got := map[string]float64{}
+		for i := range draws {
+			got[route.Pick((float64(i)+0.5)/draws)]++
+		}
+		for i, weight := range weights {
+			if share, expected := got[fmt.Sprint("s", i)]/draws, weight/sum; math.Abs(share-expected) > 1.0/draws {
+				t.Errorf("weights %v: part %d has a share of %v, not %v", weights, i, share, expected)
+			}
+		}
+	}
+}
+
 func TestTable(t *testing.T) {
 	Convey("Requests are looked up", t, func() {
 		table, err := NewTable(document(whole), nil)
--- a/internal/fleet/front/once_test.go
+++ b/internal/fleet/front/once_test.go
@@ -231,3 +231,26 @@
 		So(sent(a, b), ShouldEqual, 1)
 	})
 }
+
+// Guards against a request that is held past its route's time, whatever its endpoints do and however many there are.
+func TestRouteTimeout(t *testing.T) {
+	silent := func(c net.Conn, _ *http.Request) { _, _ = c.Read(make([]byte, 1)) }
+	begins := func(c net.Conn, r *http.Request) { text(eventsHead)(c, r); silent(c, r) }
+	const timeout = 2 * time.Second // of the routes
+	for _, path := range []string{"/u/", "/safe/", "/st/", "/r/"} {
+		for name, act := range map[string]func(net.Conn, *http.Request){"silent": silent, "silent after the head": begins} {
+			t.Run(path+" "+name, func(t *testing.T) {
+				t.Parallel()
+				r := newRig(t, newStandIn(t, "e1", act, act, act), newStandIn(t, "e2", act, act, act))
+				began := time.Now()
+				response, _, err := r.do("POST", path, "", "X-Deadline-Ms", "60000")
+				if took := time.Since(began); took > timeout+400*time.Millisecond {
+					t.Errorf("answered after %v", took)
+				}
+				if err == nil && response.StatusCode != http.StatusGatewayTimeout && response.StatusCode != http.StatusBadGateway {
+					t.Errorf("answered %d", response.StatusCode)
+				}
+			})
+		}
+	}
+}
