--- a/internal/fleet/router/leaseholders.go
+++ b/internal/fleet/router/leaseholders.go
@@ -12,7 +12,8 @@
 // announced theirs, or the life of a lease has passed. Who they are a process that has just started does not know: after a
 // loss of power in the core it may know the core alone, while all others use their shares. Machines of the core therefore
 // keep the routers' addresses on the disk, for the process after this one. Where there is no such list, a process that has
-// not run for long takes no number of announcements for all of them.
+// not run for long takes no number of announcements for all of them, until a primary has told it who they are. A primary
+// knows when it has kept a ledger for longer than leases of the one before last.
 
 const (
 	leaseholdersName  = "routers"
@@ -22,12 +23,37 @@
 // leaseholderList is what a process knows of routers from the one before it, and leaves to the next.
 type leaseholderList struct {
 	file    *listFile // nil: no disk
-	former  []string  // that the process before this one knew
-	known   bool      // former is a list of them all
+	former  []string  // that the process before this one knew, or a primary
+	known   bool      // with those that this process knows, they are all
 	written []string
 	next    time.Duration // when the list is looked at again
 }
 
+// holds notes that a router has shares of this router's ledger, of which no shares are out that it does not know.
+func (l *leaseholderList) holds(address string) {
+	l.known = true
+	l.add(address)
+}
+
+func (l *leaseholderList) add(address string) {
+	if !slices.Contains(l.former, address) {
+		l.former = append(slices.Clone(l.former), address)
+	}
+}
+
+// learnLeaseholders takes over who may hold shares, as the primary says.
+func (r *Router) learnLeaseholders(all []string) {
+	if len(all) == 0 {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, address := range all {
+		r.leaseholders.add(address)
+	}
+	r.leaseholders.known = true
+}
+
 // startLeaseholders reads what the process before this one has left.
 func (r *Router) startLeaseholders() {
 	l := &r.leaseholders
@@ -63,16 +89,16 @@
 // lately that they may be cut off instead, and those that the process before this one knew and this one has not heard of.
 // complete is false where there may be others. The caller holds the lock.
 func (r *Router) mayHoldShares() (all []string, complete bool) {
-	now, timing := r.clock(), membership.DefaultTiming()
-	recently := quota.LeaseLife + timing.Silence
+	now := r.clock()
+	recently := quota.LeaseLife + membership.DefaultTiming().Silence
 	for _, m := range r.node.Members.All() {
 		ended, isOver := r.node.Members.EndedAt(m.Address)
 		if !isOver || now-ended < recently {
 			all = append(all, m.Address)
 		}
 	}
-	if now > timing.Forget {
-		return all, true // whoever was there has been heard of, or forgotten by all
+	if r.runsLong() {
+		return all, true
 	}
 	for _, address := range r.leaseholders.former {
 		if _, heard := r.node.Members.Lookup(address); !heard {
@@ -80,5 +106,11 @@
 		}
 	}
 	slices.Sort(all)
-	return all, r.leaseholders.known
+	return all, r.knowsLeaseholders()
 }
+
+// knowsLeaseholders tells whether mayHoldShares are all. The caller holds the lock.
+func (r *Router) knowsLeaseholders() bool { return r.leaseholders.known || r.runsLong() }
+
+// runsLong tells whether whoever was there before this process has been heard of by now, or forgotten by all.
+func (r *Router) runsLong() bool { return r.clock() > membership.DefaultTiming().Forget }
--- a/internal/fleet/router/leaseholders_test.go
+++ b/internal/fleet/router/leaseholders_test.go
@@ -11,6 +11,7 @@
 
 	"pinelb.example/pinelb/internal/fleet/config"
 	"pinelb.example/pinelb/internal/fleet/membership"
+	"pinelb.example/pinelb/internal/fleet/quota"
 	"pinelb.example/pinelb/internal/fleet/settings"
 )
 
@@ -89,6 +90,23 @@
 		So(newListFile(directory, leaseholdersName, zap.NewNop()).read(&left), ShouldBeTrue)
 		So(left, ShouldResemble, []string{r.settings.Internal(), "10.0.0.2:0", "10.0.0.9:0"})
 	})
+	Convey("A primary whose ledger waits for no announcements any more knows all, and tells others", t, func() {
+		primary := leaseTestRouter("", 10*time.Second, false)
+		_, complete := primary.mayHoldShares()
+		So(complete, ShouldBeFalse)
+		primary.ledger.Serve(primary.clock()-quota.LeaseLife-time.Second, 5, false, quotaTestWindow)
+		primary.noteAnnounced("10.0.0.2:0")
+		all, complete := primary.mayHoldShares()
+		So(complete, ShouldBeTrue)
+		So(all, ShouldResemble, []string{primary.settings.Internal(), "10.0.0.2:0"})
+		other := leaseTestRouter("", time.Second, false)
+		other.learnLeaseholders(nil)
+		So(other.knowsLeaseholders(), ShouldBeFalse)
+		other.learnLeaseholders(append(all, "10.0.0.3:0"))
+		all, complete = other.mayHoldShares()
+		So(complete, ShouldBeTrue)
+		So(all, ShouldResemble, []string{other.settings.Internal(), "10.0.0.2:0", "10.0.0.3:0"})
+	})
 	Convey("A process that may not know all leaves no list", t, func() {
 		directory := t.TempDir()
 		r := leaseTestRouter(directory, time.Second, false)
--- a/internal/fleet/router/shares.go
+++ b/internal/fleet/router/shares.go
@@ -23,6 +23,7 @@
 	Contact uint64              `cbor:"2,keyasint"`
 	Uses    map[string]quotaUse `cbor:"3,keyasint,omitempty"`
 	Origin  string              `cbor:"4,keyasint,omitempty"` // as in quotaAsk
+	Asks    bool                `cbor:"5,keyasint,omitempty"` // who may hold shares: the sender may not know all
 }
 
 // quotaRenewed answers quotaRenew.
@@ -30,10 +31,12 @@
 	Number uint64             `cbor:"1,keyasint"`
 	Shares map[string]float64 `cbor:"2,keyasint,omitempty"`
 	Origin string             `cbor:"3,keyasint,omitempty"` // as in quotaGrant
+
+	Routers []string `cbor:"4,keyasint,omitempty"` // all that may hold shares; empty: not asked for, or not known
 }
 
 // tick renews the lease where it is time to, and at once with a new primary, which does not know it.
-func (c *quotaClient) tick(now time.Duration, view uint64, primary string, routers int) {
+func (c *quotaClient) tick(now time.Duration, view uint64, primary string, routers int, asks bool) {
 	c.mu.Lock()
 	if primary == "" || routers > quota.LeasesMost || now < c.nextRenew && view == c.view {
 		c.mu.Unlock()
@@ -43,7 +46,7 @@
 	wasAnswered := c.accounts.Answered()
 	c.renewal = c.accounts.Renew(now)
 	c.renewed++
-	message := quotaRenew{Number: c.renewed, Contact: c.renewal.Contact, Uses: map[string]quotaUse{}}
+	message := quotaRenew{Number: c.renewed, Contact: c.renewal.Contact, Uses: map[string]quotaUse{}, Asks: asks}
 	for name, use := range c.renewal.Uses {
 		message.Uses[name] = quotaUse(use)
 	}
@@ -76,6 +79,7 @@
 }
 
 func (c *quotaClient) takeRenewed(answer quotaRenewed) {
+	c.router.learnLeaseholders(answer.Routers)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if answer.Number != c.renewed {
@@ -118,12 +122,16 @@
 		}
 	}
 	r.noteAnnounced(from)
+	if all, complete := r.mayHoldShares(); renew.Asks && complete {
+		answer.Routers = all
+	}
 	return answer, true
 }
 
 // noteAnnounced notes that a router has renewed all that it holds. The caller holds the lock.
 func (r *Router) noteAnnounced(from string) {
 	if !r.ledger.AwaitsAnnouncements(r.clock()) {
+		r.leaseholders.holds(from)
 		return
 	}
 	r.ledger.Announced(from)
