--- a/internal/fleet/control/stack_test.go
+++ b/internal/fleet/control/stack_test.go
@@ -400,3 +400,15 @@
 	}
 	return document.Version
 }
+
+// servicesOf reads the names of a configuration's services.
+func servicesOf(text string) map[string]bool {
+	var document struct{ Services []struct{ Name string } }
+	held := map[string]bool{}
+	if json.Unmarshal([]byte(text), &document) == nil {
+		for _, service := range document.Services {
+			held[service.Name] = true
+		}
+	}
+	return held
+}
