--- a/internal/fleet/control/points_test.go
+++ b/internal/fleet/control/points_test.go
@@ -178,6 +178,15 @@
 			s.cut(a, false)
 		}
 	}},
+	"2 orders repeated at a machine that was brought up by a snapshot": {rivals: 1, lost: 55, pause: 50 * time.Millisecond, disrupt: func(s *stack) {
+		for range 5 {
+			wiped := s.any()
+			s.restart(wiped, 200*time.Millisecond, true)
+			time.Sleep(s.span(1500*time.Millisecond, 2500*time.Millisecond))
+			s.leadAlone(wiped)
+			time.Sleep(s.span(2*time.Second, 3*time.Second))
+		}
+	}},
 	"3 a second loss after a planned replacement": {rivals: 1, pause: 300 * time.Millisecond, disrupt: func(s *stack) {
 		leaver := s.any()
 		added := s.add(addressOf(len(s.peers())))
@@ -201,15 +210,20 @@
 		wiped := s.any()
 		s.restart(wiped, time.Second, true)
 		time.Sleep(5 * time.Second)
-		for _, a := range s.peers() { // the one whose disk was lost is to lead
-			if a != wiped {
-				s.restart(a, s.span(500*time.Millisecond, 900*time.Millisecond), false)
-			}
-		}
+		s.leadAlone(wiped)
 		time.Sleep(7 * time.Second)
 	}},
 }
 
+// leadAlone has all other machines end for a moment, so that one of them leads that may have been brought up by a snapshot.
+func (s *stack) leadAlone(address string) {
+	for _, a := range s.peers() {
+		if a != address {
+			s.restart(a, s.span(500*time.Millisecond, 900*time.Millisecond), false)
+		}
+	}
+}
+
 // restart ends a machine, and starts it again after a time.
 func (s *stack) restart(address string, after time.Duration, wiped bool) {
 	m := s.running(address)
