List who may hold shares only for routers that ask

Ruled out: any change of what is answered. Change: the question is looked at first; the comment says what holds.

--- a/internal/fleet/quota/account.go
+++ b/internal/fleet/quota/account.go
@@ -27,7 +27,7 @@
 	floorAtFirst = 0.6 // of the rate
 	floorLater   = 0.1 // the same
 	floorFirst   = 1200 * time.Millisecond
-	floorCutOff  = 0.8  // of the routers, that may be cut off from a ledger which grants the others the whole rate
+	floorCutOff  = 0.8  // of the routers, reckoned without chance; with it half may be cut off from a ledger that serves the others
 	floorExcess  = 0.1  // of the allowed excess of a window, at once
 	quietBelow   = 0.4  // of its rate: a tenant whose use seems to be lower is quiet
 	quietBurst   = 0.25 // of a second's rate, at once, for a quiet tenant
--- a/internal/fleet/router/shares.go
+++ b/internal/fleet/router/shares.go
@@ -122,8 +122,8 @@
 		}
 	}
 	r.noteAnnounced(from)
-	if all, complete := r.mayHoldShares(); renew.Asks && complete {
-		answer.Routers = all
+	if renew.Asks && r.knowsLeaseholders() {
+		answer.Routers, _ = r.mayHoldShares()
 	}
 	return answer, true
 }
