Spread the decoding of large changes, and compress large messages

Change: a Build is decoded in steps of 50 items with pauses, over half a second, unless the router has no configuration. Packets say that their sender understands gzip; messages over 4 KB to such routers are compressed.

--- a/internal/fleet/config/document.go
+++ b/internal/fleet/config/document.go
@@ -40,7 +40,10 @@
 
 // ParseDocument decodes a complete configuration from JSON. An error is an InvalidError. Items are decoded no further
 // than their names: NewTable and CheckSchema check the rest.
-func ParseDocument(text []byte) (*Document, error) {
+func ParseDocument(text []byte) (*Document, error) { return ParseDocumentPaced(text, nil) }
+
+// ParseDocumentPaced is ParseDocument, with pauses.
+func ParseDocumentPaced(text []byte, pace Pace) (*Document, error) {
 	var fields map[string]rawJSON
 	if err := decodeJSON(text, &fields); err != nil {
 		return nil, unreadable("configuration", err)
@@ -50,7 +53,7 @@
 		if name == fieldVersion {
 			continue
 		}
-		list, isList, err := parseList(name, value)
+		list, isList, err := parseList(name, value, pace)
 		switch {
 		case err != nil:
 			return nil, err
--- a/internal/fleet/config/list.go
+++ b/internal/fleet/config/list.go
@@ -19,7 +19,7 @@
 
 // parseList decodes the value of a field that is a list of named items. Where an unknown field's value is anything else,
 // isList is false; that of a known field, or one with a name twice, is an InvalidError.
-func parseList(field string, value rawJSON) (list *itemList, isList bool, err error) {
+func parseList(field string, value rawJSON, pace Pace) (list *itemList, isList bool, err error) {
 	required := isItemField(field)
 	var items []rawJSON
 	if err := decodeJSON(value, &items); err != nil {
@@ -29,7 +29,8 @@
 		return nil, false, nil
 	}
 	list = &itemList{items: make(map[string]rawJSON, len(items))}
-	for _, item := range items {
+	for i, item := range items {
+		pace.after(i)
 		name := itemName(item)
 		if name == "" && required {
 			return nil, false, &InvalidError{Item: field, Reason: "holds an item without a name"}
--- a/internal/fleet/config/patch.go
+++ b/internal/fleet/config/patch.go
@@ -22,7 +22,10 @@
 }
 
 // Apply returns the document that a patch makes of this one: removals first, then insertions. An error is an InvalidError.
-func (d *Document) Apply(p *Patch) (*Document, error) {
+func (d *Document) Apply(p *Patch) (*Document, error) { return d.ApplyPaced(p, nil) }
+
+// ApplyPaced is Apply, with pauses.
+func (d *Document) ApplyPaced(p *Patch, pace Pace) (*Document, error) {
 	version, err := parseVersion(p.Version)
 	if err != nil {
 		return nil, err
@@ -34,15 +37,15 @@
 		next.lists[field] = list
 	}
 	for field, value := range p.Upsert {
-		if err := next.upsert(field, value); err != nil {
+		if err := next.upsert(field, value, pace); err != nil {
 			return nil, err
 		}
 	}
 	return next, nil
 }
 
-func (d *Document) upsert(field string, value rawJSON) error {
-	changed, isList, err := parseList(field, value)
+func (d *Document) upsert(field string, value rawJSON, pace Pace) error {
+	changed, isList, err := parseList(field, value, pace)
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/config/state.go
+++ b/internal/fleet/config/state.go
@@ -25,8 +25,11 @@
 
 // Apply returns the state after a change. It does not compare the change's base with the present version: the caller
 // does. An error is an InvalidError.
-func (s *State) Apply(c *Change) (*State, error) {
-	document, err := s.documentAfter(c)
+func (s *State) Apply(c *Change) (*State, error) { return s.ApplyPaced(c, nil) }
+
+// ApplyPaced is Apply, with pauses.
+func (s *State) ApplyPaced(c *Change, pace Pace) (*State, error) {
+	document, err := s.documentAfter(c, pace)
 	if err != nil {
 		return nil, err
 	}
@@ -36,15 +39,15 @@
 	return &State{Document: document, applied: applied}, nil
 }
 
-func (s *State) documentAfter(c *Change) (*Document, error) {
+func (s *State) documentAfter(c *Change, pace Pace) (*Document, error) {
 	if c.Replace {
-		return ParseDocument(c.Body)
+		return ParseDocumentPaced(c.Body, pace)
 	}
 	patch, err := ParsePatch(c.Body)
 	if err != nil {
 		return nil, err
 	}
-	return s.Document.Apply(patch)
+	return s.Document.ApplyPaced(patch, pace)
 }
 
 // encodedState is a State as snapshots carry it.
--- a/internal/fleet/config/table.go
+++ b/internal/fleet/config/table.go
@@ -27,20 +27,25 @@
 // from the same text are shared with it, and so is what is indexed by them: a small change of a large configuration costs little.
 // previous may be nil. An error is an InvalidError.
 func NewTable(document *Document, previous *Table) (*Table, error) {
+	return NewTablePaced(document, previous, nil)
+}
+
+// NewTablePaced is NewTable, with pauses.
+func NewTablePaced(document *Document, previous *Table, pace Pace) (*Table, error) {
 	t := &Table{Document: document, Version: document.version}
 	if previous == nil {
 		previous = &Table{Document: EmptyDocument()}
 	}
 	before := previous.Document
-	services, err := decodeItems(document, before, fieldServices, previous.services)
+	services, err := decodeItems(document, before, fieldServices, previous.services, pace)
 	if err != nil {
 		return nil, err
 	}
-	routes, err := decodeItems(document, before, fieldRoutes, previous.routes)
+	routes, err := decodeItems(document, before, fieldRoutes, previous.routes, pace)
 	if err != nil {
 		return nil, err
 	}
-	tenants, err := decodeItems(document, before, fieldTenants, previous.tenants)
+	tenants, err := decodeItems(document, before, fieldTenants, previous.tenants, pace)
 	if err != nil {
 		return nil, err
 	}
@@ -80,7 +85,7 @@
 
 // decodeItems decodes the items of one list; those whose text is the same as before are taken from decoded, which belongs to
 // that document.
-func decodeItems[T any](document, before *Document, field string, decoded map[string]*T) (decodedItems[T], error) {
+func decodeItems[T any](document, before *Document, field string, decoded map[string]*T, pace Pace) (decodedItems[T], error) {
 	items, previous := document.items(field), before.items(field)
 	result := decodedItems[T]{items: maps.Clone(decoded)}
 	if result.items == nil {
@@ -91,6 +96,7 @@
 		if former, known := previous[name]; known && sameText(former, text) {
 			continue
 		}
+		pace.after(len(result.changed))
 		item := new(T)
 		if err := decodeJSON(text, item); err != nil {
 			return result, unreadable(field+" "+name, err)
--- a/internal/fleet/control/cluster_test.go
+++ b/internal/fleet/control/cluster_test.go
@@ -257,7 +257,7 @@
 	}
 	if out.Build != nil {
 		go func() {
-			table, err := out.Build.Table()
+			table, err := out.Build.Table(nil)
 			m.step(func(now time.Duration) *dissemination.Output { return m.node.HandleBuilt(now, out.Build, table, err) })
 		}()
 	}
--- a/internal/fleet/dissemination/build.go
+++ b/internal/fleet/dissemination/build.go
@@ -36,8 +36,8 @@
 	return &Build{sequence: last, previous: c.Table, document: document, changes: changes}
 }
 
-// size is the length of all that has to be decoded.
-func (b *Build) size() int {
+// Size is the length of all that has to be decoded.
+func (b *Build) Size() int {
 	size := 0
 	if b.document != nil {
 		size = b.document.inflatedSize()
@@ -48,22 +48,26 @@
 	return size
 }
 
-// Table decodes the configuration. It may run on any goroutine. An error says why something that was received can't be used.
-func (b *Build) Table() (*config.Table, error) {
-	document, err := b.startDocument()
+// Urgent reports whether the router has no configuration yet, so that nothing else matters more.
+func (b *Build) Urgent() bool { return b.previous == nil }
+
+// Table decodes the configuration. It may run on any goroutine; pace may be nil. An error says why something that was received can't be
+// used.
+func (b *Build) Table(pace config.Pace) (*config.Table, error) {
+	document, err := b.startDocument(pace)
 	if err != nil {
 		return nil, err
 	}
 	state := &config.State{Document: document}
 	for _, blob := range b.changes {
-		if state, err = applyBlob(state, blob); err != nil {
+		if state, err = applyBlob(state, blob, pace); err != nil {
 			return nil, err
 		}
 	}
-	return config.NewTable(state.Document, b.previous)
+	return config.NewTablePaced(state.Document, b.previous, pace)
 }
 
-func (b *Build) startDocument() (*config.Document, error) {
+func (b *Build) startDocument(pace config.Pace) (*config.Document, error) {
 	if b.document == nil {
 		return b.previous.Document, nil
 	}
@@ -71,10 +75,10 @@
 	if err != nil {
 		return nil, err
 	}
-	return config.ParseDocument(text)
+	return config.ParseDocumentPaced(text, pace)
 }
 
-func applyBlob(state *config.State, blob Blob) (*config.State, error) {
+func applyBlob(state *config.State, blob Blob, pace config.Pace) (*config.State, error) {
 	text, err := blob.open()
 	if err != nil {
 		return nil, err
@@ -83,5 +87,5 @@
 	if err != nil {
 		return nil, fmt.Errorf("dissemination: %w", err)
 	}
-	return state.Apply(change)
+	return state.ApplyPaced(change, pace)
 }
--- a/internal/fleet/dissemination/config_exchange.go
+++ b/internal/fleet/dissemination/config_exchange.go
@@ -111,11 +111,11 @@
 	build := n.Config.pendingBuild()
 	switch {
 	case build == nil:
-	case build.size() > maxInlineBuildBytes:
+	case build.Size() > maxInlineBuildBytes:
 		n.building = true
 		n.output.Build = build
 	default:
-		table, err := build.Table()
+		table, err := build.Table(nil)
 		n.finishBuild(build, table, err)
 	}
 }
--- a/internal/fleet/dissemination/fetch_world_test.go
+++ b/internal/fleet/dissemination/fetch_world_test.go
@@ -103,12 +103,12 @@
 func (f *fleet) build(router string, build *Build) {
 	delay := time.Duration(0)
 	if f.decodeRate > 0 {
-		delay = time.Duration(float64(build.size()) / f.decodeRate * float64(time.Second))
+		delay = time.Duration(float64(build.Size()) / f.decodeRate * float64(time.Second))
 	}
 	f.after(delay, func() {
 		table, err := f.tables[build.sequence], error(nil)
 		if table == nil { // all routers make the same of it
-			table, err = build.Table()
+			table, err = build.Table(nil)
 			f.tables[build.sequence] = table
 		}
 		f.perform(router, f.nodes[router].HandleBuilt(f.now, build, table, err))
--- a/internal/fleet/router/config_fetch.go
+++ b/internal/fleet/router/config_fetch.go
@@ -8,10 +8,14 @@
 	"github.com/fxamacker/cbor/v2"
 	"go.uber.org/zap"
 
+	"pinelb.example/pinelb/internal/fleet/config"
 	"pinelb.example/pinelb/internal/fleet/dissemination"
 )
 
 const (
+	buildSpan     = 500 * time.Millisecond // over which the decoding of a large change is spread
+	maxBuildPause = 20 * time.Millisecond
+
 	reportedLag        = time.Second // of the configuration, from which on it is logged
 	lagReportsInterval = time.Second
 )
@@ -38,12 +42,28 @@
 	return dissemination.FetchFailed
 }
 
-// build decodes a configuration without the lock, since a large one takes long.
+// build decodes a configuration without the lock, since a large one takes long. It leaves most of the processor to requests: on a machine
+// with a share of one, they would have to wait for the whole of it.
 func (g *gossip) build(build *dissemination.Build) {
-	table, err := build.Table()
+	table, err := build.Table(g.buildPace(build))
 	g.step(func(now time.Duration) *dissemination.Output { return g.node.HandleBuilt(now, build, table, err) })
 }
 
+// buildPace spreads the work over buildSpan; nil: it is urgent, or short.
+func (g *gossip) buildPace(build *dissemination.Build) config.Pace {
+	steps := config.PacedSteps(build.Size())
+	if build.Urgent() || steps == 0 {
+		return nil
+	}
+	pause := min(maxBuildPause, buildSpan/time.Duration(steps))
+	return func() {
+		select {
+		case <-time.After(pause):
+		case <-g.transport.Context().Done():
+		}
+	}
+}
+
 // serveFetch answers another router's fetch.
 func (g *gossip) serveFetch(body []byte) (any, error) {
 	var request dissemination.FetchRequest
--- a/internal/fleet/transport/call.go
+++ b/internal/fleet/transport/call.go
@@ -73,10 +73,14 @@
 
 // post sends a body and returns that of the answer.
 func (t *Transport) post(ctx context.Context, to, path string, body []byte) ([]byte, error) {
+	body, encoding := t.encodeBody(to, body)
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, fmt.Errorf("transport: %w", err)
 	}
+	if encoding != "" {
+		request.Header.Set("Content-Encoding", encoding)
+	}
 	response, err := t.client.Do(request)
 	if err != nil {
 		return nil, fmt.Errorf("transport: %w", err)
--- /dev/null
+++ b/internal/fleet/transport/compression_test.go
@@ -0,0 +1,69 @@
+package transport
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+)
+
+// Guards against messages that a router of a former build can't read, and against compressed ones that arrive altered or unbounded.
+func TestCompressedMessages(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	Convey("Two routers of one fleet", t, func() {
+		in := newInbox()
+		a, aAddress := listen(t, 7, func(*Packet) {})
+		b, bAddress := listen(t, 7, in.handle)
+		So(a.Serve(), ShouldBeNil)
+		So(b.Serve(), ShouldBeNil)
+		Reset(func() {
+			a.Close()
+			b.Close()
+		})
+		large := strings.Repeat("a large change ", 20_000)
+		packetOf := func(gzip bool) []byte {
+			packet, err := cbor.Marshal(&Packet{Fleet: 7, Kind: 3, From: bAddress, Body: cbor.RawMessage{0x01}, Gzip: gzip})
+			So(err, ShouldBeNil)
+			return packet
+		}
+
+		Convey("send large messages as they are until the other one's packets say that it understands compressed ones", func() {
+			for _, c := range []struct {
+				says     []byte
+				encoding string
+			}{{nil, ""}, {packetOf(true), gzipEncoding}, {packetOf(false), ""}} {
+				a.receive(c.says)
+				body, encoding := a.encodeBody(bAddress, []byte(large))
+				So(encoding, ShouldEqual, c.encoding)
+				So(len(body) < len(large)/10, ShouldEqual, encoding != "")
+				a.Send(bAddress, 4, 0, large)
+				<-in.arrived
+				var text string
+				So(cbor.Unmarshal(in.packets[len(in.packets)-1].Body, &text), ShouldBeNil)
+				So(text == large, ShouldBeTrue)
+			}
+			So(b.understandsGzip(aAddress), ShouldBeTrue)
+		})
+		Convey("drop what is truncated, of another encoding, or inflates to more than a body may have", func() {
+			b.recordPeer(aAddress, true)
+			valid, _ := b.encodeBody(aAddress, []byte(large))
+			bomb, _ := b.encodeBody(aAddress, bytes.Repeat([]byte{0}, maxBodyBytes+1))
+			for i, c := range []struct {
+				body     []byte
+				encoding string
+			}{{valid[:len(valid)/2], gzipEncoding}, {valid[:5], gzipEncoding}, {valid, "br"}, {bomb, gzipEncoding}} {
+				request := httptest.NewRequest(http.MethodPost, messagePath, bytes.NewReader(c.body))
+				request.Header.Set("Content-Encoding", c.encoding)
+				_, ok := b.readBody(httptest.NewRecorder(), request)
+				So(fmt.Sprint(i, ok), ShouldEqual, fmt.Sprint(i, false))
+			}
+			So(b.Counters.Dropped.Load(), ShouldEqual, 4)
+		})
+	})
+}
--- a/internal/fleet/transport/packet.go
+++ b/internal/fleet/transport/packet.go
@@ -16,6 +16,7 @@
 	From  string          `cbor:"3,keyasint"` // the sender's internal address
 	Nonce uint64          `cbor:"4,keyasint,omitempty"`
 	Body  cbor.RawMessage `cbor:"5,keyasint"`
+	Gzip  bool            `cbor:"6,keyasint,omitempty"` // the sender understands compressed messages
 }
 
 // encode returns the packet of a message. It panics for a message that CBOR has no form for, which is a mistake in the code.
@@ -24,7 +25,7 @@
 	if err != nil {
 		panic(fmt.Sprintf("transport: a message of kind %d can't be encoded: %v", kind, err))
 	}
-	packet, err := cbor.Marshal(&Packet{Fleet: t.fleet, Kind: kind, From: t.address, Nonce: nonce, Body: body})
+	packet, err := cbor.Marshal(&Packet{Fleet: t.fleet, Kind: kind, From: t.address, Nonce: nonce, Body: body, Gzip: true})
 	if err != nil {
 		panic(fmt.Sprintf("transport: a packet can't be encoded: %v", err))
 	}
--- a/internal/fleet/transport/receive.go
+++ b/internal/fleet/transport/receive.go
@@ -32,7 +32,10 @@
 
 // readBody reads a request's body. One that is truncated or too long is dropped and counted.
 func (t *Transport) readBody(w http.ResponseWriter, r *http.Request) (body []byte, ok bool) {
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
+	decoded, err := decodedBody(r)
+	if err == nil {
+		body, err = io.ReadAll(http.MaxBytesReader(w, io.NopCloser(decoded), maxBodyBytes))
+	}
 	if err != nil {
 		t.Counters.Dropped.Add(1)
 		return nil, false
@@ -48,5 +51,6 @@
 		return
 	}
 	t.Counters.Received.Add(1)
+	t.recordPeer(p.From, p.Gzip)
 	t.handle(&p)
 }
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -60,6 +60,7 @@
 	mu           sync.Mutex
 	inFlight     map[string]int            // messages over TCP, by receiver
 	udpAddresses map[string]netip.AddrPort // parsed addresses of receivers
+	gzipPeers    map[string]bool           // routers that understand compressed messages
 }
 
 // Listen binds the router's internal address by UDP; Serve has to follow. Packets of other fleets are dropped. handle is called
@@ -76,7 +77,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Transport{
 		fleet: fleet, address: address, handle: handle, udp: udp, router: mux.NewRouter(),
-		ctx: ctx, cancel: cancel, inFlight: map[string]int{}, udpAddresses: map[string]netip.AddrPort{},
+		ctx: ctx, cancel: cancel, inFlight: map[string]int{}, udpAddresses: map[string]netip.AddrPort{}, gzipPeers: map[string]bool{},
 	}
 	t.client = &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
--- a/internal/fleet/transport/transport_test.go
+++ b/internal/fleet/transport/transport_test.go
@@ -131,6 +131,6 @@
 	}
 	f.Add(packet)
 	f.Add(packet[:5])
-	t := &Transport{fleet: 7, handle: func(*Packet) {}}
+	t := &Transport{fleet: 7, handle: func(*Packet) {}, gzipPeers: map[string]bool{}}
 	f.Fuzz(func(_ *testing.T, encoded []byte) { t.receive(encoded) })
 }
