Say why views change, and which endpoints' reports are ignored

Change: view changed names who was added and removed; election started with its reason, election failed; 503 at the primary says that the outcome is not known; heartbeatsIgnored, draining.

--- a/internal/fleet/control/errors.go
+++ b/internal/fleet/control/errors.go
@@ -47,6 +47,6 @@
 	case errors.As(err, &unacknowledged):
 		http.Error(w, unacknowledged.Error(), http.StatusServiceUnavailable)
 	default:
-		s.redirect(w, r)
+		s.redirect(w, r, err)
 	}
 }
--- a/internal/fleet/control/redirect.go
+++ b/internal/fleet/control/redirect.go
@@ -1,9 +1,12 @@
 package control
 
 import (
+	"errors"
 	"net/http"
 	"net/url"
 	"strconv"
+
+	"pinelb.example/pinelb/internal/fleet/replica"
 )
 
 const (
@@ -16,14 +19,13 @@
 )
 
 // redirect sends a caller to the primary, or asks it to come back where none is known, or where this router is the primary and could not
-// decide the call: the text of the answer is the same. A caller that was redirected here is
-// redirected only by a newer view than before: two routers that take each other for the primary, one of them by an older view,
-// would else send it to and fro.
-func (s *Server) redirect(w http.ResponseWriter, r *http.Request) {
+// decide the call, as cause says. A caller that was redirected here is redirected only by a newer view than before: two routers that take
+// each other for the primary, one of them by an older view, would else send it to and fro.
+func (s *Server) redirect(w http.ResponseWriter, r *http.Request, cause error) {
 	view, primary := s.delegate.PrimaryControl()
 	if primary == "" || primary == s.address || view <= redirectView(r) {
 		w.Header().Set("Retry-After", retryAfter)
-		http.Error(w, "no primary is known at present", http.StatusServiceUnavailable)
+		http.Error(w, unavailableText(cause), http.StatusServiceUnavailable)
 		return
 	}
 	target := *r.URL
@@ -32,6 +34,14 @@
 	w.WriteHeader(http.StatusTemporaryRedirect)
 }
 
+// unavailableText says why a call is answered neither by a decision nor by a redirection.
+func unavailableText(cause error) string {
+	if errors.Is(cause, replica.ErrUnavailable) {
+		return "the outcome is not known: send the same again"
+	}
+	return "no primary is known at present"
+}
+
 // redirectView returns the view by which another router redirected a caller here; 0: none did.
 func redirectView(r *http.Request) uint64 {
 	view, err := strconv.ParseUint(r.URL.Query().Get(viewParameter), 10, 64)
--- a/internal/fleet/control/server_test.go
+++ b/internal/fleet/control/server_test.go
@@ -76,6 +76,11 @@
 			if c.status == http.StatusTemporaryRedirect {
 				So(answer.Header().Get("Location"), ShouldEqual, "http://10.0.0.2:9/config/modify?view=3")
 			}
+			if c.status == http.StatusServiceUnavailable {
+				knownOutcome := !errors.Is(c.err, replica.ErrUnavailable)
+				So(strings.Contains(answer.Body.String(), "no primary is known"), ShouldEqual, knownOutcome)
+				So(strings.Contains(answer.Body.String(), "outcome is not known"), ShouldEqual, !knownOutcome)
+			}
 			if c.status == http.StatusBadRequest {
 				So(answer.Body.String(), ShouldContainSubstring, "route x")
 			}
--- a/internal/fleet/replica/publish.go
+++ b/internal/fleet/replica/publish.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -13,6 +14,7 @@
 // reads that wait, and updates the status. It runs on the replica's goroutine.
 func (r *Replica) publishStep() {
 	view := r.node.View()
+	r.logElection(view)
 	r.announceView(view)
 	committed, isPrimary := r.node.Committed()
 	if !isPrimary {
@@ -40,18 +42,48 @@
 }
 
 func (r *Replica) announceView(view replication.View) {
-	if view.Number <= r.lastView {
+	if view.Number <= r.lastView.Number {
 		return
 	}
-	r.lastView = view.Number
+	former := r.lastView
+	r.lastView = view
 	r.options.Log.Info("view changed",
 		zap.Uint64("number", view.Number),
 		zap.String("primary", view.Primary.Address),
 		zap.Int("members", len(view.Members)),
-		zap.Int("witnesses", len(view.Witnesses)))
+		zap.Int("witnesses", len(view.Witnesses)),
+		zap.Strings("membersAdded", addressesWithout(view.Members, former.Members)),
+		zap.Strings("membersRemoved", addressesWithout(former.Members, view.Members)),
+		zap.Strings("witnessesAdded", addressesWithout(view.Witnesses, former.Witnesses)),
+		zap.Strings("witnessesRemoved", addressesWithout(former.Witnesses, view.Witnesses)))
 	r.options.OnViewChange(view)
 }
 
+// addressesWithout returns the addresses of the replicas that are not among others. A disk that was lost makes another replica of a machine.
+func addressesWithout(replicas, others []replication.Replica) []string {
+	var addresses []string
+	for _, replica := range replicas {
+		if !slices.Contains(others, replica) {
+			addresses = append(addresses, replica.Address)
+		}
+	}
+	return addresses
+}
+
+// logElection logs that this replica became a candidate, and that its election failed. One that succeeds is a view change.
+func (r *Replica) logElection(view replication.View) {
+	isCandidate := r.node.IsCandidate()
+	switch {
+	case isCandidate && !r.wasCandidate:
+		r.options.Log.Info("election started",
+			zap.Uint64("number", view.Number+1), zap.Stringer("reason", r.node.LastElectionReason()))
+	case !isCandidate && r.wasCandidate && view.Number <= r.lastView.Number:
+		r.options.Log.Warn("election failed",
+			zap.Uint64("number", view.Number+1), zap.Stringer("reason", r.node.LastElectionReason()))
+	}
+	r.wasCandidate = isCandidate
+}
+
 // publishCommit makes the committed state known, unless a change is pending: without one, what is stored is committed.
 func (r *Replica) publishCommit(committed replication.Position) {
 	if r.node.HasPendingProposal() {
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -66,7 +66,8 @@
 	published     replication.Position
 	table         *config.Table // of the last commit; nil: not the primary
 	confirmations []*confirmation
-	lastView      uint64 // number of the last view that was announced
+	lastView      replication.View // the last one that was announced
+	wasCandidate  bool             // at the last step
 
 	mu     sync.Mutex
 	status status
--- a/internal/fleet/replication/candidate.go
+++ b/internal/fleet/replication/candidate.go
@@ -6,7 +6,8 @@
 )
 
 // startElection makes this replica a candidate.
-func (n *Node) startElection() {
+func (n *Node) startElection(reason ElectionReason) {
+	n.electionReason = reason
 	n.highestRound = max(n.highestRound, n.hardState.Promised.Round) + 1
 	ballot := Ballot{Round: n.highestRound, Proposer: n.hardState.Self}
 	n.election = newElection(ballot, n.caughtUpReplicas())
--- /dev/null
+++ b/internal/fleet/replication/election_reason.go
@@ -0,0 +1,26 @@
+package replication
+
+// ElectionReason says why a replica became a candidate.
+type ElectionReason uint8
+
+// The reasons of an election.
+const (
+	NoElection          ElectionReason = iota // this replica has not been a candidate since its start
+	PrimarySilent                             // the primary was silent for the election time-out
+	MemberFailed                              // the primary drops a member that is silent, or late to store a change
+	MemberResigning                           // the primary drops a member that shuts down
+	CompositionImproves                       // the primary adds replicas, or replaces witnesses
+	PrimaryResigning                          // the primary shuts down
+)
+
+func (r ElectionReason) String() string {
+	return [...]string{
+		"none", "primary silent", "member silent or slow", "member shuts down", "better composition", "primary shuts down",
+	}[r]
+}
+
+// LastElectionReason returns why this replica became a candidate the last time.
+func (n *Node) LastElectionReason() ElectionReason { return n.electionReason }
+
+// IsCandidate reports whether this replica is a candidate.
+func (n *Node) IsCandidate() bool { return n.election != nil }
--- a/internal/fleet/replication/node.go
+++ b/internal/fleet/replication/node.go
@@ -43,6 +43,8 @@
 	transfers       snapshotTransfers
 	resignation     resignation // of this replica
 
+	electionReason ElectionReason // of the last election
+
 	election *election     // nil unless this replica is a candidate
 	primary  *primaryState // nil unless this replica is the primary
 }
@@ -147,7 +149,7 @@
 		stagger /= startupStaggerDivisor
 	}
 	if n.now-n.primaryLastSeen > n.options.Timing.ElectionTimeout+time.Duration(rank)*stagger {
-		n.startElection()
+		n.startElection(PrimarySilent)
 	}
 }
 
--- a/internal/fleet/replication/primary.go
+++ b/internal/fleet/replication/primary.go
@@ -156,8 +156,8 @@
 	} else {
 		n.syncLearners()
 	}
-	if n.needsViewChange() {
-		n.startElection()
+	if reason := n.viewChangeReason(); reason != NoElection {
+		n.startElection(reason)
 	}
 }
 
--- a/internal/fleet/replication/resignation.go
+++ b/internal/fleet/replication/resignation.go
@@ -84,7 +84,7 @@
 	}
 	n.primaryLastSeen = min(n.primaryLastSeen, n.now-n.primaryStickiness())
 	if n.successor() == n.hardState.Self {
-		n.startElection()
+		n.startElection(PrimaryResigning)
 	}
 }
 
--- a/internal/fleet/replication/search_test.go
+++ b/internal/fleet/replication/search_test.go
@@ -107,7 +107,7 @@
 // becomeCandidate makes the replica a candidate, as after its election time-out.
 func (n *Node) becomeCandidate(now time.Duration) *Output {
 	out := n.step(now)
-	n.startElection()
+	n.startElection(PrimarySilent)
 	return out
 }
 
--- a/internal/fleet/replication/view_change.go
+++ b/internal/fleet/replication/view_change.go
@@ -2,19 +2,22 @@
 
 import "slices"
 
-// needsViewChange reports to a primary whether another composition of its view would be better: without an unresponsive,
-// slow or resigning member, if the others suffice, or with replicas that hold the state already.
-func (n *Node) needsViewChange() bool {
+// viewChangeReason says to a primary why another composition of its view would be better: without an unresponsive, slow or resigning
+// member, if the others suffice, or with replicas that hold the state already. NoElection: it would not.
+func (n *Node) viewChangeReason() ElectionReason {
 	if n.canDropFailedMember() {
-		return true
+		return MemberFailed
 	}
 	if n.status != Leading || n.primary.pending {
-		return false
+		return NoElection
 	}
 	if n.canDropResigningMember() {
-		return true
+		return MemberResigning
+	}
+	if n.now-n.primary.startedAt > n.options.Timing.MinViewChangeInterval && n.canImproveComposition() {
+		return CompositionImproves
 	}
-	return n.now-n.primary.startedAt > n.options.Timing.MinViewChangeInterval && n.canImproveComposition()
+	return NoElection
 }
 
 // canDropFailedMember reports whether a member is unresponsive or late, and the others suffice without it. It penalizes
--- a/internal/fleet/router/messages_test.go
+++ b/internal/fleet/router/messages_test.go
@@ -64,11 +64,11 @@
 			Replica: &ReplicaStatus{View: replication.View{}},
 		})
 		So(err, ShouldBeNil)
-		So(string(encoded), ShouldEqual, `{"node":"","ready":false,"view":0,"primary":"","version":0,"sequence":0,"leaseAgeMs":0,"configLag":{"ms":0,"known":0,"received":0,"fetching":null},"routers":0,`+
+		So(string(encoded), ShouldEqual, `{"node":"","ready":false,"draining":false,"view":0,"primary":"","version":0,"sequence":0,"leaseAgeMs":0,"configLag":{"ms":0,"known":0,"received":0,"fetching":null},"routers":0,`+
 			`"endpoints":[{"ID":"e","Service":"","Address":"","Zone":"","Capacity":0,"State":0,"Sequence":0,"Owner":"","WarmupMs":0}],`+
 			`"tables":[{"service":"","targetMs":0,"rows":[null,null,null,null],"payoffBefore":0,"payoffAfter":0}],`+
 			`"services":[{"service":"","firstMs":0,"unitUs":0,"pairMs":0,"pauseShare":0,"firstTokens":null,"endpoints":null}],`+
 			`"replica":{"leading":false,"view":{"Number":0,"Primary":{"Address":"","Nonce":0},"Members":null,"Witnesses":null}},`+
-			`"served":0,"refused":0,"failed":0,"broken":0,"superseded":0,"moved":0,"sentDatagrams":0,"sentBytes":0,"dropped":0,"uptimeMs":0}`)
+			`"served":0,"refused":0,"failed":0,"broken":0,"superseded":0,"moved":0,"sentDatagrams":0,"sentBytes":0,"dropped":0,"heartbeatsIgnored":0,"uptimeMs":0}`)
 	})
 }
--- a/internal/fleet/router/status.go
+++ b/internal/fleet/router/status.go
@@ -11,6 +11,7 @@
 type Status struct {
 	Node          string                    `json:"node"`
 	Ready         bool                      `json:"ready"`
+	Draining      bool                      `json:"draining"` // it shuts down
 	View          uint64                    `json:"view"`
 	Primary       string                    `json:"primary"`    // internal address
 	Version       int64                     `json:"version"`    // of the active configuration, as the operator gave it
@@ -22,16 +23,17 @@
 	Tables        []placement.TableStatus   `json:"tables"`
 	Services      []placement.ServiceStatus `json:"services"`
 	Replica       *ReplicaStatus            `json:"replica,omitempty"`
-	Served        uint64                    `json:"served"`        // requests
-	Refused       uint64                    `json:"refused"`       // requests that did not run: rejected (429, 503) or denied (400, 401, 404, 413)
-	Failed        uint64                    `json:"failed"`        // requests that may have run and have no response
-	Broken        uint64                    `json:"broken"`        // responses that were truncated
-	Superseded    uint64                    `json:"superseded"`    // of the refused requests: rejected because a newer configuration was not yet in force
-	Moved         uint64                    `json:"moved"`         // attempts that were cancelled because their first token was overdue
-	SentDatagrams uint64                    `json:"sentDatagrams"` // to other routers
-	SentBytes     uint64                    `json:"sentBytes"`     // to other routers
-	Dropped       uint64                    `json:"dropped"`       // messages of other routers that were invalid
-	UptimeMs      int64                     `json:"uptimeMs"`      // milliseconds
+	Served        uint64                    `json:"served"`            // requests
+	Refused       uint64                    `json:"refused"`           // requests that did not run: rejected (429, 503) or denied (400, 401, 404, 413)
+	Failed        uint64                    `json:"failed"`            // requests that may have run and have no response
+	Broken        uint64                    `json:"broken"`            // responses that were truncated
+	Superseded    uint64                    `json:"superseded"`        // of the refused requests: rejected because a newer configuration was not yet in force
+	Moved         uint64                    `json:"moved"`             // attempts that were cancelled because their first token was overdue
+	SentDatagrams uint64                    `json:"sentDatagrams"`     // to other routers
+	SentBytes     uint64                    `json:"sentBytes"`         // to other routers
+	Dropped       uint64                    `json:"dropped"`           // messages of other routers that were invalid
+	Ignored       uint64                    `json:"heartbeatsIgnored"` // endpoints' reports that were late, or of endpoints that were deregistered
+	UptimeMs      int64                     `json:"uptimeMs"`          // milliseconds
 }
 
 // ConfigLagStatus says how far the active configuration is behind the newest one that the router has heard of.
@@ -81,6 +83,7 @@
 	s.Broken = r.proxy.Truncated.Load()
 	s.Superseded = r.proxy.Superseded.Load()
 	s.Moved = r.proxy.Rerouted.Load()
+	s.Draining, s.Ignored = r.draining.Load(), r.endpointReports.ignored.Load()
 	s.SentBytes, s.SentDatagrams = r.Sent()
 	s.Dropped = r.transport.Counters.Dropped.Load()
 }
