--- a/internal/fleet/proxy/server.go
+++ b/internal/fleet/proxy/server.go
@@ -25,8 +25,9 @@
 
 // Options are bounds on the age of the configuration.
 type Options struct {
-	MaxConfigAge time.Duration // age beyond which API keys are not accepted; 0: no bound
-	Stale        time.Duration // age beyond which a request without a route or a valid key gets 503 and not a denial, and every request where the configuration is superseded
+	MaxConfigAge  time.Duration // age beyond which API keys are not accepted; 0: no bound
+	Stale         time.Duration // age beyond which a request without a route or a valid key gets 503 and not a denial
+	MaxSuperseded time.Duration // age beyond which nothing is served by a configuration that is known to be superseded; 0: no bound
 }
 
 // Server answers clients. It implements [http.Handler].
@@ -50,6 +51,12 @@
 	return &Server{delegate: delegate, dispatcher: dispatcher, options: options}
 }
 
+// isOutdated reports whether the configuration, with this age, may lead a request elsewhere than a newer one that was acknowledged too long
+// ago. It is exact: a newer one was acknowledged no earlier than the age says, and the request was sent before now.
+func (s *Server) isOutdated(age time.Duration) bool {
+	return s.options.MaxSuperseded > 0 && age > s.options.MaxSuperseded && s.delegate.ConfigSuperseded()
+}
+
 // Times after which clients may retry.
 const (
 	retrySoon  = 100 * time.Millisecond // another endpoint or router will do
@@ -66,7 +73,7 @@
 		s.reject(w, http.StatusServiceUnavailable, retryLater)
 		return
 	}
-	if age > s.options.Stale && s.delegate.ConfigSuperseded() { // its route or key may be gone, or lead elsewhere
+	if s.isOutdated(age) {
 		s.Superseded.Add(1)
 		s.reject(w, http.StatusServiceUnavailable, retrySoon)
 		return
--- a/internal/fleet/router/config_fetch.go
+++ b/internal/fleet/router/config_fetch.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	buildSpan     = 500 * time.Millisecond // over which the decoding of a large change is spread
+	buildSpan     = 300 * time.Millisecond // over which the decoding of a large change is spread
 	maxBuildPause = 20 * time.Millisecond
 
 	reportedLag        = time.Second // of the configuration, from which on it is logged
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -41,6 +41,7 @@
 	reservedDescriptors = 300                    // of the limit: for files, the other listeners and the runtime
 	minConnections      = 64                     // to endpoints, however low the limit of descriptors is
 	keyLeaseMargin      = 600 * time.Millisecond // of revokeMs: may pass between the check of the lease and the send
+	supersededMargin    = 150 * time.Millisecond // of configApplyMs: for what the clocks and the schedulers of two machines differ by
 )
 
 // Router is one machine's process. New, then Run; the other exported methods may be called by any goroutine.
@@ -87,7 +88,10 @@
 }
 
 func proxyOptions(s *settings.Settings) proxy.Options {
-	options := proxy.Options{Stale: s.Bounds.ConfigApply * 3 / 4}
+	options := proxy.Options{
+		Stale:         s.Bounds.ConfigApply * 3 / 4,
+		MaxSuperseded: max(s.Bounds.ConfigApply/2, s.Bounds.ConfigApply-supersededMargin),
+	}
 	if s.Bounds.RevocationStrict {
 		options.MaxConfigAge = max(s.Bounds.Revocation/2, s.Bounds.Revocation-keyLeaseMargin)
 	}
