--- a/internal/fleet/router/status.go
+++ b/internal/fleet/router/status.go
@@ -99,6 +99,14 @@
 	s.Endpoints = g.node.Registry.Ready()
 }
 
+// SentReplies returns the bytes of replies to other routers' calls since the start: configurations that they fetched, mostly.
+func (r *Router) SentReplies() uint64 {
+	if r.transport == nil {
+		return 0
+	}
+	return r.transport.Counters.ReplyBytes.Load()
+}
+
 // Sent returns what this router has sent to others since its start, in bytes of messages and in datagrams.
 func (r *Router) Sent() (bytes, datagrams uint64) {
 	if r.transport == nil {
--- a/internal/fleet/transport/call.go
+++ b/internal/fleet/transport/call.go
@@ -40,6 +40,7 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
+		t.Counters.ReplyBytes.Add(uint64(len(encoded)))
 		_, _ = w.Write(encoded) // the connection is lost: the caller calls again
 	}).Methods(http.MethodPost)
 }
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -38,6 +38,7 @@
 	SentDatagrams atomic.Uint64
 	SentOverTCP   atomic.Uint64 // messages; calls are not counted
 	SentBytes     atomic.Uint64 // of messages, by either way
+	ReplyBytes    atomic.Uint64 // of replies to calls
 	Received      atomic.Uint64 // messages
 	Dropped       atomic.Uint64 // messages and calls, when sent or received
 }
--- a/internal/lab/routers/config.go
+++ b/internal/lab/routers/config.go
@@ -26,6 +26,7 @@
 	Tenants     int
 	Models      int // services
 	Changes     int
+	Routes      int           // that each change adds; 0: each changes a service
 	Rest        time.Duration // for which the fleet is measured at rest
 	Timeout     time.Duration // that a start or a change may take
 	Losses      []Loss        // played one after the other, at the end
@@ -39,6 +40,8 @@
 		return fmt.Errorf("routers: must be 1 to 4000, not %d", c.Routers)
 	case c.Core < 1 || c.Core > c.Routers:
 		return fmt.Errorf("core: must be 1 to %d, not %d", c.Routers, c.Core)
+	case c.Routes < 0 || c.Routes > 20000:
+		return fmt.Errorf("routes: must be 0 to 20000, not %d", c.Routes)
 	case c.Rest <= 0 || c.Timeout <= 0:
 		return fmt.Errorf("rest and within: must be above 0")
 	}
--- a/internal/lab/routers/configuration.go
+++ b/internal/lab/routers/configuration.go
@@ -29,6 +29,21 @@
 		strings.Join(services, ","), strings.Join(tenants, ","))
 }
 
+// change returns the body of a change: some more routes, or a service that differs.
+func (f *fleet) change(number int) string {
+	if f.config.Routes == 0 {
+		return fmt.Sprintf(`{"version":%d,"upsert":{"services":[{"name":"m0","maxConnections":%d}]}}`, f.version, 600+number)
+	}
+	routes := make([]string, f.config.Routes)
+	for i := range routes {
+		n := number*f.config.Routes + i
+		routes[i] = fmt.Sprintf(`{"name":"more-%06d","host":"h%d.example","pathPrefix":"/more%d/","type":"streaming","timeoutMs":15000,`+
+			`"targetLatencyMs":800,"priority":1,"service":"m0","maxAttempts":1,"public":false,"sessionAffinity":true,"streamResume":false,`+
+			`"gap_aim_ms":250}`, n, n%50, n)
+	}
+	return fmt.Sprintf(`{"version":%d,"upsert":{"routes":[%s]}}`, f.version, strings.Join(routes, ","))
+}
+
 // submitConfig submits a configuration to the core until it is acknowledged, and returns how long that took. It gives up after
 // Config.Timeout or when ctx is done.
 func (f *fleet) submitConfig(ctx context.Context, path, body string) (time.Duration, error) {
--- a/internal/lab/routers/result.go
+++ b/internal/lab/routers/result.go
@@ -12,6 +12,7 @@
 	ChangeP50Ms   int64        `json:"ChangeP50Ms"`   // of all routers and changes, from the acknowledgement
 	ChangeP99Ms   int64        `json:"ChangeP99Ms"`
 	ChangeLastMs  int64        `json:"ChangeLastMs"`
+	ChangeKB      float64      `json:"ChangeKB"`      // sent a change a router, in messages and in replies to fetches, what goes on at rest included
 	AcknowledgeMs int64        `json:"AcknowledgeMs"` // the median, of the operator's calls
 	Failed        int          `json:"Failed"`        // changes that were not in force at all in time
 	Losses        []LossResult `json:"Losses"`
--- a/internal/lab/routers/routers.go
+++ b/internal/lab/routers/routers.go
@@ -76,10 +76,10 @@
 // measureChanges submits changes one after the other and measures how soon each is in force.
 func (f *fleet) measureChanges(ctx context.Context, result *Result) error {
 	var delays, acknowledgements []time.Duration
+	before := f.usage()
 	for change := range f.config.Changes {
 		f.version++
-		took, err := f.submitConfig(ctx, "/config/modify", fmt.Sprintf(`{"version":%d,"upsert":{"services":[{"name":"m0","maxConnections":%d}]}}`,
-			f.version, 600+change))
+		took, err := f.submitConfig(ctx, "/config/modify", f.change(change))
 		if err != nil {
 			return err
 		}
@@ -90,6 +90,8 @@
 		}
 		delays = append(delays, applied...)
 	}
+	after := f.usage()
+	result.ChangeKB = float64(after.bytes-before.bytes+after.replies-before.replies) / 1000 / float64(max(1, f.config.Changes)*f.config.Routers)
 	slices.Sort(delays)
 	slices.Sort(acknowledgements)
 	if len(delays) > 0 {
--- a/internal/lab/routers/routers_test.go
+++ b/internal/lab/routers/routers_test.go
@@ -10,7 +10,7 @@
 // nothing: a machine however busy gets there.
 func TestPlay(t *testing.T) {
 	result, err := Play(context.Background(), Config{
-		Routers: 12, Core: 3, Endpoints: 12, Tenants: 20, Models: 3, Changes: 3, Rest: 500 * time.Millisecond, Timeout: time.Minute,
+		Routers: 12, Core: 3, Endpoints: 12, Tenants: 20, Models: 3, Changes: 3, Routes: 200, Rest: 500 * time.Millisecond, Timeout: time.Minute,
 		Losses: []Loss{{CoreRouters: 1}, {CoreRouters: 2}}, LossTimeout: 5 * time.Second,
 	})
 	if err != nil {
@@ -19,6 +19,9 @@
 	if result.Failed > 0 || result.RestBytes <= 0 || len(result.Losses) != 2 {
 		t.Errorf("%+v", result)
 	}
+	if result.ChangeKB <= 0 {
+		t.Errorf("a change costs %v KB", result.ChangeKB)
+	}
 	if one := result.Losses[0]; one.Lost != 1 || one.AckMs < 0 || one.AppliedMs < one.AckMs || one.RecoveredMs <= 0 {
 		t.Errorf("one of three: %+v", one)
 	}
--- a/internal/lab/routers/usage.go
+++ b/internal/lab/routers/usage.go
@@ -11,6 +11,7 @@
 type usage struct {
 	cpu              time.Duration
 	bytes, datagrams uint64
+	replies          uint64 // bytes of replies to calls
 }
 
 // usage returns processor time of the process, and bytes and datagrams of its routers, of which none may be lost.
@@ -22,6 +23,7 @@
 		sent, datagrams := r.Sent()
 		u.bytes += sent
 		u.datagrams += datagrams
+		u.replies += r.SentReplies()
 	}
 	return u
 }
