Argue why two disks can't bear the loss of one, and warn of a core that is too small

Cause: a deployment with two machines with disks of which one may be lost stops at that loss while all lose power; the operator learned it then.

Change: docs/design/control-state.md weighs three ways, with the two histories that no machine can tell apart; core machines log from 20 s after their start that there are fewer of them than twice the tolerance and one.

Measured: an argument; nothing was searched.

--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -216,6 +216,13 @@
 	return g.settings.SeedAddresses()
 }
 
+// coreSize is the number of machines that count for the quorum, this one included, whether alive or not.
+func (g *gossip) coreSize() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return 1 + len(g.node.Members.CoreAddresses())
+}
+
 // localityOf returns where a machine is. A machine that is not known counts as a zone of its own.
 func (g *gossip) localityOf(address string) replication.Locality {
 	g.mu.Lock()
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -11,6 +11,7 @@
 //	learnedStateExchange  the learned state of other routers and of the process before this one
 //	quotaClient           this router's use of quotas
 //	allocatorServer      grants and leases to all routers, while this one is the primary; with a grantCache
+//	coreSizeCheck        a warning where the core is smaller than its tolerance needs
 //	announcementRelay     announcements of prompts to the other routers
 //	httpServers           the listeners of the clients, the control API and the readiness probe
 //
@@ -58,6 +59,7 @@
 	endpointReports *endpointReports
 	endpointCache   *endpointCache
 	learned         *learnedStateExchange
+	coreSize        *coreSizeCheck
 
 	dispatcher  *proxy.Dispatcher
 	proxy       *proxy.Server
@@ -82,6 +84,7 @@
 	r.endpointReports = &endpointReports{environment: e, gossip: r.gossip}
 	r.endpointCache = &endpointCache{environment: e, gossip: r.gossip}
 	r.learned = &learnedStateExchange{environment: e, gossip: r.gossip, dispatcher: r.dispatcher}
+	r.coreSize = &coreSizeCheck{environment: e, gossip: r.gossip}
 	r.proxy = proxy.NewServer(r, r.dispatcher, proxyOptions(s))
 	r.servers = &httpServers{environment: e}
 	return r
@@ -190,6 +193,7 @@
 	r.endpointCache.tick()
 	r.leaseholders.tick()
 	r.learned.tick()
+	r.coreSize.tick()
 }
 
 // close stops everything and waits for the goroutines.
