--- a/cmd/pinelb/main_test.go
+++ b/cmd/pinelb/main_test.go
@@ -344,6 +344,12 @@
 		answered <- body
 	}()
 	<-b.visits
+	p.drain(t, release, answered)
+}
+
+// drain has the process shut down while a request is held until release is closed, and checks that this request is answered "whole".
+func (p *program) drain(t *testing.T, release chan struct{}, answered <-chan string) {
+	t.Helper()
 	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
 		t.Fatal(err)
 	}
--- a/cmd/pinelb/thrift_test.go
+++ b/cmd/pinelb/thrift_test.go
@@ -366,16 +366,5 @@
 		}
 		_ = c.Close()
 	}
-	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
-		t.Fatal(err)
-	}
-	p.await(t, "draining")
-	close(release)
-	if body := <-answered; body != "whole" {
-		t.Errorf("what was taken before the end was answered %q", body)
-	}
-	p.await(t, "drained")
-	if err := p.cmd.Wait(); err != nil {
-		t.Errorf("a planned end: %v", err)
-	}
+	p.drain(t, release, answered)
 }
--- a/internal/lab/loopback/recorder.go
+++ b/internal/lab/loopback/recorder.go
@@ -38,59 +38,48 @@
 	}}
 }
 
-func (r *recorder) addClientAttempt(attempt trace.ClientAttempt) {
+// record adds entries to one of the log's lists.
+func record[E any](r *recorder, list *[]E, entries ...E) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.log.ClientAttempts = append(r.log.ClientAttempts, attempt)
+	*list = append(*list, entries...)
+}
+
+func (r *recorder) addClientAttempt(attempt trace.ClientAttempt) {
+	record(r, &r.log.ClientAttempts, attempt)
 }
 
 func (r *recorder) addEndpointRequest(request trace.EndpointRequest) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.log.EndpointRequests = append(r.log.EndpointRequests, request)
+	record(r, &r.log.EndpointRequests, request)
 }
 
 func (r *recorder) addNotification(notification trace.Notification) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.log.Notifications = append(r.log.Notifications, notification)
+	record(r, &r.log.Notifications, notification)
 }
 
 func (r *recorder) addSidecarEvent(event trace.SidecarEvent) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.log.SidecarEvents = append(r.log.SidecarEvents, event)
+	record(r, &r.log.SidecarEvents, event)
 }
 
 func (r *recorder) addPoll(poll trace.DiscoveryPoll) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.log.Polls = append(r.log.Polls, poll)
+	record(r, &r.log.Polls, poll)
 }
 
 func (r *recorder) addConnection(connection trace.Connection) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.log.Connections = append(r.log.Connections, connection)
+	record(r, &r.log.Connections, connection)
 }
 
 func (r *recorder) addReplayedOrder(order trace.ReplayedOrder) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.log.ReplayedOrders = append(r.log.ReplayedOrders, order)
+	record(r, &r.log.ReplayedOrders, order)
 }
 
 func (r *recorder) addSamples(samples ...trace.Sample) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.log.Samples = append(r.log.Samples, samples...)
+	record(r, &r.log.Samples, samples...)
 }
 
 // addLateness records by how much a first attempt was started too late.
 func (r *recorder) addLateness(by time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.log.Lateness = append(r.log.Lateness, by)
+	record(r, &r.log.Lateness, by)
 }
 
 // finish adds what is known at the end alone, duplicates being the transaction ids of attempts that got a second response after
