--- a/cmd/pinelb/thrift_test.go
+++ b/cmd/pinelb/thrift_test.go
@@ -10,7 +10,6 @@
 	"os"
 	"os/exec"
 	"strings"
-	"syscall"
 	"testing"
 
 	"github.com/apache/thrift/lib/go/thrift"
