--- a/internal/fleet/replication/view_change.go
+++ b/internal/fleet/replication/view_change.go
@@ -1,6 +1,9 @@
 package replication
 
-import "slices"
+import (
+	"slices"
+	"time"
+)
 
 // viewChangeReason says to a primary why another composition of its view would be better: without an unresponsive, slow or resigning
 // member, if the others suffice, or with replicas that hold the state already. NoElection: it would not.
@@ -40,14 +43,19 @@
 	return hasFailed && n.keepsEnoughCopies(append(others, n.spareWitnesses()...))
 }
 
+// appendBytesPerSecond is how fast a member is expected to receive, decode and store a large change, beside AppendTimeout: a view that drops a
+// sound member costs more than that time.
+const appendBytesPerSecond = 1 << 20
+
 // isAppendLate reports whether the members had time enough to store the change that is pending, or the view's first state.
 func (n *Node) isAppendLate() bool {
 	p := n.primary
-	since := p.startedAt
+	since, timeout := p.startedAt, n.options.Timing.AppendTimeout
 	if p.pending {
 		since = p.pendingSince
+		timeout += time.Duration(len(p.lastEntry)) * time.Second / appendBytesPerSecond
 	}
-	return (p.pending || n.status == Activating) && n.now-since > n.options.Timing.AppendTimeout
+	return (p.pending || n.status == Activating) && n.now-since > timeout
 }
 
 // spareWitnesses returns the live witnesses that are no members and were not slow lately.
