--- /dev/null
+++ b/internal/fleet/dissemination/damaged_reply_test.go
@@ -0,0 +1,76 @@
+package dissemination
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pinelb.example/pinelb/internal/fleet/config"
+	"pinelb.example/pinelb/internal/fleet/membership"
+)
+
+// newLoneRouter is a router that has a configuration with sequence 1 in force, and has heard of a newer one at another router.
+func newLoneRouter() *Gossiper {
+	n := New(0, Options{
+		Self: membership.Member{Address: address(1), Zone: "z", BootID: 1}, Timing: membership.DefaultTiming(),
+		EndpointHeartbeatInterval: time.Second, Random: rand.New(rand.NewPCG(1, 1)),
+	})
+	document, err := config.ParseDocument([]byte(`{"version":1,"services":[{"name":"a"},{"name":"b"}],"routes":[]}`))
+	So(err, ShouldBeNil)
+	table, err := config.NewTable(document, nil)
+	So(err, ShouldBeNil)
+	n.Commit(0, 1, table, nil)
+	output := n.Receive(time.Second, address(2), Update{Sequence: 2})
+	So(output.Fetch, ShouldNotBeNil)
+	So(output.Fetch.Request.After, ShouldEqual, 1)
+	return n
+}
+
+func encodedRoutes() []byte {
+	encoded, err := (&config.Change{Base: 1, Body: manyRoutes(2, 0, 500)}).Encode()
+	So(err, ShouldBeNil)
+	return encoded
+}
+
+// Guards against a router that stays behind because something it received can't be decoded.
+func TestDamagedReply(t *testing.T) {
+	Convey("A router that receives what can't be decoded keeps what is in force, and fetches the complete configuration", t, func() {
+		n := newLoneRouter()
+		damaged := newBlob(encodedRoutes())
+		damaged.Data = damaged.Data[:len(damaged.Data)/2]
+		output := n.HandleFetchReply(time.Second, time.Second, address(2), FetchReply{Sequence: 2, PackedChanges: []Blob{damaged}})
+		So(output.Build, ShouldNotBeNil)
+		table, err := output.Build.Table(nil)
+		So(err, ShouldWrap, ErrBlob)
+		output = n.HandleBuilt(time.Second, output.Build, table, err)
+		So(output.BuildError, ShouldWrap, ErrBlob)
+		So(n.Config.Sequence, ShouldEqual, 1)
+		So(n.KnowsNewerConfig(), ShouldBeTrue)
+		output = n.Receive(2*time.Second, address(3), Update{Sequence: 2})
+		So(output.Fetch, ShouldNotBeNil)
+		So(output.Fetch.Request.After, ShouldEqual, 0)
+	})
+}
+
+// Guards against a confirmation that counts for the configuration before, or is lost while the one that it is about is decoded.
+func TestConfirmationOfWhatIsDecoded(t *testing.T) {
+	Convey("A confirmation of what is not yet in force takes effect once it is", t, func() {
+		n := newLoneRouter()
+		output := n.HandleFetchReply(1500*time.Millisecond, time.Second, address(2), FetchReply{
+			Sequence: 2, PackedChanges: []Blob{newBlob(encodedRoutes())}, Fresh: true, AgeMs: 100,
+		})
+		_, confirmed := n.Config.ConfirmedAt()
+		So(confirmed, ShouldBeFalse)
+		So(output.Build, ShouldNotBeNil)
+		table, err := output.Build.Table(nil)
+		So(err, ShouldBeNil)
+		n.HandleBuilt(2*time.Second, output.Build, table, err)
+		So(n.Config.Sequence, ShouldEqual, 2)
+		So(n.KnowsNewerConfig(), ShouldBeFalse)
+		at, confirmed := n.Config.ConfirmedAt()
+		So(confirmed, ShouldBeTrue)
+		So(at, ShouldEqual, 900*time.Millisecond)
+	})
+}
