Wait for the learned state in TestRoutersReadFormerDisks

Change: the same value, to a thousandth of a microsecond, is awaited as the test's other conditions are.

--- a/ci/compat_test.go
+++ b/ci/compat_test.go
@@ -215,22 +215,31 @@
 		}
 		return false
 	})
-	_, text := request("GET", fmt.Sprintf("http://%s%d:%d/status", routerNetwork, 10, internalPort), "", nil)
+	// A router takes endpoints and learned state over with a tick, which may come after the first change.
+	eventually(t, "the learned state of the former routers", func() bool {
+		_, text := request("GET", fmt.Sprintf("http://%s%d:%d/status", routerNetwork, 10, internalPort), "", nil)
+		return learnedUnitUs(text, "s") == 150
+	})
+}
+
+// learnedUnitUs returns the time for one unit of a prompt that a router has learned of a service, in microseconds rounded to thousandths, by its status; 0: the
+// status does not have it.
+func learnedUnitUs(text, service string) float64 {
 	var status struct {
 		Services []struct {
 			Service string  `json:"service"`
 			UnitUs  float64 `json:"unitUs"`
 		} `json:"services"`
 	}
-	if err := json.Unmarshal([]byte(text), &status); err != nil {
-		t.Fatal(err)
+	if json.Unmarshal([]byte(text), &status) != nil {
+		return 0
 	}
-	for _, service := range status.Services {
-		if service.Service == "s" && math.Abs(service.UnitUs-150) < 0.001 {
-			return
+	for _, s := range status.Services {
+		if s.Service == service {
+			return math.Round(s.UnitUs*1000) / 1000
 		}
 	}
-	t.Errorf("the learned state of the former routers is not in force: %+v", status.Services)
+	return 0
 }
 
 var (
