--- /dev/null
+++ b/internal/fleet/control/coordination.go
@@ -0,0 +1,283 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/gorilla/mux"
+
+	"pinelb.example/pinelb/internal/fleet/coordination"
+)
+
+// Bounds of what applications may send.
+const (
+	maxCoordinationBytes = 64 << 10 // of a body
+	maxNameBytes         = 256      // of a name, a key or a holder
+	maxValueBytes        = 16 << 10
+	maxHold              = time.Hour
+	maxWatchWait         = time.Minute
+)
+
+// Coordinator executes the calls of applications. Its methods are called by several goroutines.
+type Coordinator interface {
+	// Execute executes an operation. park is how long a watch waits for events. Errors: a RefusedError where it was not executed and never will
+	// be; any other one says that the outcome is not known.
+	Execute(ctx context.Context, operation *coordination.Operation, park time.Duration) (coordination.Result, error)
+	// Draining reports whether this machine shuts down, so that watches are to be answered.
+	Draining() bool
+}
+
+// RefusedError reports that an operation was not executed and never will be.
+type RefusedError struct {
+	Overloaded bool // too many calls wait; else no machine is known that executes it
+	Err        error
+}
+
+func (e *RefusedError) Error() string { return e.Err.Error() }
+
+func (e *RefusedError) Unwrap() error { return e.Err }
+
+// HandleCoordination serves the calls of applications, before the first call is served.
+func (s *Server) HandleCoordination(c Coordinator) {
+	h := &coordinationHandlers{coordinator: c}
+	s.handle(http.MethodPost, "/locks/{id}/begin", h.acquire)
+	s.handle(http.MethodPost, "/locks/{id}/heartbeat", h.renew)
+	s.handle(http.MethodPost, "/locks/{id}/finish", h.release)
+	s.handle(http.MethodPost, "/numbers/{id}", h.increment)
+	s.handle(http.MethodPost, "/cells/{id}/replace", h.put)
+	s.handle(http.MethodGet, "/cells/{id}/read", h.get)
+	s.handle(http.MethodGet, "/watch/{id}", h.watch)
+}
+
+// coordinationHandlers serve locks, numbers, cells and watches.
+type coordinationHandlers struct{ coordinator Coordinator }
+
+// lockCall is the body of a call of a lock. Pointers tell what is missing.
+type lockCall struct {
+	Holder string  `json:"holder"`
+	Fence  *uint64 `json:"fence"`
+	HoldMs *int64  `json:"holdMs"`
+}
+
+// putCall is the body of a put.
+type putCall struct {
+	Value      *string `json:"value"`
+	IfRevision *uint64 `json:"ifRevision"`
+}
+
+// fenceAnswer, numberAnswer, revisionAnswer, cellAnswer and watchAnswer are the bodies of answers.
+type fenceAnswer struct {
+	Fence uint64 `json:"fence"`
+}
+
+type numberAnswer struct {
+	Value uint64 `json:"value"`
+}
+
+type revisionAnswer struct {
+	Revision uint64 `json:"revision"`
+}
+
+type cellAnswer struct {
+	Value    string `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+type watchAnswer struct {
+	Events   []eventAnswer `json:"events"`
+	Revision uint64        `json:"revision"`
+}
+
+type eventAnswer struct {
+	Name     string `json:"name"`
+	Value    string `json:"value"`
+	Revision uint64 `json:"revision"`
+}
+
+func (h *coordinationHandlers) acquire(w http.ResponseWriter, r *http.Request) error {
+	op, err := readLockCall(r, coordination.Acquire)
+	if err != nil {
+		return err
+	}
+	result, err := h.coordinator.Execute(r.Context(), op, 0)
+	if err != nil {
+		return coordinationError(op, err)
+	}
+	if result.Outcome == coordination.Held {
+		writeJSON(w, http.StatusConflict, struct{}{})
+		return nil
+	}
+	writeJSON(w, http.StatusOK, fenceAnswer{Fence: result.Fence})
+	return nil
+}
+
+func (h *coordinationHandlers) renew(w http.ResponseWriter, r *http.Request) error {
+	op, err := readLockCall(r, coordination.Renew)
+	if err != nil {
+		return err
+	}
+	result, err := h.coordinator.Execute(r.Context(), op, 0)
+	if err != nil {
+		return coordinationError(op, err)
+	}
+	status := http.StatusOK
+	if result.Outcome == coordination.Held {
+		status = http.StatusConflict
+	}
+	writeJSON(w, status, struct{}{})
+	return nil
+}
+
+func (h *coordinationHandlers) release(w http.ResponseWriter, r *http.Request) error {
+	op, err := readLockCall(r, coordination.Release)
+	if err != nil {
+		return err
+	}
+	if _, err := h.coordinator.Execute(r.Context(), op, 0); err != nil {
+		return coordinationError(op, err)
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+	return nil
+}
+
+func (h *coordinationHandlers) increment(w http.ResponseWriter, r *http.Request) error {
+	id, err := readName(r)
+	if err != nil {
+		return err
+	}
+	op := &coordination.Operation{Kind: coordination.Increment, Name: coordination.Name{Kind: coordination.KindCounter, ID: id}}
+	result, err := h.coordinator.Execute(r.Context(), op, 0)
+	if err != nil {
+		return coordinationError(op, err)
+	}
+	writeJSON(w, http.StatusOK, numberAnswer{Value: result.Count})
+	return nil
+}
+
+func (h *coordinationHandlers) put(w http.ResponseWriter, r *http.Request) error {
+	key, err := readName(r)
+	if err != nil {
+		return err
+	}
+	var call putCall
+	if err := readCall(r, &call); err != nil {
+		return err
+	}
+	if call.Value == nil || len(*call.Value) > maxValueBytes {
+		return badField("value", "is missing, or longer than "+strconv.Itoa(maxValueBytes)+" bytes")
+	}
+	op := groupOperation(coordination.Put, key)
+	op.Value, op.IfRevision = *call.Value, call.IfRevision
+	result, err := h.coordinator.Execute(r.Context(), op, 0)
+	if err != nil {
+		return coordinationError(op, err)
+	}
+	switch result.Outcome {
+	case coordination.Mismatch:
+		writeJSON(w, http.StatusPreconditionFailed, revisionAnswer{Revision: result.Revision})
+	case coordination.Full:
+		return &requestError{status: http.StatusTooManyRequests, reason: "the group of the key is full"}
+	default:
+		writeJSON(w, http.StatusOK, revisionAnswer{Revision: result.Revision})
+	}
+	return nil
+}
+
+func (h *coordinationHandlers) get(w http.ResponseWriter, r *http.Request) error {
+	key, err := readName(r)
+	if err != nil {
+		return err
+	}
+	op := groupOperation(coordination.Get, key)
+	result, err := h.coordinator.Execute(r.Context(), op, 0)
+	if err != nil {
+		return coordinationError(op, err)
+	}
+	if result.Outcome == coordination.Missing {
+		return &requestError{status: http.StatusNotFound, reason: "there is no such key"}
+	}
+	writeJSON(w, http.StatusOK, cellAnswer{Value: result.Value, Revision: result.Revision})
+	return nil
+}
+
+// groupOperation returns an operation on the group of a key.
+func groupOperation(kind coordination.OperationKind, key string) *coordination.Operation {
+	return &coordination.Operation{
+		Kind: kind, Name: coordination.Name{Kind: coordination.KindGroup, ID: coordination.GroupOf(key)}, Key: key,
+	}
+}
+
+func readLockCall(r *http.Request, kind coordination.OperationKind) (*coordination.Operation, error) {
+	id, err := readName(r)
+	if err != nil {
+		return nil, err
+	}
+	var call lockCall
+	if err := readCall(r, &call); err != nil {
+		return nil, err
+	}
+	if call.Holder == "" || len(call.Holder) > maxNameBytes {
+		return nil, badField("holder", "is missing, or longer than "+strconv.Itoa(maxNameBytes)+" bytes")
+	}
+	op := &coordination.Operation{Kind: kind, Name: coordination.Name{Kind: coordination.KindLock, ID: id}, Holder: call.Holder}
+	if kind != coordination.Acquire {
+		if call.Fence == nil {
+			return nil, badField("fence", "is missing")
+		}
+		op.Fence = *call.Fence
+	}
+	if kind == coordination.Release {
+		return op, nil
+	}
+	if call.HoldMs == nil || *call.HoldMs <= 0 || *call.HoldMs > maxHold.Milliseconds() {
+		return nil, badField("holdMs", fmt.Sprintf("is missing, or not between 1 and %d", maxHold.Milliseconds()))
+	}
+	op.Hold = time.Duration(*call.HoldMs) * time.Millisecond
+	return op, nil
+}
+
+// readName returns the name in a call's path.
+func readName(r *http.Request) (string, error) {
+	id := mux.Vars(r)["id"]
+	if id == "" || len(id) > maxNameBytes {
+		return "", badField("name", "is empty, or longer than "+strconv.Itoa(maxNameBytes)+" bytes")
+	}
+	return id, nil
+}
+
+func readCall(r *http.Request, call any) error {
+	body, err := readBody(r, maxCoordinationBytes)
+	if err != nil {
+		return &requestError{status: http.StatusBadRequest, reason: "the body can't be read", err: err}
+	}
+	if err := json.Unmarshal(body, call); err != nil {
+		return &requestError{status: http.StatusBadRequest, reason: "the body is no such call", err: err}
+	}
+	return nil
+}
+
+func badField(field, reason string) error {
+	return &requestError{status: http.StatusBadRequest, reason: field + " " + reason}
+}
+
+// outcomeUnknownError reports that a call of an application may have taken effect, or may yet.
+type outcomeUnknownError struct{ err error }
+
+func (e *outcomeUnknownError) Error() string { return "the outcome is not known: " + e.err.Error() }
+
+func (e *outcomeUnknownError) Unwrap() error { return e.err }
+
+// coordinationError returns what a call is answered with where it was not executed, or its outcome is not known. A put is never refused: it
+// may repeat one whose outcome is not known, and a refusal would say that its value is never shown.
+func coordinationError(op *coordination.Operation, err error) error {
+	var refused *RefusedError
+	if op.Kind != coordination.Put && errors.As(err, &refused) {
+		return refused
+	}
+	return &outcomeUnknownError{err}
+}
--- a/internal/fleet/control/errors.go
+++ b/internal/fleet/control/errors.go
@@ -40,12 +40,23 @@
 func (s *Server) writeError(w http.ResponseWriter, r *http.Request, err error) {
 	var rejected *requestError
 	var unacknowledged *unacknowledgedError
+	var refused *RefusedError
+	var unknown *outcomeUnknownError
 	switch {
 	case errors.As(err, &rejected):
 		s.Rejected.Add(1)
 		writeJSON(w, rejected.status, map[string]string{"error": rejected.Error()})
 	case errors.As(err, &unacknowledged):
 		http.Error(w, unacknowledged.Error(), http.StatusServiceUnavailable)
+	case errors.As(err, &refused):
+		w.Header().Set("Retry-After", retryAfter)
+		status := http.StatusServiceUnavailable
+		if refused.Overloaded {
+			status = http.StatusTooManyRequests
+		}
+		http.Error(w, refused.Error(), status)
+	case errors.As(err, &unknown):
+		http.Error(w, unknown.Error(), http.StatusGatewayTimeout)
 	default:
 		s.redirect(w, r, err)
 	}
--- /dev/null
+++ b/internal/fleet/control/watch.go
@@ -0,0 +1,98 @@
+package control
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"pinelb.example/pinelb/internal/fleet/coordination"
+)
+
+// watchPollInterval is how long one operation waits for events. A watch repeats it, each time at the machine that then decides the group.
+const watchPollInterval = 400 * time.Millisecond
+
+// watchRetryInterval is the pause after an operation that failed.
+const watchRetryInterval = 50 * time.Millisecond
+
+// watch answers with the puts after a revision, as soon as there are any.
+func (h *coordinationHandlers) watch(w http.ResponseWriter, r *http.Request) error {
+	group, err := readName(r)
+	if err != nil {
+		return err
+	}
+	since, err := readUint(r, "sinceRevision")
+	if err != nil {
+		return err
+	}
+	waitMs, err := readUint(r, "waitMs")
+	if err != nil {
+		return err
+	}
+	wait := min(time.Duration(min(waitMs, uint64(maxWatchWait.Milliseconds())))*time.Millisecond, maxWatchWait)
+	op := &coordination.Operation{
+		Kind: coordination.Watch, Name: coordination.Name{Kind: coordination.KindGroup, ID: coordination.GroupOf(group)}, Since: since,
+	}
+	result, err := h.awaitEvents(r.Context(), op, time.Now().Add(wait))
+	if err != nil {
+		return coordinationError(op, err)
+	}
+	if result.Outcome == coordination.Compacted {
+		return &requestError{status: http.StatusGone, reason: "the puts after sinceRevision are no longer kept"}
+	}
+	writeJSON(w, http.StatusOK, newWatchAnswer(result))
+	return nil
+}
+
+// awaitEvents repeats a watch until there are events, the deadline has passed, or this machine shuts down. An error is that of the last
+// operation, where none succeeded.
+func (h *coordinationHandlers) awaitEvents(ctx context.Context, op *coordination.Operation, deadline time.Time) (coordination.Result, error) {
+	var last coordination.Result
+	for {
+		result, err := h.coordinator.Execute(ctx, op, max(0, min(watchPollInterval, time.Until(deadline))))
+		if err == nil {
+			last = result
+		}
+		isOver := !time.Now().Before(deadline) || h.coordinator.Draining() || ctx.Err() != nil
+		switch {
+		case err == nil && (result.Outcome != coordination.Pending || isOver):
+			return result, nil
+		case err != nil && isOver && last.Outcome != 0:
+			return last, nil
+		case err != nil && isOver:
+			return coordination.Result{}, err
+		case err != nil:
+			pause(ctx, watchRetryInterval)
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
+func newWatchAnswer(result coordination.Result) watchAnswer {
+	answer := watchAnswer{Events: []eventAnswer{}, Revision: result.Revision}
+	for _, e := range result.Events {
+		answer.Events = append(answer.Events, eventAnswer{Name: e.Key, Value: e.Value, Revision: e.Revision})
+	}
+	return answer
+}
+
+// readUint returns a whole number of a call's query; 0 where it is not given.
+func readUint(r *http.Request, name string) (uint64, error) {
+	text := r.URL.Query().Get(name)
+	if text == "" {
+		return 0, nil
+	}
+	number, err := strconv.ParseUint(text, 10, 63)
+	if err != nil {
+		return 0, badField(name, "is no whole number")
+	}
+	return number, nil
+}
--- /dev/null
+++ b/internal/fleet/coordination/lock.go
@@ -0,0 +1,82 @@
+package coordination
+
+import "time"
+
+const (
+	// expiryMargin and expiryDriftDivisor are added to a hold before the lock is another's: clocks of two machines drift apart.
+	expiryMargin       = 20 * time.Millisecond
+	expiryDriftDivisor = 200
+)
+
+// lock is a lock that its holder loses when its time has run out.
+type lock struct {
+	fence     uint64
+	holder    string // empty: free
+	hold      time.Duration
+	grantedAt time.Duration // or later
+}
+
+// isFree reports whether no holder may count on the lock: a lower bound of the time since the grant exceeds the hold.
+func (l *lock) isFree(now time.Duration) bool {
+	return l.holder == "" || now-l.grantedAt > l.hold+expiryMargin+l.hold/expiryDriftDivisor
+}
+
+// acquire grants the lock to whoever has it already, too, always with a higher fence: a late call of an earlier hold changes nothing.
+func (l *lock) acquire(now time.Duration, op *Operation, change *Change) Result {
+	if l.holder != op.Holder && !l.isFree(now) {
+		return Result{Outcome: Held}
+	}
+	l.extend(now, op)
+	l.holder = op.Holder
+	l.fence++
+	change.Lock = l.record(now)
+	return Result{Outcome: Done, Fence: l.fence}
+}
+
+// renew extends a hold, also one that has run out while nobody else acquired the lock.
+func (l *lock) renew(now time.Duration, op *Operation, change *Change) Result {
+	if l.holder != op.Holder || l.fence != op.Fence {
+		return Result{Outcome: Held}
+	}
+	l.extend(now, op)
+	change.Lock = l.record(now)
+	return Result{Outcome: Done, Fence: l.fence}
+}
+
+// extend sets the hold from now on. It never shortens one of the same holder, which may not have heard of the shorter one.
+func (l *lock) extend(now time.Duration, op *Operation) {
+	hold := op.Hold
+	if l.holder == op.Holder {
+		hold = max(hold, l.hold-(now-l.grantedAt))
+	}
+	l.hold, l.grantedAt = hold, now
+}
+
+func (l *lock) release(now time.Duration, op *Operation, change *Change) Result {
+	if l.holder == op.Holder && l.fence == op.Fence {
+		l.holder, l.hold = "", 0
+		change.Lock = l.record(now)
+	}
+	return Result{Outcome: Done}
+}
+
+func (l *lock) record(now time.Duration) *LockRecord {
+	r := &LockRecord{Fence: l.fence, Holder: l.holder}
+	if l.holder != "" {
+		r.HoldMs = ceilMilliseconds(l.hold)
+		r.AgeMs = max(0, (now - l.grantedAt).Milliseconds())
+	}
+	return r
+}
+
+func (l *lock) restore(now time.Duration, r *LockRecord) {
+	*l = lock{
+		fence: r.Fence, holder: r.Holder,
+		hold:      time.Duration(r.HoldMs) * time.Millisecond,
+		grantedAt: now - time.Duration(r.AgeMs)*time.Millisecond,
+	}
+}
+
+func ceilMilliseconds(d time.Duration) int64 {
+	return int64((d + time.Millisecond - 1) / time.Millisecond)
+}
--- /dev/null
+++ b/internal/fleet/coordinator/acceptor_loop.go
@@ -0,0 +1,219 @@
+package coordinator
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"pinelb.example/pinelb/internal/fleet/register"
+	"pinelb.example/pinelb/internal/fleet/replication"
+)
+
+const (
+	acceptorTick  = 100 * time.Millisecond
+	maxGroupWrite = 256 // messages whose changes share one sync
+	retryInterval = 200 * time.Millisecond
+)
+
+// AcceptorStatus is what other goroutines may know of the acceptor.
+type AcceptorStatus struct {
+	Self       replication.Replica
+	Config     register.Config
+	ReadyEpoch uint64
+	Names      int
+	Durable    bool // its identity is on the disk: it may be named to others
+}
+
+// acceptorLoop runs the machine's acceptor on its disk. What it receives together is made durable by one sync.
+type acceptorLoop struct {
+	service  *Service
+	inbox    chan received
+	store    *store
+	acceptor *register.Acceptor
+	outgoing []register.Outgoing // of the present group: sent once its changes are durable
+	changed  []register.Stored   // of the present group
+
+	mu        sync.Mutex
+	published AcceptorStatus
+}
+
+func newAcceptorLoop(s *Service, store *store) *acceptorLoop {
+	l := &acceptorLoop{service: s, inbox: make(chan received, inboxSize), store: store}
+	l.acceptor = store.build(s.options.Clock(), s.options.State)
+	l.publish(false)
+	return l
+}
+
+func (l *acceptorLoop) deliver(from replication.Replica, message any) {
+	l.service.enqueue(l.inbox, from, message)
+}
+
+func (l *acceptorLoop) status() AcceptorStatus {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.published
+}
+
+func (l *acceptorLoop) publish(durable bool) {
+	h := l.acceptor.HardState()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.published = AcceptorStatus{
+		Self: h.Self, Config: h.Config, ReadyEpoch: h.ReadyEpoch, Names: l.acceptor.Names(), Durable: durable,
+	}
+}
+
+func (l *acceptorLoop) run(ctx context.Context) {
+	defer l.store.close()
+	if !l.writeIdentity(ctx) {
+		return
+	}
+	ticker := time.NewTicker(acceptorTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case m := <-l.inbox:
+			l.handleGroup(ctx, m)
+		case <-ticker.C:
+			l.step(ctx, l.acceptor.Tick(l.service.options.Clock()))
+			l.flush(ctx)
+		}
+	}
+}
+
+// writeIdentity makes the acceptor's identity durable before it speaks, however long that takes.
+func (l *acceptorLoop) writeIdentity(ctx context.Context) bool {
+	for l.store.log != nil {
+		err := l.store.replace(l.acceptor.HardState(), l.acceptor.Snapshot(l.service.options.Clock()))
+		if err == nil {
+			break
+		}
+		l.service.Counters.FailedSyncs.Add(1)
+		l.service.options.Log.Warn("can't write the log of the registers", zap.Error(err))
+		if !sleep(ctx, retryInterval) {
+			return false
+		}
+	}
+	l.publish(true)
+	return true
+}
+
+// handleGroup handles a message and those that wait behind it, makes their changes durable by one sync, and sends the answers.
+func (l *acceptorLoop) handleGroup(ctx context.Context, first received) {
+	l.handle(ctx, first)
+	for range maxGroupWrite {
+		select {
+		case m := <-l.inbox:
+			l.handle(ctx, m)
+			continue
+		default:
+		}
+		break
+	}
+	l.flush(ctx)
+}
+
+func (l *acceptorLoop) handle(ctx context.Context, m received) {
+	l.step(ctx, l.acceptor.Receive(l.service.options.Clock(), m.from, m.message))
+}
+
+// step adds a step to the group. One that replaces everything, or changes the hard state alone, is made durable at once.
+func (l *acceptorLoop) step(ctx context.Context, out *register.Output) {
+	if w := out.Write; w != nil {
+		l.changed = append(l.changed, w.Changed...)
+		var err error
+		switch {
+		case w.Replace:
+			err = l.replace()
+		case len(w.Changed) == 0:
+			err = l.append()
+		}
+		if err != nil {
+			l.recover(ctx, err)
+			return
+		}
+	}
+	l.outgoing = append(l.outgoing, out.Send...)
+}
+
+// flush ends a group.
+func (l *acceptorLoop) flush(ctx context.Context) {
+	if len(l.changed) > 0 {
+		if err := l.append(); err != nil {
+			l.recover(ctx, err)
+			return
+		}
+	}
+	nonce := l.acceptor.HardState().Self.Nonce
+	for _, outgoing := range l.outgoing {
+		l.service.send(outgoing.To, nonce, outgoing.Message)
+	}
+	l.outgoing = nil
+}
+
+// append makes the group's changes and the hard state durable.
+func (l *acceptorLoop) append() error {
+	if l.store.log == nil {
+		l.changed = nil
+		l.publish(true)
+		return nil
+	}
+	if l.store.log.NeedsCompaction() {
+		return l.replace()
+	}
+	l.service.Counters.Syncs.Add(1)
+	if err := l.store.append(l.acceptor.HardState(), l.changed); err != nil {
+		return err
+	}
+	l.changed = nil
+	l.publish(true)
+	return nil
+}
+
+// replace makes the whole state durable, the group's changes with it.
+func (l *acceptorLoop) replace() error {
+	if l.store.log != nil {
+		l.service.Counters.Syncs.Add(1)
+		if err := l.store.replace(l.acceptor.HardState(), l.acceptor.Snapshot(l.service.options.Clock())); err != nil {
+			return err
+		}
+	}
+	l.changed = nil
+	l.publish(true)
+	return nil
+}
+
+// recover has the acceptor be as after a restart: nothing of the group has happened, and nothing of it is sent.
+func (l *acceptorLoop) recover(ctx context.Context, cause error) {
+	l.service.Counters.FailedSyncs.Add(1)
+	l.service.options.Log.Warn("can't write the log of the registers", zap.Error(cause))
+	l.outgoing, l.changed = nil, nil
+	for {
+		err := l.store.reload(&l.service.options)
+		if err == nil {
+			break
+		}
+		l.service.options.Log.Warn("can't read the log of the registers", zap.Error(err))
+		if !sleep(ctx, retryInterval) {
+			return
+		}
+	}
+	l.acceptor = l.store.build(l.service.options.Clock(), l.service.options.State)
+	l.publish(true)
+}
+
+// sleep returns false where ctx has ended.
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/fleet/coordinator/messages.go
@@ -0,0 +1,24 @@
+package coordinator
+
+import (
+	"time"
+
+	"pinelb.example/pinelb/internal/fleet/coordination"
+	"pinelb.example/pinelb/internal/fleet/register"
+)
+
+// CallRequest asks a proposer to execute an operation. One that comes again, with the same ID from the same machine, is executed once. The
+// numbers of the fields are part of the protocol.
+type CallRequest struct {
+	ID        uint64                 `cbor:"1,keyasint"`
+	Operation coordination.Operation `cbor:"2,keyasint"`
+	Timeout   time.Duration          `cbor:"3,keyasint"`           // after which the caller has given up
+	Park      time.Duration          `cbor:"4,keyasint,omitempty"` // of a watch: how long it waits for events
+}
+
+// CallReply answers a CallRequest.
+type CallReply struct {
+	ID        uint64              `cbor:"1,keyasint"`
+	Certainty register.Certainty  `cbor:"2,keyasint"`
+	Result    coordination.Result `cbor:"3,keyasint"`
+}
--- /dev/null
+++ b/internal/fleet/register/acceptor.go
@@ -0,0 +1,209 @@
+package register
+
+import (
+	"slices"
+	"time"
+
+	"pinelb.example/pinelb/internal/fleet/coordination"
+	"pinelb.example/pinelb/internal/fleet/replication"
+)
+
+// collectInterval is the time between requests for the registers of the former acceptors.
+const collectInterval = 150 * time.Millisecond
+
+// Acceptor stores registers. Its methods are not safe for concurrent use; each returns an Output that has to be carried out before the next
+// call.
+type Acceptor struct {
+	options     coordination.Options
+	hardState   HardState
+	registers   map[coordination.Name]*storedRegister
+	collected   map[replication.Replica]*Collected // for the present epoch, while it is not ready
+	nextCollect time.Duration
+	out         *Output // of the present step
+}
+
+// storedRegister is one register of an acceptor.
+type storedRegister struct {
+	promised Ballot
+	accepted Version
+	state    *coordination.State
+}
+
+// NewAcceptor returns an acceptor as it is after a start, with what its disk holds.
+func NewAcceptor(now time.Duration, hardState HardState, records [][]Stored, options coordination.Options) *Acceptor {
+	a := &Acceptor{options: options, hardState: hardState, registers: map[coordination.Name]*storedRegister{}}
+	for _, changed := range records {
+		for i := range changed {
+			a.restore(now, &changed[i])
+		}
+	}
+	return a
+}
+
+// InitialHardState returns what an acceptor with an empty disk begins with. At the first start of the whole system, founders are the
+// addresses of the first acceptors, the same on all machines, and nonce is 0; else founders is empty and nonce is drawn at random.
+func InitialHardState(address string, nonce uint64, founders []string) HardState {
+	h := HardState{Self: replication.Replica{Address: address, Nonce: nonce}}
+	if len(founders) == 0 {
+		return h
+	}
+	h.Config = FirstConfig(founders)
+	if h.Config.Has(h.Self) {
+		h.ReadyEpoch = h.Config.Epoch
+	}
+	return h
+}
+
+// HardState returns what has to be on the disk.
+func (a *Acceptor) HardState() HardState { return a.hardState }
+
+// Names returns how many registers are stored.
+func (a *Acceptor) Names() int { return len(a.registers) }
+
+// Snapshot returns all registers, complete.
+func (a *Acceptor) Snapshot(now time.Duration) []Stored {
+	all := make([]Stored, 0, len(a.registers))
+	for name, r := range a.registers {
+		all = append(all, Stored{Name: name, Promised: r.promised, Accepted: r.accepted, Change: r.snapshot(now)})
+	}
+	slices.SortFunc(all, func(x, y Stored) int { return compareNames(x.Name, y.Name) })
+	return all
+}
+
+// Receive handles a message. Messages that are for a proposer are ignored.
+func (a *Acceptor) Receive(now time.Duration, from replication.Replica, message any) *Output {
+	out := a.step()
+	switch m := message.(type) {
+	case *Request:
+		a.onRequest(now, from, m)
+	case *Hello:
+		a.adopt(m.Config)
+	case *Collect:
+		a.onCollect(now, from, m)
+	case *Collected:
+		a.onCollected(now, from, m)
+	}
+	a.collect(now)
+	return out
+}
+
+// Tick lets time pass.
+func (a *Acceptor) Tick(now time.Duration) *Output {
+	out := a.step()
+	a.collect(now)
+	return out
+}
+
+func (a *Acceptor) step() *Output {
+	a.out = &Output{}
+	return a.out
+}
+
+func (a *Acceptor) send(to string, message any) {
+	a.out.Send = append(a.out.Send, Outgoing{To: to, Message: message})
+}
+
+// persist has the hard state written with this step.
+func (a *Acceptor) persist() *Write {
+	if a.out.Write == nil {
+		a.out.Write = &Write{}
+	}
+	a.out.Write.HardState = a.hardState
+	return a.out.Write
+}
+
+// isReady reports whether the acceptor takes part in the present epoch.
+func (a *Acceptor) isReady() bool {
+	return a.hardState.Config.Epoch > 0 && a.hardState.ReadyEpoch == a.hardState.Config.Epoch && a.hardState.Config.Has(a.hardState.Self)
+}
+
+// onRequest promises and accepts. A proposer of another epoch is told of the one that is known here: it, or this acceptor, is behind.
+func (a *Acceptor) onRequest(now time.Duration, from replication.Replica, m *Request) {
+	if m.Epoch != a.hardState.Config.Epoch {
+		a.send(from.Address, &Hello{Config: a.hardState.Config})
+		return
+	}
+	if !a.isReady() {
+		return
+	}
+	reply := &Reply{Epoch: m.Epoch}
+	for i := range m.Prepares {
+		reply.Promises = append(reply.Promises, a.onPrepare(now, &m.Prepares[i]))
+	}
+	for i := range m.Accepts {
+		reply.Acks = append(reply.Acks, a.onAccept(now, &m.Accepts[i]))
+	}
+	a.send(from.Address, reply)
+}
+
+func (a *Acceptor) onPrepare(now time.Duration, m *Prepare) Promise {
+	r := a.register(m.Name)
+	promise := Promise{Name: m.Name, Ballot: m.Ballot, Accepted: r.accepted}
+	if m.Ballot.less(r.promised) {
+		promise.Promised = r.promised
+		return promise
+	}
+	if r.promised.less(m.Ballot) {
+		r.promised = m.Ballot
+		a.recordChange(Stored{Name: m.Name, Promised: r.promised, Accepted: r.accepted})
+	}
+	if r.accepted != (Version{}) && (r.accepted != m.Known || m.Name.Kind == coordination.KindLock) {
+		promise.Value = r.state.Snapshot(now)
+	}
+	return promise
+}
+
+func (a *Acceptor) onAccept(now time.Duration, m *Accept) AcceptAck {
+	r := a.register(m.Name)
+	ack := AcceptAck{Name: m.Name, Version: m.Version, Trip: m.Trip, Outcome: Accepted}
+	switch {
+	case m.Version.Ballot.less(r.promised):
+		ack.Outcome, ack.Promised = Rejected, r.promised
+	case !r.accepted.less(m.Version):
+		// It is accepted already: the version, or a later one of the same ballot.
+	case !m.Change.IsComplete() && r.accepted != m.Base:
+		ack.Outcome = BaseMissing
+	default:
+		a.accept(now, r, m)
+	}
+	return ack
+}
+
+// accept stores a version. Accepting under a ballot promises it.
+func (a *Acceptor) accept(now time.Duration, r *storedRegister, m *Accept) {
+	r.promised = m.Version.Ballot
+	r.accepted = m.Version
+	r.state.Apply(now, m.Change)
+	a.recordChange(Stored{Name: m.Name, Promised: r.promised, Accepted: r.accepted, Change: m.Change})
+}
+
+func (a *Acceptor) recordChange(s Stored) {
+	w := a.persist()
+	w.Changed = append(w.Changed, s)
+}
+
+// register returns a name's register, and makes it where there is none.
+func (a *Acceptor) register(name coordination.Name) *storedRegister {
+	r, exists := a.registers[name]
+	if !exists {
+		r = &storedRegister{state: coordination.NewState(name.Kind, a.options)}
+		a.registers[name] = r
+	}
+	return r
+}
+
+// restore takes over a stored register, or what has changed of it.
+func (a *Acceptor) restore(now time.Duration, s *Stored) {
+	r := a.register(s.Name)
+	r.promised = s.Promised
+	r.accepted = s.Accepted
+	r.state.Apply(now, s.Change)
+}
+
+// snapshot returns the register's value; nil: nothing is accepted.
+func (r *storedRegister) snapshot(now time.Duration) *coordination.Change {
+	if r.accepted == (Version{}) {
+		return nil
+	}
+	return r.state.Snapshot(now)
+}
--- a/internal/fleet/replica/store.go
+++ b/internal/fleet/replica/store.go
@@ -17,7 +17,7 @@
 
 // store is a replica's hard state and configuration, on the disk and in memory. Only the replica's goroutine uses it.
 type store struct {
-	log       *storage.Log // nil: no disk
+	log       *storage.Log[replication.HardState] // nil: no disk
 	hardState replication.HardState
 	state     *config.State // at the hard state's position, committed or not
 }
@@ -36,7 +36,7 @@
 	if options.Directory == "" {
 		return s, nil
 	}
-	log, records, err := storage.Open(filepath.Join(options.Directory, logDirectory))
+	log, records, err := storage.Open[replication.HardState](filepath.Join(options.Directory, logDirectory))
 	s.log = log
 	var corrupt *storage.CorruptLogError
 	if errors.As(err, &corrupt) {
@@ -100,7 +100,7 @@
 // writeLog appends a write that leads to a state, or starts a new generation with that state where the log needs compaction.
 func (s *store) writeLog(w *replication.Write, state *config.State) error {
 	if !s.log.NeedsCompaction() {
-		return s.log.Append(storage.Record{HardState: w.HardState, Entry: w.Entry, Snapshot: w.Snapshot})
+		return s.log.Append(storage.Record[replication.HardState]{HardState: w.HardState, Entry: w.Entry, Snapshot: w.Snapshot})
 	}
 	snapshot, err := state.Encode()
 	if err != nil {
--- /dev/null
+++ b/internal/fleet/router/coordination.go
@@ -0,0 +1,137 @@
+package router
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pinelb.example/pinelb/internal/fleet/control"
+	"pinelb.example/pinelb/internal/fleet/coordination"
+	"pinelb.example/pinelb/internal/fleet/coordinator"
+	"pinelb.example/pinelb/internal/fleet/register"
+	"pinelb.example/pinelb/internal/fleet/replication"
+	"pinelb.example/pinelb/internal/fleet/transport"
+)
+
+const (
+	// historyMargin is how much longer than the bound the puts of a group are kept.
+	historyMargin = 10 * time.Second
+	// maxGroupBytes bounds a group's keys, values and events.
+	maxGroupBytes = 4 << 20
+)
+
+// coordinationService serves locks, counters, cells and watches to applications, where the settings ask for them. Else it holds no state and
+// sends nothing.
+type coordinationService struct {
+	*environment
+	gossip  *gossip
+	service *coordinator.Service // nil: not served
+}
+
+func (c *coordinationService) isServed() bool { return c.settings.ServesCoordination() }
+
+// start starts this machine's part.
+func (c *coordinationService) start() error {
+	if !c.isServed() {
+		return nil
+	}
+	s := c.settings
+	founders := c.founders()
+	var err error
+	c.service, err = coordinator.Start(coordinator.Options{
+		Address: c.address(), Zone: s.Zone, Region: s.Region, Directory: s.DataDir, Founders: founders, Core: c.isCore(founders),
+		Votes:     s.CountsForQuorum,
+		Tolerance: replication.Tolerance{Machines: s.Tolerance.Machines, Zones: s.Tolerance.Zones, Regions: s.Tolerance.Regions},
+		State:     coordination.Options{History: s.Bounds.History + historyMargin, MaxGroupBytes: maxGroupBytes},
+		Peers:     c.gossip.corePeers,
+		Proposers: c.gossip.liveCore,
+		Leaving:   c.draining.Load,
+		Send: func(to string, nonce uint64, message any) {
+			c.transport.Send(to, kindOfCoordination(message), nonce, message)
+		},
+		Clock: c.clock,
+		Log:   c.log,
+	})
+	return err
+}
+
+func (c *coordinationService) close() {
+	if c.service != nil {
+		c.service.Close()
+	}
+}
+
+// Execute executes an operation: control.Coordinator.
+func (c *coordinationService) Execute(ctx context.Context, operation *coordination.Operation, park time.Duration) (coordination.Result, error) {
+	result, err := c.service.Execute(ctx, operation, park)
+	switch {
+	case errors.Is(err, coordinator.ErrOverloaded):
+		return result, &control.RefusedError{Overloaded: true, Err: err}
+	case errors.Is(err, coordinator.ErrNoProposer):
+		return result, &control.RefusedError{Err: err}
+	}
+	return result, err
+}
+
+// Draining reports whether this machine shuts down: control.Coordinator.
+func (c *coordinationService) Draining() bool { return c.draining.Load() }
+
+// status returns what operators see; nil: the service is off.
+func (c *coordinationService) status() *coordinator.Status {
+	if c.service == nil {
+		return nil
+	}
+	status := c.service.Status()
+	return &status
+}
+
+func kindOfCoordination(message any) transport.Kind {
+	switch message.(type) {
+	case *register.Request:
+		return kindRegisterRequest
+	case *register.Reply:
+		return kindRegisterReply
+	case *register.Hello:
+		return kindRegisterHello
+	case *register.Collect:
+		return kindRegisterCollect
+	case *register.Collected:
+		return kindRegisterCollected
+	case *coordinator.CallRequest:
+		return kindCoordinationCall
+	}
+	return kindCoordinationReply
+}
+
+// receive decodes a message and hands it to the service.
+func (c *coordinationService) receive(p *transport.Packet) error {
+	if c.service == nil {
+		return nil
+	}
+	message := newCoordinationMessage(p.Kind)
+	if err := cbor.Unmarshal(p.Body, message); err != nil {
+		return err
+	}
+	c.service.Receive(p.From, p.Nonce, message)
+	return nil
+}
+
+func newCoordinationMessage(kind transport.Kind) any {
+	switch kind {
+	case kindRegisterRequest:
+		return &register.Request{}
+	case kindRegisterReply:
+		return &register.Reply{}
+	case kindRegisterHello:
+		return &register.Hello{}
+	case kindRegisterCollect:
+		return &register.Collect{}
+	case kindRegisterCollected:
+		return &register.Collected{}
+	case kindCoordinationCall:
+		return &coordinator.CallRequest{}
+	}
+	return &coordinator.CallReply{}
+}
--- a/internal/fleet/router/coordination_test.go
+++ b/internal/fleet/router/coordination_test.go
@@ -100,6 +100,24 @@
 	return nil
 }
 
+// awaitAcceptors waits until each router's acceptor takes part: so many may be lost again as are tolerated.
+func (c *testCore) awaitAcceptors() {
+	deadline := time.Now().Add(testPatience)
+	for time.Now().Before(deadline) {
+		ready := 0
+		for _, r := range c.routers {
+			if status := r.coordination.status(); status != nil && status.Ready && len(status.Acceptors) == c.size {
+				ready++
+			}
+		}
+		if ready == c.size {
+			return
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	So("all acceptors", ShouldEqual, "ready")
+}
+
 func (c *testCore) try(router int, method, path, body string) (status int, answer map[string]any, err error) {
 	request, err := http.NewRequest(method, fmt.Sprintf("http://%s:%d%s", c.ip(router), testControlPort, path), bytes.NewBufferString(body))
 	if err != nil {
@@ -133,6 +151,41 @@
 		So(core.call("POST", "/cells/g1.a/replace", `{"value":"v2","ifRevision":0}`, 412)["revision"], ShouldEqual, revision)
 		next := core.call("POST", "/cells/g1.b/replace", `{"value":"v3"}`, 200)["revision"].(float64)
 		So(next, ShouldBeGreaterThan, revision)
+	})
+}
 
+// Guards against acknowledged calls of applications that are lost with two disks and all processes.
+func TestAcknowledgedApplicationCallsOutliveDisks(t *testing.T) {
+	Convey("A core of five of which two may be lost", t, func() {
+		core := newTestCore(t.TempDir(), 5)
+		core.startAll(true)
+		Reset(core.killAll)
+
+		fence := core.call("POST", "/locks/l1/begin", `{"holder":"a","holdMs":60000}`, 200)["fence"].(float64)
+		number := core.call("POST", "/numbers/n1", `{}`, 200)["value"].(float64)
+		revision := core.call("POST", "/cells/g1.a/replace", `{"value":"v1","ifRevision":0}`, 200)["revision"].(float64)
+		next := core.call("POST", "/cells/g1.b/replace", `{"value":"v3"}`, 200)["revision"].(float64)
+
+		for wiped := range 3 {
+			core.awaitAcceptors()
+			core.killAll()
+			for _, i := range []int{wiped, wiped + 1} {
+				So(os.RemoveAll(core.directory(i)), ShouldBeNil)
+			}
+			core.startAll(false)
+
+			So(core.call("GET", "/cells/g1.a/read", "", 200)["revision"], ShouldEqual, revision)
+			So(core.call("GET", "/cells/g1.b/read", "", 200)["value"], ShouldEqual, "v3")
+			core.call("POST", "/locks/l1/begin", `{"holder":"b","holdMs":1000}`, 409)
+			nextNumber := core.call("POST", "/numbers/n1", `{}`, 200)["value"].(float64)
+			So(nextNumber, ShouldBeGreaterThan, number)
+			number = nextNumber
+			nextFence := core.call("POST", "/locks/l1/begin", `{"holder":"a","holdMs":60000}`, 200)["fence"].(float64)
+			So(nextFence, ShouldBeGreaterThan, fence)
+			fence = nextFence
+			answer := core.call("GET", fmt.Sprintf("/watch/g1.?sinceRevision=%d&waitMs=100", int(revision)), "", 200)
+			So(answer["events"], ShouldHaveLength, 1)
+			So(answer["revision"], ShouldEqual, next)
+		}
 	})
 }
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -251,3 +251,23 @@
 	}
 	return g.node.Registry.Ready(), version
 }
+
+// liveCore returns the internal addresses of the core machines that are alive, this one included where it is one; the seeds where none is
+// known.
+func (g *gossip) liveCore() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var core []string
+	for _, m := range g.node.Members.LiveMembers() {
+		if m.Core {
+			core = append(core, m.Address)
+		}
+	}
+	if g.settings.CountsForQuorum {
+		core = append(core, g.address())
+	}
+	if len(core) == 0 {
+		return g.settings.SeedAddresses()
+	}
+	return core
+}
--- a/internal/fleet/router/messages.go
+++ b/internal/fleet/router/messages.go
@@ -28,6 +28,13 @@
 	kindLeaseRenewal
 	kindLeaseRenewalReply
 	kindAnnouncementZoneRelay // to one router, which sends it to its zone
+	kindRegisterRequest       // to an acceptor
+	kindRegisterReply
+	kindRegisterHello
+	kindRegisterCollect // to an acceptor
+	kindRegisterCollected
+	kindCoordinationCall // to a proposer
+	kindCoordinationReply
 )
 
 // Paths of calls between routers.
@@ -74,6 +81,9 @@
 		err = r.allocatorServer.receiveRenewal(p)
 	case kindLeaseRenewalReply:
 		err = r.quota.receiveRenewalReply(p)
+	case kindRegisterRequest, kindRegisterReply, kindRegisterHello, kindRegisterCollect, kindRegisterCollected, kindCoordinationCall,
+		kindCoordinationReply:
+		err = r.coordination.receive(p)
 	}
 	if err != nil {
 		r.transport.Counters.Dropped.Add(1)
--- a/internal/fleet/router/replica.go
+++ b/internal/fleet/router/replica.go
@@ -14,11 +14,8 @@
 // the first start of the whole system.
 func (r *Router) startReplica() error {
 	s := r.settings
-	var founders []string
-	if s.Bootstrap {
-		founders = s.SeedAddresses()
-	}
-	if !s.CountsForQuorum && !slices.Contains(founders, r.address()) {
+	founders := r.founders()
+	if !r.isCore(founders) {
 		return nil
 	}
 	var err error
@@ -44,6 +41,19 @@
 	return err
 }
 
+// founders are the internal addresses of the machines that are the core at the first start of the whole system; none at any later start.
+func (e *environment) founders() []string {
+	if !e.settings.Bootstrap {
+		return nil
+	}
+	return e.settings.SeedAddresses()
+}
+
+// isCore reports whether this machine takes part in decisions: it counts for the quorum, or is a founder.
+func (e *environment) isCore(founders []string) bool {
+	return e.settings.CountsForQuorum || slices.Contains(founders, e.address())
+}
+
 // handleCommit distributes a configuration that this router's replica has acknowledged as the primary.
 func (r *Router) handleCommit(c replica.Commit) {
 	var change []byte
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -13,6 +13,7 @@
 //	allocatorServer      grants and leases to all routers, while this one is the primary; with a grantCache
 //	coreSizeCheck        a warning where the core is smaller than its tolerance needs
 //	announcementRelay     announcements of prompts to the other routers
+//	coordinationService   locks, counters, cells and watches of applications, where the settings ask for them
 //	httpServers           the listeners of the clients, the control API and the readiness probe
 //
 // The packages dissemination, membership, registry, quota and placement are pure; I/O, clocks and goroutines are here, in proxy,
@@ -60,6 +61,7 @@
 	endpointCache   *endpointCache
 	learned         *learnedStateExchange
 	coreSize        *coreSizeCheck
+	coordination    *coordinationService
 
 	dispatcher  *proxy.Dispatcher
 	proxy       *proxy.Server
@@ -85,6 +87,7 @@
 	r.endpointCache = &endpointCache{environment: e, gossip: r.gossip}
 	r.learned = &learnedStateExchange{environment: e, gossip: r.gossip, dispatcher: r.dispatcher}
 	r.coreSize = &coreSizeCheck{environment: e, gossip: r.gossip}
+	r.coordination = &coordinationService{environment: e, gossip: r.gossip}
 	r.proxy = proxy.NewServer(r, r.dispatcher, proxyOptions(s))
 	r.servers = &httpServers{environment: e}
 	return r
@@ -144,6 +147,9 @@
 	if err := r.startReplica(); err != nil {
 		return err
 	}
+	if err := r.coordination.start(); err != nil {
+		return err
+	}
 	r.endpointCache.start()
 	r.leaseholders.start()
 	r.learned.start()
@@ -170,7 +176,7 @@
 func (r *Router) listen() error {
 	var err error
 	if address := r.settings.ControlAddress; address != "" {
-		_, err = r.servers.listen(address, control.NewServer(r, address))
+		_, err = r.servers.listen(address, r.controlServer(address))
 	}
 	if address := r.settings.ReadyAddress; err == nil && address != "" {
 		_, err = r.servers.listen(address, http.HandlerFunc(r.serveReady))
@@ -181,6 +187,14 @@
 	return err
 }
 
+func (r *Router) controlServer(address string) *control.Server {
+	server := control.NewServer(r, address)
+	if r.coordination.isServed() {
+		server.HandleCoordination(r.coordination)
+	}
+	return server
+}
+
 // tick does what is due, in each component.
 func (r *Router) tick() {
 	r.confirmAsPrimary()
@@ -202,6 +216,7 @@
 	if r.replica != nil {
 		r.replica.Close()
 	}
+	r.coordination.close()
 	r.transport.Close()
 	r.tasks.Wait()
 }
--- a/internal/fleet/router/status.go
+++ b/internal/fleet/router/status.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"pinelb.example/pinelb/internal/fleet/coordinator"
 	"pinelb.example/pinelb/internal/fleet/placement"
 	"pinelb.example/pinelb/internal/fleet/registry"
 	"pinelb.example/pinelb/internal/fleet/replication"
@@ -34,6 +35,7 @@
 	Dropped       uint64                    `json:"dropped"`           // messages of other routers that were invalid
 	Ignored       uint64                    `json:"heartbeatsIgnored"` // endpoints' reports that were late, or of endpoints that were deregistered
 	UptimeMs      int64                     `json:"uptimeMs"`          // milliseconds
+	Coordination  *coordinator.Status       `json:"coordination,omitempty"`
 }
 
 // ConfigLagStatus says how far the active configuration is behind the newest one that the router has heard of.
@@ -64,6 +66,7 @@
 		s.LeaseAgeMs = -1
 	}
 	r.addCounters(&s)
+	s.Coordination = r.coordination.status()
 	r.gossip.addStatus(&s)
 	return s
 }
--- a/internal/fleet/settings/parse.go
+++ b/internal/fleet/settings/parse.go
@@ -80,6 +80,8 @@
 
 		EndpointHeartbeatInterval: r.milliseconds("heartbeatMs", 1200),
 
+		Contracts: r.list("contracts"),
+
 		Limits:    readLimits(r),
 		Tolerance: readTolerance(r),
 		Bounds:    readBounds(r),
@@ -123,6 +125,7 @@
 		QuotaOvershootRatio: r.number("bounds.quotaOver", 0),
 		QuotaOvershootUnits: r.number("bounds.quotaSlack", 0),
 		ReuseAfter:          r.seconds("bounds.reuseAfterS", 2),
+		History:             r.seconds("bounds.historyS", 20),
 	}
 }
 
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -38,6 +38,16 @@
 	Bounds    Bounds
 
 	EndpointHeartbeatInterval time.Duration // heartbeatMs
+
+	Contracts []string // contracts: the parts of the rules that are in force
+}
+
+// coordinationContract is in force where applications call for locks, counters and cells.
+const coordinationContract = "coord"
+
+// ServesCoordination reports whether applications may call for locks, counters, cells and watches.
+func (s *Settings) ServesCoordination() bool {
+	return slices.Contains(s.Contracts, coordinationContract)
 }
 
 // PortRange has the first and last port, both inclusive, for what routers send each other. Its form by package fmt goes into the
@@ -78,6 +88,8 @@
 	QuotaOvershootUnits float64       // units in addition
 
 	ReuseAfter time.Duration
+
+	History time.Duration // for which the puts of a group are kept for watches
 }
 
 // validate finds settings that contradict each other, or are no address. An error is a KeyError.
--- a/internal/fleet/storage/corruption_test.go
+++ b/internal/fleet/storage/corruption_test.go
@@ -7,15 +7,17 @@
 
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
+
+	"pinelb.example/pinelb/internal/fleet/replication"
 )
 
 // written is a log of three records, closed, and the path of its file.
 func writeTestLog(directory string) string {
-	log, _, err := Open(directory)
+	log, _, err := Open[replication.HardState](directory)
 	So(err, ShouldBeNil)
 	So(log.StartGeneration(testHardState(1), []byte("state")), ShouldBeNil)
-	So(log.Append(Record{HardState: testHardState(2), Entry: []byte("one")}), ShouldBeNil)
-	So(log.Append(Record{HardState: testHardState(3), Entry: []byte("two")}), ShouldBeNil)
+	So(log.Append(Record[replication.HardState]{HardState: testHardState(2), Entry: []byte("one")}), ShouldBeNil)
+	So(log.Append(Record[replication.HardState]{HardState: testHardState(3), Entry: []byte("two")}), ShouldBeNil)
 	log.Close()
 	return newestSegment(directory)
 }
@@ -27,7 +29,7 @@
 		path := writeTestLog(directory)
 		content, err := os.ReadFile(path)
 		So(err, ShouldBeNil)
-		_, all, err := Open(directory)
+		_, all, err := Open[replication.HardState](directory)
 		So(err, ShouldBeNil)
 		So(len(all), ShouldEqual, 3)
 		found := 0
@@ -35,7 +37,7 @@
 			corrupted := append([]byte(nil), content...)
 			corrupted[at] ^= 0x10
 			So(os.WriteFile(path, corrupted, 0o600), ShouldBeNil)
-			log, records, err := Open(directory)
+			log, records, err := Open[replication.HardState](directory)
 			var corrupt *CorruptLogError
 			if errors.As(err, &corrupt) {
 				found++
@@ -53,11 +55,11 @@
 		path := writeTestLog(directory)
 		content, err := os.ReadFile(path)
 		So(err, ShouldBeNil)
-		last, err := cbor.Marshal(&Record{HardState: testHardState(3), Entry: []byte("two")})
+		last, err := cbor.Marshal(&Record[replication.HardState]{HardState: testHardState(3), Entry: []byte("two")})
 		So(err, ShouldBeNil)
 		for cut := len(content) - len(last) - checksumSize; cut < len(content); cut++ {
 			So(os.WriteFile(path, content[:cut], 0o600), ShouldBeNil)
-			_, records, err := Open(directory)
+			_, records, err := Open[replication.HardState](directory)
 			So(err, ShouldBeNil)
 			So(len(records), ShouldEqual, 2)
 		}
@@ -69,11 +71,11 @@
 		So(err, ShouldBeNil)
 		content[20] ^= 1
 		So(os.WriteFile(path, content, 0o600), ShouldBeNil)
-		log, _, err := Open(directory)
+		log, _, err := Open[replication.HardState](directory)
 		So(err, ShouldNotBeNil)
 		So(log.StartGeneration(testHardState(9), []byte("again")), ShouldBeNil)
 		log.Close()
-		_, records, err := Open(directory)
+		_, records, err := Open[replication.HardState](directory)
 		So(err, ShouldBeNil)
 		So(string(records[0].Snapshot), ShouldEqual, "again")
 	})
@@ -81,7 +83,7 @@
 
 // FuzzReadRecord: nothing that a disk may hold ends the process, or is taken for more than it is.
 func FuzzReadRecord(f *testing.F) {
-	payload, err := cbor.Marshal(&Record{HardState: testHardState(1), Snapshot: []byte("s")})
+	payload, err := cbor.Marshal(&Record[replication.HardState]{HardState: testHardState(1), Snapshot: []byte("s")})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -90,10 +92,10 @@
 	f.Add([]byte{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01})
 	f.Add([]byte{2, 0, 0})
 	f.Fuzz(func(t *testing.T, text []byte) {
-		_, size, ok := readRecord(text)
+		_, size, ok := readRecord[replication.HardState](text)
 		if ok && (size <= checksumSize || size > len(text)) {
 			t.Errorf("a record of %d bytes in a text of %d", size, len(text))
 		}
-		containsRecord(text)
+		containsRecord[replication.HardState](text)
 	})
 }
--- a/internal/fleet/storage/log.go
+++ b/internal/fleet/storage/log.go
@@ -20,8 +20,6 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"github.com/tidwall/wal"
-
-	"pinelb.example/pinelb/internal/fleet/replication"
 )
 
 const (
@@ -38,14 +36,14 @@
 var ErrNoGeneration = errors.New("storage: no generation is open")
 
 // Record is what one write makes durable.
-type Record struct {
-	HardState replication.HardState `cbor:"1,keyasint"`
-	Entry     []byte                `cbor:"2,keyasint,omitempty"` // a change of the state
-	Snapshot  []byte                `cbor:"3,keyasint,omitempty"` // replaces the state
+type Record[H any] struct {
+	HardState H      `cbor:"1,keyasint"`
+	Entry     []byte `cbor:"2,keyasint,omitempty"` // a change of the state
+	Snapshot  []byte `cbor:"3,keyasint,omitempty"` // replaces the state
 }
 
 // Log is a replica's log on the disk. Its methods are not safe for concurrent use.
-type Log struct {
+type Log[H any] struct {
 	directory       string
 	generation      uint64   // the newest
 	wal             *wal.Log // of the newest generation; nil: not open
@@ -57,18 +55,18 @@
 // Open reads what a directory holds, in the order in which it was written, and creates the directory where there is none.
 // No records: the disk is empty. With a *CorruptLogError it returns the log too, which may start a new generation, but not
 // as the replica that wrote the former one.
-func Open(directory string) (*Log, []Record, error) {
+func Open[H any](directory string) (*Log[H], []Record[H], error) {
 	if err := os.MkdirAll(directory, directoryMode); err != nil {
 		return nil, nil, wrap(err)
 	}
-	l := &Log{directory: directory}
+	l := &Log[H]{directory: directory}
 	generations, err := l.generations()
 	if err != nil {
 		return nil, nil, err
 	}
 	for _, generation := range slices.Backward(generations) {
 		l.generation = max(l.generation, generation)
-		records, err := readGeneration(l.generationPath(generation))
+		records, err := readGeneration[H](l.generationPath(generation))
 		var corrupt *CorruptLogError
 		if errors.As(err, &corrupt) {
 			return l, nil, err
@@ -84,7 +82,7 @@
 }
 
 // generations lists the numbers of the directory's generations, the oldest first.
-func (l *Log) generations() ([]uint64, error) {
+func (l *Log[H]) generations() ([]uint64, error) {
 	entries, err := os.ReadDir(l.directory)
 	if err != nil {
 		return nil, wrap(err)
@@ -101,16 +99,16 @@
 	return numbers, nil
 }
 
-func (l *Log) generationPath(generation uint64) string {
+func (l *Log[H]) generationPath(generation uint64) string {
 	return filepath.Join(l.directory, fmt.Sprintf("%s%020d", generationPrefix, generation))
 }
 
 // StartGeneration starts a new generation whose first record holds the snapshot, and removes the former ones. After an
 // error it may be called again.
-func (l *Log) StartGeneration(hardState replication.HardState, snapshot []byte) error {
+func (l *Log[H]) StartGeneration(hardState H, snapshot []byte) error {
 	l.Close()
 	l.generation++
-	if err := l.createGeneration(Record{HardState: hardState, Snapshot: snapshot}); err != nil {
+	if err := l.createGeneration(Record[H]{HardState: hardState, Snapshot: snapshot}); err != nil {
 		l.Close()
 		return err
 	}
@@ -119,7 +117,7 @@
 }
 
 // createGeneration makes a generation's directory and its first record durable.
-func (l *Log) createGeneration(first Record) error {
+func (l *Log[H]) createGeneration(first Record[H]) error {
 	path := l.generationPath(l.generation)
 	log, err := wal.Open(path, &wal.Options{SegmentSize: segmentSize, NoCopy: true})
 	if err != nil {
@@ -139,7 +137,7 @@
 }
 
 // removeOldGenerations works on a best effort: what stays is removed with the next generation.
-func (l *Log) removeOldGenerations() {
+func (l *Log[H]) removeOldGenerations() {
 	numbers, err := l.generations()
 	if err != nil {
 		return
@@ -153,7 +151,7 @@
 }
 
 // Append makes a record durable. After an error, which may be ErrNoGeneration, the log has to start a new generation.
-func (l *Log) Append(record Record) error {
+func (l *Log[H]) Append(record Record[H]) error {
 	if l.wal == nil {
 		return ErrNoGeneration
 	}
@@ -164,7 +162,7 @@
 	return nil
 }
 
-func (l *Log) append(record Record) error {
+func (l *Log[H]) append(record Record[H]) error {
 	payload, err := cbor.Marshal(&record)
 	if err != nil {
 		return wrap(err)
@@ -179,12 +177,12 @@
 }
 
 // NeedsCompaction reports whether a new generation is due, because the log has grown or has no open generation.
-func (l *Log) NeedsCompaction() bool {
+func (l *Log[H]) NeedsCompaction() bool {
 	return l.wal == nil || l.size > max(minCompactionSize, maxGrowthFactor*l.firstRecordSize)
 }
 
 // Close closes the files. Records can be appended again after StartGeneration.
-func (l *Log) Close() {
+func (l *Log[H]) Close() {
 	if l.wal != nil {
 		_ = l.wal.Close() // every record was synced when it was written
 		l.wal = nil
--- a/internal/fleet/storage/log_test.go
+++ b/internal/fleet/storage/log_test.go
@@ -23,14 +23,14 @@
 }
 
 // openTwoRecords returns a log that holds a snapshot and a change.
-func openTwoRecords(t *testing.T) (directory string, log *Log) {
+func openTwoRecords(t *testing.T) (directory string, log *Log[replication.HardState]) {
 	directory = t.TempDir()
-	log, records, err := Open(directory)
+	log, records, err := Open[replication.HardState](directory)
 	So(err, ShouldBeNil)
 	So(records, ShouldBeEmpty)
 	So(log.NeedsCompaction(), ShouldBeTrue)
 	So(log.StartGeneration(testHardState(1), []byte("state")), ShouldBeNil)
-	So(log.Append(Record{HardState: testHardState(2), Entry: []byte("change")}), ShouldBeNil)
+	So(log.Append(Record[replication.HardState]{HardState: testHardState(2), Entry: []byte("change")}), ShouldBeNil)
 	return directory, log
 }
 
@@ -40,7 +40,7 @@
 
 		Convey("is read again as it was written", func() {
 			log.Close()
-			_, records, err := Open(directory)
+			_, records, err := Open[replication.HardState](directory)
 			So(err, ShouldBeNil)
 			So(len(records), ShouldEqual, 2)
 			So(string(records[0].Snapshot), ShouldEqual, "state")
@@ -52,19 +52,19 @@
 			path := newestSegment(directory)
 			content, err := os.ReadFile(path)
 			So(err, ShouldBeNil)
-			_, firstOnly, err := Open(directory)
+			_, firstOnly, err := Open[replication.HardState](directory)
 			So(err, ShouldBeNil)
 			So(len(firstOnly), ShouldEqual, 2)
 			for cut := len(content) - 1; cut > len(content)-20; cut-- {
 				So(os.WriteFile(path, content[:cut], 0o600), ShouldBeNil)
-				_, records, err := Open(directory)
+				_, records, err := Open[replication.HardState](directory)
 				So(err, ShouldBeNil)
 				So(len(records), ShouldEqual, 1)
 			}
 			corrupted := append([]byte(nil), content...)
 			corrupted[len(corrupted)-2] ^= 0x40
 			So(os.WriteFile(path, corrupted, 0o600), ShouldBeNil)
-			_, records, err := Open(directory)
+			_, records, err := Open[replication.HardState](directory)
 			So(err, ShouldBeNil)
 			So(len(records), ShouldEqual, 1)
 		})
@@ -81,7 +81,7 @@
 			generations, err := filepath.Glob(filepath.Join(directory, generationPrefix+"*"))
 			So(err, ShouldBeNil)
 			So(len(generations), ShouldEqual, 1)
-			_, records, err := Open(directory)
+			_, records, err := Open[replication.HardState](directory)
 			So(err, ShouldBeNil)
 			So(len(records), ShouldEqual, 1)
 			So(string(records[0].Snapshot), ShouldEqual, "later")
@@ -91,25 +91,25 @@
 			empty := filepath.Join(directory, generationPrefix+"00000000000000000009")
 			So(os.MkdirAll(empty, 0o750), ShouldBeNil)
 			So(os.WriteFile(filepath.Join(empty, segmentName), []byte{0xff, 0x01}, 0o600), ShouldBeNil)
-			next, records, err := Open(directory)
+			next, records, err := Open[replication.HardState](directory)
 			So(err, ShouldBeNil)
 			So(len(records), ShouldEqual, 2)
 			So(next.StartGeneration(testHardState(4), []byte("on")), ShouldBeNil)
 			next.Close()
-			_, records, err = Open(directory)
+			_, records, err = Open[replication.HardState](directory)
 			So(err, ShouldBeNil)
 			So(string(records[0].Snapshot), ShouldEqual, "on")
 		})
 		Convey("that could not be written appends nothing until a new generation is started", func() {
 			So(log.wal.Close(), ShouldBeNil)
-			So(log.Append(Record{HardState: testHardState(5)}), ShouldNotBeNil)
-			So(log.Append(Record{HardState: testHardState(5)}), ShouldEqual, ErrNoGeneration)
+			So(log.Append(Record[replication.HardState]{HardState: testHardState(5)}), ShouldNotBeNil)
+			So(log.Append(Record[replication.HardState]{HardState: testHardState(5)}), ShouldEqual, ErrNoGeneration)
 			So(log.NeedsCompaction(), ShouldBeTrue)
 			So(log.StartGeneration(testHardState(5), []byte("again")), ShouldBeNil)
 		})
 		Convey("grows only so far", func() {
 			big := make([]byte, minCompactionSize)
-			So(log.Append(Record{HardState: testHardState(6), Entry: big}), ShouldBeNil)
+			So(log.Append(Record[replication.HardState]{HardState: testHardState(6), Entry: big}), ShouldBeNil)
 			So(log.NeedsCompaction(), ShouldBeTrue)
 		})
 	})
--- a/internal/fleet/storage/record.go
+++ b/internal/fleet/storage/record.go
@@ -50,7 +50,7 @@
 // write-ahead log's own reader refuses such a file, so that its entries (a length as a varint, then the bytes) are read
 // here. Each record was synced before the next one was written, so that only the last one can be torn: a complete record
 // after it means that the log is corrupt.
-func readGeneration(directory string) ([]Record, error) {
+func readGeneration[H any](directory string) ([]Record[H], error) {
 	path := filepath.Join(directory, segmentName)
 	text, err := os.ReadFile(path)
 	if errors.Is(err, os.ErrNotExist) {
@@ -59,11 +59,11 @@
 	if err != nil {
 		return nil, wrap(err)
 	}
-	var records []Record
+	var records []Record[H]
 	for offset := 0; offset < len(text); {
-		record, size, ok := readRecord(text[offset:])
+		record, size, ok := readRecord[H](text[offset:])
 		if !ok {
-			if containsRecord(text[offset+1:]) {
+			if containsRecord[H](text[offset+1:]) {
 				return nil, &CorruptLogError{Path: path, Offset: offset}
 			}
 			break
@@ -75,26 +75,26 @@
 }
 
 // readRecord reads the record that a text begins with, and how many bytes it takes; ok is false where there is none.
-func readRecord(text []byte) (record Record, size int, ok bool) {
+func readRecord[H any](text []byte) (record Record[H], size int, ok bool) {
 	length, n := binary.Uvarint(text)
 	if n <= 0 || length < checksumSize || uint64(len(text)-n) < length {
-		return Record{}, 0, false
+		return Record[H]{}, 0, false
 	}
 	end := n + int(length)
 	payload, ok := verifyChecksum(text[n:end])
 	if !ok || cbor.Unmarshal(payload, &record) != nil {
-		return Record{}, 0, false
+		return Record[H]{}, 0, false
 	}
 	return record, end, true
 }
 
 // containsRecord reports whether a complete record begins anywhere in a text.
-func containsRecord(text []byte) bool {
+func containsRecord[H any](text []byte) bool {
 	for offset := range text {
 		if !hasRecordHeader(text[offset:]) {
 			continue // most offsets: a checksum of what follows would cost much
 		}
-		if _, _, ok := readRecord(text[offset:]); ok {
+		if _, _, ok := readRecord[H](text[offset:]); ok {
 			return true
 		}
 	}
