Mend what a review of the registers found

What callers would have seen, and why: - LOST: an acceptor that restarts between learning of its epoch and being ready panicked at each later start (no map of what it collects). - LOST, ORDER, ONE: after a failed sync the acceptor answered by records read back from the page cache. Everything is written again first. - SHORT: copies of one begin at two proposers raised the fence under its holder. A lock remembers the calls that acquired it; a proposer that works on a call says so, and the next one is asked only after it took long; copies get the time that is left. - SHORT: calls that waited in sockets through a freeze ran as new ones. A pause is noticed, and they are dropped or refused. - SHORT: a heartbeat revived a hold that had run out. - LOST: a second change of acceptors before the first was carried over could leave no majority that may answer a collector. - Needless changes of acceptors after a restart of all, and by a delayed message of a lost disk. - A new acceptor's silence cost up to 420 ms; it tells those that asked. A full group is 504, not 429. 429 only where one copy left. - Hard state is written only where it changed; failed generations are removed; registers are bounded; the proposer's timer follows what is due.

--- a/internal/fleet/control/coordination.go
+++ b/internal/fleet/control/coordination.go
@@ -32,6 +32,9 @@
 	Draining() bool
 }
 
+// errGroupFull says why a put is not made. A copy of it may yet be made once there is room again, so that it is not refused.
+var errGroupFull = errors.New("the group of the key is full")
+
 // RefusedError reports that an operation was not executed and never will be.
 type RefusedError struct {
 	Overloaded bool // too many calls wait; else no machine is known that executes it
@@ -181,7 +184,7 @@
 	case coordination.Mismatch:
 		writeJSON(w, http.StatusPreconditionFailed, revisionAnswer{Revision: result.Revision})
 	case coordination.Full:
-		return &requestError{status: http.StatusTooManyRequests, reason: "the group of the key is full"}
+		return &outcomeUnknownError{errGroupFull}
 	default:
 		writeJSON(w, http.StatusOK, revisionAnswer{Revision: result.Revision})
 	}
--- a/internal/fleet/coordination/lock.go
+++ b/internal/fleet/coordination/lock.go
@@ -1,11 +1,17 @@
 package coordination
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// expiryMargin and expiryDriftDivisor are added to a hold before the lock is another's: clocks of two machines drift apart.
 	expiryMargin       = 20 * time.Millisecond
 	expiryDriftDivisor = 200
+
+	// maxRememberedCalls bounds the calls whose copies are recognised.
+	maxRememberedCalls = 8
 )
 
 // lock is a lock that its holder loses when its time has run out.
@@ -14,6 +20,7 @@
 	holder    string // empty: free
 	hold      time.Duration
 	grantedAt time.Duration // or later
+	calls     []uint64      // that acquired it lately, the last one at the end
 }
 
 // isFree reports whether no holder may count on the lock: a lower bound of the time since the grant exceeds the hold.
@@ -23,9 +30,13 @@
 
 // acquire grants the lock to whoever has it already, too, always with a higher fence: a late call of an earlier hold changes nothing.
 func (l *lock) acquire(now time.Duration, op *Operation, change *Change) Result {
+	if op.Call != 0 && slices.Contains(l.calls, op.Call) {
+		return l.acquiredBefore(op)
+	}
 	if l.holder != op.Holder && !l.isFree(now) {
 		return Result{Outcome: Held}
 	}
+	l.remember(op.Call)
 	l.extend(now, op)
 	l.holder = op.Holder
 	l.fence++
@@ -33,9 +44,27 @@
 	return Result{Outcome: Done, Fence: l.fence}
 }
 
-// renew extends a hold, also one that has run out while nobody else acquired the lock.
+// acquiredBefore answers a copy of a call that has acquired the lock: with its fence, as long as no other call has changed the lock.
+func (l *lock) acquiredBefore(op *Operation) Result {
+	if l.calls[len(l.calls)-1] != op.Call || l.holder != op.Holder {
+		return Result{Outcome: Held}
+	}
+	return Result{Outcome: Done, Fence: l.fence}
+}
+
+func (l *lock) remember(call uint64) {
+	if call == 0 {
+		return
+	}
+	l.calls = append(slices.Clone(l.calls), call)
+	if len(l.calls) > maxRememberedCalls {
+		l.calls = l.calls[1:]
+	}
+}
+
+// renew extends a hold. One that has run out is lost: its holder has given it up.
 func (l *lock) renew(now time.Duration, op *Operation, change *Change) Result {
-	if l.holder != op.Holder || l.fence != op.Fence {
+	if l.holder != op.Holder || l.fence != op.Fence || l.isFree(now) {
 		return Result{Outcome: Held}
 	}
 	l.extend(now, op)
@@ -61,7 +90,7 @@
 }
 
 func (l *lock) record(now time.Duration) *LockRecord {
-	r := &LockRecord{Fence: l.fence, Holder: l.holder}
+	r := &LockRecord{Fence: l.fence, Holder: l.holder, Calls: l.calls}
 	if l.holder != "" {
 		r.HoldMs = ceilMilliseconds(l.hold)
 		r.AgeMs = max(0, (now - l.grantedAt).Milliseconds())
@@ -71,7 +100,7 @@
 
 func (l *lock) restore(now time.Duration, r *LockRecord) {
 	*l = lock{
-		fence: r.Fence, holder: r.Holder,
+		fence: r.Fence, holder: r.Holder, calls: r.Calls,
 		hold:      time.Duration(r.HoldMs) * time.Millisecond,
 		grantedAt: now - time.Duration(r.AgeMs)*time.Millisecond,
 	}
--- a/internal/fleet/coordination/operation.go
+++ b/internal/fleet/coordination/operation.go
@@ -21,13 +21,14 @@
 type Operation struct {
 	Kind       OperationKind `cbor:"1,keyasint"`
 	Name       Name          `cbor:"2,keyasint"`
-	Holder     string        `cbor:"3,keyasint,omitempty"` // Acquire, Renew, Release
-	Fence      uint64        `cbor:"4,keyasint,omitempty"` // Renew, Release
-	Hold       time.Duration `cbor:"5,keyasint,omitempty"` // Acquire, Renew: how long the holder may count on the lock
-	Key        string        `cbor:"6,keyasint,omitempty"` // Put, Get
-	Value      string        `cbor:"7,keyasint,omitempty"` // Put, Decide
-	IfRevision *uint64       `cbor:"8,keyasint,omitempty"` // Put: the revision that the key must have; 0: none yet; nil: any
-	Since      uint64        `cbor:"9,keyasint,omitempty"` // Watch: the last revision that the watcher knows; 0: it asks for the present one
+	Holder     string        `cbor:"3,keyasint,omitempty"`  // Acquire, Renew, Release
+	Fence      uint64        `cbor:"4,keyasint,omitempty"`  // Renew, Release
+	Hold       time.Duration `cbor:"5,keyasint,omitempty"`  // Acquire, Renew: how long the holder may count on the lock
+	Key        string        `cbor:"6,keyasint,omitempty"`  // Put, Get
+	Value      string        `cbor:"7,keyasint,omitempty"`  // Put, Decide
+	IfRevision *uint64       `cbor:"8,keyasint,omitempty"`  // Put: the revision that the key must have; 0: none yet; nil: any
+	Call       uint64        `cbor:"10,keyasint,omitempty"` // Acquire: identifies the call, of which copies may come late; 0: no copies
+	Since      uint64        `cbor:"9,keyasint,omitempty"`  // Watch: the last revision that the watcher knows; 0: it asks for the present one
 }
 
 // Outcome says how an operation ended. The numbers are part of the protocol.
--- a/internal/fleet/coordinator/acceptor_loop.go
+++ b/internal/fleet/coordinator/acceptor_loop.go
@@ -85,7 +85,7 @@
 	}
 }
 
-// writeIdentity makes the acceptor's identity durable before it speaks, however long that takes.
+// writeIdentity makes the acceptor's identity and state durable before it speaks, however long that takes.
 func (l *acceptorLoop) writeIdentity(ctx context.Context) bool {
 	for l.store.log != nil {
 		err := l.store.replace(l.acceptor.HardState(), l.acceptor.Snapshot(l.service.options.Clock()))
@@ -187,7 +187,8 @@
 	return nil
 }
 
-// recover has the acceptor be as after a restart: nothing of the group has happened, and nothing of it is sent.
+// recover has the acceptor be as after a restart: nothing of the group is sent. What the failed write has left in the file is read, and may not
+// be durable: all of it is written again before the acceptor speaks.
 func (l *acceptorLoop) recover(ctx context.Context, cause error) {
 	l.service.Counters.FailedSyncs.Add(1)
 	l.service.options.Log.Warn("can't write the log of the registers", zap.Error(cause))
@@ -203,7 +204,8 @@
 		}
 	}
 	l.acceptor = l.store.build(l.service.options.Clock(), l.service.options.State)
-	l.publish(true)
+	l.publish(false)
+	l.writeIdentity(ctx)
 }
 
 // sleep returns false where ctx has ended.
--- a/internal/fleet/coordinator/messages.go
+++ b/internal/fleet/coordinator/messages.go
@@ -12,13 +12,13 @@
 type CallRequest struct {
 	ID        uint64                 `cbor:"1,keyasint"`
 	Operation coordination.Operation `cbor:"2,keyasint"`
-	Timeout   time.Duration          `cbor:"3,keyasint"`           // after which the caller has given up
+	Timeout   time.Duration          `cbor:"3,keyasint"`           // after which the caller has given up, from when this copy was sent
 	Park      time.Duration          `cbor:"4,keyasint,omitempty"` // of a watch: how long it waits for events
 }
 
-// CallReply answers a CallRequest.
+// CallReply answers a CallRequest. Where that came again while the first copy is under way, it has no certainty: the proposer is alive.
 type CallReply struct {
 	ID        uint64              `cbor:"1,keyasint"`
-	Certainty register.Certainty  `cbor:"2,keyasint"`
+	Certainty register.Certainty  `cbor:"2,keyasint,omitempty"`
 	Result    coordination.Result `cbor:"3,keyasint"`
 }
--- a/internal/fleet/coordinator/proposer_loop.go
+++ b/internal/fleet/coordinator/proposer_loop.go
@@ -13,11 +13,12 @@
 )
 
 const (
-	busyTick      = 10 * time.Millisecond // while calls wait
+	minTick       = 2 * time.Millisecond
 	restTick      = 100 * time.Millisecond
 	helloInterval = 500 * time.Millisecond
 	replyTTL      = 5 * time.Second // for which a repeated call gets the first one's reply
 	decideTimeout = 800 * time.Millisecond
+	maxNames      = 50_000 // registers of an acceptor, beyond which no new one is made
 )
 
 // ProposerStatus is what other goroutines may know of the proposer.
@@ -47,7 +48,8 @@
 	calls     map[callKey]*callState
 	keys      map[uint64]callKey // of the calls under way, by the number that the proposer knows them by
 	lastID    uint64
-	deciding  uint64 // the number of the call by which the next acceptors are decided; 0: none
+	ready     map[string]uint64 // the newest epoch in which each machine's acceptor is known to take part
+	deciding  uint64            // the number of the call by which the next acceptors are decided; 0: none
 	nextHello time.Duration
 	nextRest  time.Duration
 	published atomic.Pointer[ProposerStatus]
@@ -62,6 +64,7 @@
 		planner:  register.NewPlanner(s.options.Tolerance),
 		calls:    map[callKey]*callState{},
 		keys:     map[uint64]callKey{},
+		ready:    map[string]uint64{},
 	}
 	l.published.Store(&ProposerStatus{})
 	return l
@@ -88,9 +91,9 @@
 			due = l.now() + restTick
 			timer.Reset(restTick)
 		}
-		if soon := l.now() + busyTick; !l.proposer.IsIdle() && soon < due {
-			due = soon
-			timer.Reset(busyTick)
+		if next, waits := l.proposer.NextDue(); waits && next < due {
+			due = max(next, l.now()+minTick)
+			timer.Reset(due - l.now())
 		}
 	}
 }
@@ -141,12 +144,21 @@
 	key := callKey{from: from, id: m.ID}
 	if state := l.calls[key]; state != nil {
 		l.service.Counters.Duplicates.Add(1)
-		if state.reply != nil {
-			l.service.send(from, 0, state.reply)
+		reply := state.reply
+		if reply == nil {
+			reply = &CallReply{ID: m.ID}
 		}
+		l.service.send(from, 0, reply)
 		return
 	}
-	if !m.Operation.Accepts() {
+	if !m.Operation.Accepts() || l.proposer.Config().Epoch == 0 {
+		return // another machine may know the acceptors
+	}
+	if l.service.IsResuming() {
+		return // a call that waited through a pause of this process is its caller's no more
+	}
+	if !l.proposer.Knows(m.Operation.Name) && l.service.acceptor.status().Names >= maxNames {
+		l.service.send(from, 0, &CallReply{ID: m.ID, Certainty: register.NotExecuted})
 		return
 	}
 	now := l.now()
@@ -176,6 +188,9 @@
 }
 
 func (l *proposerLoop) forgetCalls(now time.Duration) {
+	if l.service.IsResuming() {
+		return // copies of the calls may wait to be read
+	}
 	for key, state := range l.calls {
 		if now > state.until {
 			delete(l.calls, key)
@@ -187,9 +202,21 @@
 func (l *proposerLoop) onHello(from string, m *register.Hello) {
 	l.planner.Observe(l.now(), m)
 	l.setConfig(m.Config)
-	if m.Config.Epoch < l.proposer.Config().Epoch {
+	switch epoch := l.proposer.Config().Epoch; {
+	case m.Config.Epoch < epoch:
 		l.service.send(from, 0, l.hello())
+	case m.ReadyEpoch == epoch:
+		l.resume(from)
+	}
+}
+
+// resume asks an acceptor for what it could not answer before it was ready.
+func (l *proposerLoop) resume(address string) {
+	if l.ready[address] == l.proposer.Config().Epoch {
+		return
 	}
+	l.ready[address] = l.proposer.Config().Epoch
+	l.execute(l.proposer.Resume(l.now(), address))
 }
 
 func (l *proposerLoop) setConfig(config register.Config) {
--- a/internal/fleet/coordinator/service.go
+++ b/internal/fleet/coordinator/service.go
@@ -55,6 +55,7 @@
 	forwarder forwarder
 	acceptor  *acceptorLoop // nil unless this is a core machine
 	proposer  *proposerLoop // nil unless this is a core machine
+	pauses    pauseDetector
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
 }
@@ -67,6 +68,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{options: options, cancel: cancel}
 	s.forwarder.init(s)
+	s.pauses.tick(options.Clock())
 	if !options.Core {
 		return s, nil
 	}
@@ -82,6 +84,12 @@
 	return s, nil
 }
 
+// Tick is called at least every 100 ms while the process runs, so that a pause of the process is noticed.
+func (s *Service) Tick() { s.pauses.tick(s.options.Clock()) }
+
+// IsResuming reports whether the process has just come out of a pause: what it reads now may have waited in its sockets all the while.
+func (s *Service) IsResuming() bool { return s.pauses.isResuming(s.options.Clock()) }
+
 // Close ends the service and closes its files. Calls that are under way end with their context.
 func (s *Service) Close() {
 	s.cancel()
--- a/internal/fleet/coordinator/store.go
+++ b/internal/fleet/coordinator/store.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"cmp"
 	"errors"
 	"path/filepath"
 	"time"
@@ -19,9 +20,9 @@
 // store keeps an acceptor's registers on the disk: a journal of what this acceptor promised and accepted. Only the acceptor's goroutine uses
 // it.
 type store struct {
-	log       *storage.Log[register.HardState] // nil: no disk
-	hardState register.HardState               // as it was read
-	records   [][]register.Stored              // as they were read
+	log       *storage.Log[*register.HardState] // nil: no disk
+	hardState register.HardState                // as it was read, and then as it was last written
+	records   [][]register.Stored               // as they were read
 }
 
 // openStore reads the disk. An empty one, or none, makes a new identity, and so does a corrupt log: the acceptor that wrote it may have
@@ -35,12 +36,11 @@
 	if options.Directory == "" {
 		return s, nil
 	}
-	log, records, err := storage.Open[register.HardState](filepath.Join(options.Directory, logDirectory))
+	log, records, err := storage.Open[*register.HardState](filepath.Join(options.Directory, logDirectory))
 	s.log = log
 	var corrupt *storage.CorruptLogError
 	if errors.As(err, &corrupt) {
-		options.Log.Error("the log of the registers is corrupt: the acceptor starts without state, under a new identity", zap.Error(err))
-		s.hardState = register.InitialHardState(options.Address, newNonce(), nil)
+		s.renew(options, err)
 		return s, nil
 	}
 	if err != nil {
@@ -50,7 +50,7 @@
 }
 
 // load takes over the records of a log.
-func (s *store) load(records []storage.Record[register.HardState]) error {
+func (s *store) load(records []storage.Record[*register.HardState]) error {
 	for _, record := range records {
 		var changed []register.Stored
 		encoded := record.Entry
@@ -63,24 +63,31 @@
 			}
 		}
 		s.records = append(s.records, changed)
-		s.hardState = record.HardState
+		if record.HardState != nil {
+			s.hardState = *record.HardState
+		}
 	}
 	return nil
 }
 
-// reload reads the disk again after a write has failed.
+// renew begins without state, under a new identity: the acceptor that wrote the log may have promised or accepted more than can be read.
+func (s *store) renew(options *Options, cause error) {
+	options.Log.Error("the log of the registers can't be read: the acceptor starts without state, under a new identity", zap.Error(cause))
+	s.hardState, s.records = register.InitialHardState(options.Address, newNonce(), nil), nil
+}
+
+// reload reads the disk again after a write has failed. What it finds need not be durable.
 func (s *store) reload(options *Options) error {
-	if s.log == nil {
+	s.log.Close()
+	_, records, err := storage.Open[*register.HardState](filepath.Join(options.Directory, logDirectory))
+	var corrupt *storage.CorruptLogError
+	if errors.As(err, &corrupt) || err == nil && len(records) == 0 {
+		s.renew(options, cmp.Or(err, storage.ErrNoGeneration))
 		return nil
 	}
-	s.log.Close()
-	_, records, err := storage.Open[register.HardState](filepath.Join(options.Directory, logDirectory))
 	if err != nil {
 		return err
 	}
-	if len(records) == 0 {
-		return storage.ErrNoGeneration
-	}
 	return s.load(records)
 }
 
@@ -91,13 +98,21 @@
 	return acceptor
 }
 
-// append makes changes durable.
+// append makes changes durable. The hard state, which is larger than most changes, is written where it has changed.
 func (s *store) append(hardState register.HardState, changed []register.Stored) error {
 	entry, err := cbor.Marshal(changed)
 	if err != nil {
 		return err
 	}
-	return s.log.Append(storage.Record[register.HardState]{HardState: hardState, Entry: entry})
+	record := storage.Record[*register.HardState]{Entry: entry}
+	if !hardState.Equal(&s.hardState) {
+		record.HardState = &hardState
+	}
+	if err := s.log.Append(record); err != nil {
+		return err
+	}
+	s.hardState = hardState
+	return nil
 }
 
 // replace makes a state durable in place of the former one.
@@ -106,7 +121,11 @@
 	if err != nil {
 		return err
 	}
-	return s.log.StartGeneration(hardState, snapshot)
+	if err := s.log.StartGeneration(&hardState, snapshot); err != nil {
+		return err
+	}
+	s.hardState = hardState
+	return nil
 }
 
 func (s *store) close() {
--- a/internal/fleet/register/acceptor.go
+++ b/internal/fleet/register/acceptor.go
@@ -19,7 +19,8 @@
 	registers   map[coordination.Name]*storedRegister
 	collected   map[replication.Replica]*Collected // for the present epoch, while it is not ready
 	nextCollect time.Duration
-	out         *Output // of the present step
+	early       map[string]bool // machines that asked before it was ready: they are told when it is
+	out         *Output         // of the present step
 }
 
 // storedRegister is one register of an acceptor.
@@ -31,7 +32,10 @@
 
 // NewAcceptor returns an acceptor as it is after a start, with what its disk holds.
 func NewAcceptor(now time.Duration, hardState HardState, records [][]Stored, options coordination.Options) *Acceptor {
-	a := &Acceptor{options: options, hardState: hardState, registers: map[coordination.Name]*storedRegister{}}
+	a := &Acceptor{
+		options: options, hardState: hardState, registers: map[coordination.Name]*storedRegister{},
+		collected: map[replication.Replica]*Collected{}, early: map[string]bool{},
+	}
 	for _, changed := range records {
 		for i := range changed {
 			a.restore(now, &changed[i])
@@ -124,6 +128,7 @@
 		return
 	}
 	if !a.isReady() {
+		a.early[from.Address] = true
 		return
 	}
 	reply := &Reply{Epoch: m.Epoch}
--- a/internal/fleet/register/carry_over.go
+++ b/internal/fleet/register/carry_over.go
@@ -20,6 +20,7 @@
 	a.hardState.Config = next
 	a.collected = map[replication.Replica]*Collected{}
 	a.nextCollect = 0
+	clear(a.early)
 	a.persist()
 }
 
@@ -91,11 +92,15 @@
 			delete(a.registers, name) // of a former epoch
 		}
 	}
-	a.collected = nil
+	clear(a.collected)
 	a.hardState.ReadyEpoch = a.hardState.Config.Epoch
 	w := a.persist()
 	w.Replace = true
 	w.Changed = a.Snapshot(now)
+	for address := range a.early {
+		a.send(address, &Hello{Config: a.hardState.Config, ReadyEpoch: a.hardState.ReadyEpoch})
+	}
+	clear(a.early)
 }
 
 func (a *Acceptor) mergeRegister(now time.Duration, s *Stored) {
--- a/internal/fleet/register/messages.go
+++ b/internal/fleet/register/messages.go
@@ -66,7 +66,7 @@
 }
 
 // Hello tells who a machine is and which acceptors it knows. Core machines send it to each other at intervals. In answer to a message of
-// another epoch it has the Config alone.
+// another epoch, and to one that came before the acceptor was ready, it has no Self.
 type Hello struct {
 	Config     Config              `cbor:"1,keyasint"`
 	Self       replication.Replica `cbor:"2,keyasint"`
--- a/internal/fleet/register/output.go
+++ b/internal/fleet/register/output.go
@@ -15,6 +15,11 @@
 	ReadyEpoch uint64              `cbor:"3,keyasint,omitempty"` // the newest epoch whose registers it has collected; 0: none
 }
 
+// Equal reports whether two hard states are the same. A Config is decided once for its epoch.
+func (h *HardState) Equal(other *HardState) bool {
+	return h.Self == other.Self && h.Config.Epoch == other.Config.Epoch && h.ReadyEpoch == other.ReadyEpoch
+}
+
 // Write is to be made durable atomically.
 type Write struct {
 	HardState HardState
--- a/internal/fleet/register/planner.go
+++ b/internal/fleet/register/planner.go
@@ -14,6 +14,8 @@
 const (
 	acceptorTimeout  = 2500 * time.Millisecond // without a Hello, after which an acceptor may be replaced
 	candidateTimeout = 1200 * time.Millisecond // without a Hello, after which a machine is not made an acceptor
+	identityInterval = 300 * time.Millisecond  // between two Hellos of a new identity, before it takes the place of one that was just heard
+	carryOverTimeout = 6 * time.Second         // after which acceptors that are not ready don't hold up the next change
 	minConfigAge     = time.Second             // between changes of the acceptors
 	plannerStagger   = 700 * time.Millisecond  // between the first live acceptor that proposes a change, and the next one
 	minAcceptors     = 3                       // where there are as many machines: one may freeze also where none may be lost
@@ -25,6 +27,7 @@
 	sightings   map[string]sighting
 	configSince time.Duration
 	epoch       uint64
+	contenders  map[string]sighting // new identities of machines whose former one was just heard: a delayed message may hold either
 	wantedSince time.Duration
 	wanted      bool
 }
@@ -38,14 +41,31 @@
 // NewPlanner returns a planner for a core of which so many machines may be lost at once.
 func NewPlanner(tolerance replication.Tolerance) *Planner {
 	lost := max(tolerance.Machines, tolerance.Zones, tolerance.Regions)
-	return &Planner{target: max(2*lost+1, minAcceptors), sightings: map[string]sighting{}}
+	return &Planner{target: max(2*lost+1, minAcceptors), sightings: map[string]sighting{}, contenders: map[string]sighting{}}
 }
 
 // Observe records what a machine said of itself.
 func (p *Planner) Observe(now time.Duration, hello *Hello) {
-	if hello.Self.Address != "" {
-		p.sightings[hello.Self.Address] = sighting{hello: *hello, at: now}
+	address := hello.Self.Address
+	if address == "" {
+		return
 	}
+	present, known := p.sightings[address]
+	if known && present.hello.Self != hello.Self && now-present.at < candidateTimeout && !p.isConfirmed(now, hello) {
+		return
+	}
+	delete(p.contenders, address)
+	p.sightings[address] = sighting{hello: *hello, at: now}
+}
+
+// isConfirmed reports whether a new identity has been heard for a while.
+func (p *Planner) isConfirmed(now time.Duration, hello *Hello) bool {
+	contender, known := p.contenders[hello.Self.Address]
+	if !known || contender.hello.Self != hello.Self {
+		p.contenders[hello.Self.Address] = sighting{hello: *hello, at: now}
+		return false
+	}
+	return now-contender.at >= identityInterval
 }
 
 // Next returns the acceptors that are to follow the present ones; ok is false where this machine should propose none now.
@@ -60,7 +80,7 @@
 		p.wanted, p.wantedSince = true, now
 	}
 	rank := p.rank(now, config, self)
-	if rank < 0 || now-p.configSince < minConfigAge || now-p.wantedSince < time.Duration(rank)*plannerStagger || !p.majorityReady(now, config) {
+	if rank < 0 || now-p.configSince < minConfigAge || now-p.wantedSince < time.Duration(rank)*plannerStagger || !p.isCarriedOver(now, config) {
 		return Config{}, false
 	}
 	return Config{Epoch: config.Epoch + 1, Acceptors: acceptors, Previous: config.Acceptors}, true
@@ -79,21 +99,29 @@
 	return slices.Index(live, self)
 }
 
-// majorityReady reports whether enough acceptors take part already to decide anything.
-func (p *Planner) majorityReady(now time.Duration, config Config) bool {
-	ready := 0
+// isCarriedOver reports whether the live acceptors take part already: each that does not is one loss. After a while a majority suffices.
+func (p *Planner) isCarriedOver(now time.Duration, config Config) bool {
+	ready, waiting := 0, 0
 	for _, r := range config.Acceptors {
-		if seen, known := p.sightings[r.Address]; known && seen.hello.Self == r && seen.hello.ReadyEpoch == config.Epoch && now-seen.at < candidateTimeout {
+		seen, known := p.sightings[r.Address]
+		switch {
+		case !known || seen.hello.Self != r || now-seen.at >= candidateTimeout:
+		case seen.hello.ReadyEpoch == config.Epoch:
 			ready++
+		default:
+			waiting++
 		}
 	}
-	return ready >= majority(config.Acceptors)
+	return ready >= majority(config.Acceptors) && (waiting == 0 || now-p.configSince >= carryOverTimeout)
 }
 
 // isFit reports whether an acceptor need not be replaced.
 func (p *Planner) isFit(now time.Duration, r replication.Replica) bool {
 	seen, known := p.sightings[r.Address]
-	return known && seen.hello.Self == r && seen.hello.Votes && !seen.hello.Leaving && now-seen.at < acceptorTimeout
+	if !known {
+		return now-p.configSince < acceptorTimeout
+	}
+	return seen.hello.Self == r && seen.hello.Votes && !seen.hello.Leaving && now-seen.at < acceptorTimeout
 }
 
 // chooseAcceptors replaces acceptors whose disk was lost by what came back at their address, then unfit ones, and fills up to the target.
--- a/internal/fleet/register/proposed_register.go
+++ b/internal/fleet/register/proposed_register.go
@@ -61,6 +61,21 @@
 	return len(r.queue) > 0 || len(r.batch) > 0 || len(r.waiters) > 0 || r.phase == preparing
 }
 
+// nextDue returns when there is something to send again, to begin or to give up.
+func (r *proposedRegister) nextDue() time.Duration {
+	if r.phase == preparing || r.phase == proposing {
+		return r.nextResend
+	}
+	if len(r.queue) > 0 {
+		return r.backoffUntil
+	}
+	due := r.waiters[0].call.ParkUntil
+	for _, w := range r.waiters {
+		due = min(due, w.call.ParkUntil)
+	}
+	return due
+}
+
 // progressOf returns an acceptor's progress under the present ballot.
 func (r *proposedRegister) progressOf(acceptor replication.Replica) *acceptorProgress {
 	progress := r.progress[acceptor]
--- a/internal/fleet/register/proposer.go
+++ b/internal/fleet/register/proposer.go
@@ -100,6 +100,20 @@
 	return p.finish()
 }
 
+// Resume asks an acceptor again that has just become ready.
+func (p *Proposer) Resume(now time.Duration, address string) *ProposerOutput {
+	p.step()
+	for _, acceptor := range p.config.Acceptors {
+		if acceptor.Address != address {
+			continue
+		}
+		for _, r := range p.activeInOrder() {
+			p.resendTo(now, r, acceptor)
+		}
+	}
+	return p.finish()
+}
+
 // Tick lets time pass: what was not answered is sent again, and calls past their deadline are given up.
 func (p *Proposer) Tick(now time.Duration) *ProposerOutput {
 	p.step()
@@ -118,8 +132,18 @@
 	return active
 }
 
-// IsIdle reports whether no call waits for anything.
-func (p *Proposer) IsIdle() bool { return len(p.active) == 0 }
+// NextDue returns when Tick has something to do; ok is false where nothing waits.
+func (p *Proposer) NextDue() (at time.Duration, ok bool) {
+	for r := range p.active {
+		if due := r.nextDue(); !ok || due < at {
+			at, ok = due, true
+		}
+	}
+	return at, ok
+}
+
+// Knows reports whether the proposer has used a name.
+func (p *Proposer) Knows(name coordination.Name) bool { return p.names[name] != nil }
 
 func (p *Proposer) step() {
 	p.out = &ProposerOutput{}
--- a/internal/fleet/register/rounds.go
+++ b/internal/fleet/register/rounds.go
@@ -214,13 +214,20 @@
 	r.resendInterval = min(2*r.resendInterval, maxRetransmitInterval)
 	r.nextResend = now + r.resendInterval
 	for _, acceptor := range p.config.Acceptors {
-		progress := r.progressOf(acceptor)
-		switch {
-		case progress.rejected:
-		case r.phase == preparing && progress.promise == nil:
-			p.sendPrepare(r, acceptor)
-		case r.phase == proposing && !progress.acked:
-			p.sendAccept(now, r, acceptor, progress)
-		}
+		p.resendTo(now, r, acceptor)
+	}
+}
+
+func (p *Proposer) resendTo(now time.Duration, r *proposedRegister, acceptor replication.Replica) {
+	if r.phase != preparing && r.phase != proposing {
+		return
+	}
+	progress := r.progressOf(acceptor)
+	switch {
+	case progress.rejected:
+	case r.phase == preparing && progress.promise == nil:
+		p.sendPrepare(r, acceptor)
+	case r.phase == proposing && !progress.acked:
+		p.sendAccept(now, r, acceptor, progress)
 	}
 }
--- a/internal/fleet/router/coordination.go
+++ b/internal/fleet/router/coordination.go
@@ -57,6 +57,13 @@
 	return err
 }
 
+// tick notices pauses of the process.
+func (c *coordinationService) tick() {
+	if c.service != nil {
+		c.service.Tick()
+	}
+}
+
 func (c *coordinationService) close() {
 	if c.service != nil {
 		c.service.Close()
@@ -69,7 +76,7 @@
 	switch {
 	case errors.Is(err, coordinator.ErrOverloaded):
 		return result, &control.RefusedError{Overloaded: true, Err: err}
-	case errors.Is(err, coordinator.ErrNoProposer):
+	case errors.Is(err, coordinator.ErrNoProposer), errors.Is(err, coordinator.ErrResuming):
 		return result, &control.RefusedError{Err: err}
 	}
 	return result, err
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -252,8 +252,8 @@
 	return g.node.Registry.Ready(), version
 }
 
-// liveCore returns the internal addresses of the core machines that are alive, this one included where it is one; the seeds where none is
-// known.
+// liveCore returns the internal addresses of the core machines that are alive, this one included where it is one; the seeds where no
+// other one is known.
 func (g *gossip) liveCore() []string {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -263,11 +263,11 @@
 			core = append(core, m.Address)
 		}
 	}
+	if len(core) == 0 {
+		core = slices.DeleteFunc(g.settings.SeedAddresses(), func(a string) bool { return a == g.address() })
+	}
 	if g.settings.CountsForQuorum {
 		core = append(core, g.address())
 	}
-	if len(core) == 0 {
-		return g.settings.SeedAddresses()
-	}
 	return core
 }
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -197,6 +197,7 @@
 
 // tick does what is due, in each component.
 func (r *Router) tick() {
+	r.coordination.tick()
 	r.confirmAsPrimary()
 	r.gossip.step(r.gossip.node.Tick)
 	r.gossip.reportLag()
--- a/internal/fleet/storage/log.go
+++ b/internal/fleet/storage/log.go
@@ -110,6 +110,7 @@
 	l.generation++
 	if err := l.createGeneration(Record[H]{HardState: hardState, Snapshot: snapshot}); err != nil {
 		l.Close()
+		_ = os.RemoveAll(l.generationPath(l.generation)) // on a full disk what is left would take the room of the next one
 		return err
 	}
 	l.removeOldGenerations()
