Test what locks, counters and groups answer, and pin the encodings

Cause: the values of coordination had no tests of their own, and nothing kept their encodings on the wire and on the disk from changing.

--- /dev/null
+++ b/internal/fleet/coordination/state_test.go
@@ -0,0 +1,167 @@
+package coordination
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func TestCounter(t *testing.T) {
+	Convey("A counter rises by one with each call, also in a copy", t, func() {
+		increment := Operation{Kind: Increment, Name: Name{Kind: KindCounter, ID: "c"}}
+		s := NewState(KindCounter, testOptions)
+		So(execute(s, 0, increment), ShouldResemble, Result{Outcome: Done, Count: 1})
+		So(execute(s, 0, increment), ShouldResemble, Result{Outcome: Done, Count: 2})
+		So(execute(copyOf(s, 0), 0, increment), ShouldResemble, Result{Outcome: Done, Count: 3})
+		So(execute(s, 0, increment), ShouldResemble, Result{Outcome: Done, Count: 3})
+	})
+}
+
+func TestDecision(t *testing.T) {
+	Convey("A decision is the first value, for everybody, also in a copy", t, func() {
+		decide := func(value string) Operation {
+			return Operation{Kind: Decide, Name: Name{Kind: KindDecision, ID: "d"}, Value: value}
+		}
+		s := NewState(KindDecision, testOptions)
+		So(execute(s, 0, decide("x")), ShouldResemble, Result{Outcome: Done, Value: "x"})
+		So(execute(s, 0, decide("y")), ShouldResemble, Result{Outcome: Done, Value: "x"})
+		So(execute(copyOf(s, 0), 0, decide("y")), ShouldResemble, Result{Outcome: Done, Value: "x"})
+	})
+}
+
+func TestOperationsOfOtherKinds(t *testing.T) {
+	Convey("Each operation is for names of one kind, and changes no other state", t, func() {
+		kindOf := map[OperationKind]Kind{
+			Acquire: KindLock, Renew: KindLock, Release: KindLock, Increment: KindCounter, Put: KindGroup, Get: KindGroup, Watch: KindGroup,
+			Decide: KindDecision,
+		}
+		for operation := range OperationKind(10) {
+			for kind := range Kind(6) {
+				op := Operation{Kind: operation, Name: Name{Kind: kind, ID: "n"}, Holder: "a", Key: "n", Value: "v"}
+				accepted := kindOf[operation] == kind && kind != 0
+				So(op.Accepts(), ShouldEqual, accepted)
+				if !accepted {
+					change := &Change{}
+					So(NewState(kind, testOptions).Execute(0, &op, change), ShouldResemble, Result{})
+					So(change.IsEmpty(), ShouldBeTrue)
+				}
+			}
+		}
+	})
+}
+
+// drawOperation draws an operation of a name of a kind, from few enough values that they meet.
+func drawOperation(t *rapid.T, kind Kind, step int) Operation {
+	op := Operation{Name: Name{Kind: kind, ID: "n."}}
+	switch kind {
+	case KindLock:
+		op.Kind = rapid.SampledFrom([]OperationKind{Acquire, Renew, Release}).Draw(t, "operation")
+		op.Holder = rapid.SampledFrom([]string{"a", "b"}).Draw(t, "holder")
+		op.Fence = rapid.Uint64Range(0, 5).Draw(t, "fence")
+		op.Hold = time.Duration(rapid.IntRange(1, 3000).Draw(t, "hold")) * time.Millisecond
+	case KindCounter:
+		op.Kind = Increment
+	case KindGroup:
+		op.Kind = rapid.SampledFrom([]OperationKind{Put, Put, Get, Watch}).Draw(t, "operation")
+		op.Key = rapid.SampledFrom([]string{"n.a", "n.b", "n.c"}).Draw(t, "key")
+		op.Value = fmt.Sprint(rapid.IntRange(max(0, step-3), step).Draw(t, "value")) // sometimes one that was put before
+		op.Since = rapid.Uint64Range(0, 20).Draw(t, "since")
+		if rapid.Bool().Draw(t, "conditional") {
+			revision := rapid.Uint64Range(0, 10).Draw(t, "revision")
+			op.IfRevision = &revision
+		}
+	case KindDecision:
+		op.Kind, op.Value = Decide, fmt.Sprint(step)
+	}
+	return op
+}
+
+// travel returns a change as another machine decodes it.
+func travel(t *rapid.T, c *Change) *Change {
+	encoded, err := cbor.Marshal(c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	decoded := &Change{}
+	if err := cbor.Unmarshal(encoded, decoded); err != nil {
+		t.Fatal(err)
+	}
+	return decoded
+}
+
+// comparable returns all that a state says and does, as text.
+func comparable(s *State, now time.Duration) string {
+	bytes, puts := 0, 0
+	if s.group != nil {
+		s.group.compact(now)
+		bytes, puts = s.group.bytes, len(s.group.puts)
+	}
+	encoded, err := cbor.Marshal(s.Snapshot(now))
+	return fmt.Sprintf("%x %d %d %v", encoded, bytes, puts, err)
+}
+
+// Guards against copies of one name that differ after the same changes.
+func TestCopiesAreEqual(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := rapid.SampledFrom([]Kind{KindLock, KindCounter, KindGroup, KindDecision}).Draw(t, "kind")
+		options := Options{History: 2 * time.Second, MaxGroupBytes: 1000}
+		original, byChanges, bySnapshot := NewState(kind, options), NewState(kind, options), NewState(kind, options)
+		snapshotAt := rapid.IntRange(0, 30).Draw(t, "snapshot at")
+		now := time.Duration(0)
+		for step := range rapid.IntRange(1, 30).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond
+			change := &Change{}
+			for range rapid.IntRange(1, 3).Draw(t, "operations of a round") {
+				op := drawOperation(t, kind, step)
+				if result := original.Execute(now, &op, change); result.Outcome == 0 {
+					t.Fatalf("%+v has no outcome", op)
+				}
+			}
+			byChanges.Apply(now, travel(t, change))
+			if step == snapshotAt {
+				bySnapshot.Apply(now, travel(t, original.Snapshot(now)))
+			} else {
+				bySnapshot.Apply(now, travel(t, change))
+			}
+			for _, other := range []*State{byChanges, bySnapshot} {
+				if comparable(original, now) != comparable(other, now) {
+					t.Fatalf("a copy differs:\n%s\n%s", comparable(original, now), comparable(other, now))
+				}
+			}
+		}
+	})
+}
+
+// Guards against a lock that two holders have at once, by what each was told and the time since it asked.
+func TestHoldsDoNotOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewState(KindLock, testOptions)
+		now, heldUntil, holder, fence := time.Duration(0), time.Duration(0), "", uint64(0)
+		for step := range rapid.IntRange(1, 40).Draw(t, "steps") {
+			now += time.Duration(rapid.IntRange(0, 2_000_000).Draw(t, "pause")) * time.Microsecond
+			if rapid.Bool().Draw(t, "travels") { // to another proposer, some time later
+				snapshot := s.Snapshot(now)
+				now += time.Duration(rapid.IntRange(0, 500_000).Draw(t, "on the way")) * time.Microsecond
+				s = NewState(KindLock, testOptions)
+				s.Apply(now, snapshot)
+			}
+			op := drawOperation(t, KindLock, step)
+			result := execute(s, now, op)
+			switch {
+			case op.Kind == Release && op.Holder == holder && op.Fence == fence:
+				heldUntil = now
+			case op.Kind == Release || result.Outcome == Held:
+			case op.Holder != holder && now < heldUntil:
+				t.Fatalf("%s got the lock while it was %s's", op.Holder, holder)
+			case op.Kind == Acquire && result.Fence <= fence:
+				t.Fatalf("fence %d after %d", result.Fence, fence)
+			default:
+				heldUntil, holder, fence = max(now+op.Hold, heldUntil), op.Holder, result.Fence
+			}
+		}
+	})
+}
