Answer 504 to a put that was refused, as its comment says

Cause: coordinationError wraps a put's RefusedError in an outcomeUnknownError, but writeError looked for a RefusedError first, and found it inside. So a put that may repeat one whose outcome is not known was answered 429 or 503, which promise that its value is never shown.

Change: writeError looks for an unknown outcome first.

--- a/internal/fleet/control/errors.go
+++ b/internal/fleet/control/errors.go
@@ -48,6 +48,8 @@
 		writeJSON(w, rejected.status, map[string]string{"error": rejected.Error()})
 	case errors.As(err, &unacknowledged):
 		http.Error(w, unacknowledged.Error(), http.StatusServiceUnavailable)
+	case errors.As(err, &unknown): // also where its cause is a refusal
+		http.Error(w, unknown.Error(), http.StatusGatewayTimeout)
 	case errors.As(err, &refused):
 		w.Header().Set("Retry-After", retryAfter)
 		status := http.StatusServiceUnavailable
@@ -55,8 +57,6 @@
 			status = http.StatusTooManyRequests
 		}
 		http.Error(w, refused.Error(), status)
-	case errors.As(err, &unknown):
-		http.Error(w, unknown.Error(), http.StatusGatewayTimeout)
 	default:
 		s.redirect(w, r, err)
 	}
