Test the loops, the store and the forwarder of the coordination service

Cause: the service ran in tests on loopback alone; nothing tested failing writes, repeated calls or silent proposers.

Change: the loops run by hand on a fake clock (one sync for what waits together, nothing sent before it is durable or after a failed write, one execution of a repeated call), the store on damaged disks, the forwarder against scripted proposers, and three machines together in a bubble of synctest, whose goroutines goleak watches.

--- /dev/null
+++ b/internal/fleet/coordinator/main_test.go
@@ -0,0 +1,122 @@
+package coordinator
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/goleak"
+	"go.uber.org/zap"
+
+	"pinelb.example/pinelb/internal/fleet/coordination"
+	"pinelb.example/pinelb/internal/fleet/register"
+	"pinelb.example/pinelb/internal/fleet/replication"
+	"pinelb.example/pinelb/internal/fleet/storage"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+const testAddress = "10.0.0.1:1"
+
+var counterName = coordination.Name{Kind: coordination.KindCounter, ID: "c"}
+
+// sentMessage is a message that a service sent to another machine.
+type sentMessage struct {
+	to      string
+	nonce   uint64
+	message any
+}
+
+// machine is a core machine whose loops a test runs by hand, on a clock of its own: no goroutine is started.
+type machine struct {
+	service *Service
+	now     time.Duration
+	sent    []sentMessage
+	onSend  func(sentMessage) // nil: nothing
+}
+
+// newMachine returns a core machine that is the only founder. An empty directory: no disk.
+func newMachine(directory string) *machine {
+	m := &machine{}
+	m.service = &Service{options: Options{
+		Address: testAddress, Directory: directory, Founders: []string{testAddress}, Core: true, Votes: true, Log: zap.NewNop(),
+		State:     coordination.Options{History: time.Minute, MaxGroupBytes: 1 << 20},
+		Peers:     func() []string { return nil },
+		Proposers: func() []string { return []string{testAddress} },
+		Leaving:   func() bool { return false },
+		Clock:     func() time.Duration { return m.now },
+		Send: func(to string, nonce uint64, message any) {
+			sent := sentMessage{to, nonce, message}
+			m.sent = append(m.sent, sent)
+			if m.onSend != nil {
+				m.onSend(sent)
+			}
+		},
+	}}
+	m.service.forwarder.init(m.service)
+	store, err := openStore(&m.service.options)
+	So(err, ShouldBeNil)
+	m.service.acceptor = newAcceptorLoop(m.service, store)
+	m.service.proposer = newProposerLoop(m.service)
+	return m
+}
+
+// takeSent returns what was sent to other machines since it was last called.
+func (m *machine) takeSent() []any {
+	var messages []any
+	for _, sent := range m.sent {
+		messages = append(messages, sent.message)
+	}
+	m.sent = nil
+	return messages
+}
+
+// acceptRequest returns a request to set a counter, under a ballot of epoch 1.
+func acceptRequest(id string, round, count uint64) *register.Request {
+	return &register.Request{Epoch: 1, Accepts: []register.Accept{{
+		Name:    coordination.Name{Kind: coordination.KindCounter, ID: id},
+		Version: register.Version{Ballot: register.Ballot{Epoch: 1, Round: round, Proposer: 9}, Sequence: 1},
+		Change:  &coordination.Change{Counter: &coordination.CounterRecord{Count: count}},
+		Trip:    1,
+	}}}
+}
+
+// storedCounts returns the counters that a disk holds, as after a restart.
+func storedCounts(directory string) map[string]uint64 {
+	options := Options{Address: testAddress, Directory: directory, Log: zap.NewNop()}
+	s, err := openStore(&options)
+	So(err, ShouldBeNil)
+	defer s.close()
+	counts := map[string]uint64{}
+	for _, stored := range s.build(0, coordination.Options{}).Snapshot(0) {
+		counts[stored.Name.ID] = stored.Change.Counter.Count
+	}
+	return counts
+}
+
+// newestGeneration returns the directory of a log's newest generation, and the one that the next will have.
+func newestGeneration(directory string) (newest, next string) {
+	generations, err := filepath.Glob(filepath.Join(directory, logDirectory, "generation-*"))
+	So(err, ShouldBeNil)
+	newest = generations[len(generations)-1]
+	digits := []byte(newest)
+	for i := len(digits) - 1; ; i-- {
+		if digits[i] != '9' {
+			digits[i]++
+			return newest, string(digits)
+		}
+		digits[i] = '0'
+	}
+}
+
+// failNextWrite has the next write fail: the log has no open generation, and the next one begins with the wrong segment.
+func failNextWrite(directory string, log *storage.Log[register.HardState]) {
+	log.Close()
+	_, next := newestGeneration(directory)
+	So(os.MkdirAll(next, 0o750), ShouldBeNil)
+	So(os.WriteFile(filepath.Join(next, "00000000000000000002"), nil, 0o600), ShouldBeNil)
+}
+
+var testPeer = replication.Replica{Address: "10.0.0.2:1"}
--- /dev/null
+++ b/internal/fleet/coordinator/proposer_loop_test.go
@@ -0,0 +1,135 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"pinelb.example/pinelb/internal/fleet/coordination"
+	"pinelb.example/pinelb/internal/fleet/register"
+	"pinelb.example/pinelb/internal/fleet/replication"
+)
+
+// newProposerMachine returns a machine whose proposer knows its own acceptor.
+func newProposerMachine(t *testing.T) *machine {
+	m, _ := newAcceptorMachine(t, "")
+	m.service.proposer.tick()
+	m.settle(t)
+	So(m.service.proposer.proposer.Config().Epoch, ShouldEqual, 1)
+	m.takeSent()
+	return m
+}
+
+// settle has both loops handle what waits, until nothing does.
+func (m *machine) settle(t *testing.T) {
+	for {
+		select {
+		case received := <-m.service.acceptor.inbox:
+			m.service.acceptor.handleGroup(t.Context(), received)
+		case received := <-m.service.proposer.inbox:
+			m.service.proposer.receive(received)
+		default:
+			return
+		}
+	}
+}
+
+// ask has the proposer receive a call of another machine, and returns what that machine is answered.
+func (m *machine) ask(t *testing.T, from string, request *CallRequest) []*CallReply {
+	m.service.Receive(from, 0, request)
+	m.settle(t)
+	var replies []*CallReply
+	for _, sent := range m.sent {
+		if reply, ok := sent.message.(*CallReply); ok && sent.to == from {
+			replies = append(replies, reply)
+		}
+	}
+	m.sent = nil
+	return replies
+}
+
+func incrementRequest(id uint64) *CallRequest {
+	return &CallRequest{
+		ID: id, Operation: coordination.Operation{Kind: coordination.Increment, Name: counterName}, Timeout: callTimeout,
+	}
+}
+
+func counted(id, count uint64) []*CallReply {
+	return []*CallReply{{ID: id, Certainty: register.Decided, Result: coordination.Result{Outcome: coordination.Done, Count: count}}}
+}
+
+// Guards against a call that is executed twice because its caller sent it again.
+func TestRepeatedCallIsExecutedOnce(t *testing.T) {
+	const caller, other = "10.0.0.8:1", "10.0.0.9:1"
+	Convey("A call", t, func() {
+		m := newProposerMachine(t)
+
+		Convey("that comes again after its reply gets the same one", func() {
+			So(m.ask(t, caller, incrementRequest(1)), ShouldResemble, counted(1, 1))
+			So(m.ask(t, caller, incrementRequest(1)), ShouldResemble, counted(1, 1))
+			So(m.service.Counters.Duplicates.Load(), ShouldEqual, 1)
+			So(m.ask(t, caller, incrementRequest(2)), ShouldResemble, counted(2, 2))
+		})
+		Convey("that comes again while it is under way gets one reply", func() {
+			m.service.proposer.onCall(caller, incrementRequest(1))
+			m.service.proposer.onCall(caller, incrementRequest(1))
+			So(m.ask(t, caller, incrementRequest(1)), ShouldResemble, counted(1, 1))
+			So(m.service.Counters.Duplicates.Load(), ShouldEqual, 2)
+		})
+		Convey("of another machine is another call, also with the same number", func() {
+			So(m.ask(t, caller, incrementRequest(1)), ShouldResemble, counted(1, 1))
+			So(m.ask(t, other, incrementRequest(1)), ShouldResemble, counted(1, 2))
+		})
+		Convey("is known for as long as it may come again, and then forgotten", func() {
+			So(m.ask(t, caller, incrementRequest(1)), ShouldResemble, counted(1, 1))
+			m.now += callTimeout + replyTTL
+			m.service.proposer.tick()
+			So(m.ask(t, caller, incrementRequest(1)), ShouldResemble, counted(1, 1))
+			m.now += restTick
+			m.service.proposer.tick()
+			So(m.service.proposer.calls, ShouldBeEmpty)
+			So(m.service.proposer.keys, ShouldBeEmpty)
+		})
+		Convey("of an operation that its name can't have is ignored", func() {
+			request := incrementRequest(1)
+			request.Operation.Name.Kind = coordination.KindLock
+			So(m.ask(t, caller, request), ShouldBeEmpty)
+			So(m.service.proposer.calls, ShouldBeEmpty)
+		})
+	})
+}
+
+func TestCallsWithoutMajority(t *testing.T) {
+	const caller = "10.0.0.8:1"
+	Convey("A proposer whose acceptors are silent", t, func() {
+		m := newMachine("")
+		m.service.proposer.setConfig(register.Config{Epoch: 1, Acceptors: []replication.Replica{testPeer}})
+		m.now = time.Second
+		So(m.ask(t, caller, incrementRequest(1)), ShouldBeEmpty)
+
+		Convey("says after the call's time that it was not executed, while no acceptor was asked to accept it", func() {
+			m.now += callTimeout
+			m.service.proposer.tick()
+			So(m.ask(t, caller, incrementRequest(1)), ShouldContain, &CallReply{ID: 1, Certainty: register.NotExecuted})
+		})
+		Convey("says after the call's time that its outcome is unclear once one was", func() {
+			ballot := register.Ballot{}
+			m.service.proposer.onCall(caller, incrementRequest(1))
+			m.service.proposer.execute(m.service.proposer.proposer.Tick(m.now + time.Millisecond))
+			m.now += 500 * time.Millisecond // it asks again
+			m.service.proposer.tick()
+			for _, message := range m.takeSent() {
+				if request, ok := message.(*register.Request); ok {
+					ballot = request.Prepares[0].Ballot
+				}
+			}
+			So(ballot.Round, ShouldBeGreaterThan, 0)
+			m.service.proposer.receive(received{testPeer, &register.Reply{
+				Epoch: 1, Promises: []register.Promise{{Name: counterName, Ballot: ballot}}}})
+			m.now += callTimeout
+			m.service.proposer.tick()
+			So(m.ask(t, caller, incrementRequest(1)), ShouldContain, &CallReply{ID: 1, Certainty: register.Unclear})
+		})
+	})
+}
