Test the coordination service's settings, messages and absence

Cause: nothing kept the numbers of its kinds of messages, the fields of its status, and that it is off without its contract.

--- a/internal/fleet/router/messages_test.go
+++ b/internal/fleet/router/messages_test.go
@@ -4,11 +4,13 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
+	"pinelb.example/pinelb/internal/fleet/coordinator"
 	"pinelb.example/pinelb/internal/fleet/placement"
 	"pinelb.example/pinelb/internal/fleet/registry"
 	"pinelb.example/pinelb/internal/fleet/replication"
@@ -49,7 +51,8 @@
 	Convey("Kinds of messages have their numbers", t, func() {
 		for i, kind := range []transport.Kind{
 			kindReplication, kindHeartbeat, kindPull, kindPullReply, kindUpdate, kindQuotaRequest, kindQuotaGrant, kindAnnouncement,
-			kindAnnouncementRelay, kindLeaseRenewal, kindLeaseRenewalReply, kindAnnouncementZoneRelay,
+			kindAnnouncementRelay, kindLeaseRenewal, kindLeaseRenewalReply, kindAnnouncementZoneRelay, kindRegisterRequest,
+			kindRegisterReply, kindRegisterHello, kindRegisterCollect, kindRegisterCollected, kindCoordinationCall, kindCoordinationReply,
 		} {
 			So(kind, ShouldEqual, transport.Kind(i+1))
 		}
@@ -71,4 +74,14 @@
 			`"replica":{"leading":false,"view":{"Number":0,"Primary":{"Address":"","Nonce":0},"Members":null,"Witnesses":null}},`+
 			`"served":0,"refused":0,"failed":0,"broken":0,"superseded":0,"moved":0,"sentDatagrams":0,"sentBytes":0,"dropped":0,"heartbeatsIgnored":0,"uptimeMs":0}`)
 	})
+	Convey("The part of the coordination service has the same fields in JSON as before, where it is on", t, func() {
+		encoded, err := json.Marshal(Status{Coordination: &coordinator.Status{
+			Acceptors: []replication.Replica{{Address: "a", Nonce: 1}}, Acceptor: &replication.Replica{Address: "a", Nonce: 1},
+		}})
+		So(err, ShouldBeNil)
+		_, part, found := strings.Cut(string(encoded), `,"coordination":`)
+		So(found, ShouldBeTrue)
+		So(part, ShouldEqual, `{"epoch":0,"acceptors":[{"Address":"a","Nonce":1}],"acceptor":{"Address":"a","Nonce":1},"ready":false,"stored":0,`+
+			`"used":0,"calls":0,"unclear":0,"refused":0,"failedOver":0,"duplicates":0,"dropped":0,"syncs":0,"syncErrors":0}}`)
+	})
 }
--- a/internal/fleet/settings/settings_test.go
+++ b/internal/fleet/settings/settings_test.go
@@ -73,3 +73,32 @@
 		So(err, ShouldBeNil)
 	})
 }
+
+func TestCoordinationSettings(t *testing.T) {
+	parse := func(lines string) (*Settings, error) { return Parse([]byte(validFile + lines)) }
+	Convey("Applications are served where the contracts say so", t, func() {
+		for contracts, served := range map[string]bool{
+			"": false, "contracts=": false, "contracts=base": false, "contracts=coordinate,base": false, "contracts=coord": true,
+			"contracts=base,coord": true, "contracts=base, coord ,quota": true,
+		} {
+			s, err := parse(contracts + "\n")
+			So(err, ShouldBeNil)
+			So(s.ServesCoordination(), ShouldEqual, served)
+		}
+		s, err := parse("contracts=base,coord\n")
+		So(err, ShouldBeNil)
+		So(s.Contracts, ShouldResemble, []string{"base", "coord"})
+	})
+	Convey("The time that puts are kept for is read, and has a default", t, func() {
+		s, err := parse("")
+		So(err, ShouldBeNil)
+		So(s.Bounds.History, ShouldEqual, 20*time.Second)
+		s, err = parse("bounds.historyS=7\n")
+		So(err, ShouldBeNil)
+		So(s.Bounds.History, ShouldEqual, 7*time.Second)
+		_, err = parse("bounds.historyS=-7\n")
+		var keyError *KeyError
+		So(errors.As(err, &keyError), ShouldBeTrue)
+		So(keyError.Key, ShouldEqual, "bounds.historyS")
+	})
+}
