--- a/internal/fleet/coordinator/service.go
+++ b/internal/fleet/coordinator/service.go
@@ -68,7 +68,6 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{options: options, cancel: cancel}
 	s.forwarder.init(s)
-	s.pauses.tick(options.Clock())
 	if !options.Core {
 		return s, nil
 	}
@@ -84,7 +83,7 @@
 	return s, nil
 }
 
-// Tick is called at least every 100 ms while the process runs, so that a pause of the process is noticed.
+// Tick is called at least every 100 ms while the process runs, so that a pause of the process is noticed: from the first call on.
 func (s *Service) Tick() { s.pauses.tick(s.options.Clock()) }
 
 // IsResuming reports whether the process has just come out of a pause: what it reads now may have waited in its sockets all the while.
--- a/internal/fleet/coordinator/store.go
+++ b/internal/fleet/coordinator/store.go
@@ -78,6 +78,9 @@
 
 // reload reads the disk again after a write has failed. What it finds need not be durable.
 func (s *store) reload(options *Options) error {
+	if s.log == nil {
+		return nil
+	}
 	s.log.Close()
 	_, records, err := storage.Open[*register.HardState](filepath.Join(options.Directory, logDirectory))
 	var corrupt *storage.CorruptLogError
