Find a watch's events by their revisions

Cause: eventsSince took the revision since the floor for an index of the kept events. Routers only send groups without gaps, but one message that has a gap (revision 9, the event of revision 1) ended the process of a proposer that a watch asked: slice bounds out of range.

Change: the first event after the revision is searched for. For a group without gaps the answer is the same.

--- a/internal/fleet/coordination/group.go
+++ b/internal/fleet/coordination/group.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"sort"
 	"strings"
 	"time"
 )
@@ -78,7 +79,8 @@
 		return Result{Outcome: Pending, Revision: g.revision}
 	}
 	result := Result{Outcome: Done, Revision: g.revision}
-	for _, e := range g.events[since-g.floor:] {
+	first := sort.Search(len(g.events), func(i int) bool { return g.events[i].Revision > since })
+	for _, e := range g.events[first:] {
 		result.Events = append(result.Events, e.Event)
 	}
 	return result
