Test that odd messages do not end the process

Cause: acceptors and proposers decode what other machines send, and nothing had tried messages that no router sends.

--- a/internal/fleet/coordination/state_test.go
+++ b/internal/fleet/coordination/state_test.go
@@ -165,3 +165,52 @@
 		}
 	})
 }
+
+// drawEvents draws events, of which nothing holds that holds of those that a group records.
+func drawEvents(t *rapid.T) []Event {
+	var events []Event
+	for range rapid.IntRange(0, 3).Draw(t, "events") {
+		events = append(events, Event{
+			Key: rapid.SampledFrom([]string{"", "n.a"}).Draw(t, "key"), Value: rapid.SampledFrom([]string{"", "1", "2"}).Draw(t, "value"),
+			Revision: rapid.Uint64Range(0, 12).Draw(t, "revision"), AgeMs: rapid.Int64().Draw(t, "age"),
+		})
+	}
+	return events
+}
+
+// drawOddChange draws a change that no state records.
+func drawOddChange(t *rapid.T) *Change {
+	c := &Change{Puts: drawEvents(t)}
+	if rapid.Bool().Draw(t, "lock") {
+		c.Lock = &LockRecord{Fence: rapid.Uint64().Draw(t, "fence"), Holder: "a", HoldMs: rapid.Int64().Draw(t, "hold"), AgeMs: rapid.Int64().Draw(t, "age")}
+	}
+	if rapid.Bool().Draw(t, "counter") {
+		c.Counter = &CounterRecord{Count: rapid.Uint64().Draw(t, "count")}
+	}
+	if rapid.Bool().Draw(t, "group") {
+		c.Group = &GroupRecord{
+			Revision: rapid.Uint64Range(0, 12).Draw(t, "revision"), Floor: rapid.Uint64Range(0, 12).Draw(t, "floor"), Events: drawEvents(t),
+		}
+		for _, e := range drawEvents(t) {
+			c.Group.Cells = append(c.Group.Cells, Cell{Key: e.Key, Value: e.Value, Revision: e.Revision})
+		}
+	}
+	return c
+}
+
+// Guards against a message that no router sends and that ends the process all the same.
+func TestOddChanges(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := rapid.SampledFrom([]Kind{0, KindLock, KindCounter, KindGroup, KindDecision, 9}).Draw(t, "kind")
+		s := NewState(kind, testOptions)
+		for step := range rapid.IntRange(1, 5).Draw(t, "steps") {
+			now := time.Duration(step) * 15 * time.Second
+			s.Apply(now, drawOddChange(t))
+			for since := range uint64(14) {
+				execute(s, now, watch(since))
+			}
+			execute(s, now, drawOperation(t, rapid.SampledFrom([]Kind{KindLock, KindCounter, KindGroup, KindDecision}).Draw(t, "of"), step))
+			copyOf(s, now).Snapshot(now)
+		}
+	})
+}
