--- a/internal/fleet/coordinator/main_test.go
+++ b/internal/fleet/coordinator/main_test.go
@@ -39,6 +39,12 @@
 
 // newMachine returns a core machine that is the only founder. An empty directory: no disk.
 func newMachine(directory string) *machine {
+	m, err := buildMachine(directory)
+	So(err, ShouldBeNil)
+	return m
+}
+
+func buildMachine(directory string) (*machine, error) {
 	m := &machine{}
 	m.service = &Service{options: Options{
 		Address: testAddress, Directory: directory, Founders: []string{testAddress}, Core: true, Votes: true, Log: zap.NewNop(),
@@ -57,10 +63,12 @@
 	}}
 	m.service.forwarder.init(m.service)
 	store, err := openStore(&m.service.options)
-	So(err, ShouldBeNil)
+	if err != nil {
+		return nil, err
+	}
 	m.service.acceptor = newAcceptorLoop(m.service, store)
 	m.service.proposer = newProposerLoop(m.service)
-	return m
+	return m, nil
 }
 
 // takeSent returns what was sent to other machines since it was last called.
