Play watches that wait on a fake clock

Cause: the tests of watches waited in real time, so that they could only bound how often a watch asks.

Change: they run in a bubble of synctest, and check the exact number of operations and the exact time.

--- a/internal/fleet/control/watch_test.go
+++ b/internal/fleet/control/watch_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
@@ -28,33 +29,39 @@
 		drainAfter int
 		status     int
 		body       string
-		operations int // at most
+		operations int
+		took       time.Duration
 	}{
-		{"answers with events at once", []coordinatorAnswer{events}, "60000", 0, http.StatusOK, withEvents, 1},
-		{"answers as soon as there are events", []coordinatorAnswer{pending, events}, "60000", 0, http.StatusOK, withEvents, 2},
-		{"goes on after errors", []coordinatorAnswer{failure, failure, events}, "60000", 0, http.StatusOK, withEvents, 3},
-		{"goes on after errors and waits", []coordinatorAnswer{pending, failure, events}, "60000", 0, http.StatusOK, withEvents, 3},
-		{"answers without events at the end of its time", []coordinatorAnswer{pending}, "1", 0, http.StatusOK, withoutEvents, 3},
+		{"answers with events at once", []coordinatorAnswer{events}, "60000", 0, http.StatusOK, withEvents, 1, 0},
+		{"answers as soon as there are events", []coordinatorAnswer{pending, events}, "60000", 0, http.StatusOK, withEvents, 2, watchPollInterval},
+		{"goes on after errors", []coordinatorAnswer{failure, failure, events}, "60000", 0, http.StatusOK, withEvents, 3, 2 * watchRetryInterval},
+		{"goes on after errors and waits", []coordinatorAnswer{pending, failure, events}, "60000", 0, http.StatusOK, withEvents, 3,
+			watchPollInterval + watchRetryInterval},
+		{"answers without events at the end of its time", []coordinatorAnswer{pending}, "1000", 0, http.StatusOK, withoutEvents, 3, time.Second},
 		{"answers without events where its last operation failed", []coordinatorAnswer{pending, failure}, "450", 0, http.StatusOK,
-			withoutEvents, 5},
-		{"fails where no operation succeeded", []coordinatorAnswer{failure}, "1", 0, http.StatusGatewayTimeout, "", 3},
-		{"answers once this router shuts down", []coordinatorAnswer{pending}, "60000", 1, http.StatusOK, withoutEvents, 1},
+			withoutEvents, 3, 450 * time.Millisecond},
+		{"fails where no operation succeeded", []coordinatorAnswer{failure}, "100", 0, http.StatusGatewayTimeout, "", 3, 2 * watchRetryInterval},
+		{"answers once this router shuts down", []coordinatorAnswer{pending}, "60000", 1, http.StatusOK, withoutEvents, 1, watchPollInterval},
 		{"answers after an error once this router shuts down", []coordinatorAnswer{pending, failure}, "60000", 2, http.StatusOK,
-			withoutEvents, 2},
-		{"asks once where it does not wait", []coordinatorAnswer{pending}, "0", 0, http.StatusOK, withoutEvents, 1},
-		{"asks once where its time is not given", []coordinatorAnswer{pending}, "", 0, http.StatusOK, withoutEvents, 1},
+			withoutEvents, 2, watchPollInterval},
+		{"asks once where it does not wait", []coordinatorAnswer{pending}, "0", 0, http.StatusOK, withoutEvents, 1, 0},
+		{"asks once where its time is not given", []coordinatorAnswer{pending}, "", 0, http.StatusOK, withoutEvents, 1, 0},
 	} {
-		Convey("A watch "+c.name, t, func() {
-			coordinator := &fakeCoordinator{answers: c.answers, drainAfter: c.drainAfter}
-			answer := coordinator.call("GET", "/watch/g.?sinceRevision=7&waitMs="+c.waitMs, "")
-			So(answer.Code, ShouldEqual, c.status)
-			if c.body != "" {
-				So(strings.TrimSpace(answer.Body.String()), ShouldEqual, c.body)
-			}
-			So(len(coordinator.operations), ShouldBeLessThanOrEqualTo, c.operations)
-			for _, park := range coordinator.parks {
-				So(park, ShouldBeBetweenOrEqual, 0, watchPollInterval)
-			}
+		synctest.Test(t, func(t *testing.T) {
+			Convey("A watch "+c.name, t, func() {
+				coordinator := &fakeCoordinator{answers: c.answers, drainAfter: c.drainAfter}
+				start := time.Now()
+				answer := coordinator.call("GET", "/watch/g.?sinceRevision=7&waitMs="+c.waitMs, "")
+				So(answer.Code, ShouldEqual, c.status)
+				if c.body != "" {
+					So(strings.TrimSpace(answer.Body.String()), ShouldEqual, c.body)
+				}
+				So(len(coordinator.operations), ShouldEqual, c.operations)
+				So(time.Since(start), ShouldEqual, c.took)
+				for _, park := range coordinator.parks {
+					So(park, ShouldBeBetweenOrEqual, 0, watchPollInterval)
+				}
+			})
 		})
 	}
 }
