Answer 504 to a put into a full group

Cause: such a put was answered 429, which promises that its value is never shown. But an earlier try, at a proposer that was silent, may still be under way there, and is made once the group has room.

Change: it is answered 504, as other refusals of a put are.

Measured: TestPutIntoFullGroup failed before (429) and passes.

--- a/internal/fleet/control/coordination.go
+++ b/internal/fleet/control/coordination.go
@@ -181,7 +181,7 @@
 	case coordination.Mismatch:
 		writeJSON(w, http.StatusPreconditionFailed, revisionAnswer{Revision: result.Revision})
 	case coordination.Full:
-		return &requestError{status: http.StatusTooManyRequests, reason: "the group of the key is full"}
+		return &outcomeUnknownError{errGroupFull} // as with any refusal of a put: see coordinationError
 	default:
 		writeJSON(w, http.StatusOK, revisionAnswer{Revision: result.Revision})
 	}
@@ -265,6 +265,9 @@
 	return &requestError{status: http.StatusBadRequest, reason: field + " " + reason}
 }
 
+// errGroupFull reports a put that was not made because its group is as large as it may be.
+var errGroupFull = errors.New("the group of the key is full")
+
 // outcomeUnknownError reports that a call of an application may have taken effect, or may yet.
 type outcomeUnknownError struct{ err error }
 
--- a/internal/fleet/control/coordination_test.go
+++ b/internal/fleet/control/coordination_test.go
@@ -166,6 +166,15 @@
 	})
 }
 
+// Guards against a refusal of a put that an earlier try of it may still make, once the group has room again.
+func TestPutIntoFullGroup(t *testing.T) {
+	Convey("A put into a full group is not refused, and does not succeed", t, func() {
+		call := testCalls()["put"]
+		answer := answering(coordination.Result{Outcome: coordination.Full}).call(call.method, call.path, call.body)
+		So(answer.Code, ShouldEqual, http.StatusGatewayTimeout)
+	})
+}
+
 func TestCoordinationIsServedOnRequest(t *testing.T) {
 	Convey("Calls of applications are answered 404 where they are not served", t, func() {
 		for _, call := range testCalls() {
