Let an acceptor that restarted while it collects take answers

Cause: NewAcceptor left the map of answers nil; only adopt made it. An acceptor that learned of its epoch, stored it and was restarted before it had collected ended its process at the first answer (assignment to entry in nil map), again after each start, for good.

Change: NewAcceptor makes the map.

--- a/internal/fleet/register/acceptor.go
+++ b/internal/fleet/register/acceptor.go
@@ -31,7 +31,9 @@
 
 // NewAcceptor returns an acceptor as it is after a start, with what its disk holds.
 func NewAcceptor(now time.Duration, hardState HardState, records [][]Stored, options coordination.Options) *Acceptor {
-	a := &Acceptor{options: options, hardState: hardState, registers: map[coordination.Name]*storedRegister{}}
+	a := &Acceptor{
+		options: options, hardState: hardState, registers: map[coordination.Name]*storedRegister{}, collected: map[replication.Replica]*Collected{},
+	}
 	for _, changed := range records {
 		for i := range changed {
 			a.restore(now, &changed[i])
