Play the registers in simulated cores

Cause: nothing but the tests of the whole system exercised package register; its safety under lost disks, freezes and changes of acceptors was not shown.

Change: a simulated core on a fake clock (three to six machines, each an acceptor with its disk, a proposer and a planner, run as package coordinator runs them; messages encoded, lost, doubled, late; partitions; crashes before and after a write; up to f disks lost at once; all power lost; freezes between a step and its messages; changes of acceptors cut off at each step), clients of locks, counters, cells and watches, and checks of their history: order against time, fences, holders, refusals, events, service once all has healed. A seed decides all.

--- /dev/null
+++ b/internal/fleet/register/simulation_change_test.go
@@ -0,0 +1,93 @@
+package register
+
+import "time"
+
+// changeStep is a step of a change of acceptors, at which whoever does it may be cut off.
+type changeStep int
+
+const (
+	noStep        changeStep = iota
+	proposesNext             // a planner has the next acceptors decided
+	learnsNext               // the proposer hears what was decided
+	adoptsNext               // an acceptor is sealed
+	asksFormer               // a new acceptor asks the former ones
+	answersNext              // a former acceptor answers
+	takesPart                // a new acceptor has collected
+	changeStepEnd            // no step
+)
+
+// isArmed reports whether whoever does a step is to lose power with it.
+func (s *simulation) isArmed(step changeStep) bool { return step != noStep && step == s.armedStep }
+
+// losePower ends the machine's process in the middle of a step.
+func (m *machine) losePower(step changeStep, where string) {
+	s := m.sim
+	s.logEvent("%s loses power %s, step %d of a change", m.address, where, step)
+	if s.isArmed(step) {
+		s.armedStep = noStep
+		s.cutOff++
+	}
+	m.powerOff(s.randomDuration(100*time.Millisecond, 4*time.Second))
+}
+
+// changeStepOf says which step of a change an acceptor's output is.
+func (m *machine) changeStepOf(out *Output) changeStep {
+	switch {
+	case out.Write != nil && out.Write.Replace:
+		return takesPart
+	case out.Write != nil && out.Write.HardState.Config.Epoch > m.disk.hardState.Config.Epoch:
+		return adoptsNext
+	}
+	for _, outgoing := range out.Send {
+		switch outgoing.Message.(type) {
+		case *Collect:
+			return asksFormer
+		case *Collected:
+			return answersNext
+		}
+	}
+	return noStep
+}
+
+// plan has the present acceptors decide the next ones, where this machine is to propose them.
+func (m *machine) plan(now time.Duration) {
+	next, ok := m.planner.Next(now, m.proposer.Config(), m.acceptor.HardState().Self)
+	if !ok || m.deciding != 0 {
+		return
+	}
+	operation, err := DecideNext(next)
+	if err != nil {
+		panic(err)
+	}
+	m.lastID++
+	m.deciding = m.lastID
+	m.sim.logEvent("%s wants %v in epoch %d", m.address, next.Acceptors, next.Epoch)
+	m.execute(m.proposer.Submit(now, &Call{ID: m.deciding, Operation: operation, Deadline: now + decideTimeout}))
+	if m.sim.isArmed(proposesNext) {
+		m.losePower(proposesNext, "after its proposal")
+	}
+}
+
+// onDecided takes over the acceptors that were decided, and tells the others.
+func (m *machine) onDecided(c Completion) {
+	m.deciding = 0
+	if c.Certainty != Decided {
+		return
+	}
+	next, err := DecodeConfig(c.Result.Value)
+	if err != nil {
+		m.sim.fail("decided acceptors can't be decoded: %v", err)
+		return
+	}
+	m.sim.logEvent("%s learns of epoch %d", m.address, next.Epoch)
+	if m.sim.isArmed(learnsNext) {
+		m.losePower(learnsNext, "before it told")
+		return
+	}
+	m.apply(m.acceptor.Receive(m.clock(), m.acceptor.HardState().Self, &Hello{Config: next}))
+	if !m.isUp {
+		return
+	}
+	m.setConfig(next)
+	m.sendHellos()
+}
--- /dev/null
+++ b/internal/fleet/register/simulation_client_test.go
@@ -0,0 +1,284 @@
+package register
+
+import (
+	"fmt"
+	"time"
+
+	"pinelb.example/pinelb/internal/fleet/coordination"
+	"pinelb.example/pinelb/internal/fleet/replication"
+)
+
+// client is an application that makes one call after the other, as package coordinator's forwarder sends them. A client is one holder of
+// one lock, or counts, or puts, or reads, or watches.
+type client struct {
+	sim       *simulation
+	address   string
+	clockRate float64 // of its clock, by which it counts a hold
+	work      func()  // makes the next call
+	current   *call
+	values    int
+	since     map[string]uint64 // by group: the last revision that it saw
+	revisions map[string]uint64 // by key: the last revision that it saw
+}
+
+// call is one operation of a client with its outcome.
+type call struct {
+	client    *client
+	operation coordination.Operation
+	startedAt time.Duration // when the first of its messages was sent
+	endedAt   time.Duration // never, where the outcome is unclear
+	certainty Certainty     // 0: under way
+	result    coordination.Result
+
+	id        uint64
+	park      time.Duration
+	proposers []*machine // in the order in which they are asked
+	sent      int
+	isRepeat  bool
+	firstBoot int // of the first proposer when it was first asked
+	done      func(*call)
+}
+
+const (
+	never          = time.Duration(1<<63 - 1)
+	callTimeout    = 850 * time.Millisecond
+	resendInterval = 90 * time.Millisecond
+	sendsEach      = 2
+	watchPark      = 600 * time.Millisecond
+)
+
+// The names that clients use.
+var (
+	simulatedLocks    = []string{"lock-1", "lock-2"}
+	simulatedCounters = []string{"counter-1", "counter-2"}
+	simulatedGroups   = []string{"group-1.", "group-2."}
+	simulatedCells    = []string{"a", "b"} // of each group
+)
+
+func lockName(id string) coordination.Name {
+	return coordination.Name{Kind: coordination.KindLock, ID: id}
+}
+func groupName(id string) coordination.Name {
+	return coordination.Name{Kind: coordination.KindGroup, ID: id}
+}
+func counterName(id string) coordination.Name {
+	return coordination.Name{Kind: coordination.KindCounter, ID: id}
+}
+
+// addClients makes three holders of each lock, and of each other sort as many as there are names.
+func (s *simulation) addClients() {
+	for _, lock := range simulatedLocks {
+		for range 3 {
+			c := s.addClient()
+			c.work = func() { c.acquire(lock) }
+		}
+	}
+	for i := range simulatedGroups {
+		counting, putting, reading, watching := s.addClient(), s.addClient(), s.addClient(), s.addClient()
+		counting.work = counting.increment
+		putting.work = putting.put
+		reading.work = reading.readOrPut
+		watching.work = func() { watching.watch(simulatedGroups[i]) }
+	}
+}
+
+func (s *simulation) addClient() *client {
+	c := s.addIdleClient()
+	s.after(s.randomDuration(0, time.Second), func() { c.work() })
+	return c
+}
+
+func (s *simulation) addIdleClient() *client {
+	c := &client{
+		sim: s, address: fmt.Sprint("client-", len(s.clients)+1), clockRate: 1 + maxClockDrift*(2*s.random.Float64()-1),
+		since: map[string]uint64{}, revisions: map[string]uint64{},
+	}
+	s.clients = append(s.clients, c)
+	return c
+}
+
+// pause lets the client make its next call after a while.
+func (c *client) pause(most time.Duration) {
+	c.sim.after(c.sim.randomDuration(20*time.Millisecond, most), func() {
+		if !c.sim.auditing {
+			c.work()
+		}
+	})
+}
+
+// begin makes a call.
+func (c *client) begin(operation coordination.Operation, park time.Duration, done func(*call)) {
+	c.start(&call{client: c, operation: operation, startedAt: c.sim.now, endedAt: never, park: park, done: done})
+	c.sim.history.calls = append(c.sim.history.calls, c.current)
+}
+
+// again repeats a call whose outcome was unclear: to the checks both are one call.
+func (c *client) again(former *call) {
+	former.certainty, former.isRepeat = 0, true
+	c.start(former)
+}
+
+func (c *client) start(k *call) {
+	s := c.sim
+	k.id, k.sent = s.random.Uint64(), 0
+	k.proposers = k.proposers[:0]
+	first := len(k.operation.Name.ID) + int(k.operation.Name.ID[len(k.operation.Name.ID)-2])
+	if s.oneIn(4) {
+		first = s.random.IntN(len(s.machines)) // clients don't agree about who is alive
+	}
+	for i := range s.machines {
+		k.proposers = append(k.proposers, s.machines[(first+i)%len(s.machines)])
+	}
+	c.current = k
+	id := k.id
+	s.after(callTimeout+k.park, func() {
+		if c.current == k && k.id == id {
+			c.finish(Unclear, coordination.Result{})
+		}
+	})
+	c.send(k, id)
+}
+
+// send asks a proposer twice, then the next one.
+func (c *client) send(k *call, id uint64) {
+	if c.current != k || k.id != id {
+		return
+	}
+	proposer := k.proposers[k.sent/sendsEach%len(k.proposers)]
+	if k.sent == 0 {
+		k.firstBoot = proposer.boot
+	}
+	request := &callRequest{ID: k.id, Operation: k.operation, Timeout: callTimeout, Park: k.park}
+	c.sim.send(replication.Replica{Address: c.address}, proposer.address, request)
+	k.sent++
+	wait := resendInterval
+	if k.sent%sendsEach == 0 {
+		wait += k.park
+	}
+	c.sim.after(wait, func() { c.send(k, id) })
+}
+
+// onReply takes an answer. One that says that nothing was executed says so of the process that answers, and of no other that was asked.
+func (c *client) onReply(reply *callReply) {
+	k := c.current
+	if k == nil || k.id != reply.ID {
+		return
+	}
+	if reply.Certainty == NotExecuted && (k.isRepeat || k.sent > sendsEach || reply.Boot != k.firstBoot || k.proposers[0].boot != k.firstBoot) {
+		reply.Certainty = Unclear
+	}
+	c.finish(reply.Certainty, reply.Result)
+}
+
+func (c *client) finish(certainty Certainty, result coordination.Result) {
+	k := c.current
+	c.current = nil
+	c.sim.decided[certainty]++
+	k.certainty, k.result = certainty, result
+	if certainty != Unclear {
+		k.endedAt = c.sim.now
+	}
+	c.sim.checkService(k)
+	k.done(k)
+}
+
+// acquire tries to become the lock's holder, and then holds it for a while.
+func (c *client) acquire(lock string) {
+	hold := c.sim.randomDuration(200*time.Millisecond, 1200*time.Millisecond)
+	c.begin(coordination.Operation{Kind: coordination.Acquire, Name: lockName(lock), Holder: c.address, Hold: hold}, 0, func(k *call) {
+		if k.certainty != Decided || k.result.Outcome != coordination.Done {
+			c.pause(600 * time.Millisecond)
+			return
+		}
+		c.sim.after(c.sim.randomDuration(0, hold), func() { c.hold(lock, k.result.Fence) })
+	})
+}
+
+// hold renews, releases, or lets the time run out.
+func (c *client) hold(lock string, fence uint64) {
+	s := c.sim
+	if s.auditing {
+		return
+	}
+	operation := coordination.Operation{Kind: coordination.Release, Name: lockName(lock), Holder: c.address, Fence: fence}
+	switch s.random.IntN(4) {
+	case 0:
+		c.pause(time.Second)
+		return
+	case 1, 2:
+		operation.Kind, operation.Hold = coordination.Renew, s.randomDuration(100*time.Millisecond, time.Second)
+	}
+	c.begin(operation, 0, func(k *call) {
+		if k.certainty == Decided && k.result.Outcome == coordination.Done && operation.Kind == coordination.Renew {
+			s.after(s.randomDuration(0, operation.Hold), func() { c.hold(lock, fence) })
+			return
+		}
+		c.pause(500 * time.Millisecond)
+	})
+}
+
+func (c *client) increment() {
+	counter := simulatedCounters[c.sim.random.IntN(len(simulatedCounters))]
+	c.begin(coordination.Operation{Kind: coordination.Increment, Name: counterName(counter)}, 0, func(*call) { c.pause(400 * time.Millisecond) })
+}
+
+func (c *client) randomCell() (group, key string) {
+	group = simulatedGroups[c.sim.random.IntN(len(simulatedGroups))]
+	return group, group + simulatedCells[c.sim.random.IntN(len(simulatedCells))]
+}
+
+// put writes a value that was never written before, mostly on top of the revision that the client knows.
+func (c *client) put() {
+	group, key := c.randomCell()
+	c.values++
+	operation := coordination.Operation{Kind: coordination.Put, Name: groupName(group), Key: key, Value: fmt.Sprint(c.address, " ", c.values)}
+	if revision, known := c.revisions[key]; !c.sim.oneIn(3) {
+		if !known {
+			revision = 0
+		}
+		operation.IfRevision = &revision
+	}
+	repeats := c.sim.random.IntN(3)
+	c.begin(operation, 0, func(k *call) {
+		if k.certainty == Unclear && repeats > 0 {
+			repeats--
+			c.again(k)
+			return
+		}
+		if k.certainty == Decided {
+			c.revisions[key] = k.result.Revision
+		}
+		c.pause(400 * time.Millisecond)
+	})
+}
+
+// readOrPut reads mostly.
+func (c *client) readOrPut() {
+	if c.sim.oneIn(3) {
+		c.put()
+		return
+	}
+	group, key := c.randomCell()
+	c.begin(coordination.Operation{Kind: coordination.Get, Name: groupName(group), Key: key}, 0, func(k *call) {
+		if k.certainty == Decided {
+			c.revisions[key] = k.result.Revision
+		}
+		c.pause(400 * time.Millisecond)
+	})
+}
+
+// watch follows a group, sometimes from an old revision.
+func (c *client) watch(group string) {
+	operation := coordination.Operation{Kind: coordination.Watch, Name: groupName(group), Since: c.since[group]}
+	if c.sim.oneIn(8) && operation.Since > 1 {
+		operation.Since = 1 + c.sim.random.Uint64N(operation.Since)
+	}
+	c.begin(operation, watchPark, func(k *call) {
+		if k.certainty == Decided && k.result.Outcome != coordination.Compacted {
+			c.since[group] = k.result.Revision
+		} else if k.result.Outcome == coordination.Compacted {
+			c.since[group] = 0
+		}
+		c.pause(300 * time.Millisecond)
+	})
+}
--- /dev/null
+++ b/internal/fleet/register/simulation_test.go
@@ -0,0 +1,311 @@
+package register
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"pinelb.example/pinelb/internal/fleet/coordination"
+	"pinelb.example/pinelb/internal/fleet/replication"
+)
+
+// simulation is a core of machines on a fake clock, a network that delays, loses, doubles and partitions, disks that are lost, and clients.
+// A seed decides all that happens; what happened is kept as a script.
+type simulation struct {
+	setup      setup
+	random     *rand.Rand
+	now        time.Duration
+	events     eventQueue
+	lastEvent  uint64
+	steps      int
+	machines   []*machine
+	clients    []*client
+	partitions map[[2]string]time.Duration // from, to: until when nothing passes
+	slowUntil  time.Duration               // messages take up to maxSlowDelay until then
+	lossyUntil time.Duration               // many messages are lost until then
+	nonces     uint64
+	lost       map[replication.Replica]bool // identities whose disk is gone
+	lossBudget int                          // disks that may be lost until the acceptors have carried over
+	armedStep  changeStep                   // whoever does it next loses power
+	cutOff     int                          // changes of acceptors that were cut off
+	newest     uint64                       // the newest epoch that some disk holds
+	calm       bool                         // all has healed: nothing is lost any more
+	healedAt   time.Duration
+	auditing   bool              // the clients have ended
+	decided    map[Certainty]int // calls, by how they ended
+	history    history
+	script     []string
+	fault      string
+}
+
+// setup is the shape of a core.
+type setup struct {
+	machineCount int
+	founderCount int
+	tolerance    replication.Tolerance
+	zones        int
+	duration     time.Duration // for which disruptions come
+}
+
+const (
+	machineTick      = 20 * time.Millisecond
+	maxDelay         = 20 * time.Millisecond // that a message takes
+	maxSlowDelay     = 400 * time.Millisecond
+	maxLateness      = 1500 * time.Millisecond // of the second copy of a message
+	simulatedHistory = 8 * time.Second         // longer than any call is under way, freezes included
+	maxClockDrift    = 0.002                   // of one machine's clock; two of them fit coordination's margin
+)
+
+func stateOptions() coordination.Options {
+	return coordination.Options{History: simulatedHistory, MaxGroupBytes: 1 << 16}
+}
+
+// event is something that happens at a time.
+type event struct {
+	at     time.Duration
+	number uint64 // events of one time happen in the order in which they were scheduled
+	do     func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || q[i].at == q[j].at && q[i].number < q[j].number
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+func newSimulation(s setup, seed uint64) *simulation {
+	sim := &simulation{
+		setup: s, random: rand.New(rand.NewPCG(seed, 51)), partitions: map[[2]string]time.Duration{},
+		lost: map[replication.Replica]bool{}, decided: map[Certainty]int{},
+	}
+	var founders []string
+	for i := range s.founderCount {
+		founders = append(founders, address(i))
+	}
+	for i := range s.machineCount {
+		m := &machine{sim: sim, address: address(i), zone: fmt.Sprint("zone-", i%s.zones)}
+		m.disk.format(InitialHardState(m.address, sim.nonce(), nil))
+		if i < s.founderCount {
+			m.disk.format(InitialHardState(m.address, 0, founders))
+		}
+		sim.machines = append(sim.machines, m)
+		m.start()
+	}
+	sim.addClients()
+	sim.after(0, sim.watchCarryOver)
+	return sim
+}
+
+func address(i int) string { return fmt.Sprintf("10.0.0.%d:1", i+1) }
+
+func (s *simulation) nonce() uint64 {
+	s.nonces++
+	return s.nonces
+}
+
+// after schedules what happens later.
+func (s *simulation) after(span time.Duration, do func()) {
+	s.lastEvent++
+	heap.Push(&s.events, event{at: s.now + span, number: s.lastEvent, do: do})
+}
+
+// runUntil lets the time pass.
+func (s *simulation) runUntil(end time.Duration) {
+	for s.fault == "" && len(s.events) > 0 && s.events[0].at <= end {
+		e := heap.Pop(&s.events).(event)
+		s.now = e.at
+		s.steps++
+		e.do()
+	}
+	s.now = max(s.now, end)
+}
+
+func (s *simulation) logEvent(format string, values ...any) {
+	s.script = append(s.script, fmt.Sprintf("%8.3f  ", s.now.Seconds())+fmt.Sprintf(format, values...))
+}
+
+func (s *simulation) fail(format string, values ...any) {
+	if s.fault == "" {
+		s.fault = fmt.Sprintf(format, values...)
+		s.logEvent("FAULT: %s", s.fault)
+	}
+}
+
+func (s *simulation) scriptText() string { return strings.Join(s.script, "\n") }
+
+func (s *simulation) randomDuration(least, most time.Duration) time.Duration {
+	return least + time.Duration(s.random.Int64N(int64(most-least)+1))
+}
+
+// oneIn is true once in so many times.
+func (s *simulation) oneIn(n int) bool { return s.random.IntN(n) == 0 }
+
+func (s *simulation) machineAt(address string) *machine {
+	for _, m := range s.machines {
+		if m.address == address {
+			return m
+		}
+	}
+	return nil
+}
+
+// packet is a message as it travels: encoded, so that the two sides share no memory.
+type packet struct {
+	from replication.Replica
+	to   string
+	kind messageKind
+	body []byte
+}
+
+type messageKind uint8
+
+const (
+	kindRequest messageKind = iota + 1
+	kindReply
+	kindHello
+	kindCollect
+	kindCollected
+	kindCall
+	kindCallReply
+)
+
+func encode(message any) []byte {
+	body, err := cbor.Marshal(message)
+	if err != nil {
+		panic(err)
+	}
+	return body
+}
+
+func decode(body []byte, into any) {
+	if err := cbor.Unmarshal(body, into); err != nil {
+		panic(err)
+	}
+}
+
+func kindOf(message any) messageKind {
+	switch message.(type) {
+	case *Request:
+		return kindRequest
+	case *Reply:
+		return kindReply
+	case *Hello:
+		return kindHello
+	case *Collect:
+		return kindCollect
+	case *Collected:
+		return kindCollected
+	case *callRequest:
+		return kindCall
+	case *callReply:
+		return kindCallReply
+	}
+	panic(fmt.Sprintf("no kind of message: %T", message))
+}
+
+func newMessage(kind messageKind) any {
+	switch kind {
+	case kindRequest:
+		return &Request{}
+	case kindReply:
+		return &Reply{}
+	case kindHello:
+		return &Hello{}
+	case kindCollect:
+		return &Collect{}
+	case kindCollected:
+		return &Collected{}
+	case kindCall:
+		return &callRequest{}
+	case kindCallReply:
+		return &callReply{}
+	}
+	panic(fmt.Sprintf("no message of kind %d", kind))
+}
+
+func (p *packet) message() any {
+	message := newMessage(p.kind)
+	decode(p.body, message)
+	return message
+}
+
+// send puts a message on its way. One to the own machine is not lost.
+func (s *simulation) send(from replication.Replica, to string, message any) {
+	p := &packet{from: from, to: to, kind: kindOf(message), body: encode(message)}
+	if from.Address == to {
+		s.after(time.Microsecond, func() { s.deliver(p) })
+		return
+	}
+	delay := s.randomDuration(200*time.Microsecond, maxDelay)
+	if s.now < s.slowUntil {
+		delay = s.randomDuration(time.Millisecond, maxSlowDelay)
+	}
+	chance := s.random.IntN(1000)
+	switch {
+	case s.calm:
+	case chance < 5 || s.now < s.lossyUntil && chance < 200:
+		return // lost
+	case chance > 985:
+		s.after(delay+s.randomDuration(0, maxLateness), func() { s.deliver(p) }) // doubled, late
+	}
+	s.after(delay, func() { s.deliver(p) })
+}
+
+func (s *simulation) deliver(p *packet) {
+	if s.partitions[[2]string{p.from.Address, p.to}] > s.now {
+		return
+	}
+	if m := s.machineAt(p.to); m != nil {
+		m.deliver(p)
+		return
+	}
+	for _, c := range s.clients {
+		if reply, isReply := p.message().(*callReply); isReply && c.address == p.to {
+			c.onReply(reply)
+			return
+		}
+	}
+}
+
+// watchCarryOver allows disks to be lost again once the newest acceptors have all carried over: as many as the setup tolerates, and as leave
+// a majority of the acceptors that there are.
+func (s *simulation) watchCarryOver() {
+	newest := s.newestConfig()
+	s.newest = max(s.newest, newest.Epoch)
+	if s.hasCarriedOver(newest) {
+		s.lossBudget = min(s.setup.tolerance.Machines, len(newest.Acceptors)-majority(newest.Acceptors))
+	}
+	s.after(100*time.Millisecond, s.watchCarryOver)
+}
+
+// newestConfig returns the newest acceptors that some disk knows of.
+func (s *simulation) newestConfig() Config {
+	var newest Config
+	for _, m := range s.machines {
+		if c := m.disk.hardState.Config; c.Epoch > newest.Epoch {
+			newest = c
+		}
+	}
+	return newest
+}
+
+// hasCarriedOver reports whether all acceptors of a set exist and take part.
+func (s *simulation) hasCarriedOver(c Config) bool {
+	return !slices.ContainsFunc(c.Acceptors, func(r replication.Replica) bool {
+		h := &s.machineAt(r.Address).disk.hardState
+		return h.Self != r || h.ReadyEpoch != c.Epoch
+	})
+}
