Take over collected registers in the order of the former acceptors

Cause: merge walked a map. Safety does not depend on it: both ages are lower bounds.

Change: the answers are taken over in the order of Config.Previous.

--- a/internal/fleet/register/carry_over.go
+++ b/internal/fleet/register/carry_over.go
@@ -81,9 +81,11 @@
 // merge takes over the newest version of each register, and takes part from then on. Promises of former epochs mean nothing in this one:
 // their ballots are lower than all of its own.
 func (a *Acceptor) merge(now time.Duration) {
-	for _, answer := range a.collected {
-		for i := range answer.Registers {
-			a.mergeRegister(now, &answer.Registers[i])
+	for _, former := range a.hardState.Config.Previous { // in their order, so that a simulation replays
+		if answer := a.collected[former]; answer != nil {
+			for i := range answer.Registers {
+				a.mergeRegister(now, &answer.Registers[i])
+			}
 		}
 	}
 	for name := range a.registers {
