Collect from sealed acceptors that a change overtook

Cause: a change of acceptors is decided once a majority of the present ones takes part. Those that had not collected by then adopted the next epoch and could never take part in the one before, so that they never answered its collectors. The next epoch then rested on the f+1 that had taken part: after the loss of one disk no majority of the former acceptors ever answered, no acceptor took part, and every register was gone for good.

Change: a former acceptor that had not collected answers too, once it is sealed, and says so (Collected.Ready). A collector needs answers of a majority of the former acceptors, all sealed, one of them at least of an acceptor that took part. It is as safe: what was chosen in the former epoch is at a majority that meets the sealed one (those that never took part accepted nothing in it, and never will), and what was chosen before is known to each that took part.

--- a/internal/fleet/register/carry_over.go
+++ b/internal/fleet/register/carry_over.go
@@ -48,28 +48,37 @@
 	}
 }
 
-// wasReady reports whether this acceptor took part in the epoch before the present one: its own registers count.
-func (a *Acceptor) wasReady() bool {
-	return slices.Contains(a.hardState.Config.Previous, a.hardState.Self) && a.hardState.ReadyEpoch == a.hardState.Config.Epoch-1
-}
+// wasReady reports whether this acceptor took part in the epoch before one.
+func (a *Acceptor) wasReady(epoch uint64) bool { return a.hardState.ReadyEpoch+1 >= epoch }
 
+// hasCollected reports whether a majority of the former acceptors is sealed, this one among them where it was one: what was chosen in their
+// epoch is among their registers. What was chosen before it is known to each of them that took part, and so one of these has to be among
+// them. The others may be former acceptors that the change overtook before they had collected: they accepted nothing in that epoch.
 func (a *Acceptor) hasCollected() bool {
-	count := len(a.collected)
-	if a.wasReady() {
-		count++
+	sealed, ready := len(a.collected), 0
+	for _, answer := range a.collected {
+		if answer.Ready {
+			ready++
+		}
+	}
+	if slices.Contains(a.hardState.Config.Previous, a.hardState.Self) {
+		sealed++
+		if a.wasReady(a.hardState.Config.Epoch) {
+			ready++
+		}
 	}
-	return count >= majority(a.hardState.Config.Previous)
+	return sealed >= majority(a.hardState.Config.Previous) && ready > 0
 }
 
-// onCollect answers with all registers, where this acceptor took part in the epoch before the collector's. Adopting the collector's
-// acceptors has sealed it: the write is durable before the answer is sent.
+// onCollect answers with all registers, where this is a former acceptor. Adopting the collector's acceptors has sealed it: the write is
+// durable before the answer is sent.
 func (a *Acceptor) onCollect(now time.Duration, from replication.Replica, m *Collect) {
 	a.adopt(m.Config)
-	if !slices.Contains(m.Config.Previous, a.hardState.Self) || a.hardState.ReadyEpoch+1 < m.Config.Epoch {
+	if !slices.Contains(m.Config.Previous, a.hardState.Self) {
 		return
 	}
 	registers := slices.DeleteFunc(a.Snapshot(now), func(s Stored) bool { return s.Name.Kind == coordination.KindDecision })
-	a.send(from.Address, &Collected{Epoch: m.Config.Epoch, Registers: registers})
+	a.send(from.Address, &Collected{Epoch: m.Config.Epoch, Registers: registers, Ready: a.wasReady(m.Config.Epoch)})
 }
 
 func (a *Acceptor) onCollected(_ time.Duration, from replication.Replica, m *Collected) {
--- a/internal/fleet/register/messages.go
+++ b/internal/fleet/register/messages.go
@@ -86,6 +86,7 @@
 type Collected struct {
 	Epoch     uint64   `cbor:"1,keyasint"` // of the Config in the Collect
 	Registers []Stored `cbor:"2,keyasint"`
+	Ready     bool     `cbor:"3,keyasint,omitempty"` // the acceptor took part in the epoch before; else it accepted nothing in it
 }
 
 // Stored is a register as it travels and as it is stored.
