--- a/internal/fleet/register/simulation_client_test.go
+++ b/internal/fleet/register/simulation_client_test.go
@@ -35,16 +35,20 @@
 	proposers []*machine // in the order in which they are asked
 	sent      int
 	isRepeat  bool
-	firstBoot int // of the first proposer when it was first asked
+	timeout   time.Duration // after which the proposer gives it up
+	firstBoot int           // of the first proposer when it was first asked
 	done      func(*call)
 }
 
 const (
 	never          = time.Duration(1<<63 - 1)
 	callTimeout    = 850 * time.Millisecond
-	resendInterval = 90 * time.Millisecond
-	sendsEach      = 2
-	watchPark      = 600 * time.Millisecond
+	minCallTimeout = 10 * time.Millisecond
+	// maxShortTimeout leaves the first proposer time to answer before the next one is asked.
+	maxShortTimeout = 150 * time.Millisecond
+	resendInterval  = 90 * time.Millisecond
+	sendsEach       = 2
+	watchPark       = 600 * time.Millisecond
 )
 
 // The names that clients use.
@@ -120,7 +124,10 @@
 
 func (c *client) start(k *call) {
 	s := c.sim
-	k.id, k.sent = s.random.Uint64(), 0
+	k.id, k.sent, k.timeout = s.random.Uint64(), 0, callTimeout
+	if !s.calm && s.oneIn(3) {
+		k.timeout = s.randomDuration(minCallTimeout, maxShortTimeout)
+	}
 	k.proposers = k.proposers[:0]
 	first := len(k.operation.Name.ID) + int(k.operation.Name.ID[len(k.operation.Name.ID)-2])
 	if s.oneIn(4) {
@@ -148,7 +155,7 @@
 	if k.sent == 0 {
 		k.firstBoot = proposer.boot
 	}
-	request := &callRequest{ID: k.id, Operation: k.operation, Timeout: callTimeout, Park: k.park}
+	request := &callRequest{ID: k.id, Operation: k.operation, Timeout: k.timeout, Park: k.park}
 	c.sim.send(replication.Replica{Address: c.address}, proposer.address, request)
 	k.sent++
 	wait := resendInterval
--- a/internal/fleet/register/simulation_test.go
+++ b/internal/fleet/register/simulation_test.go
@@ -256,6 +256,8 @@
 	chance := s.random.IntN(1000)
 	switch {
 	case s.calm:
+	case chance >= 900 && chance < 940:
+		delay += s.randomDuration(0, maxSlowDelay) // overtaken by others
 	case chance < 5 || s.now < s.lossyUntil && chance < 200:
 		return // lost
 	case chance > 985:
