--- a/ci/layers_test.go
+++ b/ci/layers_test.go
@@ -21,7 +21,7 @@
 
 var (
 	layerRow    = regexp.MustCompile(`(?m)^\| ([1-9]) [^|]*\| (.*) \|$`)
-	quotedPath  = regexp.MustCompile("`((?:internal|cmd|balance|ci)[A-Za-z0-9_/.-]*)`")
+	quotedPath  = regexp.MustCompile("`((?:internal|cmd|balance|client|ci)[A-Za-z0-9_/.-]*)`")
 	placeholder = "..."
 )
 
