Add the commands lock, counter, cell and watch

Cause: people at a terminal and scripts had only curl, with which a lock can't be kept alive while a command runs.

--- a/cmd/pinelb/main.go
+++ b/cmd/pinelb/main.go
@@ -1,8 +1,9 @@
 // Command pinelb is the sidecar, which forwards streams to the upstream hosts that package balance chooses, and its commands;
-// a distributor of settings ("pinelb distribute"); and a router of a fleet ("pinelb router"). Here are only the command lines and
-// the exit statuses; the work is done by packages daemon, settingsserver, audit and fleet/router.
+// a distributor of settings ("pinelb distribute"); a router of a fleet ("pinelb router"); and a client of its coordination service
+// ("pinelb lock", "counter", "cell" and "watch"). Here are only the command lines and the exit statuses; the work is done by packages
+// daemon, settingsserver, audit, fleet/router and client.
 //
-// The sidecar's commands are parsed by kong and log by zerolog, the router's use cobra and zap. Operators and scripts see the
+// The sidecar's commands are parsed by kong and log by zerolog, the router's and those of coordination use cobra, the router zap. Operators and scripts see the
 // former's help pages, error lines and exit statuses, which cobra doesn't reproduce.
 package main
 
@@ -21,7 +22,7 @@
 // exitFaulty is the exit status for invalid arguments, and for an invalid file that is checked or read.
 const exitFaulty = 2
 
-// commandLine is the grammar of "pinelb ...", except for "pinelb router ...". The names of the fields are those of the commands
+// commandLine is the grammar of "pinelb ...", except for "pinelb router ..." and those of coordination. The names of the fields are those of the commands
 // and flags.
 type commandLine struct {
 	Serve struct {
@@ -58,6 +59,9 @@
 	if args[0] == "router" {
 		return runRouter(args, hangups)
 	}
+	if isCoordinationCommand(args[0]) {
+		return runCoordination(args)
+	}
 	var line commandLine
 	parser, err := kong.New(&line, kong.Name("pinelb"), kong.Description(
 		"A load-balancing sidecar. Without a command it serves; --config=FILE then names the operator's file."))
