Log acceptors that come and go, and count locks that expire

Cause: a change of the acceptors showed only as the wish of who proposed it, and a lock that passed on because its holder's time ran out left no trace.

Change: the acceptor's loop logs, once they are durable, another set of acceptors with who came and who left, that this machine's acceptor is sealed, and that it takes part. A grant says whose time had run out (a field that does not travel); the proposer counts these (expired in the status) and names them at debug level. Nothing is logged for each call. TestStatusFormat has the new field at the end, and TestLockIsGranted expects the former holder in the grant: both as strict as before. killAll of the routers' tests can now follow a kill of one machine.

--- a/internal/fleet/coordination/lock.go
+++ b/internal/fleet/coordination/lock.go
@@ -36,12 +36,16 @@
 	if l.holder != op.Holder && !l.isFree(now) {
 		return Result{Outcome: Held}
 	}
+	expired := ""
+	if l.holder != op.Holder {
+		expired = l.holder
+	}
 	l.remember(op.Call)
 	l.extend(now, op)
 	l.holder = op.Holder
 	l.fence++
 	change.Lock = l.record(now)
-	return Result{Outcome: Done, Fence: l.fence}
+	return Result{Outcome: Done, Fence: l.fence, Expired: expired}
 }
 
 // acquiredBefore answers a copy of a call that has acquired the lock: with its fence, as long as no other call has changed the lock.
--- a/internal/fleet/coordination/lock_test.go
+++ b/internal/fleet/coordination/lock_test.go
@@ -46,7 +46,7 @@
 		Convey("is not another's until the hold and the margin for drift have passed", func() {
 			So(execute(s, hold, acquire("b", hold)).Outcome, ShouldEqual, Held)
 			So(execute(s, expiryOf(hold), acquire("b", hold)), ShouldResemble, Result{Outcome: Held})
-			So(execute(s, expiryOf(hold)+1, acquire("b", hold)), ShouldResemble, Result{Outcome: Done, Fence: 2})
+			So(execute(s, expiryOf(hold)+1, acquire("b", hold)), ShouldResemble, Result{Outcome: Done, Fence: 2, Expired: "a"})
 		})
 		Convey("is granted to the same holder again, with a higher fence and a full hold", func() {
 			So(execute(s, hold/2, acquire("a", hold)), ShouldResemble, Result{Outcome: Done, Fence: 2})
--- a/internal/fleet/coordination/operation.go
+++ b/internal/fleet/coordination/operation.go
@@ -53,6 +53,7 @@
 	Revision uint64  `cbor:"4,keyasint,omitempty"` // Put, Get, Watch
 	Value    string  `cbor:"5,keyasint,omitempty"` // Get, Decide
 	Events   []Event `cbor:"6,keyasint,omitempty"` // Watch, in rising order of their revisions
+	Expired  string  `cbor:"-"`                    // Acquire: the holder whose time had run out, for the proposer's log; it does not travel
 }
 
 // Event is one put.
--- /dev/null
+++ b/internal/fleet/coordinator/acceptor_log.go
@@ -0,0 +1,37 @@
+package coordinator
+
+import (
+	"slices"
+
+	"go.uber.org/zap"
+
+	"pinelb.example/pinelb/internal/fleet/replication"
+)
+
+// logAcceptorChange logs what has changed between two states of this machine's acceptor, after it was made durable: another set of acceptors,
+// and whether this one takes part. Other changes are too frequent for a log.
+func logAcceptorChange(log *zap.Logger, former, present *AcceptorStatus) {
+	epoch := present.Config.Epoch
+	if epoch != former.Config.Epoch {
+		log.Info("acceptors changed", zap.Uint64("epoch", epoch), zap.Any("acceptors", present.Config.Acceptors),
+			zap.Any("added", without(present.Config.Acceptors, former.Config.Acceptors)),
+			zap.Any("removed", without(former.Config.Acceptors, present.Config.Acceptors)))
+	}
+	switch {
+	case former.takesPart() && !present.takesPart():
+		log.Info("acceptor sealed: it takes no part before it has the registers of the new epoch, or none at all", zap.Uint64("epoch", epoch),
+			zap.Bool("isMember", present.Config.Has(present.Self)), zap.Int("registers", present.Names))
+	case present.takesPart() && (!former.takesPart() || epoch != former.Config.Epoch):
+		log.Info("acceptor takes part", zap.Uint64("epoch", epoch), zap.Uint64("nonce", present.Self.Nonce), zap.Int("registers", present.Names))
+	}
+}
+
+// takesPart reports whether the acceptor may promise and accept in the present epoch.
+func (s *AcceptorStatus) takesPart() bool {
+	return s.Config.Epoch > 0 && s.ReadyEpoch == s.Config.Epoch && s.Config.Has(s.Self)
+}
+
+// without returns the replicas that are not among others.
+func without(replicas, others []replication.Replica) []replication.Replica {
+	return slices.DeleteFunc(slices.Clone(replicas), func(r replication.Replica) bool { return slices.Contains(others, r) })
+}
--- /dev/null
+++ b/internal/fleet/coordinator/acceptor_log_test.go
@@ -0,0 +1,89 @@
+package coordinator
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"pinelb.example/pinelb/internal/fleet/coordination"
+	"pinelb.example/pinelb/internal/fleet/register"
+	"pinelb.example/pinelb/internal/fleet/replication"
+)
+
+// messagesOf returns the messages that were logged since it was last called.
+func messagesOf(logs *observer.ObservedLogs) []string {
+	var messages []string
+	for _, entry := range logs.TakeAll() {
+		messages = append(messages, entry.Message)
+	}
+	return messages
+}
+
+// Guards against acceptors that come and go without a word, and against lines for each call.
+func TestAcceptorChangesAreLogged(t *testing.T) {
+	Convey("An acceptor that is one of two says", t, func() {
+		core, logs := observer.New(zap.InfoLevel)
+		self, peer, newcomer := replication.Replica{Address: testAddress}, testPeer, replication.Replica{Address: "10.0.0.3:1", Nonce: 7}
+		former := AcceptorStatus{Self: self, Config: register.Config{Epoch: 1, Acceptors: []replication.Replica{self, peer}}, ReadyEpoch: 1, Names: 3}
+		next := former
+		logAcceptorChange(zap.New(core), &AcceptorStatus{Self: self}, &former)
+		So(messagesOf(logs), ShouldResemble, []string{"acceptors changed", "acceptor takes part"})
+
+		Convey("nothing where only registers have changed", func() {
+			next.Names = 4
+			logAcceptorChange(zap.New(core), &former, &next)
+			So(logs.Len(), ShouldEqual, 0)
+		})
+		Convey("who came and who left, that it is sealed, and that it takes part again", func() {
+			next.Config = register.Config{Epoch: 2, Acceptors: []replication.Replica{self, newcomer}, Previous: former.Config.Acceptors}
+			logAcceptorChange(zap.New(core), &former, &next)
+			So(logs.All()[0].ContextMap()["added"], ShouldResemble, []replication.Replica{newcomer})
+			So(logs.All()[0].ContextMap()["removed"], ShouldResemble, []replication.Replica{peer})
+			So(messagesOf(logs)[1], ShouldStartWith, "acceptor sealed")
+			ready := next
+			ready.ReadyEpoch = 2
+			logAcceptorChange(zap.New(core), &next, &ready)
+			So(messagesOf(logs), ShouldResemble, []string{"acceptor takes part"})
+		})
+		Convey("that it takes part, where it had the registers at once", func() {
+			next.Config.Epoch, next.ReadyEpoch = 2, 2
+			logAcceptorChange(zap.New(core), &former, &next)
+			So(messagesOf(logs), ShouldResemble, []string{"acceptors changed", "acceptor takes part"})
+		})
+	})
+}
+
+// Guards against a lock that passes on without a trace.
+func TestExpiredLockIsCounted(t *testing.T) {
+	Convey("A lock", t, func() {
+		core, logs := observer.New(zap.DebugLevel)
+		m := newMachine("")
+		m.service.options.Log = zap.New(core)
+		name := coordination.Name{Kind: coordination.KindLock, ID: "l"}
+		lock := coordination.NewState(coordination.KindLock, coordination.Options{})
+		acquire := func(now time.Duration, holder string) register.Completion {
+			op := &coordination.Operation{Kind: coordination.Acquire, Name: name, Holder: holder, Hold: time.Second}
+			return register.Completion{Certainty: register.Decided, Result: lock.Execute(now, op, &coordination.Change{})}
+		}
+		note := func(c register.Completion) uint64 {
+			m.service.proposer.noteExpiry(name, &c)
+			return m.service.Status().Expired
+		}
+		So(note(acquire(0, "a")), ShouldEqual, 0)
+		So(note(acquire(2*time.Second, "a")), ShouldEqual, 0) // its own
+		So(logs.Len(), ShouldEqual, 0)
+
+		Convey("that passes on because its time ran out is counted, and named in the log", func() {
+			So(note(acquire(4*time.Second, "b")), ShouldEqual, 1)
+			So(logs.All()[0].ContextMap(), ShouldResemble, map[string]any{"lock": "l", "former": "a", "fence": uint64(3)})
+		})
+		Convey("whose grant is not decided is not", func() {
+			c := acquire(4*time.Second, "b")
+			c.Certainty = register.Unclear
+			So(note(c), ShouldEqual, 0)
+		})
+	})
+}
--- a/internal/fleet/coordinator/acceptor_loop.go
+++ b/internal/fleet/coordinator/acceptor_loop.go
@@ -58,11 +58,14 @@
 
 func (l *acceptorLoop) publish(durable bool) {
 	h := l.acceptor.HardState()
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.published = AcceptorStatus{
+	status := AcceptorStatus{
 		Self: h.Self, Config: h.Config, ReadyEpoch: h.ReadyEpoch, Names: l.acceptor.Names(), Durable: durable,
 	}
+	l.mu.Lock()
+	former := l.published
+	l.published = status
+	l.mu.Unlock()
+	logAcceptorChange(l.service.options.Log, &former, &status)
 }
 
 func (l *acceptorLoop) run(ctx context.Context) {
--- a/internal/fleet/coordinator/proposer_loop.go
+++ b/internal/fleet/coordinator/proposer_loop.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"pinelb.example/pinelb/internal/fleet/coordination"
 	"pinelb.example/pinelb/internal/fleet/register"
 	"pinelb.example/pinelb/internal/fleet/replication"
 )
@@ -35,6 +36,7 @@
 
 // callState is a call that the proposer was asked to execute.
 type callState struct {
+	name  coordination.Name
 	reply *CallReply // nil: it is under way
 	until time.Duration
 }
@@ -162,7 +164,7 @@
 		return
 	}
 	now := l.now()
-	l.calls[key] = &callState{until: now + m.Timeout + m.Park + replyTTL}
+	l.calls[key] = &callState{name: m.Operation.Name, until: now + m.Timeout + m.Park + replyTTL}
 	l.lastID++
 	l.keys[l.lastID] = key
 	l.execute(l.proposer.Submit(now, &register.Call{
@@ -183,10 +185,21 @@
 	reply := &CallReply{ID: key.id, Certainty: c.Certainty, Result: c.Result}
 	if state := l.calls[key]; state != nil {
 		state.reply = reply
+		l.noteExpiry(state.name, &c)
 	}
 	l.service.send(key.from, 0, reply)
 }
 
+// noteExpiry counts and logs a lock that has passed on because its holder's time had run out.
+func (l *proposerLoop) noteExpiry(name coordination.Name, c *register.Completion) {
+	if c.Certainty != register.Decided || c.Result.Expired == "" {
+		return
+	}
+	l.service.Counters.ExpiredLocks.Add(1)
+	l.service.options.Log.Debug("lock expired: another holder has it", zap.String("lock", name.ID), zap.String("former", c.Result.Expired),
+		zap.Uint64("fence", c.Result.Fence))
+}
+
 func (l *proposerLoop) forgetCalls(now time.Duration) {
 	if l.service.IsResuming() {
 		return // copies of the calls may wait to be read
--- a/internal/fleet/coordinator/service.go
+++ b/internal/fleet/coordinator/service.go
@@ -37,14 +37,15 @@
 
 // Counters count since the start.
 type Counters struct {
-	Calls       atomic.Uint64 // that this machine took from applications
-	Unclear     atomic.Uint64 // of them: whose outcome is not known
-	Refused     atomic.Uint64 // of them: that were not executed
-	FailedOver  atomic.Uint64 // times that another proposer was asked because the one before did not answer
-	Duplicates  atomic.Uint64 // calls that came to the proposer again
-	Dropped     atomic.Uint64 // messages that found an inbox full
-	Syncs       atomic.Uint64 // writes of the acceptor
-	FailedSyncs atomic.Uint64 // writes of the acceptor that failed
+	Calls        atomic.Uint64 // that this machine took from applications
+	Unclear      atomic.Uint64 // of them: whose outcome is not known
+	Refused      atomic.Uint64 // of them: that were not executed
+	FailedOver   atomic.Uint64 // times that another proposer was asked because the one before did not answer
+	Duplicates   atomic.Uint64 // calls that came to the proposer again
+	Dropped      atomic.Uint64 // messages that found an inbox full
+	Syncs        atomic.Uint64 // writes of the acceptor
+	FailedSyncs  atomic.Uint64 // writes of the acceptor that failed
+	ExpiredLocks atomic.Uint64 // locks that this proposer gave to another because their holder\'s time had run out
 }
 
 // Service is one machine's part of the coordination service. Its methods may be called by any goroutine.
--- a/internal/fleet/coordinator/status.go
+++ b/internal/fleet/coordinator/status.go
@@ -18,6 +18,7 @@
 	Dropped    uint64                `json:"dropped"`
 	Syncs      uint64                `json:"syncs"`
 	SyncErrors uint64                `json:"syncErrors"`
+	Expired    uint64                `json:"expired"` // locks that this machine's proposer gave to another because their holder's time had run out
 }
 
 // Status returns the present state.
@@ -26,6 +27,7 @@
 		Calls: s.Counters.Calls.Load(), Unclear: s.Counters.Unclear.Load(), Refused: s.Counters.Refused.Load(),
 		FailedOver: s.Counters.FailedOver.Load(), Duplicates: s.Counters.Duplicates.Load(), Dropped: s.Counters.Dropped.Load(),
 		Syncs: s.Counters.Syncs.Load(), SyncErrors: s.Counters.FailedSyncs.Load(),
+		Expired: s.Counters.ExpiredLocks.Load(),
 	}
 	if s.proposer == nil {
 		return status
@@ -33,6 +35,6 @@
 	proposer, acceptor := s.proposer.published.Load(), s.acceptor.status()
 	status.Epoch, status.Acceptors, status.Used = proposer.Config.Epoch, proposer.Config.Acceptors, proposer.Names
 	status.Acceptor, status.Stored = &acceptor.Self, acceptor.Names
-	status.Ready = acceptor.Config.Has(acceptor.Self) && acceptor.ReadyEpoch == acceptor.Config.Epoch
+	status.Ready = acceptor.takesPart()
 	return status
 }
--- a/internal/fleet/router/coordination_test.go
+++ b/internal/fleet/router/coordination_test.go
@@ -73,10 +73,18 @@
 	}
 }
 
+// kill ends a router as a crash would, unless it was killed before. It may still be ending.
+func (c *testCore) kill(i int) {
+	if c.routers[i] != nil {
+		c.routers[i].Kill()
+		c.routers[i] = nil
+	}
+}
+
 // killAll ends all routers as a crash would.
 func (c *testCore) killAll() {
-	for _, r := range c.routers {
-		r.Kill()
+	for i := range c.routers {
+		c.kill(i)
 	}
 	c.tasks.Wait()
 	for _, cancel := range c.cancels {
--- a/internal/fleet/router/messages_test.go
+++ b/internal/fleet/router/messages_test.go
@@ -82,6 +82,6 @@
 		_, part, found := strings.Cut(string(encoded), `,"coordination":`)
 		So(found, ShouldBeTrue)
 		So(part, ShouldEqual, `{"epoch":0,"acceptors":[{"Address":"a","Nonce":1}],"acceptor":{"Address":"a","Nonce":1},"ready":false,"stored":0,`+
-			`"used":0,"calls":0,"unclear":0,"refused":0,"failedOver":0,"duplicates":0,"dropped":0,"syncs":0,"syncErrors":0}}`)
+			`"used":0,"calls":0,"unclear":0,"refused":0,"failedOver":0,"duplicates":0,"dropped":0,"syncs":0,"syncErrors":0,"expired":0}}`)
 	})
 }
