Soak the coordination service with real processes

The new verb 'pinelb-testlab coordination' draws a fleet and overlapping faults from a seed, plays real routers on loopback addresses and has callers record each call.

--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -33,21 +33,22 @@
 
 // commands are the command line's commands; kong derives their names from the fields unless a tag gives one.
 type commands struct {
-	Demo       demoCmd       `cmd:"" default:"withargs" help:"Emulated boxes, one sidecar, ten seconds of load and a failure in the middle."`
-	Run        runCmd        `cmd:"" help:"Play a scenario and judge it."`
-	Sweep      sweepCmd      `cmd:"" help:"Play all combinations of some keys' values and print a table."`
-	Check      checkCmd      `cmd:"" help:"Check a scenario's file without playing it."`
-	List       listCmd       `cmd:"" help:"Name the scenarios that come with the program."`
-	Rehearse   rehearseCmd   `cmd:"" help:"Fit boxes and failures to sidecars' records and play them again."`
-	Diff       diffCmd       `cmd:"" help:"Compare two results."`
-	PollSim    pollSimCmd    `cmd:"" name:"asking" help:"Play in virtual time how a fleet asks one list service, by several rules."`
-	Slopes     slopesCmd     `cmd:"" help:"Measure what control costs at sizes that double, with real sidecars."`
-	Scale      scaleCmd      `cmd:"" help:"Measure what thousands of hollow sidecars cost a list service, and how soon a change is in force at all."`
-	Rack       rackCmd       `cmd:"" hidden:"" help:"A rack of hollow sidecars, as scale starts it."`
-	Distribute distributeCmd `cmd:"" help:"Measure how settings reach sidecars through five distributors: real ones, hollow followers and real sidecars."`
-	Variants   variantsCmd   `cmd:"" help:"Make site files of deployments that nobody has out of one of the bench's."`
-	Routers    routersCmd    `cmd:"" help:"Measure what control costs a fleet of routers, and how soon a configuration is in force at all."`
-	Decide     decideCmd     `cmd:"" help:"Play the routers' decision before a model of the engines, beside a scheduler that knows everything."`
+	Demo         demoCmd         `cmd:"" default:"withargs" help:"Emulated boxes, one sidecar, ten seconds of load and a failure in the middle."`
+	Run          runCmd          `cmd:"" help:"Play a scenario and judge it."`
+	Sweep        sweepCmd        `cmd:"" help:"Play all combinations of some keys' values and print a table."`
+	Check        checkCmd        `cmd:"" help:"Check a scenario's file without playing it."`
+	List         listCmd         `cmd:"" help:"Name the scenarios that come with the program."`
+	Rehearse     rehearseCmd     `cmd:"" help:"Fit boxes and failures to sidecars' records and play them again."`
+	Diff         diffCmd         `cmd:"" help:"Compare two results."`
+	PollSim      pollSimCmd      `cmd:"" name:"asking" help:"Play in virtual time how a fleet asks one list service, by several rules."`
+	Slopes       slopesCmd       `cmd:"" help:"Measure what control costs at sizes that double, with real sidecars."`
+	Scale        scaleCmd        `cmd:"" help:"Measure what thousands of hollow sidecars cost a list service, and how soon a change is in force at all."`
+	Rack         rackCmd         `cmd:"" hidden:"" help:"A rack of hollow sidecars, as scale starts it."`
+	Distribute   distributeCmd   `cmd:"" help:"Measure how settings reach sidecars through five distributors: real ones, hollow followers and real sidecars."`
+	Variants     variantsCmd     `cmd:"" help:"Make site files of deployments that nobody has out of one of the bench's."`
+	Routers      routersCmd      `cmd:"" help:"Measure what control costs a fleet of routers, and how soon a configuration is in force at all."`
+	Coordination coordinationCmd `cmd:"" help:"Play routers that serve locks, counters, cells and watches, with faults drawn from seeds, and judge what callers saw."`
+	Decide       decideCmd       `cmd:"" help:"Play the routers' decision before a model of the engines, beside a scheduler that knows everything."`
 }
 
 // terminal is the program's output.
--- /dev/null
+++ b/internal/lab/coordination/losses.go
@@ -0,0 +1,78 @@
+package coordination
+
+import "sync"
+
+// losses counts the core machines that are down or have not caught up, so that never more are than is tolerated. Faults take machines in the
+// order in which they ask.
+type losses struct {
+	mu      sync.Mutex
+	changed *sync.Cond
+	core    int          // machines below are of the core; only they count
+	lost    map[int]bool // machines
+	waiting []int        // tickets of the faults that wait, the next one first
+	tickets int
+	closed  bool
+}
+
+func newLosses(core int) *losses {
+	l := &losses{core: core, lost: map[int]bool{}}
+	l.changed = sync.NewCond(&l.mu)
+	return l
+}
+
+// take takes machines, and waits until no more than limit of the core are lost then. It returns false where the play ends before.
+func (l *losses) take(machines []int, limit int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.tickets++
+	ticket := l.tickets
+	l.waiting = append(l.waiting, ticket)
+	for !l.closed && (l.waiting[0] != ticket || !l.fits(machines, limit)) {
+		l.changed.Wait()
+	}
+	if l.closed {
+		return false
+	}
+	l.waiting = l.waiting[1:]
+	for _, m := range machines {
+		l.lost[m] = true
+	}
+	l.changed.Broadcast()
+	return true
+}
+
+func (l *losses) fits(machines []int, limit int) bool {
+	count := 0
+	for m := range l.lost {
+		if m < l.core {
+			count++
+		}
+	}
+	for _, m := range machines {
+		if l.lost[m] {
+			return false
+		}
+		if m < l.core {
+			count++
+		}
+	}
+	return count <= limit
+}
+
+// giveBack says that machines are back.
+func (l *losses) giveBack(machines []int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, m := range machines {
+		delete(l.lost, m)
+	}
+	l.changed.Broadcast()
+}
+
+// close ends all waiting: no more machines are taken.
+func (l *losses) close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = true
+	l.changed.Broadcast()
+}
--- /dev/null
+++ b/internal/lab/coordination/play_test.go
@@ -0,0 +1,90 @@
+package coordination
+
+import (
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+)
+
+const (
+	testSeed     = 1
+	testDuration = 6 * time.Second
+)
+
+// TestPlayKeepsRules guards against a rule of the service that real processes break under faults. Only rules count: a machine that is too
+// busy makes no difference.
+func TestPlayKeepsRules(t *testing.T) {
+	folder := t.TempDir()
+	program := filepath.Join(folder, "pinelb")
+	build := exec.CommandContext(t.Context(), "go", "build", "-o", program, "pinelb.example/pinelb/cmd/pinelb")
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	result, err := Play(t.Context(), Options{Program: program, Seed: testSeed, Duration: testDuration, Folder: filepath.Join(folder, "play")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var text strings.Builder
+	result.Write(&text)
+	t.Log(text.String())
+	for _, v := range result.Violations {
+		t.Error(v)
+	}
+	for kind, k := range result.Kinds {
+		if k.Good == 0 {
+			t.Errorf("no call %q was answered 200: the play says nothing of it", kind)
+		}
+	}
+}
+
+// TestScriptsRepeat guards against a script that its seed doesn't determine, or that asks for more than is tolerated.
+func TestScriptsRepeat(t *testing.T) {
+	kinds := map[FaultKind]bool{}
+	for seed := range uint64(200) {
+		s, again := NewScript(seed, 10*time.Second), NewScript(seed, 10*time.Second)
+		if !slices.EqualFunc(s.Faults, again.Faults, func(a, b Fault) bool { return a.String() == b.String() && a.At == b.At }) {
+			t.Fatalf("seed %d draws two scripts", seed)
+		}
+		for _, f := range s.Faults {
+			kinds[f.Kind] = true
+			if f.Kind != Stall && len(f.Machines) > tolerated {
+				t.Errorf("seed %d: %s", seed, f)
+			}
+			for _, m := range f.Machines {
+				if f.Kind == Wipe && m >= s.Core || m >= s.Core+s.Forwarders {
+					t.Errorf("seed %d: %s, with %d core machines", seed, f, s.Core)
+				}
+			}
+		}
+	}
+	if len(kinds) != 7 {
+		t.Errorf("only the faults %v are drawn", kinds)
+	}
+}
+
+// TestLossesKeepLimit guards against more core machines lost at once than are tolerated.
+func TestLossesKeepLimit(t *testing.T) {
+	l := newLosses(5)
+	if !l.take([]int{0}, 2) || !l.take([]int{6}, 2) || !l.take([]int{1}, 2) {
+		t.Fatal("two core machines and a forwarder can't be lost")
+	}
+	third := make(chan bool)
+	go func() { third <- l.take([]int{2}, 2) }()
+	select {
+	case <-third:
+		t.Fatal("a third core machine was lost")
+	case <-time.After(50 * time.Millisecond):
+	}
+	l.giveBack([]int{0})
+	if !<-third {
+		t.Error("the next machine was not lost once another was back")
+	}
+	go func() { third <- l.take([]int{3}, 2) }()
+	l.close()
+	if <-third {
+		t.Error("a machine was lost after the end")
+	}
+}
--- /dev/null
+++ b/internal/lab/coordination/script.go
@@ -0,0 +1,124 @@
+package coordination
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// FaultKind is what happens to machines.
+type FaultKind string
+
+// The kinds of faults.
+const (
+	Kill     FaultKind = "kill"     // SIGKILL, and a start with the same disk
+	Wipe     FaultKind = "wipe"     // SIGKILL, and a start with an empty disk
+	Freeze   FaultKind = "freeze"   // SIGSTOP and SIGCONT
+	Stop     FaultKind = "stop"     // SIGTERM, and a start with the same disk
+	Hangup   FaultKind = "hangup"   // SIGHUP
+	Stall    FaultKind = "stall"    // all core machines freeze at once
+	Blackout FaultKind = "blackout" // all processes are killed at once, and two core machines lose their disks
+)
+
+const (
+	tolerated       = 2 // core machines that may be lost at once
+	warmUp          = 1500 * time.Millisecond
+	minCore         = 5
+	coreRange       = 4 // 5 to 8
+	maxForwarders   = 3
+	blackoutSpacing = 5 * time.Second
+)
+
+// Fault is one step of a script. Machines are indexes of core machines first, then of forwarders.
+type Fault struct {
+	At       time.Duration `json:"at"` // or later, where the machines before it are not back
+	Kind     FaultKind     `json:"kind"`
+	Machines []int         `json:"machines,omitempty"`
+	For      time.Duration `json:"for,omitempty"` // until the machines come back
+	AfterAck bool          `json:"afterAck,omitempty"`
+}
+
+// Script is what a seed draws.
+type Script struct {
+	Seed       uint64        `json:"seed"`
+	Core       int           `json:"core"`       // machines with a disk
+	Forwarders int           `json:"forwarders"` // machines without
+	GraceS     int           `json:"graceS"`     // until a silent machine counts as gone
+	Duration   time.Duration `json:"duration"`
+	Faults     []Fault       `json:"faults"`
+}
+
+// NewScript draws a script.
+func NewScript(seed uint64, duration time.Duration) *Script {
+	random := rand.New(rand.NewPCG(seed, 1))
+	s := &Script{
+		Seed: seed, Core: minCore + random.IntN(coreRange), Forwarders: 1 + random.IntN(maxForwarders), GraceS: 1 + random.IntN(3), Duration: duration,
+	}
+	lastBlackout := time.Duration(0)
+	for at := warmUp; at < duration; at += between(random, 100*time.Millisecond, 1300*time.Millisecond) {
+		f := Fault{At: at, Kind: drawKind(random), AfterAck: random.IntN(2) == 0}
+		if f.Kind == Blackout {
+			if at-lastBlackout < blackoutSpacing {
+				continue
+			}
+			lastBlackout = at
+		}
+		s.drawMachines(random, &f)
+		s.Faults = append(s.Faults, f)
+	}
+	// The last fault of each play: what was acknowledged just before it is read back.
+	last := Fault{At: duration, Kind: Blackout, AfterAck: true}
+	s.drawMachines(random, &last)
+	s.Faults = append(s.Faults, last)
+	return s
+}
+
+// drawKind draws a kind; the weights give machines that are down, as much as is tolerated, for most of a play.
+func drawKind(random *rand.Rand) FaultKind {
+	weights := []struct {
+		kind   FaultKind
+		weight int
+	}{{Kill, 5}, {Wipe, 5}, {Freeze, 5}, {Stop, 3}, {Hangup, 1}, {Stall, 2}, {Blackout, 2}}
+	total := 0
+	for _, w := range weights {
+		total += w.weight
+	}
+	draw := random.IntN(total)
+	for _, w := range weights {
+		if draw < w.weight {
+			return w.kind
+		}
+		draw -= w.weight
+	}
+	panic("coordination: the weights don't add up")
+}
+
+// drawMachines draws which machines a fault hits and for how long.
+func (s *Script) drawMachines(random *rand.Rand, f *Fault) {
+	f.For = between(random, 100*time.Millisecond, 2500*time.Millisecond)
+	switch f.Kind {
+	case Stall:
+		f.For = between(random, 100*time.Millisecond, 1500*time.Millisecond)
+		f.Machines = random.Perm(s.Core)
+	case Blackout:
+		f.For = between(random, 0, 500*time.Millisecond)
+		f.Machines = random.Perm(s.Core)[:tolerated]
+	case Wipe:
+		f.Machines = random.Perm(s.Core)[:1+random.IntN(tolerated)]
+	default:
+		f.Machines = []int{random.IntN(s.Core + s.Forwarders)}
+	}
+}
+
+func between(random *rand.Rand, low, high time.Duration) time.Duration {
+	return low + time.Duration(random.Int64N(int64(high-low)))
+}
+
+// String returns a fault in one line.
+func (f Fault) String() string {
+	text := fmt.Sprintf("%s of %v for %v", f.Kind, f.Machines, f.For.Round(time.Millisecond))
+	if f.AfterAck {
+		text += " after an acknowledgement"
+	}
+	return text
+}
