--- a/internal/lab/coordination/fleet.go
+++ b/internal/lab/coordination/fleet.go
@@ -28,7 +28,7 @@
 }
 
 // newFleet prepares the machines of a script. None is started.
-func newFleet(script *Script, program, folder string) (*fleet, error) {
+func newFleet(script *Script, options Options) (*fleet, error) {
 	f := &fleet{core: script.Core}
 	prefix, err := f.lockAddresses()
 	if err != nil {
@@ -40,10 +40,10 @@
 		return nil, err
 	}
 	for i := range script.Core + script.Forwarders {
-		m := &machine{name: fmt.Sprint("core-", i), ip: fmt.Sprint(prefix, i+1), folder: folder, program: program}
+		m := &machine{name: fmt.Sprint("core-", i), ip: fmt.Sprint(prefix, i+1), folder: options.Folder, program: options.Program}
 		m.control, m.internal = fmt.Sprintf("%s:%d", m.ip, controlPort), fmt.Sprintf("%s:%d", m.ip, internalPort)
 		if i < script.Core {
-			m.disk = filepath.Join(folder, fmt.Sprint("disk-", i))
+			m.disk = filepath.Join(options.Disks, fmt.Sprint("disk-", i))
 		} else {
 			m.name = fmt.Sprint("forwarder-", i-script.Core)
 		}
--- a/internal/lab/coordination/result.go
+++ b/internal/lab/coordination/result.go
@@ -32,11 +32,14 @@
 	Faults     map[string]int               `json:"faults"` // played, by their kind
 	Passed     map[string]int               `json:"passed"` // passed over, by their kind
 	Kinds      map[history.Kind]*KindCounts `json:"kinds"`
-	LongestGap time.Duration                `json:"longestGap"` // between good answers to any caller
-	GapBegin   time.Duration                `json:"gapBegin"`   // when the longest gap began
-	Settled    bool                         `json:"settled"`    // all acceptors took part at the end
-	SettleTime time.Duration                `json:"settleTime"` // until then
-	Readback   time.Duration                `json:"readback"`   // the worst time until an answer at the end
+	LongestGap time.Duration                `json:"longestGap"`        // between good answers to any caller
+	GapBegin   time.Duration                `json:"gapBegin"`          // when the longest gap began
+	Settled    bool                         `json:"settled"`           // all acceptors took part at the end
+	SettleTime time.Duration                `json:"settleTime"`        // until then
+	Readback   time.Duration                `json:"readback"`          // the worst time until an answer at the end
+	LatePauses time.Duration                `json:"latePauses"`        // the most by which the lab itself ran late
+	LateSyncs  time.Duration                `json:"lateSyncs"`         // the longest sync of the lab itself
+	TooBusy    []string                     `json:"tooBusy,omitempty"` // answers that did not come at the end, on a machine that was late itself
 	Undecided  []string                     `json:"undecided,omitempty"`
 	Violations []history.Violation          `json:"violations,omitempty"`
 
@@ -48,9 +51,14 @@
 	report := history.Check(h)
 	r := &Result{
 		Script: p.script, Played: p.faults.played, Faults: p.faults.counts, Passed: p.faults.passed, Readback: last.worst,
+		LatePauses: p.lateness.pauses, LateSyncs: p.lateness.syncs,
 		Undecided: report.Undecided, Violations: report.Violations, history: h, Kinds: countKinds(h.Calls),
 	}
 	r.GapBegin, r.LongestGap = longestGap(h.Calls)
+	if p.lateness.isTooBusy() {
+		r.TooBusy = last.unanswered
+		return r
+	}
 	for _, text := range last.unanswered {
 		r.Violations = append(r.Violations, history.Violation{Rule: history.Lost, Text: "no answer at the end: " + text})
 	}
@@ -132,6 +140,10 @@
 	}
 	fmt.Fprintf(w, "  longest time without a good answer %v, from %.1f s; settled at the end: %v, after %v; worst answer at the end after %v\n",
 		r.LongestGap.Round(time.Millisecond), r.GapBegin.Seconds(), r.Settled, r.SettleTime.Round(time.Millisecond), r.Readback.Round(time.Millisecond))
+	fmt.Fprintf(w, "  the machine: a pause too long by %v, a sync of %v\n", r.LatePauses.Round(time.Millisecond), r.LateSyncs.Round(time.Millisecond))
+	for _, text := range r.TooBusy {
+		fmt.Fprintf(w, "  void, the machine was too busy: no answer at the end: %s\n", text)
+	}
 	if len(r.Undecided) > 0 {
 		fmt.Fprintf(w, "  linearizability not decided in time: %s\n", strings.Join(r.Undecided, ", "))
 	}
