Draw longer faults and start the soak's machines together

A machine that froze for 2.5 s at most was seldom replaced before it woke, and a fleet's processes started one after the other, up to 6 s on a busy machine. One fault of five now lasts 3 s longer, and all processes start at once.

--- a/internal/lab/coordination/fleet.go
+++ b/internal/lab/coordination/fleet.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"path/filepath"
+	"sync"
 	"syscall"
 
 	"pinelb.example/pinelb/internal/lab/ports"
@@ -82,10 +83,12 @@
 
 // startAll starts all machines at once.
 func (f *fleet) startAll(bootstrap bool) error {
-	var errs []error
-	for _, m := range f.machines {
-		errs = append(errs, m.start(bootstrap && m.disk != ""))
+	errs := make([]error, len(f.machines))
+	var starts sync.WaitGroup
+	for i, m := range f.machines {
+		starts.Go(func() { errs[i] = m.start(bootstrap && m.disk != "") })
 	}
+	starts.Wait()
 	return errors.Join(errs...)
 }
 
--- a/internal/lab/coordination/script.go
+++ b/internal/lab/coordination/script.go
@@ -26,6 +26,8 @@
 	minCore         = 5
 	coreRange       = 4 // 5 to 8
 	maxForwarders   = 3
+	longShare       = 5 // one of so many faults lasts longer, by longTime
+	longTime        = 3 * time.Second
 	blackoutSpacing = 5 * time.Second
 )
 
@@ -96,6 +98,9 @@
 // drawMachines draws which machines a fault hits and for how long.
 func (s *Script) drawMachines(random *rand.Rand, f *Fault) {
 	f.For = between(random, 100*time.Millisecond, 2500*time.Millisecond)
+	if random.IntN(longShare) == 0 { // others replace the machine meanwhile
+		f.For += longTime
+	}
 	switch f.Kind {
 	case Stall:
 		f.For = between(random, 100*time.Millisecond, 1500*time.Millisecond)
