Freeze machines before blackouts of the soak

Half of the blackouts now freeze two or three core machines before, so that what is acknowledged is on no more disks than it has to be.

--- a/internal/lab/coordination/faults.go
+++ b/internal/lab/coordination/faults.go
@@ -12,6 +12,7 @@
 const (
 	minCatchUp     = 2 * time.Second        // after a start with an empty disk, before the next loss
 	ackWait        = 400 * time.Millisecond // for the acknowledgement after which a fault comes
+	frozenTime     = 600 * time.Millisecond // of machines before a blackout: others take their names over
 	settleTimeout  = 60 * time.Second       // before the play, and at its end
 	blackoutSettle = 8 * time.Second        // before a blackout: without it there is none
 )
@@ -141,6 +142,12 @@
 		p.pass(f)
 		return
 	}
+	for _, i := range f.Frozen {
+		p.fleet.machines[i].signal(syscall.SIGSTOP)
+	}
+	if len(f.Frozen) > 0 {
+		time.Sleep(frozenTime)
+	}
 	p.acks.await(f.AfterAck, ackWait)
 	p.note(f)
 	p.fleet.killAll()
--- a/internal/lab/coordination/script.go
+++ b/internal/lab/coordination/script.go
@@ -24,7 +24,7 @@
 	tolerated       = 2 // core machines that may be lost at once
 	warmUp          = 1500 * time.Millisecond
 	minCore         = 5
-	coreRange       = 4 // 5 to 8
+	maxMoreCore     = 3
 	maxForwarders   = 3
 	longShare       = 5 // one of so many faults lasts longer, by longTime
 	longTime        = 3 * time.Second
@@ -36,7 +36,8 @@
 	At       time.Duration `json:"at"` // or later, where the machines before it are not back
 	Kind     FaultKind     `json:"kind"`
 	Machines []int         `json:"machines,omitempty"`
-	For      time.Duration `json:"for,omitempty"` // until the machines come back
+	Frozen   []int         `json:"frozen,omitempty"` // core machines that freeze before a blackout: what is acknowledged then is on no more disks than has to be
+	For      time.Duration `json:"for,omitempty"`    // until the machines come back
 	AfterAck bool          `json:"afterAck,omitempty"`
 }
 
@@ -54,7 +55,7 @@
 func NewScript(seed uint64, duration time.Duration) *Script {
 	random := rand.New(rand.NewPCG(seed, 1))
 	s := &Script{
-		Seed: seed, Core: minCore + random.IntN(coreRange), Forwarders: 1 + random.IntN(maxForwarders), GraceS: 1 + random.IntN(3), Duration: duration,
+		Seed: seed, Core: minCore + max(0, random.IntN(2*maxMoreCore+1)-maxMoreCore), Forwarders: 1 + random.IntN(maxForwarders), GraceS: 1 + random.IntN(3), Duration: duration,
 	}
 	lastBlackout := time.Duration(0)
 	for at := warmUp; at < duration; at += between(random, 100*time.Millisecond, 1300*time.Millisecond) {
@@ -107,7 +108,11 @@
 		f.Machines = random.Perm(s.Core)
 	case Blackout:
 		f.For = between(random, 0, 500*time.Millisecond)
-		f.Machines = random.Perm(s.Core)[:tolerated]
+		order := random.Perm(s.Core)
+		f.Machines = order[:tolerated]
+		if frozen := random.IntN(4); frozen > 1 { // with three of five, nothing may be acknowledged any more
+			f.Frozen = order[tolerated : tolerated+frozen]
+		}
 	case Wipe:
 		f.Machines = random.Perm(s.Core)[:1+random.IntN(tolerated)]
 	default:
@@ -122,6 +127,9 @@
 // String returns a fault in one line.
 func (f Fault) String() string {
 	text := fmt.Sprintf("%s of %v for %v", f.Kind, f.Machines, f.For.Round(time.Millisecond))
+	if len(f.Frozen) > 0 {
+		text += fmt.Sprintf(" while %v are frozen", f.Frozen)
+	}
 	if f.AfterAck {
 		text += " after an acknowledgement"
 	}
