--- a/internal/lab/coordination/play.go
+++ b/internal/lab/coordination/play.go
@@ -50,6 +50,7 @@
 	faults   *faultPlayer
 	names    names
 	watchers []*watcher
+	visitors []*visitor
 	callers  int
 	lateness *lateness
 }
@@ -147,6 +148,11 @@
 		p.watchers = append(p.watchers, w)
 		start(w.run)
 	}
+	for i := range 4 {
+		v := &visitor{caller: p.newCaller(fmt.Sprint("visitor-", i))}
+		p.visitors = append(p.visitors, v)
+		start(v.run)
+	}
 	for i, m := range p.fleet.machines {
 		start(func(ctx context.Context) { keepConnection(ctx, m.control, i%2 == 0) })
 	}
--- a/internal/lab/coordination/readback.go
+++ b/internal/lab/coordination/readback.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/http"
 	"sync"
 	"time"
 
@@ -49,39 +48,54 @@
 			r.repeat(ctx, func() *history.Call { return w.watch(w.saved[len(w.saved)-1], 0) })
 		}
 	}
+	for _, v := range r.play.visitors {
+		v.final = true
+		r.tasks.Go(func() { r.revisit(ctx, v) })
+	}
 	r.tasks.Wait()
 }
 
+// revisit asks for all that a visitor called, one after the other.
+func (r *readback) revisit(ctx context.Context, v *visitor) {
+	for visit := 1; visit <= v.visits; visit++ {
+		if !r.await(ctx, func() *history.Call { return v.do(v.again(visit), 0) }) {
+			return
+		}
+	}
+}
+
 func (r *readback) caller(name string) *caller {
 	c := r.play.newCaller(name)
 	c.final = true
 	return c
 }
 
-// repeat makes a call until it is answered. A lock that another still holds is no answer yet.
+// repeat makes a call until it is answered, beside the others.
 func (r *readback) repeat(ctx context.Context, do func() *history.Call) {
-	r.tasks.Go(func() {
-		begin := r.play.recorder.clock()
-		for {
-			call := do()
-			since := call.Received - begin
-			isAnswer := call.Status == http.StatusOK || call.Status == http.StatusNotFound || call.Status == http.StatusGone
-			if isAnswer || since > readbackTimeout {
-				r.record(call, since, isAnswer)
-				return
-			}
-			if !pause(ctx, readbackInterval) {
-				return
-			}
+	r.tasks.Go(func() { r.await(ctx, do) })
+}
+
+// await makes a call until it is answered. It returns false where no answer comes.
+func (r *readback) await(ctx context.Context, do func() *history.Call) bool {
+	begin := r.play.recorder.clock()
+	for {
+		call := do()
+		since := call.Received - begin
+		if isAnswer(call) || since > readbackTimeout {
+			r.record(call, since, isAnswer(call))
+			return isAnswer(call)
 		}
-	})
+		if !pause(ctx, readbackInterval) {
+			return false
+		}
+	}
 }
 
-func (r *readback) record(call *history.Call, since time.Duration, isAnswer bool) {
+func (r *readback) record(call *history.Call, since time.Duration, answered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.worst = max(r.worst, since)
-	if !isAnswer {
+	if !answered {
 		r.unanswered = append(r.unanswered, call.String())
 	}
 }
