--- a/internal/lab/cli/coordination.go
+++ b/internal/lab/cli/coordination.go
@@ -27,7 +27,7 @@
 	Duration time.Duration `help:"Time for which faults begin, for each seed." default:"12s"`
 	Pinelb   string        `type:"path" help:"The router's program; beside this one, or found by PATH, if left out."`
 	Out      string        `type:"path" help:"Folder for the results, histories and logs of seeds that break a rule; a new one below the system's folder for temporary files, if left out." placeholder:"FOLDER"`
-	Disks    string        `type:"path" help:"Folder for the routers' disks, as /dev/shm; below --out if left out." placeholder:"FOLDER"`
+	Disks    string        `type:"path" help:"Folder for the routers' disks, for example one in memory; below --out if left out." placeholder:"FOLDER"`
 	Keep     bool          `help:"Keep them for every seed."`
 
 	mu     sync.Mutex
