Warn of contracts in force that the program does not serve

Cause: the settings named coord, and the program ignored it in silence: the class of the incident's fault. Change: unknown contracts are named in a warning at the start.

--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -138,6 +138,9 @@
 // start binds the internal address, starts the replica, reads the state on the disk, and then serves: first other routers, then the
 // control API, the readiness probe and clients.
 func (r *Router) start() error {
+	if unknown := r.settings.UnknownContracts(); len(unknown) > 0 {
+		r.log.Warn("contracts are in force that this program does not serve", zap.Strings("contracts", unknown))
+	}
 	var err error
 	r.transport, err = transport.Listen(r.address(), fleetID(r.settings), r.receive)
 	if err != nil {
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -42,14 +42,6 @@
 	Contracts []string // contracts: the parts of the rules that are in force
 }
 
-// coordinationContract is in force where applications call for locks, counters and cells.
-const coordinationContract = "coord"
-
-// ServesCoordination reports whether applications may call for locks, counters, cells and watches.
-func (s *Settings) ServesCoordination() bool {
-	return slices.Contains(s.Contracts, coordinationContract)
-}
-
 // PortRange has the first and last port, both inclusive, for what routers send each other. Its form by package fmt goes into the
 // number that tells fleets apart on the wire (package router), so that fields must not be added.
 type PortRange struct{ First, Last int }
