Reject names of locks, numbers and cells that are not UTF-8

Cause: a name in a call's path may hold any bytes, and CBOR encodes them all but decodes only UTF-8. Other machines dropped such a message, the rest of its batch with it; and an acceptor that got it from its own machine's proposer stored a record that it could not read again.

Change: such a name is answered 400.

--- a/internal/fleet/control/coordination.go
+++ b/internal/fleet/control/coordination.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/gorilla/mux"
 
@@ -244,8 +245,8 @@
 // readName returns the name in a call's path.
 func readName(r *http.Request) (string, error) {
 	id := mux.Vars(r)["id"]
-	if id == "" || len(id) > maxNameBytes {
-		return "", badField("name", "is empty, or longer than "+strconv.Itoa(maxNameBytes)+" bytes")
+	if id == "" || len(id) > maxNameBytes || !utf8.ValidString(id) { // CBOR decodes no other text
+		return "", badField("name", "is empty, longer than "+strconv.Itoa(maxNameBytes)+" bytes, or not UTF-8")
 	}
 	return id, nil
 }
--- a/internal/fleet/control/coordination_test.go
+++ b/internal/fleet/control/coordination_test.go
@@ -222,11 +222,17 @@
 			{"POST", "/cells/" + longName + "/replace", `{"value":"v"}`, "name"},
 			{"GET", "/cells/" + longName + "/read", "", "name"},
 			{"GET", "/watch/" + longName, "", "name"},
+			{"POST", "/locks/%ff/begin", `{"holder":"a","holdMs":1}`, "name"},
+			{"POST", "/numbers/n%c0%80", `{}`, "name"},
+			{"POST", "/cells/g.%ff/replace", `{"value":"v"}`, "name"},
+			{"GET", "/cells/g.%ff/read", "", "name"},
+			{"GET", "/watch/%ff", "", "name"},
 			{"GET", "/watch/g.?sinceRevision=x", "", "sinceRevision"},
 			{"GET", "/watch/g.?sinceRevision=-1", "", "sinceRevision"},
 			{"GET", "/watch/g.?sinceRevision=9223372036854775808", "", "sinceRevision"},
 			{"GET", "/watch/g.?sinceRevision=1&waitMs=1.5", "", "waitMs"},
 			{"GET", "/watch/g.?sinceRevision=1&waitMs=-1", "", "waitMs"},
+			{"GET", "/watch/g.?sinceRevision=1&waitMs=9223372036854775808", "", "waitMs"},
 		} {
 			coordinator := answering(coordination.Result{Outcome: coordination.Done})
 			answer := coordinator.call(c.method, c.path, c.body)
