Decode records and messages of more than 131,072 registers

Cause: CBOR decodes arrays of at most 131,072 elements by default, and encodes longer ones. A compacted log of more names could not be read at the next start, and the machines that are to take the registers over could not decode them.

Change: coordinator.Decode has no such bound; the store and the router's messages use it. A body is bounded by the transport.

--- a/internal/fleet/coordinator/messages.go
+++ b/internal/fleet/coordinator/messages.go
@@ -1,8 +1,12 @@
 package coordinator
 
 import (
+	"math"
+	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"pinelb.example/pinelb/internal/fleet/coordination"
 	"pinelb.example/pinelb/internal/fleet/register"
 )
@@ -22,3 +26,15 @@
 	Certainty register.Certainty  `cbor:"2,keyasint"`
 	Result    coordination.Result `cbor:"3,keyasint"`
 }
+
+// decoding takes as many registers as a machine holds; the default ends at 131,072.
+var decoding = sync.OnceValues(cbor.DecOptions{MaxArrayElements: math.MaxInt32}.DecMode)
+
+// Decode decodes a message of this package or of package register, or a record of the log.
+func Decode(encoded []byte, value any) error {
+	mode, err := decoding()
+	if err != nil {
+		return err
+	}
+	return mode.Unmarshal(encoded, value)
+}
--- a/internal/fleet/coordinator/store.go
+++ b/internal/fleet/coordinator/store.go
@@ -58,7 +58,7 @@
 			encoded, s.records = record.Snapshot, nil
 		}
 		if encoded != nil {
-			if err := cbor.Unmarshal(encoded, &changed); err != nil {
+			if err := Decode(encoded, &changed); err != nil {
 				return err
 			}
 		}
--- a/internal/fleet/coordinator/store_test.go
+++ b/internal/fleet/coordinator/store_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
@@ -169,3 +170,25 @@
 		}
 	})
 }
+
+// Guards against a log that can't be read again because it holds very many registers.
+func TestStoreOfManyNames(t *testing.T) {
+	Convey("A store of more registers than CBOR decodes by default is read back", t, func() {
+		const names = 131_072 + 1
+		directory := t.TempDir()
+		s, err := openStore(storeOptions(directory, testAddress))
+		So(err, ShouldBeNil)
+		defer s.close()
+		all := make([]register.Stored, names)
+		So(s.replace(s.hardState, all), ShouldBeNil)
+		again, err := openStore(storeOptions(directory))
+		So(err, ShouldBeNil)
+		So(len(again.records[0]), ShouldEqual, names)
+
+		encoded, err := cbor.Marshal(&register.Collected{Epoch: 2, Registers: all})
+		So(err, ShouldBeNil)
+		var collected register.Collected
+		So(Decode(encoded, &collected), ShouldBeNil)
+		So(len(collected.Registers), ShouldEqual, names)
+	})
+}
--- a/internal/fleet/router/coordination.go
+++ b/internal/fleet/router/coordination.go
@@ -5,8 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/fxamacker/cbor/v2"
-
 	"pinelb.example/pinelb/internal/fleet/control"
 	"pinelb.example/pinelb/internal/fleet/coordination"
 	"pinelb.example/pinelb/internal/fleet/coordinator"
@@ -111,7 +109,7 @@
 		return nil
 	}
 	message := newCoordinationMessage(p.Kind)
-	if err := cbor.Unmarshal(p.Body, message); err != nil {
+	if err := coordinator.Decode(p.Body, message); err != nil {
 		return err
 	}
 	c.service.Receive(p.From, p.Nonce, message)
