--- a/internal/fleet/router/coordination_test.go
+++ b/internal/fleet/router/coordination_test.go
@@ -28,17 +28,18 @@
 
 // testCore is a core of routers on loopback addresses that serves applications.
 type testCore struct {
-	folder  string
-	size    int
-	cancels []context.CancelFunc
-	routers []*Router
-	tasks   sync.WaitGroup
-	client  *http.Client
+	folder    string
+	size      int
+	contracts string
+	cancels   []context.CancelFunc
+	routers   []*Router
+	tasks     sync.WaitGroup
+	client    *http.Client
 }
 
 func newTestCore(folder string, size int) *testCore {
 	return &testCore{
-		folder: folder, size: size, cancels: make([]context.CancelFunc, size), routers: make([]*Router, size),
+		folder: folder, size: size, contracts: "base,coord", cancels: make([]context.CancelFunc, size), routers: make([]*Router, size),
 		client: &http.Client{Timeout: time.Second},
 	}
 }
@@ -51,8 +52,8 @@
 		seeds = append(seeds, fmt.Sprintf("%s:%d", c.ip(seed), testControlPort))
 	}
 	return fmt.Sprintf("nodeName=r%d\nip=%s\nzone=z%d\nregion=r\nzones.z0=r\nzones.z1=r\nzones.z2=r\nbootstrap=%v\ncountsForQuorum=true\n"+
-		"listen.control=%s:%d\nportRange=%d,%d\nseeds=%s\nfaultTolerance.machines=2\nbounds.graceS=1\ncontracts=base,coord\nbounds.historyS=20\ndataDir=%s\n",
-		i, c.ip(i), i%3, bootstrap, c.ip(i), testControlPort, testInternalPort, testInternalPort, strings.Join(seeds, ","), c.directory(i))
+		"listen.control=%s:%d\nportRange=%d,%d\nseeds=%s\nfaultTolerance.machines=2\nbounds.graceS=1\ncontracts=%s\nbounds.historyS=20\ndataDir=%s\n",
+		i, c.ip(i), i%3, bootstrap, c.ip(i), testControlPort, testInternalPort, testInternalPort, strings.Join(seeds, ","), c.contracts, c.directory(i))
 }
 
 func (c *testCore) directory(i int) string { return filepath.Join(c.folder, fmt.Sprint(i)) }
@@ -197,3 +198,55 @@
 		}
 	})
 }
+
+// Guards against an operators' page that is wrong where more disks are lost than may be.
+func TestRegistersBeginAnew(t *testing.T) {
+	Convey("A core of five that has lost three disks is not sure of anything", t, func() {
+		core := newTestCore(t.TempDir(), 5)
+		core.startAll(true)
+		Reset(core.killAll)
+		core.call("POST", "/cells/g1.a/replace", `{"value":"v1"}`, 200)
+		core.awaitAcceptors()
+		core.killAll()
+		for i := range 3 {
+			So(os.RemoveAll(core.directory(i)), ShouldBeNil)
+		}
+		core.startAll(false)
+		core.call("GET", "/cells/g1.a/read", "", 504)
+
+		Convey("and serves again, without what it had, once all its disks are empty and it starts as at first", func() {
+			core.killAll()
+			for i := range core.size {
+				So(os.RemoveAll(core.directory(i)), ShouldBeNil)
+			}
+			core.startAll(true)
+			core.call("GET", "/cells/g1.a/read", "", 404)
+			core.awaitAcceptors()
+		})
+	})
+}
+
+// Guards against an operators' page that is wrong on how the service is switched on.
+func TestServiceIsSwitchedOn(t *testing.T) {
+	Convey("A core of five that was started without the service has no acceptors", t, func() {
+		core := newTestCore(t.TempDir(), 5)
+		core.contracts = "base"
+		core.startAll(true)
+		Reset(core.killAll)
+		core.call("POST", "/numbers/n1", `{}`, 404)
+		core.killAll()
+		core.contracts = "base,coord"
+		core.startAll(false)
+		core.call("POST", "/numbers/n1", `{}`, 504)
+
+		Convey("and serves once its registers begin anew", func() {
+			core.killAll()
+			for i := range core.size {
+				So(os.RemoveAll(filepath.Join(core.directory(i), "registers")), ShouldBeNil)
+			}
+			core.startAll(true)
+			core.call("POST", "/numbers/n1", `{}`, 200)
+			core.awaitAcceptors()
+		})
+	})
+}
