--- a/internal/fleet/register/carry_over.go
+++ b/internal/fleet/register/carry_over.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -49,28 +50,37 @@
 	}
 }
 
-// wasReady reports whether this acceptor took part in the epoch before the present one: its own registers count.
-func (a *Acceptor) wasReady() bool {
-	return slices.Contains(a.hardState.Config.Previous, a.hardState.Self) && a.hardState.ReadyEpoch == a.hardState.Config.Epoch-1
-}
+// wasReady reports whether this acceptor took part in the epoch before one.
+func (a *Acceptor) wasReady(epoch uint64) bool { return a.hardState.ReadyEpoch+1 >= epoch }
 
+// hasCollected reports whether a majority of the former acceptors is sealed, this one among them where it was one: what was chosen in their
+// epoch is among their registers. What was chosen before it is known to each of them that took part, and so one of these has to be among
+// them. The others may be former acceptors that the change overtook before they had collected: they accepted nothing in that epoch.
 func (a *Acceptor) hasCollected() bool {
-	count := len(a.collected)
-	if a.wasReady() {
-		count++
+	sealed, ready := len(a.collected), 0
+	for _, answer := range a.collected {
+		if answer.Ready {
+			ready++
+		}
 	}
-	return count >= majority(a.hardState.Config.Previous)
+	if slices.Contains(a.hardState.Config.Previous, a.hardState.Self) {
+		sealed++
+		if a.wasReady(a.hardState.Config.Epoch) {
+			ready++
+		}
+	}
+	return sealed >= majority(a.hardState.Config.Previous) && ready > 0
 }
 
-// onCollect answers with all registers, where this acceptor took part in the epoch before the collector's. Adopting the collector's
-// acceptors has sealed it: the write is durable before the answer is sent.
+// onCollect answers with all registers, where this is a former acceptor. Adopting the collector's acceptors has sealed it: the write is
+// durable before the answer is sent.
 func (a *Acceptor) onCollect(now time.Duration, from replication.Replica, m *Collect) {
 	a.adopt(m.Config)
-	if !slices.Contains(m.Config.Previous, a.hardState.Self) || a.hardState.ReadyEpoch+1 < m.Config.Epoch {
+	if !slices.Contains(m.Config.Previous, a.hardState.Self) {
 		return
 	}
 	registers := slices.DeleteFunc(a.Snapshot(now), func(s Stored) bool { return s.Name.Kind == coordination.KindDecision })
-	a.send(from.Address, &Collected{Epoch: m.Config.Epoch, Registers: registers})
+	a.send(from.Address, &Collected{Epoch: m.Config.Epoch, Registers: registers, Ready: a.wasReady(m.Config.Epoch)})
 }
 
 func (a *Acceptor) onCollected(_ time.Duration, from replication.Replica, m *Collected) {
@@ -82,9 +92,11 @@
 // merge takes over the newest version of each register, and takes part from then on. Promises of former epochs mean nothing in this one:
 // their ballots are lower than all of its own.
 func (a *Acceptor) merge(now time.Duration) {
-	for _, answer := range a.collected {
-		for i := range answer.Registers {
-			a.mergeRegister(now, &answer.Registers[i])
+	for _, former := range a.hardState.Config.Previous { // in their order, so that a simulation replays
+		if answer := a.collected[former]; answer != nil {
+			for i := range answer.Registers {
+				a.mergeRegister(now, &answer.Registers[i])
+			}
 		}
 	}
 	for name := range a.registers {
@@ -97,7 +109,7 @@
 	w := a.persist()
 	w.Replace = true
 	w.Changed = a.Snapshot(now)
-	for address := range a.early {
+	for _, address := range slices.Sorted(maps.Keys(a.early)) {
 		a.send(address, &Hello{Config: a.hardState.Config, ReadyEpoch: a.hardState.ReadyEpoch})
 	}
 	clear(a.early)
