Settle a change of acceptors that one acceptor has accepted

Cause: a proposal of the next acceptors that reached one acceptor only stayed there. It could be found and decided at any later time, also when machines that it names had lost their disks and nobody wanted it any more. A set that named the former disk of a sixth machine was decided when two disks were lost at once: three of its five acceptors did not exist, no majority of it took part, and every register was gone for good.

Change: the first live acceptor asks every 2 s what is decided, by a Decide without a value (AskDue, AskNext). As every round does, it has a majority accept the newest state: the proposal is decided while its machines are there, or never. Where nothing has changed, the round writes nothing. The coordinator does not decode an empty answer.

Package coordinator has no tests of its own here; it was built and vetted only.

--- a/internal/fleet/coordination/operation.go
+++ b/internal/fleet/coordination/operation.go
@@ -14,7 +14,7 @@
 	Put                                // of a cell
 	Get                                // of a cell
 	Watch                              // of a group
-	Decide                             // of a decision
+	Decide                             // of a decision; without a value it only asks
 )
 
 // Operation is what a caller asks of a name. Repeating one is safe: see State.Execute.
--- a/internal/fleet/coordination/state.go
+++ b/internal/fleet/coordination/state.go
@@ -128,7 +128,7 @@
 }
 
 func (s *State) decide(op *Operation, change *Change) Result {
-	if s.decision.Value == "" {
+	if s.decision.Value == "" && op.Value != "" {
 		s.decision.Value = op.Value
 		decision := s.decision
 		change.Decision = &decision
--- a/internal/fleet/coordinator/proposer_loop.go
+++ b/internal/fleet/coordinator/proposer_loop.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"pinelb.example/pinelb/internal/fleet/coordination"
 	"pinelb.example/pinelb/internal/fleet/register"
 	"pinelb.example/pinelb/internal/fleet/replication"
 )
@@ -228,28 +229,37 @@
 	}
 }
 
-// plan has the present acceptors decide the next ones, where this machine is to propose them.
+// plan has the present acceptors decide the next ones, where this machine is to propose them, or asks whether they have.
 func (l *proposerLoop) plan(now time.Duration, status AcceptorStatus) {
-	next, ok := l.planner.Next(now, l.proposer.Config(), status.Self)
-	if !ok || l.deciding != 0 {
+	config := l.proposer.Config()
+	next, ok := l.planner.Next(now, config, status.Self)
+	if l.deciding != 0 {
 		return
 	}
-	operation, err := register.DecideNext(next)
-	if err != nil {
-		l.service.options.Log.Error("can't encode the next acceptors", zap.Error(err))
+	var operation coordination.Operation
+	switch {
+	case ok:
+		var err error
+		if operation, err = register.DecideNext(next); err != nil {
+			l.service.options.Log.Error("can't encode the next acceptors", zap.Error(err))
+			return
+		}
+		l.service.options.Log.Info("changing the acceptors", zap.Uint64("epoch", next.Epoch), zap.Any("acceptors", next.Acceptors),
+			zap.Any("former", next.Previous))
+	case l.planner.AskDue(now, config, status.Self):
+		operation = register.AskNext(config.Epoch)
+	default:
 		return
 	}
 	l.lastID++
 	l.deciding = l.lastID
-	l.service.options.Log.Info("changing the acceptors", zap.Uint64("epoch", next.Epoch), zap.Any("acceptors", next.Acceptors),
-		zap.Any("former", next.Previous))
 	l.execute(l.proposer.Submit(now, &register.Call{ID: l.deciding, Operation: operation, Deadline: now + decideTimeout}))
 }
 
 // onDecided takes over the acceptors that were decided, and tells the others.
 func (l *proposerLoop) onDecided(c register.Completion) {
 	l.deciding = 0
-	if c.Certainty != register.Decided {
+	if c.Certainty != register.Decided || c.Result.Value == "" {
 		return
 	}
 	next, err := register.DecodeConfig(c.Result.Value)
--- a/internal/fleet/register/planner.go
+++ b/internal/fleet/register/planner.go
@@ -16,6 +16,7 @@
 	candidateTimeout = 1200 * time.Millisecond // without a Hello, after which a machine is not made an acceptor
 	minConfigAge     = time.Second             // between changes of the acceptors
 	plannerStagger   = 700 * time.Millisecond  // between the first live acceptor that proposes a change, and the next one
+	askInterval      = 2 * time.Second         // between questions whether the next acceptors are decided
 	minAcceptors     = 3                       // where there are as many machines: one may freeze also where none may be lost
 )
 
@@ -27,6 +28,7 @@
 	epoch       uint64
 	wantedSince time.Duration
 	wanted      bool
+	nextAsk     time.Duration
 }
 
 // sighting is the last that was heard of a machine.
@@ -66,6 +68,15 @@
 	return Config{Epoch: config.Epoch + 1, Acceptors: acceptors, Previous: config.Acceptors}, true
 }
 
+// AskDue reports whether this machine should now ask what the present acceptors have decided: see AskNext. Only the first live one asks.
+func (p *Planner) AskDue(now time.Duration, config Config, self replication.Replica) bool {
+	if config.Epoch == 0 || now < p.nextAsk || p.rank(now, config, self) != 0 {
+		return false
+	}
+	p.nextAsk = now + askInterval
+	return true
+}
+
 func (p *Planner) track(now time.Duration, config Config) {
 	if config.Epoch != p.epoch {
 		p.epoch, p.configSince, p.wanted = config.Epoch, now, false
@@ -182,6 +193,13 @@
 	return coordination.Operation{Kind: coordination.Decide, Name: name, Value: string(encoded)}, nil
 }
 
+// AskNext returns the operation that asks what the present acceptors have decided about the next ones; an empty value: nothing. It settles a
+// proposal that only some acceptor has accepted: either it is decided now, while the machines that it names are there, or never. One that
+// stayed could be decided when the disks of those are long lost.
+func AskNext(epoch uint64) coordination.Operation {
+	return coordination.Operation{Kind: coordination.Decide, Name: nextConfigName(epoch)}
+}
+
 // DecodeConfig decodes a decided value.
 func DecodeConfig(value string) (Config, error) {
 	var c Config
--- a/internal/fleet/register/planner_test.go
+++ b/internal/fleet/register/planner_test.go
@@ -191,6 +191,25 @@
 	})
 }
 
+// Guards against a proposal that stays half decided, and against questions of all machines at once.
+func TestPlannerAsks(t *testing.T) {
+	Convey("The first live acceptor asks what is decided, at intervals; no other does", t, func() {
+		c := newPlannedCore(oneMachine, 3, "a", "b", "c", "d")
+		for address, asks := range map[string]int{"a": 5, "b": 0, "d": 0} {
+			c.planner.nextAsk = 0
+			asked := 0
+			for range 100 {
+				c.pass(100*time.Millisecond, address)
+				if c.planner.AskDue(c.now, c.config, replication.Replica{Address: address}) {
+					asked++
+				}
+			}
+			So(asked, ShouldEqual, asks)
+		}
+		So(c.planner.AskDue(c.now, Config{}, replication.Replica{Address: "a"}), ShouldBeFalse)
+	})
+}
+
 // Guards against a decided value that another machine can't read.
 func TestDecidedAcceptorsAreRead(t *testing.T) {
 	Convey("What is decided is read as it was proposed", t, func() {
--- a/internal/fleet/register/planted_test.go
+++ b/internal/fleet/register/planted_test.go
@@ -54,8 +54,8 @@
 		{Original: "for _, e := range g.events {\n\t\tevent := e.Event", Mutated: "for _, e := range g.events[:0] {\n\t\tevent := e.Event"}}},
 }
 
-// plantedInScripts are mistakes that take too rare a course of events for a simulation, found by the scripts of carry_over_test.go and
-// rounds_test.go.
+// plantedInScripts are mistakes that take too rare a course of events for a simulation, found by the scripts of carry_over_test.go,
+// rounds_test.go and half_decided_test.go.
 var plantedInScripts = map[string]mutation.Mutant{
 	"a former acceptor that is not sealed": {File: "carry_over.go", Edits: []mutation.Edit{{
 		Original: "a.adopt(m.Config)\n\tif !slices", Mutated: "if !slices"}}},
@@ -65,13 +65,15 @@
 		Original: "sealed >= majority(a.hardState.Config.Previous) && ready > 0", Mutated: "sealed > 0 && ready > 0"}}},
 	"acknowledgements of a former trip": {File: "rounds.go", Edits: []mutation.Edit{{
 		Original: "m.Trip != r.trip || m.Version != r.version", Mutated: "m.Version != r.version"}}},
+	"a proposal that stays half decided": {File: "planner.go", Edits: []mutation.Edit{{
+		Original: "p.nextAsk = now + askInterval\n\treturn true", Mutated: "return false"}}},
 	"a former acceptor that was overtaken is silent": {File: "carry_over.go", Edits: []mutation.Edit{{
 		Original: "if !slices.Contains(m.Config.Previous, a.hardState.Self) {", Mutated: "if !slices.Contains(m.Config.Previous, a.hardState.Self) || !a.wasReady(m.Config.Epoch) {"}}},
 }
 
 // Guards against scripts that would find nothing whatever is wrong.
 func TestScriptsFindPlantedMistakes(t *testing.T) {
-	mutation.ExpectAllKilled(t, plantedInScripts, "^Test(Acceptor|Proposer)", "--- FAIL")
+	mutation.ExpectAllKilled(t, plantedInScripts, "^Test(Acceptor|Proposer|SimulationOutlives)", "--- FAIL")
 }
 
 // Guards against a simulation that would find nothing whatever is wrong.
--- a/internal/fleet/register/simulation_change_test.go
+++ b/internal/fleet/register/simulation_change_test.go
@@ -49,21 +49,25 @@
 	return noStep
 }
 
-// plan has the present acceptors decide the next ones, where this machine is to propose them.
+// plan has the present acceptors decide the next ones, where this machine is to propose them, or asks whether they have.
 func (m *machine) plan(now time.Duration) {
-	next, ok := m.planner.Next(now, m.proposer.Config(), m.acceptor.HardState().Self)
-	if !ok || m.deciding != 0 {
+	config, self := m.proposer.Config(), m.acceptor.HardState().Self
+	next, ok := m.planner.Next(now, config, self)
+	if m.deciding != 0 || !ok && !m.planner.AskDue(now, config, self) {
 		return
 	}
-	operation, err := DecideNext(next)
-	if err != nil {
-		panic(err)
+	operation := AskNext(config.Epoch)
+	if ok {
+		var err error
+		if operation, err = DecideNext(next); err != nil {
+			panic(err)
+		}
+		m.sim.logEvent("%s wants %v in epoch %d", m.address, next.Acceptors, next.Epoch)
 	}
 	m.lastID++
 	m.deciding = m.lastID
-	m.sim.logEvent("%s wants %v in epoch %d", m.address, next.Acceptors, next.Epoch)
 	m.execute(m.proposer.Submit(now, &Call{ID: m.deciding, Operation: operation, Deadline: now + decideTimeout}))
-	if m.sim.isArmed(proposesNext) {
+	if ok && m.sim.isArmed(proposesNext) {
 		m.losePower(proposesNext, "after its proposal")
 	}
 }
@@ -71,7 +75,7 @@
 // onDecided takes over the acceptors that were decided, and tells the others.
 func (m *machine) onDecided(c Completion) {
 	m.deciding = 0
-	if c.Certainty != Decided {
+	if c.Certainty != Decided || c.Result.Value == "" {
 		return
 	}
 	next, err := DecodeConfig(c.Result.Value)
