--- a/internal/fleet/register/rounds.go
+++ b/internal/fleet/register/rounds.go
@@ -77,7 +77,8 @@
 		}
 	}
 	var value *coordination.Change
-	for _, progress := range r.progress {
+	for _, acceptor := range p.config.Acceptors { // in their order, so that a simulation replays: ages in copies of one version differ
+		progress := r.progressOf(acceptor)
 		if progress.promise == nil {
 			continue
 		}
