--- a/internal/fleet/register/simulation_change_test.go
+++ b/internal/fleet/register/simulation_change_test.go
@@ -62,6 +62,7 @@
 		if operation, err = DecideNext(next); err != nil {
 			panic(err)
 		}
+		m.sim.proposed = append(m.sim.proposed, next)
 		m.sim.logEvent("%s wants %v in epoch %d", m.address, next.Acceptors, next.Epoch)
 	}
 	m.lastID++
--- a/internal/fleet/register/simulation_machine_test.go
+++ b/internal/fleet/register/simulation_machine_test.go
@@ -133,6 +133,7 @@
 func (m *machine) wipe(span time.Duration) {
 	s := m.sim
 	s.lossBudget--
+	s.lastLoss = s.now
 	s.lost[m.disk.hardState.Self] = true
 	s.logEvent("%s loses its disk, %v, ready in epoch %d", m.address, m.disk.hardState.Self, m.disk.hardState.ReadyEpoch)
 	m.disk.format(InitialHardState(m.address, s.nonce(), nil))
