Play short histories and long values in the soak

No play was long enough for events to be forgotten (the bound of 20 s and its margin of 10 s), or for a log of registers to be compacted (256 KB). Half of the scripts now keep events for 1 s, and two of three have a group of keys with values of 1,000 or 8,000 bytes.

--- a/internal/lab/coordination/fleet.go
+++ b/internal/lab/coordination/fleet.go
@@ -13,12 +13,11 @@
 )
 
 const (
-	historySeconds = 20 // for which events are kept
-	zones          = 3
-	seedCount      = 3
-	lockPort       = 18079 // who listens there has the addresses 127.a.b.*
-	lockHost       = 250
-	maxDraws       = 200
+	zones     = 3
+	seedCount = 3
+	lockPort  = 18079 // who listens there has the addresses 127.a.b.*
+	lockHost  = 250
+	maxDraws  = 200
 )
 
 // fleet is the machines of a play.
@@ -55,7 +54,7 @@
 		seeds = append(seeds, m.control)
 	}
 	for i, m := range f.machines {
-		m.settings = machineSettings(m, i%zones, seeds, script.GraceS, controlPort, internalPort)
+		m.settings = machineSettings(m, script, i%zones, seeds, controlPort, internalPort)
 	}
 	return f, nil
 }
--- a/internal/lab/coordination/history/call.go
+++ b/internal/lab/coordination/history/call.go
@@ -79,7 +79,7 @@
 		fmt.Fprintf(&b, " holder=%s holdMs=%d fence=%d", c.Holder, c.HoldMs, c.Fence)
 	}
 	if c.Value != "" {
-		fmt.Fprintf(&b, " value=%s", c.Value)
+		fmt.Fprintf(&b, " value=%s", short(c.Value))
 	}
 	if c.IfRevision != nil {
 		fmt.Fprintf(&b, " ifRevision=%d", *c.IfRevision)
@@ -94,8 +94,8 @@
 	if c.Revision != 0 {
 		fmt.Fprintf(&b, " revision=%d", c.Revision)
 	}
-	if len(c.Events) > 0 {
-		fmt.Fprintf(&b, " events=%v", c.Events)
+	for _, e := range c.Events {
+		fmt.Fprintf(&b, " {%s %s %d}", e.Name, short(e.Value), e.Revision)
 	}
 	if c.Note != "" {
 		fmt.Fprintf(&b, " (%s)", c.Note)
@@ -103,6 +103,17 @@
 	return b.String()
 }
 
+// maxShown bounds how much of a value is shown.
+const maxShown = 40
+
+// short returns a value as it is shown.
+func short(value string) string {
+	if len(value) <= maxShown {
+		return value
+	}
+	return value[:maxShown] + "..."
+}
+
 // groupOf returns the group of a key, dot included, or the key where it has no dot.
 func groupOf(key string) string {
 	if before, _, found := strings.Cut(key, "."); found {
--- a/internal/lab/coordination/history/cells.go
+++ b/internal/lab/coordination/history/cells.go
@@ -24,16 +24,16 @@
 		p := g.puts[putIdentity{s.Name, s.Value}]
 		switch {
 		case p == nil || p.sent() > s.by.Received:
-			c.broken(Mixed, []*Call{s.by}, "%s shows %q, which nobody has put there", s.Name, s.Value)
+			c.broken(Mixed, []*Call{s.by}, "%s shows %q, which nobody has put there", s.Name, short(s.Value))
 			continue
 		case p.rejected != nil:
-			c.broken(Refused, []*Call{p.rejected, s.by}, "%s shows %q, whose put was rejected", s.Name, s.Value)
+			c.broken(Refused, []*Call{p.rejected, s.by}, "%s shows %q, whose put was rejected", s.Name, short(s.Value))
 		}
 		switch {
 		case p.revision == 0:
 			p.revision, p.shown = s.Revision, s.by.Received
 		case p.revision != s.Revision:
-			c.broken(Mixed, []*Call{p.calls[0], s.by}, "%s shows %q under the revisions %d and %d", s.Name, s.Value, p.revision, s.Revision)
+			c.broken(Mixed, []*Call{p.calls[0], s.by}, "%s shows %q under the revisions %d and %d", s.Name, short(s.Value), p.revision, s.Revision)
 		}
 		p.shown = min(p.shown, s.by.Received)
 	}
--- a/internal/lab/coordination/machine.go
+++ b/internal/lab/coordination/machine.go
@@ -112,11 +112,12 @@
 func (m *machine) wipe() error { return os.RemoveAll(m.disk) }
 
 // machineSettings returns the settings of a machine but for "bootstrap".
-func machineSettings(m *machine, zone int, seeds []string, graceS, controlPort, internalPort int) string {
+func machineSettings(m *machine, script *Script, zone int, seeds []string, controlPort, internalPort int) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "nodeName=%s\nip=%s\nzone=z%d\nregion=r\nzones.z0=r\nzones.z1=r\nzones.z2=r\n", m.name, m.ip, zone)
 	fmt.Fprintf(&b, "listen.control=%s:%d\nportRange=%d,%d\nseeds=%s\n", m.ip, controlPort, internalPort, internalPort, strings.Join(seeds, ","))
-	fmt.Fprintf(&b, "faultTolerance.machines=%d\nbounds.graceS=%d\ncontracts=base,coord\nbounds.historyS=%d\n", tolerated, graceS, historySeconds)
+	fmt.Fprintf(&b, "faultTolerance.machines=%d\nbounds.graceS=%d\ncontracts=base,coord\nbounds.historyS=%d\n", tolerated, script.GraceS,
+		script.HistoryS)
 	if m.disk != "" {
 		fmt.Fprintf(&b, "countsForQuorum=true\ndataDir=%s\n", m.disk)
 	}
--- a/internal/lab/coordination/play.go
+++ b/internal/lab/coordination/play.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,6 +15,9 @@
 // afterLast is how long the callers go on after the last fault.
 const afterLast = time.Second
 
+// bulkGroup is the group whose values are long.
+const bulkGroup = "bulk."
+
 // Options are a play's.
 type Options struct {
 	Program  string // pinelb's
@@ -24,9 +28,9 @@
 }
 
 // names are what the callers call.
-type names struct{ locks, counters, keys, groups []string }
+type names struct{ locks, counters, keys, groups, bulk []string }
 
-func newNames() (n names) {
+func newNames(script *Script) (n names) {
 	for i := range 5 {
 		n.locks = append(n.locks, fmt.Sprint("l", i))
 	}
@@ -36,6 +40,9 @@
 		n.groups = append(n.groups, group)
 		for k := range 4 {
 			n.keys = append(n.keys, fmt.Sprint(group, "k", k))
+			if script.BulkBytes > 0 {
+				n.bulk = append(n.bulk, fmt.Sprint(bulkGroup, "k", i*4+k))
+			}
 		}
 	}
 	return n
@@ -63,7 +70,8 @@
 	if err := errors.Join(os.MkdirAll(options.Folder, 0o750), os.MkdirAll(options.Disks, 0o750)); err != nil {
 		return nil, err
 	}
-	p := &play{options: options, script: NewScript(options.Seed, options.Duration), names: newNames()}
+	p := &play{options: options, script: NewScript(options.Seed, options.Duration)}
+	p.names = newNames(p.script)
 	var err error
 	if p.fleet, err = newFleet(p.script, options); err != nil {
 		return nil, err
@@ -148,6 +156,13 @@
 		p.watchers = append(p.watchers, w)
 		start(w.run)
 	}
+	if len(p.names.bulk) > 0 {
+		start((&writer{caller: p.newCaller("bulk-writer"), keys: p.names.bulk, padding: strings.Repeat("x", p.script.BulkBytes)}).run)
+		start((&reader{caller: p.newCaller("bulk-reader"), keys: p.names.bulk}).run)
+		w := &watcher{caller: p.newCaller("bulk-watcher"), group: bulkGroup}
+		p.watchers = append(p.watchers, w)
+		start(w.run)
+	}
 	for i := range 4 {
 		v := &visitor{caller: p.newCaller(fmt.Sprint("visitor-", i))}
 		p.visitors = append(p.visitors, v)
@@ -160,5 +175,5 @@
 
 // history returns what the callers saw.
 func (p *play) history() *history.History {
-	return &history.History{Calls: p.recorder.calls, History: historySeconds * time.Second}
+	return &history.History{Calls: p.recorder.calls, History: time.Duration(p.script.HistoryS) * time.Second}
 }
--- a/internal/lab/coordination/readback.go
+++ b/internal/lab/coordination/readback.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,7 +39,7 @@
 		c := r.caller(fmt.Sprint("readback-counter-", i))
 		r.repeat(ctx, func() *history.Call { return c.do(&history.Call{Kind: history.Increment, Name: counter}, 0) })
 	}
-	for i, key := range r.play.names.keys {
+	for i, key := range slices.Concat(r.play.names.keys, r.play.names.bulk) {
 		c := r.caller(fmt.Sprint("readback-key-", i))
 		r.repeat(ctx, func() *history.Call { return c.do(&history.Call{Kind: history.Get, Name: key}, 0) })
 	}
--- a/internal/lab/coordination/result.go
+++ b/internal/lab/coordination/result.go
@@ -127,7 +127,8 @@
 // Write prints the result.
 func (r *Result) Write(w io.Writer) {
 	s := r.Script
-	fmt.Fprintf(w, "seed %d: %d core machines, %d forwarders, faults %s", s.Seed, s.Core, s.Forwarders, countsText(r.Faults))
+	fmt.Fprintf(w, "seed %d: %d core machines, %d forwarders, history %d s, long values %d B, faults %s", s.Seed, s.Core, s.Forwarders, s.HistoryS, s.BulkBytes,
+		countsText(r.Faults))
 	if len(r.Passed) > 0 {
 		fmt.Fprintf(w, ", passed over %s", countsText(r.Passed))
 	}
--- a/internal/lab/coordination/script.go
+++ b/internal/lab/coordination/script.go
@@ -47,6 +47,8 @@
 	Core       int           `json:"core"`       // machines with a disk
 	Forwarders int           `json:"forwarders"` // machines without
 	GraceS     int           `json:"graceS"`     // until a silent machine counts as gone
+	HistoryS   int           `json:"historyS"`   // for which events are kept at least
+	BulkBytes  int           `json:"bulkBytes"`  // of each value of one group, so that logs are compacted; 0: there is no such group
 	Duration   time.Duration `json:"duration"`
 	Faults     []Fault       `json:"faults"`
 }
@@ -57,6 +59,8 @@
 	s := &Script{
 		Seed: seed, Core: minCore + max(0, random.IntN(2*maxMoreCore+1)-maxMoreCore), Forwarders: 1 + random.IntN(maxForwarders), GraceS: 1 + random.IntN(3), Duration: duration,
 	}
+	s.HistoryS = []int{1, 20}[random.IntN(2)]
+	s.BulkBytes = []int{0, 1000, 8000}[random.IntN(3)]
 	lastBlackout := time.Duration(0)
 	for at := warmUp; at < duration; at += between(random, 100*time.Millisecond, 1300*time.Millisecond) {
 		f := Fault{At: at, Kind: drawKind(random), AfterAck: random.IntN(2) == 0}
--- a/internal/lab/coordination/value_callers.go
+++ b/internal/lab/coordination/value_callers.go
@@ -41,9 +41,10 @@
 // writer puts values, each once, and repeats a put without a clear answer.
 type writer struct {
 	*caller
-	keys  []string
-	known map[string]uint64 // the revisions of keys, as it knows them
-	puts  int
+	keys    []string
+	padding string            // of each value
+	known   map[string]uint64 // the revisions of keys, as it knows them
+	puts    int
 }
 
 func (w *writer) run(ctx context.Context) {
@@ -65,7 +66,7 @@
 
 func (w *writer) put(ctx context.Context, key string) {
 	w.puts++
-	value := fmt.Sprint(w.name, "-", w.puts)
+	value := fmt.Sprint(w.name, "-", w.puts, w.padding)
 	var condition *uint64
 	if w.random.IntN(4) > 0 {
 		revision := w.known[key]
