Freeze machines for less than a call's time in the soak

A machine that wakes within the time of the calls that wait for it may answer from a state that others have changed. Half of the freezes now last 250 to 900 ms, and twice as many readers read.

--- a/internal/lab/coordination/play.go
+++ b/internal/lab/coordination/play.go
@@ -148,6 +148,8 @@
 	}
 	for i := range 4 {
 		start((&counter{caller: p.newCaller(fmt.Sprint("counter-", i)), counters: p.names.counters}).run)
+	}
+	for i := range 8 {
 		start((&reader{caller: p.newCaller(fmt.Sprint("reader-", i)), keys: p.names.keys}).run)
 	}
 	for i := range 6 {
--- a/internal/lab/coordination/script.go
+++ b/internal/lab/coordination/script.go
@@ -26,6 +26,8 @@
 	minCore         = 5
 	maxMoreCore     = 3
 	maxForwarders   = 3
+	minTakeover     = 250 * time.Millisecond
+	maxTakeover     = 900 * time.Millisecond
 	longShare       = 5 // one of so many faults lasts longer, by longTime
 	longTime        = 3 * time.Second
 	blackoutSpacing = 5 * time.Second
@@ -85,7 +87,7 @@
 	weights := []struct {
 		kind   FaultKind
 		weight int
-	}{{Kill, 5}, {Wipe, 5}, {Freeze, 5}, {Stop, 3}, {Hangup, 1}, {Stall, 2}, {Blackout, 2}}
+	}{{Kill, 5}, {Wipe, 5}, {Freeze, 8}, {Stop, 3}, {Hangup, 1}, {Stall, 2}, {Blackout, 2}}
 	total := 0
 	for _, w := range weights {
 		total += w.weight
@@ -107,6 +109,11 @@
 		f.For += longTime
 	}
 	switch f.Kind {
+	case Freeze:
+		f.Machines = []int{random.IntN(s.Core + s.Forwarders)}
+		if random.IntN(2) == 0 { // it wakes with calls that wait for it, and others decide its names meanwhile
+			f.For = between(random, minTakeover, maxTakeover)
+		}
 	case Stall:
 		f.For = between(random, 100*time.Millisecond, 1500*time.Millisecond)
 		f.Machines = random.Perm(s.Core)
