--- a/internal/lab/coordination/script.go
+++ b/internal/lab/coordination/script.go
@@ -26,6 +26,8 @@
 	minCore         = 5
 	maxMoreCore     = 3
 	maxForwarders   = 3
+	minTakeover     = 250 * time.Millisecond
+	maxTakeover     = 900 * time.Millisecond
 	longShare       = 5 // one of so many faults lasts longer, by longTime
 	longTime        = 3 * time.Second
 	blackoutSpacing = 5 * time.Second
@@ -47,6 +49,8 @@
 	Core       int           `json:"core"`       // machines with a disk
 	Forwarders int           `json:"forwarders"` // machines without
 	GraceS     int           `json:"graceS"`     // until a silent machine counts as gone
+	HistoryS   int           `json:"historyS"`   // for which events are kept at least
+	BulkBytes  int           `json:"bulkBytes"`  // of each value of one group, so that logs are compacted; 0: there is no such group
 	Duration   time.Duration `json:"duration"`
 	Faults     []Fault       `json:"faults"`
 }
@@ -57,6 +61,8 @@
 	s := &Script{
 		Seed: seed, Core: minCore + max(0, random.IntN(2*maxMoreCore+1)-maxMoreCore), Forwarders: 1 + random.IntN(maxForwarders), GraceS: 1 + random.IntN(3), Duration: duration,
 	}
+	s.HistoryS = []int{1, 20}[random.IntN(2)]
+	s.BulkBytes = []int{0, 1000, 8000}[random.IntN(3)]
 	lastBlackout := time.Duration(0)
 	for at := warmUp; at < duration; at += between(random, 100*time.Millisecond, 1300*time.Millisecond) {
 		f := Fault{At: at, Kind: drawKind(random), AfterAck: random.IntN(2) == 0}
@@ -81,7 +87,7 @@
 	weights := []struct {
 		kind   FaultKind
 		weight int
-	}{{Kill, 5}, {Wipe, 5}, {Freeze, 5}, {Stop, 3}, {Hangup, 1}, {Stall, 2}, {Blackout, 2}}
+	}{{Kill, 5}, {Wipe, 5}, {Freeze, 8}, {Stop, 3}, {Hangup, 1}, {Stall, 2}, {Blackout, 2}}
 	total := 0
 	for _, w := range weights {
 		total += w.weight
@@ -103,6 +109,11 @@
 		f.For += longTime
 	}
 	switch f.Kind {
+	case Freeze:
+		f.Machines = []int{random.IntN(s.Core + s.Forwarders)}
+		if random.IntN(2) == 0 { // it wakes with calls that wait for it, and others decide its names meanwhile
+			f.For = between(random, minTakeover, maxTakeover)
+		}
 	case Stall:
 		f.For = between(random, 100*time.Millisecond, 1500*time.Millisecond)
 		f.Machines = random.Perm(s.Core)
