Pin what the soak's test plays

The test's seed drew no lost disk any more once the draws had changed. TestPlayedScript now fails where the script of TestPlayKeepsRules has no kill, lost disk, freeze or blackout of the core, long values and a short history; the seed is 1320.

--- a/internal/lab/coordination/play_test.go
+++ b/internal/lab/coordination/play_test.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	testSeed     = 24 // its script kills, freezes and wipes machines, and freezes three of five before the last blackout
+	testSeed     = 1320 // its script has what TestPlayedScript asks for
 	testDuration = 6 * time.Second
 )
 
@@ -43,6 +43,20 @@
 	}
 }
 
+// TestPlayedScript guards against a script of TestPlayKeepsRules that a change of the draws has emptied.
+func TestPlayedScript(t *testing.T) {
+	s := NewScript(testSeed, testDuration)
+	for _, kind := range []FaultKind{Kill, Wipe, Freeze, Blackout} {
+		isPlayed := func(f Fault) bool { return f.Kind == kind && f.Machines[0] < s.Core && f.At < testDuration }
+		if !slices.ContainsFunc(s.Faults, isPlayed) {
+			t.Errorf("the script has no %s of a core machine: choose another seed", kind)
+		}
+	}
+	if last := s.Faults[len(s.Faults)-1]; len(last.Frozen) <= tolerated || s.BulkBytes == 0 || s.HistoryS != 1 {
+		t.Errorf("the script has no blackout at the end while most of the core is frozen, no long values or no short history: choose another seed")
+	}
+}
+
 // testDisks returns a folder in memory, where there is one: a killed process loses nothing there, and syncs take no time.
 func testDisks(t *testing.T) string {
 	t.Helper()
