Share the order of replicas, and hold the planner's script to the stricter rule

The planner waits until all live acceptors take part, or 6 s for a majority; its script had expected the majority alone. Package register's own copies of two functions of package replication are gone.

--- a/internal/fleet/register/planner.go
+++ b/internal/fleet/register/planner.go
@@ -1,7 +1,6 @@
 package register
 
 import (
-	"cmp"
 	"encoding/json"
 	"slices"
 	"strings"
@@ -74,7 +73,7 @@
 func (p *Planner) Next(now time.Duration, config Config, self replication.Replica) (next Config, ok bool) {
 	p.track(now, config)
 	acceptors := p.chooseAcceptors(now, config)
-	if config.Epoch == 0 || sameReplicas(acceptors, config.Acceptors) {
+	if config.Epoch == 0 || replication.SameReplicas(acceptors, config.Acceptors) {
 		p.wanted = false
 		return Config{}, false
 	}
@@ -169,7 +168,7 @@
 			candidates = append(candidates, seen.hello.Self)
 		}
 	}
-	slices.SortFunc(candidates, compareReplicas)
+	slices.SortFunc(candidates, replication.CompareReplicas)
 	return candidates
 }
 
@@ -199,17 +198,6 @@
 	return count
 }
 
-func compareReplicas(a, b replication.Replica) int {
-	return cmp.Or(strings.Compare(a.Address, b.Address), cmp.Compare(a.Nonce, b.Nonce))
-}
-
-func sameReplicas(a, b []replication.Replica) bool {
-	a, b = slices.Clone(a), slices.Clone(b)
-	slices.SortFunc(a, compareReplicas)
-	slices.SortFunc(b, compareReplicas)
-	return slices.Equal(a, b)
-}
-
 // DecideNext returns the operation by which the present acceptors decide the next ones. Its result's value is what they decided: this
 // proposal, or an earlier one.
 func DecideNext(next Config) (coordination.Operation, error) {
--- a/internal/fleet/register/planner_test.go
+++ b/internal/fleet/register/planner_test.go
@@ -162,10 +162,22 @@
 			_, ok = c.pass(200*time.Millisecond, "a")
 			So(ok, ShouldBeTrue)
 		})
-		Convey("until a majority takes part", func() {
+		Convey("until all live acceptors take part", func() {
 			c := newPlannedCore(twoMachines, 3, "a", "b", "c", "d")
 			c.hellos["b"].ReadyEpoch, c.hellos["c"].ReadyEpoch = 0, 0
-			_, ok := c.pass(5*time.Second, "a")
+			_, ok := c.pass(4*time.Second, "a")
+			So(ok, ShouldBeFalse)
+			c.hellos["c"].ReadyEpoch = 1
+			_, ok = c.pass(time.Second, "a")
+			So(ok, ShouldBeFalse)
+			c.hellos["b"].ReadyEpoch = 1
+			_, ok = c.pass(100*time.Millisecond, "a")
+			So(ok, ShouldBeTrue)
+		})
+		Convey("until a majority takes part, where one is late for long", func() {
+			c := newPlannedCore(twoMachines, 3, "a", "b", "c", "d")
+			c.hellos["b"].ReadyEpoch, c.hellos["c"].ReadyEpoch = 0, 0
+			_, ok := c.pass(2*carryOverTimeout, "a")
 			So(ok, ShouldBeFalse)
 			c.hellos["c"].ReadyEpoch = 1
 			_, ok = c.pass(100*time.Millisecond, "a")
--- a/internal/fleet/replication/composition.go
+++ b/internal/fleet/replication/composition.go
@@ -139,7 +139,7 @@
 	if a, b := c.view.HasMember(r), c.view.HasMember(other); a != b {
 		return b
 	}
-	return compareReplicas(r, other) > 0
+	return CompareReplicas(r, other) > 0
 }
 
 // trim removes witnesses beyond the target, and one more where an even number would be left, as long as copies on the
--- a/internal/fleet/replication/peers.go
+++ b/internal/fleet/replication/peers.go
@@ -92,7 +92,7 @@
 func (n *Node) joiningReplicas() []Replica {
 	joining := slices.Collect(maps.Keys(n.peers.joinRequests))
 	joining = slices.DeleteFunc(joining, func(r Replica) bool { return !n.hasJoinRequest(r) || n.hardState.View.HasWitness(r) })
-	slices.SortFunc(joining, compareReplicas)
+	slices.SortFunc(joining, CompareReplicas)
 	return joining
 }
 
--- a/internal/fleet/replication/types.go
+++ b/internal/fleet/replication/types.go
@@ -13,7 +13,8 @@
 	Nonce   uint64 `cbor:"2,keyasint"`
 }
 
-func compareReplicas(a, b Replica) int {
+// CompareReplicas orders replicas by address, and those of one machine by nonce.
+func CompareReplicas(a, b Replica) int {
 	return cmp.Or(strings.Compare(a.Address, b.Address), cmp.Compare(a.Nonce, b.Nonce))
 }
 
@@ -49,7 +50,7 @@
 func (b Ballot) isZero() bool { return b.Round == 0 }
 
 func (b Ballot) compare(other Ballot) int {
-	return cmp.Or(cmp.Compare(b.Round, other.Round), compareReplicas(b.Proposer, other.Proposer))
+	return cmp.Or(cmp.Compare(b.Round, other.Round), CompareReplicas(b.Proposer, other.Proposer))
 }
 
 func (b Ballot) less(other Ballot) bool { return b.compare(other) < 0 }
@@ -93,9 +94,9 @@
 // union returns the replicas of two lists, each once, sorted.
 func union(a, b []Replica) []Replica {
 	all := slices.Concat(a, b)
-	slices.SortFunc(all, compareReplicas)
+	slices.SortFunc(all, CompareReplicas)
 	return slices.Compact(all)
 }
 
-// sameReplicas reports whether two lists hold the same replicas, in whatever order.
-func sameReplicas(a, b []Replica) bool { return slices.Equal(union(a, nil), union(b, nil)) }
+// SameReplicas reports whether two lists hold the same replicas, in whatever order.
+func SameReplicas(a, b []Replica) bool { return slices.Equal(union(a, nil), union(b, nil)) }
--- a/internal/fleet/replication/view_change.go
+++ b/internal/fleet/replication/view_change.go
@@ -88,5 +88,5 @@
 		return false
 	}
 	isNewMember := func(r Replica) bool { return !view.HasMember(r) }
-	return len(members) > len(view.Members) || slices.ContainsFunc(members, isNewMember) || !sameReplicas(witnesses, view.Witnesses)
+	return len(members) > len(view.Members) || slices.ContainsFunc(members, isNewMember) || !SameReplicas(witnesses, view.Witnesses)
 }
