Have proposers of one name give way sooner, and acceptors propose a change less at once

A rejection by one of three was waited out for 60 ms, since the two lost ones might still have promised, and the three were 0.7 s apart with 0.8 s for each attempt. A ballot that is rejected while it is prepared is now given up at once, with a random pause of up to 250 ms; acceptors propose 1.5 s apart, counted over those that were heard.

--- a/internal/fleet/register/planner.go
+++ b/internal/fleet/register/planner.go
@@ -16,7 +16,7 @@
 	identityInterval = 300 * time.Millisecond  // between two Hellos of a new identity, before it takes the place of one that was just heard
 	carryOverTimeout = 6 * time.Second         // after which acceptors that are not ready don't hold up the next change
 	minConfigAge     = time.Second             // between changes of the acceptors
-	plannerStagger   = 700 * time.Millisecond  // between the first live acceptor that proposes a change, and the next one
+	plannerStagger   = 1500 * time.Millisecond // between the first live acceptor that proposes a change, and the next one
 	askInterval      = 2 * time.Second         // between questions whether the next acceptors are decided
 	minAcceptors     = 3                       // where there are as many machines: one may freeze also where none may be lost
 )
@@ -104,7 +104,7 @@
 
 // rank returns this machine's place among the live acceptors, which propose one after the other; -1: it is none.
 func (p *Planner) rank(now time.Duration, config Config, self replication.Replica) int {
-	live := slices.DeleteFunc(slices.Clone(config.Acceptors), func(r replication.Replica) bool { return !p.isFit(now, r) })
+	live := slices.DeleteFunc(slices.Clone(config.Acceptors), func(r replication.Replica) bool { return !p.isHeard(r) || !p.isFit(now, r) })
 	slices.SortFunc(live, func(a, b replication.Replica) int { return strings.Compare(a.Address, b.Address) })
 	return slices.Index(live, self)
 }
@@ -125,13 +125,19 @@
 	return ready >= majority(config.Acceptors) && (waiting == 0 || now-p.configSince >= carryOverTimeout)
 }
 
+// isHeard reports whether an acceptor was the last that was heard of its machine.
+func (p *Planner) isHeard(r replication.Replica) bool {
+	seen, known := p.sightings[r.Address]
+	return known && seen.hello.Self == r
+}
+
 // isFit reports whether an acceptor need not be replaced.
 func (p *Planner) isFit(now time.Duration, r replication.Replica) bool {
 	seen, known := p.sightings[r.Address]
 	if !known {
 		return now-p.configSince < acceptorTimeout
 	}
-	return seen.hello.Self == r && seen.hello.Votes && !seen.hello.Leaving && now-seen.at < acceptorTimeout
+	return p.isHeard(r) && seen.hello.Votes && !seen.hello.Leaving && now-seen.at < acceptorTimeout
 }
 
 // chooseAcceptors replaces acceptors whose disk was lost by what came back at their address, then unfit ones, and fills up to the target.
--- a/internal/fleet/register/proposer.go
+++ b/internal/fleet/register/proposer.go
@@ -14,7 +14,7 @@
 	retransmitInterval    = 60 * time.Millisecond // before acceptors that have not answered are asked again; doubles each time
 	maxRetransmitInterval = 240 * time.Millisecond
 	minBackoff            = 4 * time.Millisecond // after a rejection by another proposer's ballot; grows with each
-	maxBackoff            = 64 * time.Millisecond
+	maxBackoff            = 250 * time.Millisecond
 	maxBackoffDoublings   = 8
 	maxQueue              = 512 // calls that wait for one name
 	maxWaiters            = 4096
--- a/internal/fleet/register/rounds.go
+++ b/internal/fleet/register/rounds.go
@@ -34,8 +34,8 @@
 	}
 	progress := r.progressOf(from)
 	if r.ballot.less(m.Promised) {
-		progress.rejected = true
-		p.checkRejections(now, r)
+		p.backOff(now, r)
+		p.advance(now, r)
 		return
 	}
 	progress.promise = m
@@ -52,7 +52,7 @@
 	}
 }
 
-// checkRejections gives a ballot up where no majority is left that may take part in it.
+// checkRejections gives a ballot up whose round no majority is left for.
 func (p *Proposer) checkRejections(now time.Duration, r *proposedRegister) {
 	if len(p.config.Acceptors)-r.rejected() >= majority(p.config.Acceptors) {
 		return
@@ -61,7 +61,7 @@
 	p.advance(now, r)
 }
 
-// backOff leaves the name to the other proposer for a random time.
+// backOff leaves the name to the other proposer for a random time, the longer the more often this has happened.
 func (p *Proposer) backOff(now time.Duration, r *proposedRegister) {
 	r.rejections++
 	limit := min(maxBackoff, minBackoff<<min(r.rejections, maxBackoffDoublings))
