Read a router's status over its address in the tests of a whole core

The product reads it only in handlers, which are served after the start.

Change: the tests ask the status address, as an operator would; what they wait for is the same.

Measured: the tests of a whole core eight times under the race detector, no report.

--- a/internal/fleet/router/coordination_test.go
+++ b/internal/fleet/router/coordination_test.go
@@ -17,6 +17,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 	"go.uber.org/zap"
 
+	"pinelb.example/pinelb/internal/fleet/coordinator"
 	"pinelb.example/pinelb/internal/fleet/settings"
 )
 
@@ -109,13 +110,27 @@
 	return nil
 }
 
+// coordinationStatus asks a router, as an operator would: its own fields are set while it starts. nil: it does not answer.
+func (c *testCore) coordinationStatus(i int) *coordinator.Status {
+	response, err := c.client.Get(fmt.Sprintf("http://%s:%d%s", c.ip(i), testInternalPort, statusPath))
+	if err != nil {
+		return nil
+	}
+	defer response.Body.Close()
+	var status Status
+	if json.NewDecoder(response.Body).Decode(&status) != nil {
+		return nil
+	}
+	return status.Coordination
+}
+
 // awaitAcceptors waits until each router's acceptor takes part: so many may be lost again as are tolerated.
 func (c *testCore) awaitAcceptors() {
 	deadline := time.Now().Add(testPatience)
 	for time.Now().Before(deadline) {
 		ready := 0
-		for _, r := range c.routers {
-			if status := r.coordination.status(); status != nil && status.Ready && len(status.Acceptors) == c.size {
+		for i := range c.routers {
+			if status := c.coordinationStatus(i); status != nil && status.Ready && len(status.Acceptors) == c.size {
 				ready++
 			}
 		}
