--- a/review/standins/early.go
+++ b/review/standins/early.go
@@ -63,25 +63,31 @@
 	}
 	time.Sleep(2 * time.Second)
 	runsPath := filepath.Join(e.dir, "runs.txt")
-	var killed sync.Map
 	stop := make(chan struct{})
 	defer close(stop)
 	if crash && e.trouble {
-		go e.killAfterRun(runsPath, endpoints, &killed, stop)
+		go e.killAfterRun(runsPath, endpoints, stop)
 	}
-	body := bytes.Repeat([]byte("0123456789abcdef"), 4_000_000/16)
+	body := bytes.Repeat([]byte("0123456789abcdef"), 4<<20/16) // maxBodyBytes
 	answers := map[string]*answer{}
-	count := 6
+	rounds, machines := 4, f.machines
 	if crash {
-		count = 1
+		rounds, machines = 1, machines[:1]
 	}
-	for i := range count {
-		id := fmt.Sprintf("9c41d07be2a3%04d", i)
-		m := f.machines[i%len(f.machines)]
-		a := send(f.frontOf(m), "POST", "/pule252/2f", host, id, key, timeout, nil, body)
-		e.record.printf("client: POST %s to %s, %d bytes, deadline %v: after %v %v", id, m.name, len(body), timeout, a.took.Round(time.Millisecond), a)
-		answers[id] = a
-		time.Sleep(200 * time.Millisecond)
+	for round := range rounds {
+		var mu sync.Mutex
+		var wait sync.WaitGroup
+		for i, m := range machines {
+			id := fmt.Sprintf("9c41d07be2%03d%03d", round, i)
+			wait.Go(func() {
+				a := send(f.frontOf(m), "POST", "/pule252/2f", host, id, key, timeout, nil, body)
+				e.record.printf("client: POST %s to %s, %d bytes, deadline %v: after %v %v", id, m.name, len(body), timeout, a.took.Round(time.Millisecond), a)
+				mu.Lock()
+				defer mu.Unlock()
+				answers[id] = a
+			})
+		}
+		wait.Wait()
 	}
 	time.Sleep(3 * time.Second)
 	e.copyRuns()
@@ -107,7 +113,7 @@
 }
 
 // killAfterRun kills the first endpoint that has answered a request early, 50 ms later.
-func (e *environment) killAfterRun(path string, endpoints []*exec.Cmd, killed *sync.Map, stop <-chan struct{}) {
+func (e *environment) killAfterRun(path string, endpoints []*exec.Cmd, stop <-chan struct{}) {
 	for {
 		select {
 		case <-stop:
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"syscall"
 	"time"
 )
@@ -32,6 +33,7 @@
 }
 
 func main() {
+	runtime.LockOSThread() // the kernel ends the started processes when this thread ends
 	if len(os.Args) == 3 && os.Args[1] == "endpoint" {
 		if err := runEndpoint(os.Args[2]); err != nil {
 			fmt.Fprintln(os.Stderr, err)
