review: the loss of one disk ends the coordination service for good (LOST); cases in order of gravity

Cause: an acceptor that changes its epoch is sent all registers of another in one message, and the transport drops a body over 32 MB, so that no acceptor becomes ready again.

--- a/review/standins/fleet.go
+++ b/review/standins/fleet.go
@@ -79,8 +79,9 @@
 bounds.again_s=10
 `
 
-// newFleet prepares machines, three of which count for the quorum, in three zones. extra is more lines of settings.
-func newFleet(r *record, root, dir string, machines int, contracts, extra string) (*fleet, error) {
+// newFleet prepares machines in three zones, the first of which count for the quorum and have a disk. extra is more lines of
+// settings.
+func newFleet(r *record, root, dir string, machines, counting int, contracts, extra string) (*fleet, error) {
 	f := &fleet{record: r, root: root, dir: dir}
 	var ips []string
 	for i := range machines {
@@ -106,7 +107,7 @@
 		}
 		fmt.Fprintf(&b, "listen.front=%s:%d\nlisten.ready=%s:%d\nlisten.control=%s:%d\nportRange=%d,%d\n", ip, f.front, ip, f.ready, ip, f.control, f.internal, f.internal+15)
 		fmt.Fprintf(&b, "seeds=%s\nbootstrap=true\ncontracts=%s\n", strings.Join(seeds, ","), contracts)
-		if i < 3 {
+		if i < counting {
 			data := filepath.Join(dir, m.name+".data")
 			if err := os.MkdirAll(data, 0o755); err != nil {
 				return nil, err
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -30,6 +30,8 @@
 	"early-crash": func(e *environment) error { return runEarly(e, true) },
 	"upload":      runUpload,
 	"last-tenant": runLastTenant,
+	"two-disks":   runTwoDisks,
+	"cells":       runCells,
 }
 
 func main() {
@@ -91,7 +93,7 @@
 
 // startFleet starts three machines and, in the zone of each, one endpoint of the service "rig".
 func (e *environment) startFleet(mode string, laterMs int) (*fleet, []*exec.Cmd, error) {
-	f, err := newFleet(e.record, e.root, e.dir, 3, "base,drain,config,cost,retry,recover,engine,stream,tenants,quota", "")
+	f, err := newFleet(e.record, e.root, e.dir, 3, 3, "base,drain,config,cost,retry,recover,engine,stream,tenants,quota", "")
 	if err != nil {
 		return nil, nil, err
 	}
