--- a/review/standins/cells.go
+++ b/review/standins/cells.go
@@ -50,7 +50,13 @@
 // runCells fills keys with values and takes the disk of one machine.
 func runCells(e *environment) error {
 	const groups, keysOfGroup = 10, 30
-	const putsPerSecond, duration = 65, 33 * time.Second
+	const putsPerSecond = 65
+	duration := 33 * time.Second
+	if text := os.Getenv("LOAD_S"); text != "" { // to see how the disks fill
+		if n, err := strconv.Atoi(text); err == nil {
+			duration = time.Duration(n) * time.Second
+		}
+	}
 	const keysRead = 6
 	valueBytes := 16 << 10
 	if text := os.Getenv("VALUE_BYTES"); text != "" { // to see from which size on
