--- a/review/standins/early.go
+++ b/review/standins/early.go
@@ -68,27 +68,11 @@
 	if crash && e.trouble {
 		go e.killAfterRun(runsPath, endpoints, stop)
 	}
-	body := bytes.Repeat([]byte("0123456789abcdef"), 4<<20/16) // maxBodyBytes
-	answers := map[string]*answer{}
 	rounds, machines := 4, f.machines
 	if crash {
 		rounds, machines = 1, machines[:1]
 	}
-	for round := range rounds {
-		var mu sync.Mutex
-		var wait sync.WaitGroup
-		for i, m := range machines {
-			id := fmt.Sprintf("9c41d07be2%03d%03d", round, i)
-			wait.Go(func() {
-				a := send(f.frontOf(m), "POST", "/pule252/2f", host, id, key, timeout, nil, body)
-				e.record.printf("client: POST %s to %s, %d bytes, deadline %v: after %v %v", id, m.name, len(body), timeout, a.took.Round(time.Millisecond), a)
-				mu.Lock()
-				defer mu.Unlock()
-				answers[id] = a
-			})
-		}
-		wait.Wait()
-	}
+	answers := e.sendLong(f, machines, rounds, timeout)
 	time.Sleep(3 * time.Second)
 	e.copyRuns()
 	runs := parseRuns(runsPath)
@@ -112,6 +96,28 @@
 	return nil
 }
 
+// sendLong sends requests with bodies of maxBodyBytes, one to each machine at a time, and returns the answers by id.
+func (e *environment) sendLong(f *fleet, machines []*machine, rounds int, timeout time.Duration) map[string]*answer {
+	body := bytes.Repeat([]byte("0123456789abcdef"), 4<<20/16)
+	answers := map[string]*answer{}
+	for round := range rounds {
+		var mu sync.Mutex
+		var wait sync.WaitGroup
+		for i, m := range machines {
+			id := fmt.Sprintf("9c41d07be2%03d%03d", round, i)
+			wait.Go(func() {
+				a := send(f.frontOf(m), "POST", "/pule252/2f", host, id, key, timeout, nil, body)
+				e.record.printf("client: POST %s to %s, %d bytes, deadline %v: after %v %v", id, m.name, len(body), timeout, a.took.Round(time.Millisecond), a)
+				mu.Lock()
+				defer mu.Unlock()
+				answers[id] = a
+			})
+		}
+		wait.Wait()
+	}
+	return answers
+}
+
 // killAfterRun kills the first endpoint that has answered a request early, 50 ms later.
 func (e *environment) killAfterRun(path string, endpoints []*exec.Cmd, stop <-chan struct{}) {
 	for {
