Take only an unwritten request for one that has not run

Cause: upstream.RoundTrip took every error of the write as NeverSent, by 'its last byte was not written'. A host may begin at the head. Change: connections count the bytes of a request that were written; 0 is the only proof. Zero values of Proof and outcome prove nothing; an attempt may have run from its beginning until its outcome proves the contrary. The response to a message over 16 KiB is read beside its writing and relayed at once; the host gets the rest for 10 s, 32 MiB in all, before the connection is used again. Why it works: no caller states a proof any more, it is read from the count. Tests: TestEndpointRunsRequestBeforeItReadsBody fails before (503 for 200, 504, 502, 200 and for 502 or 504 of a safe one), as do the proof's rows for 1, 99 and 100 bytes. TestNotSentStatus, TestUploadEndedEarly ('hung up') and TestUploadOfDisconnectedClient asserted that a request of which a part was sent never ran: replaced by the contrary, for each way to send.

--- a/internal/fleet/proxy/attempt.go
+++ b/internal/fleet/proxy/attempt.go
@@ -40,14 +40,12 @@
 
 // classifyError returns the outcome of an exchange that failed before the head of its response was read.
 func (f *forwarding) classifyError(wait *firstTokenWait, proof upstream.Proof) outcome {
-	sent := proof != upstream.NeverSent
-	f.mayHaveRun = f.mayHaveRun || sent
 	if f.request.http.Context().Err() != nil {
 		return clientClosed
 	}
 	dispatcher, endpoint := f.server.dispatcher, wait.placement.Endpoint
 	abandoned := wait.isAbandoned() // this router cancelled the attempt, and has reported it as overdue
-	if !sent {
+	if proof == upstream.NeverSent {
 		if !abandoned {
 			dispatcher.recordConnectFailure(endpoint)
 		}
@@ -67,7 +65,6 @@
 		dispatcher.recordFailure(endpoint)
 		return notExecuted, false
 	}
-	f.mayHaveRun = true
 	if isSuccess(reply.Status) && reply.Header.Get(headerSignature) == "" {
 		dispatcher.recordFailure(endpoint)
 		return unanswered, false
--- a/internal/fleet/proxy/forward.go
+++ b/internal/fleet/proxy/forward.go
@@ -21,7 +21,7 @@
 	tried       []string // ids of the endpoints of all attempts
 	attempts    int      // number of attempts that reached an endpoint
 	unreachable int      // number of attempts that did not reach an endpoint
-	mayHaveRun  bool     // an endpoint may have run the request
+	unproven    int      // number of attempts that are not proved not to have run the request
 
 	retryWithdrawn        bool // a retry was withdrawn from the budget, for an attempt that has not yet reached an endpoint
 	rerouteRetryWithdrawn bool // the current attempt was abandoned for an overdue first token, and a retry withdrawn for the next one
@@ -38,9 +38,9 @@
 		if placed == nil {
 			break
 		}
-		f.tried = append(f.tried, placed.Endpoint.ID)
+		f.beginAttempt(placed)
 		result := f.attempt(ctx, placed)
-		f.recordOutcome(result)
+		f.endAttempt(result)
 		switch result {
 		case completed:
 			s.Served.Add(1)
@@ -85,8 +85,20 @@
 	return !route.Idempotent() || f.attempts+1 >= route.AttemptLimit()
 }
 
-// recordOutcome updates the counts of attempts, and the withdrawn retries, after an attempt.
-func (f *forwarding) recordOutcome(result outcome) {
+// beginAttempt records an attempt, which may run the request from now on.
+func (f *forwarding) beginAttempt(placed *placement.Placement) {
+	f.tried = append(f.tried, placed.Endpoint.ID)
+	f.unproven++
+}
+
+// mayHaveRun reports whether an endpoint may have run the request. It is false only if each attempt is proved not to have run it.
+func (f *forwarding) mayHaveRun() bool { return f.unproven > 0 }
+
+// endAttempt updates the counts of attempts, and the withdrawn retries, after an attempt.
+func (f *forwarding) endAttempt(result outcome) {
+	if result.provesNotExecuted() {
+		f.unproven--
+	}
 	if result == notSent {
 		f.unreachable++
 		if f.rerouteRetryWithdrawn {
@@ -102,7 +114,7 @@
 // exhausted reports whether the request must not be sent to a further endpoint.
 func (f *forwarding) exhausted() bool {
 	route := f.request.route
-	return f.unreachable > maxUnreachableEndpoints || f.attempts >= route.AttemptLimit() || f.mayHaveRun && !route.Idempotent()
+	return f.unreachable > maxUnreachableEndpoints || f.attempts >= route.AttemptLimit() || f.mayHaveRun() && !route.Idempotent()
 }
 
 // refundUnusedRetry returns a withdrawn retry to the budget if its attempt has reached no endpoint.
@@ -128,7 +140,7 @@
 		s.Truncated.Add(1)
 		panic(http.ErrAbortHandler) // closes the connection, so that the client detects the truncation
 	}
-	if !f.mayHaveRun {
+	if !f.mayHaveRun() {
 		s.refund(q)
 		s.reject(f.response.writer, http.StatusServiceUnavailable, shortRetryAfter)
 		return
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -22,6 +22,7 @@
 	idleSince   time.Time     // zero: it has carried no request yet
 	maxIdle     time.Duration // by the host's Keep-Alive header; 0: it states none
 	connectTime time.Duration // how long the TCP handshake took, as an estimate of the round-trip time
+	written     int           // bytes of the present request that were handed to the connection
 
 	headLimit     *io.LimitedReader // HTTP: how many bytes of the present heads are still read
 	namesRequests bool              // HTTP: the host's responses name their requests
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,10 +51,11 @@
 	startTime   time.Time // the epoch of the handshake limiters
 	phaseSeed   uint64    // of this process, for the phases of its handshake limiters
 	preconnects sync.WaitGroup
+	lateWrites  lateWrites
 
 	mu             sync.Mutex
 	handshakeLimit pacing.HandshakeLimit // the zero value is no bound
-	stopped        bool                  // no preconnect begins any more
+	stopped        bool                  // no preconnect and no late write begins any more
 	open           int                   // connections, those being opened included
 	hosts          map[balance.EndpointID]*host
 }
@@ -63,7 +64,8 @@
 // connection open.
 func NewPool(connectTimeout, connIdle time.Duration, maxOpen int) *Pool {
 	return &Pool{connectTimeout: connectTimeout, maxIdle: time.Duration(idleTimeoutFraction * float64(connIdle)), maxOpen: maxOpen,
-		now: time.Now, startTime: time.Now(), phaseSeed: rand.Uint64(), hosts: map[balance.EndpointID]*host{}}
+		now: time.Now, startTime: time.Now(), phaseSeed: rand.Uint64(), hosts: map[balance.EndpointID]*host{},
+		lateWrites: lateWrites{timeout: lateWriteTimeout, conns: map[*conn]bool{}}}
 }
 
 // SetTimeouts takes over changed settings, as NewPool has them.
@@ -136,10 +138,12 @@
 }
 
 // Sweep closes unusable idle connections every sweepInterval, until ctx ends: those that have been idle for too long, and
-// those that the host has closed, whose descriptors would be held for nothing. It returns when all preconnects have ended.
+// those that the host has closed, whose descriptors would be held for nothing. It returns when all preconnects and late writes have
+// ended.
 func (p *Pool) Sweep(ctx context.Context) {
 	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
+	defer p.stopLateWrites()
 	defer p.stopPreconnects()
 	for {
 		select {
@@ -256,6 +260,7 @@
 // release makes a connection idle, or hands it to a waiter. It closes it where the host was removed or has another address.
 func (p *Pool) release(c *conn) {
 	c.releaseReader()
+	c.written = 0
 	p.mu.Lock()
 	h := p.hosts[c.endpoint]
 	if h == nil || h.addr != c.addr {
--- a/internal/upstream/request.go
+++ b/internal/upstream/request.go
@@ -117,12 +117,12 @@
 	defer stop()
 	if _, err := c.Write(message); err != nil {
 		p.discard(c)
-		return notSentStatus(ctx, err)
+		return c.failureStatus(ctx, err)
 	}
 	status, then, err := read()
 	if err != nil {
 		p.discard(c)
-		return noResponseStatus(ctx, err)
+		return c.failureStatus(ctx, err)
 	}
 	return p.dispose(c, !stop(), then, status)
 }
@@ -141,8 +141,7 @@
 	return status
 }
 
-// notSentStatus is the outcome of a request whose last byte was not written. Whatever went wrong, that proves that the
-// request never ran.
+// notSentStatus is the outcome of a request of which nothing was sent. Whatever went wrong, it never ran.
 func notSentStatus(ctx context.Context, err error) balance.Status {
 	switch {
 	case ctx.Err() != nil:
@@ -153,9 +152,11 @@
 	return balance.ConnectFailed
 }
 
-// noResponseStatus is the outcome of a request that was written to its end and got no response: it may have run.
-func noResponseStatus(ctx context.Context, err error) balance.Status {
+// failureStatus is the outcome of a request that got no response on its connection.
+func (c *conn) failureStatus(ctx context.Context, err error) balance.Status {
 	switch {
+	case c.proof() == NeverSent:
+		return notSentStatus(ctx, err)
 	case ctx.Err() != nil:
 		return balance.Cancelled
 	case errors.Is(err, errMalformedResponse):
--- a/internal/upstream/upload.go
+++ b/internal/upstream/upload.go
@@ -20,16 +20,16 @@
 
 var uploadBuffers = sync.Pool{New: func() any { return new([uploadChunkSize]byte) }}
 
-// upload writes a request whose body is still coming, and reads the response. A host that accepts no more, or responds before
-// it has the complete request, has never run it; nor has one whose client leaves before the last chunk. The error is the
-// client's, whose body breaks off.
+// upload writes a request whose body is still coming, and reads the response. The host may run it before it has all of it, so that
+// neither a host that accepts no more nor a client that leaves before the last chunk proves that it has not. The error is the client's,
+// whose body breaks off.
 func (p *Pool) upload(ctx context.Context, c *conn, head []byte, req *stream.Request, resp *hostResponse) (status balance.Status, err error) {
 	body := req.Upload
 	stop := context.AfterFunc(ctx, c.interrupt)
 	defer stop()
 	if writeErr := c.writeChunk(ctx, head); writeErr != nil {
 		p.discard(c)
-		return notSentStatus(ctx, writeErr), nil
+		return c.failureStatus(ctx, writeErr), nil
 	}
 	buf, framed := uploadBuffers.Get().(*[uploadChunkSize]byte), []byte(nil)
 	defer uploadBuffers.Put(buf)
@@ -51,7 +51,7 @@
 		}
 		if !req.ClientRecentlyWaiting() {
 			p.discard(c)
-			return notSentStatus(ctx, errSendRefused), nil
+			return balance.Cancelled, nil
 		}
 		if !c.nothingToRead() {
 			return p.earlyResponse(ctx, c, nil, resp), nil
@@ -65,7 +65,7 @@
 	c.setReadDeadline(ctx, deadline)
 	if readErr := c.readResponse(ctx, deadline, resp); readErr != nil {
 		p.discard(c)
-		return noResponseStatus(ctx, readErr), nil
+		return c.failureStatus(ctx, readErr), nil
 	}
 	return p.dispose(c, !stop(), resp.disposition(), responseStatus(resp)), nil
 }
@@ -81,7 +81,7 @@
 }
 
 // earlyResponse reads the response of a host that has not had the complete request, or has closed the connection; writeErr is
-// nil if the last write succeeded. Without a response the request never ran.
+// nil if the last write succeeded.
 func (p *Pool) earlyResponse(ctx context.Context, c *conn, writeErr error, resp *hostResponse) balance.Status {
 	defer p.discard(c)
 	deadline := time.Now().Add(earlyResponseTimeout)
@@ -96,5 +96,5 @@
 	case writeErr == nil:
 		writeErr = err
 	}
-	return notSentStatus(ctx, writeErr)
+	return c.failureStatus(ctx, writeErr)
 }
