Don't relay an endpoint's 408, 429 or 503 as a promise that it didn't make

Change: such a response counts as one after which the request may have run: 502, without the endpoint's signature. Responses on idempotent routes are relayed as before. Tests: TestRefusalOfEndpointNeedsItsStatement fails before: 408, 429 and 503 for 502, on each route whose requests may run once.

--- a/internal/fleet/proxy/attempt.go
+++ b/internal/fleet/proxy/attempt.go
@@ -75,10 +75,22 @@
 			return unanswered, false
 		}
 	}
+	if isRefusal(reply.Status) && !route.Idempotent() {
+		return unanswered, false // the endpoint doesn't state that it did not run the request, and the client would take it so
+	}
 	if f.response.headSent && !(isSuccess(reply.Status) && isEventStream(reply.Header)) {
 		return unanswered, false // a response that was relayed in part can only be continued by further events
 	}
 	return completed, true
 }
 
+// isRefusal reports whether clients take a status for the promise that the request has not run and will not.
+func isRefusal(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
--- a/internal/fleet/proxy/early_answer_test.go
+++ b/internal/fleet/proxy/early_answer_test.go
@@ -200,6 +200,31 @@
 	})
 }
 
+// Guards against REFUSED: an endpoint's status that clients take for a promise is relayed although the endpoint may have run the request.
+func TestRefusalOfEndpointNeedsItsStatement(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		signed := respond(fmt.Sprintf("HTTP/1.1 %d x\nX-Response-Signature: s1\nContent-Length: 0\n\n", status))
+		Convey(fmt.Sprintf("The client of a request that may run only once gets no signed %d that doesn't state X-Not-Executed", status), t, func() {
+			for _, path := range []string{"/u/", "/one/", "/st/"} {
+				a, b := newFakeEndpoint(t, "e1", signed), newFakeEndpoint(t, "e2", signed)
+				r := newTestProxy(t, a, b)
+				response, _, err := r.do("POST", path, "")
+				So(err, ShouldBeNil)
+				So(response.StatusCode, ShouldEqual, http.StatusBadGateway)
+				So(response.Header.Get(headerSignature), ShouldEqual, "")
+				So(requestCount(a, b), ShouldEqual, 1)
+				So(r.delegate.refunded, ShouldEqual, 0)
+			}
+		})
+		Convey(fmt.Sprintf("An idempotent request's signed %d is the endpoint's answer", status), t, func() {
+			a := newFakeEndpoint(t, "e1", signed, signed, signed)
+			response, _, err := newTestProxy(t, a).do("POST", "/safe/", "")
+			So(err, ShouldBeNil)
+			So(response.StatusCode, ShouldBeIn, status, http.StatusBadGateway)
+		})
+	}
+}
+
 // becomesTrue reports whether a condition is true at some time in the next 10 s.
 func becomesTrue(condition func() bool) bool {
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
