Answer an undecided change of the configuration with 504, not 503

What callers saw: POST /config/replace and /config/modify got 503, the promise that a request has not run and never will, while the change could be committed at that moment or later; an endpoint's leave got 503 although it had been applied. Change: only ErrNotPrimary, which is returned before anything is proposed, gets 503; all else gets 504 with Retry-After. Operators and endpoints of PROTOCOL.md treat both alike (a 5xx: go on to another sidecar). Tests: rows of TestConfigChanges and the story of leaves, changed from 503 to 504 (they asserted the wrong status), fail before.

--- a/internal/fleet/control/configuration.go
+++ b/internal/fleet/control/configuration.go
@@ -16,7 +16,7 @@
 	headerBaseVersion = "X-Base-Version"
 
 	maxChangeBytes = 16 << 20
-	submitTimeout  = 3 * time.Second // a change that exceeds it is answered with 503: it may have been committed, or may still be
+	submitTimeout  = 3 * time.Second // a change that exceeds it is answered with 504: it may have been committed, or may still be
 	readTimeout    = 2 * time.Second
 )
 
--- a/internal/fleet/control/errors.go
+++ b/internal/fleet/control/errors.go
@@ -22,8 +22,8 @@
 
 func (e *requestError) Unwrap() error { return e.err }
 
-// unacknowledgedError reports that an endpoint's draining or deregistration can't be acknowledged, because the other routers may
-// not learn of it: the endpoint has to report it to another router.
+// unacknowledgedError reports that an endpoint's draining or deregistration is applied here but can't be acknowledged, because the other
+// routers may not learn of it: the endpoint has to report it to another router.
 type unacknowledgedError struct{ err error }
 
 func (e *unacknowledgedError) Error() string {
@@ -47,7 +47,7 @@
 		s.Rejected.Add(1)
 		writeJSON(w, rejected.status, map[string]string{"error": rejected.Error()})
 	case errors.As(err, &unacknowledged):
-		http.Error(w, unacknowledged.Error(), http.StatusServiceUnavailable)
+		http.Error(w, unacknowledged.Error(), http.StatusGatewayTimeout)
 	case errors.As(err, &unknown): // checked before refused, because its cause may be a *RefusedError
 		http.Error(w, unknown.Error(), http.StatusGatewayTimeout)
 	case errors.As(err, &refused):
--- a/internal/fleet/control/redirect.go
+++ b/internal/fleet/control/redirect.go
@@ -18,15 +18,19 @@
 	retryAfter = "0.2"
 )
 
-// redirect redirects a client to the primary. It responds with 503 and Retry-After if no primary is known, or if this router is the
-// primary and failed to complete the call, for the reason in cause. A client that was redirected here is redirected again only if
+// redirect redirects a client to the primary. If none is known, or this router is the primary, the response has Retry-After, and depends
+// on cause, the error with which the call failed: 503 promises that the call has not run and will not, 504 promises nothing. A client that was redirected here is redirected again only if
 // this router knows a newer view: otherwise two routers that each consider the other the primary, one of them because its view is
 // outdated, would redirect the client back and forth.
 func (s *Server) redirect(w http.ResponseWriter, r *http.Request, cause error) {
 	view, primary := s.delegate.PrimaryControl()
 	if primary == "" || primary == s.address || view <= redirectView(r) {
 		w.Header().Set("Retry-After", retryAfter)
-		http.Error(w, unavailableText(cause), http.StatusServiceUnavailable)
+		if errors.Is(cause, replica.ErrNotPrimary) {
+			http.Error(w, "no primary is known at present", http.StatusServiceUnavailable)
+		} else {
+			http.Error(w, "the outcome is not known: send the same again", http.StatusGatewayTimeout)
+		}
 		return
 	}
 	target := *r.URL
@@ -35,14 +39,6 @@
 	w.WriteHeader(http.StatusTemporaryRedirect)
 }
 
-// unavailableText returns the text of the 503 response that redirect writes. cause is the error with which the call failed.
-func unavailableText(cause error) string {
-	if errors.Is(cause, replica.ErrUnavailable) {
-		return "the outcome is not known: send the same again"
-	}
-	return "no primary is known at present"
-}
-
 // redirectView returns the number of the view by which another router redirected the client here, or 0 if none did.
 func redirectView(r *http.Request) uint64 {
 	view, err := strconv.ParseUint(r.URL.Query().Get(viewParameter), 10, 64)
--- a/internal/fleet/control/server_test.go
+++ b/internal/fleet/control/server_test.go
@@ -66,9 +66,11 @@
 			{replica.ErrConflict, "", http.StatusPreconditionFailed},
 			{&config.InvalidError{Item: "route x", Reason: "is odd"}, "", http.StatusBadRequest},
 			{replica.ErrNotPrimary, "10.0.0.2:9", http.StatusTemporaryRedirect},
-			{replica.ErrUnavailable, "", http.StatusServiceUnavailable},
-			{replica.ErrUnavailable, ownAddress, http.StatusServiceUnavailable},
-			{errors.New("odd"), "", http.StatusServiceUnavailable},
+			{replica.ErrNotPrimary, "", http.StatusServiceUnavailable},
+			{replica.ErrNotPrimary, ownAddress, http.StatusServiceUnavailable},
+			{replica.ErrUnavailable, "", http.StatusGatewayTimeout}, // it may be committed: no refusal
+			{replica.ErrUnavailable, ownAddress, http.StatusGatewayTimeout},
+			{errors.New("odd"), "", http.StatusGatewayTimeout},
 		} {
 			delegate := &fakeDelegate{err: c.err, primary: c.primary, view: 3}
 			response := delegate.call("POST", "/config/modify", `{"version":2}`, "X-Base-Version", "1")
@@ -76,10 +78,11 @@
 			if c.status == http.StatusTemporaryRedirect {
 				So(response.Header().Get("Location"), ShouldEqual, "http://10.0.0.2:9/config/modify?view=3")
 			}
-			if c.status == http.StatusServiceUnavailable {
-				knownOutcome := !errors.Is(c.err, replica.ErrUnavailable)
-				So(strings.Contains(response.Body.String(), "no primary is known"), ShouldEqual, knownOutcome)
-				So(strings.Contains(response.Body.String(), "outcome is not known"), ShouldEqual, !knownOutcome)
+			if c.status >= http.StatusInternalServerError {
+				isRefused := errors.Is(c.err, replica.ErrNotPrimary)
+				So(strings.Contains(response.Body.String(), "no primary is known"), ShouldEqual, isRefused)
+				So(strings.Contains(response.Body.String(), "outcome is not known"), ShouldEqual, !isRefused)
+				So(response.Header().Get("Retry-After"), ShouldNotBeEmpty)
 			}
 			if c.status == http.StatusBadRequest {
 				So(response.Body.String(), ShouldContainSubstring, "route x")
@@ -118,8 +121,8 @@
 	})
 	Convey("Draining and deregistration are not acknowledged if the other routers may not learn of them, so that the endpoint reports to another router", t, func() {
 		delegate := &fakeDelegate{reportError: replica.ErrNotPrimary}
-		So(delegate.call("POST", "/instances/i-1/heartbeat", beat).Code, ShouldEqual, http.StatusServiceUnavailable)
-		So(delegate.call("POST", "/instances/i-1/deregister", "").Code, ShouldEqual, http.StatusServiceUnavailable)
+		So(delegate.call("POST", "/instances/i-1/heartbeat", beat).Code, ShouldEqual, http.StatusGatewayTimeout) // not 503: they are applied
+		So(delegate.call("POST", "/instances/i-1/deregister", "").Code, ShouldEqual, http.StatusGatewayTimeout)
 		So(len(delegate.reports), ShouldEqual, 2) // both are applied: this router sends the endpoint no further requests
 		Convey("A heartbeat of a ready endpoint is acknowledged nevertheless", func() {
 			ready := strings.Replace(beat, "draining", "ready", 1)
