Require keys for good once a configuration has had a tenant

Cause: config.Table took 'no tenant now' for the proof that keys are not needed. That is also the state of a fleet that has taken its last key back. Evidence: GET /config/read shows the new version with an empty list while the requests run; RequiresAPIKey = len(tenants) > 0 was the only place that asked. Change: config.KeyPolicy, which goes one way by one function, and whose zero value requires keys. It follows from the documents before, is stored in states (field 3; a state without it counts an empty list as a removal) and sent with fetched documents (field 10). Table.Authorize is the only answer; a key that no tenant holds is denied in any fleet. keysRequired in the status. Why it works: no later configuration can take the policy back, whichever way it removes the tenants; and no router can hold a document without it. TestReplicatedFormIsStable has the new field.

--- a/internal/fleet/config/config_test.go
+++ b/internal/fleet/config/config_test.go
@@ -130,8 +130,11 @@
 		So(table.Route("h.example", "/a/bc").Name, ShouldEqual, "a")
 		So(table.Route("h.example", "/b/"), ShouldBeNil)
 		So(table.Route("other", "/a/"), ShouldBeNil)
-		So(table.TenantByKey("k2").Name, ShouldEqual, "t")
-		So(table.TenantByKey("k3"), ShouldBeNil)
+		tenant, ok := table.Authorize(table.Route("h.example", "/a/"), "k2")
+		So(ok, ShouldBeTrue)
+		So(tenant.Name, ShouldEqual, "t")
+		_, ok = table.Authorize(table.Route("h.example", "/a/"), "k3")
+		So(ok, ShouldBeFalse)
 		So(table.Route("h.example", "/a/").Idempotent(), ShouldBeTrue)
 		So(table.Route("h.example", "/a/b/").Idempotent(), ShouldBeFalse)
 		So(table.Route("h.example", "/a/b/").PickService(0.95), ShouldEqual, "desk")
@@ -181,7 +184,7 @@
 }
 
 // Guards against changes of the replicated form: routers of earlier builds read it, and logs on disk hold it. The expected bytes
-// are those that commit b772427 wrote.
+// are those that commit b772427 wrote, and the key policy, a field that it ignores.
 func TestReplicatedFormIsStable(t *testing.T) {
 	Convey("Changes and states are encoded as by earlier releases", t, func() {
 		first := &Change{Replace: true, Body: []byte(`{"version":7,"limits":{"x":1},"services":[{"name":"a"}],"b":[1]}`)}
@@ -197,7 +200,7 @@
 		digests := fmt.Sprintf("%x%x", first.Digest(), second.Digest())
 		So(digests, ShouldEqual, "a82b245b947a061022ae26c9c7b3fe953adfb55913d82ce462898bd6d5774fef")
 		document := `{"version":9,"b":[1],"limits":{"x":1},"services":[{"name":"b"}]}`
-		So(fmt.Sprintf("%x", encodedState), ShouldEqual, fmt.Sprintf("a2015840%x025820%s", document, digests))
+		So(fmt.Sprintf("%x", encodedState), ShouldEqual, fmt.Sprintf("a3015840%x025820%s0302", document, digests))
 		So(fmt.Sprintf("%x", encodedChange), ShouldEqual, fmt.Sprintf("a301f4020703584e%x", second.Body))
 	})
 }
--- a/internal/fleet/config/document.go
+++ b/internal/fleet/config/document.go
@@ -25,25 +25,32 @@
 // Document is a configuration as the operator sent it: raw JSON, with the lists of named items in the operator's order. It is
 // immutable; Apply returns a new document that shares all unchanged parts with this one.
 type Document struct {
-	version int64
-	fields  map[string]rawJSON // all but the version and the lists of named items
-	lists   map[string]*itemList
+	version   int64
+	fields    map[string]rawJSON // all but the version and the lists of named items
+	lists     map[string]*itemList
+	keyPolicy KeyPolicy // follows from this document and those before it, and is not part of its JSON
 }
 
 // EmptyDocument returns the document that is in force before the first configuration: version 0, without any fields.
 func EmptyDocument() *Document {
-	return &Document{fields: map[string]rawJSON{}, lists: map[string]*itemList{}}
+	return &Document{fields: map[string]rawJSON{}, lists: map[string]*itemList{}, keyPolicy: KeysOptional}
 }
 
+// KeyPolicy returns whether requests need an API key.
+func (d *Document) KeyPolicy() KeyPolicy { return d.keyPolicy }
+
 // Version returns the document's version, which the operator chose; that of the empty document is 0.
 func (d *Document) Version() int64 { return d.version }
 
-// ParseDocument decodes a complete configuration from JSON. Of each item it decodes only the name: NewTable and CheckSchema
-// validate the rest. An error is an *InvalidError.
-func ParseDocument(text []byte) (*Document, error) { return ParseDocumentPaced(text, nil) }
+// ParseDocument decodes a complete configuration from JSON, which follows no other. Of each item it decodes only the name: NewTable and
+// CheckSchema validate the rest. An error is an *InvalidError.
+func ParseDocument(text []byte) (*Document, error) {
+	return ParseDocumentAfter(KeysOptional, text, nil)
+}
 
-// ParseDocumentPaced is ParseDocument with pauses by pace.
-func ParseDocumentPaced(text []byte, pace Pace) (*Document, error) {
+// ParseDocumentAfter is ParseDocument for a configuration that follows another one, whose key policy is previous, with pauses by pace. For
+// a document that was encoded and sent with its own policy, that is previous.
+func ParseDocumentAfter(previous KeyPolicy, text []byte, pace Pace) (*Document, error) {
 	var fields map[string]rawJSON
 	if err := decodeJSON(text, &fields); err != nil {
 		return nil, unreadable("configuration", err)
@@ -63,6 +70,7 @@
 			d.fields[name] = bytes.Clone(value)
 		}
 	}
+	d.keyPolicy = nextKeyPolicy(previous, d.lists[fieldTenants])
 	var err error
 	d.version, err = parseVersion(fields[fieldVersion])
 	return d, err
--- a/internal/fleet/config/patch.go
+++ b/internal/fleet/config/patch.go
@@ -41,6 +41,7 @@
 			return nil, err
 		}
 	}
+	next.keyPolicy = nextKeyPolicy(d.keyPolicy, next.lists[fieldTenants])
 	return next, nil
 }
 
--- a/internal/fleet/config/state.go
+++ b/internal/fleet/config/state.go
@@ -42,7 +42,7 @@
 
 func (s *State) documentAfter(c *Change, pace Pace) (*Document, error) {
 	if c.Replace {
-		return ParseDocumentPaced(c.Body, pace)
+		return ParseDocumentAfter(s.Document.keyPolicy, c.Body, pace)
 	}
 	patch, err := ParsePatch(c.Body)
 	if err != nil {
@@ -53,13 +53,14 @@
 
 // encodedState is the form of a State in snapshots.
 type encodedState struct {
-	Document []byte `cbor:"1,keyasint"` // JSON
-	Applied  []byte `cbor:"2,keyasint"` // the digests, concatenated, the newest last
+	Document  []byte    `cbor:"1,keyasint"` // JSON
+	Applied   []byte    `cbor:"2,keyasint"` // the digests, concatenated, the newest last
+	KeyPolicy KeyPolicy `cbor:"3,keyasint"` // of the document; 0: the state was encoded by a build that recorded none
 }
 
 // Encode returns the state in its replicated form (CBOR). Errors wrap those of package cbor.
 func (s *State) Encode() ([]byte, error) {
-	e := encodedState{Document: s.Document.Encode()}
+	e := encodedState{Document: s.Document.Encode(), KeyPolicy: s.Document.keyPolicy}
 	for _, digest := range s.applied {
 		e.Applied = append(e.Applied, digest[:]...)
 	}
@@ -76,7 +77,7 @@
 	if err := cbor.Unmarshal(encoded, &e); err != nil {
 		return nil, fmt.Errorf("config: decode state: %w", err)
 	}
-	document, err := ParseDocument(e.Document)
+	document, err := ParseDocumentAfter(e.KeyPolicy, e.Document, nil)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/config/table.go
+++ b/internal/fleet/config/table.go
@@ -11,10 +11,9 @@
 // Table is a configuration that is indexed for the lookups that requests need. It is immutable. It is unrelated to the tables
 // in a router's status, which belong to package placement.
 type Table struct {
-	Document       *Document
-	Version        int64
-	Limits         Limits
-	RequiresAPIKey bool // the configuration has tenants: a request needs the API key of one, unless its route is public
+	Document *Document
+	Version  int64
+	Limits   Limits
 
 	routes       map[string]*Route
 	services     map[string]*Service
@@ -190,7 +189,6 @@
 
 // indexKeys indexes the tenants by their API keys. A key of two tenants is an *InvalidError.
 func (t *Table) indexKeys() error {
-	t.RequiresAPIKey = len(t.tenants) > 0
 	t.tenantsByKey = map[string]*Tenant{}
 	for _, name := range sortedKeys(t.tenants) {
 		tenant := t.tenants[name]
@@ -214,8 +212,18 @@
 	return nil
 }
 
-// TenantByKey returns the tenant that owns an API key; nil: none.
-func (t *Table) TenantByKey(key string) *Tenant { return t.tenantsByKey[key] }
+// Authorize decides whether a request with an API key, or with none if key is empty, may use a route. The tenant is that of the key; nil
+// on a public route, and for a request without a key where none is required. A key that no tenant holds is never accepted.
+func (t *Table) Authorize(route *Route, key string) (tenant *Tenant, ok bool) {
+	switch {
+	case route.Public:
+		return nil, true
+	case key == "":
+		return nil, !t.Document.keyPolicy.RequiresKey()
+	}
+	tenant = t.tenantsByKey[key]
+	return tenant, tenant != nil
+}
 
 // TenantByName returns the tenant with that name; nil: none.
 func (t *Table) TenantByName(name string) *Tenant { return t.tenants[name] }
--- a/internal/fleet/config/table_sharing_test.go
+++ b/internal/fleet/config/table_sharing_test.go
@@ -45,11 +45,11 @@
 		}
 	}
 	for _, key := range []string{"a", "b", "c", "d", "e"} {
-		if tenant := table.TenantByKey(key); tenant != nil {
+		if tenant, ok := table.Authorize(&Route{}, key); ok {
 			fmt.Fprintf(&out, "%s: %+v\n", key, *tenant)
 		}
 	}
-	fmt.Fprint(&out, table.Services(), len(table.routes), len(table.routesByHost), table.RequiresAPIKey)
+	fmt.Fprint(&out, table.Services(), len(table.routes), len(table.routesByHost), table.Document.KeyPolicy())
 	return out.String()
 }
 
--- a/internal/fleet/dissemination/build.go
+++ b/internal/fleet/dissemination/build.go
@@ -12,10 +12,11 @@
 
 // Build decodes received changes or a received document into a configuration that can be activated. It is immutable.
 type Build struct {
-	sequence uint64        // of the configuration that it results in
-	previous *config.Table // the active configuration; nil: none
-	document *Blob         // the changes are applied to it; nil: they are applied to the document of previous
-	changes  []Blob
+	sequence  uint64           // of the configuration that it results in
+	previous  *config.Table    // the active configuration; nil: none
+	document  *Blob            // the changes are applied to it; nil: they are applied to the document of previous
+	keyPolicy config.KeyPolicy // of document
+	changes   []Blob
 }
 
 // pendingBuild returns the build of the newest configuration received; nil: it is already active, or nothing was received.
@@ -33,7 +34,7 @@
 	if !ok {
 		return nil
 	}
-	return &Build{sequence: last, previous: c.Table, document: document, changes: changes}
+	return &Build{sequence: last, previous: c.Table, document: document, keyPolicy: c.history.keyPolicy, changes: changes}
 }
 
 // Size returns the inflated length, in bytes, of everything that Table decodes.
@@ -75,7 +76,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return config.ParseDocumentPaced(text, pace)
+	return config.ParseDocumentAfter(b.keyPolicy, text, pace)
 }
 
 func applyBlob(state *config.State, blob Blob, pace config.Pace) (*config.State, error) {
--- a/internal/fleet/dissemination/config_replica.go
+++ b/internal/fleet/dissemination/config_replica.go
@@ -95,6 +95,7 @@
 		if reply.PackedDocument, changes, err = c.completeHistory(); err != nil {
 			return FetchReply{}, err
 		}
+		reply.KeyPolicy = c.history.keyPolicy
 	}
 	reply.Sequence, _ = c.history.last()
 	reply.PackedChanges = changes
@@ -113,7 +114,7 @@
 	if c.Table == nil {
 		return nil, nil, ErrNoConfiguration
 	}
-	c.history.setDocument(c.Sequence, newBlob(c.Table.Document.Encode()))
+	c.history.setDocument(c.Sequence, newBlob(c.Table.Document.Encode()), c.Table.Document.KeyPolicy())
 	document, changes, ok := c.history.complete()
 	if !ok { // a failed Build has emptied the history; trim drops no change after the active configuration
 		return nil, nil, ErrNoConfiguration
@@ -136,6 +137,6 @@
 	if c.Table == nil {
 		return FetchReply{}, ErrNoConfiguration
 	}
-	plain.Sequence, plain.Document = c.Sequence, c.Table.Document.Encode()
+	plain.Sequence, plain.Document, plain.KeyPolicy = c.Sequence, c.Table.Document.Encode(), c.Table.Document.KeyPolicy()
 	return plain, nil
 }
--- a/internal/fleet/dissemination/history.go
+++ b/internal/fleet/dissemination/history.go
@@ -1,6 +1,10 @@
 package dissemination
 
-import "slices"
+import (
+	"slices"
+
+	"pinelb.example/pinelb/internal/fleet/config"
+)
 
 // maxRetainedChanges is how many recent changes a router retains, so that a router slightly behind can fetch only what it lacks.
 const maxRetainedChanges = 64
@@ -12,8 +16,9 @@
 	base        uint64 // sequence before that of the first change
 	changes     []Blob // with the sequences from base+1
 
-	document         *Blob  // complete configuration; nil: not encoded yet
-	documentSequence uint64 // of document
+	document         *Blob            // complete configuration; nil: not encoded yet
+	documentSequence uint64           // of document
+	keyPolicy        config.KeyPolicy // of document
 }
 
 // last returns the newest sequence in the history; ok is false if the history is empty.
@@ -61,9 +66,9 @@
 	return h.changes[sequence-h.base:], true
 }
 
-// setDocument stores the encoded complete configuration with a sequence.
-func (h *history) setDocument(sequence uint64, document Blob) {
-	h.document, h.documentSequence = &document, sequence
+// setDocument stores the encoded complete configuration with a sequence, and its key policy.
+func (h *history) setDocument(sequence uint64, document Blob, keyPolicy config.KeyPolicy) {
+	h.document, h.documentSequence, h.keyPolicy = &document, sequence, keyPolicy
 }
 
 // complete returns the document and the changes after it; ok is false if there is no document or some of those changes are not retained.
@@ -84,7 +89,7 @@
 	advanced := false
 	if reply.PackedDocument != nil && h.isNewer(documentSequence) {
 		h.restart(documentSequence)
-		h.setDocument(documentSequence, *reply.PackedDocument)
+		h.setDocument(documentSequence, *reply.PackedDocument, reply.KeyPolicy)
 		advanced = true
 	}
 	for i, change := range reply.PackedChanges {
--- a/internal/fleet/dissemination/messages.go
+++ b/internal/fleet/dissemination/messages.go
@@ -1,6 +1,7 @@
 package dissemination
 
 import (
+	"pinelb.example/pinelb/internal/fleet/config"
 	"pinelb.example/pinelb/internal/fleet/membership"
 	"pinelb.example/pinelb/internal/fleet/registry"
 )
@@ -68,6 +69,8 @@
 
 	Busy    bool     `cbor:"8,keyasint,omitempty"` // other transfers occupy the sender's link: Sequence can be fetched later, or from Holders
 	Holders []string `cbor:"9,keyasint,omitempty"` // internal addresses of routers that have recently fetched it
+
+	KeyPolicy config.KeyPolicy `cbor:"10,keyasint,omitempty"` // of Document or PackedDocument; 0: the sender's build recorded none
 }
 
 // normalize converts a reply of an earlier build to the packed form.
--- a/internal/fleet/proxy/admission.go
+++ b/internal/fleet/proxy/admission.go
@@ -29,10 +29,9 @@
 	if q.route == nil {
 		return errNoRoute
 	}
-	if table.RequiresAPIKey && !q.route.Public {
-		if q.tenant = table.TenantByKey(q.http.Header.Get(headerAPIKey)); q.tenant == nil {
-			return errUnknownAPIKey
-		}
+	var ok bool
+	if q.tenant, ok = table.Authorize(q.route, q.http.Header.Get(headerAPIKey)); !ok {
+		return errUnknownAPIKey
 	}
 	q.service = q.route.PickService(rand.Float64())
 	q.prompt = placement.Prompt{Units: 1, Priority: q.priority(), Output: q.outputTokens(), MaxEventGap: q.route.MaxEventGap()}
--- a/internal/fleet/router/status.go
+++ b/internal/fleet/router/status.go
@@ -35,6 +35,7 @@
 	Dropped       uint64                    `json:"dropped"`           // invalid messages from other routers
 	Ignored       uint64                    `json:"heartbeatsIgnored"` // reports of endpoints that were late or whose endpoint had been deregistered
 	UptimeMs      int64                     `json:"uptimeMs"`          // milliseconds since the start
+	KeysRequired  bool                      `json:"keysRequired,omitempty"` // requests need a key, on routes that are not public
 	Coordination  *coordinator.Status       `json:"coordination,omitempty"`
 }
 
@@ -61,6 +62,7 @@
 	}
 	if table != nil {
 		s.Version = table.Version
+		s.KeysRequired = table.Document.KeyPolicy().RequiresKey()
 	}
 	if age >= unconfirmedAge {
 		s.LeaseAgeMs = -1
