Play requests before endpoints that answer early, beside changes of keys

Change: pinelb-testlab requests, a soak of real routers: clients that keep connections, bodies of 6 MiB, endpoints that run at the head and answer, reset, fall silent or read on, an operator that empties the tenants in four ways, signals, lost disks and blackouts that overlap; a judge for nine rules with tests of its own.

--- a/internal/fleet/router/status.go
+++ b/internal/fleet/router/status.go
@@ -24,17 +24,17 @@
 	Tables        []placement.TableStatus   `json:"tables"`
 	Services      []placement.ServiceStatus `json:"services"`
 	Replica       *ReplicaStatus            `json:"replica,omitempty"`
-	Served        uint64                    `json:"served"`            // requests that were served
-	Refused       uint64                    `json:"refused"`           // requests that did not run: rejected (429, 503) or denied (400, 401, 404, 413)
-	Failed        uint64                    `json:"failed"`            // requests that may have run but got no response
-	Broken        uint64                    `json:"broken"`            // responses that were truncated
-	Superseded    uint64                    `json:"superseded"`        // refused requests that were rejected because a newer configuration was known but not yet active
-	Moved         uint64                    `json:"moved"`             // attempts that were cancelled because their first token was overdue
-	SentDatagrams uint64                    `json:"sentDatagrams"`     // to other routers
-	SentBytes     uint64                    `json:"sentBytes"`         // to other routers
-	Dropped       uint64                    `json:"dropped"`           // invalid messages from other routers
-	Ignored       uint64                    `json:"heartbeatsIgnored"` // reports of endpoints that were late or whose endpoint had been deregistered
-	UptimeMs      int64                     `json:"uptimeMs"`          // milliseconds since the start
+	Served        uint64                    `json:"served"`                 // requests that were served
+	Refused       uint64                    `json:"refused"`                // requests that did not run: rejected (429, 503) or denied (400, 401, 404, 413)
+	Failed        uint64                    `json:"failed"`                 // requests that may have run but got no response
+	Broken        uint64                    `json:"broken"`                 // responses that were truncated
+	Superseded    uint64                    `json:"superseded"`             // refused requests that were rejected because a newer configuration was known but not yet active
+	Moved         uint64                    `json:"moved"`                  // attempts that were cancelled because their first token was overdue
+	SentDatagrams uint64                    `json:"sentDatagrams"`          // to other routers
+	SentBytes     uint64                    `json:"sentBytes"`              // to other routers
+	Dropped       uint64                    `json:"dropped"`                // invalid messages from other routers
+	Ignored       uint64                    `json:"heartbeatsIgnored"`      // reports of endpoints that were late or whose endpoint had been deregistered
+	UptimeMs      int64                     `json:"uptimeMs"`               // milliseconds since the start
 	KeysRequired  bool                      `json:"keysRequired,omitempty"` // requests need a key, on routes that are not public
 	Coordination  *coordinator.Status       `json:"coordination,omitempty"`
 }
--- a/internal/lab/cli/cli.go
+++ b/internal/lab/cli/cli.go
@@ -48,6 +48,7 @@
 	Variants     variantsCmd     `cmd:"" help:"Make site files of deployments that nobody has out of one of the bench's."`
 	Routers      routersCmd      `cmd:"" help:"Measure what control costs a fleet of routers, and how soon a configuration is in force at all."`
 	Coordination coordinationCmd `cmd:"" help:"Play routers that serve locks, counters, cells and watches, with faults drawn from seeds, and judge what callers saw."`
+	Requests     requestsCmd     `cmd:"" help:"Play routers before endpoints that fail, with faults and an operator drawn from seeds, and judge what clients saw."`
 	Decide       decideCmd       `cmd:"" help:"Play the routers' decision before a model of the engines, beside a scheduler that knows everything."`
 }
 
--- a/internal/lab/coordination/faults.go
+++ b/internal/lab/coordination/faults.go
@@ -7,6 +7,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 const (
@@ -20,7 +22,7 @@
 // faultPlayer plays a script's faults.
 type faultPlayer struct {
 	fleet  *fleet
-	losses *losses
+	losses *machines.Losses
 	acks   *acknowledgements
 	clock  func() time.Duration
 	ctx    context.Context // of the play
@@ -40,7 +42,7 @@
 			break
 		}
 		if i == len(faults)-1 { // the last blackout: what was begun is ended before
-			p.losses.close()
+			p.losses.Close()
 			script.Wait()
 			p.blackout(f, true)
 			break
@@ -57,7 +59,7 @@
 	switch f.Kind {
 	case Hangup:
 		p.note(f)
-		p.machines(f)[0].signal(syscall.SIGHUP)
+		p.machines(f)[0].Signal(syscall.SIGHUP)
 	case Stall:
 		p.freeze(f, p.fleet.core)
 	case Freeze:
@@ -78,40 +80,40 @@
 
 // freeze stops processes and lets them go on.
 func (p *faultPlayer) freeze(f Fault, limit int) {
-	if !p.losses.take(f.Machines, limit) {
+	if !p.losses.Take(f.Machines, limit) {
 		p.pass(f)
 		return
 	}
-	defer p.losses.giveBack(f.Machines)
+	defer p.losses.GiveBack(f.Machines)
 	p.acks.await(f.AfterAck, ackWait)
 	p.note(f)
 	for _, m := range p.machines(f) {
-		m.signal(syscall.SIGSTOP)
+		m.Signal(syscall.SIGSTOP)
 	}
 	time.Sleep(f.For)
 	for _, m := range p.machines(f) {
-		m.signal(syscall.SIGCONT)
+		m.Signal(syscall.SIGCONT)
 	}
 }
 
 // restart ends processes and starts them again, with their disks or empty ones.
 func (p *faultPlayer) restart(f Fault) {
-	if !p.losses.take(f.Machines, tolerated) {
+	if !p.losses.Take(f.Machines, tolerated) {
 		p.pass(f)
 		return
 	}
-	defer p.losses.giveBack(f.Machines)
+	defer p.losses.GiveBack(f.Machines)
 	p.acks.await(f.AfterAck, ackWait)
 	p.note(f)
 	machines := p.machines(f)
 	for _, m := range machines {
 		if f.Kind != Stop {
-			m.signal(syscall.SIGKILL)
+			m.Signal(syscall.SIGKILL)
 		}
 	}
 	var ends sync.WaitGroup
 	for _, m := range machines {
-		ends.Go(m.stop)
+		ends.Go(m.Stop)
 	}
 	ends.Wait()
 	if f.Kind == Wipe {
@@ -119,7 +121,7 @@
 	}
 	time.Sleep(f.For)
 	for _, m := range machines {
-		p.fail(m.start(false))
+		p.fail(m.Start(false))
 	}
 	if f.Kind == Wipe {
 		time.Sleep(minCatchUp)
@@ -133,17 +135,17 @@
 	for i := range all {
 		all[i] = i
 	}
-	if !isLast && !p.losses.take(all, len(all)) {
+	if !isLast && !p.losses.Take(all, len(all)) {
 		p.pass(f)
 		return
 	}
-	defer p.losses.giveBack(all)
+	defer p.losses.GiveBack(all)
 	if !p.awaitSettled(blackoutSettle) {
 		p.pass(f)
 		return
 	}
 	for _, i := range f.Frozen {
-		p.fleet.machines[i].signal(syscall.SIGSTOP)
+		p.fleet.machines[i].Signal(syscall.SIGSTOP)
 	}
 	if len(f.Frozen) > 0 {
 		time.Sleep(frozenTime)
@@ -162,7 +164,7 @@
 
 func (p *faultPlayer) wipe(machines []*machine) {
 	for _, m := range machines {
-		p.fail(m.wipe())
+		p.fail(m.Wipe())
 	}
 }
 
--- a/internal/lab/coordination/fleet.go
+++ b/internal/lab/coordination/fleet.go
@@ -3,49 +3,56 @@
 import (
 	"errors"
 	"fmt"
-	"math/rand/v2"
-	"net"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 
+	"pinelb.example/pinelb/internal/lab/machines"
 	"pinelb.example/pinelb/internal/lab/ports"
 )
 
 const (
 	zones     = 3
 	seedCount = 3
-	lockPort  = 18079 // who listens there has the addresses 127.a.b.*
-	lockHost  = 250
-	maxDraws  = 200
 )
 
+// machine is a router of the fleet with the addresses that callers use.
+type machine struct {
+	*machines.Machine
+	control  string
+	internal string
+}
+
 // fleet is the machines of a play.
 type fleet struct {
-	machines    []*machine // the core first
-	core        int
-	addressLock net.Listener
+	machines  []*machine // the core first
+	core      int
+	addresses *machines.AddressBlock
 }
 
 // newFleet prepares the machines of a script. None is started.
 func newFleet(script *Script, options Options) (*fleet, error) {
 	f := &fleet{core: script.Core}
-	prefix, err := f.lockAddresses()
-	if err != nil {
+	var err error
+	if f.addresses, err = machines.LockAddresses(); err != nil {
 		return nil, err
 	}
-	controlPort, internalPort, err := drawPorts()
+	drawn, err := ports.FreeSet(2)
 	if err != nil {
 		f.close()
 		return nil, err
 	}
+	controlPort, internalPort := drawn[0], drawn[1]
 	for i := range script.Core + script.Forwarders {
-		m := &machine{name: fmt.Sprint("core-", i), ip: fmt.Sprint(prefix, i+1), folder: options.Folder, program: options.Program}
-		m.control, m.internal = fmt.Sprintf("%s:%d", m.ip, controlPort), fmt.Sprintf("%s:%d", m.ip, internalPort)
+		m := &machine{Machine: &machines.Machine{
+			Name: fmt.Sprint("core-", i), IP: f.addresses.Address(i), Folder: options.Folder, Program: options.Program,
+		}}
+		m.control, m.internal = fmt.Sprintf("%s:%d", m.IP, controlPort), fmt.Sprintf("%s:%d", m.IP, internalPort)
 		if i < script.Core {
-			m.disk = filepath.Join(options.Disks, fmt.Sprint("disk-", i))
+			m.Disk = filepath.Join(options.Disks, fmt.Sprint("disk-", i))
 		} else {
-			m.name = fmt.Sprint("forwarder-", i-script.Core)
+			m.Name = fmt.Sprint("forwarder-", i-script.Core)
 		}
 		f.machines = append(f.machines, m)
 	}
@@ -54,38 +61,17 @@
 		seeds = append(seeds, m.control)
 	}
 	for i, m := range f.machines {
-		m.settings = machineSettings(m, script, i%zones, seeds, controlPort, internalPort)
+		m.Settings = machineSettings(m, script, i%zones, seeds, controlPort, internalPort)
 	}
 	return f, nil
 }
 
-// lockAddresses takes a block of addresses that no other play on this machine has, and returns its prefix.
-func (f *fleet) lockAddresses() (prefix string, err error) {
-	for range maxDraws {
-		prefix = fmt.Sprintf("127.%d.%d.", 10+rand.IntN(50), 1+rand.IntN(250))
-		if f.addressLock, err = net.Listen("tcp4", fmt.Sprintf("%s%d:%d", prefix, lockHost, lockPort)); err == nil {
-			return prefix, nil
-		}
-	}
-	return "", fmt.Errorf("coordination: no free block of loopback addresses: %w", err)
-}
-
-func drawPorts() (control, internal int, err error) {
-	for control == internal && err == nil {
-		var first, second error
-		control, first = ports.Free()
-		internal, second = ports.Free()
-		err = errors.Join(first, second)
-	}
-	return control, internal, err
-}
-
 // startAll starts all machines at once.
 func (f *fleet) startAll(bootstrap bool) error {
 	errs := make([]error, len(f.machines))
 	var starts sync.WaitGroup
 	for i, m := range f.machines {
-		starts.Go(func() { errs[i] = m.start(bootstrap && m.disk != "") })
+		starts.Go(func() { errs[i] = m.Start(bootstrap && m.Disk != "") })
 	}
 	starts.Wait()
 	return errors.Join(errs...)
@@ -94,15 +80,28 @@
 // killAll ends all processes at the same moment.
 func (f *fleet) killAll() {
 	for _, m := range f.machines {
-		m.signal(syscall.SIGKILL)
+		m.Signal(syscall.SIGKILL)
 	}
 	for _, m := range f.machines {
-		m.kill()
+		m.Kill()
 	}
 }
 
 // close ends what the fleet has started.
 func (f *fleet) close() {
 	f.killAll()
-	_ = f.addressLock.Close()
+	f.addresses.Unlock()
+}
+
+// machineSettings returns the settings of a machine but for "bootstrap".
+func machineSettings(m *machine, script *Script, zone int, seeds []string, controlPort, internalPort int) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "nodeName=%s\nip=%s\nzone=z%d\nregion=r\nzones.z0=r\nzones.z1=r\nzones.z2=r\n", m.Name, m.IP, zone)
+	fmt.Fprintf(&b, "listen.control=%s:%d\nportRange=%d,%d\nseeds=%s\n", m.IP, controlPort, internalPort, internalPort, strings.Join(seeds, ","))
+	fmt.Fprintf(&b, "faultTolerance.machines=%d\nbounds.graceS=%d\ncontracts=base,coord\nbounds.historyS=%d\n", tolerated, script.GraceS,
+		script.HistoryS)
+	if m.Disk != "" {
+		fmt.Fprintf(&b, "countsForQuorum=true\ndataDir=%s\n", m.Disk)
+	}
+	return b.String()
 }
--- a/internal/lab/coordination/play.go
+++ b/internal/lab/coordination/play.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"pinelb.example/pinelb/internal/lab/coordination/history"
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 // afterLast is how long the callers go on after the last fault.
@@ -115,7 +116,7 @@
 	acks := &acknowledgements{}
 	p.recorder = &recorder{acks: acks, clock: clock}
 	p.faults = &faultPlayer{
-		fleet: p.fleet, losses: newLosses(p.script.Core), acks: acks, clock: clock, ctx: ctx, counts: map[string]int{}, passed: map[string]int{},
+		fleet: p.fleet, losses: machines.NewLosses(p.script.Core), acks: acks, clock: clock, ctx: ctx, counts: map[string]int{}, passed: map[string]int{},
 	}
 	return nil
 }
--- a/internal/lab/coordination/play_test.go
+++ b/internal/lab/coordination/play_test.go
@@ -92,27 +92,3 @@
 		t.Errorf("only the faults %v are drawn", kinds)
 	}
 }
-
-// TestLossesKeepLimit guards against more core machines lost at once than are tolerated.
-func TestLossesKeepLimit(t *testing.T) {
-	l := newLosses(5)
-	if !l.take([]int{0}, 2) || !l.take([]int{6}, 2) || !l.take([]int{1}, 2) {
-		t.Fatal("two core machines and a forwarder can't be lost")
-	}
-	third := make(chan bool)
-	go func() { third <- l.take([]int{2}, 2) }()
-	select {
-	case <-third:
-		t.Fatal("a third core machine was lost")
-	case <-time.After(50 * time.Millisecond):
-	}
-	l.giveBack([]int{0})
-	if !<-third {
-		t.Error("the next machine was not lost once another was back")
-	}
-	go func() { third <- l.take([]int{3}, 2) }()
-	l.close()
-	if <-third {
-		t.Error("a machine was lost after the end")
-	}
-}
--- a/internal/lab/coordination/losses.go
+++ b/internal/lab/machines/losses.go
@@ -1,10 +1,10 @@
-package coordination
+package machines
 
 import "sync"
 
-// losses counts the core machines that are down or have not caught up, so that never more are than is tolerated. While a fault waits for all
+// Losses counts the core machines that are down or have not caught up, so that never more are than is tolerated. While a fault waits for all
 // machines to be back, later ones wait behind it.
-type losses struct {
+type Losses struct {
 	mu      sync.Mutex
 	changed *sync.Cond
 	core    int          // machines below are of the core; only they count
@@ -13,14 +13,15 @@
 	closed  bool
 }
 
-func newLosses(core int) *losses {
-	l := &losses{core: core, lost: map[int]bool{}}
+// NewLosses returns losses of a core of the first machines.
+func NewLosses(core int) *Losses {
+	l := &Losses{core: core, lost: map[int]bool{}}
 	l.changed = sync.NewCond(&l.mu)
 	return l
 }
 
-// take takes machines, and waits until no more than limit of the core are lost then. It returns false where the play ends before.
-func (l *losses) take(machines []int, limit int) bool {
+// Take takes machines, and waits until no more than limit of the core are lost then. It returns false where the play ends before.
+func (l *Losses) Take(machines []int, limit int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	wantsAll := limit >= l.core
@@ -41,7 +42,7 @@
 	return true
 }
 
-func (l *losses) fits(machines []int, limit int) bool {
+func (l *Losses) fits(machines []int, limit int) bool {
 	count := 0
 	for m := range l.lost {
 		if m < l.core {
@@ -59,8 +60,8 @@
 	return count <= limit
 }
 
-// giveBack says that machines are back.
-func (l *losses) giveBack(machines []int) {
+// GiveBack says that machines are back.
+func (l *Losses) GiveBack(machines []int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, m := range machines {
@@ -69,8 +70,8 @@
 	l.changed.Broadcast()
 }
 
-// close ends all waiting: no more machines are taken.
-func (l *losses) close() {
+// Close ends all waiting: no more machines are taken.
+func (l *Losses) Close() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.closed = true
--- a/internal/lab/ports/ports.go
+++ b/internal/lab/ports/ports.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strconv"
 )
 
@@ -37,6 +38,24 @@
 	return 0, fmt.Errorf("%w: %w", ErrNoFreePort, lastErr)
 }
 
+// FreeSet returns n different ports like Free's.
+func FreeSet(n int) ([]int, error) {
+	var set []int
+	for draws := 0; len(set) < n; draws++ {
+		port, err := Free()
+		if err != nil {
+			return nil, err
+		}
+		if draws == maxDraws {
+			return nil, ErrNoFreePort
+		}
+		if !slices.Contains(set, port) {
+			set = append(set, port)
+		}
+	}
+	return set, nil
+}
+
 // checkFree returns the error of listening if the port is taken.
 func checkFree(port int) error {
 	address := net.JoinHostPort("127.0.0.1", strconv.Itoa(port))
