Let TestTraffic's endpoints run requests when they have read the head

Cause: the emulated endpoints of the proxy's traffic test read each body before they ran the request, and no body outgrew the sockets' buffers.

--- a/internal/fleet/proxy/traffic_test.go
+++ b/internal/fleet/proxy/traffic_test.go
@@ -32,6 +32,7 @@
 	trafficRequests   = 30 // number of each client's requests
 	trafficEvents     = 6  // number of events of a complete stream
 	maxLargeBodyBytes = 300 << 10
+	hugeBodyBytes     = 6 << 20 // more than the socket buffers hold
 )
 
 // trafficRoutes are the routes by path prefix, with the maximum number of attempts of a request and whether it may run more than
@@ -75,7 +76,7 @@
 		e := newFaultyEndpoint(t, f, fmt.Sprint("e", i), i > 0)
 		ready = append(ready, readyEndpoint(e.id, e.listener))
 	}
-	f.url = startTestProxy(t, strings.Replace(configuration, `"maxBodyBytes":50`, `"maxBodyBytes":1000000`, 1), ready).url
+	f.url = startTestProxy(t, strings.Replace(configuration, `"maxBodyBytes":50`, fmt.Sprintf(`"maxBodyBytes":%d`, hugeBodyBytes), 1), ready).url
 	return f
 }
 
@@ -119,6 +120,7 @@
 
 func (e *faultyEndpoint) serveConn(conn *net.TCPConn) {
 	defer func() { _ = conn.Close() }()
+	_ = conn.SetReadBuffer(smallReceiveBuffer)
 	in := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(in)
@@ -184,10 +186,29 @@
 	{"delays, then closes without a response", 3, func(x *fakeExchange, _ execution) bool { x.pause(600); return false }},
 }
 
+// earlyEndings are the ways in which an endpoint may respond that runs a request when it has read the head. act returns whether the
+// connection stays open.
+var earlyEndings = []func(x *fakeExchange, r execution) bool{
+	func(x *fakeExchange, r execution) bool { x.respond(r, true); x.pause(60); return x.readBody() },
+	func(x *fakeExchange, r execution) bool { x.chunked(r, len(r.body)); return x.readBody() },
+	func(x *fakeExchange, r execution) bool { x.respond(r, true); x.pause(20); return x.reset() },
+	func(x *fakeExchange, r execution) bool { x.respond(r, false); return x.reset() },
+	func(x *fakeExchange, _ execution) bool { x.pause(20); return x.reset() },
+	func(x *fakeExchange, _ execution) bool {
+		_, _ = io.CopyN(io.Discard, x.request.Body, smallReceiveBuffer)
+		return x.reset()
+	},
+	func(x *fakeExchange, _ execution) bool { x.pause(600); return false },
+}
+
 // answer runs a request, or responds that the request has not run. It returns whether the connection stays open.
 func (e *faultyEndpoint) answer(x *fakeExchange) bool {
 	f := e.traffic
 	switch p := f.draw(100); {
+	case p >= 88: // the request runs before the body is read
+		ending := f.draw(len(earlyEndings))
+		f.logf("%s at %s: runs at the head, ending %d", x.id, e.id, ending)
+		return earlyEndings[ending](x, x.recordRun())
 	case p < 4: // the response is sent before the body is read
 		x.write("HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\n" + x.idHeader() + "Content-Length: 0\r\n\r\n")
 		x.pause(3)
@@ -327,7 +348,10 @@
 // send sends a request and checks the response. Some requests are cancelled before the response.
 func (f *traffic) send(transport *http.Transport, path, id string) {
 	size := f.draw(200)
-	if f.draw(10) == 0 {
+	switch f.draw(40) {
+	case 0:
+		size = hugeBodyBytes
+	case 1, 2, 3, 4:
 		size = f.draw(maxLargeBodyBytes)
 	}
 	ctx, cancel := context.WithCancel(context.Background())
