Carry registers over in pieces, and report messages too large to send

Cause: all registers went in one Collected message; over the transport's 32 MB its receiver dropped it, no acceptor became ready, and the sender, which never learned of it, packed it again each 150 ms. Change: Collect has a cursor, Collected is a piece of some 1 MiB and says whether there is more; a piece is merged as it comes; requests back off to 2.4 s. Builds that don't ask for pieces get all registers as before. Transport: a message, request or reply over the limit is not sent, but counted, reported (TooLargeError) and logged once a minute. Why it works: a former acceptor is sealed before it sends its first piece, names are never removed, and a later piece is never older than the seal.

--- a/internal/fleet/coordination/change.go
+++ b/internal/fleet/coordination/change.go
@@ -52,3 +52,34 @@
 func (c *Change) IsComplete() bool {
 	return c != nil && (c.Lock != nil || c.Counter != nil || c.Group != nil || c.Decision != nil)
 }
+
+// callIDBytes is the size of an encoded call ID.
+const callIDBytes = 9
+
+// Size returns about as many bytes as the encoded change has, and not fewer than its keys and values have; 0 for a nil change.
+func (c *Change) Size() int {
+	if c == nil {
+		return 0
+	}
+	size := itemOverhead
+	if c.Lock != nil {
+		size += len(c.Lock.Holder) + callIDBytes*len(c.Lock.CallIDs)
+	}
+	if c.Decision != nil {
+		size += len(c.Decision.Value)
+	}
+	if c.Group != nil {
+		for _, cell := range c.Group.Cells {
+			size += itemSize(cell.Key, cell.Value)
+		}
+		size += eventsSize(c.Group.Events)
+	}
+	return size + eventsSize(c.Puts)
+}
+
+func eventsSize(events []Event) (size int) {
+	for _, event := range events {
+		size += itemSize(event.Key, event.Value)
+	}
+	return size
+}
--- a/internal/fleet/register/acceptor.go
+++ b/internal/fleet/register/acceptor.go
@@ -8,19 +8,16 @@
 	"pinelb.example/pinelb/internal/fleet/replication"
 )
 
-// collectInterval is the interval at which Collect is sent again to former acceptors that have not answered.
-const collectInterval = 150 * time.Millisecond
-
 // Acceptor stores registers. Its methods are not safe for concurrent use. A returned Output must be carried out before
 // the next call.
 type Acceptor struct {
 	options          coordination.Options
 	hardState        HardState
 	registers        map[coordination.Name]*storedRegister
-	collected        map[replication.Replica]*Collected // answers for the current epoch, until the acceptor is ready
-	nextCollect      time.Duration
-	waitingProposers map[string]bool // addresses of proposers to notify once the acceptor is ready
-	out              *Output         // of the current step
+	collections      map[replication.Replica]*collection // from the former acceptors, until this one is ready in the current epoch
+	maxPieceBytes    int                                 // of a Collected
+	waitingProposers map[string]bool                     // addresses of proposers to notify once the acceptor is ready
+	out              *Output                             // of the current step
 }
 
 // storedRegister is an acceptor's copy of one register.
@@ -34,7 +31,7 @@
 func NewAcceptor(now time.Duration, hardState HardState, records [][]Stored, options coordination.Options) *Acceptor {
 	a := &Acceptor{
 		options: options, hardState: hardState, registers: map[coordination.Name]*storedRegister{},
-		collected: map[replication.Replica]*Collected{}, waitingProposers: map[string]bool{},
+		collections: map[replication.Replica]*collection{}, maxPieceBytes: maxPieceBytes, waitingProposers: map[string]bool{},
 	}
 	for _, changed := range records {
 		for i := range changed {
--- a/internal/fleet/register/carry_over.go
+++ b/internal/fleet/register/carry_over.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -19,8 +20,7 @@
 		return
 	}
 	a.hardState.Config = next
-	a.collected = map[replication.Replica]*Collected{}
-	a.nextCollect = 0
+	a.collections = map[replication.Replica]*collection{}
 	clear(a.waitingProposers)
 	a.persist()
 }
@@ -30,23 +30,22 @@
 	return a.hardState.Config.Has(a.hardState.Self) && a.hardState.ReadyEpoch < a.hardState.Config.Epoch
 }
 
-// collect requests the registers of the former acceptors every collectInterval, and merges them once hasCollected
-// reports true.
+// collect requests the next pieces of registers from the former acceptors, and makes this acceptor ready once hasCollected reports true.
 func (a *Acceptor) collect(now time.Duration) {
 	if !a.isCollecting() {
 		return
 	}
 	if a.hasCollected() {
-		a.merge(now)
+		a.completeCollection(now)
 		return
 	}
-	if now < a.nextCollect {
-		return
-	}
-	a.nextCollect = now + collectInterval
 	for _, former := range a.hardState.Config.Previous {
-		if former != a.hardState.Self && a.collected[former] == nil {
-			a.send(former.Address, &Collect{Config: a.hardState.Config})
+		if former == a.hardState.Self {
+			continue
+		}
+		if c := a.collectionFrom(former); c.isDue(now) {
+			c.recordRequest(now)
+			a.send(former.Address, &Collect{Config: a.hardState.Config, InPieces: true, After: c.after})
 		}
 	}
 }
@@ -60,9 +59,12 @@
 // acceptor that took part in the former one, so one of these is needed and sufficient. The others may be former acceptors
 // that were still collecting when the next Config was adopted: they accepted nothing in the former epoch.
 func (a *Acceptor) hasCollected() bool {
-	sealed, ready := len(a.collected), 0
-	for _, answer := range a.collected {
-		if answer.Ready {
+	sealed, ready := 0, 0
+	for _, c := range a.collections {
+		if c.isComplete {
+			sealed++
+		}
+		if c.isComplete && c.ready {
 			ready++
 		}
 	}
@@ -75,39 +77,49 @@
 	return sealed >= majority(a.hardState.Config.Previous) && ready > 0
 }
 
-// onCollect sends the registers, except those of decisions, if this is an acceptor of the former epoch. Adopting the
-// collector's Config seals this acceptor, and that write is durable before the registers are sent.
+// onCollect sends a piece of the registers, except those of decisions, if this is an acceptor of the former epoch. Adopting the
+// collector's Config seals this acceptor, and that write is durable before the piece is sent. What is accepted in the collector's
+// epoch between two pieces does no harm: a piece may be newer than the one before, but not older than the seal.
 func (a *Acceptor) onCollect(now time.Duration, from replication.Replica, m *Collect) {
 	a.adopt(m.Config)
 	if !slices.Contains(m.Config.Previous, a.hardState.Self) {
 		return
 	}
-	registers := slices.DeleteFunc(a.Snapshot(now), func(s Stored) bool { return s.Name.Kind == coordination.KindDecision })
-	a.send(from.Address, &Collected{Epoch: m.Config.Epoch, Registers: registers, Ready: a.wasReady(m.Config.Epoch)})
+	maxBytes := math.MaxInt
+	if m.InPieces {
+		maxBytes = a.maxPieceBytes
+	}
+	registers, more := a.piece(now, m.After, maxBytes)
+	a.send(from.Address, &Collected{
+		Epoch: m.Config.Epoch, Registers: registers, Ready: a.wasReady(m.Config.Epoch), After: m.After, More: more,
+	})
 }
 
-func (a *Acceptor) onCollected(_ time.Duration, from replication.Replica, m *Collected) {
-	if a.isCollecting() && m.Epoch == a.hardState.Config.Epoch && slices.Contains(a.hardState.Config.Previous, from) {
-		a.collected[from] = m
+// onCollected merges a piece. Its registers were accepted by another acceptor in a former epoch, or in the current one, so that it is safe
+// to hold them before all pieces have come.
+func (a *Acceptor) onCollected(now time.Duration, from replication.Replica, m *Collected) {
+	if !a.isCollecting() || m.Epoch != a.hardState.Config.Epoch || !slices.Contains(a.hardState.Config.Previous, from) {
+		return
 	}
+	c := a.collectionFrom(from)
+	if !c.isNext(m) {
+		return
+	}
+	for i := range m.Registers {
+		a.mergeRegister(now, &m.Registers[i])
+	}
+	c.recordPiece(m)
 }
 
-// merge keeps the newest version of each register among its own and the collected ones, and makes the acceptor ready.
-// Promises of former epochs need not be kept: their ballots are lower than all ballots of this epoch.
-func (a *Acceptor) merge(now time.Duration) {
-	for _, former := range a.hardState.Config.Previous { // in a fixed order, so that simulations are reproducible
-		if answer := a.collected[former]; answer != nil {
-			for i := range answer.Registers {
-				a.mergeRegister(now, &answer.Registers[i])
-			}
-		}
-	}
+// completeCollection makes the acceptor ready. Promises of former epochs need not be kept: their ballots are lower than all ballots of this
+// epoch.
+func (a *Acceptor) completeCollection(now time.Duration) {
 	for name := range a.registers {
 		if name.Kind == coordination.KindDecision {
 			delete(a.registers, name) // belongs to a former epoch
 		}
 	}
-	clear(a.collected)
+	clear(a.collections)
 	a.hardState.ReadyEpoch = a.hardState.Config.Epoch
 	w := a.persist()
 	w.Replace = true
@@ -118,6 +130,7 @@
 	clear(a.waitingProposers)
 }
 
+// mergeRegister keeps the newer version of a register, this acceptor's or the collected one.
 func (a *Acceptor) mergeRegister(now time.Duration, s *Stored) {
 	r := a.register(s.Name)
 	if r.accepted.less(s.Accepted) {
--- a/internal/fleet/register/messages.go
+++ b/internal/fleet/register/messages.go
@@ -81,14 +81,18 @@
 
 // Collect requests the registers of an acceptor of Config.Previous, and seals that acceptor.
 type Collect struct {
-	Config Config `cbor:"1,keyasint"`
+	Config   Config             `cbor:"1,keyasint"`
+	InPieces bool               `cbor:"2,keyasint,omitempty"` // the sender requests one piece after the other; builds that don't get all registers at once
+	After    *coordination.Name `cbor:"3,keyasint,omitempty"` // the piece begins after this name; nil: with the first register
 }
 
-// Collected is the reply to a Collect.
+// Collected is the reply to a Collect: all registers, or a piece of them, sorted by name.
 type Collected struct {
-	Epoch     uint64   `cbor:"1,keyasint"` // epoch of Collect.Config
-	Registers []Stored `cbor:"2,keyasint"`
-	Ready     bool     `cbor:"3,keyasint,omitempty"` // took part in the previous epoch; else it accepted nothing in it
+	Epoch     uint64             `cbor:"1,keyasint"` // epoch of Collect.Config
+	Registers []Stored           `cbor:"2,keyasint"`
+	Ready     bool               `cbor:"3,keyasint,omitempty"` // took part in the previous epoch; else it accepted nothing in it
+	After     *coordination.Name `cbor:"4,keyasint,omitempty"` // of the Collect
+	More      bool               `cbor:"5,keyasint,omitempty"` // there are registers after those of this piece
 }
 
 // Stored is the encoded form of a register in messages and on disk.
--- a/internal/fleet/register/planted_test.go
+++ b/internal/fleet/register/planted_test.go
@@ -26,8 +26,12 @@
 		Mutated:  "if r.promised != m.Ballot {"}}},
 	"a change is applied to another base version": {File: "acceptor.go", Edits: []mutation.Edit{{
 		Original: "case !m.Change.IsComplete() && r.accepted != m.Base:", Mutated: "case false:"}}},
+	"a collection ends with its first piece": {File: "collection.go", Edits: []mutation.Edit{{
+		Original: "c.isComplete = !m.More || len(m.Registers) == 0", Mutated: "c.isComplete = true"}}},
+	"a piece begins after the next register": {File: "collection.go", Edits: []mutation.Edit{{
+		Original: "compareNames(name, *after) > 0) {", Mutated: "compareNames(name, *after) > 0 && len(name.ID) != len(after.ID)) {"}}},
 	"an acceptor that restarts while it collects has no map of answers": {File: "acceptor.go", Edits: []mutation.Edit{{
-		Original: "collected: map[replication.Replica]*Collected{}, waitingProposers", Mutated: "waitingProposers"}}},
+		Original: "collections: map[replication.Replica]*collection{}, maxPieceBytes", Mutated: "maxPieceBytes"}}},
 }
 
 // plantedInProposers are mistakes in proposers and in values of registers that TestSimulation must detect.
--- a/internal/fleet/register/restart_test.go
+++ b/internal/fleet/register/restart_test.go
@@ -28,7 +28,7 @@
 
 		joiner = restarted(out.Write)
 		out = joiner.Tick(time.Second)
-		So(out.Send, ShouldResemble, []Outgoing{{To: "a", Message: &Collect{Config: config}}})
+		So(out.Send, ShouldResemble, []Outgoing{{To: "a", Message: &Collect{Config: config, InPieces: true}}})
 		name := coordination.Name{Kind: coordination.KindCounter, ID: "n"}
 		version := Version{Ballot: Ballot{Epoch: 1, Round: 1}, Sequence: 1}
 		out = joiner.Receive(time.Second, founder, &Collected{Epoch: 2, Ready: true, Registers: []Stored{
--- a/internal/fleet/register/simulation_machine_test.go
+++ b/internal/fleet/register/simulation_machine_test.go
@@ -110,6 +110,7 @@
 	m.clockRate = 1 + maxClockDrift*(2*s.random.Float64()-1)
 	hardState, records := m.disk.read()
 	m.acceptor = NewAcceptor(m.clock(), hardState, records, stateOptions())
+	m.acceptor.maxPieceBytes = simulatedPieceBytes
 	m.proposer = NewProposer(ProposerOptions{State: stateOptions(), Random: rand.New(rand.NewPCG(s.random.Uint64(), 1))})
 	m.planner = NewPlanner(s.setup.tolerance)
 	m.calls, m.keys, m.lastID, m.deciding = map[callKey]*callState{}, map[uint64]callKey{}, 0, 0
--- a/internal/fleet/register/simulation_test.go
+++ b/internal/fleet/register/simulation_test.go
@@ -54,6 +54,9 @@
 	duration     time.Duration // of the disruptions
 }
 
+// simulatedPieceBytes lets a former acceptor send its few registers in several pieces.
+const simulatedPieceBytes = 150
+
 const (
 	machineTick          = 20 * time.Millisecond
 	maxDelay             = 20 * time.Millisecond // of a message
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -64,6 +64,7 @@
 	learned         *learnedStateExchange
 	coreSize        *coreSizeCheck
 	coordination    *coordinationService
+	tooLargeLog     tooLargeLog
 
 	dispatcher  *proxy.Dispatcher
 	proxy       *proxy.Server
@@ -150,6 +151,7 @@
 	if err != nil {
 		return err
 	}
+	r.transport.OnTooLarge(r.logTooLarge)
 	r.handleCalls()
 	if err := r.startReplica(); err != nil {
 		return err
--- a/internal/fleet/router/status.go
+++ b/internal/fleet/router/status.go
@@ -35,6 +35,7 @@
 	Dropped       uint64                    `json:"dropped"`                // invalid messages from other routers
 	Ignored       uint64                    `json:"heartbeatsIgnored"`      // reports of endpoints that were late or whose endpoint had been deregistered
 	UptimeMs      int64                     `json:"uptimeMs"`               // milliseconds since the start
+	TooLarge      uint64                    `json:"tooLarge,omitempty"`     // messages to other routers that were not sent because none accepts one of that size
 	KeysRequired  bool                      `json:"keysRequired,omitempty"` // requests need a key, on routes that are not public
 	Coordination  *coordinator.Status       `json:"coordination,omitempty"`
 }
@@ -92,6 +93,7 @@
 	s.Draining, s.Ignored = r.draining.Load(), r.endpointReports.ignored.Load()
 	s.SentBytes, s.SentDatagrams = r.Sent()
 	s.Dropped = r.transport.Counters.Dropped.Load()
+	s.TooLarge = r.transport.Counters.TooLarge.Load()
 }
 
 func (g *gossip) addStatus(s *Status) {
--- a/internal/fleet/transport/call.go
+++ b/internal/fleet/transport/call.go
@@ -40,6 +40,10 @@
 			http.Error(w, err.Error(), http.StatusInternalServerError)
 			return
 		}
+		if err := t.checkSize(encoded, TooLargeError{Path: path}); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+			return
+		}
 		t.Counters.ReplyBytes.Add(uint64(len(encoded)))
 		_, _ = w.Write(encoded) // an error is a lost connection: the caller retries
 	}).Methods(http.MethodPost)
@@ -57,12 +61,15 @@
 }
 
 // Call sends a request to a router's internal address and decodes the router's reply into reply, a pointer. It waits for the
-// reply until ctx is done. Errors are a *StatusError, or wrap errors of net/http, ctx or cbor.
+// reply until ctx is done. Errors are a *StatusError or a *TooLargeError, or wrap errors of net/http, ctx or cbor.
 func (t *Transport) Call(ctx context.Context, to, path string, request, reply any) error {
 	body, err := cbor.Marshal(request)
 	if err != nil {
 		return fmt.Errorf("transport: %w", err)
 	}
+	if err := t.checkSize(body, TooLargeError{To: to, Path: path}); err != nil {
+		return err
+	}
 	encoded, err := t.post(ctx, to, path, body)
 	if err != nil {
 		return err
--- a/internal/fleet/transport/send.go
+++ b/internal/fleet/transport/send.go
@@ -7,24 +7,28 @@
 )
 
 // Send sends a message to a router's internal address, once and without acknowledgement. nonce is the Packet's Nonce. A message
-// that is too long for a datagram is dropped and counted if maxInFlight others are in flight to that router.
+// that is too long for a datagram is dropped and counted if maxInFlight others are in flight to that router; one that no router accepts is
+// reported (OnTooLarge).
 func (t *Transport) Send(to string, kind Kind, nonce uint64, message any) {
-	t.sendEncoded(to, t.encode(kind, nonce, message))
+	t.sendEncoded(to, kind, t.encode(kind, nonce, message))
 }
 
 // SendAll sends a message to several routers as Send does, without a nonce. It encodes the message only once.
 func (t *Transport) SendAll(to []string, kind Kind, message any) {
 	packet := t.encode(kind, 0, message)
 	for _, address := range to {
-		t.sendEncoded(address, packet)
+		t.sendEncoded(address, kind, packet)
 	}
 }
 
-func (t *Transport) sendEncoded(to string, packet []byte) {
+func (t *Transport) sendEncoded(to string, kind Kind, packet []byte) {
 	if len(packet) <= maxDatagramBytes {
 		t.sendDatagram(to, packet)
 		return
 	}
+	if err := t.checkSize(packet, TooLargeError{To: to, Kind: kind}); err != nil {
+		return // it is counted and reported: the protocols would only send the same again
+	}
 	t.sendOverTCP(to, packet)
 }
 
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -42,6 +42,7 @@
 	ReplyBytes    atomic.Uint64 // of replies to calls
 	Received      atomic.Uint64 // messages
 	Dropped       atomic.Uint64 // messages that were not sent, and invalid messages and calls that were received
+	TooLarge      atomic.Uint64 // messages, requests and replies that were not sent because no router accepts one of that size
 }
 
 // Transport sends and receives one router's messages. Listen creates one.
@@ -51,13 +52,16 @@
 	fleet   uint32
 	address string // of this router
 	handle  func(*Packet)
-	udp     *net.UDPConn
-	server  *http.Server
-	client  *http.Client
-	router  *mux.Router
-	ctx     context.Context // done after Close
-	cancel  context.CancelFunc
-	tasks   sync.WaitGroup
+
+	reportTooLarge func(*TooLargeError) // nil: nobody is told
+
+	udp    *net.UDPConn
+	server *http.Server
+	client *http.Client
+	router *mux.Router
+	ctx    context.Context // done after Close
+	cancel context.CancelFunc
+	tasks  sync.WaitGroup
 
 	mu           sync.Mutex
 	inFlight     map[string]int            // messages over TCP, by receiver
