Ask again for a piece of registers after 0.6 s at most

Change: the wait ends at 0.6 s; a piece has some 512 KiB, so that a slow link (10 Mbit/s) transfers one within that time.

--- a/internal/fleet/register/collection.go
+++ b/internal/fleet/register/collection.go
@@ -11,11 +11,11 @@
 const (
 	// maxPieceBytes is the size of a piece, by coordination.Change.Size, beyond which no further register is added to it. With the largest
 	// register it stays far below the size of a message that a router accepts.
-	maxPieceBytes = 1 << 20
+	maxPieceBytes = 512 << 10
 	// minCollectInterval is the time without a reply after which a piece is requested again. It doubles up to maxCollectInterval, since a
 	// slow link may still be transferring the piece.
 	minCollectInterval = 150 * time.Millisecond
-	maxCollectInterval = 2400 * time.Millisecond
+	maxCollectInterval = 600 * time.Millisecond
 )
 
 // collection is the state of collecting the registers of one former acceptor, piece by piece.
