Decide by the configuration that is active when a request is sent

Cause: the proxy took the configuration before the body and used it after; a retry asked only for the configuration's age. Change: the active configuration is loaded again once the body is whole, and mayBeSent asks it for the route and the key before each attempt.

--- a/internal/fleet/proxy/admission.go
+++ b/internal/fleet/proxy/admission.go
@@ -25,6 +25,7 @@
 
 // admit determines the route, tenant, service and prompt of a request. Its errors are denials.
 func (s *Server) admit(q *request, table *config.Table) error {
+	q.table = table
 	q.route = table.Route(hostOf(q.http), q.path)
 	if q.route == nil {
 		return errNoRoute
@@ -41,14 +42,30 @@
 	return nil
 }
 
-// apiKeyValid reports whether the configuration is recent enough to accept the request's API key. It is true for a request
-// without a tenant, and if MaxConfigAge is 0.
-func (s *Server) apiKeyValid(q *request) bool {
-	if q.tenant == nil || s.options.MaxConfigAge == 0 {
+// mayBeSent reports whether a request that was admitted may be sent to an endpoint now: the active configuration is recent enough to accept its
+// API key, and still has a route for it that the key may use.
+func (s *Server) mayBeSent(q *request) bool {
+	table, age := s.delegate.ActiveConfig()
+	if q.tenant != nil && s.options.MaxConfigAge > 0 && age >= s.options.MaxConfigAge {
+		return false
+	}
+	if table == q.table {
 		return true
 	}
-	_, age := s.delegate.ActiveConfig()
-	return age < s.options.MaxConfigAge
+	route := table.Route(hostOf(q.http), q.path)
+	if route == nil {
+		return false
+	}
+	tenant, ok := table.Authorize(route, q.http.Header.Get(headerAPIKey))
+	return ok && tenantName(tenant) == tenantName(q.tenant)
+}
+
+// tenantName returns a tenant's name; empty: there is no tenant.
+func tenantName(t *config.Tenant) string {
+	if t == nil {
+		return ""
+	}
+	return t.Name
 }
 
 // charge charges the request to its tenant's quota. If the quota is exhausted, ok is false and wait is the time after which the
--- a/internal/fleet/proxy/fake_endpoint_test.go
+++ b/internal/fleet/proxy/fake_endpoint_test.go
@@ -140,7 +140,7 @@
 // fakeDelegate is the Delegate of a testProxy.
 type fakeDelegate struct {
 	superseded     bool
-	table          *config.Table
+	table          atomic.Pointer[config.Table]
 	age            time.Duration
 	rejectsCharges bool
 
@@ -150,7 +150,7 @@
 }
 
 func (c *fakeDelegate) ConfigSuperseded() bool                       { return c.superseded }
-func (c *fakeDelegate) ActiveConfig() (*config.Table, time.Duration) { return c.table, c.age }
+func (c *fakeDelegate) ActiveConfig() (*config.Table, time.Duration) { return c.table.Load(), c.age }
 func (c *fakeDelegate) Charge(_ context.Context, _ *config.Tenant, units float64) (bool, time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -208,7 +208,8 @@
 	start := time.Now()
 	d := NewDispatcher(func() time.Duration { return time.Since(start) }, retry.Settings{Ratio: 0.2, Slack: 400}, 64)
 	d.SetEndpoints(ready)
-	r := &testProxy{delegate: &fakeDelegate{table: table}}
+	r := &testProxy{delegate: &fakeDelegate{}}
+	r.delegate.table.Store(table)
 	r.proxy = NewServer(r.delegate, d, Options{MaxConfigAge: 4 * time.Second, MaxDenialAge: time.Second, MaxSupersededAge: 1500 * time.Millisecond})
 	r.httpServer = httptest.NewServer(r.proxy)
 	t.Cleanup(r.httpServer.Close)
--- a/internal/fleet/proxy/forward.go
+++ b/internal/fleet/proxy/forward.go
@@ -60,7 +60,7 @@
 // canSend reports whether the request may be sent to one more endpoint. If that is a retry, canSend withdraws
 // it from the budget, unless it was withdrawn before.
 func (f *forwarding) canSend(ctx context.Context) bool {
-	if ctx.Err() != nil || !f.server.apiKeyValid(f.request) {
+	if ctx.Err() != nil || !f.server.mayBeSent(f.request) {
 		return false
 	}
 	if f.attempts == 0 {
--- a/internal/fleet/proxy/request.go
+++ b/internal/fleet/proxy/request.go
@@ -22,6 +22,7 @@
 	path       string // as the client sent it, without the query
 	receivedAt time.Time
 
+	table        *config.Table // the configuration by which the request was admitted
 	route        *config.Route
 	tenant       *config.Tenant // nil on public routes, and if the configuration requires no API key
 	service      string
--- a/internal/fleet/proxy/server.go
+++ b/internal/fleet/proxy/server.go
@@ -71,13 +71,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	table, age := s.awaitTable(r.Context())
-	if table == nil || table.Version == 0 {
-		s.reject(w, http.StatusServiceUnavailable, longRetryAfter)
-		return
-	}
-	if s.isOutdated(age) {
-		s.Superseded.Add(1)
-		s.reject(w, http.StatusServiceUnavailable, shortRetryAfter)
+	if !s.acceptTable(w, table, age) {
 		return
 	}
 	q, err := readRequest(r, table.Limits)
@@ -85,6 +79,11 @@
 		s.deny(w, err)
 		return
 	}
+	// The body may have taken long, and the configuration that was in force before it may allow what the present one does not.
+	table, age = s.delegate.ActiveConfig()
+	if !s.acceptTable(w, table, age) {
+		return
+	}
 	if err := s.admit(q, table); err != nil {
 		if age > s.options.MaxDenialAge { // a newer configuration may contain the route or the key
 			s.reject(w, http.StatusServiceUnavailable, shortRetryAfter)
@@ -94,7 +93,7 @@
 		return
 	}
 	q.setDeadline()
-	if !s.apiKeyValid(q) || s.drainEndsBefore(q) {
+	if !s.mayBeSent(q) || s.drainEndsBefore(q) {
 		s.reject(w, http.StatusServiceUnavailable, shortRetryAfter)
 		return
 	}
@@ -106,6 +105,20 @@
 	s.forward(w, q)
 }
 
+// acceptTable reports whether requests may be admitted by a configuration of that age. If not, it rejects the request.
+func (s *Server) acceptTable(w http.ResponseWriter, table *config.Table, age time.Duration) bool {
+	switch {
+	case table == nil || table.Version == 0:
+		s.reject(w, http.StatusServiceUnavailable, longRetryAfter)
+		return false
+	case s.isOutdated(age):
+		s.Superseded.Add(1)
+		s.reject(w, http.StatusServiceUnavailable, shortRetryAfter)
+		return false
+	}
+	return true
+}
+
 // A router that has just started receives its configuration within moments. Until then requests wait instead of being rejected.
 const (
 	maxStartupWait      = 90 * time.Millisecond
