Refuse a route whose service is unknown beside valid backends

Cause: Route.validate looked at the backends only, as service isn't used beside them. Change: a service that a route names has to exist in any case.

--- a/internal/fleet/config/route.go
+++ b/internal/fleet/config/route.go
@@ -21,7 +21,7 @@
 	TimeoutMs       float64   `json:"timeoutMs"`
 	TargetLatencyMs float64   `json:"targetLatencyMs"`
 	Priority        int       `json:"priority"`
-	Service         string    `json:"service"`  // used if Backends is empty
+	Service         string    `json:"service"`  // used if Backends is empty; must exist in any case
 	Backends        []Backend `json:"backends"` // share the requests by weight
 	MaxAttempts     int       `json:"maxAttempts"`
 	Public          bool      `json:"public"`
@@ -88,6 +88,9 @@
 	if r.TimeoutMs <= 0 {
 		return &InvalidError{Item: item, Reason: "has no timeoutMs above 0"}
 	}
+	if r.Service != "" && services[r.Service] == nil { // also beside backends, where it is not used
+		return &InvalidError{Item: item, Reason: "names the unknown service " + r.Service}
+	}
 	sum := 0.0
 	for _, backend := range r.backends() {
 		if services[backend.Service] == nil {
