Adapt the tables of a service that has lost its last endpoint

What operators saw: pinelb router status got EOF and exited with 2 once a service that had calls had no endpoint left. Cause: SetEndpoints set the endpoints of such a service to nil beside setEndpoints, which adapts the rows; Tables then read endpoints[0] of none. Change: setEndpoints(nil). It is the only function that changes the list.

--- a/internal/fleet/placement/placer.go
+++ b/internal/fleet/placement/placer.go
@@ -53,7 +53,7 @@
 	}
 	for name, s := range p.services {
 		if lists[name] == nil {
-			s.endpoints = nil
+			s.setEndpoints(nil)
 		}
 	}
 	for name, list := range lists {
--- a/internal/fleet/placement/service.go
+++ b/internal/fleet/placement/service.go
@@ -7,7 +7,7 @@
 
 // service is the state of one service: its endpoints, its tables and the models that its endpoints share.
 type service struct {
-	endpoints           []*Endpoint // in the order of the last list of ready endpoints; includes those suspended since
+	endpoints           []*Endpoint // in the order of the last list of ready endpoints; includes those suspended since. Only setEndpoints changes it
 	tables              map[time.Duration]*table
 	inFlight            int
 	prefill             prefillModel
