Compare hosts without their case

What callers saw: 404 for a Host header in capitals, where a route of the host exists. Cause: the table was looked up by the host as it was sent. RFC 9110, 4.2.3: the host is case-insensitive; so 'two routes share host and prefix' is, too. Change: hosts are indexed and looked up by hostKey.

--- a/internal/fleet/config/table.go
+++ b/internal/fleet/config/table.go
@@ -18,7 +18,7 @@
 	routes       map[string]*Route
 	services     map[string]*Service
 	tenants      map[string]*Tenant
-	routesByHost map[string][]*Route // longest prefix first
+	routesByHost map[string][]*Route // by hostKey, longest prefix first
 	tenantsByKey map[string]*Tenant
 }
 
@@ -140,11 +140,11 @@
 func (t *Table) indexRoutes(previous *Table, routes decodedItems[Route]) error {
 	added := map[string][]*Route{} // new and changed routes by host, with an entry for every host whose routes differ
 	for _, name := range slices.Concat(routes.changed, routes.removed) {
-		if previousRoute := previous.routes[name]; previousRoute != nil && added[previousRoute.Host] == nil {
-			added[previousRoute.Host] = []*Route{}
+		if previousRoute := previous.routes[name]; previousRoute != nil && added[hostKey(previousRoute.Host)] == nil {
+			added[hostKey(previousRoute.Host)] = []*Route{}
 		}
 		if route := t.routes[name]; route != nil {
-			added[route.Host] = append(added[route.Host], route)
+			added[hostKey(route.Host)] = append(added[hostKey(route.Host)], route)
 		}
 	}
 	t.routesByHost = maps.Clone(previous.routesByHost)
@@ -159,7 +159,10 @@
 	return nil
 }
 
-// indexHost rebuilds the index of one host: it drops the routes that are no longer in the table, and adds those in added.
+// hostKey returns the form in which hosts are compared: their case does not matter (RFC 9110, section 4.2.3).
+func hostKey(host string) string { return strings.ToLower(host) }
+
+// indexHost rebuilds the index of one host, given by its hostKey: it drops the routes that are no longer in the table, and adds those in added.
 func (t *Table) indexHost(host string, added []*Route) error {
 	var routes []*Route
 	for _, route := range t.routesByHost[host] {
@@ -204,7 +207,7 @@
 
 // Route returns the route of a request with this Host header and path: that with the longest matching prefix; nil: none.
 func (t *Table) Route(host, path string) *Route {
-	for _, route := range t.routesByHost[host] {
+	for _, route := range t.routesByHost[hostKey(host)] {
 		if strings.HasPrefix(path, route.PathPrefix) {
 			return route
 		}
