End events of streams whose lines end with CRLF or CR

What callers saw: on a route with streamResume nothing of such a stream before its end (read by the review, not run). Cause: the proxy took an event's end for two line feeds. The HTML standard (9.2.6) lets lines end with CRLF, LF or CR, and a byte order mark begin them. Change: eventSplitter looks for empty lines by all three.

--- a/internal/fleet/proxy/events.go
+++ b/internal/fleet/proxy/events.go
@@ -3,13 +3,12 @@
 import "bytes"
 
 // eventSplitter splits a stream of server-sent events, so that only complete events are relayed and the id of the last relayed
-// event is known.
+// event is known. Lines end with CRLF, LF or CR, and an event with an empty line (HTML standard, section 9.2.6).
 type eventSplitter struct{ partial []byte }
 
-var (
-	eventEnd = []byte("\n\n")
-	idField  = []byte("id:")
-)
+const byteOrderMark = "\uFEFF" // may precede the first line
+
+var idField = []byte("id:")
 
 func (e *eventSplitter) reset() { e.partial = e.partial[:0] }
 
@@ -20,11 +19,10 @@
 // the last of these ids.
 func (e *eventSplitter) complete(piece []byte, lastID *string) []byte {
 	e.partial = append(e.partial, piece...)
-	end := bytes.LastIndex(e.partial, eventEnd)
-	if end < 0 {
+	end := lastEventEnd(e.partial)
+	if end == 0 {
 		return nil
 	}
-	end += len(eventEnd)
 	events := bytes.Clone(e.partial[:end])
 	e.partial = append(e.partial[:0], e.partial[end:]...)
 	if id, found := lastEventID(events); found {
@@ -33,11 +31,30 @@
 	return events
 }
 
+// lastEventEnd returns the index after the last empty line; 0: there is none. A line feed at the beginning, which may be the second half of a
+// CRLF whose first half ended the event before, counts as an empty line: passing it on changes no event.
+func lastEventEnd(stream []byte) (end int) {
+	for lineStart := 0; ; {
+		length := bytes.IndexAny(stream[lineStart:], "\r\n")
+		if length < 0 {
+			return end
+		}
+		next := lineStart + length + 1
+		if stream[next-1] == '\r' && next < len(stream) && stream[next] == '\n' {
+			next++
+		}
+		if length == 0 {
+			end = next
+		}
+		lineStart = next
+	}
+}
+
 // lastEventID returns the id of the last event that has one.
 func lastEventID(events []byte) (id string, found bool) {
 	for len(events) > 0 {
-		start := bytes.LastIndexByte(events[:len(events)-1], '\n') + 1
-		line := bytes.TrimRight(events[start:], "\r\n")
+		start := bytes.LastIndexAny(events[:len(events)-1], "\r\n") + 1
+		line := bytes.TrimPrefix(bytes.TrimRight(events[start:], "\r\n"), []byte(byteOrderMark))
 		if value, isID := bytes.CutPrefix(line, idField); isID {
 			return string(bytes.TrimSpace(value)), true
 		}
