Close the hand-over's socket before Serve returns

Cause: at the end of the context a function of its own goroutine closes the socket; accept returns before that is done, and the second Close of Serve returns at once, with ErrClosed, while the first one is still under way. Change: Serve waits for that function.

--- a/internal/handover/server.go
+++ b/internal/handover/server.go
@@ -70,9 +70,15 @@
 		return nil
 	}
 	s.hasServed = true
-	stop := context.AfterFunc(ctx, func() { _ = l.Close() })
+	closed := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(closed)
+		_ = l.Close()
+	})
 	conn, err := l.accept(s.Path)
-	stop()
+	if !stop() {
+		<-closed // accept returns before the socket is closed, and nobody may reach it once Serve has returned
+	}
 	if err != nil {
 		_ = l.Close()
 		return acceptError(ctx, err)
