Let the soak's clients send bodies slowly beside changes of keys

Cause: the fault of an upload whose key is revoked was seen by no stand-in: all bodies were sent at once. Change: one request in sixty sends its body over up to 7 s, on a route of its own; the judge takes the time of its last byte.

--- a/internal/lab/requests/check.go
+++ b/internal/lab/requests/check.go
@@ -109,8 +109,9 @@
 		switch {
 		case !c.wasEverHeld(request.Key):
 			c.report(ruleRoute, "%s ran with the key %q, which no configuration held", request.ID, request.Key)
-		case !c.mayBeHeld(request.Key, request.Sent, run.At):
-			c.report(ruleConfig, "%s was sent at %.3f s, ran at %.3f s, and its key %q was taken away long before", request.ID, request.Sent.Seconds(), run.At.Seconds(), request.Key)
+		case !c.mayBeHeld(request.Key, max(request.Sent, request.BodySent), run.At):
+			c.report(ruleConfig, "%s was sent from %.3f s on, its body until %.3f s, ran at %.3f s, and its key %q was taken away long before", request.ID,
+				request.Sent.Seconds(), request.BodySent.Seconds(), run.At.Seconds(), request.Key)
 		}
 	}
 	if request.Status == http.StatusUnauthorized && c.isHeldThroughout(request.Key, request.Sent, request.Ended) {
--- a/internal/lab/requests/client.go
+++ b/internal/lab/requests/client.go
@@ -13,13 +13,18 @@
 
 const (
 	clientDeadline  = 1500 * time.Millisecond
-	clientPatience  = clientDeadline + time.Second // until a client gives a request up
+	slowDeadline    = 9 * time.Second // of a request whose body is sent slowly
+	patienceBeyond  = time.Second     // beyond its deadline, until a client gives a request up
 	minClientPause  = time.Millisecond
 	maxClientPause  = 60 * time.Millisecond
 	shortBodyBytes  = 2 << 10
 	longBodyBytes   = 6 << 20 // more than the sockets' buffers hold
 	longBodyShare   = 20      // one request of so many has a long body
-	routerTurnShare = 40      // after one request of so many a client goes on at another router
+	slowBodyShare   = 60      // one request of so many has a slow body
+	slowBodyPieces  = 10
+	minPiecePause   = 100 * time.Millisecond
+	maxPiecePause   = 700 * time.Millisecond
+	routerTurnShare = 40 // after one request of so many a client goes on at another router
 )
 
 // client sends one request after the other. It keeps its connections for as long as the router does, and goes on at another router when it
@@ -71,32 +76,41 @@
 // send sends a request and records it.
 func (c *client) send(key string) *Request {
 	c.sent++
-	route := routes[c.random.IntN(len(routes))]
+	isSlow := c.random.IntN(slowBodyShare) == 0
+	route := routes[c.random.IntN(len(routes)-1)]
+	if isSlow {
+		route = routes[len(routes)-1]
+	}
 	request := &Request{
 		ID: fmt.Sprintf("%s-%d", c.name, c.sent), Route: route.name, Idempotent: route.idempotent, Key: key, Router: c.fronts[c.router],
 		BodyBytes: c.random.IntN(shortBodyBytes),
 	}
-	if c.random.IntN(longBodyShare) == 0 {
+	if c.random.IntN(longBodyShare) == 0 && !isSlow {
 		request.BodyBytes = longBodyBytes
 	}
+	var body io.Reader = strings.NewReader(bodyOf(request.ID, request.BodyBytes))
+	if isSlow {
+		slow := c.newSlowBody(request)
+		defer func() { request.BodySent = slow.sentAt() }()
+		body = slow
+	}
 	request.Sent = c.recorder.now()
-	c.exchange(request, route.prefix)
+	c.exchange(request, route.prefix, route.timeout, body)
 	request.Ended = c.recorder.now()
 	c.recorder.addRequest(request)
 	return request
 }
 
-func (c *client) exchange(request *Request, prefix string) {
-	ctx, cancel := context.WithTimeout(context.Background(), clientPatience)
+func (c *client) exchange(request *Request, prefix string, deadline time.Duration, body io.Reader) {
+	ctx, cancel := context.WithTimeout(context.Background(), deadline+patienceBeyond)
 	defer cancel()
-	body := strings.NewReader(bodyOf(request.ID, request.BodyBytes))
 	message, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+request.Router+prefix+request.ID, body)
 	if err != nil {
 		return
 	}
 	message.Host = "h"
 	message.Header.Set("X-Request-Id", request.ID)
-	message.Header.Set("X-Deadline-Ms", strconv.FormatInt(clientDeadline.Milliseconds(), 10))
+	message.Header.Set("X-Deadline-Ms", strconv.FormatInt(deadline.Milliseconds(), 10))
 	if request.Key != "" {
 		message.Header.Set("Api-Key", request.Key)
 	}
--- a/internal/lab/requests/history.go
+++ b/internal/lab/requests/history.go
@@ -14,7 +14,8 @@
 	Key        string        `json:"key"`
 	Router     string        `json:"router"`
 	BodyBytes  int           `json:"bodyBytes"`
-	Sent       time.Duration `json:"sent"` // when it began to be sent
+	Sent       time.Duration `json:"sent"`     // when it began to be sent
+	BodySent   time.Duration `json:"bodySent"` // when the last byte of a slow body was sent; 0: its body was sent at once, or not to its end
 	Ended      time.Duration `json:"ended"`
 	Status     int           `json:"status"` // 0: no response
 	Signature  string        `json:"signature,omitempty"`
--- a/internal/lab/requests/operator.go
+++ b/internal/lab/requests/operator.go
@@ -30,11 +30,13 @@
 	kind       string
 	attempts   int
 	idempotent bool
+	timeout    time.Duration
 }{
-	{"unsafe", "/unsafe/", "unsafe", 2, false},
-	{"once", "/once/", "unsafe", 1, false},
-	{"stream", "/stream/", "streaming", 2, false},
-	{"safe", "/safe/", "safe", 3, true},
+	{"unsafe", "/unsafe/", "unsafe", 2, false, clientDeadline},
+	{"once", "/once/", "unsafe", 1, false, clientDeadline},
+	{"stream", "/stream/", "streaming", 2, false, clientDeadline},
+	{"safe", "/safe/", "safe", 3, true, clientDeadline},
+	{"upload", "/upload/", "unsafe", 1, false, slowDeadline}, // the last one: for requests with slow bodies
 }
 
 // operator gives out keys and takes them away, one change after the other.
@@ -84,7 +86,7 @@
 	var items []any
 	for _, r := range routes {
 		items = append(items, map[string]any{
-			"name": r.name, "host": "h", "pathPrefix": r.prefix, "type": r.kind, "timeoutMs": 1500, "targetLatencyMs": 200, "service": "s",
+			"name": r.name, "host": "h", "pathPrefix": r.prefix, "type": r.kind, "timeoutMs": r.timeout.Milliseconds(), "targetLatencyMs": 200, "service": "s",
 			"maxAttempts": r.attempts,
 		})
 	}
