--- a/internal/fleet/control/planted_test.go
+++ b/internal/fleet/control/planted_test.go
@@ -19,7 +19,7 @@
 		{Original: "if err := r.ConfirmLeadership(ctx); err != nil {\n\t\treturn nil, err\n\t}", Mutated: ""}}},
 }, "4": {
 	"a snapshot without the configuration": {File: "../config/state.go", Edits: []mutation.Edit{
-		{Original: "e := encodedState{Document: s.Document.Encode()}", Mutated: "e := encodedState{Document: EmptyDocument().Encode()}"}}},
+		{Original: "e := encodedState{Document: s.Document.Encode(), ", Mutated: "e := encodedState{Document: EmptyDocument().Encode(), "}}},
 }}
 
 // Guards against scenarios that pass even if the source is wrong.
