Draw, wait and build once for both soaks, and derive what a collection has asked

Cause: read again as a whole, the change had weighted draws, waits, the tests' build of the program and their disks in both soaks, and a flag beside a time that tells the same in the collection of registers. Change: machines.Draw, Between and Pause, machinestest for the tests; collection.nextRequest is 0 until a piece is asked for.

--- a/internal/fleet/register/collection.go
+++ b/internal/fleet/register/collection.go
@@ -23,9 +23,8 @@
 	after       *coordination.Name // the last name received; nil: nothing was received
 	isComplete  bool               // all pieces were received
 	ready       bool               // Collected.Ready of the former acceptor
-	requested   bool
-	nextRequest time.Duration
-	interval    time.Duration // until the request is repeated
+	nextRequest time.Duration      // 0: the next piece was not requested yet
+	interval    time.Duration      // until the request is repeated
 }
 
 // collectionFrom returns the collection from a former acceptor, which it begins if there is none.
@@ -40,11 +39,10 @@
 
 // isDue reports whether the next piece is to be requested, for the first time or again.
 func (c *collection) isDue(now time.Duration) bool {
-	return !c.isComplete && (!c.requested || now >= c.nextRequest)
+	return !c.isComplete && now >= c.nextRequest
 }
 
 func (c *collection) recordRequest(now time.Duration) {
-	c.requested = true
 	c.nextRequest = now + c.interval
 	c.interval = min(2*c.interval, maxCollectInterval)
 }
@@ -67,7 +65,7 @@
 	if len(m.Registers) > 0 {
 		c.after = &m.Registers[len(m.Registers)-1].Name
 	}
-	c.requested, c.interval = false, minCollectInterval
+	c.nextRequest, c.interval = 0, minCollectInterval
 }
 
 // piece returns the registers after a name, but for those of decisions, sorted by name, until they have maxBytes, and whether there are more.
--- a/internal/lab/coordination/caller.go
+++ b/internal/lab/coordination/caller.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pinelb.example/pinelb/internal/lab/coordination/history"
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 // silence is how long a caller waits for an answer before it turns to another machine.
@@ -166,5 +167,5 @@
 
 // rest lets a random time pass; false: the play has ended.
 func (c *caller) rest(ctx context.Context, low, high time.Duration) bool {
-	return pause(ctx, between(c.random, low, high))
+	return machines.Pause(ctx, machines.Between(c.random, low, high))
 }
--- a/internal/lab/coordination/connections.go
+++ b/internal/lab/coordination/connections.go
@@ -4,6 +4,8 @@
 	"context"
 	"net"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 const (
@@ -15,7 +17,7 @@
 // keepConnection keeps a connection to a machine that asks for nothing, or never finishes asking, until the machine ends it, and opens
 // another one then.
 func keepConnection(ctx context.Context, address string, sendsHalf bool) {
-	for pause(ctx, redialPause) {
+	for machines.Pause(ctx, redialPause) {
 		connection, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
 		if err != nil {
 			continue
--- a/internal/lab/coordination/faults.go
+++ b/internal/lab/coordination/faults.go
@@ -38,7 +38,7 @@
 func (p *faultPlayer) play(faults []Fault) error {
 	var script sync.WaitGroup
 	for i, f := range faults {
-		if !pause(p.ctx, f.At-p.clock()) {
+		if !machines.Pause(p.ctx, f.At-p.clock()) {
 			break
 		}
 		if i == len(faults)-1 { // the last blackout: what was begun is ended before
--- a/internal/lab/coordination/lateness.go
+++ b/internal/lab/coordination/lateness.go
@@ -6,6 +6,8 @@
 	"path/filepath"
 	"sync"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 const (
@@ -26,12 +28,12 @@
 	l := &lateness{}
 	ctx, l.cancel = context.WithCancel(ctx)
 	l.tasks.Go(func() {
-		for begin := time.Now(); pause(ctx, latenessInterval); begin = time.Now() {
+		for begin := time.Now(); machines.Pause(ctx, latenessInterval); begin = time.Now() {
 			l.pauses = max(l.pauses, time.Since(begin)-latenessInterval)
 		}
 	})
 	l.tasks.Go(func() {
-		for pause(ctx, syncInterval) {
+		for machines.Pause(ctx, syncInterval) {
 			l.syncs = max(l.syncs, timeSync(filepath.Join(folder, "sync")))
 		}
 	})
--- a/internal/lab/coordination/lock_callers.go
+++ b/internal/lab/coordination/lock_callers.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pinelb.example/pinelb/internal/lab/coordination/history"
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 const (
@@ -28,7 +29,7 @@
 
 func (l *locker) run(ctx context.Context) {
 	for l.rest(ctx, 20*time.Millisecond, 120*time.Millisecond) {
-		h := &holding{lock: l.locks[l.random.IntN(len(l.locks))], hold: between(l.random, minHold, maxHold)}
+		h := &holding{lock: l.locks[l.random.IntN(len(l.locks))], hold: machines.Between(l.random, minHold, maxHold)}
 		if l.acquire(h) {
 			l.hold(ctx, h)
 		}
@@ -61,7 +62,7 @@
 		l.release(h)
 	case 1: // for long
 		for range 2 + l.random.IntN(8) {
-			if !pause(ctx, h.hold/3) || !l.renew(h, h.fence) {
+			if !machines.Pause(ctx, h.hold/3) || !l.renew(h, h.fence) {
 				break
 			}
 		}
--- a/internal/lab/coordination/play.go
+++ b/internal/lab/coordination/play.go
@@ -127,7 +127,7 @@
 	var callers sync.WaitGroup
 	p.startCallers(ctx, &callers)
 	err := p.faults.play(p.script.Faults)
-	pause(ctx, afterLast)
+	machines.Pause(ctx, afterLast)
 	stop()
 	callers.Wait()
 	return err
--- a/internal/lab/coordination/play_test.go
+++ b/internal/lab/coordination/play_test.go
@@ -1,13 +1,13 @@
 package coordination
 
 import (
-	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines/machinestest"
 )
 
 const (
@@ -19,13 +19,9 @@
 // busy makes no difference.
 func TestPlayKeepsRules(t *testing.T) {
 	folder := t.TempDir()
-	program := filepath.Join(folder, "pinelb")
-	build := exec.CommandContext(t.Context(), "go", "build", "-o", program, "pinelb.example/pinelb/cmd/pinelb")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
+	program := machinestest.BuildProgram(t)
 	result, err := Play(t.Context(), Options{
-		Program: program, Seed: testSeed, Duration: testDuration, Folder: filepath.Join(folder, "play"), Disks: testDisks(t),
+		Program: program, Seed: testSeed, Duration: testDuration, Folder: filepath.Join(folder, "play"), Disks: machinestest.Disks(t),
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -57,17 +53,6 @@
 	}
 }
 
-// testDisks returns a folder in memory, where there is one: a killed process loses nothing there, and syncs take no time.
-func testDisks(t *testing.T) string {
-	t.Helper()
-	folder, err := os.MkdirTemp("/dev/shm", "pinelb-coordination-test-")
-	if err != nil {
-		return t.TempDir()
-	}
-	t.Cleanup(func() { _ = os.RemoveAll(folder) })
-	return folder
-}
-
 // TestScriptsRepeat guards against a script that its seed doesn't determine, or that asks for more than is tolerated.
 func TestScriptsRepeat(t *testing.T) {
 	kinds := map[FaultKind]bool{}
--- a/internal/lab/coordination/readback.go
+++ b/internal/lab/coordination/readback.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"pinelb.example/pinelb/internal/lab/coordination/history"
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 const (
@@ -86,7 +87,7 @@
 			r.record(call, since, isAnswer(call))
 			return isAnswer(call)
 		}
-		if !pause(ctx, readbackInterval) {
+		if !machines.Pause(ctx, readbackInterval) {
 			return false
 		}
 	}
--- a/internal/lab/coordination/script.go
+++ b/internal/lab/coordination/script.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 // FaultKind is what happens to machines.
@@ -64,7 +66,7 @@
 	s.HistoryS = []int{1, 20}[random.IntN(2)]
 	s.BulkBytes = []int{0, 1000, 8000}[random.IntN(3)]
 	lastBlackout := time.Duration(0)
-	for at := warmUp; at < duration; at += between(random, 100*time.Millisecond, 1300*time.Millisecond) {
+	for at := warmUp; at < duration; at += machines.Between(random, 100*time.Millisecond, 1300*time.Millisecond) {
 		f := Fault{At: at, Kind: drawKind(random), AfterAck: random.IntN(2) == 0}
 		if f.Kind == Blackout {
 			if at-lastBlackout < blackoutSpacing {
@@ -84,27 +86,20 @@
 
 // drawKind draws a kind; the weights give machines that are down, as much as is tolerated, for most of a play.
 func drawKind(random *rand.Rand) FaultKind {
-	weights := []struct {
-		kind   FaultKind
-		weight int
-	}{{Kill, 5}, {Wipe, 5}, {Freeze, 8}, {Stop, 3}, {Hangup, 1}, {Stall, 2}, {Blackout, 2}}
-	total := 0
-	for _, w := range weights {
-		total += w.weight
-	}
-	draw := random.IntN(total)
-	for _, w := range weights {
-		if draw < w.weight {
-			return w.kind
-		}
-		draw -= w.weight
-	}
-	panic("coordination: the weights don't add up")
+	return machines.Draw(random, []machines.Weighted[FaultKind]{
+		{Value: Kill, Weight: 5},
+		{Value: Wipe, Weight: 5},
+		{Value: Freeze, Weight: 8},
+		{Value: Stop, Weight: 3},
+		{Value: Hangup, Weight: 1},
+		{Value: Stall, Weight: 2},
+		{Value: Blackout, Weight: 2},
+	})
 }
 
 // drawMachines draws which machines a fault hits and for how long.
 func (s *Script) drawMachines(random *rand.Rand, f *Fault) {
-	f.For = between(random, 100*time.Millisecond, 2500*time.Millisecond)
+	f.For = machines.Between(random, 100*time.Millisecond, 2500*time.Millisecond)
 	if random.IntN(longShare) == 0 { // others replace the machine meanwhile
 		f.For += longTime
 	}
@@ -112,13 +107,13 @@
 	case Freeze:
 		f.Machines = []int{random.IntN(s.Core + s.Forwarders)}
 		if random.IntN(2) == 0 { // it wakes with calls that wait for it, and others decide its names meanwhile
-			f.For = between(random, minTakeover, maxTakeover)
+			f.For = machines.Between(random, minTakeover, maxTakeover)
 		}
 	case Stall:
-		f.For = between(random, 100*time.Millisecond, 1500*time.Millisecond)
+		f.For = machines.Between(random, 100*time.Millisecond, 1500*time.Millisecond)
 		f.Machines = random.Perm(s.Core)
 	case Blackout:
-		f.For = between(random, 0, 500*time.Millisecond)
+		f.For = machines.Between(random, 0, 500*time.Millisecond)
 		order := random.Perm(s.Core)
 		f.Machines = order[:tolerated]
 		if frozen := random.IntN(4); frozen > 1 { // with three of five, nothing may be acknowledged any more
@@ -131,10 +126,6 @@
 	}
 }
 
-func between(random *rand.Rand, low, high time.Duration) time.Duration {
-	return low + time.Duration(random.Int64N(int64(high-low)))
-}
-
 // String returns a fault in one line.
 func (f Fault) String() string {
 	text := fmt.Sprintf("%s of %v for %v", f.Kind, f.Machines, f.For.Round(time.Millisecond))
--- a/internal/lab/coordination/status.go
+++ b/internal/lab/coordination/status.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 const (
@@ -85,21 +87,9 @@
 // awaitSettled waits until the fleet is settled, and returns false where the context ends before.
 func (f *fleet) awaitSettled(ctx context.Context) bool {
 	for !f.isSettled(ctx) {
-		if !pause(ctx, statusInterval) {
+		if !machines.Pause(ctx, statusInterval) {
 			return false
 		}
 	}
 	return true
 }
-
-// pause returns false where the context has ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/lab/coordination/value_callers.go
+++ b/internal/lab/coordination/value_callers.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"pinelb.example/pinelb/internal/lab/coordination/history"
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 const (
@@ -100,7 +101,7 @@
 		if w.random.IntN(20) == 0 {
 			w.rest(ctx, 0, 2*time.Second)
 		}
-		call := w.watch(since, between(w.random, 0, maxWatch))
+		call := w.watch(since, machines.Between(w.random, 0, maxWatch))
 		switch call.Status {
 		case http.StatusOK:
 			since = call.Revision
--- a/internal/lab/requests/behavior.go
+++ b/internal/lab/requests/behavior.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 // exchange is one request at an endpoint.
@@ -87,11 +89,12 @@
 	}},
 }
 
-var totalBehaviorWeight = func() (total int) {
-	for _, b := range behaviors {
-		total += b.weight
+// weightedBehaviors are the behaviors as choices.
+var weightedBehaviors = func() (choices []machines.Weighted[*behavior]) {
+	for i := range behaviors {
+		choices = append(choices, machines.Weighted[*behavior]{Value: &behaviors[i], Weight: behaviors[i].weight})
 	}
-	return total
+	return choices
 }()
 
 func (x *exchange) behave(b *behavior) bool {
--- a/internal/lab/requests/client.go
+++ b/internal/lab/requests/client.go
@@ -9,6 +9,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 const (
@@ -50,7 +52,7 @@
 
 func (c *client) run(ctx context.Context) {
 	defer c.http.CloseIdleConnections()
-	for sleep(ctx, between(c.random, minClientPause, maxClientPause)) {
+	for machines.Pause(ctx, machines.Between(c.random, minClientPause, maxClientPause)) {
 		request := c.send(c.drawKey())
 		if request.Status == 0 || c.random.IntN(routerTurnShare) == 0 {
 			c.router = c.random.IntN(len(c.fronts))
--- a/internal/lab/requests/endpoint.go
+++ b/internal/lab/requests/endpoint.go
@@ -12,6 +12,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 const (
@@ -101,7 +103,7 @@
 		}
 		e.mu.Unlock()
 		if address == "" { // it has crashed
-			if !sleep(ctx, heartbeatInterval) {
+			if !machines.Pause(ctx, heartbeatInterval) {
 				return
 			}
 			continue
@@ -116,7 +118,7 @@
 			_, _ = io.Copy(io.Discard, response.Body)
 			_ = response.Body.Close()
 		}
-		if !sleep(ctx, heartbeatInterval) {
+		if !machines.Pause(ctx, heartbeatInterval) {
 			return
 		}
 	}
@@ -158,13 +160,7 @@
 func (e *endpoint) drawBehavior() *behavior {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	draw := e.random.IntN(totalBehaviorWeight)
-	for i := range behaviors {
-		if draw -= behaviors[i].weight; draw < 0 {
-			return &behaviors[i]
-		}
-	}
-	panic("requests: the weights of the behaviors don't add up")
+	return machines.Draw(e.random, weightedBehaviors)
 }
 
 // pause waits for a random time below limit.
--- a/internal/lab/requests/faults.go
+++ b/internal/lab/requests/faults.go
@@ -33,7 +33,7 @@
 func (p *faultPlayer) play(ctx context.Context, faults []Fault) error {
 	var script sync.WaitGroup
 	for _, f := range faults {
-		if !sleep(ctx, f.At-p.clock()) {
+		if !machines.Pause(ctx, f.At-p.clock()) {
 			break
 		}
 		script.Go(func() { p.playOne(ctx, f) })
--- a/internal/lab/requests/fleet.go
+++ b/internal/lab/requests/fleet.go
@@ -129,7 +129,7 @@
 			if err == nil && response.StatusCode == http.StatusOK {
 				break
 			}
-			if !sleep(ctx, readyInterval) {
+			if !machines.Pause(ctx, readyInterval) {
 				return false
 			}
 		}
--- a/internal/lab/requests/operator.go
+++ b/internal/lab/requests/operator.go
@@ -12,6 +12,8 @@
 	"strconv"
 	"sync/atomic"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 const (
@@ -118,7 +120,7 @@
 
 // run changes the configuration until ctx ends.
 func (o *operator) run(ctx context.Context) error {
-	for sleep(ctx, between(o.random, minChangePause, maxChangePause)) {
+	for machines.Pause(ctx, machines.Between(o.random, minChangePause, maxChangePause)) {
 		if err := o.change(ctx); err != nil {
 			if ctx.Err() != nil {
 				return nil
@@ -126,7 +128,7 @@
 			return err
 		}
 		if len(o.allKeys()) == 0 {
-			if o.random.IntN(4) > 0 && !sleep(ctx, emptyTime) {
+			if o.random.IntN(4) > 0 && !machines.Pause(ctx, emptyTime) {
 				return nil
 			}
 			if err := o.giveAll(ctx); err != nil && ctx.Err() == nil {
@@ -215,7 +217,7 @@
 			change.Refused = status
 			return fmt.Errorf("requests: the change %d (%s) got %d", change.Version, name, status)
 		}
-		if !sleep(ctx, operatorPause) {
+		if !machines.Pause(ctx, operatorPause) {
 			return ctx.Err()
 		}
 	}
--- a/internal/lab/requests/play.go
+++ b/internal/lab/requests/play.go
@@ -129,7 +129,7 @@
 	var operatorErr error
 	tasks.Go(func() { operatorErr = p.operator.run(traffic) })
 	err := p.faults.play(ctx, p.script.Faults)
-	sleep(ctx, afterLastFault)
+	machines.Pause(ctx, afterLastFault)
 	stop()
 	tasks.Wait()
 	return errors.Join(err, operatorErr)
@@ -142,7 +142,7 @@
 		return
 	}
 	version, ok := int64(0), false
-	for until := time.Now().Add(recoverBound); !ok && time.Now().Before(until); sleep(ctx, operatorPause) {
+	for until := time.Now().Add(recoverBound); !ok && time.Now().Before(until); machines.Pause(ctx, operatorPause) {
 		version, ok = p.operator.readVersion(ctx)
 	}
 	if version != p.operator.version {
@@ -151,7 +151,7 @@
 	for i, r := range p.fleet.routers {
 		c := newClient(fmt.Sprint("last", i), p.script.Seed<<16+uint64(clientCount+i), p.recorder, []string{r.front}, p.operator.current)
 		served := false
-		for until := time.Now().Add(recoverBound); !served && time.Now().Before(until); sleep(ctx, operatorPause) {
+		for until := time.Now().Add(recoverBound); !served && time.Now().Before(until); machines.Pause(ctx, operatorPause) {
 			served = c.send(keyOf(0, 0)).Status == 200
 		}
 		c.http.CloseIdleConnections()
--- a/internal/lab/requests/play_test.go
+++ b/internal/lab/requests/play_test.go
@@ -1,13 +1,13 @@
 package requests
 
 import (
-	"os"
-	"os/exec"
 	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines/machinestest"
 )
 
 const testDuration = 10 * time.Second
@@ -18,10 +18,10 @@
 // TestPlayKeepsRules guards against a rule that real routers break while endpoints answer before they have read a request, the operator takes all
 // keys away, and machines are killed, frozen and restarted.
 func TestPlayKeepsRules(t *testing.T) {
-	program := buildProgram(t)
+	program := machinestest.BuildProgram(t)
 	for _, seed := range testSeeds {
 		result, err := Play(t.Context(), Options{
-			Program: program, Seed: seed, Duration: testDuration, Folder: filepath.Join(t.TempDir(), "play"), Disks: testDisks(t),
+			Program: program, Seed: seed, Duration: testDuration, Folder: filepath.Join(t.TempDir(), "play"), Disks: machinestest.Disks(t),
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -38,27 +38,6 @@
 	}
 }
 
-func buildProgram(t *testing.T) string {
-	t.Helper()
-	program := filepath.Join(t.TempDir(), "pinelb")
-	build := exec.CommandContext(t.Context(), "go", "build", "-o", program, "pinelb.example/pinelb/cmd/pinelb")
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
-	}
-	return program
-}
-
-// testDisks returns a folder in memory, where there is one: a killed process loses nothing there, and syncs take no time.
-func testDisks(t *testing.T) string {
-	t.Helper()
-	folder, err := os.MkdirTemp("/dev/shm", "pinelb-requests-")
-	if err != nil {
-		return t.TempDir()
-	}
-	t.Cleanup(func() { _ = os.RemoveAll(folder) })
-	return folder
-}
-
 // TestPlayedScripts guards against scripts of TestPlayKeepsRules that a change of the draws has emptied.
 func TestPlayedScripts(t *testing.T) {
 	var kinds []FaultKind
--- a/internal/lab/requests/script.go
+++ b/internal/lab/requests/script.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"math/rand/v2"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 // FaultKind is what happens to machines.
@@ -66,8 +68,8 @@
 	if edge > 0 {
 		s.Edge = edge
 	}
-	for at := warmUp; at < duration; at += between(random, minFaultPause, maxFaultPause) {
-		f := Fault{At: at, Kind: drawKind(random), For: between(random, minFaultTime, maxFaultTime)}
+	for at := warmUp; at < duration; at += machines.Between(random, minFaultPause, maxFaultPause) {
+		f := Fault{At: at, Kind: drawKind(random), For: machines.Between(random, minFaultTime, maxFaultTime)}
 		switch f.Kind {
 		case Wipe, Blackout:
 			f.Machine = random.IntN(s.Core)
@@ -83,20 +85,13 @@
 
 // drawKind draws a kind by its weight.
 func drawKind(random *rand.Rand) FaultKind {
-	weights := []struct {
-		kind   FaultKind
-		weight int
-	}{{Kill, 5}, {Wipe, 2}, {Freeze, 5}, {Stop, 5}, {Hangup, 2}, {Crash, 4}, {Blackout, 1}}
-	total := 0
-	for _, w := range weights {
-		total += w.weight
-	}
-	draw := random.IntN(total)
-	for _, w := range weights {
-		if draw < w.weight {
-			return w.kind
-		}
-		draw -= w.weight
-	}
-	panic("requests: the weights of the faults don't add up")
+	return machines.Draw(random, []machines.Weighted[FaultKind]{
+		{Value: Kill, Weight: 5},
+		{Value: Wipe, Weight: 2},
+		{Value: Freeze, Weight: 5},
+		{Value: Stop, Weight: 5},
+		{Value: Hangup, Weight: 2},
+		{Value: Crash, Weight: 4},
+		{Value: Blackout, Weight: 1},
+	})
 }
--- a/internal/lab/requests/slow_body.go
+++ b/internal/lab/requests/slow_body.go
@@ -4,6 +4,8 @@
 	"io"
 	"sync"
 	"time"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 // slowBody is the body of a request in pieces, with a pause before each. The client's transport reads it, on a goroutine of its own.
@@ -19,7 +21,7 @@
 
 func (c *client) newSlowBody(request *Request) *slowBody {
 	text := bodyOf(request.ID, request.BodyBytes)
-	b := &slowBody{recorder: c.recorder, pause: between(c.random, minPiecePause, maxPiecePause)}
+	b := &slowBody{recorder: c.recorder, pause: machines.Between(c.random, minPiecePause, maxPiecePause)}
 	length := len(text)/slowBodyPieces + 1
 	for at := 0; at < len(text); at += length {
 		b.pieces = append(b.pieces, text[at:min(at+length, len(text))])
