--- a/internal/lab/coordination/play_test.go
+++ b/internal/lab/coordination/play_test.go
@@ -13,6 +13,7 @@
 const (
 	testSeed     = 1320 // its script has what TestPlayedScript asks for
 	testDuration = 6 * time.Second
+	memoryFolder = "/dev/shm" // a killed process loses nothing there, and syncs take no time
 )
 
 // TestPlayKeepsRules guards against a rule of the service that real processes break under faults. Only rules count: a machine that is too
@@ -21,7 +22,7 @@
 	folder := t.TempDir()
 	program := machinestest.BuildProgram(t)
 	result, err := Play(t.Context(), Options{
-		Program: program, Seed: testSeed, Duration: testDuration, Folder: filepath.Join(folder, "play"), Disks: machinestest.Disks(t),
+		Program: program, Seed: testSeed, Duration: testDuration, Folder: filepath.Join(folder, "play"), Disks: machinestest.Disks(t, memoryFolder),
 	})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/lab/machines/machinestest/machinestest.go
+++ b/internal/lab/machines/machinestest/machinestest.go
@@ -19,10 +19,10 @@
 	return program
 }
 
-// Disks returns a folder in memory, where there is one: a killed process loses nothing there, and syncs take no time.
-func Disks(t *testing.T) string {
+// Disks returns a folder for the routers' disks within parent, or a temporary one where parent doesn't exist. It is removed at the test's end.
+func Disks(t *testing.T, parent string) string {
 	t.Helper()
-	folder, err := os.MkdirTemp("/dev/shm", "pinelb-disks-")
+	folder, err := os.MkdirTemp(parent, "pinelb-disks-")
 	if err != nil {
 		return t.TempDir()
 	}
--- a/internal/lab/requests/play_test.go
+++ b/internal/lab/requests/play_test.go
@@ -10,7 +10,10 @@
 	"pinelb.example/pinelb/internal/lab/machines/machinestest"
 )
 
-const testDuration = 10 * time.Second
+const (
+	testDuration = 10 * time.Second
+	memoryFolder = "/dev/shm" // a killed process loses nothing there, and syncs take no time
+)
 
 // testSeeds draw scripts that have, together, what TestPlayedScripts asks for.
 var testSeeds = []uint64{2, 4}
@@ -21,7 +24,7 @@
 	program := machinestest.BuildProgram(t)
 	for _, seed := range testSeeds {
 		result, err := Play(t.Context(), Options{
-			Program: program, Seed: seed, Duration: testDuration, Folder: filepath.Join(t.TempDir(), "play"), Disks: machinestest.Disks(t),
+			Program: program, Seed: seed, Duration: testDuration, Folder: filepath.Join(t.TempDir(), "play"), Disks: machinestest.Disks(t, memoryFolder),
 		})
 		if err != nil {
 			t.Fatal(err)
