Tell what a router uses of its limits, and why it stops

Whether a process was refused by its build, killed for its memory or ended by an error couldn't be told apart: neither the log nor the status had the limits, the use or the reason.

--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -14,6 +14,7 @@
 //	allocatorServer       grants of credit and leases of shares to all routers, while this router is the primary; uses a grantCache
 //	coreSizeCheck         a warning if the core is smaller than its tolerance needs
 //	announcementRelay     announcements of prompts to the other routers
+//	resourceMonitor       use of memory, descriptors and disk beside their limits
 //	coordinationService   locks, counters, cells and watches for applications, if the settings enable them
 //	httpServers           the listeners for clients, the control API and the readiness probe
 //
@@ -47,6 +48,12 @@
 	supersededMargin    = 150 * time.Millisecond // part of configApplyMs that is reserved for clock drift and scheduling delays between two machines
 )
 
+// Reasons for which a router stops, as its log tells them.
+const (
+	reasonSignal = "signal"
+	reasonKilled = "kill of a test"
+)
+
 // Router is the router process of one machine. Create it with New and start it with Run; the other exported methods may be called by any
 // goroutine.
 type Router struct {
@@ -64,6 +71,7 @@
 	learned         *learnedStateExchange
 	coreSize        *coreSizeCheck
 	coordination    *coordinationService
+	resources       *resourceMonitor
 	tooLargeLog     tooLargeLog
 
 	dispatcher  *proxy.Dispatcher
@@ -91,6 +99,7 @@
 	r.learned = &learnedStateExchange{environment: e, gossip: r.gossip, dispatcher: r.dispatcher}
 	r.coreSize = &coreSizeCheck{environment: e, gossip: r.gossip}
 	r.coordination = &coordinationService{environment: e, gossip: r.gossip}
+	r.resources = &resourceMonitor{environment: e}
 	r.proxy = proxy.NewServer(r, r.dispatcher, proxyOptions(s))
 	r.servers = &httpServers{environment: e}
 	return r
@@ -110,6 +119,7 @@
 
 // Run starts the router, serves until ctx is done, and then shuts down gracefully. It returns an error only if the router can't be started.
 func (r *Router) Run(ctx context.Context) error {
+	r.resources.logStart()
 	if err := r.start(); err != nil {
 		return err
 	}
@@ -121,9 +131,11 @@
 		case <-ctx.Done():
 			r.drain(ticker.C)
 			r.close()
+			r.resources.logEnd(reasonSignal)
 			return nil
 		case <-r.killed:
 			r.close()
+			r.resources.logEnd(reasonKilled)
 			return nil
 		case <-ticker.C:
 		}
@@ -219,6 +231,7 @@
 	r.leaseholders.tick()
 	r.learned.tick()
 	r.coreSize.tick()
+	r.resources.tick()
 }
 
 // close stops all components and waits for their goroutines.
--- a/internal/fleet/router/status.go
+++ b/internal/fleet/router/status.go
@@ -38,6 +38,7 @@
 	TooLarge      uint64                    `json:"tooLarge,omitempty"`     // messages to other routers that were not sent because none accepts one of that size
 	KeysRequired  bool                      `json:"keysRequired,omitempty"` // requests need a key, on routes that are not public
 	Coordination  *coordinator.Status       `json:"coordination,omitempty"`
+	Resources     ResourceStatus            `json:"resources,omitzero"`
 }
 
 // ConfigLagStatus describes the lag of the active configuration behind the newest one that the router knows of.
@@ -59,7 +60,7 @@
 	table, age := r.ActiveConfig()
 	s := Status{
 		Node: r.settings.NodeName, Ready: r.isReady(), LeaseAgeMs: age.Milliseconds(), UptimeMs: r.clock().Milliseconds(),
-		Tables: r.dispatcher.Tables(), Services: r.dispatcher.Services(), Replica: r.replicaStatus(),
+		Tables: r.dispatcher.Tables(), Services: r.dispatcher.Services(), Replica: r.replicaStatus(), Resources: r.resources.status(),
 	}
 	if table != nil {
 		s.Version = table.Version
