Write the log's segments without keeping them in memory

Cause: package wal keeps the segment that is open in memory, whole, and the batch of the largest entry; the record was encoded into a pooled buffer, copied out of it and copied again behind its checksum. Change: storage writes the segment itself, in the same format.

--- a/internal/fleet/storage/corruption_test.go
+++ b/internal/fleet/storage/corruption_test.go
@@ -1,7 +1,9 @@
 package storage
 
 import (
+	"encoding/binary"
 	"errors"
+	"hash/crc32"
 	"os"
 	"testing"
 
@@ -82,6 +84,13 @@
 	})
 }
 
+// addChecksum returns a payload preceded by its checksum.
+func addChecksum(payload []byte) []byte {
+	framed := make([]byte, checksumSize, checksumSize+len(payload))
+	binary.BigEndian.PutUint32(framed, crc32.Checksum(payload, castagnoli))
+	return append(framed, payload...)
+}
+
 // FuzzReadRecord looks for data on which the reader panics, or returns a record that is larger than the data.
 func FuzzReadRecord(f *testing.F) {
 	payload, err := cbor.Marshal(&Record[replication.HardState]{HardState: testHardState(1), Snapshot: []byte("s")})
--- a/internal/fleet/storage/log.go
+++ b/internal/fleet/storage/log.go
@@ -17,15 +17,11 @@
 	"slices"
 	"strconv"
 	"strings"
-
-	"github.com/fxamacker/cbor/v2"
-	"github.com/tidwall/wal"
 )
 
 const (
 	generationPrefix = "generation-"
 	directoryMode    = 0o750
-	segmentSize      = 1 << 30 // bytes; larger than any generation, so that each generation is a single segment
 
 	minCompactionSize = 256 << 10 // bytes; a smaller log is not compacted
 	maxGrowthFactor   = 4         // the log is compacted when its size exceeds this multiple of its first record's
@@ -46,8 +42,7 @@
 type Log[H any] struct {
 	directory       string
 	generation      uint64   // number of the newest generation
-	wal             *wal.Log // the newest generation's write-ahead log; nil: not open
-	lastIndex       uint64   // index of the last record in the write-ahead log; 0: none
+	segment         *segment // the newest generation's write-ahead log; nil: not open
 	size            int      // total size of the open generation's records, in bytes
 	firstRecordSize int      // bytes
 }
@@ -120,11 +115,11 @@
 // createGeneration creates the directory and the first record of a generation, and makes both durable.
 func (l *Log[H]) createGeneration(first Record[H]) error {
 	path := l.generationPath(l.generation)
-	log, err := wal.Open(path, &wal.Options{SegmentSize: segmentSize, NoCopy: true})
+	created, err := createSegment(path)
 	if err != nil {
 		return wrap(err)
 	}
-	l.wal, l.lastIndex, l.size = log, 0, 0
+	l.segment, l.size = created, 0
 	if err := l.append(first); err != nil {
 		return err
 	}
@@ -155,7 +150,7 @@
 // Append makes a record durable. It returns ErrNoGeneration if no generation is open. After any error, the caller has to
 // start a new generation.
 func (l *Log[H]) Append(record Record[H]) error {
-	if l.wal == nil {
+	if l.segment == nil {
 		return ErrNoGeneration
 	}
 	if err := l.append(record); err != nil {
@@ -166,30 +161,29 @@
 }
 
 func (l *Log[H]) append(record Record[H]) error {
-	payload, err := cbor.Marshal(&record)
+	encoded, err := encodeRecord(&record)
 	if err != nil {
 		return wrap(err)
 	}
-	framed := addChecksum(payload)
-	if err := l.wal.Write(l.lastIndex+1, framed); err != nil {
+	size, err := l.segment.append(encoded)
+	if err != nil {
 		return wrap(err)
 	}
-	l.lastIndex++
-	l.size += len(framed)
+	l.size += size
 	return nil
 }
 
 // NeedsCompaction reports whether the next write has to start a new generation: the log has grown too large, or no
 // generation is open.
 func (l *Log[H]) NeedsCompaction() bool {
-	return l.wal == nil || l.size > max(minCompactionSize, maxGrowthFactor*l.firstRecordSize)
+	return l.segment == nil || l.size > max(minCompactionSize, maxGrowthFactor*l.firstRecordSize)
 }
 
 // Close closes the open generation, if any. StartGeneration opens the log again.
 func (l *Log[H]) Close() {
-	if l.wal != nil {
-		_ = l.wal.Close() // every record was synced when it was written
-		l.wal = nil
+	if l.segment != nil {
+		_ = l.segment.close() // every record was synced when it was written
+		l.segment = nil
 	}
 }
 
--- a/internal/fleet/storage/log_test.go
+++ b/internal/fleet/storage/log_test.go
@@ -102,7 +102,7 @@
 			So(string(records[0].Snapshot), ShouldEqual, "on")
 		})
 		Convey("rejects appends after a failed write until a new generation is started", func() {
-			So(log.wal.Close(), ShouldBeNil)
+			So(log.segment.close(), ShouldBeNil)
 			So(log.Append(Record[replication.HardState]{HardState: testHardState(5)}), ShouldNotBeNil)
 			So(log.Append(Record[replication.HardState]{HardState: testHardState(5)}), ShouldEqual, ErrNoGeneration)
 			So(log.NeedsCompaction(), ShouldBeTrue)
--- a/internal/fleet/storage/record.go
+++ b/internal/fleet/storage/record.go
@@ -11,7 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// segmentName is the file name that the write-ahead log gives to the only segment of a generation.
+// segmentName is the file name of the only segment of a generation.
 const segmentName = "00000000000000000001"
 
 // checksumSize is the size in bytes of the checksum (CRC-32C, big endian) that precedes a record's payload.
@@ -19,14 +19,7 @@
 
 var castagnoli = crc32.MakeTable(crc32.Castagnoli)
 
-// addChecksum returns a payload preceded by its checksum.
-func addChecksum(payload []byte) []byte {
-	framed := make([]byte, checksumSize, checksumSize+len(payload))
-	binary.BigEndian.PutUint32(framed, crc32.Checksum(payload, castagnoli))
-	return append(framed, payload...)
-}
-
-// verifyChecksum returns the payload of a record that addChecksum made; ok is false if the checksum does not match.
+// verifyChecksum returns the payload of a record with its checksum before it; ok is false if the checksum does not match.
 func verifyChecksum(framed []byte) (payload []byte, ok bool) {
 	if len(framed) < checksumSize {
 		return nil, false
@@ -49,8 +42,8 @@
 
 // readGeneration reads the records of a generation up to a torn one, which was never synced. A generation without a segment
 // has no records. Each record is synced before the next one is written, so only the last one can be torn: a complete record
-// after an invalid one is reported as a *CorruptLogError. The entries (a length as a varint, then the bytes) are parsed here,
-// because the write-ahead log's own reader rejects a file that ends with a torn entry.
+// after an invalid one is reported as a *CorruptLogError. The entries (a length as a varint, then the bytes) may end
+// with a torn one.
 func readGeneration[H any](directory string) ([]Record[H], error) {
 	path := filepath.Join(directory, segmentName)
 	content, err := os.ReadFile(path)
