Keep the garbage collector within limits.memoryMb

Cause: the router parsed limits.memoryMb and nothing read it: Go's collector lets a heap double before it collects.

--- a/cmd/pinelb/router.go
+++ b/cmd/pinelb/router.go
@@ -83,6 +83,7 @@
 	log := routerLog().With(zap.String("node", s.NodeName))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	router.LimitMemory(s)
 	r := router.New(s, log)
 	go reloadRouter(ctx, r, path, hangups, log)
 	if err := r.Run(ctx); err != nil {
@@ -105,6 +106,7 @@
 			log.Warn("the new settings are not taken", zap.Error(err))
 			continue
 		}
+		router.LimitMemory(s)
 		r.Reload(s)
 	}
 }
--- a/internal/fleet/settings/settings.go
+++ b/internal/fleet/settings/settings.go
@@ -46,7 +46,7 @@
 // of the fleet id that routers use on the wire (package router), so that no fields may be added.
 type PortRange struct{ First, Last int }
 
-// Limits are the resource limits of the machine: limits.*. The router uses FileDescriptors only; the other limits are only
+// Limits are the resource limits of the machine: limits.*. CPUShare and Cores are only
 // validated.
 type Limits struct {
 	CPUShare        float64 // fraction of one core
