Bound the registers by the machine's memory and disk

Cause: limits.memoryMb and limits.diskMb were parsed and read by nothing. Change: an acceptor has room for a tenth of memoryMb and 3/8 of diskMb; Hello tells who is full. A put is then not executed (504, as in a full group: a copy may still be; one that comes again is recognized first), a new name is refused (429), all else goes on. Groups that get no puts drop events past their time, so that room comes back.

--- a/internal/fleet/control/coordination.go
+++ b/internal/fleet/control/coordination.go
@@ -33,9 +33,9 @@
 	Draining() bool
 }
 
-// errGroupFull reports that a put was not executed because the group of its key is full. The client must not be sent a refusal: a
+// errGroupFull reports that a put was not executed because the group of its key, or the whole state, is full. The client must not be sent a refusal: a
 // delayed copy of the put may still be executed once the group has room.
-var errGroupFull = errors.New("the group of the key is full")
+var errGroupFull = errors.New("the group of the key, or the state of all names, is full")
 
 // RefusedError reports that an operation was not executed and never will be.
 type RefusedError struct {
--- a/internal/fleet/coordination/group.go
+++ b/internal/fleet/coordination/group.go
@@ -44,7 +44,7 @@
 		return Result{Outcome: Mismatch, Revision: current}
 	}
 	g.compact(now)
-	if g.size+2*itemSize(op.Key, op.Value) > g.options.MaxGroupBytes {
+	if g.size+2*itemSize(op.Key, op.Value) > g.options.MaxGroupBytes || !g.options.hasRoom() {
 		return Result{Outcome: Full}
 	}
 	event := Event{Key: op.Key, Value: op.Value, Revision: g.revision + 1}
--- a/internal/fleet/coordination/operation.go
+++ b/internal/fleet/coordination/operation.go
@@ -42,7 +42,7 @@
 	Missing           // the key does not exist
 	Compacted         // some of the events after Operation.Since have been dropped
 	Pending           // Watch: there are no events after Operation.Since yet
-	Full              // the put was rejected: the group would exceed Options.MaxGroupBytes
+	Full              // the put was rejected: the group would exceed Options.MaxGroupBytes, or Options.HasRoom is false
 )
 
 // Result is the result of an operation.
--- a/internal/fleet/coordination/state.go
+++ b/internal/fleet/coordination/state.go
@@ -8,8 +8,12 @@
 	History time.Duration
 	// MaxGroupBytes limits the total size of the cells and events of a group. A put that would exceed it is rejected.
 	MaxGroupBytes int
+	// HasRoom reports whether the machine's acceptors have room for a further put. nil: always.
+	HasRoom func() bool
 }
 
+func (o *Options) hasRoom() bool { return o.HasRoom == nil || o.HasRoom() }
+
 // State is the value of one name. It is not safe for concurrent use.
 type State struct {
 	kind     Kind
@@ -122,6 +126,26 @@
 	return a
 }
 
+// Size returns the size of the state that counts towards the limits, in bytes.
+func (s *State) Size() int {
+	switch s.kind {
+	case KindGroup:
+		return s.group.size
+	case KindLock:
+		return len(s.lock.holder) + callIDBytes*len(s.lock.callIDs)
+	case KindDecision:
+		return len(s.decision.Value)
+	}
+	return 0
+}
+
+// Compact drops what is kept for longer than Options.History.
+func (s *State) Compact(now time.Duration) {
+	if s.group != nil {
+		s.group.compact(now)
+	}
+}
+
 func (s *State) increment(change *Change) Result {
 	s.counter.Count++
 	counter := s.counter
--- a/internal/fleet/coordinator/acceptor_loop.go
+++ b/internal/fleet/coordinator/acceptor_loop.go
@@ -23,6 +23,7 @@
 	Config          register.Config
 	ReadyEpoch      uint64 // the newest epoch in which the acceptor is ready
 	StoredRegisters int    // number of registers
+	StoredBytes     int    // size of the registers
 	Durable         bool   // the identity in Self may be sent to other machines: it is on disk, or the store is in memory only
 }
 
@@ -60,7 +61,8 @@
 func (l *acceptorLoop) publish(durable bool) {
 	h := l.acceptor.HardState()
 	status := AcceptorStatus{
-		Self: h.Self, Config: h.Config, ReadyEpoch: h.ReadyEpoch, StoredRegisters: l.acceptor.RegisterCount(), Durable: durable,
+		Self: h.Self, Config: h.Config, ReadyEpoch: h.ReadyEpoch, StoredRegisters: l.acceptor.RegisterCount(),
+		StoredBytes: l.acceptor.Size(), Durable: durable,
 	}
 	l.mu.Lock()
 	previous := l.published
@@ -85,10 +87,18 @@
 		case <-ticker.C:
 			l.step(ctx, l.acceptor.Tick(l.service.options.Clock()))
 			l.flush(ctx)
+			l.publishSize()
 		}
 	}
 }
 
+// publishSize publishes the size of the registers, which falls without a write when events are no longer kept.
+func (l *acceptorLoop) publishSize() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.published.StoredBytes = l.acceptor.Size()
+}
+
 // writeIdentity makes the acceptor's identity and state durable. It retries until the write succeeds, and returns false if ctx
 // ends before that. At the start, no message is sent unless it succeeds; after a failed write, see recover.
 func (l *acceptorLoop) writeIdentity(ctx context.Context) bool {
--- a/internal/fleet/coordinator/proposer_loop.go
+++ b/internal/fleet/coordinator/proposer_loop.go
@@ -25,7 +25,8 @@
 // ProposerStatus is a copy of the proposer's state for other goroutines.
 type ProposerStatus struct {
 	Config        register.Config
-	UsedRegisters int // number of registers that the proposer has used since its start
+	UsedRegisters int  // number of registers that the proposer has used since its start
+	Full          bool // an acceptor has no room
 }
 
 // callKey identifies a call of another machine.
@@ -51,8 +52,9 @@
 	keysByCallID      map[uint64]callKey // of the calls in progress, by register.Call.ID
 	lastID            uint64             // the last register.Call.ID that was assigned
 	process           uint64             // drawn at random at the start: a call that is bound to an earlier process is not executed
-	readyEpochs       map[string]uint64  // by address: the newest epoch in which the machine's acceptor has reported that it is ready
-	configCallID      uint64             // register.Call.ID of the call that decides or queries the next acceptor set; 0: none
+	room              acceptorRoom
+	readyEpochs       map[string]uint64 // by address: the newest epoch in which the machine's acceptor has reported that it is ready
+	configCallID      uint64            // register.Call.ID of the call that decides or queries the next acceptor set; 0: none
 	nextHelloAt       time.Duration
 	nextMaintenanceAt time.Duration
 	published         atomic.Pointer[ProposerStatus]
@@ -114,12 +116,14 @@
 	l.setConfig(status.Config)
 	l.planner.Observe(now, l.hello())
 	l.removeExpiredCalls(now)
+	l.proposer.Compact(now)
+	l.observeRoom(now)
 	if now >= l.nextHelloAt {
 		l.nextHelloAt = now + helloInterval
 		l.sendHellos()
 	}
 	l.planNextConfig(now, status)
-	l.published.Store(&ProposerStatus{Config: l.proposer.Config(), UsedRegisters: l.proposer.RegisterCount()})
+	l.published.Store(&ProposerStatus{Config: l.proposer.Config(), UsedRegisters: l.proposer.RegisterCount(), Full: !l.hasRoom()})
 }
 
 func (l *proposerLoop) receive(m receivedMessage) {
@@ -167,7 +171,7 @@
 	if l.service.IsResuming() {
 		return // the call may have been queued during the pause, so that its caller has already given up
 	}
-	if !l.proposer.HasRegister(m.Operation.Name) && l.service.acceptor.status().StoredRegisters >= maxRegisters {
+	if !l.proposer.HasRegister(m.Operation.Name) && !l.hasRoomForName() {
 		l.reply(from, &CallReply{ID: m.ID, Certainty: register.NotExecuted})
 		return
 	}
@@ -227,6 +231,7 @@
 // onHello adopts a newer acceptor set, or sends the current one to a machine that has an older one.
 func (l *proposerLoop) onHello(from string, m *register.Hello) {
 	l.planner.Observe(l.now(), m)
+	l.room.observe(l.now(), from, m.Full)
 	l.setConfig(m.Config)
 	switch epoch := l.proposer.Config().Epoch; {
 	case m.Config.Epoch < epoch:
@@ -261,6 +266,7 @@
 	if status.Durable {
 		hello.Self, hello.ReadyEpoch = status.Self, status.ReadyEpoch
 	}
+	hello.Full = l.service.isFull(&status)
 	return hello
 }
 
--- a/internal/fleet/coordinator/service.go
+++ b/internal/fleet/coordinator/service.go
@@ -26,7 +26,9 @@
 	Core      bool     // this machine has an acceptor and a proposer
 	Votes     bool     // this machine may be chosen as an acceptor; if not, its acceptor is replaced once there is a candidate
 	Tolerance replication.Tolerance
-	State     coordination.Options
+	State     coordination.Options                       // HasRoom is set by Start
+	MaxState  int                                        // size of the registers in bytes from which on this machine's acceptor has no room; 0: unlimited
+	MaxLog    int                                        // size of the log on disk in bytes from which on it is compacted; 0: only by its growth
 	Peers     func() []string                            // internal addresses of the other core machines, live or not
 	Proposers func() []string                            // internal addresses of the live core machines, including this one if it is one
 	Leaving   func() bool                                // reports whether this machine is shutting down
@@ -69,6 +71,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	s := &Service{options: options, cancel: cancel}
+	s.options.State.HasRoom = s.hasRoom
 	s.forwarder.init(s)
 	if !options.Core {
 		return s, nil
@@ -93,6 +96,9 @@
 // its sockets since before the pause.
 func (s *Service) IsResuming() bool { return s.pauses.isResuming(s.options.Clock()) }
 
+// hasRoom reports whether the acceptors have room. Only the proposer's goroutine calls it.
+func (s *Service) hasRoom() bool { return s.proposer.hasRoom() }
+
 // Close stops the service and closes its files. Calls in progress are not cancelled: they end by their context or time-out.
 func (s *Service) Close() {
 	s.cancel()
--- a/internal/fleet/coordinator/status.go
+++ b/internal/fleet/coordinator/status.go
@@ -17,8 +17,11 @@
 	Duplicates uint64                `json:"duplicates"`
 	Dropped    uint64                `json:"dropped"`
 	Syncs      uint64                `json:"syncs"`
-	SyncErrors uint64                `json:"syncErrors"` // Counters.FailedSyncs
-	Expired    uint64                `json:"expired"`    // Counters.ExpiredLocks
+	SyncErrors uint64                `json:"syncErrors"`         // Counters.FailedSyncs
+	Expired    uint64                `json:"expired"`            // Counters.ExpiredLocks
+	Bytes      int                   `json:"bytes,omitempty"`    // size of the registers that this machine's acceptor stores
+	MaxBytes   int                   `json:"maxBytes,omitempty"` // Options.MaxState
+	Full       bool                  `json:"full,omitempty"`     // an acceptor has no room: puts and new names are not executed
 }
 
 // Status returns the current state. On a machine outside the core, only the counters are set.
@@ -36,5 +39,6 @@
 	status.Epoch, status.Acceptors, status.Used = proposer.Config.Epoch, proposer.Config.Acceptors, proposer.UsedRegisters
 	status.Acceptor, status.Stored = &acceptor.Self, acceptor.StoredRegisters
 	status.Ready = acceptor.isReady()
+	status.Bytes, status.MaxBytes, status.Full = acceptor.StoredBytes, s.options.MaxState, proposer.Full
 	return status
 }
--- a/internal/fleet/coordinator/store.go
+++ b/internal/fleet/coordinator/store.go
@@ -1,6 +1,7 @@
 package coordinator
 
 import (
+	"bytes"
 	"cmp"
 	"errors"
 	"path/filepath"
@@ -39,6 +40,9 @@
 	}
 	log, records, err := storage.Open[*register.HardState](filepath.Join(options.Directory, logDirectory))
 	s.log = log
+	if log != nil {
+		log.LimitSize(options.MaxLog)
+	}
 	var corrupt *storage.CorruptLogError
 	if errors.As(err, &corrupt) {
 		s.resetWithNewIdentity(options, err)
@@ -125,11 +129,12 @@
 
 // replace makes a hard state and all registers durable in a new generation of the log, which replaces the former one.
 func (s *store) replace(hardState register.HardState, all []register.Stored) error {
-	snapshot, err := cbor.Marshal(all)
-	if err != nil {
+	var snapshot bytes.Buffer
+	snapshot.Grow(register.SizeOf(all))
+	if err := cbor.MarshalToBuffer(all, &snapshot); err != nil {
 		return err
 	}
-	if err := s.log.StartGeneration(&hardState, snapshot); err != nil {
+	if err := s.log.StartGeneration(&hardState, snapshot.Bytes()); err != nil {
 		return err
 	}
 	s.hardState = hardState
--- a/internal/fleet/register/acceptor.go
+++ b/internal/fleet/register/acceptor.go
@@ -8,12 +8,17 @@
 	"pinelb.example/pinelb/internal/fleet/replication"
 )
 
+// compactionInterval is the time between two searches for events that need not be kept any longer.
+const compactionInterval = 2 * time.Second
+
 // Acceptor stores registers. Its methods are not safe for concurrent use. A returned Output must be carried out before
 // the next call.
 type Acceptor struct {
 	options          coordination.Options
 	hardState        HardState
 	registers        map[coordination.Name]*storedRegister
+	size             int // of all registers, in bytes
+	nextCompaction   time.Duration
 	collections      map[replication.Replica]*collection // from the former acceptors, until this one is ready in the current epoch
 	maxPieceBytes    int                                 // of a Collected
 	waitingProposers map[string]bool                     // addresses of proposers to notify once the acceptor is ready
@@ -62,6 +67,9 @@
 // RegisterCount returns the number of stored registers.
 func (a *Acceptor) RegisterCount() int { return len(a.registers) }
 
+// Size returns the size of all stored registers, in bytes. Their encoded form is about as large.
+func (a *Acceptor) Size() int { return a.size }
+
 // Snapshot returns all registers with their complete values, sorted by name.
 func (a *Acceptor) Snapshot(now time.Duration) []Stored {
 	all := make([]Stored, 0, len(a.registers))
@@ -89,9 +97,10 @@
 	return out
 }
 
-// Tick advances the time: an acceptor that is collecting requests missing registers again.
+// Tick advances the time: an acceptor that is collecting requests missing registers again, and groups drop events that are no longer kept.
 func (a *Acceptor) Tick(now time.Duration) *Output {
 	out := a.step()
+	a.compact(now)
 	a.collect(now)
 	return out
 }
@@ -177,7 +186,7 @@
 func (a *Acceptor) accept(now time.Duration, r *storedRegister, m *Accept) {
 	r.promised = m.Version.Ballot
 	r.accepted = m.Version
-	r.state.Apply(now, m.Change)
+	a.applyChange(now, r, m.Change)
 	a.recordChange(Stored{Name: m.Name, Promised: r.promised, Accepted: r.accepted, Change: m.Change})
 }
 
@@ -192,16 +201,43 @@
 	if !exists {
 		r = &storedRegister{state: coordination.NewState(name.Kind, a.options)}
 		a.registers[name] = r
+		a.size += len(name.ID) + storedOverhead
 	}
 	return r
 }
 
+// applyChange applies a change to a register's state.
+func (a *Acceptor) applyChange(now time.Duration, r *storedRegister, change *coordination.Change) {
+	before := r.state.Size()
+	r.state.Apply(now, change)
+	a.size += r.state.Size() - before
+}
+
+// remove removes a register.
+func (a *Acceptor) remove(name coordination.Name) {
+	a.size -= len(name.ID) + storedOverhead + a.registers[name].state.Size()
+	delete(a.registers, name)
+}
+
+// compact drops, once per compactionInterval, the events that no register has to keep any longer.
+func (a *Acceptor) compact(now time.Duration) {
+	if now < a.nextCompaction {
+		return
+	}
+	a.nextCompaction = now + compactionInterval
+	for _, r := range a.registers {
+		before := r.state.Size()
+		r.state.Compact(now)
+		a.size += r.state.Size() - before
+	}
+}
+
 // restore applies a stored register, or a change of one.
 func (a *Acceptor) restore(now time.Duration, s *Stored) {
 	r := a.register(s.Name)
 	r.promised = s.Promised
 	r.accepted = s.Accepted
-	r.state.Apply(now, s.Change)
+	a.applyChange(now, r, s.Change)
 }
 
 // snapshot returns the register's complete value, or nil if nothing was accepted.
--- a/internal/fleet/register/carry_over.go
+++ b/internal/fleet/register/carry_over.go
@@ -116,7 +116,7 @@
 func (a *Acceptor) completeCollection(now time.Duration) {
 	for name := range a.registers {
 		if name.Kind == coordination.KindDecision {
-			delete(a.registers, name) // belongs to a former epoch
+			a.remove(name) // belongs to a former epoch
 		}
 	}
 	clear(a.collections)
@@ -135,7 +135,7 @@
 	r := a.register(s.Name)
 	if r.accepted.less(s.Accepted) {
 		r.accepted = s.Accepted
-		r.state.Apply(now, s.Change)
+		a.applyChange(now, r, s.Change)
 	}
 	if r.promised.less(r.accepted.Ballot) {
 		r.promised = r.accepted.Ballot // of the current epoch if the sender is ready in it already
--- a/internal/fleet/register/collection.go
+++ b/internal/fleet/register/collection.go
@@ -85,11 +85,22 @@
 		}
 		r := a.registers[name]
 		stored := Stored{Name: name, Promised: r.promised, Accepted: r.accepted, Change: r.snapshot(now)}
-		size += len(name.ID) + storedOverhead + stored.Change.Size()
+		size += stored.size()
 		registers = append(registers, stored)
 	}
 	return registers, false
 }
 
+// SizeOf returns an estimate of the size of encoded registers, in bytes. It is rarely too low.
+func SizeOf(registers []Stored) (size int) {
+	for i := range registers {
+		size += registers[i].size()
+	}
+	return size
+}
+
+// size returns an estimate of the encoded size, in bytes.
+func (s *Stored) size() int { return len(s.Name.ID) + storedOverhead + s.Change.Size() }
+
 // storedOverhead is the size of an encoded register without its name and change, in bytes.
 const storedOverhead = 64
--- a/internal/fleet/register/proposer.go
+++ b/internal/fleet/register/proposer.go
@@ -29,15 +29,16 @@
 // Proposer executes operations on registers. Its methods are not safe for concurrent use. A method that returns a
 // ProposerOutput is a step; its output must be carried out before the next step.
 type Proposer struct {
-	options       ProposerOptions
-	id            uint64 // identifies this process in ballots
-	config        Config
-	highestRound  uint64
-	lastRoundTrip uint64
-	registers     map[coordination.Name]*proposedRegister
-	active        map[*proposedRegister]bool // registers that wait for a message or a time
-	out           *ProposerOutput            // of the current step
-	requests      map[string]*Request        // of the current step, by the acceptor's address
+	options        ProposerOptions
+	id             uint64 // identifies this process in ballots
+	config         Config
+	highestRound   uint64
+	lastRoundTrip  uint64
+	registers      map[coordination.Name]*proposedRegister
+	active         map[*proposedRegister]bool // registers that wait for a message or a time
+	nextCompaction time.Duration
+	out            *ProposerOutput     // of the current step
+	requests       map[string]*Request // of the current step, by the acceptor's address
 }
 
 // NewProposer returns a proposer without a Config. Calls are queued until SetConfig.
@@ -126,6 +127,19 @@
 	return p.finish()
 }
 
+// Compact drops the events that no register has to keep any longer. The acceptors do so as well.
+func (p *Proposer) Compact(now time.Duration) {
+	if now < p.nextCompaction {
+		return
+	}
+	p.nextCompaction = now + compactionInterval
+	for _, r := range p.registers {
+		if r.state != nil {
+			r.state.Compact(now)
+		}
+	}
+}
+
 // activeInOrder returns the active registers sorted by name.
 func (p *Proposer) activeInOrder() []*proposedRegister {
 	active := slices.Collect(maps.Keys(p.active))
--- a/internal/fleet/router/coordination.go
+++ b/internal/fleet/router/coordination.go
@@ -10,6 +10,7 @@
 	"pinelb.example/pinelb/internal/fleet/coordinator"
 	"pinelb.example/pinelb/internal/fleet/register"
 	"pinelb.example/pinelb/internal/fleet/replication"
+	"pinelb.example/pinelb/internal/fleet/settings"
 	"pinelb.example/pinelb/internal/fleet/transport"
 )
 
@@ -20,6 +21,31 @@
 	maxGroupBytes = 4 << 20
 )
 
+// Shares of the machine's limits for the registers. A machine holds them twice, as an acceptor and as a proposer, and a third time while it writes them;
+// its disk holds the log beside the snapshot that replaces it, and the log of the configuration.
+const (
+	stateMemoryDivisor = 10 // of limits.memoryMb
+	stateDiskRatio     = 3.0 / 8
+	logDiskRatio       = 1.0 / 2
+)
+
+// maxStateBytes returns the size of all registers from which on puts and new names are not executed.
+func maxStateBytes(s *settings.Settings) int {
+	size := s.Limits.MemoryMB * bytesPerMB / stateMemoryDivisor
+	if disk := s.Limits.DiskMB; s.DataDir != "" && disk > 0 {
+		size = min(size, int(stateDiskRatio*float64(disk)*bytesPerMB))
+	}
+	return size
+}
+
+// maxLogBytes returns the size of the registers' log above which it is compacted, whatever its growth; 0: unlimited.
+func maxLogBytes(s *settings.Settings) int {
+	if s.DataDir == "" {
+		return 0
+	}
+	return int(logDiskRatio * float64(s.Limits.DiskMB) * bytesPerMB)
+}
+
 // coordinationService serves locks, counters, cells and watches to applications, if the settings enable the service. Otherwise it holds no
 // state and sends no messages.
 type coordinationService struct {
@@ -44,6 +70,7 @@
 		Votes:     s.CountsForQuorum,
 		Tolerance: replication.Tolerance{Machines: s.Tolerance.Machines, Zones: s.Tolerance.Zones, Regions: s.Tolerance.Regions},
 		State:     coordination.Options{History: s.Bounds.History + historyMargin, MaxGroupBytes: maxGroupBytes},
+		MaxState:  maxStateBytes(s), MaxLog: maxLogBytes(s),
 		Peers:     c.gossip.corePeers,
 		Proposers: c.gossip.liveCore,
 		Leaving:   c.draining.Load,
--- a/internal/fleet/storage/log.go
+++ b/internal/fleet/storage/log.go
@@ -45,6 +45,7 @@
 	segment         *segment // the newest generation's write-ahead log; nil: not open
 	size            int      // total size of the open generation's records, in bytes
 	firstRecordSize int      // bytes
+	maxSize         int      // bytes; see LimitSize
 }
 
 // Open returns the log in a directory, and the records of its newest generation that has any, in the order in which they
@@ -173,10 +174,23 @@
 	return nil
 }
 
+// LimitSize makes the log compact itself once it exceeds a size in bytes, so that the disk has room for the next generation beside it. A limit
+// that is smaller than the first record is exceeded by minCompactionSize; 0 is no limit.
+func (l *Log[H]) LimitSize(maxSize int) { l.maxSize = maxSize }
+
 // NeedsCompaction reports whether the next write has to start a new generation: the log has grown too large, or no
 // generation is open.
 func (l *Log[H]) NeedsCompaction() bool {
-	return l.segment == nil || l.size > max(minCompactionSize, maxGrowthFactor*l.firstRecordSize)
+	return l.segment == nil || l.size > l.compactionSize()
+}
+
+// compactionSize returns the size in bytes above which the log is compacted.
+func (l *Log[H]) compactionSize() int {
+	size := max(minCompactionSize, maxGrowthFactor*l.firstRecordSize)
+	if l.maxSize > 0 {
+		size = min(size, max(l.maxSize, l.firstRecordSize+minCompactionSize))
+	}
+	return size
 }
 
 // Close closes the open generation, if any. StartGeneration opens the log again.
