Bound messages between routers by their bytes, not by their number alone

Cause: an inbox held 1,024 messages and a sender had 16 under way to each router, whatever their size. An acceptor that is behind gets a group whole, up to 4 MiB, once more with each resend, so that the inbox alone could hold 4 GB. Change: large messages (above 4 KiB) that wait in a machine's inboxes have 8 MiB together, those under way to a router 4 MiB, unless it is a single one. Others are dropped and counted, as where the number is exceeded, and the protocol sends them again.

--- a/internal/fleet/coordinator/acceptor_loop.go
+++ b/internal/fleet/coordinator/acceptor_loop.go
@@ -48,9 +48,7 @@
 	return l
 }
 
-func (l *acceptorLoop) deliver(from replication.Replica, message any) {
-	l.service.enqueue(l.inbox, from, message)
-}
+func (l *acceptorLoop) deliver(m receivedMessage) { l.service.enqueue(l.inbox, m) }
 
 func (l *acceptorLoop) status() AcceptorStatus {
 	l.mu.Lock()
@@ -134,6 +132,7 @@
 }
 
 func (l *acceptorLoop) handle(ctx context.Context, m receivedMessage) {
+	l.service.queued.release(m.size)
 	l.step(ctx, l.acceptor.Receive(l.service.options.Clock(), m.from, m.message))
 }
 
--- a/internal/fleet/coordinator/acceptor_loop_test.go
+++ b/internal/fleet/coordinator/acceptor_loop_test.go
@@ -24,7 +24,7 @@
 // handleAsBatch has the acceptor handle messages as one batch.
 func (l *acceptorLoop) handleAsBatch(t *testing.T, messages ...any) {
 	for _, message := range messages {
-		l.inbox <- receivedMessage{testPeer, message}
+		l.inbox <- receivedMessage{from: testPeer, message: message}
 	}
 	l.handleBatch(t.Context(), <-l.inbox)
 	So(l.inbox, ShouldBeEmpty)
@@ -84,7 +84,7 @@
 		defer loop.store.close()
 		before := m.service.Counters.Syncs.Load()
 		for i := range maxBatchedMessages + 2 {
-			loop.inbox <- receivedMessage{testPeer, acceptRequest(fmt.Sprint(i), 1, 1)}
+			loop.inbox <- receivedMessage{from: testPeer, message: acceptRequest(fmt.Sprint(i), 1, 1)}
 		}
 		loop.handleBatch(t.Context(), <-loop.inbox)
 		So(len(loop.inbox), ShouldEqual, 1)
--- a/internal/fleet/coordinator/forwarder_test.go
+++ b/internal/fleet/coordinator/forwarder_test.go
@@ -33,7 +33,7 @@
 			request := message.(*CallRequest)
 			p.requestedProposers = append(p.requestedProposers, to)
 			if reply := p.reply(to, request); reply != nil {
-				p.service.Receive(to, 0, reply)
+				p.service.Receive(to, 0, reply, 0)
 			}
 		},
 	})
@@ -131,7 +131,7 @@
 				So(p.preferenceOrder(counterName.ID), ShouldResemble, preferenceOrder)
 			})
 			Convey("is tried first again after any reply from it", func() {
-				p.service.Receive(preferenceOrder[0], 0, &CallReply{ID: 1})
+				p.service.Receive(preferenceOrder[0], 0, &CallReply{ID: 1}, 0)
 				So(p.preferenceOrder(counterName.ID), ShouldResemble, preferenceOrder)
 			})
 		})
@@ -143,7 +143,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		Convey("A call that the first proposer refuses is reported as not executed", t, func() {
 			p := newScriptedProposers(replyWith(register.NotExecuted, 0))
-			p.service.Receive(p.preferenceOrder(counterName.ID)[0], 0, &CallReply{Process: 7})
+			p.service.Receive(p.preferenceOrder(counterName.ID)[0], 0, &CallReply{Process: 7}, 0)
 			_, err := p.increment(t.Context())
 			So(err, ShouldEqual, ErrOverloaded)
 			So(p.requestedProposers, ShouldHaveLength, 1)
@@ -208,7 +208,7 @@
 				if earlier == nil {
 					earlier = request
 				} else {
-					p.service.Receive(proposer, 0, replyWith(register.Decided, 1)(proposer, earlier))
+					p.service.Receive(proposer, 0, replyWith(register.Decided, 1)(proposer, earlier), 0)
 				}
 				return replyWith(register.Decided, 2)(proposer, request)
 			}
@@ -222,7 +222,7 @@
 		Convey("A second reply to a call is ignored", t, func() {
 			p := newScriptedProposers(nil)
 			p.reply = func(proposer string, request *CallRequest) *CallReply {
-				p.service.Receive(proposer, 0, replyWith(register.Decided, 3)(proposer, request))
+				p.service.Receive(proposer, 0, replyWith(register.Decided, 3)(proposer, request), 0)
 				return replyWith(register.Decided, 3)(proposer, request)
 			}
 			result, err := p.increment(t.Context())
--- a/internal/fleet/coordinator/fuzz_test.go
+++ b/internal/fleet/coordinator/fuzz_test.go
@@ -46,7 +46,7 @@
 		}
 		m.service.acceptor.publish(true)
 		for _, from := range []string{testPeer.Address, testAddress, testPeer.Address} {
-			m.service.Receive(from, 0, message)
+			m.service.Receive(from, 0, message, 0)
 			m.service.proposer.onCall(from, incrementRequest(uint64(kind)))
 			m.drainInboxes(t)
 			m.now += time.Second
--- a/internal/fleet/coordinator/proposer_loop.go
+++ b/internal/fleet/coordinator/proposer_loop.go
@@ -76,9 +76,7 @@
 	return l
 }
 
-func (l *proposerLoop) deliver(from replication.Replica, message any) {
-	l.service.enqueue(l.inbox, from, message)
-}
+func (l *proposerLoop) deliver(m receivedMessage) { l.service.enqueue(l.inbox, m) }
 
 func (l *proposerLoop) now() time.Duration { return l.service.options.Clock() }
 
@@ -127,6 +125,7 @@
 }
 
 func (l *proposerLoop) receive(m receivedMessage) {
+	l.service.queued.release(m.size)
 	switch message := m.message.(type) {
 	case *register.Reply:
 		l.execute(l.proposer.Receive(l.now(), m.from, message))
@@ -326,7 +325,7 @@
 		l.service.options.Log.Error("can't decode the next acceptors", zap.Error(err))
 		return
 	}
-	l.service.acceptor.deliver(replication.Replica{Address: l.service.options.Address}, &register.Hello{Config: next})
+	l.service.acceptor.deliver(receivedMessage{from: replication.Replica{Address: l.service.options.Address}, message: &register.Hello{Config: next}})
 	l.setConfig(next)
 	l.sendHellos()
 }
--- a/internal/fleet/coordinator/proposer_loop_test.go
+++ b/internal/fleet/coordinator/proposer_loop_test.go
@@ -38,7 +38,7 @@
 // call has the proposer receive a call from another machine and returns the replies to that machine, with Process checked and
 // cleared.
 func (m *machine) call(t *testing.T, from string, request *CallRequest) []*CallReply {
-	m.service.Receive(from, 0, request)
+	m.service.Receive(from, 0, request, 0)
 	m.drainInboxes(t)
 	var replies []*CallReply
 	for _, sent := range m.sent {
@@ -130,7 +130,7 @@
 				}
 			}
 			So(ballot.Round, ShouldBeGreaterThan, 0)
-			m.service.proposer.receive(receivedMessage{testPeer, &register.Reply{
+			m.service.proposer.receive(receivedMessage{from: testPeer, message: &register.Reply{
 				Epoch: 1, Promises: []register.Promise{{Name: counterName, Ballot: ballot}}}})
 			m.now += callTimeout
 			m.service.proposer.tick()
--- a/internal/fleet/coordinator/service.go
+++ b/internal/fleet/coordinator/service.go
@@ -14,8 +14,6 @@
 	"pinelb.example/pinelb/internal/fleet/replication"
 )
 
-const inboxSize = 1024 // messages; further ones are dropped, and the protocol resends them
-
 // Options configure a Service.
 type Options struct {
 	Address   string   // internal address of this machine
@@ -58,6 +56,7 @@
 	forwarder forwarder
 	acceptor  *acceptorLoop // nil unless this is a core machine
 	proposer  *proposerLoop // nil unless this is a core machine
+	queued    queuedBytes
 	pauses    pauseDetector
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
@@ -106,63 +105,48 @@
 }
 
 // Receive passes a message of another machine's service to the forwarder or the loop that handles it, without blocking.
-// message is a pointer to one of the message types of register.Outgoing, a *CallRequest or a *CallReply.
-func (s *Service) Receive(from string, nonce uint64, message any) {
+// message is a pointer to one of the message types of register.Outgoing, a *CallRequest or a *CallReply; size is that of its encoded form, in bytes.
+func (s *Service) Receive(from string, nonce uint64, message any, size int) {
 	switch m := message.(type) {
 	case *CallReply:
 		s.forwarder.deliver(from, m)
 		return
 	case *register.Hello:
-		s.deliverHello(from, m)
+		s.deliverHello(from, m, size)
 		return
 	}
 	if s.proposer == nil {
 		return
 	}
-	sender := replication.Replica{Address: from, Nonce: nonce}
-	switch m := message.(type) {
+	received := receivedMessage{from: replication.Replica{Address: from, Nonce: nonce}, message: message, size: size}
+	switch message.(type) {
 	case *register.Reply, *CallRequest:
-		s.proposer.deliver(sender, m)
+		s.proposer.deliver(received)
 	default:
-		s.acceptor.deliver(sender, m)
+		s.acceptor.deliver(received)
 	}
 }
 
-func (s *Service) deliverHello(from string, hello *register.Hello) {
+func (s *Service) deliverHello(from string, hello *register.Hello, size int) {
 	if s.proposer == nil {
 		return
 	}
-	sender := replication.Replica{Address: from}
-	s.proposer.deliver(sender, hello)
+	received := receivedMessage{from: replication.Replica{Address: from}, message: hello, size: size}
+	s.proposer.deliver(received)
 	if hello.Config.Epoch > s.acceptor.status().Config.Epoch {
-		s.acceptor.deliver(sender, hello)
+		s.acceptor.deliver(received)
 	}
 }
 
 // send sends a message to a machine, this one included.
 func (s *Service) send(to string, nonce uint64, message any) {
 	if to == s.options.Address {
-		s.Receive(to, nonce, message)
+		s.Receive(to, nonce, message, 0)
 		return
 	}
 	s.options.Send(to, nonce, message)
 }
 
-// receivedMessage is a message with its sender.
-type receivedMessage struct {
-	from    replication.Replica
-	message any
-}
-
-// enqueue puts a message into an inbox, or drops it if the inbox is full.
-func (s *Service) enqueue(inbox chan receivedMessage, from replication.Replica, message any) {
-	select {
-	case inbox <- receivedMessage{from: from, message: message}:
-	default:
-		s.Counters.Dropped.Add(1)
-	}
-}
-
 // newNonce draws the nonce of a new acceptor identity. It is never 0, the nonce of the founders at the first start of the whole
 // system.
 func newNonce() uint64 { return rand.Uint64() | 1 }
--- a/internal/fleet/coordinator/service_test.go
+++ b/internal/fleet/coordinator/service_test.go
@@ -50,7 +50,7 @@
 		Clock:     func() time.Duration { return time.Since(c.startedAt) },
 		Send: func(to string, nonce uint64, message any) {
 			if s := c.service(to); s != nil {
-				s.Receive(address, nonce, message)
+				s.Receive(address, nonce, message, 0)
 			}
 		},
 	}
@@ -210,14 +210,14 @@
 		for _, message := range []any{
 			&register.Request{}, &register.Reply{}, &register.Hello{}, &register.Collect{}, &register.Collected{}, &CallRequest{}, &CallReply{},
 		} {
-			s.Receive(testPeer.Address, 0, message)
+			s.Receive(testPeer.Address, 0, message, 0)
 		}
 		So(s.Status(), ShouldResemble, Status{})
 	})
 	Convey("A full inbox drops messages and counts them", t, func() {
 		m := newMachine("")
 		for range inboxSize + 3 {
-			m.service.Receive(testPeer.Address, 0, &register.Request{})
+			m.service.Receive(testPeer.Address, 0, &register.Request{}, 0)
 		}
 		So(m.service.Counters.Dropped.Load(), ShouldEqual, 3)
 		So(m.service.Status().Dropped, ShouldEqual, 3)
--- a/internal/fleet/coordinator/store_test.go
+++ b/internal/fleet/coordinator/store_test.go
@@ -158,7 +158,7 @@
 		for round := range uint64(rounds) {
 			m.now += time.Second
 			for i := range names {
-				loop.inbox <- receivedMessage{testPeer, acceptRequest(fmt.Sprint(i), round+1, round+1)}
+				loop.inbox <- receivedMessage{from: testPeer, message: acceptRequest(fmt.Sprint(i), round+1, round+1)}
 			}
 			loop.handleBatch(t.Context(), <-loop.inbox)
 		}
--- a/internal/fleet/router/coordination.go
+++ b/internal/fleet/router/coordination.go
@@ -150,7 +150,7 @@
 	if err := coordinator.Decode(p.Body, message); err != nil {
 		return err
 	}
-	c.service.Receive(p.From, p.Nonce, message)
+	c.service.Receive(p.From, p.Nonce, message, len(p.Body))
 	return nil
 }
 
--- a/internal/fleet/router/coordination_service_test.go
+++ b/internal/fleet/router/coordination_service_test.go
@@ -113,7 +113,7 @@
 			Proposers: func() []string { return proposers },
 			Send: func(to string, _ uint64, message any) {
 				reply := &coordinator.CallReply{ID: message.(*coordinator.CallRequest).ID, Certainty: register.NotExecuted, Process: 7}
-				r.coordination.service.Receive(to, 0, reply)
+				r.coordination.service.Receive(to, 0, reply, 0)
 			},
 		})
 		So(err, ShouldBeNil)
--- a/internal/fleet/transport/send.go
+++ b/internal/fleet/transport/send.go
@@ -7,7 +7,7 @@
 )
 
 // Send sends a message to a router's internal address, once and without acknowledgement. nonce is the Packet's Nonce. A message
-// that is too long for a datagram is dropped and counted if maxInFlight others are in flight to that router; one that no router accepts is
+// that is too long for a datagram is dropped and counted if maxInFlight others, or maxInFlightBytes of them, are in flight to that router; one that no router accepts is
 // reported (OnTooLarge).
 func (t *Transport) Send(to string, kind Kind, nonce uint64, message any) {
 	t.sendEncoded(to, kind, t.encode(kind, nonce, message))
@@ -62,36 +62,45 @@
 }
 
 func (t *Transport) sendOverTCP(to string, packet []byte) {
-	if !t.reserve(to) {
+	if !t.reserve(to, len(packet)) {
 		t.Counters.Dropped.Add(1)
 		return
 	}
 	t.Counters.SentOverTCP.Add(1)
 	t.Counters.SentBytes.Add(uint64(len(packet)))
 	t.tasks.Go(func() {
-		defer t.release(to)
+		defer t.release(to, len(packet))
 		ctx, cancel := context.WithTimeout(t.ctx, sendTimeout(len(packet)))
 		defer cancel()
 		_, _ = t.post(ctx, to, messagePath, packet) // a failed request is handled like a lost message: the protocols resend it
 	})
 }
 
-// reserve counts one more message over TCP as in flight. It returns false if maxInFlight are in flight to that router.
-func (t *Transport) reserve(to string) bool {
+// reserve counts one more message over TCP as in flight. It returns false if others are, and maxInFlight or maxInFlightBytes would be exceeded.
+func (t *Transport) reserve(to string, size int) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.inFlight[to] >= maxInFlight {
+	current := t.inFlight[to]
+	if current == nil {
+		t.inFlight[to] = &inFlight{messages: 1, bytes: size}
+		return true
+	}
+	if current.messages >= maxInFlight || current.bytes+size > maxInFlightBytes {
 		return false
 	}
-	t.inFlight[to]++
+	current.messages++
+	current.bytes += size
 	return true
 }
 
 // release counts a message over TCP as no longer in flight.
-func (t *Transport) release(to string) {
+func (t *Transport) release(to string, size int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.inFlight[to]--; t.inFlight[to] == 0 {
+	current := t.inFlight[to]
+	current.messages--
+	current.bytes -= size
+	if current.messages == 0 {
 		delete(t.inFlight, to)
 	}
 }
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -24,6 +24,7 @@
 	maxDatagramBytes = 1200     // longer packets are sent over TCP; this fits Ethernet's 1,500 bytes without fragmentation
 	maxBodyBytes     = 32 << 20 // of a request, once decompressed, and of a response
 	maxInFlight      = 16       // messages over TCP to one router
+	maxInFlightBytes = 4 << 20  // of the messages over TCP to one router, unless it is a single one
 
 	dialTimeout = 500 * time.Millisecond
 	callTimeout = 2 * time.Second // for sending a short message, and for receiving the header of a request
@@ -64,7 +65,7 @@
 	tasks  sync.WaitGroup
 
 	mu           sync.Mutex
-	inFlight     map[string]int            // messages over TCP, by receiver
+	inFlight     map[string]*inFlight      // messages over TCP, by receiver; none without messages
 	udpAddresses map[string]netip.AddrPort // parsed addresses of receivers
 	gzipPeers    map[string]bool           // addresses of routers that support compressed messages
 }
@@ -84,7 +85,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t := &Transport{
 		fleet: fleet, address: address, handle: handle, udp: udp, router: mux.NewRouter(),
-		ctx: ctx, cancel: cancel, inFlight: map[string]int{}, udpAddresses: map[string]netip.AddrPort{}, gzipPeers: map[string]bool{},
+		ctx: ctx, cancel: cancel, inFlight: map[string]*inFlight{}, udpAddresses: map[string]netip.AddrPort{}, gzipPeers: map[string]bool{},
 	}
 	t.client = &http.Client{Transport: &http.Transport{
 		DialContext:         (&net.Dialer{Timeout: dialTimeout, KeepAlive: -1}).DialContext,
@@ -102,6 +103,11 @@
 	return t, nil
 }
 
+// inFlight counts the messages that are being sent to a router over TCP.
+type inFlight struct {
+	messages, bytes int
+}
+
 // Context returns a context that Close cancels.
 func (t *Transport) Context() context.Context { return t.ctx }
 
