Let the soaks find processes that end by themselves or exceed their limits

Neither soak noticed a process that ended by itself: the next fault started it again; and their routers had no limits, so that nothing was compared. Change: both soaks run their routers with the limits of the smallest deployments (284 MB, 64 MB of disk, 4,100 descriptors), sample what each process uses, and report FAULT for an end that nobody asked for and for a limit that was exceeded. The peak of memory is printed.

--- a/internal/lab/coordination/fleet.go
+++ b/internal/lab/coordination/fleet.go
@@ -24,6 +24,9 @@
 	internal string
 }
 
+// machineLimits are those of the operators' smallest deployments.
+var machineLimits = machines.Limits{MemoryMB: 284, DiskMB: 64, Descriptors: 4100}
+
 // fleet is the machines of a play.
 type fleet struct {
 	machines  []*machine // the core first
@@ -47,6 +50,7 @@
 	for i := range script.Core + script.Forwarders {
 		m := &machine{Machine: &machines.Machine{
 			Name: fmt.Sprint("core-", i), IP: f.addresses.Address(i), Folder: options.Folder, Program: options.Program,
+			Limits: machineLimits,
 		}}
 		m.control, m.internal = fmt.Sprintf("%s:%d", m.IP, controlPort), fmt.Sprintf("%s:%d", m.IP, internalPort)
 		if i < script.Core {
@@ -87,6 +91,22 @@
 	}
 }
 
+// faults returns the processes that ended by themselves or exceeded their limits.
+func (f *fleet) faults() (all []string) {
+	for _, m := range f.machines {
+		all = append(all, m.Faults()...)
+	}
+	return all
+}
+
+// peakMemory returns the highest resident memory of any process, in bytes.
+func (f *fleet) peakMemory() (peak uint64) {
+	for _, m := range f.machines {
+		peak = max(peak, m.PeakMemory())
+	}
+	return peak
+}
+
 // close ends what the fleet has started.
 func (f *fleet) close() {
 	f.killAll()
@@ -100,6 +120,7 @@
 	fmt.Fprintf(&b, "listen.control=%s:%d\nportRange=%d,%d\nseeds=%s\n", m.IP, controlPort, internalPort, internalPort, strings.Join(seeds, ","))
 	fmt.Fprintf(&b, "faultTolerance.machines=%d\nbounds.graceS=%d\ncontracts=base,coord\nbounds.historyS=%d\n", tolerated, script.GraceS,
 		script.HistoryS)
+	b.WriteString(machineLimits.Settings())
 	if m.Disk != "" {
 		fmt.Fprintf(&b, "countsForQuorum=true\ndataDir=%s\n", m.Disk)
 	}
--- a/internal/lab/coordination/result.go
+++ b/internal/lab/coordination/result.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"pinelb.example/pinelb/internal/lab/coordination/history"
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 // KindCounts count the calls of one kind.
@@ -41,6 +42,7 @@
 	LateSyncs  time.Duration                `json:"lateSyncs"`         // the longest sync of the lab itself
 	TooBusy    []string                     `json:"tooBusy,omitempty"` // answers that did not come at the end, on a machine that was late itself
 	Undecided  []string                     `json:"undecided,omitempty"`
+	PeakMemory uint64                       `json:"peakMemory"` // bytes, of the largest process
 	Violations []history.Violation          `json:"violations,omitempty"`
 
 	history *history.History
@@ -55,6 +57,10 @@
 		Undecided: report.Undecided, Violations: report.Violations, history: h, Kinds: countKinds(h.Calls),
 	}
 	r.GapBegin, r.LongestGap = longestGap(h.Calls)
+	r.PeakMemory = p.fleet.peakMemory()
+	for _, text := range p.fleet.faults() {
+		r.Violations = append(r.Violations, history.Violation{Rule: machines.FaultRule, Text: text})
+	}
 	if p.lateness.isTooBusy() {
 		r.TooBusy = last.unanswered
 		return r
@@ -132,7 +138,7 @@
 	if len(r.Passed) > 0 {
 		fmt.Fprintf(w, ", passed over %s", countsText(r.Passed))
 	}
-	fmt.Fprintln(w)
+	fmt.Fprintf(w, "\n  the largest process peaked at %d MB\n", r.PeakMemory>>20)
 	for _, kind := range []history.Kind{history.Acquire, history.Renew, history.Release, history.Increment, history.Put, history.Get, history.Watch} {
 		if k := r.Kinds[kind]; k != nil {
 			fmt.Fprintf(w, "  %-9s %5d calls, %5d good, %4d unclear, %3d refused, p99 %v, worst %v\n", kind, k.Calls, k.Good, k.Unclear, k.Refused,
--- a/internal/lab/machines/machine.go
+++ b/internal/lab/machines/machine.go
@@ -21,10 +21,14 @@
 	Disk     string // empty: none
 	Program  string // pinelb's
 	Settings string // all but "bootstrap"
+	Limits   Limits // that the processes are to keep
 
-	mu      sync.Mutex
-	command *exec.Cmd // nil: no process
-	ended   chan struct{}
+	mu         sync.Mutex
+	command    *exec.Cmd // nil: no process
+	ended      chan struct{}
+	endWasSent bool     // the process was sent a signal that ends it
+	peak       use      // of all processes
+	exits      []string // ends that nobody asked for
 }
 
 // Start starts the machine's process, with the disk that it has.
@@ -53,19 +57,35 @@
 		return err
 	}
 	ended := make(chan struct{})
+	m.command, m.ended, m.endWasSent = command, ended, false
 	go func() {
-		_ = command.Wait() // by a signal, as a rule
-		close(ended)
+		defer close(ended)
+		m.recordEnd(command, command.Wait())
 	}()
-	m.command, m.ended = command, ended
+	go m.watch(command.Process.Pid, ended)
 	return nil
 }
 
+// recordEnd records the end of a process that nobody asked for.
+func (m *Machine) recordEnd(command *exec.Cmd, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.command != command || m.endWasSent {
+		return
+	}
+	cause := "exit status 0"
+	if err != nil {
+		cause = err.Error()
+	}
+	m.exits = append(m.exits, fmt.Sprintf("%s: the process ended by itself: %s", m.Name, cause))
+}
+
 // Signal sends a signal to the process, where there is one.
 func (m *Machine) Signal(s syscall.Signal) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.command != nil {
+		m.endWasSent = m.endWasSent || s == syscall.SIGKILL || s == syscall.SIGTERM
 		_ = m.command.Process.Signal(s) // it may have ended
 	}
 }
--- a/internal/lab/requests/fleet.go
+++ b/internal/lab/requests/fleet.go
@@ -29,6 +29,9 @@
 	front, ready, control string
 }
 
+// machineLimits are those of the operators' smallest deployments.
+var machineLimits = machines.Limits{MemoryMB: 284, DiskMB: 64, Descriptors: 4100}
+
 // fleet is the routers of a play.
 type fleet struct {
 	routers   []*router // the core first
@@ -52,6 +55,7 @@
 	for i := range script.Core + script.Edge {
 		r := &router{Machine: &machines.Machine{
 			Name: fmt.Sprint("router-", i), IP: f.addresses.Address(i), Folder: options.Folder, Program: options.Program,
+			Limits: machineLimits,
 		}}
 		r.front, r.ready, r.control = fmt.Sprintf("%s:%d", r.IP, drawn[0]), fmt.Sprintf("%s:%d", r.IP, drawn[1]), fmt.Sprintf("%s:%d", r.IP, drawn[2])
 		if i < script.Core {
@@ -76,6 +80,7 @@
 		internalPort, strings.Join(seeds, ","))
 	fmt.Fprintf(&b, "faultTolerance.machines=%d\nbounds.graceS=%d\nbounds.revocationStrict=true\nbounds.revokeMs=%d\nbounds.configApplyMs=%d\n", tolerated,
 		script.GraceS, revokeBound.Milliseconds(), applyBound.Milliseconds())
+	b.WriteString(machineLimits.Settings())
 	if r.Disk != "" {
 		fmt.Fprintf(&b, "countsForQuorum=true\ndataDir=%s\n", r.Disk)
 	}
@@ -137,6 +142,22 @@
 	return true
 }
 
+// faults returns the processes that ended by themselves or exceeded their limits.
+func (f *fleet) faults() (all []string) {
+	for _, m := range f.routers {
+		all = append(all, m.Faults()...)
+	}
+	return all
+}
+
+// peakMemory returns the highest resident memory of any process, in bytes.
+func (f *fleet) peakMemory() (peak uint64) {
+	for _, m := range f.routers {
+		peak = max(peak, m.PeakMemory())
+	}
+	return peak
+}
+
 // close ends what the fleet has started.
 func (f *fleet) close() {
 	f.killAll()
--- a/internal/lab/requests/result.go
+++ b/internal/lab/requests/result.go
@@ -10,6 +10,8 @@
 	"path/filepath"
 	"slices"
 	"strings"
+
+	"pinelb.example/pinelb/internal/lab/machines"
 )
 
 // Result is what a play showed.
@@ -22,7 +24,8 @@
 	Runs       map[string]int    `json:"runs"`     // by the endpoints' behaviors
 	Long       int               `json:"long"`     // requests with long bodies
 	Changes    int               `json:"changes"`
-	Emptied    int               `json:"emptied"` // changes after which nobody had a key
+	Emptied    int               `json:"emptied"`    // changes after which nobody had a key
+	PeakMemory uint64            `json:"peakMemory"` // bytes, of the largest process
 	Violations []Violation       `json:"violations,omitempty"`
 
 	history *History
@@ -34,6 +37,10 @@
 		Script: p.script, Played: p.faults.played, Faults: p.faults.counts, Requests: len(h.Requests), Statuses: map[int]int{}, Runs: map[string]int{},
 		Changes: len(h.Changes), Violations: append(Check(h), p.late...), history: h,
 	}
+	r.PeakMemory = p.fleet.peakMemory()
+	for _, text := range p.fleet.faults() {
+		r.Violations = append(r.Violations, Violation{Rule: machines.FaultRule, Text: text})
+	}
 	for _, request := range h.Requests {
 		r.Statuses[request.Status]++
 		if request.BodyBytes == longBodyBytes {
@@ -74,6 +81,7 @@
 	fmt.Fprintf(w, "seed %d: %d core routers, %d others, faults %s\n", s.Seed, s.Core, s.Edge, countsText(r.Faults))
 	fmt.Fprintf(w, "  %d requests, %d with long bodies, statuses %s; %d changes, %d of them left no key\n", r.Requests, r.Long, countsText(r.Statuses), r.Changes,
 		r.Emptied)
+	fmt.Fprintf(w, "  the largest process peaked at %d MB\n", r.PeakMemory>>20)
 	for i, v := range r.Violations {
 		if i == maxPrintedViolations {
 			fmt.Fprintf(w, "  and %d more\n", len(r.Violations)-i)
