Bound the bodies of requests in progress by the machine's memory

Cause: a body was allocated by its announced length, and nothing added up the bodies of all requests. Beyond it a request is rejected with 503 and Retry-After before anything of it is charged or sent.

--- a/internal/fleet/proxy/request.go
+++ b/internal/fleet/proxy/request.go
@@ -1,9 +1,8 @@
 package proxy
 
 import (
-	"bytes"
+	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -32,8 +31,8 @@
 	chargedUnits float64       // units charged to the tenant's quota
 }
 
-// readRequest reads a request completely. Its errors are denials.
-func readRequest(r *http.Request, limits config.Limits) (*request, error) {
+// readRequest reads a request completely. Its errors are denials, except for errBodiesFull.
+func readRequest(r *http.Request, limits config.Limits, body *bodyReader) (*request, error) {
 	q := &request{http: r, id: r.Header.Get(headerRequestID), receivedAt: time.Now()}
 	q.path, _, _ = strings.Cut(r.RequestURI, "?")
 	if !strings.HasPrefix(q.path, "/") {
@@ -44,7 +43,11 @@
 		return nil, errBodyTooLarge
 	}
 	var err error
-	if q.body, err = readBody(r, maxBody); err != nil {
+	q.body, err = body.read(r, maxBody)
+	if errors.Is(err, errBodiesFull) {
+		return nil, err
+	}
+	if err != nil {
 		return nil, fmt.Errorf("%w: %w", errUnreadableBody, err)
 	}
 	if maxBody > 0 && int64(len(q.body)) > maxBody {
@@ -53,25 +56,6 @@
 	return q, nil
 }
 
-// readBody reads a request's body. It stops one byte after maxBody, so that the caller detects a larger body; 0: no bound.
-func readBody(r *http.Request, maxBody int64) ([]byte, error) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	var reader io.Reader = r.Body
-	if maxBody > 0 {
-		reader = io.LimitReader(r.Body, maxBody+1)
-	}
-	if r.ContentLength > 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(reader, body)
-		return body, err
-	}
-	var buffer bytes.Buffer
-	_, err := buffer.ReadFrom(reader)
-	return buffer.Bytes(), err
-}
-
 // hostOf returns the host of the Host header, without the port.
 func hostOf(r *http.Request) string {
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
--- a/internal/fleet/proxy/server.go
+++ b/internal/fleet/proxy/server.go
@@ -24,11 +24,12 @@
 	Refund(tenant *config.Tenant, units float64)
 }
 
-// Options are bounds on the age of the active configuration, which is the age that Delegate.ActiveConfig returns.
+// Options are the proxy's bounds. Ages are those of the active configuration, as Delegate.ActiveConfig returns them.
 type Options struct {
 	MaxConfigAge     time.Duration // age beyond which API keys are not accepted; 0: no bound
 	MaxDenialAge     time.Duration // age beyond which a request without a route or a valid key is rejected (503) and not denied
 	MaxSupersededAge time.Duration // age beyond which requests are rejected if a newer configuration is known to be acknowledged; 0: no bound
+	MaxBodiesBytes   int64         // total size of the bodies of the requests in progress, beyond which requests are rejected; 0: no bound
 }
 
 // Server handles clients' requests. It implements [http.Handler].
@@ -39,6 +40,7 @@
 
 	drainEnd  atomic.Pointer[time.Time] // when the process ends; nil: the server is not draining
 	durations durations
+	bodies    bodyBudget
 
 	// Requests by outcome, since the start: Served have a complete response of an endpoint; Rejected have not run, whether
 	// rejected or denied ("refused" in the status); Failed have no response of an endpoint; Truncated have an incomplete one.
@@ -49,7 +51,7 @@
 
 // NewServer returns a handler of clients' requests.
 func NewServer(delegate Delegate, dispatcher *Dispatcher, options Options) *Server {
-	return &Server{delegate: delegate, dispatcher: dispatcher, options: options}
+	return &Server{delegate: delegate, dispatcher: dispatcher, options: options, bodies: bodyBudget{max: options.MaxBodiesBytes}}
 }
 
 // isOutdated reports whether a newer configuration is known and may have been acknowledged more than MaxSupersededAge ago, so that
@@ -62,7 +64,7 @@
 // Values of Retry-After for rejected requests.
 const (
 	shortRetryAfter = 100 * time.Millisecond // another endpoint or router can probably serve the request
-	longRetryAfter  = 300 * time.Millisecond // the router has no usable configuration, which takes longer to resolve
+	longRetryAfter  = 300 * time.Millisecond // the router has no usable configuration or no memory for the body, which takes longer to resolve
 )
 
 // ServeHTTP handles one request. It panics with [http.ErrAbortHandler] if the response was truncated.
@@ -74,8 +76,14 @@
 	if !s.acceptTable(w, table, age) {
 		return
 	}
-	q, err := readRequest(r, table.Limits)
-	if err != nil {
+	body := bodyReader{budget: &s.bodies}
+	defer body.release()
+	q, err := readRequest(r, table.Limits, &body)
+	switch {
+	case errors.Is(err, errBodiesFull):
+		s.reject(w, http.StatusServiceUnavailable, longRetryAfter)
+		return
+	case err != nil:
 		s.deny(w, err)
 		return
 	}
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -42,6 +42,7 @@
 
 const (
 	tickInterval        = 50 * time.Millisecond
+	bodiesMemoryDivisor = 4                      // part of limits.memoryMb for the bodies of the requests in progress
 	reservedDescriptors = 300                    // subtracted from the limit of file descriptors, for files, the other listeners and the runtime
 	minConnections      = 64                     // minimum for connections to endpoints, even if the limit of file descriptors is low
 	keyLeaseMargin      = 600 * time.Millisecond // part of revokeMs that is reserved for the time between the check of the lease and the send
@@ -108,6 +109,7 @@
 // proxyOptions derives the proxy's time limits from the bounds in the settings.
 func proxyOptions(s *settings.Settings) proxy.Options {
 	options := proxy.Options{
+		MaxBodiesBytes:   int64(s.Limits.MemoryMB) * bytesPerMB / bodiesMemoryDivisor,
 		MaxDenialAge:     s.Bounds.ConfigApply * 3 / 4,
 		MaxSupersededAge: max(s.Bounds.ConfigApply/2, s.Bounds.ConfigApply-supersededMargin),
 	}
