Leave descriptors for the operator, routers and the disk beside clients' connections

Cause: limits.fdLimit bounded the connections to endpoints alone. Clients could take every descriptor, also those of the disk's next file. Change: clients' connections have 3/8 of the descriptors that are not reserved. At the limit the one that has been idle for longest gives way; one with a request is not closed, and a new one waits in the listener's queue.

--- a/internal/fleet/router/http_servers.go
+++ b/internal/fleet/router/http_servers.go
@@ -22,8 +22,9 @@
 	servers []*http.Server
 }
 
-// listen serves HTTP at an address until close is called. It returns an error if the address can't be bound.
-func (h *httpServers) listen(address string, handler http.Handler) (*http.Server, error) {
+// listen serves HTTP at an address until close is called, over a limited number of connections; limit nil: unlimited. It returns an error if the
+// address can't be bound.
+func (h *httpServers) listen(address string, handler http.Handler, limit *connectionLimit) (*http.Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, merry.Prepend(err, "router")
@@ -32,6 +33,9 @@
 		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog: zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
+	if limit != nil {
+		listener, server.ConnState = &limitedListener{Listener: listener, limit: limit}, limit.observe
+	}
 	h.servers = append(h.servers, server)
 	h.tasks.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -106,6 +106,12 @@
 	return r
 }
 
+// maxClientConnections returns the number of clients' connections. Beside those to endpoints, which have half of the descriptors, it leaves an eighth for
+// the control API and other routers.
+func maxClientConnections(s *settings.Settings) int {
+	return max(minConnections, (s.Limits.FileDescriptors-reservedDescriptors)*3/8)
+}
+
 // proxyOptions derives the proxy's time limits from the bounds in the settings.
 func proxyOptions(s *settings.Settings) proxy.Options {
 	options := proxy.Options{
@@ -199,13 +205,13 @@
 func (r *Router) listen() error {
 	var err error
 	if address := r.settings.ControlAddress; address != "" {
-		_, err = r.servers.listen(address, r.controlServer(address))
+		_, err = r.servers.listen(address, r.controlServer(address), nil)
 	}
 	if address := r.settings.ReadyAddress; err == nil && address != "" {
-		_, err = r.servers.listen(address, http.HandlerFunc(r.serveReady))
+		_, err = r.servers.listen(address, http.HandlerFunc(r.serveReady), nil)
 	}
 	if address := r.settings.FrontAddress; err == nil && address != "" {
-		r.proxyServer, err = r.servers.listen(address, r.proxy)
+		r.proxyServer, err = r.servers.listen(address, r.proxy, newConnectionLimit(maxClientConnections(r.settings)))
 	}
 	return err
 }
