Relay an event beyond 1 MiB as it comes instead of holding it

What happens: on a route with streamResume an endpoint whose event never ends grows in the router's memory for as long as the stream lasts. Cause: events are held until they are complete, without a bound. Change: an incomplete event beyond 1 MiB is relayed as it comes. Its stream can't be continued by another endpoint then; where it is cut, the client's answer is cut.

--- a/internal/fleet/proxy/answer.go
+++ b/internal/fleet/proxy/answer.go
@@ -15,6 +15,9 @@
 // relayBufferBytes is the maximum number of bytes of a response that are read and relayed at once.
 const relayBufferBytes = 4 << 10
 
+// maxEventBytes is the size of an incomplete event from which on it is relayed as it comes.
+const maxEventBytes = 1 << 20
+
 // responseRelay relays the response of one endpoint to the client while it is received. The head is sent together with the first
 // piece of the body. If the response is interrupted before that, the client has received nothing, and the response of another
 // endpoint can replace it.
@@ -55,6 +58,10 @@
 		piece := buffer[:n]
 		if r.resumable {
 			piece = response.events.complete(piece, &response.lastEventID)
+			if response.events.exceeds(maxEventBytes) {
+				piece = response.events.take()
+				r.resumable = false // the client has a part of an event, which no other endpoint can continue
+			}
 		}
 		isComplete := err == io.EOF && (!r.resumable || response.events.empty())
 		if !response.headSent && (len(piece) > 0 || isComplete) {
--- a/internal/fleet/proxy/events.go
+++ b/internal/fleet/proxy/events.go
@@ -15,6 +15,16 @@
 // empty reports whether no incomplete event is buffered.
 func (e *eventSplitter) empty() bool { return len(e.partial) == 0 }
 
+// exceeds reports whether the incomplete event is larger than a number of bytes.
+func (e *eventSplitter) exceeds(size int) bool { return len(e.partial) > size }
+
+// take returns the incomplete event, and forgets it.
+func (e *eventSplitter) take() []byte {
+	partial := e.partial
+	e.partial = nil
+	return partial
+}
+
 // complete adds a piece of the stream and returns the events that are complete now. If any of them has an id, it sets lastID to
 // the last of these ids.
 func (e *eventSplitter) complete(piece []byte, lastID *string) []byte {
