--- a/internal/fleet/coordinator/acceptor_loop.go
+++ b/internal/fleet/coordinator/acceptor_loop.go
@@ -132,7 +132,7 @@
 }
 
 func (l *acceptorLoop) handle(ctx context.Context, m receivedMessage) {
-	l.service.queued.release(m.size)
+	l.service.queued.Release(m.size)
 	l.step(ctx, l.acceptor.Receive(l.service.options.Clock(), m.from, m.message))
 }
 
--- a/internal/fleet/coordinator/proposer_loop.go
+++ b/internal/fleet/coordinator/proposer_loop.go
@@ -125,7 +125,7 @@
 }
 
 func (l *proposerLoop) receive(m receivedMessage) {
-	l.service.queued.release(m.size)
+	l.service.queued.Release(m.size)
 	switch message := m.message.(type) {
 	case *register.Reply:
 		l.execute(l.proposer.Receive(l.now(), m.from, message))
--- a/internal/fleet/coordinator/service.go
+++ b/internal/fleet/coordinator/service.go
@@ -12,6 +12,7 @@
 	"pinelb.example/pinelb/internal/fleet/coordination"
 	"pinelb.example/pinelb/internal/fleet/register"
 	"pinelb.example/pinelb/internal/fleet/replication"
+	"pinelb.example/pinelb/internal/fleet/transport"
 )
 
 // Options configure a Service.
@@ -54,9 +55,9 @@
 
 	options   Options
 	forwarder forwarder
-	acceptor  *acceptorLoop // nil unless this is a core machine
-	proposer  *proposerLoop // nil unless this is a core machine
-	queued    queuedBytes
+	acceptor  *acceptorLoop         // nil unless this is a core machine
+	proposer  *proposerLoop         // nil unless this is a core machine
+	queued    transport.QueuedBytes // of both loops' inboxes
 	pauses    pauseDetector
 	cancel    context.CancelFunc
 	tasks     sync.WaitGroup
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -19,6 +19,7 @@
 
 	"pinelb.example/pinelb/internal/fleet/config"
 	"pinelb.example/pinelb/internal/fleet/replication"
+	"pinelb.example/pinelb/internal/fleet/transport"
 )
 
 const (
@@ -55,7 +56,8 @@
 // Replica is one replica of the configuration. Its methods are safe for concurrent use.
 type Replica struct {
 	options Options
-	inbox   chan func() // for the replica's goroutine to run
+	inbox   chan func()           // for the replica's goroutine to run
+	queued  transport.QueuedBytes // of the messages in the inbox
 	cancel  context.CancelFunc
 	done    chan struct{} // closed when the replica's goroutine has ended
 
@@ -152,16 +154,26 @@
 	}
 }
 
-// Deliver passes a received message to the protocol. It drops the message if the inbox is full. An error means that the message
+// Deliver passes a received message to the protocol. It drops the message if the inbox is full, or holds too many bytes. An error means that the message
 // can't be decoded.
 func (r *Replica) Deliver(from replication.Replica, encoded replication.Envelope) error {
+	size := len(encoded.Body)
+	if !r.queued.Reserve(size) {
+		return nil
+	}
 	message, err := replication.Decode(encoded)
 	if err != nil {
+		r.queued.Release(size)
 		return err
 	}
+	receive := func() {
+		r.queued.Release(size)
+		r.execute(r.node.Receive(r.options.Clock(), from, message))
+	}
 	select {
-	case r.inbox <- func() { r.execute(r.node.Receive(r.options.Clock(), from, message)) }:
+	case r.inbox <- receive:
 	default:
+		r.queued.Release(size)
 	}
 	return nil
 }
