--- a/internal/fleet/proxy/answer.go
+++ b/internal/fleet/proxy/answer.go
@@ -16,7 +16,7 @@
 const relayBufferBytes = 4 << 10
 
 // maxEventBytes is the size of an incomplete event from which on it is relayed as it comes.
-const maxEventBytes = 1 << 20
+const maxEventBytes = 256 << 10
 
 // responseRelay relays the response of one endpoint to the client while it is received. The head is sent together with the first
 // piece of the body. If the response is interrupted before that, the client has received nothing, and the response of another
