Serve every stored name while the registers are full

Change: only puts are not executed while the registers are full, by the state itself, which recognizes what it has. Locks and counters are small, and the number of names bounds them.

--- a/internal/fleet/coordinator/proposer_loop.go
+++ b/internal/fleet/coordinator/proposer_loop.go
@@ -170,7 +170,7 @@
 	if l.service.IsResuming() {
 		return // the call may have been queued during the pause, so that its caller has already given up
 	}
-	if !l.proposer.HasRegister(m.Operation.Name) && !l.hasRoomForName() {
+	if !l.proposer.HasRegister(m.Operation.Name) && l.service.acceptor.status().StoredRegisters >= maxRegisters {
 		l.reply(from, &CallReply{ID: m.ID, Certainty: register.NotExecuted})
 		return
 	}
--- a/internal/fleet/coordinator/room.go
+++ b/internal/fleet/coordinator/room.go
@@ -11,7 +11,7 @@
 	fullLogInterval = time.Minute       // minimum time between two log lines about a lack of room
 )
 
-// acceptorRoom records which acceptors have no room for further registers and puts. Only the proposer's goroutine uses it. Its zero value is ready to use.
+// acceptorRoom records which acceptors have no room for further puts. Only the proposer's goroutine uses it. Its zero value is ready to use.
 type acceptorRoom struct {
 	fullAt  map[string]time.Duration // by address: when the acceptor last reported that it has no room
 	nextLog time.Duration
@@ -40,7 +40,7 @@
 	return s.options.MaxState > 0 && status.StoredBytes >= s.options.MaxState
 }
 
-// hasRoom reports whether all acceptors have room for further registers and puts, as far as this machine knows.
+// hasRoom reports whether all acceptors have room for further puts, as far as this machine knows.
 func (l *proposerLoop) hasRoom() bool {
 	config := l.proposer.Config()
 	for _, acceptor := range config.Acceptors {
@@ -52,17 +52,12 @@
 	return !l.service.isFull(&status)
 }
 
-// hasRoomForName reports whether a register may be created.
-func (l *proposerLoop) hasRoomForName() bool {
-	return l.service.acceptor.status().StoredRegisters < maxRegisters && l.hasRoom()
-}
-
 // observeRoom logs, at most once per fullLogInterval, that an acceptor has no room.
 func (l *proposerLoop) observeRoom(now time.Duration) {
 	if now < l.room.nextLog || l.hasRoom() {
 		return
 	}
 	l.room.nextLog = now + fullLogInterval
-	l.service.options.Log.Warn("the registers are full: puts and new names are not executed", zap.Int("maxBytes", l.service.options.MaxState),
+	l.service.options.Log.Warn("the registers are full: puts are not executed", zap.Int("maxBytes", l.service.options.MaxState),
 		zap.Int("bytes", l.service.acceptor.status().StoredBytes))
 }
--- a/internal/fleet/coordinator/status.go
+++ b/internal/fleet/coordinator/status.go
@@ -21,7 +21,7 @@
 	Expired    uint64                `json:"expired"`            // Counters.ExpiredLocks
 	Bytes      int                   `json:"bytes,omitempty"`    // size of the registers that this machine's acceptor stores
 	MaxBytes   int                   `json:"maxBytes,omitempty"` // Options.MaxState
-	Full       bool                  `json:"full,omitempty"`     // an acceptor has no room: puts and new names are not executed
+	Full       bool                  `json:"full,omitempty"`     // an acceptor has no room: puts are not executed
 }
 
 // Status returns the current state. On a machine outside the core, only the counters are set.
--- a/internal/fleet/register/messages.go
+++ b/internal/fleet/register/messages.go
@@ -77,7 +77,7 @@
 	Region     string              `cbor:"5,keyasint,omitempty"`
 	Leaving    bool                `cbor:"6,keyasint,omitempty"` // the machine is shutting down
 	Votes      bool                `cbor:"7,keyasint,omitempty"` // the machine counts for the quorum
-	Full       bool                `cbor:"8,keyasint,omitempty"` // Self has no room for further registers and puts
+	Full       bool                `cbor:"8,keyasint,omitempty"` // Self has no room for further puts
 }
 
 // Collect requests the registers of an acceptor of Config.Previous, and seals that acceptor.
