Check one change of the configuration at a time, in bounded memory

What happens: 40 callers that each send a configuration of 6 MB with small services take 2,410 MB of 96. Cause: CUE keeps 90 KB for each item in one context, all items of a change were checked in one, and changes were checked side by side.

--- a/internal/fleet/config/schema_routes.go
+++ b/internal/fleet/config/schema_routes.go
@@ -34,16 +34,46 @@
 // schema.
 func isValidPlainRoute(text rawJSON) bool {
 	var route plainRoute
-	// A null would look like an absent field. Duplicate names and numbers that are not an int64 are errors. Names in another case
-	// are unknown fields, as in the schema.
-	if bytes.Contains(text, []byte("null")) || json.Unmarshal(text, &route) != nil {
-		return false
-	}
-	return isName(route.Name) && route.Host != nil && hasPathPrefix(route.PathPrefix) && isRouteType(route.Type) &&
+	return decodePlain(text, &route) && isName(route.Name) && route.Host != nil && hasPathPrefix(route.PathPrefix) && isRouteType(route.Type) &&
 		route.TimeoutMs != nil && *route.TimeoutMs > 0 && isNonNegative(route.TargetLatencyMs) &&
 		(route.Service == nil || isName(route.Service)) && isNonNegative(route.MaxAttempts) && areValidBackends(route.Backends)
 }
 
+// plainService and plainTenant have the fields of services and tenants that the schema defines. nil: the field is absent.
+type plainService struct {
+	Name            *string `json:"name"`
+	HealthCheckPath *string `json:"healthCheckPath"`
+	MaxConnections  *int64  `json:"maxConnections"`
+}
+
+type plainTenant struct {
+	Name     *string   `json:"name"`
+	APIKeys  *[]string `json:"apiKeys"`
+	RatePerS *float64  `json:"ratePerS"`
+	Burst    *float64  `json:"burst"`
+}
+
+// isPlainlyValid reports whether an item of a list certainly satisfies the schema's definition; false: it has to be checked against the schema.
+func isPlainlyValid(field string, text rawJSON) bool {
+	switch field {
+	case fieldRoutes:
+		return isValidPlainRoute(text)
+	case fieldServices:
+		var service plainService
+		return decodePlain(text, &service) && isName(service.Name) && isNonNegative(service.MaxConnections)
+	case fieldTenants:
+		var tenant plainTenant
+		return decodePlain(text, &tenant) && isName(tenant.Name) && isNonNegative(tenant.RatePerS) && isNonNegative(tenant.Burst)
+	}
+	return false
+}
+
+// decodePlain decodes an item. A null would look like an absent field. Duplicate names and numbers that are not an int64 are errors. Names in another case
+// are unknown fields, as in the schema.
+func decodePlain(text rawJSON, item any) bool {
+	return !bytes.Contains(text, []byte("null")) && json.Unmarshal(text, item) == nil
+}
+
 // isName reports whether a name is present and not empty.
 func isName(name *string) bool { return name != nil && *name != "" }
 
--- a/internal/fleet/config/schema_routes_test.go
+++ b/internal/fleet/config/schema_routes_test.go
@@ -4,10 +4,9 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 
-	"cuelang.org/go/cue"
-	"cuelang.org/go/cue/cuecontext"
 	. "github.com/smartystreets/goconvey/convey"
 	"pgregory.net/rapid"
 )
@@ -66,8 +65,7 @@
 // Guards against a route that is accepted without the schema although the schema rejects it. The opposite is allowed, since the
 // route is then checked against the schema.
 func TestPlainRoutesSatisfyTheSchema(t *testing.T) {
-	context := cuecontext.New()
-	rule := context.CompileString(schemaSource).LookupPath(cue.ParsePath("#Route"))
+	var checker schemaChecker
 	accepted := 0
 	rapid.Check(t, func(t *rapid.T) {
 		text := drawRoute(t)
@@ -75,7 +73,7 @@
 			return
 		}
 		accepted++
-		if err := checkItem(context, rule, "route", rawJSON(text)); err != nil {
+		if err := checker.check(itemDefinitions[fieldRoutes], "route", rawJSON(text)); err != nil {
 			t.Fatalf("accepted a route that the schema rejects with %v: %s", err, text)
 		}
 	})
@@ -86,6 +84,43 @@
 	})
 }
 
+// drawItem returns an item with fields of a service or tenant, whose values may be of any kind.
+func drawItem(t *rapid.T) string {
+	values := []string{`"a"`, `""`, `0`, `7`, `-1`, `1.5`, `1e3`, `null`, `true`, `[]`, `["k"]`, `[1]`, `{}`, `"null"`, `9223372036854775808`}
+	var fields []string
+	for _, name := range []string{"name", "healthCheckPath", "maxConnections", "apiKeys", "ratePerS", "burst", "Name", "other"} {
+		if rapid.Bool().Draw(t, "has "+name) {
+			fields = append(fields, fmt.Sprintf("%q:%s", name, rapid.SampledFrom(values).Draw(t, name)))
+		}
+	}
+	return "{" + strings.Join(fields, ",") + "}"
+}
+
+// Guards against a service or tenant that is accepted without the schema although the schema rejects it.
+func TestPlainServicesAndTenantsSatisfyTheSchema(t *testing.T) {
+	var checker schemaChecker
+	accepted := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) {
+		text := rawJSON(drawItem(t))
+		for _, field := range []string{fieldServices, fieldTenants} {
+			if !isPlainlyValid(field, text) {
+				continue
+			}
+			accepted[field]++
+			if err := checker.check(itemDefinitions[field], field, text); err != nil {
+				t.Fatalf("accepted an item of %s that the schema rejects with %v: %s", field, err, text)
+			}
+		}
+	})
+	Convey("Plain services and tenants are recognised, larger ones than the schema looks at too, and other large items are refused", t, func() {
+		So(accepted[fieldServices], ShouldBeGreaterThan, 0)
+		So(accepted[fieldTenants], ShouldBeGreaterThan, 0)
+		keys := strings.Repeat(`"k",`, maxSchemaItemBytes/4) + `"k"`
+		So(isPlainlyValid(fieldTenants, rawJSON(`{"name":"t","apiKeys":[`+keys+`]}`)), ShouldBeTrue)
+		So(checker.check("#Tenant", "tenants t", rawJSON(`{"name":"t","apiKeys":[`+keys+`,null]}`)), ShouldNotBeNil)
+	})
+}
+
 // Guards against JSON that is decoded differently than by earlier builds, which used encoding/json: stored configurations would
 // change their meaning.
 func TestJSONIsReadAsByEncodingJSON(t *testing.T) {
--- a/internal/fleet/config/service.go
+++ b/internal/fleet/config/service.go
@@ -8,7 +8,7 @@
 	MaxConnections  int    `json:"maxConnections"`
 }
 
-// Limits bounds the size and duration of clients' requests. 0: no limit. Only MaxBodyBytes is enforced.
+// Limits bounds the size and duration of clients' requests. 0: the router's own limit.
 type Limits struct {
 	MaxHeaderBytes  int     `json:"maxHeaderBytes"`
 	MaxBodyBytes    int64   `json:"maxBodyBytes"`
--- a/internal/fleet/replica/replica.go
+++ b/internal/fleet/replica/replica.go
@@ -60,6 +60,7 @@
 	queued  transport.QueuedBytes // of the messages in the inbox
 	cancel  context.CancelFunc
 	done    chan struct{} // closed when the replica's goroutine has ended
+	checks  chan struct{} // capacity 1; full while a change is being checked, whose parsed form takes many times its size
 
 	// Owned by the replica's goroutine:
 	node          *replication.Node
@@ -101,7 +102,7 @@
 		return nil, err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	r := &Replica{options: options, store: store, inbox: make(chan func(), inboxSize), cancel: cancel, done: make(chan struct{})}
+	r := &Replica{options: options, store: store, inbox: make(chan func(), inboxSize), cancel: cancel, done: make(chan struct{}), checks: make(chan struct{}, 1)}
 	r.buildNode()
 	go r.run(ctx)
 	return r, nil
--- a/internal/fleet/replica/submit.go
+++ b/internal/fleet/replica/submit.go
@@ -63,7 +63,10 @@
 			}
 			continue
 		}
-		p, err := prepare(current.state, current.table, change)
+		p, err := r.prepareAlone(ctx, current, change)
+		if errors.Is(err, ErrUnavailable) {
+			return err
+		}
 		if err != nil {
 			if unconfirmed := r.confirm(ctx); unconfirmed != nil {
 				return unconfirmed
@@ -77,6 +80,17 @@
 	}
 }
 
+// prepareAlone calls prepare once no other change is being checked. It returns ErrUnavailable if ctx is done before.
+func (r *Replica) prepareAlone(ctx context.Context, current status, change *config.Change) (*proposal, error) {
+	select {
+	case r.checks <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ErrUnavailable
+	}
+	defer func() { <-r.checks }()
+	return prepare(current.state, current.table, change)
+}
+
 // prepare checks a change against the present state, and returns a proposal with the state and table after the change.
 func prepare(state *config.State, table *config.Table, change *config.Change) (*proposal, error) {
 	next, err := state.Apply(change)
