Bound what clients can make a router hold, at each listener

What callers saw: of crowds of 240 clients at one router of 96 MB and 1,000 descriptors, heads of short fields took 106 to 598 MB, unfinished bodies at the control API 767 MB, at the routers' listener 1,694 MB (compressed 1,141), heartbeats 202 MB; 1,500 silent connections took 1,517 descriptors at three listeners, and at the clients' listener an ordinary request got no answer three times of three and an idle connection was closed for a silent one; beside unfinished bodies an ordinary request got 503. Cause: only clients' connections and bodies were bounded. A head costs many times its bytes once it is parsed; nothing counted it, nor bodies at the other listeners; at the limit of connections the idle ones gave way and silent ones stayed for 10 s. Change: package overload. Each listener has a number of connections and of bytes from the machine's limits; each connection has an account of what its client makes the router hold, from the first byte of a head to the end of the answer. Where bytes run out the oldest large request that is still coming gives way, where connections run out those that are overdue do; small requests are always served. maxHeaderBytes, headerTimeoutMs and idleTimeoutMs of the configuration are enforced. Changes are bounded by memoryMb, watches by half of the control connections, endpoints by number and length of their names.

--- a/internal/fleet/control/body.go
+++ b/internal/fleet/control/body.go
@@ -2,13 +2,31 @@
 
 import (
 	"encoding/json"
-	"io"
+	"errors"
 	"net/http"
+
+	"pinelb.example/pinelb/internal/overload"
 )
 
-// readBody returns the body of a request. It returns errBodyTooLarge if the body is longer than maxBytes.
+// badBodyError returns the error for a body that readBody could not read: a requestError, unless the outcome of the call is unknown.
+func badBodyError(reason string, err error) error {
+	var unknown *outcomeUnknownError
+	if errors.As(err, &unknown) {
+		return unknown
+	}
+	return &requestError{status: http.StatusBadRequest, reason: reason, err: err}
+}
+
+// readBody returns the body of a request. It returns errBodyTooLarge if the body is longer than maxBytes, and an outcomeUnknownError if there is no room for
+// it: the call may be the retry of one that was executed.
 func readBody(r *http.Request, maxBytes int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r.Body, maxBytes+1))
+	if r.ContentLength > maxBytes {
+		return nil, errBodyTooLarge
+	}
+	body, err := overload.ConnOf(r.Context()).ReadBody(r.Body, r.ContentLength, maxBytes)
+	if errors.Is(err, overload.ErrNoRoom) {
+		return nil, &outcomeUnknownError{err}
+	}
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleet/control/cluster_test.go
+++ b/internal/fleet/control/cluster_test.go
@@ -196,7 +196,7 @@
 	}
 	m.mu.Lock()
 	m.replica, m.up = r, true
-	m.server = control.NewServer(&clusterDelegate{machine: m, replica: r}, m.address)
+	m.server = control.NewServer(&clusterDelegate{machine: m, replica: r}, m.address, control.Limits{})
 	m.mu.Unlock()
 	go m.tick(stop, r)
 }
--- a/internal/fleet/control/configuration.go
+++ b/internal/fleet/control/configuration.go
@@ -15,16 +15,16 @@
 	// headerBaseVersion is the header with the version of the configuration on which a change is based.
 	headerBaseVersion = "X-Base-Version"
 
-	maxChangeBytes = 16 << 20
-	submitTimeout  = 3 * time.Second // a change that exceeds it is answered with 504: it may have been committed, or may still be
-	readTimeout    = 2 * time.Second
+	defaultMaxChangeBytes = 16 << 20
+	submitTimeout         = 3 * time.Second // a change that exceeds it is answered with 504: it may have been committed, or may still be
+	readTimeout           = 2 * time.Second
 )
 
 // submitChange returns the handler of configuration changes. A change replaces the complete configuration if replace is true, and
 // modifies individual items otherwise.
 func (s *Server) submitChange(replace bool) callHandler {
 	return func(w http.ResponseWriter, r *http.Request) error {
-		change, err := readChange(r, replace)
+		change, err := readChange(r, replace, s.limits.ChangeBytes)
 		if err != nil {
 			return err
 		}
@@ -38,18 +38,18 @@
 	}
 }
 
-// readChange reads a change from a request. Every error is a requestError.
-func readChange(r *http.Request, replace bool) (*config.Change, error) {
+// readChange reads a change from a request. Errors are those of badBodyError.
+func readChange(r *http.Request, replace bool, maxBytes int64) (*config.Change, error) {
 	base, err := strconv.ParseInt(r.Header.Get(headerBaseVersion), 10, 64)
 	if err != nil {
 		return nil, &requestError{status: http.StatusBadRequest, reason: headerBaseVersion + " is missing or no whole number"}
 	}
-	body, err := readBody(r, maxChangeBytes)
+	body, err := readBody(r, maxBytes)
 	switch {
 	case errors.Is(err, errBodyTooLarge):
 		return nil, &requestError{status: http.StatusRequestEntityTooLarge, reason: "the configuration is too large"}
 	case err != nil:
-		return nil, &requestError{status: http.StatusBadRequest, reason: "the body did not come whole"}
+		return nil, badBodyError("the body did not come whole", err)
 	}
 	return &config.Change{Replace: replace, Base: base, Body: body}, nil
 }
--- a/internal/fleet/control/coordination.go
+++ b/internal/fleet/control/coordination.go
@@ -50,7 +50,7 @@
 // HandleCoordination adds the routes of the coordination API, whose operations c executes. It must be called before the server
 // serves its first request.
 func (s *Server) HandleCoordination(c Coordinator) {
-	h := &coordinationHandlers{coordinator: c}
+	h := &coordinationHandlers{coordinator: c, watches: newWatchLimit(s.limits.Watches)}
 	s.handle(http.MethodPost, "/locks/{id}/begin", h.acquire)
 	s.handle(http.MethodPost, "/locks/{id}/heartbeat", h.renew)
 	s.handle(http.MethodPost, "/locks/{id}/finish", h.release)
@@ -61,7 +61,10 @@
 }
 
 // coordinationHandlers are the handlers of locks, counters, cells (keys with values) and watches.
-type coordinationHandlers struct{ coordinator Coordinator }
+type coordinationHandlers struct {
+	coordinator Coordinator
+	watches     *watchLimit
+}
 
 // lockCall is the body of a call of a lock. A pointer is nil if its field is missing.
 type lockCall struct {
@@ -218,7 +221,7 @@
 	}
 }
 
-// readLockCall reads and checks a call of a lock. Every error is a requestError.
+// readLockCall reads and checks a call of a lock. Errors are those of badBodyError.
 func readLockCall(r *http.Request, kind coordination.OperationKind) (*coordination.Operation, error) {
 	id, err := readName(r)
 	if err != nil {
@@ -257,11 +260,11 @@
 	return id, nil
 }
 
-// decodeBody decodes the JSON body of a request into call, a pointer. Every error is a requestError.
+// decodeBody decodes the JSON body of a request into call, a pointer. Errors are those of badBodyError.
 func decodeBody(r *http.Request, call any) error {
 	body, err := readBody(r, maxCoordinationBytes)
 	if err != nil {
-		return &requestError{status: http.StatusBadRequest, reason: "the body can't be read", err: err}
+		return badBodyError("the body can't be read", err)
 	}
 	if err := json.Unmarshal(body, call); err != nil {
 		return &requestError{status: http.StatusBadRequest, reason: "the body is no such call", err: err}
--- a/internal/fleet/control/coordination_test.go
+++ b/internal/fleet/control/coordination_test.go
@@ -60,7 +60,7 @@
 }
 
 func (c *fakeCoordinator) call(method, path, body string) *httptest.ResponseRecorder {
-	server := NewServer(&fakeDelegate{}, ownAddress)
+	server := NewServer(&fakeDelegate{}, ownAddress, Limits{})
 	server.HandleCoordination(c)
 	recorder := httptest.NewRecorder()
 	server.ServeHTTP(recorder, httptest.NewRequest(method, path, strings.NewReader(body)))
--- a/internal/fleet/control/endpoints.go
+++ b/internal/fleet/control/endpoints.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"net/http"
 	"net/netip"
+	"strconv"
 
 	"github.com/gorilla/mux"
 
@@ -43,7 +44,7 @@
 	return nil
 }
 
-// readHeartbeat decodes and checks a heartbeat. Every error is a requestError.
+// readHeartbeat decodes and checks a heartbeat. Errors are those of badBodyError.
 func readHeartbeat(r *http.Request) (registry.Endpoint, error) {
 	body, err := readBody(r, maxHeartbeatBytes)
 	var beat heartbeat
@@ -51,7 +52,10 @@
 		err = json.Unmarshal(body, &beat)
 	}
 	if err != nil {
-		return registry.Endpoint{}, &requestError{status: http.StatusBadRequest, reason: "the heartbeat can't be read", err: err}
+		return registry.Endpoint{}, badBodyError("the heartbeat can't be read", err)
+	}
+	if err := checkNames(mux.Vars(r)["id"], beat.Service, beat.Zone); err != nil {
+		return registry.Endpoint{}, err
 	}
 	state, known := reportedStates[beat.State]
 	if _, err := netip.ParseAddrPort(beat.Address); err != nil || beat.Service == "" || !known {
@@ -65,9 +69,22 @@
 	}, nil
 }
 
+// checkNames returns a requestError if one of the names is longer than maxNameBytes.
+func checkNames(names ...string) error {
+	for _, name := range names {
+		if len(name) > maxNameBytes {
+			return &requestError{status: http.StatusBadRequest, reason: "a name is longer than " + strconv.Itoa(maxNameBytes) + " bytes"}
+		}
+	}
+	return nil
+}
+
 // deregister applies an endpoint's deregistration.
 func (s *Server) deregister(w http.ResponseWriter, r *http.Request) error {
 	endpoint := registry.Endpoint{ID: mux.Vars(r)["id"], State: registry.Deregistered}
+	if err := checkNames(endpoint.ID); err != nil {
+		return err
+	}
 	if err := s.delegate.HandleEndpointReport(r.Context(), endpoint); err != nil {
 		return &unacknowledgedError{err}
 	}
--- a/internal/fleet/control/server.go
+++ b/internal/fleet/control/server.go
@@ -33,18 +33,28 @@
 	EndpointService(id string) string
 }
 
+// Limits are bounds of calls. 0: the default.
+type Limits struct {
+	ChangeBytes int64 // size of a change of the configuration
+	Watches     int   // that wait at once
+}
+
 // Server is the HTTP handler of the API.
 type Server struct {
 	delegate Delegate
 	address  string // host and port of this API
+	limits   Limits
 	handler  *mux.Router
 
 	Rejected atomic.Uint64 // calls that failed with a requestError, whose status is 4xx
 }
 
 // NewServer returns the handler of an API that is served at address, a host and port.
-func NewServer(delegate Delegate, address string) *Server {
-	s := &Server{delegate: delegate, address: address, handler: mux.NewRouter()}
+func NewServer(delegate Delegate, address string, limits Limits) *Server {
+	if limits.ChangeBytes <= 0 {
+		limits.ChangeBytes = defaultMaxChangeBytes
+	}
+	s := &Server{delegate: delegate, address: address, limits: limits, handler: mux.NewRouter()}
 	s.handle(http.MethodPost, "/instances/{id}/heartbeat", s.heartbeat)
 	s.handle(http.MethodPost, "/instances/{id}/deregister", s.deregister)
 	s.handle(http.MethodPost, "/config/replace", s.submitChange(true))
--- a/internal/fleet/control/server_test.go
+++ b/internal/fleet/control/server_test.go
@@ -51,7 +51,7 @@
 		request.Header.Set(headers[i], headers[i+1])
 	}
 	recorder := httptest.NewRecorder()
-	NewServer(d, ownAddress).ServeHTTP(recorder, request)
+	NewServer(d, ownAddress, Limits{}).ServeHTTP(recorder, request)
 	return recorder
 }
 
--- a/internal/fleet/control/watch.go
+++ b/internal/fleet/control/watch.go
@@ -34,7 +34,9 @@
 	op := &coordination.Operation{
 		Kind: coordination.Watch, Name: coordination.Name{Kind: coordination.KindGroup, ID: coordination.GroupOf(group)}, Since: since,
 	}
-	result, err := h.awaitEvents(r.Context(), op, time.Now().Add(wait))
+	ctx, end := h.watches.begin(r.Context())
+	defer end()
+	result, err := h.awaitEvents(ctx, op, time.Now().Add(wait))
 	if err != nil {
 		return coordinationError(op, err)
 	}
--- a/internal/fleet/proxy/admission.go
+++ b/internal/fleet/proxy/admission.go
@@ -18,6 +18,7 @@
 	errUnknownAPIKey  denial = http.StatusUnauthorized
 	errNoRoute        denial = http.StatusNotFound
 	errBodyTooLarge   denial = http.StatusRequestEntityTooLarge
+	errHeadTooLarge   denial = http.StatusRequestHeaderFieldsTooLarge
 )
 
 // Error returns a message with the text of the HTTP status.
--- a/internal/fleet/proxy/answer.go
+++ b/internal/fleet/proxy/answer.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pinelb.example/pinelb/internal/fleet/config"
+	"pinelb.example/pinelb/internal/overload"
 	"pinelb.example/pinelb/internal/upstream"
 )
 
@@ -58,7 +59,7 @@
 		piece := buffer[:n]
 		if r.resumable {
 			piece = response.events.complete(piece, &response.lastEventID)
-			if response.events.exceeds(maxEventBytes) {
+			if response.events.exceeds(maxEventBytes) || !r.reserveEvent() {
 				piece = response.events.take()
 				r.resumable = false // the client has a part of an event, which no other endpoint can continue
 			}
@@ -81,6 +82,20 @@
 	}
 }
 
+// reserveEvent reserves the memory of an incomplete event. It returns false if there is no room for it.
+func (r *responseRelay) reserveEvent() bool {
+	response := &r.forwarding.response
+	added := response.events.size() - response.reserved
+	if added <= 0 {
+		return true
+	}
+	if !overload.ConnOf(r.forwarding.request.http.Context()).Reserve(added) {
+		return false
+	}
+	response.reserved += added
+	return true
+}
+
 // recordPiece records the time at which a piece of the body was read. It returns false if the attempt was abandoned before its
 // first piece.
 func (r *responseRelay) recordPiece(now time.Time) bool {
@@ -131,6 +146,7 @@
 	headSent    bool
 	lastEventID string // of the last relayed event that has an id; empty: no such event
 	events      eventSplitter
+	reserved    int64 // bytes, for an incomplete event
 }
 
 // sendHead sends the head of an endpoint's response to the client.
--- a/internal/fleet/proxy/events.go
+++ b/internal/fleet/proxy/events.go
@@ -15,6 +15,9 @@
 // empty reports whether no incomplete event is buffered.
 func (e *eventSplitter) empty() bool { return len(e.partial) == 0 }
 
+// size returns the bytes that the splitter holds, and a copy of the events that it is about to return.
+func (e *eventSplitter) size() int64 { return 2 * int64(cap(e.partial)) }
+
 // exceeds reports whether the incomplete event is larger than a number of bytes.
 func (e *eventSplitter) exceeds(size int) bool { return len(e.partial) > size }
 
--- a/internal/fleet/proxy/request.go
+++ b/internal/fleet/proxy/request.go
@@ -11,6 +11,7 @@
 
 	"pinelb.example/pinelb/internal/fleet/config"
 	"pinelb.example/pinelb/internal/fleet/placement"
+	"pinelb.example/pinelb/internal/overload"
 )
 
 // request is a client's request. readRequest sets the first group of fields; admit, setDeadline and charge set the second.
@@ -31,8 +32,11 @@
 	chargedUnits float64       // units charged to the tenant's quota
 }
 
-// readRequest reads a request completely. Its errors are denials, except for errBodiesFull.
-func readRequest(r *http.Request, limits config.Limits, body *bodyReader) (*request, error) {
+// readRequest reads a request completely. Its errors are denials, except for overload.ErrNoRoom.
+func readRequest(r *http.Request, limits config.Limits) (*request, error) {
+	if limits.MaxHeaderBytes > 0 && headBytes(r) > limits.MaxHeaderBytes {
+		return nil, errHeadTooLarge
+	}
 	q := &request{http: r, id: r.Header.Get(headerRequestID), receivedAt: time.Now()}
 	q.path, _, _ = strings.Cut(r.RequestURI, "?")
 	if !strings.HasPrefix(q.path, "/") {
@@ -42,9 +46,12 @@
 	if maxBody > 0 && r.ContentLength > maxBody {
 		return nil, errBodyTooLarge
 	}
+	if r.ContentLength == 0 {
+		return q, nil
+	}
 	var err error
-	q.body, err = body.read(r, maxBody)
-	if errors.Is(err, errBodiesFull) {
+	q.body, err = overload.ConnOf(r.Context()).ReadBody(r.Body, r.ContentLength, maxBody)
+	if errors.Is(err, overload.ErrNoRoom) {
 		return nil, err
 	}
 	if err != nil {
@@ -56,6 +63,17 @@
 	return q, nil
 }
 
+// headBytes returns the size of a request's head, but for what net/http has folded.
+func headBytes(r *http.Request) int {
+	size := len(r.Method) + len(r.RequestURI) + len(r.Proto) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + len(": \r\n")
+		}
+	}
+	return size
+}
+
 // hostOf returns the host of the Host header, without the port.
 func hostOf(r *http.Request) string {
 	if host, _, err := net.SplitHostPort(r.Host); err == nil {
--- a/internal/fleet/proxy/server.go
+++ b/internal/fleet/proxy/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"pinelb.example/pinelb/internal/fleet/config"
+	"pinelb.example/pinelb/internal/overload"
 )
 
 // Delegate is the rest of the router, as the proxy uses it. Its methods are called concurrently.
@@ -29,7 +30,6 @@
 	MaxConfigAge     time.Duration // age beyond which API keys are not accepted; 0: no bound
 	MaxDenialAge     time.Duration // age beyond which a request without a route or a valid key is rejected (503) and not denied
 	MaxSupersededAge time.Duration // age beyond which requests are rejected if a newer configuration is known to be acknowledged; 0: no bound
-	MaxBodiesBytes   int64         // total size of the bodies of the requests in progress, beyond which requests are rejected; 0: no bound
 }
 
 // Server handles clients' requests. It implements [http.Handler].
@@ -40,7 +40,6 @@
 
 	drainEnd  atomic.Pointer[time.Time] // when the process ends; nil: the server is not draining
 	durations durations
-	bodies    bodyBudget
 
 	// Requests by outcome, since the start: Served have a complete response of an endpoint; Rejected have not run, whether
 	// rejected or denied ("refused" in the status); Failed have no response of an endpoint; Truncated have an incomplete one.
@@ -51,7 +50,7 @@
 
 // NewServer returns a handler of clients' requests.
 func NewServer(delegate Delegate, dispatcher *Dispatcher, options Options) *Server {
-	return &Server{delegate: delegate, dispatcher: dispatcher, options: options, bodies: bodyBudget{max: options.MaxBodiesBytes}}
+	return &Server{delegate: delegate, dispatcher: dispatcher, options: options}
 }
 
 // isOutdated reports whether a newer configuration is known and may have been acknowledged more than MaxSupersededAge ago, so that
@@ -76,11 +75,9 @@
 	if !s.acceptTable(w, table, age) {
 		return
 	}
-	body := bodyReader{budget: &s.bodies}
-	defer body.release()
-	q, err := readRequest(r, table.Limits, &body)
+	q, err := readRequest(r, table.Limits)
 	switch {
-	case errors.Is(err, errBodiesFull):
+	case errors.Is(err, overload.ErrNoRoom):
 		s.reject(w, http.StatusServiceUnavailable, longRetryAfter)
 		return
 	case err != nil:
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -49,6 +49,9 @@
 	return unready
 }
 
+// Len returns the number of endpoints, those included that have ended and are not purged yet.
+func (r *Registry) Len() int { return len(r.entries) }
+
 // Lookup returns the current report of an endpoint.
 func (r *Registry) Lookup(id string) (Endpoint, bool) {
 	e := r.entries[id]
--- a/internal/fleet/router/connection_limit_test.go
+++ b/internal/fleet/router/connection_limit_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"pinelb.example/pinelb/internal/fleet/settings"
+	"pinelb.example/pinelb/internal/overload"
 )
 
 const testConnections = 3
@@ -22,6 +23,7 @@
 	address string
 	tokens  chan struct{}
 	servers *httpServers
+	manager *overload.Manager
 }
 
 func newLimitedServer(t *testing.T) *limitedServer {
@@ -30,11 +32,12 @@
 	So(err, ShouldBeNil)
 	s.address = probe.Addr().String()
 	So(probe.Close(), ShouldBeNil)
+	s.manager = overload.NewManager(overload.Limits{Connections: testConnections})
 	_, err = s.servers.listen(s.address, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/wait" {
 			<-s.tokens
 		}
-	}), newConnectionLimit(testConnections))
+	}), s.manager, maxClientHeaderBytes)
 	So(err, ShouldBeNil)
 	t.Cleanup(func() {
 		s.servers.close()
@@ -76,8 +79,8 @@
 // Guards against a router that neither its operator nor other routers reach any longer, since clients' connections have taken all descriptors.
 func TestClientsConnectionsLeaveDescriptors(t *testing.T) {
 	Convey("Clients have three eighths of the descriptors that are not reserved", t, func() {
-		So(maxClientConnections(&settings.Settings{Limits: settings.Limits{FileDescriptors: 4100}}), ShouldEqual, 1425)
-		So(maxClientConnections(&settings.Settings{}), ShouldEqual, minConnections)
+		So(descriptorsFor(&settings.Settings{Limits: settings.Limits{FileDescriptors: 4100}}, clientDescriptorParts), ShouldEqual, 1425)
+		So(descriptorsFor(&settings.Settings{}, clientDescriptorParts), ShouldEqual, minConnections)
 	})
 	Convey("At the limit the connection that has been idle for longest gives way", t, func() {
 		s := newLimitedServer(t)
@@ -87,6 +90,9 @@
 			conn.send("/")
 			So(conn.status(), ShouldEqual, http.StatusOK)
 			conns = append(conns, conn)
+			for s.manager.Use().Idle < min(len(conns), testConnections) { // the order in which they become idle decides
+				time.Sleep(time.Millisecond)
+			}
 		}
 		So(conns[0].status(), ShouldEqual, 0)
 		last := conns[len(conns)-1]
--- a/internal/fleet/router/endpoint_reports.go
+++ b/internal/fleet/router/endpoint_reports.go
@@ -24,6 +24,15 @@
 // errNoPrimary is returned for a leave if no primary is known that could notify all routers, or if the called router can't be primary.
 var errNoPrimary = errors.New("router: no primary is known")
 
+// errTooManyEndpoints is returned for a report of an unknown endpoint while the registry is full.
+var errTooManyEndpoints = errors.New("router: too many endpoints")
+
+// The number of endpoints that the registry may hold.
+const (
+	minMaxEndpoints   = 4096
+	maxEndpointsPerMB = 64 // of limits.memoryMb
+)
+
 // leaveReply acknowledges an endpoint's leave to the router that reported it.
 type leaveReply struct{}
 
@@ -43,12 +52,18 @@
 // deregistered, is ignored without an error. An error means that a leave may not reach the other routers.
 func (e *endpointReports) handle(ctx context.Context, endpoint registry.Endpoint) error {
 	endpoint.Owner = e.address()
-	applied := false
+	applied, isFull := false, false
 	e.gossip.step(func(now time.Duration) *dissemination.Output {
+		if isFull = e.isFull(endpoint.ID); isFull {
+			return &dissemination.Output{}
+		}
 		var output *dissemination.Output
 		output, applied = e.gossip.node.HandleEndpointHeartbeat(now, endpoint)
 		return output
 	})
+	if isFull {
+		return errTooManyEndpoints
+	}
 	if !applied {
 		e.recordIgnored(endpoint)
 	}
@@ -58,6 +73,13 @@
 	return e.reportLeave(ctx, endpoint.ID)
 }
 
+// isFull reports whether an endpoint is not known and the registry has no room for another one. The caller holds the gossip's lock.
+func (e *endpointReports) isFull(id string) bool {
+	endpoints := e.gossip.node.Registry
+	_, known := endpoints.Lookup(id)
+	return !known && endpoints.Len() >= max(minMaxEndpoints, e.settings.Limits.MemoryMB*maxEndpointsPerMB)
+}
+
 // recordIgnored counts and logs an ignored report. The endpoint still receives an acknowledgement: an error would make a running endpoint
 // switch to another router only because one of its reports arrived late.
 func (e *endpointReports) recordIgnored(endpoint registry.Endpoint) {
--- a/internal/fleet/router/http_servers.go
+++ b/internal/fleet/router/http_servers.go
@@ -4,16 +4,17 @@
 	"errors"
 	"net"
 	"net/http"
-	"time"
 
 	"github.com/ansel1/merry/v2"
 	"go.uber.org/zap"
+
+	"pinelb.example/pinelb/internal/overload"
 )
 
+// Sizes of a head, in bytes. The configuration may limit clients' heads to less.
 const (
-	readHeaderTimeout = 10 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 64 << 10
+	maxClientHeaderBytes  = 64 << 10
+	maxControlHeaderBytes = 16 << 10 // of the control API and the readiness probe
 )
 
 // httpServers holds the HTTP servers for clients, the control API and the readiness probe. Only the goroutine of Router.Run uses it.
@@ -22,23 +23,19 @@
 	servers []*http.Server
 }
 
-// listen serves HTTP at an address until close is called, over a limited number of connections; limit nil: unlimited. It returns an error if the
-// address can't be bound.
-func (h *httpServers) listen(address string, handler http.Handler, limit *connectionLimit) (*http.Server, error) {
+// listen serves HTTP at an address until close is called, over the connections of a manager and with heads of up to headerBytes. It returns an error if the address can't be bound.
+func (h *httpServers) listen(address string, handler http.Handler, manager *overload.Manager, headerBytes int) (*http.Server, error) {
 	listener, err := net.Listen("tcp4", address)
 	if err != nil {
 		return nil, merry.Prepend(err, "router")
 	}
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		ErrorLog: zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
-	}
-	if limit != nil {
-		listener, server.ConnState = &limitedListener{Listener: listener, limit: limit}, limit.observe
+		Handler: handler, MaxHeaderBytes: headerBytes, ErrorLog: zap.NewStdLog(h.log.WithOptions(zap.IncreaseLevel(zap.ErrorLevel))),
 	}
+	manager.Attach(server)
 	h.servers = append(h.servers, server)
 	h.tasks.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(manager.Listen(listener)); !errors.Is(err, http.ErrServerClosed) {
 			h.log.Error("listener failed", zap.String("address", address), zap.Error(err))
 		}
 	})
--- a/internal/fleet/router/router.go
+++ b/internal/fleet/router/router.go
@@ -16,6 +16,7 @@
 //	announcementRelay     announcements of prompts to the other routers
 //	resourceMonitor       use of memory, descriptors and disk beside their limits
 //	coordinationService   locks, counters, cells and watches for applications, if the settings enable them
+//	overloadManagers      bounds of what the clients of each listener make the router hold
 //	httpServers           the listeners for clients, the control API and the readiness probe
 //
 // The packages dissemination, membership, registry, quota and placement perform no I/O, read no clock and start no goroutines;
@@ -42,9 +43,8 @@
 
 const (
 	tickInterval        = 50 * time.Millisecond
-	bodiesMemoryDivisor = 4                      // part of limits.memoryMb for the bodies of the requests in progress
 	reservedDescriptors = 300                    // subtracted from the limit of file descriptors, for files, the other listeners and the runtime
-	minConnections      = 64                     // minimum for connections to endpoints, even if the limit of file descriptors is low
+	minConnections      = 64                     // minimum for connections of each kind, even if the limit of file descriptors is low
 	keyLeaseMargin      = 600 * time.Millisecond // part of revokeMs that is reserved for the time between the check of the lease and the send
 	supersededMargin    = 150 * time.Millisecond // part of configApplyMs that is reserved for clock drift and scheduling delays between two machines
 )
@@ -73,6 +73,7 @@
 	coreSize        *coreSizeCheck
 	coordination    *coordinationService
 	resources       *resourceMonitor
+	overload        overloadManagers
 	tooLargeLog     tooLargeLog
 
 	dispatcher  *proxy.Dispatcher
@@ -87,7 +88,11 @@
 	r := &Router{environment: e, killed: make(chan struct{})}
 	r.dispatcher = proxy.NewDispatcher(e.clock, retry.Settings{
 		Ratio: s.Bounds.RetryBudgetRatio, Window: s.Bounds.RetryBudgetWindow, Slack: s.Bounds.RetryBudgetSlack,
-	}, max(minConnections, (s.Limits.FileDescriptors-reservedDescriptors)/2))
+	}, descriptorsFor(s, endpointDescriptorParts))
+	if s.Limits.MemoryMB > 0 {
+		r.dispatcher.Pool.SetMaxLateWriteBytes(s.Limits.MemoryMB * bytesPerMB / lateWriteMemoryDivisor)
+	}
+	r.overload = newOverloadManagers(s)
 	r.config = &activeConfig{environment: e}
 	r.gossip = newGossip(e, r.config, r.dispatcher)
 	r.leaseholders = &leaseholderList{environment: e, gossip: r.gossip}
@@ -106,16 +111,9 @@
 	return r
 }
 
-// maxClientConnections returns the number of clients' connections. Beside those to endpoints, which have half of the descriptors, it leaves an eighth for
-// the control API and other routers.
-func maxClientConnections(s *settings.Settings) int {
-	return max(minConnections, (s.Limits.FileDescriptors-reservedDescriptors)*3/8)
-}
-
 // proxyOptions derives the proxy's time limits from the bounds in the settings.
 func proxyOptions(s *settings.Settings) proxy.Options {
 	options := proxy.Options{
-		MaxBodiesBytes:   int64(s.Limits.MemoryMB) * bytesPerMB / bodiesMemoryDivisor,
 		MaxDenialAge:     s.Bounds.ConfigApply * 3 / 4,
 		MaxSupersededAge: max(s.Bounds.ConfigApply/2, s.Bounds.ConfigApply-supersededMargin),
 	}
@@ -172,6 +170,7 @@
 		return err
 	}
 	r.transport.OnTooLarge(r.logTooLarge)
+	r.transport.Limit(r.overload.routers)
 	r.handleCalls()
 	if err := r.startReplica(); err != nil {
 		return err
@@ -205,20 +204,22 @@
 func (r *Router) listen() error {
 	var err error
 	if address := r.settings.ControlAddress; address != "" {
-		_, err = r.servers.listen(address, r.controlServer(address), nil)
+		_, err = r.servers.listen(address, r.controlServer(address), r.overload.control, maxControlHeaderBytes)
 	}
 	if address := r.settings.ReadyAddress; err == nil && address != "" {
-		_, err = r.servers.listen(address, http.HandlerFunc(r.serveReady), nil)
+		_, err = r.servers.listen(address, http.HandlerFunc(r.serveReady), r.overload.ready, maxControlHeaderBytes)
 	}
 	if address := r.settings.FrontAddress; err == nil && address != "" {
-		r.proxyServer, err = r.servers.listen(address, r.proxy, newConnectionLimit(maxClientConnections(r.settings)))
+		r.proxyServer, err = r.servers.listen(address, r.proxy, r.overload.clients, maxClientHeaderBytes)
 	}
 	return err
 }
 
 // controlServer returns the control API's handler, with the coordination service if that is enabled.
 func (r *Router) controlServer(address string) *control.Server {
-	server := control.NewServer(r, address)
+	server := control.NewServer(r, address, control.Limits{
+		ChangeBytes: maxChange(r.settings), Watches: descriptorsFor(r.settings, controlDescriptorParts) / maxWatchesPerConnections,
+	})
 	if r.coordination.isServed() {
 		server.HandleCoordination(r.coordination)
 	}
@@ -240,6 +241,8 @@
 	r.learned.tick()
 	r.coreSize.tick()
 	r.resources.tick()
+	table, _ := r.ActiveConfig()
+	r.overload.tick(table)
 }
 
 // close stops all components and waits for their goroutines.
--- a/internal/fleet/router/status.go
+++ b/internal/fleet/router/status.go
@@ -39,6 +39,7 @@
 	KeysRequired  bool                      `json:"keysRequired,omitempty"` // requests need a key, on routes that are not public
 	Coordination  *coordinator.Status       `json:"coordination,omitempty"`
 	Resources     ResourceStatus            `json:"resources,omitzero"`
+	ClientUse     ClientUse                 `json:"clientUse,omitzero"` // what the clients of each listener hold
 }
 
 // ConfigLagStatus describes the lag of the active configuration behind the newest one that the router knows of.
@@ -60,7 +61,7 @@
 	table, age := r.ActiveConfig()
 	s := Status{
 		Node: r.settings.NodeName, Ready: r.isReady(), LeaseAgeMs: age.Milliseconds(), UptimeMs: r.clock().Milliseconds(),
-		Tables: r.dispatcher.Tables(), Services: r.dispatcher.Services(), Replica: r.replicaStatus(), Resources: r.resources.status(),
+		Tables: r.dispatcher.Tables(), Services: r.dispatcher.Services(), Replica: r.replicaStatus(), Resources: r.resources.status(), ClientUse: r.overload.use(),
 	}
 	if table != nil {
 		s.Version = table.Version
--- a/internal/fleet/transport/receive.go
+++ b/internal/fleet/transport/receive.go
@@ -7,6 +7,8 @@
 	"net/http"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"pinelb.example/pinelb/internal/overload"
 )
 
 const receiveBufferBytes = 64 << 10 // no UDP datagram is longer
@@ -32,15 +34,19 @@
 	}
 }
 
-// readBody reads and decompresses a request's body. If it is truncated, too long or of an unknown encoding, the request is
-// counted as dropped and ok is false.
+// unknownLength is announced for a body that may be compressed.
+const unknownLength = -1
+
+// readBody reads and decompresses a request's body. If it is truncated, too long or of an unknown encoding, or doesn't fit beside what others hold, the
+// request is answered with 503, and counted as dropped, and ok is false.
 func (t *Transport) readBody(w http.ResponseWriter, r *http.Request) (body []byte, ok bool) {
 	decoded, err := decodedBody(r)
 	if err == nil {
-		body, err = io.ReadAll(http.MaxBytesReader(w, io.NopCloser(decoded), maxBodyBytes))
+		body, err = overload.ConnOf(r.Context()).ReadBody(http.MaxBytesReader(w, io.NopCloser(decoded), maxBodyBytes), unknownLength, 0)
 	}
 	if err != nil {
 		t.Counters.Dropped.Add(1)
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return nil, false
 	}
 	return body, true
--- a/internal/fleet/transport/transport.go
+++ b/internal/fleet/transport/transport.go
@@ -18,11 +18,14 @@
 	"time"
 
 	"github.com/gorilla/mux"
+
+	"pinelb.example/pinelb/internal/overload"
 )
 
 const (
 	maxDatagramBytes = 1200     // longer packets are sent over TCP; this fits Ethernet's 1,500 bytes without fragmentation
 	maxBodyBytes     = 32 << 20 // of a request, once decompressed, and of a response
+	maxHeaderBytes   = 4 << 10  // of a request
 	maxInFlight      = 16       // messages over TCP to one router
 	maxInFlightBytes = 4 << 20  // of the messages over TCP to one router, unless it is a single one
 
@@ -55,6 +58,7 @@
 	handle  func(*Packet)
 
 	reportTooLarge func(*TooLargeError) // nil: nobody is told
+	manager        *overload.Manager    // nil: nothing is bounded but the size of a body
 
 	udp    *net.UDPConn
 	server *http.Server
@@ -99,6 +103,7 @@
 		ReadHeaderTimeout: callTimeout,
 		ReadTimeout:       readTimeout,
 		IdleTimeout:       2 * idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 	}
 	return t, nil
 }
@@ -111,6 +116,12 @@
 // Context returns a context that Close cancels.
 func (t *Transport) Context() context.Context { return t.ctx }
 
+// Limit bounds by a manager what other routers make this one hold. It must be called before Serve.
+func (t *Transport) Limit(m *overload.Manager) {
+	m.Attach(t.server)
+	t.manager = m
+}
+
 // Serve starts receiving, until Close, and returns without waiting. It fails if the address can't be bound over TCP; the error
 // wraps that of package net.
 func (t *Transport) Serve() error {
@@ -118,6 +129,9 @@
 	if err != nil {
 		return fmt.Errorf("transport: %w", err)
 	}
+	if t.manager != nil {
+		listener = t.manager.Listen(listener)
+	}
 	t.tasks.Go(func() { _ = t.server.Serve(listener) }) // returns after Close
 	t.tasks.Go(t.receiveDatagrams)
 	return nil
