Bound the parsed heads that clients can make a sidecar hold

What happens: 240 clients with heads of 15 KB in short fields take 82 MB of a sidecar's 64, whether their heads are unfinished or a body is to follow. Cause: connections and bodies were bounded, and a head by its bytes, but a parsed head takes some 20 times as much.

--- a/internal/downstream/client_conn.go
+++ b/internal/downstream/client_conn.go
@@ -27,6 +27,9 @@
 	requests atomic.Int64
 
 	limiter        *connLimiter // whose lock guards the fields below
+	hasHeads       bool         // it speaks HTTP
+	headBytes      int64        // counted for the head of its request
+	aheadBytes     int64        // the part of them that was read last, which may belong to the next head
 	requestStarted bool         // something was read since the last change of state
 	readExpired    bool
 	closing        bool      // Close was called, or the connection is to be reset
@@ -57,6 +60,9 @@
 		c.lastRead.Store(time.Now().UnixNano())
 		c.requestStarted = true
 		c.cancelExpiry()
+		if !c.limiter.countHead(c, b[:n]) {
+			return 0, errHeadMemoryExhausted
+		}
 	}
 	return n, err
 }
@@ -144,6 +150,11 @@
 
 // withConn adds a connection to the context of its requests. It is an http.Server.ConnContext.
 func withConn(ctx context.Context, conn net.Conn) context.Context {
+	if c, ok := conn.(*clientConn); ok {
+		c.limiter.mu.Lock()
+		c.hasHeads = true
+		c.limiter.mu.Unlock()
+	}
 	return context.WithValue(ctx, connContextKey{}, conn)
 }
 
--- a/internal/downstream/conn_limiter.go
+++ b/internal/downstream/conn_limiter.go
@@ -19,10 +19,14 @@
 // connLimiter bounds how many client connections are open, so that they never take the descriptors of the upstream side. When
 // the bound is reached, an inactive connection is evicted for a new one.
 type connLimiter struct {
-	mu       sync.Mutex
-	changed  *sync.Cond // signalled when a connection becomes inactive or is closed, or the bound changes
-	maxOpen  int
-	open     int
+	mu      sync.Mutex
+	changed *sync.Cond // signalled when a connection becomes inactive or is closed, or the bound changes
+	maxOpen int
+	open    int
+
+	maxHeadBytes int64 // 0: unlimited
+	headBytes    int64 // of all connections
+
 	inactive map[net.Conn]inactivity
 	now      func() time.Time
 
@@ -51,6 +55,7 @@
 	client, ok := conn.(*clientConn)
 	if ok {
 		client.requestStarted = false
+		l.settleHead(client, state)
 	}
 	switch state {
 	case http.StateActive:
@@ -90,11 +95,11 @@
 	return conn != nil
 }
 
-// setMax changes the bound. Inactive connections beyond it are closed; active ones end by themselves.
-func (l *connLimiter) setMax(maxOpen int) {
+// setMax changes the bounds. Inactive connections beyond maxOpen are closed; active ones end by themselves.
+func (l *connLimiter) setMax(maxOpen int, maxHeadBytes int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.maxOpen = maxOpen
+	l.maxOpen, l.maxHeadBytes = maxOpen, maxHeadBytes
 	for excess := l.open - maxOpen; excess > 0 && l.evict(); excess-- {
 	}
 	l.changed.Broadcast()
--- a/internal/downstream/manager.go
+++ b/internal/downstream/manager.go
@@ -86,6 +86,7 @@
 func NewManager(s *config.Settings, maxBodyBytes int64, maxConns int, log zerolog.Logger) *Manager {
 	m := &Manager{log: log, After: time.After, limiter: newConnLimiter(maxConns)}
 	m.maxBodyBytes.Store(maxBodyBytes)
+	m.limiter.maxHeadBytes = headBytesPerBody * maxBodyBytes
 	m.UpdateSettings(s)
 	m.relayCtx, m.cancelRelays = context.WithCancel(context.Background())
 	streamCtx, cancel := context.WithCancelCause(context.Background())
@@ -99,7 +100,7 @@
 // SetLimits changes the bounds on the bytes of bodies and on the connections.
 func (m *Manager) SetLimits(maxBodyBytes int64, maxConns int) {
 	m.maxBodyBytes.Store(maxBodyBytes)
-	m.limiter.setMax(maxConns)
+	m.limiter.setMax(maxConns, headBytesPerBody*maxBodyBytes)
 }
 
 // SetSucceeded sets whether another process serves the same clients from the same listeners: draining then leaves everything
