--- a/internal/fleet/config/schema_routes_test.go
+++ b/internal/fleet/config/schema_routes_test.go
@@ -88,7 +88,13 @@
 func drawItem(t *rapid.T) string {
 	values := []string{`"a"`, `""`, `0`, `7`, `-1`, `1.5`, `1e3`, `null`, `true`, `[]`, `["k"]`, `[1]`, `{}`, `"null"`, `9223372036854775808`}
 	var fields []string
-	for _, name := range []string{"name", "healthCheckPath", "maxConnections", "apiKeys", "ratePerS", "burst", "Name", "other"} {
+	if rapid.IntRange(0, 9).Draw(t, "valid name") > 0 {
+		fields = append(fields, `"name":"a"`)
+	}
+	if rapid.IntRange(0, 9).Draw(t, "any name") == 0 {
+		fields = append(fields, `"name":`+rapid.SampledFrom(values).Draw(t, "name"))
+	}
+	for _, name := range []string{"healthCheckPath", "maxConnections", "apiKeys", "ratePerS", "burst", "Name", "other"} {
 		if rapid.Bool().Draw(t, "has "+name) {
 			fields = append(fields, fmt.Sprintf("%q:%s", name, rapid.SampledFrom(values).Draw(t, name)))
 		}
@@ -112,9 +118,11 @@
 			}
 		}
 	})
-	Convey("Plain services and tenants are recognised, larger ones than the schema looks at too, and other large items are refused", t, func() {
+	Convey("Plain services and tenants are recognised, as the operators' pages have them, larger ones than the schema looks at too, and other large items are refused", t, func() {
 		So(accepted[fieldServices], ShouldBeGreaterThan, 0)
 		So(accepted[fieldTenants], ShouldBeGreaterThan, 0)
+		So(isPlainlyValid(fieldServices, rawJSON(`{"name":"s","healthCheckPath":"/health","maxConnections":130,"protocol":"h1","tls":false}`)), ShouldBeTrue)
+		So(isPlainlyValid(fieldTenants, rawJSON(`{"name":"t","apiKeys":["k"],"priority":1,"ratePerS":2.5,"burst":7}`)), ShouldBeTrue)
 		keys := strings.Repeat(`"k",`, maxSchemaItemBytes/4) + `"k"`
 		So(isPlainlyValid(fieldTenants, rawJSON(`{"name":"t","apiKeys":[`+keys+`]}`)), ShouldBeTrue)
 		So(checker.check("#Tenant", "tenants t", rawJSON(`{"name":"t","apiKeys":[`+keys+`,null]}`)), ShouldNotBeNil)
