Show that a long answer without a length is cut and looks complete

Cause: internal/upstream reads at most 128 MiB of a response through an io.LimitedReader, whose end looks like the end of the connection. Where that ends the body, the client gets a success with a part of it (rule MIXED).

--- a/review/standins-2/main.go
+++ b/review/standins-2/main.go
@@ -13,6 +13,7 @@
 var cases = map[string]func(*fleet) (broken bool, err error){
 	"late-heartbeat-ends-successor": lateHeartbeatEndsSuccessor,
 	"late-heartbeat-undoes-leave":   lateHeartbeatUndoesLeave,
+	"long-answer-is-cut":            longAnswerIsCut,
 	"lock-run-dies":                 lockRunDies,
 	"lock-run-sleeps":               lockRunSleeps,
 }
--- a/review/standins-2/peers.go
+++ b/review/standins-2/peers.go
@@ -216,6 +216,11 @@
 		name, host, prefix, service)
 }
 
+// longRoute is route with a time-out of 10 s.
+func longRoute(name, prefix, service string) string {
+	return strings.Replace(route(name, prefix, service), `"timeoutMs":3000`, `"timeoutMs":10000`, 1)
+}
+
 // configuration returns the first configuration: its routes and services.
 func configuration(routes []string, services ...string) string {
 	var list []string
