--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -22,6 +22,13 @@
 	idByAddress  map[string]string // id of the newest endpoint by address
 	version      uint64            // incremented with each change that affects the routing of requests
 	newlyUnready []string          // ids that the next call of TakeUnready returns
+	replaced     []Replacement     // what the next call of TakeReplaced returns
+}
+
+// Replacement is the end of an endpoint because another one registered with its address.
+type Replacement struct {
+	Ended     Endpoint
+	Successor string // id of the other endpoint
 }
 
 // entry is an endpoint together with this router's state for it.
@@ -49,6 +56,13 @@
 	return unready
 }
 
+// TakeReplaced returns the replacements that this router has decided on since the last call.
+func (r *Registry) TakeReplaced() []Replacement {
+	replaced := r.replaced
+	r.replaced = nil
+	return replaced
+}
+
 // Len returns the number of endpoints, those included that have ended and are not purged yet.
 func (r *Registry) Len() int { return len(r.entries) }
 
@@ -116,6 +130,7 @@
 		return nil
 	}
 	r.endEndpoint(now, previous, Deregistered)
+	r.replaced = append(r.replaced, Replacement{Ended: previous.Endpoint, Successor: successor.ID})
 	return []Endpoint{previous.Endpoint}
 }
 
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -111,6 +111,18 @@
 	if ended := g.node.Registry.TakeUnready(); len(ended) > 0 {
 		g.dispatcher.Suspend(ended)
 	}
+	g.logReplaced(g.node.Registry.TakeReplaced())
+}
+
+// logReplaced logs the endpoints that this router has ended because others registered with their addresses.
+func (g *gossip) logReplaced(replaced []registry.Replacement) {
+	for _, replacement := range replaced {
+		g.log.Info("endpoint deregistered: another one registered with its address",
+			zap.String("id", replacement.Ended.ID),
+			zap.String("service", replacement.Ended.Service),
+			zap.String("address", replacement.Ended.Address),
+			zap.String("successor", replacement.Successor))
+	}
 }
 
 // fleetSnapshot is the state of the fleet that one tick uses.
