Let only the receiver of an endpoint's heartbeats decide that another one has replaced it

Cause: registry.deregisterPrevious took the order in which a router hears of two endpoints with one address for the order of their lives. A router that has restarted, was cut off or has purged one of them doesn't know that order, and its decision is final at all others. Both endpoints stay in use; the router that has itself received the heartbeats of the first one deregisters it once they have stayed away for two intervals and a second. A new endpoint is ready with its first heartbeat, as before. No message changes.

--- a/internal/fleet/dissemination/node.go
+++ b/internal/fleet/dissemination/node.go
@@ -22,6 +22,11 @@
 	endpointTombstoneTTL     = 60 * time.Second // after which an endpoint that has ended is removed
 	missedHeartbeatsToExpire = 4                // heartbeat intervals without a heartbeat after which an endpoint expires
 	expiryInterval           = 500 * time.Millisecond
+
+	// A heartbeat that isn't acknowledged within heartbeatAckTimeout is sent to another router. An endpoint whose address has a
+	// successor has ended if missedHeartbeatsToReplace of its heartbeats and the repetition of the last one have stayed away.
+	missedHeartbeatsToReplace = 2
+	heartbeatAckTimeout       = time.Second
 )
 
 // Outgoing is a message to be sent: a Heartbeat, Pull, PullReply or Update.
@@ -159,6 +164,8 @@
 }
 
 func (n *Gossiper) expireEndpoints() {
+	replacementSilence := missedHeartbeatsToReplace*n.options.EndpointHeartbeatInterval + heartbeatAckTimeout
+	n.disseminateEndpoints(n.Registry.EndReplaced(n.now, n.options.Self.Address, replacementSilence), 0)
 	timeout := missedHeartbeatsToExpire * n.options.EndpointHeartbeatInterval
 	expired := n.Registry.ExpireStale(n.now, n.options.Self.Address, timeout, n.mayReceiveHeartbeats(timeout))
 	n.disseminateEndpoints(expired, 0)
--- a/internal/fleet/registry/endpoint.go
+++ b/internal/fleet/registry/endpoint.go
@@ -11,7 +11,7 @@
 	Ready State = iota + 1
 	Draining
 	Expired      // no heartbeat was received in time
-	Deregistered // it announced its shutdown, or another endpoint registered with its address
+	Deregistered // it announced its shutdown, or another endpoint has replaced it at its address
 )
 
 // hasEnded reports whether the endpoint no longer serves requests.
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -19,23 +19,19 @@
 // Registry holds all endpoints that one router knows. Its methods are not safe for concurrent use.
 type Registry struct {
 	entries      map[string]*entry // by id
-	idByAddress  map[string]string // id of the newest endpoint by address
+	idByAddress  map[string]string // id of the endpoint that became active last, by address
 	version      uint64            // incremented with each change that affects the routing of requests
 	newlyUnready []string          // ids that the next call of TakeUnready returns
 	replaced     []Replacement     // what the next call of TakeReplaced returns
 }
 
-// Replacement is the end of an endpoint because another one registered with its address.
-type Replacement struct {
-	Ended     Endpoint
-	Successor string // id of the other endpoint
-}
-
 // entry is an endpoint together with this router's state for it.
 type entry struct {
 	Endpoint
 	lastUpdate    time.Duration // time of the last change, or of the last heartbeat if this router is the owner
 	lastAssertion time.Duration // when this router last asserted to other routers that it receives the heartbeats
+	heard         bool          // this router has received a heartbeat of the endpoint
+	successor     string        // id of an endpoint that became active at the address later, as this router knows it; empty: none
 	idHash        uint64
 	digest        uint32 // the endpoint's part of its bucket's checksum; 0: none
 }
@@ -56,13 +52,6 @@
 	return unready
 }
 
-// TakeReplaced returns the replacements that this router has decided on since the last call.
-func (r *Registry) TakeReplaced() []Replacement {
-	replaced := r.replaced
-	r.replaced = nil
-	return replaced
-}
-
 // Len returns the number of endpoints, those included that have ended and are not purged yet.
 func (r *Registry) Len() int { return len(r.entries) }
 
@@ -93,7 +82,8 @@
 	known := r.entries[report.ID]
 	if known == nil {
 		r.store(now, report)
-		return append(r.deregisterPrevious(now, &report), report), true
+		r.entries[report.ID].heard = true
+		return []Endpoint{report}, true
 	}
 	if known.State == Deregistered || report.Sequence < known.Sequence && report.State != Deregistered {
 		return nil, false
@@ -106,10 +96,11 @@
 	}
 	differs := report.differs(&known.Endpoint)
 	r.store(now, report)
+	known.heard = true
 	if !differs {
 		return nil, true
 	}
-	return append(r.deregisterPrevious(now, &report), report), true
+	return []Endpoint{report}, true
 }
 
 // deregistration completes a report that deregisters the endpoint, since such a report need not describe the endpoint.
@@ -119,21 +110,6 @@
 	return report
 }
 
-// deregisterPrevious deregisters the endpoint that had the successor's address before, and returns its report.
-func (r *Registry) deregisterPrevious(now time.Duration, successor *Endpoint) []Endpoint {
-	if successor.State == Deregistered {
-		return nil
-	}
-	previous := r.entries[r.idByAddress[successor.Address]]
-	r.idByAddress[successor.Address] = successor.ID
-	if previous == nil || previous.ID == successor.ID || previous.State == Deregistered {
-		return nil
-	}
-	r.endEndpoint(now, previous, Deregistered)
-	r.replaced = append(r.replaced, Replacement{Ended: previous.Endpoint, Successor: successor.ID})
-	return []Endpoint{previous.Endpoint}
-}
-
 // endEndpoint sets the state of an endpoint to Expired or Deregistered, for a reason other than a report.
 func (r *Registry) endEndpoint(now time.Duration, e *entry, state State) {
 	if e.State == Ready {
@@ -147,6 +123,13 @@
 // store adds an endpoint, or replaces the current report of it.
 func (r *Registry) store(now time.Duration, report Endpoint) {
 	known := r.entries[report.ID]
+	switch {
+	case report.State.hasEnded():
+	case known == nil || known.Address != report.Address:
+		r.claimAddress(&report)
+	case known.State.hasEnded():
+		r.reclaimAddress(known)
+	}
 	if known == nil {
 		known = &entry{Endpoint: report, lastUpdate: now, idHash: xxhash.Sum64String(report.ID)}
 		known.updateDigest()
@@ -180,12 +163,8 @@
 			}
 			continue
 		}
-		differs := known == nil || report.differs(&known.Endpoint)
 		r.store(now, report)
 		changed = append(changed, report)
-		if differs && !report.State.hasEnded() && r.idByAddress[report.Address] == "" {
-			r.idByAddress[report.Address] = report.ID
-		}
 	}
 	return changed, asserted
 }
@@ -214,7 +193,6 @@
 		}
 		e.Owner, e.Sequence = "", 0
 		r.store(now, e)
-		r.idByAddress[e.Address] = e.ID
 		restored = append(restored, e)
 	}
 	return restored
