Tell routers that have forgotten which endpoints have ended

Cause: digests compared active endpoints only, and Merge dropped reports of ended endpoints that it didn't know. A router that had restarted, joined or been cut off never learned of a leave, and took a late heartbeat for that of a new endpoint. By the same drop, a primary that didn't know an endpoint acknowledged its leave without forwarding it. Change: Pull.Ended has digests of the endpoints that have ended; unknown ones are kept, and purged 60 s after the end everywhere, by the age in their reports. The copy on the disk holds draining and ended endpoints too. The first answered pulls request everything, for builds that don't know Pull.Ended. Unknown endpoints are taken at once, as before. The story 'purges ended endpoints ... and does not add them again' of TestRegistry asserted that an unknown tombstone is dropped, which is the fault; what it guarded, that tombstones don't live for ever, is asserted by TestTombstones with ages.

--- a/internal/fleet/dissemination/messages.go
+++ b/internal/fleet/dissemination/messages.go
@@ -20,6 +20,7 @@
 	Sequence  uint64             `cbor:"3,keyasint"` // of the sender's active configuration
 	Members   membership.Digests `cbor:"4,keyasint"`
 	Endpoints registry.Digests   `cbor:"5,keyasint"`
+	Ended     *registry.Digests  `cbor:"6,keyasint,omitempty"` // of endpoints that have ended; nil: builds up to 7830c0d8 don't request them
 }
 
 // PullReply states when the replying router's configuration was last confirmed. Members and endpoints that the puller lacks
--- a/internal/fleet/dissemination/node.go
+++ b/internal/fleet/dissemination/node.go
@@ -19,8 +19,7 @@
 )
 
 const (
-	endpointTombstoneTTL     = 60 * time.Second // after which an endpoint that has ended is removed
-	missedHeartbeatsToExpire = 4                // heartbeat intervals without a heartbeat after which an endpoint expires
+	missedHeartbeatsToExpire = 4 // heartbeat intervals without a heartbeat after which an endpoint expires
 	expiryInterval           = 500 * time.Millisecond
 
 	// A heartbeat that isn't acknowledged within heartbeatAckTimeout is sent to another router. An endpoint whose address has a
@@ -74,6 +73,7 @@
 
 	round        uint64 // of the last pull
 	pendingPulls map[uint64]pendingPull
+	pullReplies  int // number of replies since the start
 	nextPull     time.Duration
 	nextExpiry   time.Duration
 
@@ -169,7 +169,7 @@
 	timeout := missedHeartbeatsToExpire * n.options.EndpointHeartbeatInterval
 	expired := n.Registry.ExpireStale(n.now, n.options.Self.Address, timeout, n.mayReceiveHeartbeats(timeout))
 	n.disseminateEndpoints(expired, 0)
-	n.Registry.Purge(n.now, endpointTombstoneTTL)
+	n.Registry.Purge(n.now)
 }
 
 // Receive handles a message from another router; from is the internal address of that router.
--- a/internal/fleet/dissemination/pull.go
+++ b/internal/fleet/dissemination/pull.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"pinelb.example/pinelb/internal/fleet/membership"
+	"pinelb.example/pinelb/internal/fleet/registry"
 )
 
 // Anti-entropy: comparing digests with one router after another repairs lost pushes.
@@ -20,6 +21,7 @@
 const (
 	maxItemsPerReply = 70 // members, and likewise endpoints, in the reply to one pull; later pulls return the others
 	maxPendingPulls  = 8  // latest pulls whose replies are still accepted
+	completePulls    = 4  // replies to pulls that request all endpoints, after the start; some of their messages may be lost
 	recoveryPullOdds = 8  // one in this many pulls goes to a member marked dead or to a seed, so that a fleet recovers from partitions
 )
 
@@ -59,12 +61,23 @@
 	n.round++
 	n.pendingPulls[n.round] = pendingPull{to: to, sentAt: n.now}
 	delete(n.pendingPulls, n.round-maxPendingPulls)
+	ended := n.Registry.EndedDigests(n.round)
 	n.send(to, Pull{
 		Self: n.Members.Self(), Round: n.round, Sequence: n.Config.Sequence, Members: n.Members.Digests(),
-		Endpoints: n.Registry.Digests(n.round),
+		Endpoints: n.endpointDigests(), Ended: &ended,
 	})
 }
 
+// endpointDigests returns the digests of the endpoints for a pull. After the start they request all endpoints: builds that don't
+// compare Pull.Ended send endpoints that have ended only in buckets that differ.
+func (n *Gossiper) endpointDigests() registry.Digests {
+	digests := n.Registry.Digests(n.round)
+	if n.pullReplies < completePulls {
+		return digests.Inverted()
+	}
+	return digests
+}
+
 // choosePullPeer alternates between the core, which has the most recent confirmation, and all live routers. One in recoveryPullOdds
 // pulls, at random, goes to a recovery candidate, as does any pull while no other router is live. It returns an empty address if there
 // is no router to pull from.
@@ -117,7 +130,25 @@
 	n.send(from, reply)
 	// maxHops keeps the receiver from forwarding the items: only the receiver lacked them.
 	n.memberUpdates.send(n, from, sampleForReply(n.options.Random, n.Members.MembersDiffering(pull.Members)), maxHops)
-	n.endpointUpdates.send(n, from, sampleForReply(n.options.Random, n.Registry.EndpointsDiffering(pull.Endpoints)), maxHops)
+	n.endpointUpdates.send(n, from, sampleForReply(n.options.Random, n.endpointsLacking(&pull)), maxHops)
+}
+
+// endpointsLacking returns the endpoints that the sender of a pull may lack.
+func (n *Gossiper) endpointsLacking(pull *Pull) []registry.Endpoint {
+	lacking := n.Registry.EndpointsDiffering(n.now, pull.Endpoints)
+	if pull.Ended == nil {
+		return lacking
+	}
+	listed := make(map[string]bool, len(lacking))
+	for _, e := range lacking {
+		listed[e.ID] = true
+	}
+	for _, e := range n.Registry.EndedDiffering(n.now, *pull.Ended) {
+		if !listed[e.ID] {
+			lacking = append(lacking, e)
+		}
+	}
+	return lacking
 }
 
 // sampleForReply returns the items of a list that go into one reply: all of them up to maxItemsPerReply, otherwise that many
@@ -140,6 +171,7 @@
 		return
 	}
 	delete(n.pendingPulls, reply.Round)
+	n.pullReplies++
 	n.recordHolder(max(reply.Sequence, reply.Received), from)
 	if reply.Fresh {
 		n.Config.Confirm(reply.Sequence, pull.sentAt-time.Duration(reply.AgeMs)*time.Millisecond)
--- a/internal/fleet/registry/endpoint.go
+++ b/internal/fleet/registry/endpoint.go
@@ -1,6 +1,9 @@
 package registry
 
-import "cmp"
+import (
+	"cmp"
+	"time"
+)
 
 // State is the state that an endpoint last reported, or how it ended.
 type State uint8
@@ -29,8 +32,15 @@
 	Sequence uint64 `cbor:"7,keyasint"`           // number of its last heartbeat
 	Owner    string `cbor:"8,keyasint,omitempty"` // internal address of the router that receives its heartbeats; empty: unknown
 	WarmupMs int64  `cbor:"9,keyasint,omitempty"` // milliseconds of warm-up remaining at its last heartbeat
+
+	// EndedMs is set in reports of endpoints that have ended: the time since then in milliseconds, when the report was made.
+	// Reports of builds up to 7830c0d8 lack it.
+	EndedMs int64 `cbor:"10,keyasint,omitempty" json:",omitempty"`
 }
 
+// endedAgo returns the time between the end of the endpoint and this report.
+func (e *Endpoint) endedAgo() time.Duration { return time.Duration(e.EndedMs) * time.Millisecond }
+
 // supersedes reports whether this report replaces another report of the same endpoint.
 func (e *Endpoint) supersedes(other *Endpoint) bool {
 	if other.State == Deregistered {
--- a/internal/fleet/registry/expiry.go
+++ b/internal/fleet/registry/expiry.go
@@ -26,10 +26,10 @@
 	return expired
 }
 
-// Purge removes endpoints that ended longer than ttl ago.
-func (r *Registry) Purge(now, ttl time.Duration) {
+// Purge removes endpoints that ended longer than tombstoneTTL ago.
+func (r *Registry) Purge(now time.Duration) {
 	for id, e := range r.entries {
-		if e.State.hasEnded() && now-e.lastUpdate > ttl {
+		if e.State.hasEnded() && now-e.lastUpdate > tombstoneTTL {
 			delete(r.entries, id)
 			if r.idByAddress[e.Address] == id {
 				delete(r.idByAddress, e.Address)
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -123,6 +123,7 @@
 // store adds an endpoint, or replaces the current report of it.
 func (r *Registry) store(now time.Duration, report Endpoint) {
 	known := r.entries[report.ID]
+	report.EndedMs = 0 // lastUpdate has the time
 	switch {
 	case report.State.hasEnded():
 	case known == nil || known.Address != report.Address:
@@ -155,7 +156,10 @@
 	for _, report := range reports {
 		known := r.entries[report.ID]
 		if known == nil && report.State.hasEnded() {
-			continue // the endpoint has been purged already
+			if r.addTombstone(now, report) {
+				changed = append(changed, report)
+			}
+			continue
 		}
 		if known != nil && !report.supersedes(&known.Endpoint) {
 			if report.State == Expired && known.shouldAssert(now, self) {
@@ -181,19 +185,3 @@
 	e.lastAssertion = now
 	return true
 }
-
-// Restore adds endpoints that were ready before a restart and returns the added ones. It skips endpoints that are already
-// registered, or whose address is. The next heartbeat of an endpoint replaces its restored entry; without any report the entry
-// expires after restoredEndpointTTL.
-func (r *Registry) Restore(now time.Duration, endpoints []Endpoint) []Endpoint {
-	var restored []Endpoint
-	for _, e := range endpoints {
-		if r.entries[e.ID] != nil || r.idByAddress[e.Address] != "" || e.State != Ready {
-			continue
-		}
-		e.Owner, e.Sequence = "", 0
-		r.store(now, e)
-		restored = append(restored, e)
-	}
-	return restored
-}
--- a/internal/fleet/router/endpoint_cache.go
+++ b/internal/fleet/router/endpoint_cache.go
@@ -9,7 +9,7 @@
 
 // The registry is soft state, which endpoints renew with each heartbeat. If all routers restart at once, however, it takes more than a
 // second until the first heartbeats arrive. Machines with disks therefore keep a copy of the list of endpoints on the disk and use it
-// during that time.
+// during that time. The copy also has the endpoints that are draining or have ended: acknowledged leaves outlast the restart.
 
 const (
 	endpointCacheFileName = "endpoints"
@@ -34,6 +34,7 @@
 	}
 	c.file = newStateFile(c.settings.DataDir, endpointCacheFileName, c.log)
 	c.file.read(&c.restored)
+	c.gossip.restoreLeaves(c.restored)
 }
 
 // tick restores the endpoints once, after restoreDelay, and from restoreWindow on writes the list when it has changed.
@@ -66,7 +67,7 @@
 
 // write writes the list to the disk, unless the registry has not changed since the last write.
 func (c *endpointCache) write(now time.Duration) {
-	endpoints, version := c.gossip.readyEndpoints(c.writtenVersion)
+	endpoints, version := c.gossip.endpointSnapshot(c.writtenVersion)
 	if version == c.writtenVersion {
 		return
 	}
--- a/internal/fleet/router/gossip.go
+++ b/internal/fleet/router/gossip.go
@@ -257,15 +257,22 @@
 	return g.node.Registry.Lookup(id)
 }
 
-// readyEndpoints returns the ready endpoints and the registry's version. The endpoints are nil if the version equals knownVersion.
-func (g *gossip) readyEndpoints(knownVersion uint64) ([]registry.Endpoint, uint64) {
+// restoreLeaves adds the endpoints that were draining or had ended before a restart.
+func (g *gossip) restoreLeaves(endpoints []registry.Endpoint) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.node.Registry.RestoreLeaves(g.clock(), endpoints)
+}
+
+// endpointSnapshot returns the reports of all endpoints and the registry's version. They are nil if the version equals knownVersion.
+func (g *gossip) endpointSnapshot(knownVersion uint64) ([]registry.Endpoint, uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	version := g.node.Registry.Version()
 	if version == knownVersion {
 		return nil, version
 	}
-	return g.node.Registry.Ready(), version
+	return g.node.Registry.Snapshot(g.clock()), version
 }
 
 // liveCore returns the internal addresses of the live core machines, including this machine if it counts for the quorum. If no other live
