Ignore an endpoint's heartbeat that another router has had, and assert ownership against older ones

What callers could see: a heartbeat that came twice, the second time at another router, made that one the endpoint's owner, as it took a report with the same sequence for a new one. 4.8 s later it let the sound endpoint expire, and told all others. Cause: ApplyHeartbeat compared sequences with 'less', Merge with 'less or equal'. A late heartbeat with a sequence in between is taken over, too, and can't be known as late by a router whose sequence is older, as those of all but the owner are. Change: a heartbeat with a known sequence and no later state is ignored (0 doesn't count: it stands for no sequence). The owner that receives another one's claim by an older heartbeat asserts its own report, as it did against expiry, at most once a second. Test: TestLateHeartbeatDoesNotTakeOver fails before in two of its three stories.

--- a/internal/fleet/registry/endpoint.go
+++ b/internal/fleet/registry/endpoint.go
@@ -49,6 +49,16 @@
 	return e.State == Deregistered || cmp.Or(cmp.Compare(e.Sequence, other.Sequence), cmp.Compare(e.State, other.State)) > 0
 }
 
+// isOutdated reports whether a heartbeat was sent before another report of the same endpoint, or is the same heartbeat again.
+// Endpoints that count from 0, or don't count, may send several heartbeats with sequence 0.
+func (e *Endpoint) isOutdated(known *Endpoint) bool {
+	if e.State == Deregistered {
+		return false
+	}
+	isDouble := e.Sequence == known.Sequence && e.Sequence > 0 && e.State <= known.State
+	return e.Sequence < known.Sequence || isDouble
+}
+
 // differs reports whether two reports differ in state, owner, address, service or capacity.
 func (e *Endpoint) differs(other *Endpoint) bool {
 	return e.State != other.State || e.Owner != other.Owner || e.Address != other.Address || e.Service != other.Service ||
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -85,7 +85,7 @@
 		r.entries[report.ID].heard = true
 		return []Endpoint{report}, true
 	}
-	if known.State == Deregistered || report.Sequence < known.Sequence && report.State != Deregistered {
+	if known.State == Deregistered || report.isOutdated(&known.Endpoint) {
 		return nil, false
 	}
 	if report.State == Deregistered {
@@ -150,8 +150,8 @@
 
 // Merge applies other routers' reports and returns the new ones in changed, to be forwarded. Reports in which only the sequence
 // is new are forwarded too, since a third router may have a different report with a sequence in between. If an outdated report
-// says that an endpoint has expired, and self, this router, receives the endpoint's heartbeats, the current report is returned in
-// asserted, to be sent to all routers.
+// says that an endpoint has expired or that another router receives its heartbeats, and self, this router, receives them, the current
+// report is returned in asserted, to be sent to all routers.
 func (r *Registry) Merge(now time.Duration, self string, reports []Endpoint) (changed, asserted []Endpoint) {
 	for _, report := range reports {
 		known := r.entries[report.ID]
@@ -162,7 +162,7 @@
 			continue
 		}
 		if known != nil && !report.supersedes(&known.Endpoint) {
-			if report.State == Expired && known.shouldAssert(now, self) {
+			if (report.State == Expired || report.Owner != self) && known.shouldAssert(now, self) {
 				asserted = append(asserted, known.Endpoint)
 			}
 			continue
