Let only the owner's expiry of an endpoint end it at others

What callers could see: after a router's partition, or after a copy of a heartbeat had reached one late, that router let sound endpoints expire that others received the heartbeats of, and told the others, which had them out of service until the owner's assertion or the next pull. Cause: of two reports with the same sequence the one with the later state won, whoever made it; and a router that lets an endpoint expire because it takes the owner for dead said so under the owner's name. Change: with the same sequence and different owners, an active endpoint supersedes an expired one. A router that isn't the owner reports an expiry without an owner, which never supersedes an active endpoint that has one: each router expires the endpoints of a dead owner by itself.

--- a/internal/fleet/registry/endpoint.go
+++ b/internal/fleet/registry/endpoint.go
@@ -1,9 +1,6 @@
 package registry
 
-import (
-	"cmp"
-	"time"
-)
+import "time"
 
 // State is the state that an endpoint last reported, or how it ended.
 type State uint8
@@ -29,8 +26,10 @@
 	Zone     string `cbor:"4,keyasint"`
 	Capacity int    `cbor:"5,keyasint"` // as reported by its heartbeats
 	State    State  `cbor:"6,keyasint"`
-	Sequence uint64 `cbor:"7,keyasint"`           // number of its last heartbeat
-	Owner    string `cbor:"8,keyasint,omitempty"` // internal address of the router that receives its heartbeats; empty: unknown
+	Sequence uint64 `cbor:"7,keyasint"` // number of its last heartbeat
+	// Owner is the internal address of the router that receives its heartbeats. It is empty if that is not known, and if another
+	// router let the endpoint expire.
+	Owner    string `cbor:"8,keyasint,omitempty"`
 	WarmupMs int64  `cbor:"9,keyasint,omitempty"` // milliseconds of warm-up remaining at its last heartbeat
 
 	// EndedMs is set in reports of endpoints that have ended: the time since then in milliseconds, when the report was made.
@@ -41,12 +40,23 @@
 // endedAgo returns the time between the end of the endpoint and this report.
 func (e *Endpoint) endedAgo() time.Duration { return time.Duration(e.EndedMs) * time.Millisecond }
 
-// supersedes reports whether this report replaces another report of the same endpoint.
+// supersedes reports whether this report replaces another report of the same endpoint. Only the router that received a heartbeat
+// knows whether the next one came. Of two reports with the same sequence and different owners, the active one therefore supersedes the
+// expired one, and an expired one without an owner never supersedes an active one that has one.
 func (e *Endpoint) supersedes(other *Endpoint) bool {
-	if other.State == Deregistered {
+	switch {
+	case other.State == Deregistered:
 		return false // a deregistered process never becomes active again
+	case e.State == Deregistered:
+		return true
+	case e.State == Expired && e.Owner == "" && other.Owner != "" && !other.State.hasEnded():
+		return false
+	case e.Sequence != other.Sequence:
+		return e.Sequence > other.Sequence
+	case e.Owner != other.Owner && e.State.hasEnded() != other.State.hasEnded():
+		return other.State.hasEnded()
 	}
-	return e.State == Deregistered || cmp.Or(cmp.Compare(e.Sequence, other.Sequence), cmp.Compare(e.State, other.State)) > 0
+	return e.State > other.State
 }
 
 // isOutdated reports whether a heartbeat was sent before another report of the same endpoint, or is the same heartbeat again.
--- a/internal/fleet/registry/expiry.go
+++ b/internal/fleet/registry/expiry.go
@@ -19,6 +19,9 @@
 		orphaned := e.Owner != self && elapsed > 2*timeout && !ownerReceives(e.Owner)
 		unconfirmed := e.Owner == "" && elapsed > restoredEndpointTTL
 		if silent || orphaned || unconfirmed {
+			if !silent {
+				e.Owner = ""
+			}
 			r.endEndpoint(now, e, Expired)
 			expired = append(expired, e.Endpoint)
 		}
