--- a/internal/settingsserver/distributor_test.go
+++ b/internal/settingsserver/distributor_test.go
@@ -492,8 +492,8 @@
 // told one that it asked for and then the last, another distributor has the last one too, and none of this is held.
 func TestBurst(t *testing.T) {
 	const many, size, pollers = 1000, 4 << 10, 3
-	a := startDistributor(t, "a", t.TempDir(), &unsyncedDisk{Disk: persistence.Dir(t.TempDir())})
-	b := startDistributor(t, "b", t.TempDir(), &unsyncedDisk{Disk: persistence.Dir(t.TempDir())}, a.followAddr)
+	a := startDistributor(t, "a", t.TempDir(), newMemoryDisk())
+	b := startDistributor(t, "b", t.TempDir(), newMemoryDisk(), a.followAddr)
 	b.begun()
 	a.operate("s", testSettings(0, size))
 	slow, err := net.Dial("tcp", a.followAddr)
@@ -557,19 +557,6 @@
 	}
 }
 
-// quick is a disk that doesn't wait for the metal, for bursts.
-type unsyncedDisk struct{ persistence.Disk }
-
-func (unsyncedDisk) Sync() error { return nil }
-func (q unsyncedDisk) Create(name string) (persistence.File, error) {
-	f, err := q.Disk.Create(name)
-	return unsyncedFile{f}, err
-}
-
-type unsyncedFile struct{ persistence.File }
-
-func (unsyncedFile) Sync() error { return nil }
-
 // awaitWatches waits until so many sidecars' watches are open.
 func (r *testDistributor) awaitWatches(want int) {
 	for open := -1; open != want; {
