--- a/internal/daemon/audit_agent_test.go
+++ b/internal/daemon/audit_agent_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -257,6 +258,42 @@
 	return f(), stream.Response{}
 }
 
+// awaitEnd waits until a process's last entry is on the disk and its files are closed: a Writer's Close leaves a slow disk to the background.
+func awaitEnd(t *testing.T, disk persistence.Disk, incarnation string) {
+	t.Helper()
+	for start := time.Now(); time.Since(start) < 30*time.Second; time.Sleep(time.Millisecond) {
+		entries, _, err := auditlog.Load(disk)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ended := slices.ContainsFunc(entries, func(e auditlog.Entry) bool { return e.Kind == auditlog.Ended && e.Incarnation == incarnation })
+		if ended && !hasLockedFiles(t, disk) {
+			return
+		}
+	}
+	t.Fatal("the last entry doesn't reach the disk")
+}
+
+// hasLockedFiles reports whether a writer has files of the disk open.
+func hasLockedFiles(t *testing.T, disk persistence.Disk) bool {
+	t.Helper()
+	names, err := disk.Names()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range names {
+		unlock, err := disk.Lock(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if unlock == nil {
+			return true
+		}
+		unlock()
+	}
+	return false
+}
+
 // Guards against a successor that does not go on where its predecessor was: with its audit log, its epoch, and an incarnation of its own;
 // handed over or read from a disk.
 func TestAuditLogContinues(t *testing.T) {
@@ -282,6 +319,9 @@
 			ctx, end := context.WithCancel(context.Background())
 			end()
 			w.run(ctx)
+			if from == "disk" {
+				awaitEnd(t, disk, w.incarnation)
+			}
 			heir := newAuditAgent(&config.Audit{}, &config.Config{Name: "n0", Settings: *w.settings, RawSettings: testSettings}, &statePersister{disk: disk}, next, zerolog.Nop())
 			past := heir.auditLog.Entries()
 			heir.auditFile.Close()
