--- a/internal/fleet/dissemination/forgetful_router_test.go
+++ b/internal/fleet/dissemination/forgetful_router_test.go
@@ -159,23 +159,21 @@
 				f.run(50 * time.Millisecond)
 			}
 		}
-		Convey("A late heartbeat reaches a router that has restarted since the leave, without other endpoints beside it", t, func() {
-			f, late, leave := setUp()
-			f.deliver(leave, address(0))
-			f.run(400 * time.Millisecond)
-			f.restart(address(forgetful))
-			f.run(3 * time.Second)
-			expectNotReady(f, late)
-		})
-		Convey("A late heartbeat reaches a router that has restarted since the leave, among routers of the former build", t, func() {
-			f, late, leave := setUp()
-			f.formerBuild = func(a string) bool { return a != address(forgetful) }
-			f.deliver(leave, address(0))
-			f.run(400 * time.Millisecond)
-			f.restart(address(forgetful))
-			f.run(3 * time.Second)
-			expectNotReady(f, late)
-		})
+		builds := map[string]func(string) bool{
+			"of its own build":    nil,
+			"of the former build": func(a string) bool { return a != address(forgetful) },
+		}
+		for name, formerBuild := range builds {
+			Convey("A late heartbeat reaches a router that has restarted since the leave, among routers "+name, t, func() {
+				f, late, leave := setUp()
+				f.formerBuild = formerBuild
+				f.deliver(leave, address(0))
+				f.run(400 * time.Millisecond)
+				f.restart(address(forgetful))
+				f.run(3 * time.Second)
+				expectNotReady(f, late)
+			})
+		}
 		Convey("A late heartbeat reaches a router that was partitioned from the others during the endpoint's life", t, func() {
 			f := newFleet(size, 3)
 			f.run(5 * time.Second)
