Don't take back an orphaned endpoint from routers that have yet to let it expire

Change: a router that has let an endpoint expire takes the same heartbeat's report back only while the owner may still receive heartbeats.

--- a/internal/fleet/dissemination/forgetful_router_test.go
+++ b/internal/fleet/dissemination/forgetful_router_test.go
@@ -235,3 +235,26 @@
 		})
 	}
 }
+
+// Guards against routers that keep an endpoint alive for each other after it and the router that received its heartbeats have ended.
+func TestOrphanedEndpointExpiresForGood(t *testing.T) {
+	for _, size := range []int{12, 60} {
+		Convey("An endpoint crashes together with its owner", t, func() {
+			f := newFleet(size, 3)
+			f.run(5 * time.Second)
+			endpoint := newEmulatedEndpoint("orphan", "10.1.0.1:1", address(8))
+			for _, restarted := range []int{4, 5, 6, 7} { // each has its report at another time
+				f.runWith(1500*time.Millisecond, endpoint)
+				f.restart(address(restarted))
+			}
+			f.runWith(time.Second, endpoint)
+			owner := address(8)
+			f.partitioned = func(from, to string) bool { return from == owner || to == owner }
+			f.run(14 * time.Second)
+			for range 200 {
+				So(f.countReady("orphan"), ShouldEqual, 0)
+				f.run(100 * time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/fleet/dissemination/forgetful_soak_test.go
+++ b/internal/fleet/dissemination/forgetful_soak_test.go
@@ -24,6 +24,10 @@
 	soakContact     = 3 * time.Second // after its last restart or partition, a router is in touch
 	soakMaxLateness = 6 * time.Second // of a heartbeat
 	soakSettling    = 2 * time.Second // after its first heartbeat, an endpoint is listed by all routers in touch
+
+	// After soakForgetting no router lists an endpoint that has ended: the lateness of its heartbeats, and twice the orphan's time-out of
+	// eight intervals, since a router may have let it expire just before it gets a late one.
+	soakForgetting = soakMaxLateness + 2*8*testHeartbeatInterval
 )
 
 // soakEndpoint is an endpoint in the life that the soak plays.
@@ -50,6 +54,7 @@
 	random          *rand.Rand
 	endpoints       []*soakEndpoint // those that have not ended
 	left            []*soakEndpoint // those whose leave was acknowledged, ended or not
+	ended           []*soakEndpoint
 	freeAt          map[string]time.Duration
 	late            []lateReport
 	disturbed       map[string]time.Duration // time of the last restart, or of the end of the last partition
@@ -148,7 +153,13 @@
 }
 
 func (s *forgetfulSoak) stepEndpoints() {
-	s.endpoints = slices.DeleteFunc(s.endpoints, func(e *soakEndpoint) bool { return s.now >= e.endsAt })
+	s.endpoints = slices.DeleteFunc(s.endpoints, func(e *soakEndpoint) bool {
+		if s.now < e.endsAt {
+			return false
+		}
+		s.ended = append(s.ended, e)
+		return true
+	})
 	for _, e := range s.endpoints {
 		switch {
 		case s.now >= e.leavesAt && e.leftAt == 0:
@@ -211,6 +222,11 @@
 				s.violatef("%s lists %s as ready, whose leave was acknowledged at %v", router, e.report.ID, e.leftAt)
 			}
 		}
+		for _, e := range s.ended {
+			if known, _ := endpoints.Lookup(e.report.ID); known.State == registry.Ready && s.now > e.endsAt+soakForgetting {
+				s.violatef("%s lists %s as ready, which ended at %v", router, e.report.ID, e.endsAt)
+			}
+		}
 		for _, e := range s.endpoints {
 			known, _ := endpoints.Lookup(e.report.ID)
 			if e.report.State == registry.Ready && s.now > e.startedAt+soakSettling && known.State != registry.Ready {
--- a/internal/fleet/dissemination/node.go
+++ b/internal/fleet/dissemination/node.go
@@ -92,7 +92,7 @@
 
 // New returns a Gossiper whose member list holds only its own router; it finds the others through the seeds.
 func New(now time.Duration, options Options) *Gossiper {
-	return &Gossiper{
+	n := &Gossiper{
 		Members:         membership.New(now, options.Self, options.Timing),
 		Registry:        registry.New(),
 		options:         options,
@@ -102,6 +102,8 @@
 		endpointUpdates: newEndpointUpdates(),
 		transfers:       transferLimiter{bytesPerSecond: options.LinkBytesPerSecond},
 	}
+	n.Registry.OwnerReceives = n.mayReceiveHeartbeats(missedHeartbeatsToExpire * options.EndpointHeartbeatInterval)
+	return n
 }
 
 // SetSeeds replaces the internal addresses of the seeds.
--- a/internal/fleet/registry/expiry.go
+++ b/internal/fleet/registry/expiry.go
@@ -7,7 +7,7 @@
 
 // ExpireStale marks endpoints as Expired and returns them: those owned by self, this router, if their last heartbeat is older than
 // timeout; those of owners that no longer receive heartbeats, if their last report is older than twice the timeout; and restored
-// ones after restoredEndpointTTL. ownerReceives reports whether a router may still receive its endpoints' heartbeats.
+// ones after restoredEndpointTTL. ownerReceives is like OwnerReceives.
 func (r *Registry) ExpireStale(now time.Duration, self string, timeout time.Duration, ownerReceives func(owner string) bool) []Endpoint {
 	var expired []Endpoint
 	for _, e := range r.entries {
--- a/internal/fleet/registry/registry.go
+++ b/internal/fleet/registry/registry.go
@@ -18,6 +18,9 @@
 
 // Registry holds all endpoints that one router knows. Its methods are not safe for concurrent use.
 type Registry struct {
+	// OwnerReceives reports whether a router may still receive its endpoints' heartbeats. nil: each may.
+	OwnerReceives func(owner string) bool
+
 	entries      map[string]*entry // by id
 	idByAddress  map[string]string // id of the endpoint that became active last, by address
 	version      uint64            // incremented with each change that affects the routing of requests
@@ -161,7 +164,7 @@
 			}
 			continue
 		}
-		if known != nil && !report.supersedes(&known.Endpoint) {
+		if known != nil && (!report.supersedes(&known.Endpoint) || r.isOrphan(known, &report)) {
 			if (report.State == Expired || report.Owner != self) && known.shouldAssert(now, self) {
 				asserted = append(asserted, known.Endpoint)
 			}
@@ -173,6 +176,13 @@
 	return changed, asserted
 }
 
+// isOrphan reports whether a report of an endpoint that this router has let expire has no news: the same heartbeat, of an owner that
+// doesn't receive any more. Without this, routers would return the endpoint to each other for ever.
+func (r *Registry) isOrphan(known *entry, report *Endpoint) bool {
+	isSame := known.State == Expired && known.Owner == "" && known.Sequence == report.Sequence
+	return isSame && !report.State.hasEnded() && r.OwnerReceives != nil && !r.OwnerReceives(report.Owner)
+}
+
 // minAssertionInterval is the minimum time between two assertions of one endpoint.
 const minAssertionInterval = time.Second
 
